base: start the workspace with result codes, log and counters

Cause: the repository was empty. Change: the CMake workspace, the scripts, the base package, the design page and the headers that the other packages agree on.

--- /dev/null
+++ b/cmake/package.cmake
@@ -0,0 +1,30 @@
+# waxwing_package(NAME dep...): a static library "wx_NAME" from
+# packages/NAME/src/*.c, with public headers in packages/NAME/include, and one
+# test program per packages/NAME/tests/t*.c.
+function(waxwing_package name)
+  set(dir ${CMAKE_SOURCE_DIR}/packages/${name})
+  file(GLOB sources CONFIGURE_DEPENDS ${dir}/src/*.c ${dir}/src/generated/*.c)
+  add_library(wx_${name} STATIC ${sources})
+  target_include_directories(wx_${name} PUBLIC ${dir}/include PRIVATE ${dir}/src)
+  set(deps "")
+  foreach(dep ${ARGN})
+    list(APPEND deps wx_${dep})
+  endforeach()
+  target_link_libraries(wx_${name} PUBLIC ${deps} PkgConfig::DEPS m)
+  waxwing_package_tests(${name} ${dir}/tests wx_${name})
+endfunction()
+
+function(waxwing_package_tests name dir)
+  if(WITH_FUZZERS)
+    return()
+  endif()
+  file(GLOB tests CONFIGURE_DEPENDS ${dir}/t[0-9]*.c)
+  foreach(source ${tests})
+    get_filename_component(test ${source} NAME_WE)
+    add_executable(${test} ${source})
+    target_include_directories(${test} PRIVATE ${dir})
+    target_link_libraries(${test} PRIVATE ${ARGN} PkgConfig::CMOCKA)
+    add_test(NAME ${name}/${test} COMMAND ${test}
+             WORKING_DIRECTORY ${CMAKE_SOURCE_DIR})
+  endforeach()
+endfunction()
--- /dev/null
+++ b/packages/base/include/histogram.h
@@ -0,0 +1,29 @@
+#ifndef BASE_HISTOGRAM_H
+#define BASE_HISTOGRAM_H
+
+#include <stdint.h>
+
+/*
+ * Log-linear histogram of non-negative integers: 32 linear steps per power of
+ * two, so a quantile is off by at most 3.2%.  Fixed size, no allocation.
+ */
+#define HISTOGRAM_STEP_BITS 5
+#define HISTOGRAM_BUCKETS                                                      \
+  ((64 - HISTOGRAM_STEP_BITS + 1) << HISTOGRAM_STEP_BITS)
+
+struct histogram
+{
+  uint64_t count;
+  uint64_t sum;
+  uint64_t max;
+  uint32_t buckets[HISTOGRAM_BUCKETS];
+};
+
+void histogram_init (struct histogram *histogram);
+void histogram_add (struct histogram *histogram, uint64_t value);
+
+/* quantile in [0, 1]; 0 for an empty histogram.  Gives a bucket's upper end. */
+uint64_t histogram_quantile (const struct histogram *histogram,
+                             double quantile);
+
+#endif
--- /dev/null
+++ b/packages/base/include/jsonutil.h
@@ -0,0 +1,28 @@
+#ifndef BASE_JSONUTIL_H
+#define BASE_JSONUTIL_H
+
+#include "result.h"
+
+#include <jansson.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/* Readers for JSON that other processes wrote. */
+
+/*
+ * Copies a string member into out.  False if it is absent, not a string or
+ * does not fit, in which case out is "".
+ */
+bool json_read_string (const json_t *object,
+                       const char *key,
+                       char *out,
+                       size_t size);
+
+/* False, with *out = 0, unless the member is an integer of zero or more. */
+bool json_read_u64 (const json_t *object, const char *key, uint64_t *out);
+
+/* The fallback unless the member is a boolean. */
+bool json_read_bool (const json_t *object, const char *key, bool fallback);
+
+#endif
--- /dev/null
+++ b/packages/base/include/log.h
@@ -0,0 +1,94 @@
+#ifndef BASE_LOG_H
+#define BASE_LOG_H
+
+#include <stdint.h>
+
+/*
+ * Event log: one line per event on standard error, in syslog form:
+ *
+ *   <PRI>TIME HOST PROGRAM[PID]: event=NAME key=value key="quoted value"
+ *
+ * Values that are empty or hold spaces, quotes, '=' or control characters are
+ * quoted and escaped, so that a caller's text can never forge a field or line.
+ */
+
+/* The numbers are those of syslog severities (RFC 5424, section 6.2.1). */
+enum log_level
+{
+  LOG_LEVEL_ERROR = 3,
+  LOG_LEVEL_WARNING = 4,
+  LOG_LEVEL_NOTICE = 5,
+  LOG_LEVEL_INFO = 6,
+  LOG_LEVEL_DEBUG = 7,
+};
+
+enum log_field_kind
+{
+  LOG_FIELD_END,
+  LOG_FIELD_STRING,
+  LOG_FIELD_INTEGER,
+  LOG_FIELD_UNSIGNED,
+  LOG_FIELD_REAL,
+};
+
+struct log_field
+{
+  enum log_field_kind kind;
+  const char *key;
+  union
+  {
+    const char *string;
+    int64_t integer;
+    uint64_t number;
+    double real;
+  } value;
+};
+
+#define LOG_STR(k, v)                                                          \
+  {                                                                            \
+    .kind = LOG_FIELD_STRING, .key = (k), .value.string = (v)                  \
+  }
+#define LOG_INT(k, v)                                                          \
+  {                                                                            \
+    .kind = LOG_FIELD_INTEGER, .key = (k), .value.integer = (v)                \
+  }
+#define LOG_U64(k, v)                                                          \
+  {                                                                            \
+    .kind = LOG_FIELD_UNSIGNED, .key = (k), .value.number = (v)                \
+  }
+#define LOG_REAL(k, v)                                                         \
+  {                                                                            \
+    .kind = LOG_FIELD_REAL, .key = (k), .value.real = (v)                      \
+  }
+
+/*
+ * LOG_EVENT (LOG_LEVEL_INFO, "lease-acquired", LOG_U64 ("fence", n));
+ * Takes at least one field.
+ */
+#define LOG_EVENT(level, event, ...)                                           \
+  log_event (                                                                  \
+      (level), (event),                                                        \
+      (const struct log_field[]){ __VA_ARGS__, { .kind = LOG_FIELD_END } })
+
+/* program and host are copied.  Lines above the level are dropped. */
+void log_setup (const char *program, const char *host, enum log_level level);
+void log_set_level (enum log_level level);
+
+/*
+ * Redirects the formatted lines, which carry no newline, to sink; NULL
+ * restores standard error.
+ */
+void log_set_sink (void (*sink) (void *context,
+                                 enum log_level level,
+                                 const char *line),
+                   void *context);
+
+/* Parses "error", "warning", "notice", "info" or "debug"; -1 if unknown. */
+int log_parse_level (const char *name);
+
+/* fields ends with an entry of kind LOG_FIELD_END. */
+void log_event (enum log_level level,
+                const char *event,
+                const struct log_field *fields);
+
+#endif
--- /dev/null
+++ b/packages/base/src/jsonutil.c
@@ -0,0 +1,35 @@
+#include "jsonutil.h"
+
+#include <string.h>
+
+bool
+json_read_string (const json_t *object, const char *key, char *out, size_t size)
+{
+  const char *value = json_string_value (json_object_get (object, key));
+
+  out[0] = '\0';
+  if (value == NULL || strlen (value) >= size)
+    return false;
+  memcpy (out, value, strlen (value) + 1);
+  return true;
+}
+
+bool
+json_read_u64 (const json_t *object, const char *key, uint64_t *out)
+{
+  const json_t *value = json_object_get (object, key);
+
+  *out = 0;
+  if (!json_is_integer (value) || json_integer_value (value) < 0)
+    return false;
+  *out = (uint64_t)json_integer_value (value);
+  return true;
+}
+
+bool
+json_read_bool (const json_t *object, const char *key, bool fallback)
+{
+  const json_t *value = json_object_get (object, key);
+
+  return json_is_boolean (value) ? json_is_true (value) : fallback;
+}
--- /dev/null
+++ b/packages/base/src/log.c
@@ -0,0 +1,176 @@
+#include "log.h"
+
+#include <inttypes.h>
+#include <stdarg.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#define LINE_SIZE 2048
+#define FACILITY_DAEMON (3 << 3)
+
+static struct
+{
+  char program[32];
+  char host[64];
+  enum log_level level;
+  void (*sink) (void *context, enum log_level level, const char *line);
+  void *sink_context;
+} state = { .program = "waxwinglink", .host = "-", .level = LOG_LEVEL_INFO };
+
+struct line
+{
+  char text[LINE_SIZE];
+  size_t used;
+};
+
+static void __attribute__ ((format (printf, 2, 3)))
+append (struct line *line, const char *format, ...)
+{
+  size_t room = sizeof line->text - line->used;
+  va_list args;
+  int n;
+
+  va_start (args, format);
+  n = vsnprintf (line->text + line->used, room, format, args);
+  va_end (args);
+  if (n > 0)
+    line->used += (size_t)n < room ? (size_t)n : room - 1;
+}
+
+static bool
+needs_quotes (const char *text)
+{
+  if (*text == '\0')
+    return true;
+  for (; *text != '\0'; text++)
+    if ((unsigned char)*text <= ' ' || *text == '"' || *text == '='
+        || *text == '\\' || *text == 0x7f)
+      return true;
+  return false;
+}
+
+static void
+append_string (struct line *line, const char *text)
+{
+  if (!needs_quotes (text))
+    {
+      append (line, "%s", text);
+      return;
+    }
+  append (line, "\"");
+  for (; *text != '\0'; text++)
+    {
+      unsigned char c = (unsigned char)*text;
+
+      if (c == '"' || c == '\\')
+        append (line, "\\%c", c);
+      else if (c < ' ' || c == 0x7f)
+        append (line, "\\x%02x", c);
+      else
+        append (line, "%c", c);
+    }
+  append (line, "\"");
+}
+
+static void
+append_field (struct line *line, const struct log_field *field)
+{
+  append (line, " %s=", field->key);
+  switch (field->kind)
+    {
+    case LOG_FIELD_STRING:
+      append_string (line,
+                     field->value.string != NULL ? field->value.string : "");
+      break;
+    case LOG_FIELD_INTEGER:
+      append (line, "%" PRId64, field->value.integer);
+      break;
+    case LOG_FIELD_UNSIGNED:
+      append (line, "%" PRIu64, field->value.number);
+      break;
+    case LOG_FIELD_REAL:
+      append (line, "%.6g", field->value.real);
+      break;
+    case LOG_FIELD_END:
+      break;
+    }
+}
+
+static void
+append_prefix (struct line *line, enum log_level level)
+{
+  struct timespec now;
+  struct tm tm;
+  char stamp[32];
+
+  clock_gettime (CLOCK_REALTIME, &now);
+  gmtime_r (&now.tv_sec, &tm);
+  strftime (stamp, sizeof stamp, "%Y-%m-%dT%H:%M:%S", &tm);
+  append (line, "<%d>%s.%03ldZ %s %s[%d]:", FACILITY_DAEMON | (int)level, stamp,
+          now.tv_nsec / 1000000, state.host, state.program, (int)getpid ());
+}
+
+void
+log_setup (const char *program, const char *host, enum log_level level)
+{
+  snprintf (state.program, sizeof state.program, "%s", program);
+  snprintf (state.host, sizeof state.host, "%s", host);
+  state.level = level;
+}
+
+void
+log_set_level (enum log_level level)
+{
+  state.level = level;
+}
+
+void
+log_set_sink (void (*sink) (void *context,
+                            enum log_level level,
+                            const char *line),
+              void *context)
+{
+  state.sink = sink;
+  state.sink_context = context;
+}
+
+int
+log_parse_level (const char *name)
+{
+  static const struct
+  {
+    const char *name;
+    enum log_level level;
+  } levels[] = {
+    { "error", LOG_LEVEL_ERROR },   { "warning", LOG_LEVEL_WARNING },
+    { "notice", LOG_LEVEL_NOTICE }, { "info", LOG_LEVEL_INFO },
+    { "debug", LOG_LEVEL_DEBUG },
+  };
+
+  for (size_t i = 0; i < sizeof levels / sizeof levels[0]; i++)
+    if (strcmp (levels[i].name, name) == 0)
+      return (int)levels[i].level;
+  return -1;
+}
+
+void
+log_event (enum log_level level,
+           const char *event,
+           const struct log_field *fields)
+{
+  struct line line = { .used = 0 };
+
+  if (level > state.level)
+    return;
+  append_prefix (&line, level);
+  append (&line, " event=%s", event);
+  for (; fields->kind != LOG_FIELD_END; fields++)
+    append_field (&line, fields);
+  if (state.sink != NULL)
+    state.sink (state.sink_context, level, line.text);
+  else
+    fprintf (stderr, "%s\n", line.text);
+}
--- /dev/null
+++ b/packages/base/tests/t0001-base.c
@@ -0,0 +1,186 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "counter.h"
+#include "hash.h"
+#include "histogram.h"
+#include "log.h"
+#include "result.h"
+#include "rng.h"
+#include "uuid.h"
+
+struct quote_case
+{
+  const char *value;
+  const char *expected;
+};
+
+/* A caller's text must not be able to forge a field or a line. */
+static const struct quote_case quote_cases[] = {
+  { "plain", "value=plain" },
+  { "", "value=\"\"" },
+  { "two words", "value=\"two words\"" },
+  { "a=b", "value=\"a=b\"" },
+  { "line\nevent=forged", "value=\"line\\x0aevent=forged\"" },
+  { "say \"hi\"", "value=\"say \\\"hi\\\"\"" },
+};
+
+static void
+keep_line (void *context, enum log_level level, const char *line)
+{
+  (void)level;
+  snprintf (context, 512, "%s", line);
+}
+
+static void
+test_log_quoting (void **state)
+{
+  char line[512];
+
+  (void)state;
+  log_set_sink (keep_line, line);
+  for (size_t i = 0; i < sizeof quote_cases / sizeof quote_cases[0]; i++)
+    {
+      LOG_EVENT (LOG_LEVEL_INFO, "test",
+                 LOG_STR ("value", quote_cases[i].value));
+      assert_non_null (strstr (line, quote_cases[i].expected));
+    }
+  log_set_sink (NULL, NULL);
+}
+
+struct uuid_case
+{
+  const char *text;
+  bool valid;
+  int64_t unix_ms;
+};
+
+static const struct uuid_case uuid_cases[] = {
+  /* The example of RFC 9562, appendix A.6. */
+  { "017f22e2-79b0-7cc3-98c4-dc0c0c07398f", true, 1645557742000 },
+  { "017F22E2-79B0-7CC3-98C4-DC0C0C07398F", true, 1645557742000 },
+  { "017f22e2-79b0-4cc3-98c4-dc0c0c07398f", false, 0 },
+  { "017f22e2-79b0-7cc3-18c4-dc0c0c07398f", false, 0 },
+  { "017f22e279b07cc398c4dc0c0c07398f", false, 0 },
+  { "017f22e2-79b0-7cc3-98c4-dc0c0c07398g", false, 0 },
+  { "", false, 0 },
+};
+
+static void
+test_uuid (void **state)
+{
+  char text[UUID_SIZE];
+  const uint64_t bits[2] = { 0x123456789abcdef0, 0x0fedcba987654321 };
+  int64_t unix_ms;
+
+  (void)state;
+  for (size_t i = 0; i < sizeof uuid_cases / sizeof uuid_cases[0]; i++)
+    {
+      bool valid = uuid_parse_v7 (uuid_cases[i].text, &unix_ms);
+
+      assert_int_equal (valid, uuid_cases[i].valid);
+      if (valid)
+        assert_int_equal (unix_ms, uuid_cases[i].unix_ms);
+    }
+  uuid_format_v7 (text, 1645557742000, bits);
+  assert_true (uuid_parse_v7 (text, &unix_ms));
+  assert_int_equal (unix_ms, 1645557742000);
+}
+
+static void
+test_histogram_quantiles (void **state)
+{
+  struct histogram *histogram = malloc (sizeof *histogram);
+
+  (void)state;
+  assert_non_null (histogram);
+  histogram_init (histogram);
+  assert_int_equal (histogram_quantile (histogram, 0.5), 0);
+  for (uint64_t value = 1; value <= 100000; value++)
+    histogram_add (histogram, value);
+  for (int percent = 1; percent <= 100; percent++)
+    {
+      double exact = percent * 1000.0;
+      double got = (double)histogram_quantile (histogram, percent / 100.0);
+
+      assert_true (got >= exact * 0.999 && got <= exact * 1.033);
+    }
+  histogram_add (histogram, UINT64_MAX);
+  assert_true (histogram_quantile (histogram, 1.0) == UINT64_MAX);
+  free (histogram);
+}
+
+static void
+test_counter_limit (void **state)
+{
+  struct counter_set set;
+
+  (void)state;
+  counter_set_init (&set, 2);
+  counter_add (&set, "a_total", NULL, 1);
+  counter_add (&set, "a_total", "customer=\"x\"", 2);
+  counter_add (&set, "a_total", "customer=\"y\"", 4);
+  counter_add (&set, "a_total", NULL, 1);
+  assert_true (counter_read (&set, "a_total", NULL) == 2);
+  assert_true (counter_read (&set, "a_total", "customer=\"x\"") == 2);
+  assert_true (set.overflow.value == 4);
+  counter_set_finish (&set);
+}
+
+/* Two numbers for one code would make a caller act on the wrong one. */
+static void
+test_result_numbers_are_unique (void **state)
+{
+  (void)state;
+  for (unsigned i = 0; result_at (i) != NULL; i++)
+    for (unsigned j = i + 1; result_at (j) != NULL; j++)
+      assert_int_not_equal (result_at (i)->number, result_at (j)->number);
+  assert_int_equal (result_info ((enum result)99999)->number, RESULT_INTERNAL);
+}
+
+static void
+test_rng_and_hash_are_stable (void **state)
+{
+  struct rng a;
+  struct rng b;
+  char one[HASH_HEX_SIZE];
+  char two[HASH_HEX_SIZE];
+  const struct hash_part left[] = { { "ab", 2 }, { "c", 1 }, { NULL, 0 } };
+  const struct hash_part right[] = { { "a", 1 }, { "bc", 2 }, { NULL, 0 } };
+
+  (void)state;
+  rng_init (&a, 7);
+  rng_init (&b, 7);
+  for (int i = 0; i < 1000; i++)
+    {
+      uint64_t value = rng_below (&a, 10);
+
+      assert_int_equal (value, rng_below (&b, 10));
+      assert_true (value < 10);
+    }
+  hash_hex (left, one);
+  hash_hex (right, two);
+  assert_string_not_equal (one, two);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_log_quoting),
+    cmocka_unit_test (test_uuid),
+    cmocka_unit_test (test_histogram_quantiles),
+    cmocka_unit_test (test_counter_limit),
+    cmocka_unit_test (test_result_numbers_are_unique),
+    cmocka_unit_test (test_rng_and_hash_are_stable),
+  };
+
+  return cmocka_run_group_tests_name ("base", tests, NULL, NULL);
+}
