--- /dev/null
+++ b/packages/settings/include/settings.h
@@ -0,0 +1,125 @@
+#ifndef SETTINGS_SETTINGS_H
+#define SETTINGS_SETTINGS_H
+
+#include "result.h"
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/*
+ * The daemon's settings: a YAML file of nested mappings, checked as a whole
+ * against the table of keys (settings-table.h).  docs/settings.md lists the
+ * same keys; a test compares the two.
+ */
+
+#define SETTINGS_TEXT_SIZE 256
+#define SETTINGS_LIST_LIMIT 64
+#define SETTINGS_ERROR_LIMIT 64
+
+struct settings_list
+{
+  char items[SETTINGS_LIST_LIMIT][SETTINGS_TEXT_SIZE];
+  size_t count;
+};
+
+struct settings
+{
+  char host[SETTINGS_TEXT_SIZE];
+  char data_centre[SETTINGS_TEXT_SIZE];
+  char log_level[SETTINGS_TEXT_SIZE];
+
+  char callers_address[SETTINGS_TEXT_SIZE];
+  int64_t callers_port;
+  int64_t callers_max_body_bytes;
+  int64_t callers_max_header_bytes;
+  int64_t callers_max_headers;
+  int64_t callers_idle_timeout_ms;
+  int64_t callers_stall_timeout_ms;
+  int64_t callers_buffer_bytes;
+  int64_t callers_default_deadline_ms;
+  int64_t callers_max_deadline_ms;
+
+  char admin_address[SETTINGS_TEXT_SIZE];
+  int64_t admin_port;
+
+  char peers_address[SETTINGS_TEXT_SIZE];
+  int64_t peers_port;
+  struct settings_list peers_seeds; /* "ADDRESS:PORT" */
+  struct settings_list peers_keys;  /* "ID:HEX"; the first one signs */
+
+  char platform_address[SETTINGS_TEXT_SIZE];
+  int64_t platform_port;
+  int64_t platform_timeout_ms;
+  int64_t platform_hosts_interval_ms;
+
+  int64_t admission_queue_per_customer;
+  int64_t admission_queue_total;
+  int64_t admission_ageing_ms;
+
+  double groups_downtime_weight;
+  double groups_stranded_weight;
+  int64_t groups_load_ms;
+  int64_t groups_reload_ms;
+  int64_t groups_max_loads;
+
+  int64_t drain_settle_ms;
+  int64_t drain_limit_ms;
+
+  bool test_faults; /* admin requests may cut links; for tests only */
+};
+
+struct settings_error
+{
+  enum result code;
+  unsigned line; /* from 1; 0 = the whole file */
+  char key[SETTINGS_TEXT_SIZE];
+  char text[SETTINGS_TEXT_SIZE]; /* for people */
+};
+
+struct settings_errors
+{
+  struct settings_error list[SETTINGS_ERROR_LIMIT];
+  size_t count; /* may exceed the limit; the rest are not kept */
+};
+
+enum settings_kind
+{
+  SETTINGS_STRING,
+  SETTINGS_ADDRESS, /* an IP number */
+  SETTINGS_INTEGER,
+  SETTINGS_REAL,
+  SETTINGS_BOOLEAN,
+  SETTINGS_LIST,
+};
+
+struct settings_key
+{
+  const char *name; /* dotted path, e.g. "callers.port" */
+  enum settings_kind kind;
+  const char *unit;          /* "ms", "bytes", "" */
+  const char *default_value; /* NULL = the key is required */
+  double min;
+  double max;
+  const char *meaning;
+  size_t offset; /* into struct settings */
+};
+
+/* Walks the table of keys: NULL past the last. */
+const struct settings_key *settings_key_at (unsigned index);
+
+/*
+ * Checks text (YAML) whole and fills settings.  Returns RESULT_OK, or the
+ * code of the first error, with every error in errors.
+ */
+enum result settings_parse (struct settings *settings,
+                            const char *text,
+                            size_t size,
+                            struct settings_errors *errors);
+
+/* Reads the file and parses it. */
+enum result settings_load (struct settings *settings,
+                           const char *path,
+                           struct settings_errors *errors);
+
+#endif
