--- /dev/null
+++ b/packages/member/src/gossip.c
@@ -0,0 +1,191 @@
+#include "member.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/*
+ * An update rides on this many messages for each doubling of the fleet; 3 is
+ * SWIM's usual factor.
+ */
+#define TRANSMIT_FACTOR 3
+
+static unsigned
+transmit_limit (const struct member_table *table)
+{
+  unsigned doublings = 1;
+  unsigned count = HASH_COUNT (table->members) + 1;
+
+  while (count > 1)
+    {
+      doublings++;
+      count /= 2;
+    }
+  return TRANSMIT_FACTOR * doublings;
+}
+
+/* SWIM's order: at one incarnation, worse news wins. */
+static bool
+supersedes (const struct member_update *update,
+            const struct member_update *known)
+{
+  if (update->incarnation != known->incarnation)
+    return update->incarnation > known->incarnation;
+  return update->state > known->state;
+}
+
+static void
+refute (struct member_table *table, const struct member_update *update)
+{
+  if (update->incarnation < table->self.incarnation
+      || update->state == MEMBER_ALIVE || table->self.state != MEMBER_ALIVE)
+    return;
+  table->self.incarnation = update->incarnation + 1;
+  table->refutations++;
+}
+
+static struct member *
+add_member (struct member_table *table, const struct member_update *update)
+{
+  struct member *member = calloc (1, sizeof *member);
+
+  if (member == NULL)
+    return NULL;
+  member->info = *update;
+  member->heard_ms = INT64_MIN;
+  member->ping_order = table->round << 32 | (rng_next (&table->rng) >> 32);
+  HASH_ADD (hh, table->members, info.host, strlen (member->info.host), member);
+  return member;
+}
+
+static void
+apply_update (struct member_table *table,
+              const struct member_update *update,
+              int64_t now_ms)
+{
+  struct member *member;
+
+  if (strcmp (update->host, table->self.host) == 0)
+    {
+      refute (table, update);
+      return;
+    }
+  member = member_find (table, update->host);
+  if (member == NULL)
+    {
+      /* Nothing is gained by learning of a member that is gone. */
+      if (update->state == MEMBER_DEAD || update->state == MEMBER_LEFT)
+        return;
+      member = add_member (table, update);
+      if (member == NULL)
+        return;
+    }
+  else if (!supersedes (update, &member->info))
+    return;
+  if (member->info.state != update->state)
+    member->changed_ms = now_ms;
+  member->info = *update;
+  member->to_send = transmit_limit (table);
+}
+
+void
+member_on_message (struct member_table *table,
+                   const struct member_update *sender,
+                   const struct member_versions *versions,
+                   const struct member_update *updates,
+                   size_t count,
+                   int64_t now_ms)
+{
+  struct member *member;
+
+  if (strcmp (sender->host, table->self.host) == 0)
+    return;
+  apply_update (table, sender, now_ms);
+  member = member_find (table, sender->host);
+  /* A message of an earlier process of that host says nothing of this one. */
+  if (member != NULL && sender->incarnation >= member->info.incarnation)
+    {
+      member->heard_ms = now_ms;
+      member->versions = *versions;
+    }
+  for (size_t i = 0; i < count; i++)
+    apply_update (table, &updates[i], now_ms);
+}
+
+static bool
+is_taken (const struct member **taken,
+          size_t count,
+          const struct member *member)
+{
+  for (size_t i = 0; i < count; i++)
+    if (taken[i] == member)
+      return true;
+  return false;
+}
+
+static struct member *
+most_urgent (const struct member_table *table,
+             const struct member **taken,
+             size_t count)
+{
+  struct member *best = NULL;
+
+  for (struct member *member = table->members; member != NULL;
+       member = member->hh.next)
+    if (!is_taken (taken, count, member) && member->to_send > 0
+        && (best == NULL || member->to_send > best->to_send))
+      best = member;
+  return best;
+}
+
+size_t
+member_collect (struct member_table *table,
+                const char *host,
+                struct member_update *updates)
+{
+  const struct member *taken[MEMBER_UPDATES_LIMIT];
+  struct member *receiver = host != NULL ? member_find (table, host) : NULL;
+  size_t count = 0;
+
+  if (receiver != NULL && receiver->info.state != MEMBER_ALIVE)
+    {
+      taken[count] = receiver;
+      updates[count++] = receiver->info;
+    }
+  while (count < MEMBER_UPDATES_LIMIT)
+    {
+      struct member *member = most_urgent (table, taken, count);
+
+      if (member == NULL)
+        break;
+      member->to_send--;
+      taken[count] = member;
+      updates[count++] = member->info;
+    }
+  /*
+   * Spare room carries random members, so that a newcomer learns of all of
+   * them soon although no one has news of them.
+   */
+  for (unsigned tries = 0;
+       tries < MEMBER_UPDATES_LIMIT && count < MEMBER_UPDATES_LIMIT
+       && table->members != NULL;
+       tries++)
+    {
+      size_t skip = rng_below (&table->rng, HASH_COUNT (table->members));
+      struct member *member = table->members;
+
+      while (skip-- > 0)
+        member = member->hh.next;
+      if (is_taken (taken, count, member) || !member_is_live (member))
+        continue;
+      taken[count] = member;
+      updates[count++] = member->info;
+    }
+  return count;
+}
+
+void
+member_leave (struct member_table *table)
+{
+  table->self.incarnation++;
+  table->self.state = MEMBER_LEFT;
+}
