--- a/packages/member/src/probe.c
+++ b/packages/member/src/probe.c
@@ -234,21 +234,23 @@
 static void
 age_members (struct member_table *table, int64_t now_ms)
 {
-  struct member *member = table->members;
+  struct member *forgotten = NULL;
 
-  while (member != NULL)
+  for (struct member *member = table->members; member != NULL;
+       member = member->hh.next)
     {
-      struct member *next = member->hh.next;
       int64_t age = now_ms - member->changed_ms;
 
       if (member->info.state == MEMBER_SUSPECT && age >= MEMBER_SUSPECT_MS)
         set_state (member, MEMBER_DEAD, now_ms);
       else if (!member_is_live (member) && age >= MEMBER_FORGET_MS)
-        {
-          HASH_DEL (table->members, member);
-          free (member);
-        }
-      member = next;
+        forgotten = member;
+    }
+  /* One per tick keeps pace with any rate of deaths. */
+  if (forgotten != NULL)
+    {
+      HASH_DEL (table->members, forgotten);
+      free (forgotten);
     }
 }
 
