--- a/packages/member/src/probe.c
+++ b/packages/member/src/probe.c
@@ -1,3 +1,4 @@
+#include "member-internal.h"
 #include "member.h"
 
 #include <stdlib.h>
@@ -248,10 +249,7 @@
     }
   /* One per tick keeps pace with any rate of deaths. */
   if (forgotten != NULL)
-    {
-      HASH_DEL (table->members, forgotten);
-      free (forgotten);
-    }
+    member_forget (table, forgotten);
 }
 
 /* Gives every member the time back that we spent paused. */
--- a/packages/member/src/table.c
+++ b/packages/member/src/table.c
@@ -1,6 +1,7 @@
 #include "member.h"
 
 #include "hash.h"
+#include "member-internal.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -74,6 +75,13 @@
   return member;
 }
 
+void
+member_forget (struct member_table *table, struct member *member)
+{
+  HASH_DEL (table->members, member);
+  free (member);
+}
+
 bool
 member_is_live (const struct member *member)
 {
--- /dev/null
+++ b/packages/peer/peer.x
@@ -0,0 +1,145 @@
+/*
+ * Protocol between entry hosts: ONC RPC program PEER_PROGRAM.  PING, PING_REQ,
+ * HEALTH, SHARES and STRIKES go over UDP; FETCH goes over TCP with record
+ * marking.  HEALTH and SHARES are one-way: no reply is sent.
+ *
+ * src/generated holds the output of rpcgen; scripts/generate-xdr.sh makes it
+ * again.
+ */
+
+const PEER_NAME_LIMIT = 63;
+const PEER_ADDRESS_LIMIT = 47;
+const PEER_TEXT_LIMIT = 255;
+const PEER_MAC_SIZE = 32;
+const PEER_UPDATES = 8;
+const PEER_HEALTH_ENTRIES = 16;
+const PEER_DEMAND_ENTRIES = 32;
+const PEER_STRIKE_ENTRIES = 8;
+const PEER_OBJECT_LIMIT = 2097152;
+
+/* The body of the verifier of every call and reply. */
+struct peer_verifier
+{
+  unsigned int key_id;
+  string sender<PEER_NAME_LIMIT>;
+  unsigned hyper boot;      /* incarnation at the sender's start */
+  unsigned hyper sequence;  /* rises with each message of one boot */
+  hyper sent_wall_ms;
+  opaque mac[PEER_MAC_SIZE]; /* HMAC-SHA-256, computed over zeros here */
+};
+
+struct peer_update
+{
+  string host<PEER_NAME_LIMIT>;
+  string data_centre<PEER_NAME_LIMIT>;
+  string address<PEER_ADDRESS_LIMIT>;
+  unsigned int port;
+  unsigned hyper incarnation;
+  unsigned int state;
+};
+
+struct peer_versions
+{
+  unsigned hyper sheet;
+  unsigned hyper control;
+  unsigned hyper assignment;
+};
+
+/* Argument and result of PING; the result of PING_REQ. */
+struct peer_ping
+{
+  peer_update sender;
+  peer_versions versions;
+  peer_update updates<PEER_UPDATES>;
+};
+
+struct peer_ping_req
+{
+  peer_ping ping;
+  peer_update target;
+};
+
+/* What a prober saw of one endpoint. */
+struct peer_health
+{
+  string host<PEER_NAME_LIMIT>;
+  string boot_id<PEER_NAME_LIMIT>;
+  string group<PEER_NAME_LIMIT>;
+  unsigned hyper generation;
+  unsigned int rank;
+  unsigned int span;
+  string model<PEER_NAME_LIMIT>;
+  string model_version<PEER_NAME_LIMIT>;
+  string role<PEER_NAME_LIMIT>;
+  string adapters<PEER_TEXT_LIMIT>;
+  unsigned hyper fence;
+  unsigned int state;
+  bool leaving;
+  unsigned int running;
+  unsigned int queued;
+  unsigned int slots;
+  unsigned int load_age_ms;
+  unsigned int seen_age_ms; /* how long ago the prober saw it */
+};
+
+struct peer_health_report
+{
+  peer_health entries<PEER_HEALTH_ENTRIES>;
+};
+
+struct peer_demand
+{
+  string name<PEER_TEXT_LIMIT>;
+  unsigned int demand;
+};
+
+struct peer_shares
+{
+  peer_demand entries<PEER_DEMAND_ENTRIES>;
+};
+
+struct peer_strike
+{
+  string fingerprint<PEER_NAME_LIMIT>;
+  string host<PEER_NAME_LIMIT>;
+  string boot_id<PEER_NAME_LIMIT>;
+};
+
+struct peer_strikes
+{
+  peer_strike entries<PEER_STRIKE_ENTRIES>;
+};
+
+enum peer_object_kind
+{
+  PEER_OBJECT_SHEET = 1,
+  PEER_OBJECT_CONTROL = 2,
+  PEER_OBJECT_ASSIGNMENT = 3,
+  PEER_OBJECT_HOSTS = 4
+};
+
+struct peer_fetch
+{
+  peer_object_kind kind;
+};
+
+/* size 0 = the peer has none. */
+struct peer_object
+{
+  unsigned hyper number;
+  opaque json<PEER_OBJECT_LIMIT>;
+};
+
+program PEER_PROGRAM
+{
+  version PEER_VERSION
+  {
+    void PEER_NULL (void) = 0;
+    peer_ping PEER_PING (peer_ping) = 1;
+    peer_ping PEER_PING_REQ (peer_ping_req) = 2;
+    void PEER_HEALTH (peer_health_report) = 3;
+    void PEER_SHARES (peer_shares) = 4;
+    void PEER_STRIKES (peer_strikes) = 5;
+    peer_object PEER_FETCH (peer_fetch) = 6;
+  } = 1;
+} = 0x20577801;
