--- /dev/null
+++ b/packages/peer/include/peercodec.h
@@ -0,0 +1,121 @@
+#ifndef PEER_PEERCODEC_H
+#define PEER_PEERCODEC_H
+
+#include "result.h"
+
+#include <rpc/rpc.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <uthash.h>
+
+/*
+ * ONC RPC messages between entry hosts: encoding, authentication and replay
+ * protection.  No I/O.  The verifier of each message carries the sender, its
+ * boot and sequence, and an HMAC-SHA-256 over the whole message.
+ */
+
+#define PEER_KEYS_LIMIT 8
+#define PEER_KEY_SIZE_MIN 16 /* bytes */
+#define PEER_KEY_SIZE_MAX 64
+#define PEER_SENDER_SIZE 64
+#define PEER_DATAGRAM_LIMIT 1400 /* bytes; fits an Ethernet frame */
+#define PEER_AUTH_FLAVOR 0x20577801
+
+/*
+ * A message older or newer than this by the receiver's wall clock is taken
+ * for a replay.  Kerberos allows the same difference between clocks.
+ */
+#define PEER_CLOCK_TOLERANCE_MS INT64_C (300000)
+
+struct peer_key
+{
+  uint32_t id;
+  unsigned char secret[PEER_KEY_SIZE_MAX];
+  size_t size;
+};
+
+/* The first key signs, all verify, so that keys can be rotated. */
+struct peer_keys
+{
+  struct peer_key list[PEER_KEYS_LIMIT];
+  size_t count;
+};
+
+/* Adds a key from "ID:HEX"; RESULT_INVALID or RESULT_TOO_LARGE. */
+enum result peer_keys_add (struct peer_keys *keys, const char *text);
+
+struct peer_header
+{
+  bool is_call;
+  uint32_t xid;
+  uint32_t procedure; /* of a call */
+  char sender[PEER_SENDER_SIZE];
+  uint64_t boot;
+  uint64_t sequence;
+  int64_t sent_wall_ms;
+};
+
+/* The body of a message without arguments; has the type of xdrproc_t. */
+bool_t peer_xdr_nothing (XDR *xdr, ...);
+
+/* RESULT_PEER_TOO_LARGE if the message does not fit. */
+enum result peer_encode (const struct peer_keys *keys,
+                         const struct peer_header *header,
+                         xdrproc_t body,
+                         void *arguments,
+                         char *buffer,
+                         size_t size,
+                         size_t *used);
+
+/*
+ * Checks form and authentication: PEER_BAD_MESSAGE, PEER_BAD_MAC or RESULT_OK
+ * with the offset of the body.  The buffer is changed and restored.
+ */
+enum result peer_decode (const struct peer_keys *keys,
+                         char *buffer,
+                         size_t size,
+                         struct peer_header *header,
+                         size_t *body_offset);
+
+/*
+ * Decodes the body into arguments, which must be zeroed; release with
+ * xdr_free in any case.  False if it is malformed or bytes are left over.
+ */
+bool peer_decode_body (const char *buffer,
+                       size_t size,
+                       size_t offset,
+                       xdrproc_t body,
+                       void *arguments);
+
+/*
+ * Sliding windows of the sequences seen, one per sender and newest boot.  A
+ * receiver that just started knows none, so a message captured less than
+ * PEER_CLOCK_TOLERANCE_MS ago can reach it once.
+ */
+#define PEER_WINDOW_BITS 64
+#define PEER_WINDOW_SENDERS 1024 /* senders beyond this are refused */
+
+struct peer_window
+{
+  char sender[PEER_SENDER_SIZE];
+  uint64_t boot;
+  uint64_t highest;
+  uint64_t seen; /* bit n: sequence highest - n was seen */
+  UT_hash_handle hh;
+};
+
+struct peer_windows
+{
+  struct peer_window *table; /* uthash by sender */
+};
+
+void peer_windows_init (struct peer_windows *windows);
+void peer_windows_finish (struct peer_windows *windows);
+
+/* RESULT_OK once per message, else RESULT_PEER_REPLAY. */
+enum result peer_windows_check (struct peer_windows *windows,
+                                const struct peer_header *header,
+                                int64_t wall_ms);
+
+#endif
--- /dev/null
+++ b/packages/peer/src/report.c
@@ -0,0 +1,103 @@
+#include "peer-internal.h"
+
+/*
+ * Health entries on one datagram: the longest entry of ordinary names takes
+ * about 180 bytes; entries that do not fit are sent alone.
+ */
+#define HEALTH_BATCH 6
+#define DEMAND_BATCH 16
+
+static void
+send_to_data_centre (struct peer_node *node,
+                     uint32_t procedure,
+                     xdrproc_t body,
+                     void *arguments)
+{
+  for (const struct member *member = node->members->members; member != NULL;
+       member = member->hh.next)
+    {
+      struct peer_header header;
+
+      if (!member_is_live (member)
+          || strcmp (member->info.data_centre, node->members->self.data_centre)
+                 != 0)
+        continue;
+      peer_fill_header (node, &header, true, ++node->next_xid, procedure);
+      peer_udp_send_member (node, member, &header, body, arguments);
+    }
+}
+
+static void
+fill_health (struct peer_health *wire,
+             const struct peer_health_entry *entry,
+             int64_t now_ms)
+{
+  const struct fleet_attestation *attested = entry->attested;
+
+  wire->host = (char *)entry->host;
+  wire->boot_id = (char *)attested->boot_id;
+  wire->group = (char *)attested->group;
+  wire->generation = attested->generation;
+  wire->rank = attested->rank;
+  wire->span = attested->span;
+  wire->model = (char *)attested->model;
+  wire->model_version = (char *)attested->version;
+  wire->role = (char *)attested->role;
+  wire->adapters = (char *)attested->adapters;
+  wire->fence = attested->fence;
+  wire->state = attested->state;
+  wire->leaving = attested->leaving;
+  wire->running = attested->running;
+  wire->queued = attested->queued;
+  wire->slots = attested->slots;
+  wire->load_age_ms = attested->load_age_ms;
+  wire->seen_age_ms = (u_int)(now_ms - attested->seen_ms);
+}
+
+void
+peer_send_health (struct peer_node *node,
+                  const struct peer_health_entry *entries,
+                  size_t count,
+                  int64_t now_ms)
+{
+  struct peer_health wire[HEALTH_BATCH];
+  u_int used = 0;
+
+  for (size_t i = 0; i < count; i++)
+    {
+      /* An attestation that never came has no age to tell. */
+      if (entries[i].attested->seen_ms != FLEET_NEVER)
+        fill_health (&wire[used++], &entries[i], now_ms);
+      if (used == HEALTH_BATCH || (i + 1 == count && used > 0))
+        {
+          peer_health_report report
+              = { .entries = { .entries_len = used, .entries_val = wire } };
+
+          send_to_data_centre (node, PEER_HEALTH,
+                               (xdrproc_t)xdr_peer_health_report, &report);
+          used = 0;
+        }
+    }
+}
+
+void
+peer_send_demand (struct peer_node *node,
+                  const struct peer_demand_entry *entries,
+                  size_t count)
+{
+  for (size_t start = 0; start < count; start += DEMAND_BATCH)
+    {
+      peer_demand wire[DEMAND_BATCH];
+      size_t used = count - start < DEMAND_BATCH ? count - start : DEMAND_BATCH;
+      peer_shares shares
+          = { .entries = { .entries_len = (u_int)used, .entries_val = wire } };
+
+      for (size_t i = 0; i < used; i++)
+        {
+          wire[i].name = (char *)entries[start + i].name;
+          wire[i].demand = entries[start + i].demand;
+        }
+      send_to_data_centre (node, PEER_SHARES, (xdrproc_t)xdr_peer_shares,
+                           &shares);
+    }
+}
--- /dev/null
+++ b/packages/peer/src/serve.c
@@ -0,0 +1,276 @@
+#include "peer-internal.h"
+
+#include "timeutil.h"
+
+#include <stdio.h>
+#include <string.h>
+
+struct incoming
+{
+  struct peer_node *node;
+  const struct peer_header *header;
+  const char *buffer;
+  size_t size;
+  size_t offset;
+  const struct sockaddr_storage *from;
+  socklen_t from_size;
+  int64_t now_ms;
+};
+
+static bool
+decode (const struct incoming *in, xdrproc_t body, void *arguments)
+{
+  if (peer_decode_body (in->buffer, in->size, in->offset, body, arguments))
+    return true;
+  peer_note_bad (in->node, RESULT_PEER_BAD_MESSAGE, in->header->sender);
+  return false;
+}
+
+static void
+reply_ping (struct peer_node *node,
+            const struct sockaddr_storage *to,
+            socklen_t to_size,
+            uint32_t xid,
+            const char *receiver)
+{
+  struct peer_ping_message ping;
+  struct peer_header header;
+
+  peer_ping_fill (node, &ping, receiver);
+  peer_fill_header (node, &header, false, xid, 0);
+  peer_udp_send (node, to, to_size, &header, (xdrproc_t)xdr_peer_ping,
+                 &ping.body);
+}
+
+static void
+serve_ping (const struct incoming *in)
+{
+  peer_ping ping = { 0 };
+
+  if (decode (in, (xdrproc_t)xdr_peer_ping, &ping)
+      && !peer_is_cut (in->node, ping.sender.data_centre))
+    {
+      peer_ping_apply (in->node, &ping, in->now_ms);
+      reply_ping (in->node, in->from, in->from_size, in->header->xid,
+                  in->header->sender);
+    }
+  xdr_free ((xdrproc_t)xdr_peer_ping, (char *)&ping);
+}
+
+static void
+relay_ping (const struct incoming *in, const peer_update *wire)
+{
+  struct peer_node *node = in->node;
+  struct member_update target;
+  struct peer_ping_message ping;
+  struct peer_header header;
+  struct sockaddr_storage to;
+  struct peer_call *call;
+  socklen_t to_size;
+
+  if (!peer_update_from_wire (&target, wire)
+      || peer_is_cut (node, target.data_centre)
+      || !peer_resolve (target.address, target.port, &to, &to_size))
+    return;
+  call = peer_call_add (node, PEER_CALL_RELAYED, in->now_ms);
+  if (call == NULL)
+    return;
+  call->asker = *in->from;
+  call->asker_size = in->from_size;
+  call->asker_xid = in->header->xid;
+  memcpy (call->host, in->header->sender, sizeof call->host);
+  peer_ping_fill (node, &ping, target.host);
+  peer_fill_header (node, &header, true, call->xid, PEER_PING);
+  peer_udp_send (node, &to, to_size, &header, (xdrproc_t)xdr_peer_ping,
+                 &ping.body);
+}
+
+static void
+serve_ping_req (const struct incoming *in)
+{
+  peer_ping_req request = { 0 };
+
+  if (decode (in, (xdrproc_t)xdr_peer_ping_req, &request)
+      && !peer_is_cut (in->node, request.ping.sender.data_centre))
+    {
+      peer_ping_apply (in->node, &request.ping, in->now_ms);
+      relay_ping (in, &request.target);
+    }
+  xdr_free ((xdrproc_t)xdr_peer_ping_req, (char *)&request);
+}
+
+static void
+copy_text (char *out, size_t size, const char *text)
+{
+  snprintf (out, size, "%s", text);
+}
+
+static void
+tell_health (const struct incoming *in, const struct peer_health *entry)
+{
+  struct fleet_attestation attested = {
+    .seen_ms = in->now_ms - (int64_t)entry->seen_age_ms,
+    .generation = entry->generation,
+    .rank = entry->rank,
+    .span = entry->span,
+    .fence = entry->fence,
+    .state = entry->state <= FLEET_ENGINE_READY
+                 ? (enum fleet_engine_state)entry->state
+                 : FLEET_ENGINE_UNKNOWN,
+    .leaving = entry->leaving,
+    .running = entry->running,
+    .queued = entry->queued,
+    .slots = entry->slots,
+    .load_age_ms = entry->load_age_ms,
+  };
+
+  copy_text (attested.boot_id, sizeof attested.boot_id, entry->boot_id);
+  copy_text (attested.group, sizeof attested.group, entry->group);
+  copy_text (attested.model, sizeof attested.model, entry->model);
+  copy_text (attested.version, sizeof attested.version, entry->model_version);
+  copy_text (attested.role, sizeof attested.role, entry->role);
+  copy_text (attested.adapters, sizeof attested.adapters, entry->adapters);
+  in->node->hooks.health (in->node->hooks.context, entry->host, &attested);
+}
+
+static void
+serve_health (const struct incoming *in)
+{
+  peer_health_report report = { 0 };
+
+  if (decode (in, (xdrproc_t)xdr_peer_health_report, &report))
+    for (u_int i = 0; i < report.entries.entries_len; i++)
+      tell_health (in, &report.entries.entries_val[i]);
+  xdr_free ((xdrproc_t)xdr_peer_health_report, (char *)&report);
+}
+
+static void
+serve_shares (const struct incoming *in)
+{
+  peer_shares shares = { 0 };
+
+  if (decode (in, (xdrproc_t)xdr_peer_shares, &shares))
+    for (u_int i = 0; i < shares.entries.entries_len; i++)
+      in->node->hooks.demand (in->node->hooks.context, in->header->sender,
+                              shares.entries.entries_val[i].name,
+                              shares.entries.entries_val[i].demand);
+  xdr_free ((xdrproc_t)xdr_peer_shares, (char *)&shares);
+}
+
+static void
+serve_strikes (const struct incoming *in)
+{
+  peer_strikes strikes = { 0 };
+  struct peer_header header;
+
+  if (decode (in, (xdrproc_t)xdr_peer_strikes, &strikes))
+    {
+      for (u_int i = 0; i < strikes.entries.entries_len; i++)
+        {
+          const struct peer_strike *strike = &strikes.entries.entries_val[i];
+
+          in->node->hooks.strike (in->node->hooks.context, strike->fingerprint,
+                                  strike->host, strike->boot_id);
+        }
+      peer_fill_header (in->node, &header, false, in->header->xid, 0);
+      peer_udp_send (in->node, in->from, in->from_size, &header,
+                     peer_xdr_nothing, NULL);
+    }
+  xdr_free ((xdrproc_t)xdr_peer_strikes, (char *)&strikes);
+}
+
+static void
+serve_call (const struct incoming *in)
+{
+  switch (in->header->procedure)
+    {
+    case PEER_PING:
+      serve_ping (in);
+      break;
+    case PEER_PING_REQ:
+      serve_ping_req (in);
+      break;
+    case PEER_HEALTH:
+      serve_health (in);
+      break;
+    case PEER_SHARES:
+      serve_shares (in);
+      break;
+    case PEER_STRIKES:
+      serve_strikes (in);
+      break;
+    default:
+      peer_note_bad (in->node, RESULT_PEER_BAD_MESSAGE, in->header->sender);
+      break;
+    }
+}
+
+static void
+take_ping_reply (const struct incoming *in, const struct peer_call *call)
+{
+  peer_ping ping = { 0 };
+
+  if (decode (in, (xdrproc_t)xdr_peer_ping, &ping)
+      && !peer_is_cut (in->node, ping.sender.data_centre))
+    {
+      peer_ping_apply (in->node, &ping, in->now_ms);
+      if (call->kind == PEER_CALL_PING)
+        member_on_ack (in->node->members, call->probe);
+      else
+        reply_ping (in->node, &call->asker, call->asker_size, call->asker_xid,
+                    call->host);
+    }
+  xdr_free ((xdrproc_t)xdr_peer_ping, (char *)&ping);
+}
+
+static void
+serve_reply (const struct incoming *in)
+{
+  struct peer_call *call = peer_call_find (in->node, in->header->xid);
+
+  /* The call may have timed out, or another reply came first. */
+  if (call == NULL)
+    return;
+  if (call->kind == PEER_CALL_STRIKE)
+    peer_strike_acknowledged (in->node, call->spread, in->header->sender);
+  else
+    take_ping_reply (in, call);
+  peer_call_remove (in->node, call);
+}
+
+void
+peer_serve (struct peer_node *node,
+            char *buffer,
+            size_t size,
+            const struct sockaddr_storage *from,
+            socklen_t from_size,
+            int64_t now_ms)
+{
+  struct peer_header header;
+  struct incoming in = {
+    .node = node,
+    .header = &header,
+    .buffer = buffer,
+    .size = size,
+    .from = from,
+    .from_size = from_size,
+    .now_ms = now_ms,
+  };
+  enum result result
+      = peer_decode (&node->keys, buffer, size, &header, &in.offset);
+
+  if (result == RESULT_OK)
+    result = peer_windows_check (&node->windows, &header, time_wall_ms ());
+  if (result != RESULT_OK)
+    {
+      peer_note_bad (node, result,
+                     header.sender[0] != '\0' ? header.sender : "-");
+      return;
+    }
+  if (peer_host_is_cut (node, header.sender))
+    return;
+  if (header.is_call)
+    serve_call (&in);
+  else
+    serve_reply (&in);
+}
