--- a/packages/peer/src/udp.c
+++ b/packages/peer/src/udp.c
@@ -54,8 +54,8 @@
 enum result
 peer_udp_open (struct peer_node *node)
 {
-  struct sockaddr_storage address;
-  socklen_t size;
+  struct sockaddr_storage address = { 0 };
+  socklen_t size = 0;
 
   if (!peer_resolve (node->members->self.address, node->members->self.port,
                      &address, &size))
