--- /dev/null
+++ b/packages/sheet/src/sheet-check.c
@@ -0,0 +1,376 @@
+#include "sheet-reader.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+struct domain
+{
+  const char *data_centre;
+  const char *name;
+  unsigned eligible; /* hosts that the group row at hand may use */
+};
+
+struct check
+{
+  const struct sheet *sheet;
+  unsigned *const *rows;
+  const struct sheet_inventory *inventory; /* may be NULL */
+  struct sheet_report *report;
+  struct domain *domains;
+  size_t domain_count;
+  size_t *host_domains; /* index of the domain of each host */
+};
+
+static void
+add (struct check *check,
+     enum result code,
+     enum sheet_kind kind,
+     size_t index,
+     enum sheet_column column,
+     const char *value,
+     const char *detail)
+{
+  sheet_report_add (check->report, code, check->rows[kind][index],
+                    sheet_column_name (column), value, strlen (value), "%s",
+                    detail);
+}
+
+static bool
+index_domains (struct check *check)
+{
+  const struct sheet_inventory *inventory = check->inventory;
+
+  check->domains = calloc (inventory->count + 1, sizeof *check->domains);
+  check->host_domains
+      = calloc (inventory->count + 1, sizeof *check->host_domains);
+  if (check->domains == NULL || check->host_domains == NULL)
+    return false;
+  for (size_t i = 0; i < inventory->count; i++)
+    {
+      const struct sheet_inventory_host *host = &inventory->hosts[i];
+      size_t j = 0;
+
+      while (j < check->domain_count
+             && (strcmp (check->domains[j].data_centre, host->data_centre) != 0
+                 || strcmp (check->domains[j].name, host->domain) != 0))
+        j++;
+      if (j == check->domain_count)
+        {
+          check->domains[j].data_centre = host->data_centre;
+          check->domains[j].name = host->domain;
+          check->domain_count++;
+        }
+      check->host_domains[i] = j;
+    }
+  return true;
+}
+
+static void
+check_customers (struct check *check,
+                 enum sheet_kind kind,
+                 size_t index,
+                 const struct sheet_list *customers)
+{
+  for (size_t i = 0; i < customers->count; i++)
+    if (sheet_find_customer (check->sheet, customers->names[i]) == NULL)
+      add (check, RESULT_SHEET_UNKNOWN_CUSTOMER, kind, index,
+           SHEET_COLUMN_CUSTOMERS, customers->names[i],
+           "The sheet has no row for this customer.");
+}
+
+static bool
+share_one (const struct sheet_list *a, const struct sheet_list *b)
+{
+  for (size_t i = 0; i < a->count; i++)
+    if (sheet_list_has (b, a->names[i]))
+      return true;
+  return false;
+}
+
+/*
+ * A row whose customers all forbid its data centres can serve nobody.  Rows
+ * whose own cells are bad are left out, since they are reported already.
+ */
+static void
+check_permission (struct check *check,
+                  enum sheet_kind kind,
+                  size_t index,
+                  const struct sheet_list *customers,
+                  const struct sheet_list *data_centres)
+{
+  size_t asked = 0;
+
+  if (data_centres->count == 0)
+    return;
+  for (size_t i = 0; i < check->sheet->customer_count; i++)
+    {
+      const struct sheet_customer *customer = &check->sheet->customers[i];
+
+      if (customers->count > 0 && !sheet_list_has (customers, customer->name))
+        continue;
+      if (customer->data_centres.count == 0
+          || share_one (&customer->data_centres, data_centres))
+        return;
+      asked++;
+    }
+  if (asked > 0)
+    add (check, RESULT_SHEET_FORBIDDEN_PLACE, kind, index,
+         SHEET_COLUMN_DATA_CENTRES, data_centres->names[0],
+         "None of its customers permits any of its data centres.");
+}
+
+static bool
+has_data_centre (const struct check *check, const char *name)
+{
+  for (size_t i = 0; i < check->domain_count; i++)
+    if (strcmp (check->domains[i].data_centre, name) == 0)
+      return true;
+  return false;
+}
+
+static void
+check_data_centres (struct check *check,
+                    enum sheet_kind kind,
+                    size_t index,
+                    const struct sheet_list *data_centres)
+{
+  for (size_t i = 0; i < data_centres->count; i++)
+    if (!has_data_centre (check, data_centres->names[i]))
+      add (check, RESULT_SHEET_UNKNOWN_PLACE, kind, index,
+           SHEET_COLUMN_DATA_CENTRES, data_centres->names[i],
+           "The platform lists no host in this data centre.");
+}
+
+static bool
+domain_is_permitted (const struct sheet_group *group,
+                     const struct domain *domain)
+{
+  return sheet_list_has (&group->data_centres, domain->data_centre)
+         && (group->domains.count == 0
+             || sheet_list_has (&group->domains, domain->name));
+}
+
+static void
+check_domains (struct check *check, size_t index)
+{
+  const struct sheet_group *group = &check->sheet->groups[index];
+
+  for (size_t i = 0; i < group->domains.count; i++)
+    {
+      const char *name = group->domains.names[i];
+      size_t j = 0;
+
+      while (j < check->domain_count
+             && (strcmp (check->domains[j].name, name) != 0
+                 || !sheet_list_has (&group->data_centres,
+                                     check->domains[j].data_centre)))
+        j++;
+      if (j == check->domain_count)
+        add (check, RESULT_SHEET_UNKNOWN_PLACE, SHEET_KIND_GROUP, index,
+             SHEET_COLUMN_DOMAINS, name,
+             "The row's data centres have no such fabric domain.");
+    }
+}
+
+static void
+check_hosts (struct check *check, size_t index)
+{
+  const struct sheet_group *group = &check->sheet->groups[index];
+
+  for (size_t i = 0; i < group->hosts.count; i++)
+    {
+      const char *id = group->hosts.names[i];
+      const char *detail = "The platform does not list this host.";
+
+      for (size_t j = 0; j < check->inventory->count && detail != NULL; j++)
+        {
+          const struct sheet_inventory_host *host = &check->inventory->hosts[j];
+
+          if (strcmp (host->id, id) != 0)
+            continue;
+          if (host->is_service)
+            detail = "This host runs a plain service.";
+          else if (!domain_is_permitted (
+                       group, &check->domains[check->host_domains[j]]))
+            detail = "This host is outside the row's data centres or domains.";
+          else
+            detail = NULL;
+          break;
+        }
+      if (detail != NULL)
+        add (check, RESULT_SHEET_UNKNOWN_PLACE, SHEET_KIND_GROUP, index,
+             SHEET_COLUMN_HOSTS, id, detail);
+    }
+}
+
+/* Whether the row alone would fit into the hosts that it permits. */
+static void
+check_capacity (struct check *check, size_t index)
+{
+  const struct sheet_group *group = &check->sheet->groups[index];
+  unsigned line = check->rows[SHEET_KIND_GROUP][index];
+  unsigned largest = 0;
+  size_t possible = 0;
+
+  for (size_t i = 0; i < check->domain_count; i++)
+    check->domains[i].eligible = 0;
+  for (size_t i = 0; i < check->inventory->count; i++)
+    {
+      const struct sheet_inventory_host *host = &check->inventory->hosts[i];
+      struct domain *domain = &check->domains[check->host_domains[i]];
+
+      if (!host->is_service && domain_is_permitted (group, domain)
+          && (group->hosts.count == 0
+              || sheet_list_has (&group->hosts, host->id)))
+        domain->eligible++;
+    }
+  for (size_t i = 0; i < check->domain_count; i++)
+    {
+      unsigned eligible = check->domains[i].eligible;
+
+      if (eligible > largest)
+        largest = eligible;
+      possible += eligible / group->span;
+    }
+  if (group->span > largest)
+    sheet_report_add (check->report, RESULT_SHEET_SPAN_TOO_LARGE, line,
+                      sheet_column_name (SHEET_COLUMN_SPAN), "", 0,
+                      "The span is %u; the largest permitted domain has %u"
+                      " hosts.",
+                      group->span, largest);
+  else if (group->count > possible)
+    sheet_report_add (check->report, RESULT_SHEET_TOO_MANY_HOSTS, line,
+                      sheet_column_name (SHEET_COLUMN_COUNT), "", 0,
+                      "The row wants %u groups; its hosts make %zu.",
+                      group->count, possible);
+}
+
+/*
+ * Whether all rows together fit.  data_centre NULL counts all rows and hosts;
+ * otherwise those rows that may run nowhere else.  Reported once, at the row
+ * that goes beyond.
+ */
+static void
+check_total (struct check *check, const char *data_centre)
+{
+  uint64_t exist = 0;
+  uint64_t wanted = 0;
+
+  for (size_t i = 0; i < check->inventory->count; i++)
+    {
+      const struct sheet_inventory_host *host = &check->inventory->hosts[i];
+
+      if (!host->is_service
+          && (data_centre == NULL
+              || strcmp (host->data_centre, data_centre) == 0))
+        exist++;
+    }
+  for (size_t i = 0; i < check->sheet->group_count; i++)
+    {
+      const struct sheet_group *group = &check->sheet->groups[i];
+
+      if (data_centre != NULL
+          && (group->data_centres.count != 1
+              || strcmp (group->data_centres.names[0], data_centre) != 0))
+        continue;
+      wanted += (uint64_t)group->span * group->count;
+      if (wanted <= exist)
+        continue;
+      sheet_report_add (
+          check->report, RESULT_SHEET_TOO_MANY_HOSTS,
+          check->rows[SHEET_KIND_GROUP][i],
+          sheet_column_name (SHEET_COLUMN_COUNT), "", 0,
+          "The rows up to here want %llu hosts%s%s; %llu exist.",
+          (unsigned long long)wanted, data_centre != NULL ? " in " : "",
+          data_centre != NULL ? data_centre : "", (unsigned long long)exist);
+      return;
+    }
+}
+
+static void
+check_places (struct check *check)
+{
+  const struct sheet *sheet = check->sheet;
+  size_t errors = check->report->error_total;
+
+  for (size_t i = 0; i < sheet->customer_count; i++)
+    check_data_centres (check, SHEET_KIND_CUSTOMER, i,
+                        &sheet->customers[i].data_centres);
+  for (size_t i = 0; i < sheet->service_count; i++)
+    check_data_centres (check, SHEET_KIND_SERVICE, i,
+                        &sheet->services[i].data_centres);
+  for (size_t i = 0; i < sheet->group_count; i++)
+    {
+      size_t before = check->report->error_total;
+
+      check_data_centres (check, SHEET_KIND_GROUP, i,
+                          &sheet->groups[i].data_centres);
+      check_domains (check, i);
+      check_hosts (check, i);
+      /* Without its places a row has no hosts; one error is enough. */
+      if (check->report->error_total == before && sheet->groups[i].span > 0)
+        check_capacity (check, i);
+    }
+  if (check->report->error_total > errors)
+    return;
+  check_total (check, NULL);
+  for (size_t i = 0; i < check->domain_count; i++)
+    {
+      const char *data_centre = check->domains[i].data_centre;
+      size_t first = 0;
+
+      while (strcmp (check->domains[first].data_centre, data_centre) != 0)
+        first++;
+      if (first == i && check->report->error_total == errors)
+        check_total (check, data_centre);
+    }
+}
+
+void
+sheet_check (const struct sheet *sheet,
+             unsigned *const rows[SHEET_KIND_COUNT],
+             const struct sheet_read_options *options,
+             struct sheet_report *report)
+{
+  struct check check = { .sheet = sheet,
+                         .rows = rows,
+                         .inventory = options->inventory,
+                         .report = report };
+
+  for (size_t i = 0; i < sheet->group_count; i++)
+    {
+      const struct sheet_group *group = &sheet->groups[i];
+
+      if (group->model[0] != '\0'
+          && sheet_find_model (sheet, group->model) == NULL)
+        add (&check, RESULT_SHEET_UNKNOWN_MODEL, SHEET_KIND_GROUP, i,
+             SHEET_COLUMN_MODEL, group->model,
+             "The sheet has no row for this model.");
+      if (group->hosts.count > 0
+          && (uint64_t)group->span * group->count > group->hosts.count
+          && check.inventory == NULL)
+        add (&check, RESULT_SHEET_TOO_MANY_HOSTS, SHEET_KIND_GROUP, i,
+             SHEET_COLUMN_HOSTS, "",
+             "The row names fewer hosts than span times count.");
+      check_customers (&check, SHEET_KIND_GROUP, i, &group->customers);
+      check_permission (&check, SHEET_KIND_GROUP, i, &group->customers,
+                        &group->data_centres);
+    }
+  for (size_t i = 0; i < sheet->service_count; i++)
+    {
+      const struct sheet_service *service = &sheet->services[i];
+
+      check_customers (&check, SHEET_KIND_SERVICE, i, &service->customers);
+      check_permission (&check, SHEET_KIND_SERVICE, i, &service->customers,
+                        &service->data_centres);
+    }
+  if (check.inventory != NULL)
+    {
+      if (index_domains (&check))
+        check_places (&check);
+      else
+        report->no_memory = true;
+    }
+  free (check.domains);
+  free (check.host_domains);
+}
--- /dev/null
+++ b/packages/sheet/src/sheet-report.c
@@ -0,0 +1,128 @@
+#include "sheet-reader.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+void
+sheet_report_init (struct sheet_report *report)
+{
+  memset (report, 0, sizeof *report);
+}
+
+void
+sheet_report_finish (struct sheet_report *report)
+{
+  free (report->errors);
+  sheet_report_init (report);
+}
+
+size_t
+sheet_utf8_length (const unsigned char *text, size_t size)
+{
+  size_t length;
+  unsigned code;
+  static const unsigned smallest[] = { 0, 0, 0x80, 0x800, 0x10000 };
+
+  if (size == 0)
+    return 0;
+  if (text[0] < 0x80)
+    return 1;
+  if ((text[0] & 0xe0) == 0xc0)
+    length = 2;
+  else if ((text[0] & 0xf0) == 0xe0)
+    length = 3;
+  else if ((text[0] & 0xf8) == 0xf0)
+    length = 4;
+  else
+    return 0;
+  if (length > size)
+    return 0;
+  code = text[0] & (0x7fu >> length);
+  for (size_t i = 1; i < length; i++)
+    {
+      if ((text[i] & 0xc0) != 0x80)
+        return 0;
+      code = code << 6 | (text[i] & 0x3f);
+    }
+  if (code < smallest[length] || code > 0x10ffff
+      || (code >= 0xd800 && code <= 0xdfff))
+    return 0;
+  return length;
+}
+
+/* Control characters and invalid bytes become \xNN; long text is cut. */
+static void
+copy_printable (char out[SHEET_ERROR_VALUE_SIZE], const char *text, size_t size)
+{
+  const unsigned char *bytes = (const unsigned char *)text;
+  size_t used = 0;
+  size_t i = 0;
+
+  while (i < size)
+    {
+      size_t length = sheet_utf8_length (bytes + i, size - i);
+      bool control = length == 1 && (bytes[i] < 0x20 || bytes[i] == 0x7f);
+      bool c1 = length == 2 && bytes[i] == 0xc2 && bytes[i + 1] < 0xa0;
+      bool escape = length == 0 || control || c1;
+
+      if (used + 8 >= SHEET_ERROR_VALUE_SIZE)
+        {
+          memcpy (out + used, "...", 3);
+          used += 3;
+          break;
+        }
+      if (escape)
+        {
+          snprintf (out + used, 5, "\\x%02x", bytes[i]);
+          used += 4;
+          i++;
+          continue;
+        }
+      memcpy (out + used, bytes + i, length);
+      used += length;
+      i += length;
+    }
+  out[used] = '\0';
+}
+
+void
+sheet_report_add (struct sheet_report *report,
+                  enum result code,
+                  unsigned row,
+                  const char *column,
+                  const char *value,
+                  size_t value_size,
+                  const char *detail,
+                  ...)
+{
+  struct sheet_error *error;
+  va_list arguments;
+  size_t count = report->error_count;
+
+  report->error_total++;
+  if (count >= SHEET_ERROR_LIMIT)
+    return;
+  /* Capacities are powers of two. */
+  if ((count & (count - 1)) == 0)
+    {
+      void *grown = reallocarray (report->errors, count == 0 ? 1 : count * 2,
+                                  sizeof *report->errors);
+
+      if (grown == NULL)
+        {
+          report->no_memory = true;
+          return;
+        }
+      report->errors = grown;
+    }
+  error = &report->errors[report->error_count++];
+  error->code = code;
+  error->row = row;
+  error->column = column;
+  copy_printable (error->value, value, value_size);
+  va_start (arguments, detail);
+  vsnprintf (error->detail, sizeof error->detail, detail, arguments);
+  va_end (arguments);
+}
