--- a/packages/route/include/choose.h
+++ b/packages/route/include/choose.h
@@ -28,6 +28,7 @@
 {
   char key[CHOOSE_KEY_SIZE]; /* group id or host id */
   unsigned in_flight;        /* own requests running there */
+  unsigned struck_in_flight; /* those of them that have a strike */
   double service_ms;         /* moving mean of a request's time there */
   double token_ms;           /* moving mean of the time between tokens */
   unsigned failures_in_a_row;
@@ -95,6 +96,14 @@
                       unsigned tokens,
                       int64_t now_ms);
 
+/*
+ * Besides choose_started and choose_finished, for an attempt of a request that
+ * has a strike: no other struck request is sent there meanwhile.  Also for an
+ * attempt that runs when its request gets the strike.
+ */
+void choose_struck_started (struct chooser *chooser, const char *key);
+void choose_struck_finished (struct chooser *chooser, const char *key);
+
 /* Run each tick: notes which groups serve and forgets stale statistics. */
 void choose_tick (struct chooser *chooser,
                   const struct fleet *fleet,
--- a/packages/route/include/strikes.h
+++ b/packages/route/include/strikes.h
@@ -28,6 +28,7 @@
   char fingerprint[HASH_HEX_SIZE];
   char deaths[STRIKES_DEATHS][STRIKES_DEATH_SIZE];
   size_t death_count;
+  size_t forgiven; /* the first deaths that do not count any more */
   int64_t last_ms;
   unsigned running; /* own attempts that run now */
   bool released;    /* an operator released it */
@@ -44,7 +45,10 @@
 void strikes_init (struct strikes *strikes, size_t limit);
 void strikes_finish (struct strikes *strikes);
 
-/* Records one death; false if it was known already. */
+/*
+ * Records one death; false if it was known already.  True, with nothing
+ * recorded, when there is no memory: the peers are to be told all the same.
+ */
 bool strikes_add (struct strikes *strikes,
                   const char *fingerprint,
                   const char *host,
--- /dev/null
+++ b/packages/route/src/choose-stats.c
@@ -0,0 +1,177 @@
+#include "choose-stats.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+#define BREAKER_FAILURES 5
+#define BREAKER_FIRST_MS 1000
+#define BREAKER_LONGEST_MS 30000
+
+#define MEAN_WEIGHT 0.1 /* of a new sample in a moving mean */
+
+void
+chooser_init (struct chooser *chooser, uint64_t seed)
+{
+  chooser->stats = NULL;
+  rng_init (&chooser->rng, seed);
+}
+
+void
+chooser_finish (struct chooser *chooser)
+{
+  struct choose_stats *stats = chooser->stats;
+
+  HASH_CLEAR (hh, chooser->stats);
+  while (stats != NULL)
+    {
+      struct choose_stats *next = stats->hh.next;
+
+      free (stats);
+      stats = next;
+    }
+}
+
+struct choose_stats *
+choose_stats_find (const struct chooser *chooser, const char *key)
+{
+  struct choose_stats *stats;
+
+  HASH_FIND_STR (chooser->stats, key, stats);
+  return stats;
+}
+
+struct choose_stats *
+choose_stats_get (struct chooser *chooser, const char *key)
+{
+  struct choose_stats *stats = choose_stats_find (chooser, key);
+
+  if (stats != NULL)
+    return stats;
+  stats = calloc (1, sizeof *stats);
+  if (stats == NULL)
+    return NULL;
+  snprintf (stats->key, sizeof stats->key, "%s", key);
+  stats->served_ms = FLEET_NEVER;
+  HASH_ADD_STR (chooser->stats, key, stats);
+  if (stats->hh.tbl == NULL)
+    {
+      free (stats);
+      return NULL;
+    }
+  return stats;
+}
+
+void
+choose_stats_remove (struct chooser *chooser, struct choose_stats *stats)
+{
+  HASH_DEL (chooser->stats, stats);
+  free (stats);
+}
+
+bool
+choose_breaker_permits (const struct choose_stats *stats, int64_t now_ms)
+{
+  return stats == NULL || stats->open_until_ms == 0
+         || (now_ms >= stats->open_until_ms && !stats->trial_running);
+}
+
+void
+choose_started (struct chooser *chooser, const char *key, int64_t now_ms)
+{
+  struct choose_stats *stats = choose_stats_get (chooser, key);
+
+  if (stats == NULL)
+    return;
+  stats->in_flight++;
+  if (stats->open_until_ms != 0 && now_ms >= stats->open_until_ms)
+    stats->trial_running = true;
+}
+
+static void
+open_breaker (struct choose_stats *stats, int64_t now_ms)
+{
+  if (stats->open_ms == 0)
+    stats->open_ms = BREAKER_FIRST_MS;
+  else if (stats->open_ms < BREAKER_LONGEST_MS / 2)
+    stats->open_ms *= 2;
+  else
+    stats->open_ms = BREAKER_LONGEST_MS;
+  stats->open_until_ms = now_ms + stats->open_ms;
+}
+
+static void
+note_failure (struct choose_stats *stats, int64_t now_ms)
+{
+  stats->failures_in_a_row++;
+  if (stats->open_until_ms == 0)
+    {
+      if (stats->failures_in_a_row >= BREAKER_FAILURES)
+        open_breaker (stats, now_ms);
+    }
+  else if (stats->trial_running)
+    open_breaker (stats, now_ms);
+  /*
+   * Otherwise the call began before the breaker opened and tells nothing new.
+   */
+}
+
+static void
+note_success (struct choose_stats *stats)
+{
+  stats->failures_in_a_row = 0;
+  if (stats->open_until_ms == 0 || stats->trial_running)
+    {
+      stats->open_until_ms = 0;
+      stats->open_ms = 0;
+    }
+}
+
+static void
+move_mean (double *mean, double sample)
+{
+  *mean = *mean > 0 ? *mean + MEAN_WEIGHT * (sample - *mean) : sample;
+}
+
+void
+choose_finished (struct chooser *chooser,
+                 const char *key,
+                 enum choose_end end,
+                 int64_t duration_ms,
+                 unsigned tokens,
+                 int64_t now_ms)
+{
+  struct choose_stats *stats = choose_stats_find (chooser, key);
+
+  if (stats == NULL)
+    return;
+  if (stats->in_flight > 0)
+    stats->in_flight--;
+  if (end == CHOOSE_END_SUCCESS)
+    {
+      note_success (stats);
+      move_mean (&stats->service_ms, (double)duration_ms);
+      if (tokens > 0)
+        move_mean (&stats->token_ms, (double)duration_ms / tokens);
+    }
+  else if (end == CHOOSE_END_FAILURE)
+    note_failure (stats, now_ms);
+  stats->trial_running = false;
+}
+
+void
+choose_struck_started (struct chooser *chooser, const char *key)
+{
+  struct choose_stats *stats = choose_stats_get (chooser, key);
+
+  if (stats != NULL)
+    stats->struck_in_flight++;
+}
+
+void
+choose_struck_finished (struct chooser *chooser, const char *key)
+{
+  struct choose_stats *stats = choose_stats_find (chooser, key);
+
+  if (stats != NULL && stats->struck_in_flight > 0)
+    stats->struck_in_flight--;
+}
--- /dev/null
+++ b/packages/route/src/place.c
@@ -0,0 +1,166 @@
+#include "place.h"
+
+#include <string.h>
+
+static bool
+row_permits (const struct sheet_list *customers,
+             const struct sheet_customer *customer)
+{
+  return customers->count == 0 || sheet_list_has (customers, customer->name);
+}
+
+enum result
+place_check_customer (const struct sheet *sheet,
+                      const struct sheet_customer *customer,
+                      const char *data_centre)
+{
+  if (sheet == NULL || sheet->number == 0)
+    return RESULT_NO_CONFIGURATION;
+  if (customer == NULL || customer->data_centres.count == 0)
+    return RESULT_PLACE_UNKNOWN;
+  if (data_centre == NULL
+      || !sheet_list_has (&customer->data_centres, data_centre))
+    return RESULT_WRONG_DATA_CENTRE;
+  return RESULT_OK;
+}
+
+static bool
+model_runs_in (const struct sheet *sheet,
+               const struct sheet_customer *customer,
+               const char *model,
+               const char *data_centre)
+{
+  for (size_t i = 0; i < sheet->group_count; i++)
+    {
+      const struct sheet_group *row = &sheet->groups[i];
+
+      if (strcmp (row->model, model) == 0
+          && row_permits (&row->customers, customer)
+          && sheet_list_has (&row->data_centres, data_centre))
+        return true;
+    }
+  return false;
+}
+
+static bool
+service_runs_in (const struct sheet *sheet,
+                 const struct sheet_customer *customer,
+                 const char *name,
+                 const char *data_centre)
+{
+  const struct sheet_service *service = sheet_find_service (sheet, name);
+
+  return service != NULL && row_permits (&service->customers, customer)
+         && sheet_list_has (&service->data_centres, data_centre);
+}
+
+static bool
+target_runs_in (const struct sheet *sheet,
+                const struct sheet_customer *customer,
+                const char *model,
+                const char *service,
+                const char *data_centre)
+{
+  if (model != NULL)
+    return model_runs_in (sheet, customer, model, data_centre);
+  if (service != NULL)
+    return service_runs_in (sheet, customer, service, data_centre);
+  return true;
+}
+
+/*
+ * A refusal that names no data centre to go to is not WRONG_DATA_CENTRE, since
+ * the caller has nowhere to send the request.
+ */
+static enum result
+check_target (const struct sheet *sheet,
+              const struct sheet_customer *customer,
+              const char *model,
+              const char *service,
+              const char *data_centre)
+{
+  const struct sheet_list *permitted = &customer->data_centres;
+
+  if (target_runs_in (sheet, customer, model, service, data_centre))
+    return RESULT_OK;
+  for (size_t i = 0; i < permitted->count; i++)
+    if (target_runs_in (sheet, customer, model, service, permitted->names[i]))
+      return RESULT_WRONG_DATA_CENTRE;
+  return RESULT_PLACE_UNKNOWN;
+}
+
+enum result
+place_check_model (const struct sheet *sheet,
+                   const struct sheet_customer *customer,
+                   const char *model,
+                   const char *data_centre)
+{
+  enum result result = place_check_customer (sheet, customer, data_centre);
+  bool has_rows = false;
+  bool permitted = false;
+
+  if (result != RESULT_OK)
+    return result;
+  if (sheet_find_model (sheet, model) == NULL)
+    return RESULT_UNKNOWN_TARGET;
+  for (size_t i = 0; i < sheet->group_count; i++)
+    if (strcmp (sheet->groups[i].model, model) == 0)
+      {
+        has_rows = true;
+        permitted
+            = permitted || row_permits (&sheet->groups[i].customers, customer);
+      }
+  if (!has_rows)
+    return RESULT_UNKNOWN_TARGET;
+  if (!permitted)
+    return RESULT_NOT_PERMITTED;
+  return check_target (sheet, customer, model, NULL, data_centre);
+}
+
+enum result
+place_check_service (const struct sheet *sheet,
+                     const struct sheet_customer *customer,
+                     const char *service,
+                     const char *data_centre)
+{
+  enum result result = place_check_customer (sheet, customer, data_centre);
+  const struct sheet_service *row;
+
+  if (result != RESULT_OK)
+    return result;
+  row = sheet_find_service (sheet, service);
+  if (row == NULL)
+    return RESULT_UNKNOWN_TARGET;
+  if (!row_permits (&row->customers, customer))
+    return RESULT_NOT_PERMITTED;
+  return check_target (sheet, customer, NULL, service, data_centre);
+}
+
+static bool
+named_before (const struct sheet_list *list, size_t index)
+{
+  for (size_t i = 0; i < index; i++)
+    if (strcmp (list->names[i], list->names[index]) == 0)
+      return true;
+  return false;
+}
+
+void
+place_permitted (const struct sheet *sheet,
+                 const struct sheet_customer *customer,
+                 const char *model,
+                 const char *service,
+                 void (*visit) (void *context, const char *data_centre),
+                 void *context)
+{
+  if (sheet == NULL || customer == NULL)
+    return;
+  for (size_t i = 0; i < customer->data_centres.count; i++)
+    {
+      const char *name = customer->data_centres.names[i];
+
+      if (!named_before (&customer->data_centres, i)
+          && target_runs_in (sheet, customer, model, service, name))
+        visit (context, name);
+    }
+}
