platform: add the client of the object service

Cause: the daemon reads and writes the platform's objects, and a write whose answer is lost must be told apart from one that had no effect. Change: a non-blocking client over evhttp with one call per connection, 16 kept connections and 4 for watches, a timer per call and bounded answers. Callbacks run from an event, because evhttp still uses a connection while it reports that the connection failed. Connections that the server closed are found before they are used again.

Found while writing the test: enabling writes on a libevent bufferevent calls its write callback even if nothing was written.

--- a/packages/platform/include/platform.h
+++ b/packages/platform/include/platform.h
@@ -4,9 +4,12 @@
 #include "result.h"
 
 #include <event2/event.h>
+#include <event2/event_struct.h>
 #include <jansson.h>
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
+#include <sys/queue.h>
 
 /*
  * Non-blocking client of the platform's object service over evhttp.
@@ -15,8 +18,20 @@
  * before the answer came (RESULT_CANCELLED).  A write that may have taken
  * effect ends with RESULT_PLATFORM_LOST_ANSWER, and one that certainly did
  * not with any other error.  Calls are counted by kind.
+ *
+ * Callbacks run from the event loop, never inside the function that starts a
+ * call, except when there is no memory for the call.  Several calls run at
+ * once over kept connections; a call waits, within its timeout, while all of
+ * them are busy.
  */
 
+#define PLATFORM_VALUE_LIMIT 1048576  /* largest value of an object in bytes */
+#define PLATFORM_ANSWER_LIMIT 8388608 /* largest body of an answer in bytes */
+#define PLATFORM_CONNECTIONS 16       /* for all calls but watches */
+#define PLATFORM_WATCH_CONNECTIONS 4
+/* Calls beyond this many in flight end with RESULT_PLATFORM_OVERLOADED. */
+#define PLATFORM_CALL_LIMIT 4096
+
 struct platform_answer
 {
   enum result result;
@@ -36,7 +51,8 @@
   PLATFORM_CALL_KINDS,
 };
 
-struct platform_call; /* one call in flight; see platform-internal.h */
+struct platform_call;       /* one call in flight; see platform-internal.h */
+struct platform_connection; /* see platform-internal.h */
 
 struct platform
 {
@@ -44,12 +60,20 @@
   char address[48];
   uint16_t port;
   int timeout_ms;
+  char host[64]; /* sent as X-Entry-Host unless empty; set after init */
   uint64_t calls[PLATFORM_CALL_KINDS];
   uint64_t failures;
   int64_t last_success_boot_ms; /* INT64_MIN = never */
   int64_t clock_skew_ms;        /* from the latest answer */
   bool cut; /* test setting: every call fails as unreachable */
-  struct platform_call *in_flight; /* list head, private */
+
+  /* Private to platform. */
+  TAILQ_HEAD (, platform_call) waiting;  /* for a connection */
+  TAILQ_HEAD (, platform_call) sent;     /* each on a connection */
+  TAILQ_HEAD (, platform_call) finished; /* callback still due */
+  LIST_HEAD (, platform_connection) connections;
+  size_t in_flight;
+  struct event pump; /* runs callbacks and starts waiting calls */
 };
 
 void platform_init (struct platform *platform,
@@ -58,7 +82,10 @@
                     uint16_t port,
                     int timeout_ms);
 
-/* Ends calls in flight with RESULT_CANCELLED. */
+/*
+ * Ends calls in flight with RESULT_CANCELLED.  Not to be called from a
+ * callback of this client.
+ */
 void platform_finish (struct platform *platform);
 
 /* Version 0 in platform_put means that the object must not exist yet. */
@@ -96,7 +123,7 @@
 
 /*
  * Waits up to wait_ms for one of the keys (comma-separated) to change after
- * revision.  value: {"revision","objects":[...]};
+ * revision.  value: {"revision","objects":[...]}, version: the revision;
  * RESULT_PLATFORM_UNCHANGED when nothing changed.
  */
 void platform_watch (struct platform *platform,
--- /dev/null
+++ b/packages/platform/src/answer.c
@@ -0,0 +1,122 @@
+#include "platform-internal.h"
+
+#include "jsonutil.h"
+#include "timeutil.h"
+
+#include <event2/buffer.h>
+#include <string.h>
+#include <time.h>
+
+/* Our wall clock less the Date header; false without a valid header. */
+static bool
+read_clock_skew (struct evhttp_request *request, int64_t *skew_ms)
+{
+  const char *date
+      = evhttp_find_header (evhttp_request_get_input_headers (request), "Date");
+  struct tm tm = { 0 };
+  const char *end;
+
+  *skew_ms = 0;
+  if (date == NULL)
+    return false;
+  end = strptime (date, "%a, %d %b %Y %H:%M:%S GMT", &tm);
+  if (end == NULL || *end != '\0')
+    return false;
+  /* The header has whole seconds: the middle halves the largest error. */
+  *skew_ms = time_wall_ms () - ((int64_t)timegm (&tm) * 1000 + 500);
+  return true;
+}
+
+static json_t *
+read_body (struct evhttp_request *request)
+{
+  struct evbuffer *input = evhttp_request_get_input_buffer (request);
+  size_t size = evbuffer_get_length (input);
+
+  if (size == 0)
+    return NULL;
+  return json_loadb ((const char *)evbuffer_pullup (input, -1), size, 0, NULL);
+}
+
+static const char *
+value_member (enum platform_call_kind kind)
+{
+  return kind == PLATFORM_CALL_READ    ? "value"
+         : kind == PLATFORM_CALL_WATCH ? "objects"
+         : kind == PLATFORM_CALL_LIST  ? "keys"
+                                       : "hosts";
+}
+
+static enum result
+read_success (struct platform_call *call, json_t *body)
+{
+  const char *member = value_member (call->kind);
+
+  if (call->is_write)
+    /* It took effect, but as which version is not known. */
+    return json_read_u64 (body, "version", &call->answer.version)
+               ? RESULT_OK
+               : RESULT_PLATFORM_LOST_ANSWER;
+  if (json_object_get (body, member) == NULL)
+    return RESULT_PLATFORM_BAD_ANSWER;
+  if (call->kind != PLATFORM_CALL_READ)
+    {
+      if (!json_is_array (json_object_get (body, member)))
+        return RESULT_PLATFORM_BAD_ANSWER;
+      if (call->kind == PLATFORM_CALL_WATCH
+          && !json_read_u64 (body, "revision", &call->answer.version))
+        return RESULT_PLATFORM_BAD_ANSWER;
+      call->value = json_incref (body);
+      return RESULT_OK;
+    }
+  if (!json_read_u64 (body, "version", &call->answer.version))
+    return RESULT_PLATFORM_BAD_ANSWER;
+  call->value = json_incref (json_object_get (body, member));
+  return RESULT_OK;
+}
+
+static enum result
+read_status (struct platform_call *call, int status, json_t *body)
+{
+  switch (status)
+    {
+    case 200:
+      return read_success (call, body);
+    case 204:
+      return call->kind == PLATFORM_CALL_WATCH ? RESULT_PLATFORM_UNCHANGED
+             : call->is_write                  ? RESULT_PLATFORM_LOST_ANSWER
+                                               : RESULT_PLATFORM_BAD_ANSWER;
+    case 404:
+      return RESULT_PLATFORM_NOT_FOUND;
+    case 412:
+      json_read_u64 (body, "version", &call->answer.version);
+      return RESULT_PLATFORM_CONFLICT;
+    case 413:
+      return RESULT_TOO_LARGE;
+    case 429:
+      return RESULT_PLATFORM_OVERLOADED;
+    case 503:
+      return RESULT_PLATFORM_OUTAGE;
+    default:
+      /* Any other 4xx means that the call was refused. */
+      return call->is_write && (status < 400 || status >= 500)
+                 ? RESULT_PLATFORM_LOST_ANSWER
+                 : RESULT_PLATFORM_BAD_ANSWER;
+    }
+}
+
+void
+platform_answer_read (struct platform_call *call,
+                      struct evhttp_request *request)
+{
+  struct platform *platform = call->platform;
+  int64_t skew_ms;
+  json_t *body = read_body (request);
+
+  if (read_clock_skew (request, &skew_ms))
+    platform->clock_skew_ms = skew_ms;
+  call->answer.clock_skew_ms = skew_ms;
+  call->answer.result
+      = read_status (call, evhttp_request_get_response_code (request), body);
+  json_decref (body);
+}
--- /dev/null
+++ b/packages/platform/tests/t0200-platform.c
@@ -0,0 +1,731 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <arpa/inet.h>
+#include <cmocka.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "platform.h"
+#include "timeutil.h"
+
+/* Ends a test whose expected event never comes. */
+#define TEST_LIMIT_S 20
+#define MAX_CLIENTS 64
+
+/* What the server does with each request. */
+enum action
+{
+  ACTION_REPLY,
+  ACTION_CLOSE, /* after it read the whole request */
+  ACTION_HOLD,  /* never answers */
+  ACTION_REPLY_AND_CLOSE,
+};
+
+struct server
+{
+  struct event_base *base;
+  struct evconnlistener *listener;
+  uint16_t port;
+  enum action action;
+  const char *reply;     /* status line, headers, body */
+  const char *hold_path; /* holds requests that start with it; may be NULL */
+  int accepted;
+  int requests;
+  char last[4096]; /* latest request */
+  struct bufferevent *clients[MAX_CLIENTS];
+};
+
+struct fixture
+{
+  struct event_base *base;
+  struct server server;
+  struct platform platform;
+  int done;
+  enum result result;
+  uint64_t version;
+  int64_t skew_ms;
+  int lost;        /* calls that ended with RESULT_PLATFORM_LOST_ANSWER */
+  int unreachable; /* and with RESULT_PLATFORM_UNREACHABLE */
+  json_t *value;
+};
+
+static void
+close_client (struct server *server, struct bufferevent *client)
+{
+  for (int i = 0; i < MAX_CLIENTS; i++)
+    if (server->clients[i] == client)
+      server->clients[i] = NULL;
+  bufferevent_free (client);
+}
+
+static void
+on_flushed (struct bufferevent *client, void *context)
+{
+  struct server *server = context;
+
+  if (server->action == ACTION_REPLY_AND_CLOSE)
+    close_client (server, client);
+}
+
+static void
+on_client_event (struct bufferevent *client, short events, void *context)
+{
+  (void)events;
+  close_client (context, client);
+}
+
+static void
+on_readable (struct bufferevent *client, void *context)
+{
+  struct server *server = context;
+  struct evbuffer *input = bufferevent_get_input (client);
+  size_t size = evbuffer_get_length (input);
+  char text[4096] = "";
+  const char *body;
+  const char *length;
+
+  evbuffer_copyout (input, text,
+                    size < sizeof text - 1 ? size : sizeof text - 1);
+  body = strstr (text, "\r\n\r\n");
+  if (body == NULL)
+    return;
+  length = strstr (text, "Content-Length: ");
+  if (length != NULL && length < body
+      && strlen (body + 4) < strtoul (length + 16, NULL, 10))
+    return;
+  evbuffer_drain (input, size);
+  memcpy (server->last, text, sizeof text);
+  server->requests++;
+  if (server->hold_path != NULL && strstr (text, server->hold_path) != NULL)
+    return;
+  if (server->action == ACTION_CLOSE)
+    close_client (server, client);
+  else if (server->action != ACTION_HOLD)
+    {
+      /* Set only now: enabling writes alone already calls it. */
+      bufferevent_setcb (client, on_readable, on_flushed, on_client_event,
+                         server);
+      bufferevent_write (client, server->reply, strlen (server->reply));
+    }
+}
+
+static void
+on_accept (struct evconnlistener *listener,
+           evutil_socket_t fd,
+           struct sockaddr *address,
+           int size,
+           void *context)
+{
+  struct server *server = context;
+  struct bufferevent *client
+      = bufferevent_socket_new (server->base, fd, BEV_OPT_CLOSE_ON_FREE);
+
+  (void)listener;
+  (void)address;
+  (void)size;
+  assert_non_null (client);
+  server->accepted++;
+  for (int i = 0; i < MAX_CLIENTS; i++)
+    if (server->clients[i] == NULL)
+      {
+        server->clients[i] = client;
+        break;
+      }
+  bufferevent_setcb (client, on_readable, NULL, on_client_event, server);
+  bufferevent_enable (client, EV_READ | EV_WRITE);
+}
+
+static struct sockaddr_in
+loopback (uint16_t port)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+
+  address.sin_port = htons (port);
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  return address;
+}
+
+static uint16_t
+bound_port (int fd)
+{
+  struct sockaddr_in address = { 0 };
+  socklen_t size = sizeof address;
+
+  assert_int_equal (getsockname (fd, (struct sockaddr *)&address, &size), 0);
+  return ntohs (address.sin_port);
+}
+
+static void
+setup (struct fixture *fixture, int timeout_ms)
+{
+  struct sockaddr_in address = loopback (0);
+  struct server *server = &fixture->server;
+
+  memset (fixture, 0, sizeof *fixture);
+  fixture->base = event_base_new ();
+  server->base = fixture->base;
+  server->reply = "HTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\n"
+                  "{\"version\":7}";
+  server->listener
+      = evconnlistener_new_bind (fixture->base, on_accept, server,
+                                 LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 64,
+                                 (struct sockaddr *)&address, sizeof address);
+  assert_non_null (server->listener);
+  server->port = bound_port (evconnlistener_get_fd (server->listener));
+  platform_init (&fixture->platform, fixture->base, "127.0.0.1", server->port,
+                 timeout_ms);
+}
+
+static void
+teardown (struct fixture *fixture)
+{
+  platform_finish (&fixture->platform);
+  if (fixture->server.listener != NULL)
+    evconnlistener_free (fixture->server.listener);
+  for (int i = 0; i < MAX_CLIENTS; i++)
+    if (fixture->server.clients[i] != NULL)
+      bufferevent_free (fixture->server.clients[i]);
+  json_decref (fixture->value);
+  event_base_free (fixture->base);
+}
+
+static void
+on_done (void *context, const struct platform_answer *answer)
+{
+  struct fixture *fixture = context;
+
+  fixture->done++;
+  fixture->result = answer->result;
+  fixture->lost += answer->result == RESULT_PLATFORM_LOST_ANSWER;
+  fixture->unreachable += answer->result == RESULT_PLATFORM_UNREACHABLE;
+  fixture->version = answer->version;
+  fixture->skew_ms = answer->clock_skew_ms;
+  json_decref (fixture->value);
+  fixture->value = json_incref (answer->value);
+}
+
+static void
+run_until_done (struct fixture *fixture, int count)
+{
+  int64_t limit = time_boot_ms () + INT64_C (1000) * TEST_LIMIT_S;
+
+  while (fixture->done < count && time_boot_ms () < limit)
+    event_base_loop (fixture->base, EVLOOP_ONCE);
+  assert_int_equal (fixture->done, count);
+}
+
+enum call
+{
+  GET,
+  PUT,
+  DELETE,
+  LIST,
+  HOSTS,
+  WATCH,
+};
+
+static void
+start (struct fixture *fixture, enum call call)
+{
+  struct platform *platform = &fixture->platform;
+  json_t *value = json_pack ("{s:i}", "a", 1);
+
+  switch (call)
+    {
+    case GET:
+      platform_get (platform, "k", on_done, fixture);
+      break;
+    case PUT:
+      platform_put (platform, "k", 3, value, on_done, fixture);
+      break;
+    case DELETE:
+      platform_delete (platform, "k", 3, on_done, fixture);
+      break;
+    case LIST:
+      platform_list (platform, "p/", on_done, fixture);
+      break;
+    case HOSTS:
+      platform_hosts (platform, on_done, fixture);
+      break;
+    case WATCH:
+      platform_watch (platform, "a,b", 5, 100, on_done, fixture);
+      break;
+    }
+  json_decref (value);
+}
+
+struct answer_case
+{
+  enum call call;
+  enum result result;
+  const char *status;
+  const char *body;
+  uint64_t version;
+  const char *value; /* NULL = none */
+};
+
+/* A wrong mapping would run a call twice or refuse one that took effect. */
+static const struct answer_case answer_cases[] = {
+  { GET, RESULT_OK, "200 OK", "{\"key\":\"k\",\"version\":4,\"value\":[1]}", 4,
+    "[1]" },
+  { GET, RESULT_PLATFORM_BAD_ANSWER, "200 OK", "{\"version\":4}", 0, NULL },
+  { GET, RESULT_PLATFORM_BAD_ANSWER, "200 OK", "{\"value\":4}", 0, NULL },
+  { GET, RESULT_PLATFORM_BAD_ANSWER, "200 OK", "{\"ver", 0, NULL },
+  { GET, RESULT_PLATFORM_BAD_ANSWER, "200 OK", "", 0, NULL },
+  { GET, RESULT_PLATFORM_NOT_FOUND, "404 Not Found", "{}", 0, NULL },
+  { GET, RESULT_PLATFORM_OVERLOADED, "429 Rate", "{}", 0, NULL },
+  { GET, RESULT_PLATFORM_OUTAGE, "503 Outage", "{}", 0, NULL },
+  { GET, RESULT_PLATFORM_BAD_ANSWER, "500 Error", "{}", 0, NULL },
+  { PUT, RESULT_OK, "200 OK", "{\"version\":9}", 9, NULL },
+  { PUT, RESULT_PLATFORM_LOST_ANSWER, "200 OK", "{}", 0, NULL },
+  { PUT, RESULT_PLATFORM_LOST_ANSWER, "200 OK", "{\"vers", 0, NULL },
+  { PUT, RESULT_PLATFORM_LOST_ANSWER, "204 None", "", 0, NULL },
+  { PUT, RESULT_PLATFORM_CONFLICT, "412 Conflict", "{\"version\":8}", 8, NULL },
+  { PUT, RESULT_TOO_LARGE, "413 Large", "{}", 0, NULL },
+  { PUT, RESULT_PLATFORM_BAD_ANSWER, "400 Bad", "{}", 0, NULL },
+  { PUT, RESULT_PLATFORM_OVERLOADED, "429 Rate", "{}", 0, NULL },
+  { PUT, RESULT_PLATFORM_LOST_ANSWER, "500 Error", "{}", 0, NULL },
+  { PUT, RESULT_PLATFORM_LOST_ANSWER, "502 Gateway", "{}", 0, NULL },
+  { PUT, RESULT_PLATFORM_OUTAGE, "503 Outage", "{}", 0, NULL },
+  { DELETE, RESULT_OK, "200 OK", "{\"version\":9}", 9, NULL },
+  { DELETE, RESULT_PLATFORM_NOT_FOUND, "404 Not Found", "{}", 0, NULL },
+  { LIST, RESULT_OK, "200 OK", "{\"keys\":[]}", 0, "{\"keys\":[]}" },
+  { LIST, RESULT_PLATFORM_BAD_ANSWER, "200 OK", "{\"keys\":1}", 0, NULL },
+  { HOSTS, RESULT_OK, "200 OK", "{\"hosts\":[]}", 0, "{\"hosts\":[]}" },
+  { WATCH, RESULT_OK, "200 OK", "{\"revision\":6,\"objects\":[]}", 6,
+    "{\"revision\":6,\"objects\":[]}" },
+  { WATCH, RESULT_PLATFORM_BAD_ANSWER, "200 OK", "{\"objects\":[]}", 0, NULL },
+  { WATCH, RESULT_PLATFORM_UNCHANGED, "204 None", "", 0, NULL },
+};
+
+static void
+test_answers (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof answer_cases / sizeof answer_cases[0]; i++)
+    {
+      const struct answer_case *c = &answer_cases[i];
+      struct fixture fixture;
+      char reply[512];
+      char *value;
+
+      setup (&fixture, 5000);
+      snprintf (reply, sizeof reply,
+                "HTTP/1.1 %s\r\nContent-Length: %zu\r\n\r\n%s", c->status,
+                strlen (c->body), c->body);
+      fixture.server.reply = reply;
+      start (&fixture, c->call);
+      run_until_done (&fixture, 1);
+      if (fixture.result != c->result)
+        fail_msg ("case %zu: %s", i, result_info (fixture.result)->name);
+      assert_int_equal (fixture.version, c->version);
+      value = fixture.value != NULL ? json_dumps (fixture.value, JSON_COMPACT)
+                                    : NULL;
+      if (c->value == NULL)
+        assert_null (value);
+      else
+        {
+          assert_non_null (value);
+          assert_string_equal (value, c->value);
+        }
+      free (value);
+      teardown (&fixture);
+    }
+}
+
+struct request_case
+{
+  enum call call;
+  const char *line;
+  const char *header; /* NULL = none to look for */
+};
+
+static const struct request_case request_cases[] = {
+  { GET, "GET /v1/objects/k HTTP/1.1\r\n", "X-Entry-Host: dc1/e1\r\n" },
+  { PUT, "PUT /v1/objects/k HTTP/1.1\r\n", "If-Match: \"3\"\r\n" },
+  { DELETE, "DELETE /v1/objects/k HTTP/1.1\r\n", "If-Match: \"3\"\r\n" },
+  { LIST, "GET /v1/list?prefix=p/ HTTP/1.1\r\n", NULL },
+  { HOSTS, "GET /v1/hosts HTTP/1.1\r\n", NULL },
+  { WATCH, "GET /v1/watch?keys=a,b&after=5&wait_ms=100 HTTP/1.1\r\n", NULL },
+};
+
+static void
+test_requests (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof request_cases / sizeof request_cases[0]; i++)
+    {
+      const struct request_case *c = &request_cases[i];
+      struct fixture fixture;
+
+      setup (&fixture, 5000);
+      snprintf (fixture.platform.host, sizeof fixture.platform.host, "dc1/e1");
+      start (&fixture, c->call);
+      run_until_done (&fixture, 1);
+      assert_ptr_equal (strstr (fixture.server.last, c->line),
+                        fixture.server.last);
+      if (c->header != NULL)
+        assert_non_null (strstr (fixture.server.last, c->header));
+      teardown (&fixture);
+    }
+}
+
+/* A key must not be able to add a query or another path. */
+static void
+test_key_encoding (void **state)
+{
+  struct fixture fixture;
+  json_t *value = json_integer (1);
+
+  (void)state;
+  setup (&fixture, 5000);
+  platform_put (&fixture.platform, "a/b?c&d e%", 0, value, on_done, &fixture);
+  run_until_done (&fixture, 1);
+  assert_non_null (strstr (fixture.server.last,
+                           "PUT /v1/objects/a/b%3Fc%26d%20e%25 HTTP/1.1\r\n"));
+  assert_non_null (strstr (fixture.server.last, "If-None-Match: *\r\n"));
+  json_decref (value);
+  teardown (&fixture);
+}
+
+struct failure_case
+{
+  const char *what;
+  enum call call;
+  enum action action;
+  bool server_gone;
+  enum result result;
+};
+
+/* A write that may have taken effect must never pass for one that did not. */
+static const struct failure_case failure_cases[] = {
+  { "refused read", GET, ACTION_REPLY, true, RESULT_PLATFORM_UNREACHABLE },
+  { "refused write", PUT, ACTION_REPLY, true, RESULT_PLATFORM_UNREACHABLE },
+  { "refused delete", DELETE, ACTION_REPLY, true, RESULT_PLATFORM_UNREACHABLE },
+  { "broken read", GET, ACTION_CLOSE, false, RESULT_PLATFORM_UNREACHABLE },
+  { "broken write", PUT, ACTION_CLOSE, false, RESULT_PLATFORM_LOST_ANSWER },
+  { "broken delete", DELETE, ACTION_CLOSE, false, RESULT_PLATFORM_LOST_ANSWER },
+  { "read with no answer", GET, ACTION_HOLD, false,
+    RESULT_PLATFORM_UNREACHABLE },
+  { "write with no answer", PUT, ACTION_HOLD, false,
+    RESULT_PLATFORM_LOST_ANSWER },
+  { "watch with no answer", WATCH, ACTION_HOLD, false,
+    RESULT_PLATFORM_UNREACHABLE },
+};
+
+static void
+test_failures (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof failure_cases / sizeof failure_cases[0]; i++)
+    {
+      const struct failure_case *c = &failure_cases[i];
+      struct fixture fixture;
+
+      setup (&fixture, 300);
+      fixture.server.action = c->action;
+      if (c->server_gone)
+        {
+          evconnlistener_free (fixture.server.listener);
+          fixture.server.listener = NULL;
+        }
+      start (&fixture, c->call);
+      run_until_done (&fixture, 1);
+      if (fixture.result != c->result)
+        fail_msg ("%s: %s", c->what, result_info (fixture.result)->name);
+      assert_int_equal (fixture.platform.failures, 1);
+      teardown (&fixture);
+    }
+}
+
+/* A connection attempt that times out sent nothing: the write is not lost. */
+static void
+test_connect_timeout (void **state)
+{
+  struct fixture fixture;
+  struct sockaddr_in address = loopback (0);
+  int listener = socket (AF_INET, SOCK_STREAM, 0);
+  int fillers[4];
+
+  (void)state;
+  assert_int_equal (
+      bind (listener, (struct sockaddr *)&address, sizeof address), 0);
+  /* With a full backlog and nobody accepting, further attempts hang. */
+  assert_int_equal (listen (listener, 0), 0);
+  address = loopback (bound_port (listener));
+  for (int i = 0; i < 4; i++)
+    {
+      fillers[i] = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+      (void)!connect (fillers[i], (struct sockaddr *)&address, sizeof address);
+    }
+  setup (&fixture, 300);
+  fixture.platform.port = ntohs (address.sin_port);
+  start (&fixture, PUT);
+  run_until_done (&fixture, 1);
+  assert_int_equal (fixture.result, RESULT_PLATFORM_UNREACHABLE);
+  teardown (&fixture);
+  for (int i = 0; i < 4; i++)
+    close (fillers[i]);
+  close (listener);
+}
+
+/* A write that only waited for a connection had no effect. */
+static void
+test_waiting_write_times_out (void **state)
+{
+  struct fixture fixture;
+
+  (void)state;
+  setup (&fixture, 300);
+  fixture.server.action = ACTION_HOLD;
+  for (int i = 0; i < PLATFORM_CONNECTIONS; i++)
+    start (&fixture, PUT);
+  event_base_loop (fixture.base, EVLOOP_NONBLOCK);
+  fixture.platform.timeout_ms = 50;
+  start (&fixture, PUT);
+  run_until_done (&fixture, PLATFORM_CONNECTIONS + 1);
+  assert_int_equal (fixture.unreachable, 1);
+  assert_int_equal (fixture.lost, PLATFORM_CONNECTIONS);
+  teardown (&fixture);
+}
+
+static void
+test_connections_are_kept (void **state)
+{
+  struct fixture fixture;
+
+  (void)state;
+  setup (&fixture, 5000);
+  for (int i = 1; i <= 20; i++)
+    {
+      start (&fixture, PUT);
+      run_until_done (&fixture, i);
+      assert_int_equal (fixture.result, RESULT_OK);
+    }
+  assert_int_equal (fixture.server.accepted, 1);
+  for (int i = 0; i < 100; i++)
+    start (&fixture, PUT);
+  run_until_done (&fixture, 120);
+  assert_in_range (fixture.server.accepted, 2, PLATFORM_CONNECTIONS);
+  assert_int_equal (fixture.platform.calls[PLATFORM_CALL_WRITE], 120);
+  teardown (&fixture);
+}
+
+/*
+ * A server that closes each connection after its answer must not make the
+ * next write look lost.
+ */
+static void
+test_closed_connection_is_not_reused (void **state)
+{
+  struct fixture fixture;
+
+  (void)state;
+  setup (&fixture, 5000);
+  fixture.server.action = ACTION_REPLY_AND_CLOSE;
+  for (int i = 1; i <= 20; i++)
+    {
+      start (&fixture, PUT);
+      run_until_done (&fixture, i);
+      assert_int_equal (fixture.result, RESULT_OK);
+      /* Lets the server close before the next write is sent. */
+      while (fixture.server.clients[0] != NULL)
+        event_base_loop (fixture.base, EVLOOP_ONCE);
+    }
+  teardown (&fixture);
+}
+
+/* A waiting watch must not hold up other calls. */
+static void
+test_watch_has_its_own_connection (void **state)
+{
+  struct fixture fixture;
+
+  (void)state;
+  setup (&fixture, 5000);
+  fixture.server.hold_path = "/v1/watch";
+  platform_watch (&fixture.platform, "a", 0, 15000, on_done, &fixture);
+  for (int i = 0; i < 50; i++)
+    start (&fixture, PUT);
+  run_until_done (&fixture, 50);
+  assert_int_equal (fixture.result, RESULT_OK);
+  platform_finish (&fixture.platform);
+  assert_int_equal (fixture.done, 51);
+  assert_int_equal (fixture.result, RESULT_CANCELLED);
+  teardown (&fixture);
+}
+
+/* Every call ends once, also those sent or waiting when the client stops. */
+static void
+test_finish_cancels (void **state)
+{
+  struct fixture fixture;
+
+  (void)state;
+  setup (&fixture, 5000);
+  fixture.server.action = ACTION_HOLD;
+  for (int i = 0; i < PLATFORM_CONNECTIONS + 5; i++)
+    start (&fixture, i % 2 != 0 ? PUT : GET);
+  while (fixture.server.requests < PLATFORM_CONNECTIONS)
+    event_base_loop (fixture.base, EVLOOP_ONCE);
+  assert_int_equal (fixture.done, 0);
+  platform_finish (&fixture.platform);
+  assert_int_equal (fixture.done, PLATFORM_CONNECTIONS + 5);
+  assert_int_equal (fixture.result, RESULT_CANCELLED);
+  start (&fixture, GET);
+  assert_int_equal (fixture.result, RESULT_CANCELLED);
+  teardown (&fixture);
+}
+
+static void
+test_cut (void **state)
+{
+  struct fixture fixture;
+
+  (void)state;
+  setup (&fixture, 5000);
+  fixture.platform.cut = true;
+  start (&fixture, PUT);
+  assert_int_equal (fixture.done, 0); /* never inside the call */
+  run_until_done (&fixture, 1);
+  assert_int_equal (fixture.result, RESULT_PLATFORM_UNREACHABLE);
+  assert_int_equal (fixture.server.requests, 0);
+  fixture.platform.cut = false;
+  fixture.server.action = ACTION_REPLY;
+  start (&fixture, PUT);
+  run_until_done (&fixture, 2);
+  assert_int_equal (fixture.result, RESULT_OK);
+  teardown (&fixture);
+}
+
+struct limit_case
+{
+  const char *what;
+  size_t calls;
+  size_t value_size;
+  enum result result;
+};
+
+static const struct limit_case limit_cases[] = {
+  { "a value at the limit", 1, PLATFORM_VALUE_LIMIT - 2, RESULT_OK },
+  { "a value over the limit", 1, PLATFORM_VALUE_LIMIT - 1, RESULT_TOO_LARGE },
+  { "calls over the limit", PLATFORM_CALL_LIMIT + 1, 1,
+    RESULT_PLATFORM_OVERLOADED },
+};
+
+static void
+test_limits (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof limit_cases / sizeof limit_cases[0]; i++)
+    {
+      const struct limit_case *c = &limit_cases[i];
+      struct fixture fixture;
+      char *text = calloc (1, c->value_size + 1);
+      json_t *value;
+
+      assert_non_null (text);
+      memset (text, 'x', c->value_size);
+      value = json_string (text);
+      setup (&fixture, 5000);
+      /* The test server gives its answer to the first part of the body. */
+      fixture.server.action = c->calls == 1 ? ACTION_REPLY : ACTION_HOLD;
+      if (c->value_size > 1 && c->result == RESULT_OK)
+        {
+          platform_put (&fixture.platform, "k", 1, value, on_done, &fixture);
+          assert_int_equal (fixture.platform.in_flight, 1);
+          event_base_loop (fixture.base, EVLOOP_NONBLOCK);
+          assert_int_equal (fixture.done, 0); /* sent, not refused */
+        }
+      else
+        {
+          for (size_t n = 0; n < c->calls; n++)
+            platform_put (&fixture.platform, "k", 1, value, on_done, &fixture);
+          run_until_done (&fixture, 1);
+          assert_int_equal (fixture.result, c->result);
+        }
+      json_decref (value);
+      free (text);
+      teardown (&fixture);
+    }
+}
+
+struct date_case
+{
+  const char *header;
+  int64_t now_less_date_s;
+  bool valid;
+};
+
+/* A missed skew would let a host run a call whose claim is already gone. */
+static const struct date_case date_cases[] = {
+  { "Date: %a, %d %b %Y %H:%M:%S GMT\r\n", 0, true },
+  { "Date: %a, %d %b %Y %H:%M:%S GMT\r\n", 90, true },
+  { "Date: %a, %d %b %Y %H:%M:%S GMT\r\n", -90, true },
+  { "Date: yesterday\r\n", 90, false },
+  { "", 90, false },
+};
+
+static void
+test_clock_skew (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof date_cases / sizeof date_cases[0]; i++)
+    {
+      const struct date_case *c = &date_cases[i];
+      struct fixture fixture;
+      time_t date = (time_t)(time_wall_ms () / 1000 - c->now_less_date_s);
+      int64_t expected = c->valid ? c->now_less_date_s * 1000 : 0;
+      struct tm tm;
+      char header[128] = "";
+      char reply[512];
+
+      gmtime_r (&date, &tm);
+      if (c->header[0] != '\0')
+        strftime (header, sizeof header, c->header, &tm);
+      snprintf (reply, sizeof reply,
+                "HTTP/1.1 200 OK\r\n%sContent-Length: 13\r\n\r\n"
+                "{\"version\":7}",
+                header);
+      setup (&fixture, 5000);
+      fixture.server.reply = reply;
+      start (&fixture, PUT);
+      run_until_done (&fixture, 1);
+      /* Half a second of rounding, and the time the test took. */
+      assert_in_range (fixture.skew_ms + 100000, expected + 100000 - 500,
+                       expected + 100000 + 10000);
+      assert_int_equal (fixture.platform.clock_skew_ms, fixture.skew_ms);
+      teardown (&fixture);
+    }
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_answers),
+    cmocka_unit_test (test_requests),
+    cmocka_unit_test (test_key_encoding),
+    cmocka_unit_test (test_failures),
+    cmocka_unit_test (test_connect_timeout),
+    cmocka_unit_test (test_waiting_write_times_out),
+    cmocka_unit_test (test_connections_are_kept),
+    cmocka_unit_test (test_closed_connection_is_not_reused),
+    cmocka_unit_test (test_watch_has_its_own_connection),
+    cmocka_unit_test (test_finish_cancels),
+    cmocka_unit_test (test_cut),
+    cmocka_unit_test (test_limits),
+    cmocka_unit_test (test_clock_skew),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
