--- /dev/null
+++ b/packages/group/include/lease.h
@@ -0,0 +1,167 @@
+#ifndef GROUP_LEASE_H
+#define GROUP_LEASE_H
+
+#include "result.h"
+
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/*
+ * The lease of one data centre (platform object lease/DC) as a state machine.
+ *
+ * Every time is milliseconds on one monotonic clock that counts suspension
+ * (CLOCK_BOOTTIME in the daemon).  Clocks of two candidates are never
+ * compared.  One request is in flight at a time: the caller carries out the
+ * action that lease_tick returns and reports its result with lease_on_read or
+ * lease_on_write, a timeout included (RESULT_PLATFORM_LOST_ANSWER).
+ *
+ * Safety: the holder acts until (time before its last successful write was
+ * sent) + ttl - margin.  A candidate writes only at a version that it has
+ * seen unchanged for ttl + quiet, which ends after that moment, whatever
+ * the two clocks read, as long as they run at the same rate to within
+ * (margin + quiet) / ttl.
+ */
+
+#define LEASE_NAME_SIZE 64
+
+struct lease_settings
+{
+  int64_t ttl_ms;       /* 8000 */
+  int64_t renew_ms;     /* 2000: interval of renewals */
+  int64_t margin_ms;    /* 2000: the holder stops this long before the ttl */
+  int64_t quiet_ms;     /* 2000: a candidate waits this long after the ttl */
+  int64_t stagger_ms;   /* 1000: extra wait per rank of a candidate */
+  int64_t poll_ms;      /* 2000: interval of reads of the first candidates */
+  int64_t slow_poll_ms; /* 10000: interval of reads of the other candidates */
+  unsigned poll_ranks;  /* 3: candidates of a lower rank use poll_ms */
+  int64_t retry_ms;     /* 500: wait after a failed request */
+};
+
+void lease_settings_init (struct lease_settings *settings);
+
+/* The platform object.  An empty holder means that it was released. */
+struct lease_value
+{
+  char holder[LEASE_NAME_SIZE];
+  uint64_t fence; /* fencing token, rises with each takeover */
+  uint64_t ttl_ms;
+  uint64_t seq; /* rises with each write; tells two writes of a holder apart */
+};
+
+/* A new reference, NULL on no memory. */
+json_t *lease_value_to_json (const struct lease_value *value);
+/* RESULT_PLATFORM_BAD_ANSWER if a member is missing or of the wrong type. */
+enum result lease_value_from_json (struct lease_value *value,
+                                   const json_t *json);
+
+enum lease_action_kind
+{
+  LEASE_NOTHING,
+  LEASE_READ,  /* GET lease/DC */
+  LEASE_WRITE, /* PUT value at version; version 0 = If-None-Match: * */
+};
+
+struct lease_action
+{
+  enum lease_action_kind kind;
+  struct lease_value value;
+  uint64_t version;
+};
+
+enum lease_phase
+{
+  LEASE_FOLLOWING,
+  LEASE_HOLDING, /* the last known value names this candidate */
+  LEASE_RELEASED /* shut down; nothing more is done */
+};
+
+struct lease
+{
+  struct lease_settings settings;
+  char self[LEASE_NAME_SIZE];
+  unsigned rank;
+  enum lease_phase phase;
+  bool releasing;
+  struct lease_value value;     /* last known */
+  uint64_t version;             /* of value; 0 = the object does not exist */
+  bool known;                   /* the object was read at least once */
+  int64_t version_since_ms;     /* when this version was first seen */
+  int64_t valid_until_ms;       /* may act before this moment */
+  uint64_t fence_floor;         /* highest token seen in the assignment */
+  enum lease_action_kind asked; /* request in flight */
+  struct lease_value pending;   /* last value sent, kept for the read-back */
+  int64_t pending_sent_ms;
+  bool read_back; /* the last write's answer was lost */
+  int64_t next_ms;
+};
+
+/*
+ * self names this run of this process (host name and boot id): a restarted
+ * process must not take the lease of its predecessor for its own.
+ */
+void lease_init (struct lease *lease,
+                 const struct lease_settings *settings,
+                 const char *self,
+                 unsigned rank);
+
+/*
+ * Rank among the live candidates of the data centre, 0 first; see
+ * lease_rank.  May change at any time; it only delays a takeover.
+ */
+void lease_set_rank (struct lease *lease, unsigned rank);
+
+/* Rendezvous rank of self among count names for the data centre. */
+unsigned lease_rank (const char *self,
+                     const char *const *names,
+                     unsigned count,
+                     const char *data_centre);
+
+/*
+ * Tells the lease of a fencing token seen in the assignment: a takeover uses
+ * a higher one even if the lease object was lost.
+ */
+void lease_see_fence (struct lease *lease, uint64_t fence);
+
+/* What to do now.  LEASE_NOTHING while a request is in flight. */
+struct lease_action lease_tick (struct lease *lease, int64_t now_ms);
+
+/*
+ * Answer of a read: RESULT_OK with value and version, or
+ * RESULT_PLATFORM_NOT_FOUND, or another code for a failure.  value is ignored
+ * unless the result is RESULT_OK.  A watch event may be reported the same way
+ * at any time.
+ */
+void lease_on_read (struct lease *lease,
+                    enum result result,
+                    const struct lease_value *value,
+                    uint64_t version,
+                    int64_t now_ms);
+
+/*
+ * Answer of a write: RESULT_OK with the new version, RESULT_PLATFORM_CONFLICT,
+ * RESULT_PLATFORM_LOST_ANSWER or RESULT_PLATFORM_BAD_ANSWER (read back), or a
+ * code that says that nothing was written.
+ */
+void lease_on_write (struct lease *lease,
+                     enum result result,
+                     uint64_t version,
+                     int64_t now_ms);
+
+/*
+ * True while this candidate may write the assignment and send orders.  Check
+ * it immediately before each write and each order.
+ */
+bool lease_may_act (const struct lease *lease, int64_t now_ms);
+
+/* Fencing token of the lease held; meaningful while lease_may_act. */
+uint64_t lease_fence (const struct lease *lease);
+
+/*
+ * Gives the lease up on shutdown: may_act is false at once, and lease_tick
+ * returns the write that lets another candidate take over without the wait.
+ * Done when phase is LEASE_RELEASED.
+ */
+void lease_release (struct lease *lease, int64_t now_ms);
+
+#endif
