--- a/packages/group/include/history.h
+++ b/packages/group/include/history.h
@@ -43,6 +43,7 @@
   bool seen; /* it was present at least once */
   char boot_id[FLEET_NAME_SIZE];
   int64_t absent_since_ms;
+  unsigned bucket;                   /* of the present absence */
   int64_t losses_ms[HISTORY_LOSSES]; /* newest first */
   unsigned loss_count;               /* entries of losses_ms */
   int64_t hold_until_ms;             /* flapping: not used for new groups */
@@ -80,8 +81,13 @@
   int64_t observed_ms;
   int64_t ready_ms; /* absences are not believed before this moment */
   bool started;
-  double returned[HISTORY_BUCKETS]; /* absences that ended, by duration */
-  double lasting; /* absences that lasted longer than the last bucket */
+  /*
+   * Absences that reached each bucket, and those that ended in it; together
+   * they estimate the rate of returns without bias from absences that last.
+   * Bucket 0 ends at 1 s, bucket i at 2^i s.
+   */
+  double entered[HISTORY_BUCKETS];
+  double returned[HISTORY_BUCKETS];
 };
 
 void history_init (struct history *history,
--- a/packages/group/include/lease.h
+++ b/packages/group/include/lease.h
@@ -16,6 +16,9 @@
  * action that lease_tick returns and reports its result with lease_on_read or
  * lease_on_write, a timeout included (RESULT_PLATFORM_LOST_ANSWER).
  *
+ * Nothing deletes the object, so a missing one was never created, and the
+ * first candidate creates it without a wait.
+ *
  * Safety: the holder acts until (time before its last successful write was
  * sent) + ttl - margin.  A candidate writes only at a version that it has
  * seen unchanged for ttl + quiet, which ends after that moment, whatever
@@ -92,8 +95,9 @@
   enum lease_action_kind asked; /* request in flight */
   struct lease_value pending;   /* last value sent, kept for the read-back */
   int64_t pending_sent_ms;
-  bool read_back; /* the last write's answer was lost */
-  int64_t next_ms;
+  bool must_read;   /* the last write's answer was lost or a conflict */
+  int64_t next_ms;  /* next renewal or read */
+  int64_t retry_ms; /* no request before this moment */
 };
 
 /*
@@ -129,8 +133,7 @@
 /*
  * Answer of a read: RESULT_OK with value and version, or
  * RESULT_PLATFORM_NOT_FOUND, or another code for a failure.  value is ignored
- * unless the result is RESULT_OK.  A watch event may be reported the same way
- * at any time.
+ * unless the result is RESULT_OK.
  */
 void lease_on_read (struct lease *lease,
                     enum result result,
@@ -138,6 +141,12 @@
                     uint64_t version,
                     int64_t now_ms);
 
+/* A watch showed the object; may be called at any time. */
+void lease_on_watch (struct lease *lease,
+                     const struct lease_value *value,
+                     uint64_t version,
+                     int64_t now_ms);
+
 /*
  * Answer of a write: RESULT_OK with the new version, RESULT_PLATFORM_CONFLICT,
  * RESULT_PLATFORM_LOST_ANSWER or RESULT_PLATFORM_BAD_ANSWER (read back), or a
@@ -162,6 +171,6 @@
  * returns the write that lets another candidate take over without the wait.
  * Done when phase is LEASE_RELEASED.
  */
-void lease_release (struct lease *lease, int64_t now_ms);
+void lease_release (struct lease *lease);
 
 #endif
--- a/packages/group/include/placement.h
+++ b/packages/group/include/placement.h
@@ -92,7 +92,8 @@
   size_t group_count;
   struct placement_decision *decisions;
   size_t decision_count;
-  bool changed; /* differs from the present assignment */
+  bool changed;    /* differs from the present assignment */
+  uint64_t number; /* of the assignment that it was computed from */
 };
 
 void placement_init (struct placement *placement);
@@ -100,7 +101,8 @@
 
 /*
  * Fills a placement that was initialised or computed before.
- * RESULT_NO_MEMORY leaves it empty, with changed = false.
+ * RESULT_NO_MEMORY and RESULT_ASSIGNMENT_INVALID (placement_check refused the
+ * result) leave it empty, with changed = false.
  */
 enum result placement_compute (struct placement *placement,
                                const struct placement_input *input);
@@ -117,7 +119,8 @@
 /*
  * Checks an assignment against the rules: no host twice, one domain per
  * group, permitted places, size equal to span.  RESULT_ASSIGNMENT_INVALID,
- * with the reason in text (PLACEMENT_TEXT_SIZE bytes).  Used before writing.
+ * with the reason in text (PLACEMENT_TEXT_SIZE bytes).  placement_compute calls
+ * it on every change.
  */
 enum result placement_check (const struct placement *placement,
                              const struct sheet *sheet,
--- a/packages/group/include/plan.h
+++ b/packages/group/include/plan.h
@@ -24,7 +24,7 @@
  * the assignment as written, never from one whose write is unanswered.
  */
 
-#define PLAN_ORDER_ID_SIZE 96
+#define PLAN_ORDER_ID_SIZE 128
 
 struct plan_settings
 {
@@ -74,7 +74,8 @@
   char order_id[PLAN_ORDER_ID_SIZE];
   enum plan_op op;
   bool in_flight;
-  bool fetches; /* a load that counts against the limit */
+  bool assigned; /* scratch: member of a group in this tick */
+  bool fetches;  /* a load that counts against the limit */
   int64_t sent_ms;
   int64_t not_before_ms; /* no order before this moment, */
   int64_t read_after_ms; /* nor before an attestation at or after this one */
@@ -92,8 +93,9 @@
   int64_t fence_since_ms;
   uint64_t order_count;
   bool write_in_flight;
+  bool read_in_flight;
   int64_t write_not_before_ms;
-  bool assignment_stale; /* read the assignment before the next write */
+  bool assignment_stale; /* read the assignment before any other step */
 };
 
 void plan_init (struct plan *plan,
@@ -119,6 +121,7 @@
 void plan_steps_finish (struct plan_steps *steps);
 
 /*
+ * wanted was computed from the fleet as it is now; otherwise it is not written.
  * Fills steps; empty unless the lease may act.  Every step returned counts as
  * sent at now_ms.  Report each with plan_on_write, plan_on_read or
  * plan_on_order; an order that is never reported counts as lost after
--- /dev/null
+++ b/packages/group/src/lease.c
@@ -0,0 +1,300 @@
+#include "lease.h"
+#include "hash.h"
+#include "jsonutil.h"
+
+#include <string.h>
+
+void
+lease_settings_init (struct lease_settings *settings)
+{
+  *settings = (struct lease_settings){
+    .ttl_ms = 8000,
+    .renew_ms = 2000,
+    .margin_ms = 2000,
+    .quiet_ms = 2000,
+    .stagger_ms = 1000,
+    .poll_ms = 2000,
+    .slow_poll_ms = 10000,
+    .poll_ranks = 3,
+    .retry_ms = 500,
+  };
+}
+
+json_t *
+lease_value_to_json (const struct lease_value *value)
+{
+  return json_pack ("{s:s, s:I, s:I, s:I}", "holder", value->holder, "fence",
+                    (json_int_t)value->fence, "ttl_ms",
+                    (json_int_t)value->ttl_ms, "seq", (json_int_t)value->seq);
+}
+
+enum result
+lease_value_from_json (struct lease_value *value, const json_t *json)
+{
+  if (!json_read_string (json, "holder", value->holder, sizeof value->holder)
+      || !json_read_u64 (json, "fence", &value->fence)
+      || !json_read_u64 (json, "ttl_ms", &value->ttl_ms)
+      || !json_read_u64 (json, "seq", &value->seq))
+    return RESULT_PLATFORM_BAD_ANSWER;
+  return RESULT_OK;
+}
+
+void
+lease_init (struct lease *lease,
+            const struct lease_settings *settings,
+            const char *self,
+            unsigned rank)
+{
+  size_t size = strnlen (self, sizeof lease->self - 1);
+
+  memset (lease, 0, sizeof *lease);
+  lease->settings = *settings;
+  memcpy (lease->self, self, size);
+  lease->rank = rank;
+  lease->next_ms = INT64_MIN;
+  lease->retry_ms = INT64_MIN;
+  lease->valid_until_ms = INT64_MIN;
+}
+
+void
+lease_set_rank (struct lease *lease, unsigned rank)
+{
+  lease->rank = rank;
+}
+
+unsigned
+lease_rank (const char *self,
+            const char *const *names,
+            unsigned count,
+            const char *data_centre)
+{
+  uint64_t own = hash_rendezvous (self, data_centre);
+  unsigned rank = 0;
+
+  for (unsigned i = 0; i < count; i++)
+    {
+      uint64_t score = hash_rendezvous (names[i], data_centre);
+
+      if (score > own || (score == own && strcmp (names[i], self) < 0))
+        rank++;
+    }
+  return rank;
+}
+
+void
+lease_see_fence (struct lease *lease, uint64_t fence)
+{
+  if (fence > lease->fence_floor)
+    lease->fence_floor = fence;
+}
+
+/* Moment from which this candidate may write over the known version. */
+static int64_t
+takeover_ms (const struct lease *lease)
+{
+  int64_t wait = (int64_t)lease->rank * lease->settings.stagger_ms;
+
+  if (lease->version != 0 && lease->value.holder[0] != '\0')
+    {
+      int64_t ttl = (int64_t)lease->value.ttl_ms;
+
+      if (ttl < lease->settings.ttl_ms)
+        ttl = lease->settings.ttl_ms;
+      wait += ttl + lease->settings.quiet_ms;
+    }
+  return lease->version_since_ms + wait;
+}
+
+static struct lease_action
+ask_read (struct lease *lease, int64_t now_ms)
+{
+  struct lease_action action = { .kind = LEASE_READ };
+
+  lease->asked = LEASE_READ;
+  lease->next_ms = now_ms
+                   + (lease->rank < lease->settings.poll_ranks
+                          ? lease->settings.poll_ms
+                          : lease->settings.slow_poll_ms);
+  return action;
+}
+
+static struct lease_action
+ask_write (struct lease *lease, const char *holder, int64_t now_ms)
+{
+  struct lease_action action = { .kind = LEASE_WRITE };
+
+  memcpy (action.value.holder, holder, strlen (holder) + 1);
+  action.value.fence = lease->value.fence;
+  if (lease->phase == LEASE_FOLLOWING)
+    {
+      if (action.value.fence < lease->fence_floor)
+        action.value.fence = lease->fence_floor;
+      action.value.fence++;
+    }
+  action.value.ttl_ms = (uint64_t)lease->settings.ttl_ms;
+  /*
+   * Never the number of an earlier write whose answer was lost: that write may
+   * still take effect, and its validity began when it was sent.
+   */
+  action.value.seq = lease->value.seq > lease->pending.seq ? lease->value.seq
+                                                           : lease->pending.seq;
+  action.value.seq++;
+  action.version = lease->version;
+  lease->asked = LEASE_WRITE;
+  lease->pending = action.value;
+  lease->pending_sent_ms = now_ms;
+  lease->next_ms = now_ms + lease->settings.renew_ms;
+  return action;
+}
+
+struct lease_action
+lease_tick (struct lease *lease, int64_t now_ms)
+{
+  const struct lease_action nothing = { .kind = LEASE_NOTHING };
+
+  if (lease->asked != LEASE_NOTHING || lease->phase == LEASE_RELEASED)
+    return nothing;
+  if (lease->releasing && lease->phase == LEASE_FOLLOWING && !lease->must_read)
+    {
+      lease->phase = LEASE_RELEASED;
+      return nothing;
+    }
+  if (now_ms < lease->retry_ms)
+    return nothing;
+  if (!lease->known || lease->must_read)
+    return ask_read (lease, now_ms);
+  if (lease->phase == LEASE_HOLDING)
+    {
+      if (lease->releasing)
+        return ask_write (lease, "", now_ms);
+      if (now_ms >= lease->next_ms)
+        return ask_write (lease, lease->self, now_ms);
+      return nothing;
+    }
+  if (now_ms >= takeover_ms (lease))
+    return ask_write (lease, lease->self, now_ms);
+  if (now_ms >= lease->next_ms)
+    return ask_read (lease, now_ms);
+  return nothing;
+}
+
+/* Takes over what the platform says the lease is. */
+static void
+adopt (struct lease *lease,
+       const struct lease_value *value,
+       uint64_t version,
+       int64_t now_ms)
+{
+  bool newer = version != lease->version;
+
+  lease->value = *value;
+  lease->version = version;
+  if (!lease->known || newer)
+    lease->version_since_ms = now_ms;
+  lease->known = true;
+  if (lease->phase == LEASE_RELEASED)
+    return;
+  if (version == 0 || strcmp (value->holder, lease->self) != 0)
+    {
+      lease->phase = LEASE_FOLLOWING;
+      lease->valid_until_ms = INT64_MIN;
+      return;
+    }
+  if (lease->phase != LEASE_HOLDING || newer)
+    lease->next_ms = now_ms;
+  lease->phase = LEASE_HOLDING;
+  /*
+   * Only the last write's time of sending is known.  An older write of this
+   * candidate gives no validity; the next renewal does.
+   */
+  if (value->seq == lease->pending.seq && value->fence == lease->pending.fence)
+    {
+      lease->valid_until_ms = lease->pending_sent_ms + lease->settings.ttl_ms
+                              - lease->settings.margin_ms;
+      lease->next_ms = lease->pending_sent_ms + lease->settings.renew_ms;
+    }
+}
+
+void
+lease_on_read (struct lease *lease,
+               enum result result,
+               const struct lease_value *value,
+               uint64_t version,
+               int64_t now_ms)
+{
+  const struct lease_value missing = { .fence = 0 };
+
+  lease->asked = LEASE_NOTHING;
+  if (result == RESULT_PLATFORM_NOT_FOUND)
+    {
+      value = &missing;
+      version = 0;
+    }
+  else if (result != RESULT_OK)
+    {
+      lease->retry_ms = now_ms + lease->settings.retry_ms;
+      return;
+    }
+  lease->must_read = false;
+  if (version != 0 && version < lease->version)
+    return; /* a watch was faster than this answer */
+  adopt (lease, value, version, now_ms);
+}
+
+void
+lease_on_watch (struct lease *lease,
+                const struct lease_value *value,
+                uint64_t version,
+                int64_t now_ms)
+{
+  if (version > lease->version || !lease->known)
+    adopt (lease, value, version, now_ms);
+}
+
+void
+lease_on_write (struct lease *lease,
+                enum result result,
+                uint64_t version,
+                int64_t now_ms)
+{
+  lease->asked = LEASE_NOTHING;
+  switch (result)
+    {
+    case RESULT_OK:
+      if (version < lease->version)
+        break; /* a watch has shown a later write */
+      adopt (lease, &lease->pending, version, now_ms);
+      break;
+    case RESULT_PLATFORM_CONFLICT:
+      lease->must_read = true;
+      break;
+    case RESULT_PLATFORM_UNREACHABLE:
+    case RESULT_PLATFORM_OVERLOADED:
+    case RESULT_PLATFORM_OUTAGE:
+      lease->retry_ms = now_ms + lease->settings.retry_ms;
+      break;
+    default:
+      lease->must_read = true;
+      lease->retry_ms = now_ms + lease->settings.retry_ms;
+      break;
+    }
+}
+
+bool
+lease_may_act (const struct lease *lease, int64_t now_ms)
+{
+  return lease->phase == LEASE_HOLDING && !lease->releasing
+         && now_ms < lease->valid_until_ms;
+}
+
+uint64_t
+lease_fence (const struct lease *lease)
+{
+  return lease->value.fence;
+}
+
+void
+lease_release (struct lease *lease)
+{
+  lease->releasing = true;
+}
--- /dev/null
+++ b/packages/group/src/plan.c
@@ -0,0 +1,633 @@
+#include "plan.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+void
+plan_settings_init (struct plan_settings *settings)
+{
+  *settings = (struct plan_settings){
+    .order_ms = 5000,
+    .settle_ms = 2000,
+    .retry_ms = 1000,
+    .retry_limit_ms = 30000,
+    .load_limit = 16,
+  };
+}
+
+void
+plan_init (struct plan *plan,
+           const struct plan_settings *settings,
+           const char *data_centre,
+           const char *self)
+{
+  memset (plan, 0, sizeof *plan);
+  plan->settings = *settings;
+  snprintf (plan->data_centre, sizeof plan->data_centre, "%s", data_centre);
+  snprintf (plan->self, sizeof plan->self, "%s", self);
+  plan->write_not_before_ms = INT64_MIN;
+}
+
+static void
+forget_orders (struct plan *plan)
+{
+  struct plan_host *host = plan->hosts;
+
+  HASH_CLEAR (hh, plan->hosts);
+  while (host != NULL)
+    {
+      struct plan_host *next = host->hh.next;
+
+      free (host);
+      host = next;
+    }
+}
+
+void
+plan_finish (struct plan *plan)
+{
+  forget_orders (plan);
+}
+
+void
+plan_steps_init (struct plan_steps *steps)
+{
+  memset (steps, 0, sizeof *steps);
+  fleet_init (&steps->assignment);
+}
+
+void
+plan_steps_finish (struct plan_steps *steps)
+{
+  fleet_finish (&steps->assignment);
+  free (steps->orders);
+  memset (steps, 0, sizeof *steps);
+}
+
+/* Keeps the memory of the orders for the next tick. */
+static void
+clear_steps (struct plan_steps *steps)
+{
+  struct plan_order *orders = steps->orders;
+  size_t capacity = steps->order_capacity;
+
+  fleet_finish (&steps->assignment);
+  memset (steps, 0, sizeof *steps);
+  steps->orders = orders;
+  steps->order_capacity = capacity;
+}
+
+/* A new lease starts without knowledge of orders and of the assignment. */
+static void
+start_term (struct plan *plan, uint64_t fence, int64_t now_ms)
+{
+  forget_orders (plan);
+  plan->fence = fence;
+  plan->fence_since_ms = now_ms;
+  plan->assignment_stale = true;
+  plan->read_in_flight = false;
+}
+
+static struct plan_host *
+get_host (struct plan *plan, const char *id)
+{
+  struct plan_host *host;
+
+  HASH_FIND_STR (plan->hosts, id, host);
+  if (host != NULL)
+    return host;
+  host = calloc (1, sizeof *host);
+  if (host == NULL)
+    return NULL;
+  snprintf (host->id, sizeof host->id, "%s", id);
+  host->not_before_ms = INT64_MIN;
+  host->read_after_ms = INT64_MIN;
+  HASH_ADD_STR (plan->hosts, id, host);
+  return host;
+}
+
+/*
+ * The order may still take effect until order_ms after it was sent.  Only an
+ * attestation after that moment says what came of it.
+ */
+static void
+order_lost (const struct plan *plan, struct plan_host *host)
+{
+  host->in_flight = false;
+  host->fetches = false;
+  host->not_before_ms = host->sent_ms + plan->settings.order_ms;
+  host->read_after_ms = host->not_before_ms;
+}
+
+static void
+expire_orders (struct plan *plan, int64_t now_ms)
+{
+  struct plan_host *host;
+
+  for (host = plan->hosts; host != NULL; host = host->hh.next)
+    {
+      host->assigned = false;
+      if (host->in_flight && now_ms - host->sent_ms >= plan->settings.order_ms)
+        order_lost (plan, host);
+    }
+}
+
+static enum result
+write_assignment (struct plan *plan,
+                  const struct fleet *fleet,
+                  const struct fleet_group *groups,
+                  size_t count,
+                  struct plan_steps *steps)
+{
+  for (size_t i = 0; i < count; i++)
+    {
+      struct fleet_group *group
+          = fleet_add_group (&steps->assignment, groups[i].id);
+      UT_hash_handle hh;
+
+      if (group == NULL)
+        return RESULT_NO_MEMORY;
+      hh = group->hh;
+      *group = groups[i];
+      group->hh = hh;
+    }
+  steps->assignment.assignment_fence = plan->fence;
+  steps->assignment.assignment_number = fleet->assignment_number + 1;
+  steps->write_assignment = true;
+  plan->write_in_flight = true;
+  return RESULT_OK;
+}
+
+/* The assignment as it is, under the new token: an older holder's write at
+   the version that it read then fails. */
+static enum result
+stamp_fence (struct plan *plan,
+             const struct fleet *fleet,
+             struct plan_steps *steps)
+{
+  const struct fleet_group *group;
+  enum result result = RESULT_OK;
+
+  for (group = fleet->groups; group != NULL && result == RESULT_OK;
+       group = group->hh.next)
+    if (strcmp (group->data_centre, plan->data_centre) == 0)
+      result = write_assignment (plan, fleet, group, 1, steps);
+  if (result == RESULT_OK)
+    result = write_assignment (plan, fleet, NULL, 0, steps);
+  snprintf (steps->write_reason, sizeof steps->write_reason,
+            "takeover: stamp fencing token %llu",
+            (unsigned long long)plan->fence);
+  return result;
+}
+
+static enum result
+write_wanted (struct plan *plan,
+              const struct fleet *fleet,
+              const struct placement *wanted,
+              struct plan_steps *steps)
+{
+  for (size_t i = 0; i < wanted->decision_count; i++)
+    if (wanted->decisions[i].changes)
+      {
+        snprintf (steps->write_reason, sizeof steps->write_reason,
+                  "%s %.40s: %.100s",
+                  placement_step_name (wanted->decisions[i].step),
+                  wanted->decisions[i].group, wanted->decisions[i].reason);
+        break;
+      }
+  return write_assignment (plan, fleet, wanted->groups, wanted->group_count,
+                           steps);
+}
+
+/* An old holder's order may be in flight for order_ms after the takeover. */
+static bool
+fence_wait_over (const struct plan *plan,
+                 const struct fleet_host *host,
+                 int64_t now_ms)
+{
+  int64_t clear_ms = plan->fence_since_ms + plan->settings.order_ms;
+
+  return host->checks_fence
+         || (now_ms >= clear_ms && host->attested.seen_ms >= clear_ms);
+}
+
+static bool
+may_order (const struct plan *plan,
+           const struct plan_host *state,
+           const struct fleet_host *host,
+           int64_t now_ms)
+{
+  return !state->in_flight && now_ms >= state->not_before_ms
+         && host->attested.seen_ms >= state->read_after_ms
+         && fleet_host_present (host, now_ms)
+         && fence_wait_over (plan, host, now_ms);
+}
+
+/* Loads in progress that fetch weights: ordered by this plan or attested. */
+static unsigned
+count_fetches (const struct plan *plan,
+               const struct fleet *fleet,
+               const struct history *history,
+               int64_t now_ms)
+{
+  const struct fleet_host *host;
+  unsigned count = 0;
+
+  for (host = fleet->hosts; host != NULL; host = host->hh.next)
+    {
+      const struct fleet_attestation *attested = &host->attested;
+      const struct plan_host *state;
+
+      if (strcmp (host->data_centre, plan->data_centre) != 0)
+        continue;
+      HASH_FIND_STR (plan->hosts, host->id, state);
+      if (state != NULL && state->fetches
+          && (state->in_flight || now_ms < state->not_before_ms))
+        count++;
+      else if (fleet_host_present (host, now_ms)
+               && attested->state == FLEET_ENGINE_LOADING
+               && !history_has_weights (history, host, attested->model,
+                                        attested->version))
+        count++;
+    }
+  return count;
+}
+
+static struct plan_order *
+add_order (struct plan *plan,
+           struct plan_steps *steps,
+           struct plan_host *state,
+           enum plan_op op,
+           int64_t now_ms)
+{
+  struct plan_order *order;
+
+  if (steps->order_count == steps->order_capacity)
+    {
+      size_t capacity = steps->order_capacity * 2 + 16;
+
+      order = realloc (steps->orders, capacity * sizeof *order);
+      if (order == NULL)
+        return NULL;
+      steps->orders = order;
+      steps->order_capacity = capacity;
+    }
+  order = &steps->orders[steps->order_count++];
+  memset (order, 0, sizeof *order);
+  order->op = op;
+  order->fence = plan->fence;
+  memcpy (order->host, state->id, sizeof order->host);
+  snprintf (order->order_id, sizeof order->order_id, "%s.%llu.%llu", plan->self,
+            (unsigned long long)plan->fence,
+            (unsigned long long)++plan->order_count);
+  memcpy (state->order_id, order->order_id, sizeof state->order_id);
+  state->op = op;
+  state->in_flight = true;
+  state->sent_ms = now_ms;
+  return order;
+}
+
+static bool
+same_contents (const struct fleet_group *group,
+               const struct fleet_attestation *attested)
+{
+  return strcmp (group->model, attested->model) == 0
+         && strcmp (group->version, attested->version) == 0;
+}
+
+static bool
+in_position (const struct fleet_group *group,
+             unsigned rank,
+             const struct fleet_attestation *attested)
+{
+  return strcmp (group->id, attested->group) == 0 && attested->rank == rank
+         && attested->span == group->span;
+}
+
+/*
+ * True if every member runs this group in its present position under one
+ * older generation: then the members are the same, and the adapters or role
+ * can change without a load.
+ */
+static bool
+members_unchanged (const struct fleet *fleet,
+                   const struct fleet_group *group,
+                   int64_t now_ms)
+{
+  uint64_t generation = 0;
+
+  for (unsigned rank = 0; rank < group->member_count; rank++)
+    {
+      const struct fleet_host *host
+          = fleet_find_host (fleet, group->members[rank]);
+
+      if (host == NULL || !fleet_host_present (host, now_ms)
+          || !in_position (group, rank, &host->attested)
+          || !same_contents (group, &host->attested)
+          || host->attested.state != FLEET_ENGINE_READY
+          || host->attested.generation >= group->generation
+          || (rank > 0 && host->attested.generation != generation))
+        return false;
+      generation = host->attested.generation;
+    }
+  return true;
+}
+
+/* The order that a member needs; false if it needs none. */
+static bool
+needed_order (const struct fleet_group *group,
+              unsigned rank,
+              const struct fleet_attestation *attested,
+              bool unchanged,
+              enum plan_op *op,
+              const char **reason)
+{
+  bool adapters = strcmp (group->adapters, attested->adapters) != 0;
+  bool role
+      = group->role[0] != '\0' && strcmp (group->role, attested->role) != 0;
+
+  *op = PLAN_LOAD;
+  if (!unchanged)
+    {
+      *reason = "it runs another group, generation or rank";
+      if (!in_position (group, rank, attested)
+          || attested->generation != group->generation)
+        return true;
+      if (attested->state == FLEET_ENGINE_LOADING)
+        return false;
+      *reason = "it is in the group but not loaded";
+      if (attested->state != FLEET_ENGINE_READY)
+        return true;
+      *reason = "it runs another model or version";
+      if (!same_contents (group, attested))
+        return true;
+    }
+  if (adapters && !role)
+    {
+      *op = PLAN_ADAPTERS;
+      *reason = "its adapters change";
+      return true;
+    }
+  if (role && !adapters)
+    {
+      *op = PLAN_ROLE;
+      *reason = "its role changes";
+      return true;
+    }
+  *reason = "its contents change";
+  return unchanged || adapters;
+}
+
+struct order_round
+{
+  struct plan *plan;
+  const struct fleet *fleet;
+  const struct history *history;
+  struct plan_steps *steps;
+  int64_t now_ms;
+  unsigned fetches; /* in progress */
+};
+
+static enum result
+order_member (struct order_round *round,
+              const struct fleet_group *group,
+              unsigned rank,
+              bool unchanged)
+{
+  const struct fleet_host *host
+      = fleet_find_host (round->fleet, group->members[rank]);
+  struct plan_host *state = get_host (round->plan, group->members[rank]);
+  struct plan_order *order;
+  const char *reason;
+  enum plan_op op;
+  bool fetches;
+
+  if (state == NULL)
+    return RESULT_NO_MEMORY;
+  state->assigned = true;
+  if (host == NULL || group->draining || fleet_host_leaving (host)
+      || !may_order (round->plan, state, host, round->now_ms)
+      || !needed_order (group, rank, &host->attested, unchanged, &op, &reason))
+    return RESULT_OK;
+  fetches = op == PLAN_LOAD
+            && !history_has_weights (round->history, host, group->model,
+                                     group->version);
+  if (fetches && round->fetches >= round->plan->settings.load_limit)
+    return RESULT_OK;
+  order = add_order (round->plan, round->steps, state, op, round->now_ms);
+  if (order == NULL)
+    return RESULT_NO_MEMORY;
+  state->fetches = fetches;
+  round->fetches += fetches ? 1 : 0;
+  order->group = *group;
+  memset (&order->group.hh, 0, sizeof order->group.hh);
+  order->rank = rank;
+  snprintf (order->reason, sizeof order->reason, "%s", reason);
+  return RESULT_OK;
+}
+
+static enum result
+order_group (struct order_round *round, const struct fleet_group *group)
+{
+  bool unchanged = members_unchanged (round->fleet, group, round->now_ms);
+  enum result result = RESULT_OK;
+
+  for (unsigned rank = 0; rank < group->member_count && result == RESULT_OK;
+       rank++)
+    result = order_member (round, group, rank, unchanged);
+  return result;
+}
+
+/* A host in no group gives up what it runs. */
+static enum result
+order_release (struct order_round *round, const struct fleet_host *host)
+{
+  struct plan_host *state = get_host (round->plan, host->id);
+  struct plan_order *order;
+
+  if (state == NULL)
+    return RESULT_NO_MEMORY;
+  if (state->assigned || host->attested.group[0] == '\0'
+      || host->attested.leaving
+      || !may_order (round->plan, state, host, round->now_ms))
+    return RESULT_OK;
+  order = add_order (round->plan, round->steps, state, PLAN_RELEASE,
+                     round->now_ms);
+  if (order == NULL)
+    return RESULT_NO_MEMORY;
+  state->fetches = false;
+  memcpy (order->group.id, host->attested.group, sizeof order->group.id);
+  order->group.generation = host->attested.generation;
+  order->group.span = host->attested.span;
+  order->rank = host->attested.rank;
+  snprintf (order->reason, sizeof order->reason, "it belongs to no group");
+  return RESULT_OK;
+}
+
+/* Orders from the assignment as written, the most urgent group first. */
+static enum result
+order_hosts (struct order_round *round, const struct placement *wanted)
+{
+  const struct plan *plan = round->plan;
+  const struct fleet_group *group;
+  const struct fleet_host *host;
+  enum result result = RESULT_OK;
+
+  for (size_t i = 0; i < wanted->group_count && result == RESULT_OK; i++)
+    {
+      group = fleet_find_group (round->fleet, wanted->groups[i].id);
+      if (group != NULL)
+        result = order_group (round, group);
+    }
+  /* Groups about to be dissolved are in the assignment only; ordering their
+     members again is idle work, but a member must not count as free. */
+  for (group = round->fleet->groups; group != NULL && result == RESULT_OK;
+       group = group->hh.next)
+    for (unsigned rank = 0; rank < group->member_count; rank++)
+      {
+        struct plan_host *state = get_host (round->plan, group->members[rank]);
+
+        if (state == NULL)
+          result = RESULT_NO_MEMORY;
+        else
+          state->assigned = true;
+      }
+  for (host = round->fleet->hosts; host != NULL && result == RESULT_OK;
+       host = host->hh.next)
+    if (!host->is_service && strcmp (host->data_centre, plan->data_centre) == 0)
+      result = order_release (round, host);
+  return result;
+}
+
+static bool
+may_write (const struct plan *plan, int64_t now_ms)
+{
+  return now_ms >= plan->write_not_before_ms;
+}
+
+enum result
+plan_next (struct plan *plan,
+           const struct lease *lease,
+           const struct fleet *fleet,
+           const struct placement *wanted,
+           const struct history *history,
+           int64_t now_ms,
+           struct plan_steps *steps)
+{
+  struct order_round round = { .plan = plan,
+                               .fleet = fleet,
+                               .history = history,
+                               .steps = steps,
+                               .now_ms = now_ms };
+
+  clear_steps (steps);
+  if (!lease_may_act (lease, now_ms))
+    return RESULT_OK;
+  if (lease_fence (lease) != plan->fence)
+    start_term (plan, lease_fence (lease), now_ms);
+  expire_orders (plan, now_ms);
+  if (plan->write_in_flight || plan->read_in_flight)
+    return RESULT_OK;
+  if (plan->assignment_stale || fleet->assignment_fence > plan->fence)
+    {
+      if (!may_write (plan, now_ms))
+        return RESULT_OK;
+      steps->read_assignment = true;
+      plan->read_in_flight = true;
+      return RESULT_OK;
+    }
+  if (fleet->assignment_fence < plan->fence)
+    return may_write (plan, now_ms) ? stamp_fence (plan, fleet, steps)
+                                    : RESULT_OK;
+  if (wanted->changed && wanted->number == fleet->assignment_number
+      && may_write (plan, now_ms))
+    return write_wanted (plan, fleet, wanted, steps);
+  round.fetches = count_fetches (plan, fleet, history, now_ms);
+  return order_hosts (&round, wanted);
+}
+
+void
+plan_on_write (struct plan *plan, enum result result, int64_t now_ms)
+{
+  plan->write_in_flight = false;
+  switch (result)
+    {
+    case RESULT_OK:
+      break;
+    case RESULT_PLATFORM_UNREACHABLE:
+    case RESULT_PLATFORM_OVERLOADED:
+    case RESULT_PLATFORM_OUTAGE:
+      plan->write_not_before_ms = now_ms + plan->settings.retry_ms;
+      break;
+    default:
+      plan->assignment_stale = true;
+      break;
+    }
+}
+
+void
+plan_on_read (struct plan *plan, enum result result, int64_t now_ms)
+{
+  plan->read_in_flight = false;
+  if (result == RESULT_OK || result == RESULT_PLATFORM_UNCHANGED
+      || result == RESULT_PLATFORM_NOT_FOUND)
+    plan->assignment_stale = false;
+  else
+    plan->write_not_before_ms = now_ms + plan->settings.retry_ms;
+}
+
+/* Waits before the next order to a host that refused one. */
+static void
+order_refused (struct plan *plan, struct plan_host *host, int64_t now_ms)
+{
+  int64_t wait_ms = plan->settings.retry_ms;
+
+  for (unsigned i = 0; i < host->refusals; i++)
+    if (wait_ms < plan->settings.retry_limit_ms)
+      wait_ms *= 2;
+  if (wait_ms > plan->settings.retry_limit_ms)
+    wait_ms = plan->settings.retry_limit_ms;
+  host->refusals++;
+  host->fetches = false;
+  host->not_before_ms = now_ms + wait_ms;
+  host->read_after_ms = now_ms;
+}
+
+void
+plan_on_order (struct plan *plan,
+               const char *id,
+               const char *order_id,
+               enum result result,
+               int64_t now_ms)
+{
+  struct plan_host *host;
+
+  HASH_FIND_STR (plan->hosts, id, host);
+  if (host == NULL || !host->in_flight
+      || strcmp (host->order_id, order_id) != 0)
+    return; /* of an earlier term, or given up as lost */
+  switch (result)
+    {
+    case RESULT_OK:
+      host->in_flight = false;
+      host->refusals = 0;
+      host->not_before_ms = now_ms + plan->settings.settle_ms;
+      host->read_after_ms = now_ms;
+      break;
+    case RESULT_ORDER_FENCED:
+      /* The engine has seen a higher token: another holder is at work. */
+      host->in_flight = false;
+      plan->assignment_stale = true;
+      order_refused (plan, host, now_ms);
+      break;
+    case RESULT_ORDER_FAILED:
+    case RESULT_ENDPOINT_CONNECT:
+      host->in_flight = false;
+      order_refused (plan, host, now_ms);
+      break;
+    default:
+      order_lost (plan, host);
+      break;
+    }
+}
