--- a/packages/group/src/history.c
+++ b/packages/group/src/history.c
@@ -150,7 +150,7 @@
 }
 
 static void
-record_loss (struct history *history, struct history_host *host, int64_t now_ms)
+record_loss (struct history_host *host, int64_t now_ms)
 {
   memmove (host->losses_ms + 1, host->losses_ms,
            (HISTORY_LOSSES - 1) * sizeof host->losses_ms[0]);
@@ -238,7 +238,7 @@
       start_absence (history, host, fleet_host->attested.seen_ms);
       /* A host that said it was leaving is not lost, it left. */
       if (!fleet_host_leaving (fleet_host))
-        record_loss (history, host, now_ms);
+        record_loss (host, now_ms);
     }
   age_absence (history, host, now_ms);
 }
--- a/packages/group/src/lease.c
+++ b/packages/group/src/lease.c
@@ -272,6 +272,7 @@
     case RESULT_PLATFORM_OVERLOADED:
     case RESULT_PLATFORM_OUTAGE:
       lease->retry_ms = now_ms + lease->settings.retry_ms;
+      lease->next_ms = lease->retry_ms;
       break;
     default:
       lease->must_read = true;
