tests: add the stand-in of the model engine

The gateway, the group control and the measurements need an outside system that speaks the published protocol of the engine and that can fail on request.

Tokens follow from model, prompt and index, so that any reader can verify an answer. Disconnects are noticed before the reply starts by enabling reading without evhttp's read callback, which would otherwise end the process when data arrives in that state.

--- /dev/null
+++ b/tests/standin/engine.c
@@ -0,0 +1,1376 @@
+/*
+ * Stand-in of the model engine and of plain service hosts.  One process plays
+ * many hosts, each with a port of its own; a further control port sets faults
+ * and shows the journal of what ran.
+ */
+
+#include <argtable2.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <inttypes.h>
+#include <jansson.h>
+#include <signal.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/queue.h>
+
+#include "hash.h"
+#include "jsonutil.h"
+#include "timeutil.h"
+#include "token.h"
+#include "uuid.h"
+
+#define NAME_SIZE 64
+#define ADAPTERS_SIZE 256
+#define PREFIX_BYTES 256
+#define EVENT_LIMIT 1024
+#define WEIGHTS_LIMIT 16
+#define CRASH_REFUSE_MS 1000
+#define CACHE_GAP 7 /* every so many cache events is never reported */
+#define JOURNAL_LIMIT 200000
+#define BODY_LIMIT (16 * 1024 * 1024)
+
+enum engine_state
+{
+  ENGINE_IDLE,
+  ENGINE_LOADING,
+  ENGINE_READY,
+};
+
+enum job_priority
+{
+  JOB_LOW,
+  JOB_NORMAL,
+  JOB_HIGH,
+};
+
+struct host;
+
+/* One completion, or one held call of a paused or slow host. */
+struct job
+{
+  struct host *host;
+  struct evhttp_request *request;
+  struct event *timer; /* answer of a service call */
+  char request_id[NAME_SIZE];
+  char model[NAME_SIZE];
+  char *prompt;
+  uint64_t max_tokens;
+  uint64_t next_index;
+  uint64_t sent;
+  unsigned delay_steps; /* steps before the first token (prompt work) */
+  enum job_priority priority;
+  bool running;
+  json_t *entry; /* in the journal; a reference */
+  TAILQ_ENTRY (job) link;
+};
+
+TAILQ_HEAD (job_list, job);
+
+struct cache_event
+{
+  uint64_t seq;
+  int64_t at_ms;
+  bool add;
+  char prefix[HASH_HEX_SIZE];
+};
+
+struct engine;
+
+struct host
+{
+  struct engine *engine;
+  char id[NAME_SIZE];
+  uint16_t port;
+  struct evhttp *http;
+  char boot_id[UUID_SIZE];
+
+  char group[NAME_SIZE];
+  uint64_t generation;
+  uint64_t rank;
+  uint64_t span;
+  char model[NAME_SIZE];
+  char version[NAME_SIZE];
+  char adapters[ADAPTERS_SIZE];
+  char role[NAME_SIZE];
+  char order_id[NAME_SIZE];
+  uint64_t fence;
+  enum engine_state state;
+  char weights[WEIGHTS_LIMIT][2 * NAME_SIZE]; /* "model/version" on disk */
+  size_t weight_count;
+
+  bool leaving;
+  bool dead;
+  bool paused;
+  double slow_factor;
+  char crash_word[NAME_SIZE];
+  uint64_t break_after_tokens;
+  uint64_t lose_answers; /* service calls that run and are not answered */
+
+  struct job_list jobs; /* running and queued, in order of arrival */
+  unsigned running;
+  unsigned queued;
+  unsigned reported_running;
+  unsigned reported_queued;
+  int64_t reported_ms;
+
+  char (*cache)[HASH_HEX_SIZE]; /* oldest first */
+  size_t cache_count;
+  struct cache_event events[EVENT_LIMIT];
+  size_t event_count;
+  uint64_t event_seq;
+
+  struct event *load_timer;
+  struct event *step_timer;
+  struct event *restart_timer;
+  struct event *crash_timer;
+  TAILQ_HEAD (, held) held; /* requests that arrived while paused */
+};
+
+struct held
+{
+  struct evhttp_request *request;
+  TAILQ_ENTRY (held) link;
+};
+
+struct engine
+{
+  struct event_base *base;
+  struct host *hosts;
+  size_t host_count;
+  struct evhttp *control;
+  struct event *report_timer;
+  json_t *journal;
+  uint64_t serial;
+  const char *service; /* NULL: a model engine */
+  int load_ms;
+  int reload_ms;
+  int token_ms;
+  int call_ms;
+  int report_lag_ms;
+  unsigned slots;
+  unsigned queue_limit;
+  size_t cache_limit;
+  bool ignore_fence;
+};
+
+static void handle_host_request (struct evhttp_request *request, void *context);
+
+static struct timeval
+from_ms (double ms)
+{
+  struct timeval tv;
+
+  tv.tv_sec = (time_t)(ms / 1000);
+  tv.tv_usec = (suseconds_t)((ms - (double)tv.tv_sec * 1000) * 1000);
+  return tv;
+}
+
+static void
+start_timer (struct event *timer, double ms)
+{
+  struct timeval tv = from_ms (ms);
+
+  evtimer_add (timer, &tv);
+}
+
+static void
+send_json (struct evhttp_request *request, int status, json_t *json)
+{
+  struct evbuffer *body = evbuffer_new ();
+  char *text = json_dumps (json, JSON_COMPACT);
+
+  evbuffer_add (body, text, strlen (text));
+  evhttp_add_header (evhttp_request_get_output_headers (request),
+                     "Content-Type", "application/json");
+  evhttp_send_reply (request, status, NULL, body);
+  evbuffer_free (body);
+  free (text);
+  json_decref (json);
+}
+
+static void
+send_error (struct evhttp_request *request, int status, const char *error)
+{
+  send_json (request, status, json_pack ("{s:s}", "error", error));
+}
+
+static json_t *
+read_body (struct evhttp_request *request)
+{
+  struct evbuffer *input = evhttp_request_get_input_buffer (request);
+  size_t size = evbuffer_get_length (input);
+
+  return json_loadb ((const char *)evbuffer_pullup (input, -1), size, 0, NULL);
+}
+
+/*
+ * Enables reading while the reply has not started, so that a disconnect is
+ * noticed.  The read callback is taken out, because evhttp ends the process
+ * when data arrives in this state.
+ */
+static void
+watch_disconnect (struct evhttp_request *request,
+                  void (*closed) (struct evhttp_connection *, void *),
+                  void *context)
+{
+  struct evhttp_connection *connection
+      = evhttp_request_get_connection (request);
+  struct bufferevent *bev = evhttp_connection_get_bufferevent (connection);
+  bufferevent_data_cb read_cb;
+  bufferevent_data_cb write_cb;
+  bufferevent_event_cb event_cb;
+  void *arg;
+
+  bufferevent_getcb (bev, &read_cb, &write_cb, &event_cb, &arg);
+  bufferevent_setcb (bev, NULL, write_cb, event_cb, arg);
+  bufferevent_setwatermark (bev, EV_READ, 0, 1 << 20);
+  bufferevent_set_timeouts (bev, NULL, NULL);
+  bufferevent_enable (bev, EV_READ);
+  evhttp_connection_set_closecb (connection, closed, context);
+}
+
+static void
+unwatch (struct evhttp_request *request)
+{
+  struct evhttp_connection *connection
+      = evhttp_request_get_connection (request);
+
+  if (connection != NULL)
+    evhttp_connection_set_closecb (connection, NULL, NULL);
+}
+
+/* Cuts the connection of a request whose reply is not complete. */
+static void
+cut_connection (struct evhttp_request *request)
+{
+  struct evhttp_connection *connection
+      = evhttp_request_get_connection (request);
+
+  if (connection == NULL)
+    return;
+  evhttp_connection_set_closecb (connection, NULL, NULL);
+  evhttp_connection_free (connection);
+}
+
+static json_t *
+journal_add (struct engine *engine, json_t *entry)
+{
+  if (json_array_size (engine->journal) >= JOURNAL_LIMIT)
+    {
+      json_t *newer = json_array ();
+
+      for (size_t i = JOURNAL_LIMIT / 2; i < JOURNAL_LIMIT; i++)
+        json_array_append (newer, json_array_get (engine->journal, i));
+      json_decref (engine->journal);
+      engine->journal = newer;
+    }
+  json_array_append_new (engine->journal, entry);
+  return entry;
+}
+
+/* Jobs */
+
+static void
+job_free (struct job *job)
+{
+  TAILQ_REMOVE (&job->host->jobs, job, link);
+  if (job->running)
+    job->host->running--;
+  else
+    job->host->queued--;
+  if (job->timer != NULL)
+    event_free (job->timer);
+  json_decref (job->entry);
+  free (job->prompt);
+  free (job);
+}
+
+static void
+job_journal (struct job *job, bool cancelled)
+{
+  if (job->entry == NULL)
+    return;
+  json_object_set_new (job->entry, "tokens",
+                       json_integer ((json_int_t)job->sent));
+  if (cancelled)
+    json_object_set_new (job->entry, "cancelled", json_true ());
+}
+
+static void host_start_jobs (struct host *host);
+
+static void
+job_closed (struct evhttp_connection *connection, void *context)
+{
+  struct job *job = context;
+  struct host *host = job->host;
+  struct evhttp_request *request = job->request;
+
+  (void)connection;
+  job_journal (job, true);
+  job_free (job);
+  /* The connection has let go of the request; this only frees it. */
+  if (evhttp_request_get_connection (request) == NULL)
+    evhttp_send_reply_end (request);
+  host_start_jobs (host);
+}
+
+static void
+cache_event (struct host *host, bool add, const char *prefix)
+{
+  struct cache_event *event;
+
+  host->event_seq++;
+  if (host->event_seq % CACHE_GAP == 0)
+    return;
+  event = &host->events[host->event_count++ % EVENT_LIMIT];
+  event->seq = host->event_seq;
+  event->at_ms = time_boot_ms ();
+  event->add = add;
+  memcpy (event->prefix, prefix, HASH_HEX_SIZE);
+}
+
+/* True if the prefix was cached; it is the newest afterwards. */
+static bool
+cache_use (struct host *host, const char *prompt)
+{
+  size_t size = strnlen (prompt, PREFIX_BYTES);
+  const struct hash_part parts[] = { { prompt, size }, { NULL, 0 } };
+  char prefix[HASH_HEX_SIZE];
+  size_t i;
+  bool found;
+
+  hash_hex (parts, prefix);
+  for (i = 0; i < host->cache_count; i++)
+    if (strcmp (host->cache[i], prefix) == 0)
+      break;
+  found = i < host->cache_count;
+  if (!found)
+    {
+      cache_event (host, true, prefix);
+      if (host->cache_count == host->engine->cache_limit)
+        {
+          cache_event (host, false, host->cache[0]);
+          i = 0;
+        }
+      else
+        host->cache_count++;
+    }
+  memmove (host->cache[i], host->cache[i + 1],
+           (host->cache_count - 1 - i) * HASH_HEX_SIZE);
+  memcpy (host->cache[host->cache_count - 1], prefix, HASH_HEX_SIZE);
+  return found;
+}
+
+static void
+job_run (struct job *job)
+{
+  struct host *host = job->host;
+  struct evkeyvalq *headers = evhttp_request_get_output_headers (job->request);
+
+  job->running = true;
+  host->queued--;
+  host->running++;
+  job->delay_steps = cache_use (host, job->prompt) ? 0 : 1;
+  job->entry = json_incref (journal_add (
+      host->engine,
+      json_pack ("{s:s,s:s,s:s,s:I,s:I,s:I,s:b}", "host", host->id,
+                 "request_id", job->request_id, "group", host->group,
+                 "generation", (json_int_t)host->generation, "resume_from",
+                 (json_int_t)job->next_index, "tokens", (json_int_t)0,
+                 "cancelled", 0)));
+  evhttp_add_header (headers, "Content-Type", "text/event-stream");
+  evhttp_send_reply_start (job->request, HTTP_OK, NULL);
+  if (!event_pending (host->step_timer, EV_TIMEOUT, NULL))
+    start_timer (host->step_timer, host->engine->token_ms * host->slow_factor);
+}
+
+/* Fills free slots: highest priority first, then order of arrival. */
+static void
+host_start_jobs (struct host *host)
+{
+  while (host->running < host->engine->slots && host->queued > 0
+         && !host->paused)
+    {
+      struct job *best = NULL;
+      struct job *job;
+
+      TAILQ_FOREACH (job, &host->jobs, link)
+        if (!job->running && (best == NULL || job->priority > best->priority))
+          best = job;
+      if (best == NULL)
+        return;
+      job_run (best);
+    }
+}
+
+static void
+job_send (struct job *job, const char *text)
+{
+  struct evbuffer *chunk = evbuffer_new ();
+
+  evbuffer_add_printf (chunk, "data: %s\n\n", text);
+  evhttp_send_reply_chunk (job->request, chunk);
+  evbuffer_free (chunk);
+}
+
+static void
+job_finish (struct job *job)
+{
+  struct evhttp_request *request = job->request;
+
+  job_send (job, "[DONE]");
+  job_journal (job, false);
+  unwatch (request);
+  job_free (job);
+  evhttp_send_reply_end (request);
+}
+
+/* False if the job is gone. */
+static bool
+job_step (struct job *job)
+{
+  struct host *host = job->host;
+  char token[STANDIN_TOKEN_SIZE];
+  char text[64];
+
+  if (job->delay_steps > 0)
+    {
+      job->delay_steps--;
+      return true;
+    }
+  /* One step after the last token, so that the token has been written. */
+  if (host->break_after_tokens > 0 && job->sent >= host->break_after_tokens)
+    {
+      struct evhttp_request *request = job->request;
+
+      job_journal (job, true);
+      job_free (job);
+      cut_connection (request);
+      return false;
+    }
+  if (job->next_index < job->max_tokens)
+    {
+      standin_token (job->model, job->prompt, job->next_index, token);
+      snprintf (text, sizeof text, "{\"index\":%" PRIu64 ",\"text\":\"%s\"}",
+                job->next_index, token);
+      job->next_index++;
+      job->sent++;
+      job_send (job, text);
+    }
+  if (job->next_index < job->max_tokens)
+    return true;
+  job_finish (job);
+  return false;
+}
+
+/* Hosts */
+
+static void
+host_drop_jobs (struct host *host, bool cut)
+{
+  struct job *job;
+
+  while ((job = TAILQ_FIRST (&host->jobs)) != NULL)
+    {
+      struct evhttp_request *request = job->request;
+
+      job_journal (job, true);
+      unwatch (request);
+      job_free (job);
+      if (cut)
+        cut_connection (request);
+    }
+}
+
+/*
+ * Ends the host as a killed process would: every connection closes, the
+ * listener is gone, and memory is lost.  Must not run inside an evhttp
+ * callback of this host.
+ */
+static void
+host_stop (struct host *host)
+{
+  struct held *held;
+
+  if (host->http == NULL)
+    return;
+  host_drop_jobs (host, false);
+  while ((held = TAILQ_FIRST (&host->held)) != NULL)
+    {
+      TAILQ_REMOVE (&host->held, held, link);
+      unwatch (held->request);
+      free (held);
+    }
+  evtimer_del (host->load_timer);
+  evtimer_del (host->step_timer);
+  evhttp_free (host->http);
+  host->http = NULL;
+  host->group[0] = '\0';
+  host->generation = 0;
+  host->rank = 0;
+  host->span = 0;
+  host->model[0] = '\0';
+  host->version[0] = '\0';
+  host->adapters[0] = '\0';
+  host->role[0] = '\0';
+  host->order_id[0] = '\0';
+  host->fence = 0;
+  host->state = ENGINE_IDLE;
+  host->paused = false;
+  host->cache_count = 0;
+  host->event_count = 0;
+  host->event_seq = 0;
+}
+
+static bool
+host_start (struct host *host)
+{
+  struct evhttp_bound_socket *bound;
+
+  host->http = evhttp_new (host->engine->base);
+  if (host->http == NULL)
+    return false;
+  bound = evhttp_bind_socket_with_handle (host->http, "127.0.0.1", host->port);
+  if (bound == NULL)
+    {
+      evhttp_free (host->http);
+      host->http = NULL;
+      return false;
+    }
+  if (host->port == 0)
+    {
+      struct sockaddr_in address = { 0 };
+      socklen_t size = sizeof address;
+
+      getsockname (evhttp_bound_socket_get_fd (bound),
+                   (struct sockaddr *)&address, &size);
+      host->port = ntohs (address.sin_port);
+    }
+  evhttp_set_max_body_size (host->http, BODY_LIMIT);
+  evhttp_set_allowed_methods (host->http, 0x1ff);
+  evhttp_set_gencb (host->http, handle_host_request, host);
+  uuid_generate (host->boot_id);
+  return true;
+}
+
+static void
+on_restart (evutil_socket_t fd, short what, void *context)
+{
+  struct host *host = context;
+
+  (void)fd;
+  (void)what;
+  if (!host->dead && host->http == NULL && !host_start (host))
+    start_timer (host->restart_timer, 50);
+}
+
+static void
+on_crash (evutil_socket_t fd, short what, void *context)
+{
+  struct host *host = context;
+
+  (void)fd;
+  (void)what;
+  host_stop (host);
+  if (!host->dead)
+    start_timer (host->restart_timer, CRASH_REFUSE_MS);
+}
+
+static bool
+job_crashes (const struct job *job)
+{
+  const char *word = job->host->crash_word;
+
+  return *word != '\0' && strstr (job->prompt, word) != NULL;
+}
+
+/* One step of continuous batching: each running request gets one token. */
+static void
+on_step (evutil_socket_t fd, short what, void *context)
+{
+  struct host *host = context;
+  struct job *job;
+  struct job *next;
+
+  (void)fd;
+  (void)what;
+  if (host->paused)
+    return;
+  TAILQ_FOREACH (job, &host->jobs, link)
+    if (job->running && job_crashes (job))
+      {
+        on_crash (-1, 0, host);
+        return;
+      }
+  for (job = TAILQ_FIRST (&host->jobs); job != NULL; job = next)
+    {
+      next = TAILQ_NEXT (job, link);
+      if (job->running)
+        job_step (job);
+    }
+  host_start_jobs (host);
+  if (host->running > 0)
+    start_timer (host->step_timer, host->engine->token_ms * host->slow_factor);
+}
+
+static void
+on_loaded (evutil_socket_t fd, short what, void *context)
+{
+  struct host *host = context;
+
+  (void)fd;
+  (void)what;
+  host->state = ENGINE_READY;
+}
+
+/* True if the weights were there already; they are afterwards. */
+static bool
+host_has_weights (struct host *host)
+{
+  char name[2 * NAME_SIZE];
+
+  snprintf (name, sizeof name, "%s/%s", host->model, host->version);
+  for (size_t i = 0; i < host->weight_count; i++)
+    if (strcmp (host->weights[i], name) == 0)
+      return true;
+  if (host->weight_count < WEIGHTS_LIMIT)
+    memcpy (host->weights[host->weight_count++], name, sizeof name);
+  return false;
+}
+
+static void
+join_adapters (const json_t *order, char out[ADAPTERS_SIZE])
+{
+  const json_t *list = json_object_get (order, "adapters");
+  size_t used = 0;
+  size_t i;
+  json_t *item;
+
+  out[0] = '\0';
+  if (json_is_string (list))
+    snprintf (out, ADAPTERS_SIZE, "%s", json_string_value (list));
+  json_array_foreach (list, i, item)
+    if (json_is_string (item) && used < ADAPTERS_SIZE)
+      used += (size_t)snprintf (out + used, ADAPTERS_SIZE - used, "%s%s",
+                                i > 0 ? ";" : "", json_string_value (item));
+}
+
+static void
+order_load (struct host *host, const json_t *order)
+{
+  host_drop_jobs (host, true);
+  json_read_string (order, "group", host->group, sizeof host->group);
+  json_read_u64 (order, "generation", &host->generation);
+  json_read_u64 (order, "rank", &host->rank);
+  json_read_u64 (order, "span", &host->span);
+  json_read_string (order, "model", host->model, sizeof host->model);
+  json_read_string (order, "version", host->version, sizeof host->version);
+  json_read_string (order, "role", host->role, sizeof host->role);
+  join_adapters (order, host->adapters);
+  host->state = ENGINE_LOADING;
+  evtimer_del (host->load_timer);
+  start_timer (host->load_timer, host_has_weights (host)
+                                     ? host->engine->reload_ms
+                                     : host->engine->load_ms);
+}
+
+static void
+order_release (struct host *host)
+{
+  host_drop_jobs (host, true);
+  evtimer_del (host->load_timer);
+  host->group[0] = '\0';
+  host->generation = 0;
+  host->rank = 0;
+  host->span = 0;
+  host->model[0] = '\0';
+  host->version[0] = '\0';
+  host->adapters[0] = '\0';
+  host->role[0] = '\0';
+  host->state = ENGINE_IDLE;
+}
+
+static void
+handle_order (struct host *host, struct evhttp_request *request)
+{
+  json_t *order = read_body (request);
+  char op[NAME_SIZE];
+  char id[NAME_SIZE];
+  char group[NAME_SIZE];
+  uint64_t fence;
+  uint64_t generation;
+
+  json_read_string (order, "op", op, sizeof op);
+  json_read_string (order, "order_id", id, sizeof id);
+  json_read_string (order, "group", group, sizeof group);
+  if (!json_read_u64 (order, "fence", &fence) || op[0] == '\0')
+    send_error (request, 400, "malformed");
+  else if (!host->engine->ignore_fence && fence < host->fence)
+    send_json (request, 409,
+               json_pack ("{s:s,s:I}", "error", "fenced", "fence",
+                          (json_int_t)host->fence));
+  else
+    {
+      bool repeated = id[0] != '\0' && strcmp (id, host->order_id) == 0;
+      bool known = true;
+
+      if (fence > host->fence || host->engine->ignore_fence)
+        host->fence = fence;
+      memcpy (host->order_id, id, sizeof id);
+      if (repeated)
+        ;
+      else if (strcmp (op, "load") == 0)
+        order_load (host, order);
+      else if (strcmp (op, "release") == 0)
+        order_release (host);
+      else if (strcmp (op, "adapters") == 0 || strcmp (op, "role") == 0)
+        {
+          known = strcmp (group, host->group) == 0;
+          if (known && op[0] == 'a')
+            join_adapters (order, host->adapters);
+          else if (known)
+            json_read_string (order, "role", host->role, sizeof host->role);
+          if (known && json_read_u64 (order, "generation", &generation))
+            host->generation = generation;
+        }
+      else
+        known = false;
+      if (known)
+        send_json (request, 200, json_pack ("{s:b}", "ok", 1));
+      else
+        send_error (request, 409, "refused");
+    }
+  json_decref (order);
+}
+
+static const char *
+state_name (enum engine_state state)
+{
+  switch (state)
+    {
+    case ENGINE_IDLE:
+      return "idle";
+    case ENGINE_LOADING:
+      return "loading";
+    case ENGINE_READY:
+      break;
+    }
+  return "ready";
+}
+
+static json_t *
+adapters_json (const char *joined)
+{
+  json_t *list = json_array ();
+  char copy[ADAPTERS_SIZE];
+  char *rest = NULL;
+
+  snprintf (copy, sizeof copy, "%s", joined);
+  for (char *name = strtok_r (copy, ";", &rest); name != NULL;
+       name = strtok_r (NULL, ";", &rest))
+    json_array_append_new (list, json_string (name));
+  return list;
+}
+
+static void
+handle_state (struct host *host, struct evhttp_request *request)
+{
+  json_t *state = json_pack (
+      "{s:s,s:s,s:s,s:I,s:I,s:I,s:s,s:s,s:o,s:s,s:I,s:s,s:b}", "host", host->id,
+      "boot_id", host->boot_id, "group", host->group, "generation",
+      (json_int_t)host->generation, "rank", (json_int_t)host->rank, "span",
+      (json_int_t)host->span, "model", host->model, "version", host->version,
+      "adapters", adapters_json (host->adapters), "role", host->role, "fence",
+      (json_int_t)host->fence, "state",
+      host->engine->service != NULL ? "ready" : state_name (host->state),
+      "leaving", host->leaving);
+  json_t *load = json_pack (
+      "{s:i,s:i,s:i,s:I}", "running", (int)host->reported_running, "queued",
+      (int)host->reported_queued, "slots", (int)host->engine->slots,
+      "load_age_ms", (json_int_t)(time_boot_ms () - host->reported_ms));
+
+  json_object_update (state, load);
+  json_decref (load);
+  send_json (request, 200, state);
+}
+
+static enum job_priority
+read_priority (const json_t *body)
+{
+  const char *name = json_string_value (json_object_get (body, "priority"));
+
+  if (name != NULL && strcmp (name, "high") == 0)
+    return JOB_HIGH;
+  if (name != NULL && strcmp (name, "low") == 0)
+    return JOB_LOW;
+  return JOB_NORMAL;
+}
+
+static const char *
+header_of (struct evhttp_request *request, const char *name)
+{
+  const char *value
+      = evhttp_find_header (evhttp_request_get_input_headers (request), name);
+
+  return value != NULL ? value : "";
+}
+
+static void
+handle_completion (struct host *host, struct evhttp_request *request)
+{
+  const char *group = header_of (request, "X-Group");
+  uint64_t generation
+      = strtoull (header_of (request, "X-Generation"), NULL, 10);
+  json_t *body = read_body (request);
+  const char *prompt = json_string_value (json_object_get (body, "prompt"));
+  struct job *job = NULL;
+
+  if (prompt == NULL)
+    send_error (request, 400, "malformed");
+  else if (host->leaving)
+    send_error (request, 503, "leaving");
+  else if (host->state != ENGINE_READY || host->rank != 0
+           || strcmp (group, host->group) != 0
+           || generation != host->generation)
+    send_error (request, 409, "wrong-group");
+  else if (host->queued >= host->engine->queue_limit)
+    send_error (request, 429, "queue-full");
+  else
+    {
+      job = calloc (1, sizeof *job);
+      job->host = host;
+      job->request = request;
+      job->prompt = strdup (prompt);
+      job->priority = read_priority (body);
+      snprintf (job->request_id, sizeof job->request_id, "%s",
+                header_of (request, "X-Request-Id"));
+      json_read_string (body, "model", job->model, sizeof job->model);
+      json_read_u64 (body, "resume_from", &job->next_index);
+      if (!json_read_u64 (body, "max_tokens", &job->max_tokens))
+        job->max_tokens = 16;
+      TAILQ_INSERT_TAIL (&host->jobs, job, link);
+      host->queued++;
+      watch_disconnect (request, job_closed, job);
+      host_start_jobs (host);
+    }
+  json_decref (body);
+}
+
+static void
+handle_cancel (struct host *host, struct evhttp_request *request)
+{
+  json_t *body = read_body (request);
+  char id[NAME_SIZE];
+  unsigned found = 0;
+  struct job *job;
+  struct job *next;
+
+  json_read_string (body, "request_id", id, sizeof id);
+  for (job = TAILQ_FIRST (&host->jobs); job != NULL; job = next)
+    {
+      struct evhttp_request *cancelled = job->request;
+
+      next = TAILQ_NEXT (job, link);
+      if (id[0] == '\0' || strcmp (id, job->request_id) != 0)
+        continue;
+      found++;
+      job_journal (job, true);
+      unwatch (cancelled);
+      job_free (job);
+      cut_connection (cancelled);
+    }
+  json_decref (body);
+  host_start_jobs (host);
+  send_json (request, 200, json_pack ("{s:i}", "cancelled", (int)found));
+}
+
+static void
+handle_cache (struct host *host, struct evhttp_request *request)
+{
+  const char *query
+      = evhttp_uri_get_query (evhttp_request_get_evhttp_uri (request));
+  uint64_t after = 0;
+  uint64_t last = 0;
+  int64_t visible_ms = time_boot_ms () - host->engine->report_lag_ms;
+  json_t *events = json_array ();
+  size_t first
+      = host->event_count > EVENT_LIMIT ? host->event_count - EVENT_LIMIT : 0;
+
+  if (query != NULL && strncmp (query, "after=", 6) == 0)
+    after = strtoull (query + 6, NULL, 10);
+  for (size_t i = first; i < host->event_count; i++)
+    {
+      const struct cache_event *event = &host->events[i % EVENT_LIMIT];
+
+      if (event->at_ms > visible_ms)
+        break;
+      last = event->seq;
+      if (event->seq > after)
+        json_array_append_new (events, json_pack ("{s:I,s:s,s:s}", "seq",
+                                                  (json_int_t)event->seq, "op",
+                                                  event->add ? "add" : "remove",
+                                                  "prefix", event->prefix));
+    }
+  send_json (
+      request, 200,
+      json_pack ("{s:I,s:o}", "seq", (json_int_t)last, "events", events));
+}
+
+/* Plain service calls */
+
+static const char *
+method_name (enum evhttp_cmd_type method)
+{
+  static const char *const names[]
+      = { "GET",     "POST",  "HEAD",    "PUT",  "DELETE",
+          "OPTIONS", "TRACE", "CONNECT", "PATCH" };
+
+  for (size_t i = 0; i < sizeof names / sizeof names[0]; i++)
+    if ((unsigned)method == 1U << i)
+      return names[i];
+  return "?";
+}
+
+static void
+answer_call (struct host *host, struct evhttp_request *request)
+{
+  struct engine *engine = host->engine;
+  enum evhttp_cmd_type method = evhttp_request_get_command (request);
+  const char *path = evhttp_request_get_uri (request);
+  bool changes = method != EVHTTP_REQ_GET && method != EVHTTP_REQ_HEAD;
+  uint64_t serial = changes ? ++engine->serial : engine->serial;
+
+  if (changes)
+    journal_add (engine,
+                 json_pack ("{s:s,s:s,s:s,s:s,s:s,s:I}", "host", host->id,
+                            "request_id", header_of (request, "X-Request-Id"),
+                            "idempotency_key",
+                            header_of (request, "Idempotency-Key"), "method",
+                            method_name (method), "path", path, "serial",
+                            (json_int_t)serial));
+  if (host->lose_answers > 0)
+    {
+      host->lose_answers--;
+      cut_connection (request);
+      return;
+    }
+  send_json (request, method == EVHTTP_REQ_POST ? 201 : 200,
+             json_pack ("{s:s,s:s,s:s,s:I}", "service", engine->service,
+                        "method", method_name (method), "path", path, "serial",
+                        (json_int_t)serial));
+}
+
+static void
+on_call_due (evutil_socket_t fd, short what, void *context)
+{
+  struct job *job = context;
+  struct host *host = job->host;
+  struct evhttp_request *request = job->request;
+  bool crash = job_crashes (job);
+
+  (void)fd;
+  (void)what;
+  if (crash)
+    {
+      on_crash (-1, 0, host);
+      return;
+    }
+  unwatch (request);
+  job_free (job);
+  answer_call (host, request);
+}
+
+static void
+handle_call (struct host *host, struct evhttp_request *request)
+{
+  struct evbuffer *input = evhttp_request_get_input_buffer (request);
+  size_t size = evbuffer_get_length (input);
+  struct job *job;
+
+  if (host->leaving)
+    {
+      send_error (request, 503, "leaving");
+      return;
+    }
+  job = calloc (1, sizeof *job);
+  job->host = host;
+  job->request = request;
+  job->prompt = calloc (1, size + 1);
+  evbuffer_copyout (input, job->prompt, size);
+  job->running = true;
+  job->timer = evtimer_new (host->engine->base, on_call_due, job);
+  TAILQ_INSERT_TAIL (&host->jobs, job, link);
+  host->running++;
+  watch_disconnect (request, job_closed, job);
+  start_timer (job->timer, host->engine->call_ms * host->slow_factor);
+}
+
+/* Control */
+
+static struct host *
+find_host (struct engine *engine, const char *id)
+{
+  for (size_t i = 0; i < engine->host_count; i++)
+    if (strcmp (engine->hosts[i].id, id) == 0)
+      return &engine->hosts[i];
+  return NULL;
+}
+
+static void
+host_resume (struct host *host)
+{
+  struct held *held;
+
+  while (!host->paused && (held = TAILQ_FIRST (&host->held)) != NULL)
+    {
+      struct evhttp_request *request = held->request;
+
+      TAILQ_REMOVE (&host->held, held, link);
+      free (held);
+      unwatch (request);
+      handle_host_request (request, host);
+    }
+  host_start_jobs (host);
+  if (host->running > 0 && host->engine->service == NULL)
+    start_timer (host->step_timer, host->engine->token_ms * host->slow_factor);
+}
+
+static void
+handle_fault (struct engine *engine, struct evhttp_request *request)
+{
+  json_t *body = read_body (request);
+  char id[NAME_SIZE];
+  struct host *host;
+  const json_t *factor;
+  bool paused;
+  bool dead;
+
+  json_read_string (body, "host", id, sizeof id);
+  host = find_host (engine, id);
+  if (host == NULL)
+    {
+      send_error (request, 404, "no such host");
+      json_decref (body);
+      return;
+    }
+  host->leaving = json_read_bool (body, "leaving", host->leaving);
+  if (json_object_get (body, "crash_word") != NULL)
+    json_read_string (body, "crash_word", host->crash_word,
+                      sizeof host->crash_word);
+  if (json_object_get (body, "break_after_tokens") != NULL)
+    json_read_u64 (body, "break_after_tokens", &host->break_after_tokens);
+  if (json_object_get (body, "lose_answers") != NULL)
+    json_read_u64 (body, "lose_answers", &host->lose_answers);
+  factor = json_object_get (body, "slow_factor");
+  if (json_is_number (factor) && json_number_value (factor) > 0)
+    host->slow_factor = json_number_value (factor);
+  paused = json_read_bool (body, "paused", host->paused);
+  dead = json_read_bool (body, "dead", host->dead);
+  if (host->paused && !paused)
+    {
+      host->paused = false;
+      host_resume (host);
+    }
+  host->paused = paused;
+  if (dead != host->dead)
+    {
+      host->dead = dead;
+      /* Not from here: this may be a callback of the host's own server. */
+      start_timer (dead ? host->crash_timer : host->restart_timer, 0);
+    }
+  json_decref (body);
+  send_json (request, 200, json_pack ("{s:b}", "ok", 1));
+}
+
+/* True if the path was one of the control paths. */
+static bool
+handle_control_path (struct engine *engine,
+                     struct evhttp_request *request,
+                     const char *path)
+{
+  if (strcmp (path, "/control/fault") == 0)
+    handle_fault (engine, request);
+  else if (strcmp (path, "/control/journal") == 0)
+    send_json (request, 200, json_pack ("{s:O}", "journal", engine->journal));
+  else
+    return false;
+  return true;
+}
+
+static void
+handle_control_request (struct evhttp_request *request, void *context)
+{
+  const char *path
+      = evhttp_uri_get_path (evhttp_request_get_evhttp_uri (request));
+
+  if (!handle_control_path (context, request, path != NULL ? path : ""))
+    send_error (request, 404, "not found");
+}
+
+static void
+held_closed (struct evhttp_connection *connection, void *context)
+{
+  struct held *held = context;
+  struct evhttp_request *request = held->request;
+
+  (void)connection;
+  /* The host is found through the list only, so walk back to its head. */
+  *held->link.tqe_prev = held->link.tqe_next;
+  if (held->link.tqe_next != NULL)
+    held->link.tqe_next->link.tqe_prev = held->link.tqe_prev;
+  free (held);
+  if (evhttp_request_get_connection (request) == NULL)
+    evhttp_send_reply_end (request);
+}
+
+static void
+handle_host_request (struct evhttp_request *request, void *context)
+{
+  struct host *host = context;
+  const char *path
+      = evhttp_uri_get_path (evhttp_request_get_evhttp_uri (request));
+
+  if (path == NULL)
+    path = "";
+  if (handle_control_path (host->engine, request, path))
+    return;
+  if (host->paused)
+    {
+      struct held *held = calloc (1, sizeof *held);
+
+      held->request = request;
+      TAILQ_INSERT_TAIL (&host->held, held, link);
+      watch_disconnect (request, held_closed, held);
+    }
+  else if (strcmp (path, "/v1/state") == 0)
+    handle_state (host, request);
+  else if (host->engine->service != NULL)
+    handle_call (host, request);
+  else if (strcmp (path, "/v1/orders") == 0)
+    handle_order (host, request);
+  else if (strcmp (path, "/v1/completions") == 0)
+    handle_completion (host, request);
+  else if (strcmp (path, "/v1/cancel") == 0)
+    handle_cancel (host, request);
+  else if (strcmp (path, "/v1/cache") == 0)
+    handle_cache (host, request);
+  else
+    send_error (request, 404, "not found");
+}
+
+static void
+on_report (evutil_socket_t fd, short what, void *context)
+{
+  struct engine *engine = context;
+
+  (void)fd;
+  (void)what;
+  for (size_t i = 0; i < engine->host_count; i++)
+    {
+      struct host *host = &engine->hosts[i];
+
+      host->reported_running = host->running;
+      host->reported_queued = host->queued;
+      host->reported_ms = time_boot_ms ();
+    }
+  start_timer (engine->report_timer,
+               engine->report_lag_ms > 0 ? engine->report_lag_ms : 1);
+}
+
+static bool
+engine_add_host (struct engine *engine, const char *id, int port)
+{
+  struct host *host = &engine->hosts[engine->host_count];
+
+  host->engine = engine;
+  snprintf (host->id, sizeof host->id, "%s", id);
+  host->port = (uint16_t)port;
+  host->slow_factor = 1;
+  host->reported_ms = time_boot_ms ();
+  TAILQ_INIT (&host->jobs);
+  TAILQ_INIT (&host->held);
+  host->cache = calloc (engine->cache_limit + 1, HASH_HEX_SIZE);
+  host->load_timer = evtimer_new (engine->base, on_loaded, host);
+  host->step_timer = evtimer_new (engine->base, on_step, host);
+  host->restart_timer = evtimer_new (engine->base, on_restart, host);
+  host->crash_timer = evtimer_new (engine->base, on_crash, host);
+  engine->host_count++;
+  if (!host_start (host))
+    {
+      fprintf (stderr, "standin-engine: cannot listen on port %d\n", port);
+      return false;
+    }
+  printf ("listening host=%s port=%u\n", host->id, (unsigned)host->port);
+  return true;
+}
+
+static bool
+engine_start (struct engine *engine, const char *names, int port_base)
+{
+  char *copy = strdup (names);
+  char *rest = NULL;
+  size_t limit = 1;
+  bool ok = true;
+  struct evhttp_bound_socket *bound;
+  struct sockaddr_in address = { 0 };
+  socklen_t size = sizeof address;
+
+  for (const char *c = names; *c != '\0'; c++)
+    limit += *c == ',';
+  engine->hosts = calloc (limit, sizeof *engine->hosts);
+  for (char *name = strtok_r (copy, ",", &rest); name != NULL && ok;
+       name = strtok_r (NULL, ",", &rest))
+    ok = engine_add_host (
+        engine, name, port_base > 0 ? port_base + (int)engine->host_count : 0);
+  free (copy);
+  if (!ok)
+    return false;
+  engine->control = evhttp_new (engine->base);
+  bound = evhttp_bind_socket_with_handle (
+      engine->control, "127.0.0.1",
+      (uint16_t)(port_base > 0 ? port_base + (int)engine->host_count : 0));
+  if (bound == NULL)
+    return false;
+  getsockname (evhttp_bound_socket_get_fd (bound), (struct sockaddr *)&address,
+               &size);
+  evhttp_set_gencb (engine->control, handle_control_request, engine);
+  printf ("listening host=control port=%u\n",
+          (unsigned)ntohs (address.sin_port));
+  fflush (stdout);
+  return true;
+}
+
+static void
+engine_finish (struct engine *engine)
+{
+  for (size_t i = 0; i < engine->host_count; i++)
+    {
+      struct host *host = &engine->hosts[i];
+
+      host_stop (host);
+      event_free (host->load_timer);
+      event_free (host->step_timer);
+      event_free (host->restart_timer);
+      event_free (host->crash_timer);
+      free (host->cache);
+    }
+  free (engine->hosts);
+  if (engine->control != NULL)
+    evhttp_free (engine->control);
+  if (engine->report_timer != NULL)
+    event_free (engine->report_timer);
+  json_decref (engine->journal);
+}
+
+static void
+on_signal (evutil_socket_t fd, short what, void *context)
+{
+  (void)fd;
+  (void)what;
+  event_base_loopbreak (context);
+}
+
+static int
+or_default (const struct arg_int *option, int fallback)
+{
+  return option->count > 0 ? option->ival[0] : fallback;
+}
+
+static int
+run (struct engine *engine, const char *hosts, int port_base)
+{
+  struct event *term;
+  struct event *interrupt;
+  int status = EXIT_FAILURE;
+
+  signal (SIGPIPE, SIG_IGN);
+  engine->base = event_base_new ();
+  engine->journal = json_array ();
+  engine->report_timer = evtimer_new (engine->base, on_report, engine);
+  term = evsignal_new (engine->base, SIGTERM, on_signal, engine->base);
+  interrupt = evsignal_new (engine->base, SIGINT, on_signal, engine->base);
+  evsignal_add (term, NULL);
+  evsignal_add (interrupt, NULL);
+  if (engine_start (engine, hosts, port_base))
+    {
+      on_report (-1, 0, engine);
+      event_base_dispatch (engine->base);
+      status = EXIT_SUCCESS;
+    }
+  engine_finish (engine);
+  event_free (term);
+  event_free (interrupt);
+  event_base_free (engine->base);
+  return status;
+}
+
+int
+main (int argc, char **argv)
+{
+  struct arg_str *hosts
+      = arg_str1 (NULL, "hosts", "LIST", "host names, separated by commas");
+  struct arg_int *port_base
+      = arg_int0 (NULL, "port-base", "N", "first port (default: any free)");
+  struct arg_int *load_ms
+      = arg_int0 (NULL, "load-ms", "MS", "load with weights to fetch (200)");
+  struct arg_int *reload_ms
+      = arg_int0 (NULL, "reload-ms", "MS", "load with known weights (50)");
+  struct arg_int *token_ms
+      = arg_int0 (NULL, "token-ms", "MS", "time per token (5)");
+  struct arg_int *call_ms
+      = arg_int0 (NULL, "call-ms", "MS", "time per service call (1)");
+  struct arg_int *slots
+      = arg_int0 (NULL, "slots", "N", "requests that run together (8)");
+  struct arg_int *queue
+      = arg_int0 (NULL, "queue", "N", "requests that wait at most (64)");
+  struct arg_int *cache
+      = arg_int0 (NULL, "cache", "N", "prompt prefixes kept (64)");
+  struct arg_int *lag
+      = arg_int0 (NULL, "report-lag-ms", "MS", "age of load reports (100)");
+  struct arg_str *service
+      = arg_str0 (NULL, "service", "NAME", "play hosts of a plain service");
+  struct arg_lit *ignore_fence
+      = arg_lit0 (NULL, "ignore-fence", "accept orders with old tokens");
+  struct arg_lit *help = arg_lit0 (NULL, "help", "show this help");
+  struct arg_end *end = arg_end (5);
+  void *table[]
+      = { hosts, port_base, load_ms, reload_ms, token_ms,     call_ms, slots,
+          queue, cache,     lag,     service,   ignore_fence, help,    end };
+  int errors = arg_parse (argc, argv, table);
+  int status = 2;
+
+  if (help->count > 0)
+    {
+      printf ("usage: standin-engine");
+      arg_print_syntax (stdout, table, "\n");
+      arg_print_glossary (stdout, table, "  %-22s %s\n");
+      status = EXIT_SUCCESS;
+    }
+  else if (errors > 0)
+    arg_print_errors (stderr, end, "standin-engine");
+  else
+    {
+      struct engine engine = {
+        .service = service->count > 0 ? service->sval[0] : NULL,
+        .load_ms = or_default (load_ms, 200),
+        .reload_ms = or_default (reload_ms, 50),
+        .token_ms = or_default (token_ms, 5),
+        .call_ms = or_default (call_ms, 1),
+        .report_lag_ms = or_default (lag, 100),
+        .slots = (unsigned)or_default (slots, 8),
+        .queue_limit = (unsigned)or_default (queue, 64),
+        .cache_limit = (size_t)or_default (cache, 64),
+        .ignore_fence = ignore_fence->count > 0,
+      };
+
+      status = run (&engine, hosts->sval[0], or_default (port_base, 0));
+    }
+  arg_freetable (table, sizeof table / sizeof table[0]);
+  return status;
+}
--- /dev/null
+++ b/tests/standin/token.h
@@ -0,0 +1,30 @@
+#ifndef STANDIN_TOKEN_H
+#define STANDIN_TOKEN_H
+
+#include <inttypes.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "hash.h"
+
+#define STANDIN_TOKEN_SIZE 16
+
+/*
+ * Text of token index of the stand-in's generation.  It follows from the
+ * model, the prompt and the index alone, so that a reader can verify each
+ * token of an answer, also across a resume.
+ */
+static inline void
+standin_token (const char *model,
+               const char *prompt,
+               uint64_t index,
+               char out[STANDIN_TOKEN_SIZE])
+{
+  uint64_t seed = hash_string (model, 0x746f6b656e);
+  uint64_t value = hash_string (prompt, seed + index * 0x9e3779b97f4a7c15);
+
+  snprintf (out, STANDIN_TOKEN_SIZE, " t%08" PRIx32, (uint32_t)value);
+}
+
+#endif
