gateway: take callers' requests to the endpoints

Callers need generation and service calls answered whole, in a permitted place, with one of three outcomes.

Adds the listener, the steps from limits to admission, the client of the endpoints, the relay with resume, plain service calls with hooks for at-most-once claims, refusals and counters.

--- /dev/null
+++ b/packages/gateway/src/endpoint.h
@@ -0,0 +1,102 @@
+#ifndef GATEWAY_ENDPOINT_H
+#define GATEWAY_ENDPOINT_H
+
+#include "result.h"
+
+#include <event2/event.h>
+#include <event2/http.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <sys/queue.h>
+
+/*
+ * HTTP/1.1 client of endpoints.  A connection carries one call and is closed
+ * after it, so that a late answer can never reach another call.
+ */
+
+struct endpoint_header
+{
+  const char *name;
+  const char *value; /* NULL = the header is left out */
+};
+
+struct endpoint_request
+{
+  const char *address;
+  uint16_t port;
+  enum evhttp_cmd_type method;
+  const char *path;
+  const struct endpoint_header *headers; /* ends with a NULL name */
+  const void *body;
+  size_t size;
+};
+
+struct endpoint_events
+{
+  /* Part of the answer's body; call->status is known by then. */
+  void (*data) (void *context, const char *bytes, size_t size);
+  /*
+   * The call ended: RESULT_OK with the whole answer, ENDPOINT_CONNECT when no
+   * byte of the request was written, UPSTREAM_UNKNOWN otherwise.  Called once
+   * unless the call is closed first.
+   */
+  void (*ended) (void *context, enum result result);
+};
+
+struct endpoint_call
+{
+  struct endpoint_client *client;
+  struct evhttp_connection *connection;
+  struct evhttp_request *request; /* NULL once evhttp let go of it */
+  const struct endpoint_events *events;
+  void *context;
+  int status;            /* 0 until the header arrived */
+  char content_type[64]; /* "" until the header arrived, or if it has none */
+  int64_t started_ms;
+  bool written; /* a byte of the request was handed to the socket */
+  bool failed;
+  bool closed;
+  bool paused;
+  struct event *pause; /* applies a pause outside of evhttp's read callback */
+  void (*release) (void *context);
+  LIST_ENTRY (endpoint_call) link;
+};
+
+LIST_HEAD (endpoint_calls, endpoint_call);
+
+struct endpoint_client
+{
+  struct event_base *base;
+  struct event *reaper;
+  struct endpoint_calls calls;
+  struct endpoint_calls closed;
+};
+
+struct endpoint_client *endpoint_client_new (struct event_base *base);
+void endpoint_client_free (struct endpoint_client *client);
+
+/* NULL if there is no memory; nothing was sent then. */
+struct endpoint_call *endpoint_start (struct endpoint_client *client,
+                                      const struct endpoint_request *request,
+                                      const struct endpoint_events *events,
+                                      void *context,
+                                      int64_t now_ms);
+
+/*
+ * Ends the call in any state: no event follows.  The connection closes and
+ * release (may be NULL) is called later, outside of every callback.
+ */
+void endpoint_close (struct endpoint_call *call,
+                     void (*release) (void *context));
+
+/* Stops or continues reading the answer. */
+void endpoint_pause (struct endpoint_call *call, bool paused);
+
+/* Sends a request whose answer does not matter; gives up after limit_ms. */
+void endpoint_send (struct endpoint_client *client,
+                    const struct endpoint_request *request,
+                    int limit_ms,
+                    int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/packages/gateway/src/generate.c
@@ -0,0 +1,446 @@
+#include "internal.h"
+
+#include "timeutil.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define CANCEL_MS 1000
+
+static const char *
+object_name (const struct gateway_request *request)
+{
+  if (request->kind == REQUEST_CHAT)
+    return request->streamed ? "chat.completion.chunk" : "chat.completion";
+  return "text_completion";
+}
+
+static struct evbuffer *
+caller_output (const struct gateway_request *request)
+{
+  return bufferevent_get_output (evhttp_connection_get_bufferevent (
+      evhttp_request_get_connection (request->http)));
+}
+
+/* Reading from the endpoint pauses at half of the limit, because what was
+ * read already is still passed on, and continues at a quarter. */
+void
+generate_backpressure (struct gateway_request *request, int64_t now_ms)
+{
+  size_t limit = request->gateway->limits.stream_buffer_bytes;
+  size_t pending = evbuffer_get_length (caller_output (request));
+  size_t drained
+      = pending < request->sent_bytes ? request->sent_bytes - pending : 0;
+
+  if (drained > request->drained_bytes)
+    {
+      request->drained_bytes = drained;
+      request->drained_ms = now_ms;
+    }
+  if (request->attempt == NULL)
+    return;
+  if (pending >= limit / 2)
+    endpoint_pause (request->attempt->call, true);
+  else if (pending <= limit / 4)
+    endpoint_pause (request->attempt->call, false);
+}
+
+static void
+send_chunk (struct gateway_request *request, struct evbuffer *chunk)
+{
+  struct evbuffer *output = caller_output (request);
+  size_t before = evbuffer_get_length (output);
+  int64_t now_ms = time_boot_ms ();
+
+  if (request->drained_bytes == request->sent_bytes)
+    request->drained_ms = now_ms;
+  evhttp_send_reply_chunk (request->http, chunk);
+  request->sent_bytes += evbuffer_get_length (output) - before;
+  generate_backpressure (request, now_ms);
+}
+
+static void
+start_reply (struct gateway_request *request)
+{
+  struct evkeyvalq *headers = evhttp_request_get_output_headers (request->http);
+  struct evbuffer *output = caller_output (request);
+  size_t before = evbuffer_get_length (output);
+
+  evhttp_add_header (headers, "Content-Type", "text/event-stream");
+  evhttp_add_header (headers, "Cache-Control", "no-store");
+  evhttp_add_header (headers, "X-Request-Id", request->id);
+  if (request->gateway->phase == GATEWAY_DRAINING)
+    evhttp_add_header (headers, "Connection", "close");
+  evhttp_send_reply_start (request->http, 200, NULL);
+  request->sent_bytes += evbuffer_get_length (output) - before;
+  request->reply_started = true;
+}
+
+static void
+end_reply (struct gateway_request *request)
+{
+  struct evhttp_request *http = request->http;
+
+  listener_unwatch (request);
+  request->http = NULL;
+  evhttp_send_reply_end (http);
+}
+
+void
+generate_send_error (struct gateway_request *request, const char *json)
+{
+  struct evbuffer *chunk = evbuffer_new ();
+
+  if (chunk != NULL)
+    {
+      evbuffer_add_printf (chunk, "event: error\ndata: %s\n\n", json);
+      send_chunk (request, chunk);
+      evbuffer_free (chunk);
+    }
+  end_reply (request);
+}
+
+/* The part of a chunk before the text; the same for all of a stream. */
+static const char *
+chunk_head (struct gateway_request *request)
+{
+  bool chat = request->kind == REQUEST_CHAT;
+  json_t *model;
+  char *name;
+
+  if (request->chunk_head != NULL)
+    return request->chunk_head;
+  model = json_string (request->name);
+  name = json_dumps (model, JSON_ENCODE_ANY);
+  json_decref (model);
+  if (name == NULL
+      || asprintf (&request->chunk_head,
+                   "{\"id\":\"%s\",\"object\":\"%s\",\"created\":%" PRId64
+                   ",\"model\":%s,\"choices\":[{\"index\":0,%s",
+                   request->id, object_name (request), time_wall_ms () / 1000,
+                   name, chat ? "\"delta\":{\"content\":" : "\"text\":")
+             < 0)
+    request->chunk_head = NULL;
+  free (name);
+  return request->chunk_head;
+}
+
+static bool
+relay_streamed (struct gateway_request *request, const char *text)
+{
+  struct evbuffer *chunk = evbuffer_new ();
+  json_t *json = json_string (text);
+  char *quoted = json_dumps (json, JSON_ENCODE_ANY);
+  const char *head = chunk_head (request);
+  bool ok = chunk != NULL && quoted != NULL && head != NULL;
+
+  if (ok)
+    {
+      if (!request->reply_started)
+        start_reply (request);
+      evbuffer_add_printf (chunk, "data: %s%s%s,\"finish_reason\":null}]}\n\n",
+                           head, quoted,
+                           request->kind == REQUEST_CHAT ? "}" : "");
+      send_chunk (request, chunk);
+    }
+  if (chunk != NULL)
+    evbuffer_free (chunk);
+  json_decref (json);
+  free (quoted);
+  return ok;
+}
+
+/* The result of a failure to pass a token on. */
+static enum result
+relay (struct gateway_request *request, const char *text)
+{
+  int64_t now_ms = time_boot_ms ();
+
+  if (request->first_token_ms == 0)
+    {
+      request->first_token_ms = now_ms;
+      histogram_add (&request->gateway->first_token_ms,
+                     (uint64_t)(now_ms - request->started_ms));
+    }
+  if (request->streamed)
+    return relay_streamed (request, text) ? RESULT_OK : RESULT_NO_MEMORY;
+  if (request->text == NULL)
+    request->text = evbuffer_new ();
+  if (request->text == NULL
+      || evbuffer_add (request->text, text, strlen (text)) != 0)
+    return RESULT_NO_MEMORY;
+  return evbuffer_get_length (request->text)
+                 <= request->gateway->limits.answer_bytes
+             ? RESULT_OK
+             : RESULT_TOO_LARGE;
+}
+
+static const char *
+finish_reason (const struct gateway_request *request)
+{
+  return request->next_index >= request->max_tokens ? "length" : "stop";
+}
+
+static void
+finish_streamed (struct gateway_request *request)
+{
+  struct evbuffer *chunk = evbuffer_new ();
+  const char *head = chunk_head (request);
+
+  if (!request->reply_started)
+    start_reply (request);
+  if (chunk != NULL && head != NULL)
+    {
+      evbuffer_add_printf (
+          chunk, "data: %s\"\"%s,\"finish_reason\":\"%s\"}]}\n\n", head,
+          request->kind == REQUEST_CHAT ? "}" : "", finish_reason (request));
+      evbuffer_add_printf (chunk, "data: [DONE]\n\n");
+      send_chunk (request, chunk);
+    }
+  if (chunk != NULL)
+    evbuffer_free (chunk);
+  end_reply (request);
+}
+
+static json_t *
+answer_json (struct gateway_request *request)
+{
+  size_t size = request->text != NULL ? evbuffer_get_length (request->text) : 0;
+  const char *bytes
+      = size > 0 ? (const char *)evbuffer_pullup (request->text, -1) : "";
+  /* The engine's tokenizer is not known here: four bytes for a token. */
+  json_int_t prompt_tokens = (json_int_t)(strlen (request->prompt) + 3) / 4;
+  json_int_t tokens = (json_int_t)request->next_index;
+  json_t *choice;
+
+  if (request->kind == REQUEST_CHAT)
+    choice = json_pack ("{s:i,s:{s:s,s:s%},s:s}", "index", 0, "message", "role",
+                        "assistant", "content", bytes, size, "finish_reason",
+                        finish_reason (request));
+  else
+    choice = json_pack ("{s:i,s:s%,s:s}", "index", 0, "text", bytes, size,
+                        "finish_reason", finish_reason (request));
+  return json_pack ("{s:s,s:s,s:I,s:s,s:[o],s:{s:I,s:I,s:I}}", "id",
+                    request->id, "object", object_name (request), "created",
+                    (json_int_t)(time_wall_ms () / 1000), "model",
+                    request->name, "choices", choice, "usage", "prompt_tokens",
+                    prompt_tokens, "completion_tokens", tokens, "total_tokens",
+                    prompt_tokens + tokens);
+}
+
+static bool
+finish_collected (struct gateway_request *request)
+{
+  struct evhttp_request *http = request->http;
+  json_t *json = answer_json (request);
+  char *text = json != NULL ? json_dumps (json, JSON_COMPACT) : NULL;
+  struct evbuffer *body = evbuffer_new ();
+  bool ok = text != NULL && body != NULL
+            && evbuffer_add (body, text, strlen (text)) == 0;
+
+  if (ok)
+    {
+      struct evkeyvalq *headers = evhttp_request_get_output_headers (http);
+
+      evhttp_add_header (headers, "Content-Type", "application/json");
+      evhttp_add_header (headers, "X-Request-Id", request->id);
+      if (request->gateway->phase == GATEWAY_DRAINING)
+        evhttp_add_header (headers, "Connection", "close");
+      listener_unwatch (request);
+      request->http = NULL;
+      evhttp_send_reply (http, 200, NULL, body);
+    }
+  if (body != NULL)
+    evbuffer_free (body);
+  json_decref (json);
+  free (text);
+  return ok;
+}
+
+/* A request that completed did not crash its endpoint. */
+static void
+clear_strikes (struct gateway_request *request)
+{
+  const struct gateway_tables *tables = &request->gateway->tables;
+  const struct gateway_strike_hooks *hooks = tables->strike_hooks;
+
+  if (strikes_count (tables->strikes, request->fingerprint, time_boot_ms ())
+      == 0)
+    return;
+  strikes_clear (tables->strikes, request->fingerprint);
+  if (hooks != NULL && hooks->cleared != NULL)
+    hooks->cleared (hooks->context, request->fingerprint);
+}
+
+static void
+finish (struct gateway_request *request)
+{
+  attempt_end (request, CHOOSE_END_SUCCESS, false);
+  clear_strikes (request);
+  if (request->streamed)
+    finish_streamed (request);
+  else if (!finish_collected (request))
+    {
+      request->may_have_run = true;
+      request_refuse (request, RESULT_NO_MEMORY, 0);
+      return;
+    }
+  request_done (request);
+}
+
+/* Returns false once the attempt is over. */
+static bool
+on_event (void *context, const struct sse_event *event)
+{
+  struct attempt *attempt = context;
+  struct gateway_request *request = attempt->request;
+  struct token token;
+  enum result result = RESULT_OK;
+
+  switch (token_parse (event, &token))
+    {
+    case TOKEN_END:
+      finish (request);
+      return false;
+    case TOKEN_BAD:
+      attempt_failed (request, RESULT_UPSTREAM_UNKNOWN, false);
+      return false;
+    case TOKEN_TEXT:
+      break;
+    }
+  switch (token_check (&request->next_index, token.index))
+    {
+    case TOKEN_NEXT:
+      attempt->tokens++;
+      result = relay (request, token.text);
+      break;
+    case TOKEN_DUPLICATE:
+      break;
+    case TOKEN_GAP:
+      result = RESULT_STREAM_BROKEN;
+      break;
+    }
+  free (token.text);
+  if (result == RESULT_OK)
+    return true;
+  request_refuse (request, result, 0);
+  return false;
+}
+
+static void
+on_data (void *context, const char *bytes, size_t size)
+{
+  struct attempt *attempt = context;
+  enum result result;
+
+  attempt->progress_ms = time_boot_ms ();
+  if (attempt->call->status != 200)
+    {
+      attempt_collect (attempt, bytes, size, ERROR_BODY_LIMIT);
+      return;
+    }
+  result = sse_decode (&attempt->decoder, bytes, size, on_event, attempt);
+  if (result != RESULT_OK && attempt->request != NULL)
+    attempt_failed (attempt->request, RESULT_UPSTREAM_UNKNOWN, false);
+}
+
+static void
+on_ended (void *context, enum result result)
+{
+  struct attempt *attempt = context;
+  struct gateway_request *request = attempt->request;
+
+  if (result != RESULT_OK)
+    {
+      attempt_failed (request, result, result == RESULT_UPSTREAM_UNKNOWN);
+      return;
+    }
+  switch (attempt->call->status)
+    {
+    case 409:
+      result = RESULT_ENDPOINT_WRONG_GROUP;
+      break;
+    case 429:
+      result = RESULT_ENDPOINT_BUSY;
+      break;
+    default:
+      /* Includes an answer that ended without [DONE]. */
+      result = answer_is_leaving (attempt) ? RESULT_ENDPOINT_LEAVING
+                                           : RESULT_UPSTREAM_UNKNOWN;
+    }
+  attempt_failed (request, result, false);
+}
+
+static const char *
+priority_name (enum admission_priority priority)
+{
+  static const char *const names[] = { "low", "normal", "high" };
+
+  return names[priority];
+}
+
+bool
+generate_start (struct gateway_request *request, struct attempt *attempt)
+{
+  static const struct endpoint_events events
+      = { .data = on_data, .ended = on_ended };
+  int64_t now_ms = attempt->started_ms;
+  char generation[32];
+  char deadline[32];
+  const struct endpoint_header headers[] = {
+    { "Content-Type", "application/json" },
+    { "X-Request-Id", attempt->id },
+    { "X-Group", attempt->key },
+    { "X-Generation", generation },
+    { "X-Deadline-Ms", deadline },
+    { NULL, NULL },
+  };
+  struct endpoint_request wish = {
+    .address = attempt->address,
+    .port = attempt->port,
+    .method = EVHTTP_REQ_POST,
+    .path = "/v1/completions",
+    .headers = headers,
+  };
+  json_t *json = json_pack ("{s:s,s:s,s:I,s:s,s:I}", "model", request->name,
+                            "prompt", request->prompt, "max_tokens",
+                            (json_int_t)request->max_tokens, "priority",
+                            priority_name (request->admission.priority),
+                            "resume_from", (json_int_t)request->next_index);
+  char *body = json != NULL ? json_dumps (json, JSON_COMPACT) : NULL;
+
+  snprintf (generation, sizeof generation, "%" PRIu64, attempt->generation);
+  snprintf (deadline, sizeof deadline, "%" PRId64,
+            request->deadline_ms - now_ms);
+  wish.body = body;
+  wish.size = body != NULL ? strlen (body) : 0;
+  if (body != NULL)
+    attempt->call = endpoint_start (request->gateway->endpoints, &wish, &events,
+                                    attempt, now_ms);
+  free (body);
+  json_decref (json);
+  return attempt->call != NULL;
+}
+
+void
+generate_cancel (struct gateway *gateway, const struct attempt *attempt)
+{
+  static const struct endpoint_header headers[]
+      = { { "Content-Type", "application/json" }, { NULL, NULL } };
+  char body[ATTEMPT_ID_SIZE + 32];
+  struct endpoint_request wish = {
+    .address = attempt->address,
+    .port = attempt->port,
+    .method = EVHTTP_REQ_POST,
+    .path = "/v1/cancel",
+    .headers = headers,
+    .body = body,
+  };
+
+  /* Request ids hold no character that JSON escapes. */
+  wish.size = (size_t)snprintf (body, sizeof body, "{\"request_id\":\"%s\"}",
+                                attempt->id);
+  endpoint_send (gateway->endpoints, &wish, CANCEL_MS, time_boot_ms ());
+}
--- /dev/null
+++ b/packages/gateway/src/identify.c
@@ -0,0 +1,156 @@
+#include "internal.h"
+
+#include "hash.h"
+#include "place.h"
+
+#include <ctype.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+static unsigned
+count_header (const struct evkeyvalq *headers, const char *name)
+{
+  const struct evkeyval *header;
+  unsigned count = 0;
+
+  TAILQ_FOREACH (header, headers, next)
+    count += strcasecmp (header->key, name) == 0;
+  return count;
+}
+
+static bool
+valid_request_id (const char *id)
+{
+  if (*id == '\0' || strlen (id) >= REQUEST_ID_SIZE)
+    return false;
+  for (; *id != '\0'; id++)
+    if (!isalnum ((unsigned char)*id) && strchr ("-_.:", *id) == NULL)
+      return false;
+  return true;
+}
+
+static enum result
+read_deadline (struct gateway_request *request, const char *text)
+{
+  char *end;
+  unsigned long long ms;
+
+  if (!isdigit ((unsigned char)*text) || strlen (text) > 12)
+    return RESULT_MALFORMED_REQUEST;
+  ms = strtoull (text, &end, 10);
+  if (*end != '\0')
+    return RESULT_MALFORMED_REQUEST;
+  if (ms > (unsigned long long)request->gateway->limits.max_deadline_ms)
+    ms = (unsigned long long)request->gateway->limits.max_deadline_ms;
+  request->deadline_ms = request->started_ms + (int64_t)ms;
+  return RESULT_OK;
+}
+
+static enum result
+read_priority (struct gateway_request *request, const char *text)
+{
+  static const char *const names[] = { "low", "normal", "high" };
+
+  for (int i = 0; i < ADMISSION_PRIORITIES; i++)
+    if (strcmp (text, names[i]) == 0)
+      {
+        request->admission.priority = (enum admission_priority)i;
+        return RESULT_OK;
+      }
+  return RESULT_MALFORMED_REQUEST;
+}
+
+/* Ambiguous framing: the rest of the connection cannot be trusted. */
+static enum result
+check_framing (struct gateway_request *request)
+{
+  struct evkeyvalq *headers = evhttp_request_get_input_headers (request->http);
+  unsigned lengths = count_header (headers, "Content-Length");
+  unsigned encodings = count_header (headers, "Transfer-Encoding");
+  unsigned count = 0;
+  const struct evkeyval *header;
+
+  TAILQ_FOREACH (header, headers, next)
+    count++;
+  if (lengths <= 1 && encodings <= 1 && lengths + encodings <= 1
+      && count_header (headers, "Authorization") <= 1
+      && count <= request->gateway->limits.header_count)
+    return RESULT_OK;
+  evhttp_add_header (evhttp_request_get_output_headers (request->http),
+                     "Connection", "close");
+  return RESULT_MALFORMED_REQUEST;
+}
+
+enum result
+identify_limits (struct gateway_request *request)
+{
+  const struct evkeyvalq *headers
+      = evhttp_request_get_input_headers (request->http);
+  const char *id = evhttp_find_header (headers, "X-Request-Id");
+  const char *deadline = evhttp_find_header (headers, "X-Deadline-Ms");
+  const char *priority = evhttp_find_header (headers, "X-Priority");
+  enum result result = check_framing (request);
+
+  request->admission.priority = ADMISSION_NORMAL;
+  if (result != RESULT_OK)
+    return result;
+  if (id != NULL && !valid_request_id (id))
+    return RESULT_MALFORMED_REQUEST;
+  if (id != NULL)
+    snprintf (request->id, sizeof request->id, "%s", id);
+  if (evbuffer_get_length (evhttp_request_get_input_buffer (request->http))
+      > request->gateway->limits.body_bytes)
+    return RESULT_BODY_TOO_LARGE;
+  if (deadline != NULL)
+    result = read_deadline (request, deadline);
+  if (result == RESULT_OK && priority != NULL)
+    result = read_priority (request, priority);
+  return result;
+}
+
+enum result
+identify_customer (struct gateway_request *request)
+{
+  const struct sheet *sheet = request->gateway->tables.sheet;
+  const char *authorization = evhttp_find_header (
+      evhttp_request_get_input_headers (request->http), "Authorization");
+  const struct sheet_customer *customer;
+  char digest[HASH_SHA256_HEX_SIZE];
+
+  if (sheet == NULL || sheet->number == 0)
+    return RESULT_NO_CONFIGURATION;
+  if (authorization == NULL || strncasecmp (authorization, "Bearer ", 7) != 0)
+    return RESULT_UNAUTHENTICATED;
+  hash_sha256_hex (authorization + 7, strlen (authorization + 7), digest);
+  customer = sheet_find_credential (sheet, digest);
+  if (customer == NULL)
+    return RESULT_UNAUTHENTICATED;
+  snprintf (request->customer, sizeof request->customer, "%s", customer->name);
+  return RESULT_OK;
+}
+
+const struct sheet_customer *
+identify_find (const struct gateway_request *request)
+{
+  const struct sheet *sheet = request->gateway->tables.sheet;
+
+  if (sheet == NULL || request->customer[0] == '\0')
+    return NULL;
+  return sheet_find_customer (sheet, request->customer);
+}
+
+enum result
+identify_place (const struct gateway_request *request)
+{
+  const struct sheet *sheet = request->gateway->tables.sheet;
+  const struct sheet_customer *customer = identify_find (request);
+
+  if (sheet == NULL || sheet->number == 0)
+    return RESULT_NO_CONFIGURATION;
+  if (customer == NULL)
+    return RESULT_UNAUTHENTICATED;
+  return place_check_customer (sheet, customer,
+                               request->gateway->tables.data_centre);
+}
--- /dev/null
+++ b/packages/gateway/src/listener.c
@@ -0,0 +1,217 @@
+#include "internal.h"
+
+#include "timeutil.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <string.h>
+#include <sys/socket.h>
+
+/*
+ * A body over the limit is refused with a JSON error as long as it is below
+ * this multiple of the limit; beyond it evhttp closes with its own 413 page
+ * without reading the body.
+ */
+#define BODY_HARD_FACTOR 2
+
+static struct timeval
+from_ms (int ms)
+{
+  struct timeval tv = { ms / 1000, ms % 1000 * 1000 };
+
+  return tv;
+}
+
+static void
+answer_health (struct gateway *gateway, struct evhttp_request *http)
+{
+  struct evbuffer *body = evbuffer_new ();
+  const struct sheet *sheet = gateway->tables.sheet;
+  bool configured = sheet != NULL && sheet->number > 0;
+  bool healthy = gateway->phase == GATEWAY_SERVING && configured;
+
+  if (body != NULL)
+    evbuffer_add_printf (body, "%s\n",
+                         gateway->phase != GATEWAY_SERVING ? "draining"
+                         : configured                      ? "ok"
+                                      : "no configuration");
+  evhttp_add_header (evhttp_request_get_output_headers (http), "Content-Type",
+                     "text/plain");
+  evhttp_send_reply (http, healthy ? 200 : 503, NULL, body);
+  if (body != NULL)
+    evbuffer_free (body);
+}
+
+static void
+on_closed (struct evhttp_connection *connection, void *context)
+{
+  struct gateway_request *request = context;
+  struct evhttp_request *http = request->http;
+
+  (void)connection;
+  request->http = NULL;
+  /*
+   * After a disconnect evhttp has let go of the request, and ending the reply
+   * only frees it.  Otherwise the connection still owns and frees it.
+   */
+  if (http != NULL && evhttp_request_get_connection (http) == NULL)
+    evhttp_send_reply_end (http);
+  request_caller_gone (request);
+}
+
+void
+listener_watch (struct gateway_request *request)
+{
+  struct evhttp_connection *connection
+      = evhttp_request_get_connection (request->http);
+  struct bufferevent *bev = evhttp_connection_get_bufferevent (connection);
+  bufferevent_data_cb read_cb;
+  bufferevent_data_cb write_cb;
+  bufferevent_event_cb event_cb;
+  void *arg;
+
+  /*
+   * evhttp ends the process if its read callback runs in this state, for
+   * example for a pipelined request, so reading is enabled without it.  The
+   * next request on the connection brings it back.
+   */
+  bufferevent_getcb (bev, &read_cb, &write_cb, &event_cb, &arg);
+  bufferevent_setcb (bev, NULL, write_cb, event_cb, arg);
+  bufferevent_set_timeouts (bev, NULL, NULL);
+  bufferevent_enable (bev, EV_READ);
+  evhttp_connection_set_closecb (connection, on_closed, request);
+}
+
+/* The reply is written: the connection is idle until the next request. */
+static void
+on_reply_complete (struct evhttp_request *http, void *context)
+{
+  struct gateway *gateway = context;
+  struct evhttp_connection *connection = evhttp_request_get_connection (http);
+  struct timeval idle = from_ms (gateway->limits.idle_ms);
+
+  if (connection != NULL)
+    bufferevent_set_timeouts (evhttp_connection_get_bufferevent (connection),
+                              &idle, &idle);
+}
+
+void
+listener_unwatch (struct gateway_request *request)
+{
+  struct gateway *gateway = request->gateway;
+  struct evhttp_connection *connection
+      = evhttp_request_get_connection (request->http);
+  struct timeval slow = from_ms (gateway->limits.slow_caller_ms);
+
+  if (connection == NULL)
+    return;
+  evhttp_connection_set_closecb (connection, NULL, NULL);
+  /* What is left of the reply must make progress. */
+  bufferevent_set_timeouts (evhttp_connection_get_bufferevent (connection),
+                            NULL, &slow);
+  evhttp_request_set_on_complete_cb (request->http, on_reply_complete, gateway);
+}
+
+static void
+on_request (struct evhttp_request *http, void *context)
+{
+  struct gateway *gateway = context;
+  const char *path = evhttp_uri_get_path (evhttp_request_get_evhttp_uri (http));
+  struct gateway_request *request;
+  enum result result;
+
+  if (path != NULL && strcmp (path, "/healthz") == 0)
+    {
+      answer_health (gateway, http);
+      return;
+    }
+  request = request_new (gateway, http, time_boot_ms ());
+  if (request == NULL)
+    {
+      evhttp_send_error (http, 503, NULL);
+      return;
+    }
+  listener_watch (request);
+  result = identify_limits (request);
+  if (result == RESULT_OK)
+    result = identify_customer (request);
+  if (result == RESULT_OK)
+    result = identify_place (request);
+  /* Nothing of the request but its credential is used above this line. */
+  if (result == RESULT_OK && gateway->phase == GATEWAY_DRAINING)
+    result = RESULT_DRAINING;
+  if (result == RESULT_OK)
+    result = parse_request (request);
+  if (result == RESULT_OK)
+    result = parse_check_target (request);
+  if (result != RESULT_OK)
+    request_refuse (request, result, 0);
+  else
+    admit_request (request);
+}
+
+static struct bufferevent *
+make_connection (struct event_base *base, void *context)
+{
+  struct gateway *gateway = context;
+  struct bufferevent *bev
+      = bufferevent_socket_new (base, -1, BEV_OPT_CLOSE_ON_FREE);
+
+  if (bev != NULL)
+    /* evhttp must be able to see a header over its limit. */
+    bufferevent_setwatermark (bev, EV_READ, 0,
+                              2 * gateway->limits.header_bytes + 65536);
+  return bev;
+}
+
+static void
+set_send_buffer (struct evhttp_bound_socket *bound, int bytes)
+{
+  /* Accepted sockets inherit the size. */
+  if (bytes > 0)
+    setsockopt (evhttp_bound_socket_get_fd (bound), SOL_SOCKET, SO_SNDBUF,
+                &bytes, sizeof bytes);
+}
+
+enum result
+listener_start (struct gateway *gateway, const char *address, uint16_t port)
+{
+  struct timeval idle = from_ms (gateway->limits.idle_ms);
+  struct evhttp_bound_socket *bound;
+  struct sockaddr_in bound_address = { 0 };
+  socklen_t size = sizeof bound_address;
+
+  gateway->http = evhttp_new (gateway->base);
+  if (gateway->http == NULL)
+    return RESULT_NO_MEMORY;
+  evhttp_set_bevcb (gateway->http, make_connection, gateway);
+  evhttp_set_timeout_tv (gateway->http, &idle);
+  evhttp_set_max_headers_size (gateway->http,
+                               (ev_ssize_t)gateway->limits.header_bytes);
+  evhttp_set_max_body_size (
+      gateway->http,
+      (ev_ssize_t)(gateway->limits.body_bytes * BODY_HARD_FACTOR));
+  evhttp_set_allowed_methods (gateway->http,
+                              EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD
+                                  | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE
+                                  | EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH);
+  evhttp_set_gencb (gateway->http, on_request, gateway);
+  bound = evhttp_bind_socket_with_handle (gateway->http, address, port);
+  if (bound == NULL)
+    return RESULT_INVALID;
+  set_send_buffer (bound, gateway->limits.send_buffer_bytes);
+  if (getsockname (evhttp_bound_socket_get_fd (bound),
+                   (struct sockaddr *)&bound_address, &size)
+      != 0)
+    return RESULT_INTERNAL;
+  gateway->port = ntohs (bound_address.sin_port);
+  return RESULT_OK;
+}
+
+void
+listener_stop (struct gateway *gateway)
+{
+  if (gateway->http != NULL)
+    evhttp_free (gateway->http);
+  gateway->http = NULL;
+}
--- /dev/null
+++ b/packages/gateway/src/service.c
@@ -0,0 +1,232 @@
+#include "internal.h"
+
+#include "timeutil.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+static void
+send_answer (struct gateway_request *request,
+             const struct claim_answer *answer,
+             bool replayed)
+{
+  struct evhttp_request *http = request->http;
+  struct evkeyvalq *headers;
+  struct evbuffer *body;
+
+  if (http == NULL)
+    return;
+  headers = evhttp_request_get_output_headers (http);
+  body = evbuffer_new ();
+  if (answer->content_type[0] != '\0')
+    evhttp_add_header (headers, "Content-Type", answer->content_type);
+  evhttp_add_header (headers, "X-Request-Id", request->id);
+  if (replayed)
+    evhttp_add_header (headers, "Idempotency-Replayed", "true");
+  if (request->gateway->phase == GATEWAY_DRAINING)
+    evhttp_add_header (headers, "Connection", "close");
+  if (body != NULL && answer->body_size > 0)
+    evbuffer_add (body, answer->body, answer->body_size);
+  listener_unwatch (request);
+  request->http = NULL;
+  evhttp_send_reply (http, answer->status, NULL, body);
+  if (body != NULL)
+    evbuffer_free (body);
+}
+
+void
+service_reply (struct gateway_request *request)
+{
+  send_answer (request, &request->answer, false);
+  request_done (request);
+}
+
+static void
+on_settled (void *context)
+{
+  struct gateway_request *request = context;
+
+  request->settling = false;
+  service_reply (request);
+}
+
+/* The answer is kept before the caller sees it, if that is quick enough. */
+static void
+settle_done (struct gateway_request *request)
+{
+  const struct gateway_claims *claims = request->gateway->tables.claims;
+  struct gateway_claim *claim = request->claim;
+
+  request->claim = NULL;
+  request->state = REQUEST_SETTLING;
+  request->settling = true;
+  request->capacity_until_ms
+      = time_boot_ms () + request->gateway->limits.settle_ms;
+  claims->settle (claims->context, claim, CLAIM_DONE, &request->answer,
+                  on_settled, request);
+}
+
+void
+service_settle_failure (struct gateway_request *request)
+{
+  const struct gateway_claims *claims = request->gateway->tables.claims;
+  struct gateway_claim *claim = request->claim;
+
+  request->claim = NULL;
+  if (!request->claim_granted)
+    claims->abandon (claims->context, claim);
+  else
+    claims->settle (claims->context, claim,
+                    request->may_have_run ? CLAIM_UNKNOWN : CLAIM_NOT_RUN, NULL,
+                    NULL, NULL);
+}
+
+static void
+on_decided (void *context,
+            struct gateway_claim *claim,
+            enum claim_verdict verdict,
+            enum result result,
+            const struct claim_answer *answer)
+{
+  struct gateway_request *request = context;
+
+  if (request->decided != NULL)
+    *request->decided = true;
+  request->decided = NULL;
+  request->claim = NULL;
+  switch (verdict)
+    {
+    case CLAIM_VERDICT_GRANTED:
+      request->claim = claim;
+      request->claim_granted = true;
+      request_dispatch (request);
+      break;
+    case CLAIM_VERDICT_REPLAY:
+      send_answer (request, answer, true);
+      request_done (request);
+      break;
+    case CLAIM_VERDICT_REFUSED:
+      request_refuse (request, result, 0);
+      break;
+    }
+}
+
+void
+service_claim (struct gateway_request *request)
+{
+  const struct gateway_claims *claims = request->gateway->tables.claims;
+  const struct gateway_claim_request wish = {
+    .customer = request->customer,
+    .service = request->name,
+    .idempotency_key = request->idempotency_key,
+    .fingerprint = request->fingerprint,
+    .deadline_ms = request->deadline_ms,
+  };
+  struct gateway_claim *claim;
+  bool decided = false;
+
+  if (claims == NULL)
+    {
+      request_refuse (request, RESULT_CLAIM_UNAVAILABLE, 0);
+      return;
+    }
+  request->state = REQUEST_CLAIMING;
+  request->decided = &decided;
+  claim = claims->begin (claims->context, &wish, on_decided, request);
+  /* A decision may have ended the request already. */
+  if (decided)
+    return;
+  request->decided = NULL;
+  request->claim = claim;
+}
+
+static void
+on_data (void *context, const char *bytes, size_t size)
+{
+  struct attempt *attempt = context;
+
+  attempt->progress_ms = time_boot_ms ();
+  /* One byte more than the limit shows that the answer is too large. */
+  attempt_collect (attempt, bytes, size,
+                   attempt->request->gateway->limits.answer_bytes + 1);
+}
+
+static bool
+take_answer (struct gateway_request *request, struct attempt *attempt)
+{
+  struct claim_answer *answer = &request->answer;
+
+  answer->body_size = evbuffer_get_length (attempt->answer);
+  answer->body = malloc (answer->body_size + 1);
+  if (answer->body == NULL)
+    return false;
+  evbuffer_copyout (attempt->answer, answer->body, answer->body_size);
+  answer->status = attempt->call->status;
+  snprintf (answer->content_type, sizeof answer->content_type, "%s",
+            attempt->call->content_type);
+  return true;
+}
+
+static void
+on_ended (void *context, enum result result)
+{
+  struct attempt *attempt = context;
+  struct gateway_request *request = attempt->request;
+  int status = attempt->call->status;
+
+  if (result != RESULT_OK)
+    attempt_failed (request, result, result == RESULT_UPSTREAM_UNKNOWN);
+  else if (answer_is_leaving (attempt))
+    attempt_failed (request, RESULT_ENDPOINT_LEAVING, false);
+  else if (evbuffer_get_length (attempt->answer)
+           > request->gateway->limits.answer_bytes)
+    request_refuse (request, RESULT_TOO_LARGE, 0);
+  else if (!take_answer (request, attempt))
+    request_refuse (request, RESULT_NO_MEMORY, 0);
+  else
+    {
+      attempt_end (request,
+                   status < 500 ? CHOOSE_END_SUCCESS : CHOOSE_END_FAILURE,
+                   false);
+      if (request->claim != NULL)
+        settle_done (request);
+      else
+        service_reply (request);
+    }
+}
+
+bool
+service_start (struct gateway_request *request, struct attempt *attempt)
+{
+  static const struct endpoint_events events
+      = { .data = on_data, .ended = on_ended };
+  int64_t now_ms = attempt->started_ms;
+  char deadline[32];
+  const char *type = request->content_type;
+  const char *key = request->idempotency_key;
+  const struct endpoint_header headers[] = {
+    { "Content-Type", *type != '\0' ? type : NULL },
+    { "Idempotency-Key", *key != '\0' ? key : NULL },
+    { "X-Request-Id", attempt->id },
+    { "X-Customer", request->customer },
+    { "X-Deadline-Ms", deadline },
+    { NULL, NULL },
+  };
+  const struct endpoint_request wish = {
+    .address = attempt->address,
+    .port = attempt->port,
+    .method = request->method,
+    .path = request->path,
+    .headers = headers,
+    .body = request->body,
+    .size = request->body_size,
+  };
+
+  snprintf (deadline, sizeof deadline, "%" PRId64,
+            request->deadline_ms - now_ms);
+  attempt->call = endpoint_start (request->gateway->endpoints, &wish, &events,
+                                  attempt, now_ms);
+  return attempt->call != NULL;
+}
