--- /dev/null
+++ b/packages/control/include/prober.h
@@ -0,0 +1,68 @@
+#ifndef CONTROL_PROBER_H
+#define CONTROL_PROBER_H
+
+#include "fleet.h"
+#include "member.h"
+#include "peer.h"
+
+#include <event2/event.h>
+#include <event2/http.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/*
+ * Health of the endpoints of our data centre.  Each endpoint has two probers
+ * among the live entry hosts, by rendezvous hash, which read GET /v1/state and
+ * tell the others.  When an entry host dies its endpoints move to the next in
+ * rank by themselves.
+ */
+
+#define PROBER_RANKS 2
+#define PROBER_INTERVAL_MS 500
+#define PROBER_TIMEOUT_MS 1000
+#define PROBER_REFRESH_MS                                                      \
+  700 /* unchanged results are told again after this                           \
+       */
+
+struct prober_target
+{
+  char id[FLEET_NAME_SIZE];
+  struct prober *prober;
+  struct evhttp_connection *connection;
+  char address[FLEET_ADDRESS_SIZE];
+  uint16_t port;
+  bool waiting;
+  int64_t next_ms;
+  int64_t told_ms;
+  bool changed; /* since it was told last */
+  UT_hash_handle hh;
+};
+
+struct prober
+{
+  struct event_base *base;
+  struct fleet *fleet;
+  struct member_table *members;
+  struct peer_node *peers;
+  struct prober_target *targets; /* uthash by id */
+  uint64_t probes;
+  uint64_t failures;
+  /* An endpoint was seen with another boot id while requests ran there. */
+  void (*restarted) (void *context, const char *host, const char *boot_id);
+  void *context;
+};
+
+void prober_init (struct prober *prober,
+                  struct event_base *base,
+                  struct fleet *fleet,
+                  struct member_table *members,
+                  struct peer_node *peers);
+void prober_finish (struct prober *prober);
+void prober_tick (struct prober *prober, int64_t now_ms);
+
+/* Takes over what a peer saw, unless ours is newer. */
+void prober_take (struct prober *prober,
+                  const char *host,
+                  const struct fleet_attestation *attested);
+
+#endif
--- /dev/null
+++ b/packages/control/src/prober.c
@@ -0,0 +1,241 @@
+#include "prober.h"
+
+#include "timeutil.h"
+
+#include <event2/buffer.h>
+#include <event2/keyvalq_struct.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define BATCH_LIMIT 256
+#define STATE_LIMIT 65536 /* bytes of one answer */
+
+void
+prober_init (struct prober *prober,
+             struct event_base *base,
+             struct fleet *fleet,
+             struct member_table *members,
+             struct peer_node *peers)
+{
+  memset (prober, 0, sizeof *prober);
+  prober->base = base;
+  prober->fleet = fleet;
+  prober->members = members;
+  prober->peers = peers;
+}
+
+static void
+close_target (struct prober_target *target)
+{
+  if (target->connection != NULL)
+    evhttp_connection_free (target->connection);
+  target->connection = NULL;
+  target->waiting = false;
+}
+
+void
+prober_finish (struct prober *prober)
+{
+  struct prober_target *target = prober->targets;
+
+  HASH_CLEAR (hh, prober->targets);
+  while (target != NULL)
+    {
+      struct prober_target *next = target->hh.next;
+
+      close_target (target);
+      free (target);
+      target = next;
+    }
+}
+
+/* What others must hear of at once, as against load that changes always. */
+static bool
+differs (const struct fleet_attestation *a, const struct fleet_attestation *b)
+{
+  return a->seen_ms == FLEET_NEVER || strcmp (a->boot_id, b->boot_id) != 0
+         || strcmp (a->group, b->group) != 0 || a->generation != b->generation
+         || a->rank != b->rank || a->state != b->state
+         || a->leaving != b->leaving;
+}
+
+static void
+take_attestation (struct prober *prober,
+                  struct fleet_host *host,
+                  const struct fleet_attestation *attested)
+{
+  bool restarted = host->attested.seen_ms != FLEET_NEVER
+                   && host->attested.boot_id[0] != '\0'
+                   && strcmp (host->attested.boot_id, attested->boot_id) != 0;
+  char old_boot[FLEET_NAME_SIZE];
+
+  memcpy (old_boot, host->attested.boot_id, sizeof old_boot);
+  host->attested = *attested;
+  /* The endpoint's own word ends a refusal that it gave before. */
+  if (!attested->leaving)
+    host->refused_leaving = false;
+  if (restarted && prober->restarted != NULL)
+    prober->restarted (prober->context, host->id, old_boot);
+}
+
+void
+prober_take (struct prober *prober,
+             const char *host_id,
+             const struct fleet_attestation *attested)
+{
+  struct fleet_host *host = fleet_find_host (prober->fleet, host_id);
+
+  if (host != NULL && attested->seen_ms > host->attested.seen_ms)
+    take_attestation (prober, host, attested);
+}
+
+static json_t *
+read_body (struct evhttp_request *request)
+{
+  struct evbuffer *body = evhttp_request_get_input_buffer (request);
+  size_t size = evbuffer_get_length (body);
+
+  if (size == 0 || size > STATE_LIMIT)
+    return NULL;
+  return json_loadb ((const char *)evbuffer_pullup (body, -1), size, 0, NULL);
+}
+
+static void
+on_state (struct evhttp_request *request, void *context)
+{
+  struct prober_target *target = context;
+  struct prober *prober = target->prober;
+  struct fleet_host *host = fleet_find_host (prober->fleet, target->id);
+  struct fleet_attestation attested;
+  json_t *json = NULL;
+
+  target->waiting = false;
+  if (request != NULL && evhttp_request_get_response_code (request) == 200)
+    json = read_body (request);
+  if (json != NULL && host != NULL
+      && fleet_attestation_from_json (&attested, json, time_boot_ms ())
+             == RESULT_OK)
+    {
+      target->changed |= differs (&host->attested, &attested);
+      take_attestation (prober, host, &attested);
+    }
+  else
+    prober->failures++;
+  json_decref (json);
+}
+
+static void
+start_probe (struct prober_target *target)
+{
+  struct evhttp_request *request;
+  char host[FLEET_ADDRESS_SIZE + 8];
+  struct timeval timeout = { .tv_sec = PROBER_TIMEOUT_MS / 1000 };
+
+  if (target->connection == NULL)
+    {
+      target->connection = evhttp_connection_base_new (
+          target->prober->base, NULL, target->address, target->port);
+      if (target->connection == NULL)
+        return;
+      evhttp_connection_set_timeout_tv (target->connection, &timeout);
+      evhttp_connection_set_max_body_size (target->connection, STATE_LIMIT);
+    }
+  request = evhttp_request_new (on_state, target);
+  if (request == NULL)
+    return;
+  snprintf (host, sizeof host, "%s:%u", target->address, target->port);
+  evhttp_add_header (evhttp_request_get_output_headers (request), "Host", host);
+  target->waiting = true;
+  target->prober->probes++;
+  if (evhttp_make_request (target->connection, request, EVHTTP_REQ_GET,
+                           "/v1/state")
+      != 0)
+    target->waiting = false;
+}
+
+static struct prober_target *
+find_or_add (struct prober *prober, const struct fleet_host *host)
+{
+  struct prober_target *target;
+
+  HASH_FIND_STR (prober->targets, host->id, target);
+  if (target == NULL)
+    {
+      target = calloc (1, sizeof *target);
+      if (target == NULL)
+        return NULL;
+      memcpy (target->id, host->id, sizeof target->id);
+      target->prober = prober;
+      HASH_ADD_STR (prober->targets, id, target);
+    }
+  if (target->port != host->port
+      || strcmp (target->address, host->address) != 0)
+    {
+      close_target (target);
+      memcpy (target->address, host->address, sizeof target->address);
+      target->port = host->port;
+    }
+  return target;
+}
+
+static bool
+is_ours (const struct prober *prober, const struct fleet_host *host)
+{
+  const struct member_update *self = &prober->members->self;
+
+  return host->port != 0 && strcmp (host->data_centre, self->data_centre) == 0
+         && member_rank (prober->members, self->data_centre, self->host,
+                         host->id)
+                < PROBER_RANKS;
+}
+
+static void
+probe_host (struct prober *prober,
+            const struct fleet_host *host,
+            int64_t now_ms)
+{
+  struct prober_target *target = find_or_add (prober, host);
+
+  if (target == NULL || target->waiting || now_ms < target->next_ms)
+    return;
+  /* A late tick must not be followed by a burst. */
+  target->next_ms = now_ms + PROBER_INTERVAL_MS;
+  start_probe (target);
+}
+
+static void
+tell_peers (struct prober *prober, int64_t now_ms)
+{
+  struct peer_health_entry batch[BATCH_LIMIT];
+  size_t count = 0;
+
+  for (struct prober_target *target = prober->targets; target != NULL;
+       target = target->hh.next)
+    {
+      const struct fleet_host *host
+          = fleet_find_host (prober->fleet, target->id);
+
+      if (host == NULL || count == BATCH_LIMIT
+          || !fleet_host_present (host, now_ms) || !is_ours (prober, host)
+          || (!target->changed && now_ms - target->told_ms < PROBER_REFRESH_MS))
+        continue;
+      target->changed = false;
+      target->told_ms = now_ms;
+      batch[count].host = host->id;
+      batch[count++].attested = &host->attested;
+    }
+  if (count > 0)
+    peer_send_health (prober->peers, batch, count, now_ms);
+}
+
+void
+prober_tick (struct prober *prober, int64_t now_ms)
+{
+  for (const struct fleet_host *host = prober->fleet->hosts; host != NULL;
+       host = host->hh.next)
+    if (is_ours (prober, host))
+      probe_host (prober, host, now_ms);
+  tell_peers (prober, now_ms);
+}
--- a/packages/member/include/member.h
+++ b/packages/member/include/member.h
@@ -61,6 +61,7 @@
   uint64_t sheet;
   uint64_t control;
   uint64_t assignment; /* of its own data centre */
+  uint64_t hosts;      /* of the host list, made by its reader */
 };
 
 struct member
--- a/packages/peer/include/peer.h
+++ b/packages/peer/include/peer.h
@@ -104,6 +104,9 @@
                        const struct peer_keys *keys);
 void peer_finish (struct peer_node *node);
 
+/* True if the test setting cuts us off from this data centre. */
+bool peer_is_cut (const struct peer_node *node, const char *data_centre);
+
 /* Runs membership, sends what is due and ends calls without an answer. */
 void peer_tick (struct peer_node *node, int64_t now_ms);
 
--- a/packages/peer/peer.x
+++ b/packages/peer/peer.x
@@ -43,6 +43,7 @@
   unsigned hyper sheet;
   unsigned hyper control;
   unsigned hyper assignment;
+  unsigned hyper hosts;
 };
 
 /* Argument and result of PING; the result of PING_REQ. */
--- a/packages/peer/src/peer-internal.h
+++ b/packages/peer/src/peer-internal.h
@@ -37,7 +37,6 @@
                    uint16_t port,
                    struct sockaddr_storage *out,
                    socklen_t *size);
-bool peer_is_cut (const struct peer_node *node, const char *data_centre);
 bool peer_host_is_cut (const struct peer_node *node, const char *host);
 void peer_fill_header (struct peer_node *node,
                        struct peer_header *header,
--- a/packages/peer/src/ping.c
+++ b/packages/peer/src/ping.c
@@ -47,6 +47,7 @@
   ping->body.versions.sheet = members->versions.sheet;
   ping->body.versions.control = members->versions.control;
   ping->body.versions.assignment = members->versions.assignment;
+  ping->body.versions.hosts = members->versions.hosts;
   for (size_t i = 0; i < count; i++)
     peer_update_to_wire (&ping->wire[i], &ping->updates[i]);
   ping->body.updates.updates_val = ping->wire;
@@ -62,6 +63,7 @@
     .sheet = ping->versions.sheet,
     .control = ping->versions.control,
     .assignment = ping->versions.assignment,
+    .hosts = ping->versions.hosts,
   };
   size_t count = 0;
 
