--- a/packages/route/include/choose.h
+++ b/packages/route/include/choose.h
@@ -36,7 +36,10 @@
   int open_ms;           /* length of the present opening */
   bool trial_running;    /* the one call that a half-open breaker lets by */
   int64_t served_ms;     /* when it was last seen serving */
-  uint64_t trickle;      /* requests passed over while it is a straggler */
+  char spec[FLEET_NAME_SIZE]; /* of a group, as it was when it last served */
+  char model[FLEET_NAME_SIZE];
+  char data_centre[FLEET_NAME_SIZE];
+  uint64_t trickle; /* requests passed over while it is a straggler */
   UT_hash_handle hh;
 };
 
--- a/packages/route/src/admission.c
+++ b/packages/route/src/admission.c
@@ -6,11 +6,10 @@
 #include <string.h>
 
 /*
- * Work that one weight may do per round.  It is small against the cost of a
- * generation (tokens), so that rounds stay fair at low weights; empty rounds
- * are skipped in one step.
+ * Part of an entry's cost that may be missing when it is sent: sums of
+ * quanta are rounded.
  */
-#define QUANTUM 16.0
+#define COST_TOLERANCE 1e-9
 
 /* A rate limit saves up what one second permits, and at least one request. */
 #define BURST_SECONDS 1.0
@@ -60,8 +59,9 @@
   unsigned slots;
   unsigned running;
   size_t queued;
-  struct flow *flows; /* uthash by customer */
-  struct flow_ring ring;
+  struct flow *flows;    /* uthash by customer */
+  struct flow_ring ring; /* flows with queued entries */
+  size_t active;         /* flows in the ring */
   double mean_ms;      /* moving mean from admission to release; 0 = unknown */
   int64_t progress_ms; /* last release, or when the target became full */
   UT_hash_handle hh;
@@ -370,6 +370,7 @@
       flow->deficit = 0;
       flow->visited = false;
       TAILQ_INSERT_TAIL (&entry->at->ring, flow, link);
+      entry->at->active++;
     }
   flow->queued++;
   entry->at->queued++;
@@ -388,7 +389,10 @@
   admission->queued--;
   entry->queued = false;
   if (flow->queued == 0)
-    TAILQ_REMOVE (&entry->at->ring, flow, link);
+    {
+      TAILQ_REMOVE (&entry->at->ring, flow, link);
+      entry->at->active--;
+    }
 }
 
 enum result
@@ -507,10 +511,29 @@
   return first_of (admission, flow, now_ms);
 }
 
+/*
+ * Work that a flow may do per round: one unit for the heaviest customer.  A
+ * round is then never longer than one cheap entry of each, whatever the scale
+ * of the weights; rounds in which nobody can send are skipped in one step.
+ */
 static double
-quantum_of (const struct flow *flow)
+quantum_of (const struct flow *flow, double heaviest)
 {
-  return QUANTUM * flow->customer->weight;
+  return flow->customer->weight / heaviest;
+}
+
+static double
+heaviest_weight (const struct admission_target *target)
+{
+  const struct flow *flow;
+  double heaviest = 1;
+
+  TAILQ_FOREACH (flow, &target->ring, link)
+    {
+      if (flow->customer->weight > heaviest)
+        heaviest = flow->customer->weight;
+    }
+  return heaviest;
 }
 
 static double
@@ -526,6 +549,7 @@
 static bool
 skip_empty_rounds (const struct admission *admission,
                    struct admission_target *target,
+                   double heaviest,
                    int64_t now_ms)
 {
   struct flow *flow;
@@ -539,7 +563,8 @@
 
       if (entry == NULL)
         continue;
-      rounds = ceil ((cost_of (entry) - flow->deficit) / quantum_of (flow));
+      rounds = ceil ((cost_of (entry) - flow->deficit)
+                     / quantum_of (flow, heaviest));
       if (rounds < fewest)
         fewest = rounds;
     }
@@ -550,7 +575,7 @@
     TAILQ_FOREACH (flow, &target->ring, link)
       {
         if (eligible_entry (admission, flow, now_ms) != NULL)
-          flow->deficit += (fewest - 1) * quantum_of (flow);
+          flow->deficit += (fewest - 1) * quantum_of (flow, heaviest);
       }
   return true;
 }
@@ -559,16 +584,17 @@
 visit (const struct admission *admission,
        struct admission_target *target,
        struct flow *flow,
+       double heaviest,
        int64_t now_ms)
 {
   struct admission_entry *entry = eligible_entry (admission, flow, now_ms);
 
   if (entry != NULL && !flow->visited)
     {
-      flow->deficit += quantum_of (flow);
+      flow->deficit += quantum_of (flow, heaviest);
       flow->visited = true;
     }
-  if (entry != NULL && flow->deficit >= cost_of (entry))
+  if (entry != NULL && flow->deficit >= cost_of (entry) * (1 - COST_TOLERANCE))
     {
       flow->deficit -= cost_of (entry);
       return entry;
@@ -584,18 +610,19 @@
                 struct admission_target *target,
                 int64_t now_ms)
 {
-  size_t flows = HASH_COUNT (target->flows);
+  double heaviest;
 
   if (target->running >= target->slots || target->queued == 0)
     return NULL;
+  heaviest = heaviest_weight (target);
   /* One turn of the ring as it stands, then one after the empty rounds. */
   for (int turn = 0; turn < 2; turn++)
     {
-      for (size_t i = 0; i < flows; i++)
+      for (size_t i = 0; i < target->active; i++)
         {
           struct flow *flow = TAILQ_FIRST (&target->ring);
           struct admission_entry *entry
-              = visit (admission, target, flow, now_ms);
+              = visit (admission, target, flow, heaviest, now_ms);
 
           if (entry != NULL)
             {
@@ -603,7 +630,7 @@
               return entry;
             }
         }
-      if (!skip_empty_rounds (admission, target, now_ms))
+      if (!skip_empty_rounds (admission, target, heaviest, now_ms))
         return NULL;
     }
   return NULL;
--- a/packages/route/src/choose.c
+++ b/packages/route/src/choose.c
@@ -32,18 +32,10 @@
 /* Endpoints that the median token time is taken over; others are left out. */
 #define MEDIAN_LIMIT 256
 
-static void
-note_serving (struct chooser *chooser, const char *key, int64_t now_ms)
-{
-  struct choose_stats *stats = choose_stats_get (chooser, key);
-
-  if (stats != NULL)
-    stats->served_ms = now_ms;
-}
-
 /* What a walk over the endpoints of one target needs. */
 struct target
 {
+  const struct chooser *chooser; /* NULL: without removed groups */
   const struct fleet *fleet;
   const struct sheet *sheet;
   const char *data_centre;
@@ -52,12 +44,17 @@
   const char *service;
 };
 
-/* A group, or a host of a service, that the target may use in principle. */
+/*
+ * A group, or a host of a service, that the target may use in principle.  Also
+ * a group that was removed from the fleet, which keeps its candidate position
+ * for a while: both group and host are NULL then.
+ */
 struct endpoint
 {
   const char *key;
-  const struct fleet_group *group; /* NULL for a service */
-  const struct fleet_host *host;   /* takes the request; NULL if unknown */
+  const struct fleet_group *group;    /* NULL for a service */
+  const struct fleet_host *host;      /* takes the request; NULL if unknown */
+  const struct choose_stats *removed; /* cursor over the removed groups */
 };
 
 static bool
@@ -68,8 +65,7 @@
 
 /* A group whose row has gone from the sheet is not used for customers. */
 static bool
-group_is_permitted (const struct target *target,
-                    const struct fleet_group *group)
+row_is_permitted (const struct target *target, const char *spec)
 {
   const struct sheet *sheet = target->sheet;
 
@@ -81,8 +77,8 @@
     {
       const struct sheet_group *row = &sheet->groups[i];
 
-      if (strcmp (row->name, group->spec) == 0)
-        return strcmp (row->model, group->model) == 0
+      if (strcmp (row->name, spec) == 0)
+        return strcmp (row->model, target->model) == 0
                && list_permits (&row->customers, target->customer)
                && sheet_list_has (&row->data_centres, target->data_centre);
     }
@@ -103,6 +99,28 @@
          && sheet_list_has (&row->data_centres, target->data_centre);
 }
 
+static bool
+next_removed_group (const struct target *target, struct endpoint *endpoint)
+{
+  const struct choose_stats *stats = endpoint->removed == NULL
+                                         ? target->chooser->stats
+                                         : endpoint->removed->hh.next;
+
+  for (; stats != NULL; stats = stats->hh.next)
+    if (strcmp (stats->model, target->model) == 0
+        && strcmp (stats->data_centre, target->data_centre) == 0
+        && row_is_permitted (target, stats->spec)
+        && fleet_find_group (target->fleet, stats->key) == NULL)
+      {
+        endpoint->key = stats->key;
+        endpoint->group = NULL;
+        endpoint->host = NULL;
+        endpoint->removed = stats;
+        return true;
+      }
+  return false;
+}
+
 static bool
 next_group (const struct target *target, struct endpoint *endpoint)
 {
@@ -110,17 +128,19 @@
                                         ? target->fleet->groups
                                         : endpoint->group->hh.next;
 
+  if (endpoint->removed != NULL)
+    return next_removed_group (target, endpoint);
   for (; group != NULL; group = group->hh.next)
     if (strcmp (group->model, target->model) == 0
         && strcmp (group->data_centre, target->data_centre) == 0
-        && group_is_permitted (target, group))
+        && row_is_permitted (target, group->spec))
       {
         endpoint->key = group->id;
         endpoint->group = group;
         endpoint->host = fleet_group_leader (target->fleet, group);
         return true;
       }
-  return false;
+  return target->chooser != NULL && next_removed_group (target, endpoint);
 }
 
 static bool
@@ -173,6 +193,25 @@
   return fleet_group_serving (fleet, endpoint->group, now_ms) == FLEET_SERVING;
 }
 
+static void
+note_serving (struct chooser *chooser,
+              const struct endpoint *endpoint,
+              int64_t now_ms)
+{
+  const struct fleet_group *group = endpoint->group;
+  struct choose_stats *stats = choose_stats_get (chooser, endpoint->key);
+
+  if (stats == NULL)
+    return;
+  stats->served_ms = now_ms;
+  if (group == NULL)
+    return;
+  snprintf (stats->spec, sizeof stats->spec, "%s", group->spec);
+  snprintf (stats->model, sizeof stats->model, "%s", group->model);
+  snprintf (stats->data_centre, sizeof stats->data_centre, "%s",
+            group->data_centre);
+}
+
 static bool
 served_recently (const struct choose_stats *stats, int64_t now_ms)
 {
@@ -226,7 +265,7 @@
     return true;
   if (!serves (target->fleet, endpoint, now_ms))
     return false;
-  note_serving (chooser, endpoint->key, now_ms);
+  note_serving (chooser, endpoint, now_ms);
   return true;
 }
 
@@ -380,6 +419,7 @@
 static double
 expected_wait (const struct choose_stats *stats,
                const struct endpoint *endpoint,
+               bool is_service,
                const struct summary *summary,
                int64_t now_ms)
 {
@@ -389,7 +429,7 @@
   double load = own + reported_load (attested, own, now_ms);
 
   return load / slots * summary->service_ms
-         * slowness (stats, endpoint->group == NULL, summary);
+         * slowness (stats, is_service, summary);
 }
 
 /*
@@ -452,9 +492,9 @@
   summarise (chooser, target, now_ms, &summary);
   for (unsigned i = 0; i < candidates->count; i++)
     if (usable[i])
-      waits[i]
-          = expected_wait (choose_stats_find (chooser, candidates->at[i].key),
-                           &candidates->at[i], &summary, now_ms);
+      waits[i] = expected_wait (
+          choose_stats_find (chooser, candidates->at[i].key),
+          &candidates->at[i], target->model == NULL, &summary, now_ms);
   if (target->model != NULL)
     waits[0] -= AFFINITY_SHARE * summary.service_ms;
   if (usable[0] && usable[1])
@@ -488,6 +528,7 @@
                  struct choose_result *result)
 {
   const struct target target = {
+    .chooser = chooser,
     .fleet = fleet,
     .sheet = sheet,
     .data_centre = data_centre,
@@ -526,11 +567,19 @@
   for (const struct fleet_group *group = fleet->groups; group != NULL;
        group = group->hh.next)
     if (fleet_group_serving (fleet, group, now_ms) == FLEET_SERVING)
-      note_serving (chooser, group->id, now_ms);
+      {
+        const struct endpoint endpoint = { .key = group->id, .group = group };
+
+        note_serving (chooser, &endpoint, now_ms);
+      }
   for (const struct fleet_host *host = fleet->hosts; host != NULL;
        host = host->hh.next)
     if (host->is_service && service_host_serves (host, now_ms))
-      note_serving (chooser, host->id, now_ms);
+      {
+        const struct endpoint endpoint = { .key = host->id, .host = host };
+
+        note_serving (chooser, &endpoint, now_ms);
+      }
   stats = chooser->stats;
   while (stats != NULL)
     {
