--- a/packages/base/include/log.h
+++ b/packages/base/include/log.h
@@ -83,6 +83,15 @@
                                  const char *line),
                    void *context);
 
+/*
+ * Shows each formatted line to observe as well, whatever the sink; NULL ends
+ * that.  Used to keep recent decisions for explanations.
+ */
+void log_set_observer (void (*observe) (void *context,
+                                        enum log_level level,
+                                        const char *line),
+                       void *context);
+
 /* Parses "error", "warning", "notice", "info" or "debug"; -1 if unknown. */
 int log_parse_level (const char *name);
 
--- a/packages/base/src/log.c
+++ b/packages/base/src/log.c
@@ -18,6 +18,8 @@
   enum log_level level;
   void (*sink) (void *context, enum log_level level, const char *line);
   void *sink_context;
+  void (*observe) (void *context, enum log_level level, const char *line);
+  void *observe_context;
 } state = { .program = "waxwinglink", .host = "-", .level = LOG_LEVEL_INFO };
 
 struct line
@@ -137,6 +139,16 @@
   state.sink_context = context;
 }
 
+void
+log_set_observer (void (*observe) (void *context,
+                                   enum log_level level,
+                                   const char *line),
+                  void *context)
+{
+  state.observe = observe;
+  state.observe_context = context;
+}
+
 int
 log_parse_level (const char *name)
 {
@@ -169,6 +181,8 @@
   append (&line, " event=%s", event);
   for (; fields->kind != LOG_FIELD_END; fields++)
     append_field (&line, fields);
+  if (state.observe != NULL)
+    state.observe (state.observe_context, level, line.text);
   if (state.sink != NULL)
     state.sink (state.sink_context, level, line.text);
   else
--- /dev/null
+++ b/packages/daemon/bin/main.c
@@ -0,0 +1,103 @@
+#include "daemon.h"
+#include "log.h"
+
+#include <argtable2.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#define EXIT_USAGE 2
+
+static struct daemon instance;
+static struct settings settings;
+static struct settings_errors errors;
+
+static void
+print_errors (void)
+{
+  for (size_t i = 0; i < errors.count && i < SETTINGS_ERROR_LIMIT; i++)
+    {
+      const struct settings_error *error = &errors.list[i];
+
+      fprintf (stderr, "line %u: %s: %s (%d %s)\n", error->line,
+               error->key[0] != '\0' ? error->key : "file", error->text,
+               error->code, result_info (error->code)->name);
+    }
+}
+
+static int
+run (const char *path, bool check_only)
+{
+  enum result result = settings_load (&settings, path, &errors);
+  int level;
+
+  if (result != RESULT_OK)
+    {
+      print_errors ();
+      return EXIT_FAILURE;
+    }
+  level = log_parse_level (settings.log_level);
+  if (level < 0)
+    {
+      fprintf (stderr, "log_level: \"%s\" is not a level (%d %s)\n",
+               settings.log_level, RESULT_SETTINGS_BAD_VALUE,
+               result_info (RESULT_SETTINGS_BAD_VALUE)->name);
+      return EXIT_FAILURE;
+    }
+  if (check_only)
+    {
+      printf ("%s: good\n", path);
+      return EXIT_SUCCESS;
+    }
+  log_setup ("waxwinglinkd", settings.host, (enum log_level)level);
+  signal (SIGPIPE, SIG_IGN);
+  if (daemon_init (&instance, &settings, path) != RESULT_OK)
+    return EXIT_FAILURE;
+  daemon_run (&instance);
+  daemon_finish (&instance);
+  return EXIT_SUCCESS;
+}
+
+int
+main (int argc, char **argv)
+{
+  struct arg_file *file
+      = arg_file0 ("s", "settings", "FILE", "settings file (YAML)");
+  struct arg_lit *check
+      = arg_lit0 (NULL, "check", "check the settings and exit");
+  struct arg_lit *help = arg_lit0 ("h", "help", "show this help and exit");
+  struct arg_lit *version
+      = arg_lit0 (NULL, "version", "show the version and exit");
+  struct arg_end *end = arg_end (10);
+  void *table[] = { file, check, help, version, end };
+  int status = EXIT_USAGE;
+  int wrong;
+
+  if (arg_nullcheck (table) != 0)
+    goto out;
+  wrong = arg_parse (argc, argv, table);
+  if (help->count > 0)
+    {
+      printf ("Usage: waxwinglinkd");
+      arg_print_syntax (stdout, table, "\n\n");
+      arg_print_glossary (stdout, table, "  %-25s %s\n");
+      status = EXIT_SUCCESS;
+    }
+  else if (version->count > 0)
+    {
+      printf ("waxwinglinkd %s\n", WAXWINGLINK_VERSION);
+      status = EXIT_SUCCESS;
+    }
+  else if (wrong > 0 || file->count == 0)
+    {
+      arg_print_errors (stderr, end, "waxwinglinkd");
+      fprintf (stderr, "waxwinglinkd: --settings FILE is required; see "
+                       "--help\n");
+    }
+  else
+    status = run (file->filename[0], check->count > 0);
+
+out:
+  arg_freetable (table, sizeof table / sizeof table[0]);
+  return status;
+}
--- /dev/null
+++ b/packages/daemon/src/daemon.c
@@ -0,0 +1,408 @@
+#include "daemon.h"
+
+#include "log.h"
+#include "timeutil.h"
+#include "uuid.h"
+
+#include <openssl/rand.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define COUNTERS_LIMIT 4096
+#define STRIKES_LIMIT 4096
+
+static void
+on_health (void *context,
+           const char *host,
+           const struct fleet_attestation *attested)
+{
+  struct daemon *daemon = context;
+
+  prober_take (&daemon->prober, host, attested);
+}
+
+static void
+on_demand (void *context, const char *from, const char *name, unsigned demand)
+{
+  struct daemon *daemon = context;
+
+  demand_take (&daemon->demand, from, name, demand, time_boot_ms ());
+}
+
+static void
+on_strike (void *context,
+           const char *fingerprint,
+           const char *host,
+           const char *boot_id)
+{
+  struct daemon *daemon = context;
+
+  if (strikes_add (&daemon->strikes, fingerprint, host, boot_id,
+                   time_boot_ms ()))
+    LOG_EVENT (LOG_LEVEL_WARNING, "strike-received",
+               LOG_STR ("fingerprint", fingerprint), LOG_STR ("host", host));
+}
+
+static const char *
+on_object (void *context, enum peer_object_id id, uint64_t *number)
+{
+  struct daemon *daemon = context;
+
+  return config_object_text (&daemon->config, id, number);
+}
+
+static void
+on_sheet (void *context, const struct sheet *sheet)
+{
+  struct daemon *daemon = context;
+
+  gateway_set_sheet (&daemon->gateway, sheet);
+  /* Limits and weights of the new sheet are in force with it. */
+  daemon->next_shares_ms = 0;
+}
+
+static void
+on_released (void *context, const char *fingerprint)
+{
+  struct daemon *daemon = context;
+
+  strikes_release (&daemon->strikes, fingerprint, time_boot_ms ());
+}
+
+static void
+on_log_line (void *context, enum log_level level, const char *line)
+{
+  struct daemon *daemon = context;
+
+  if (level <= LOG_LEVEL_INFO)
+    ring_add (&daemon->ring, line, time_wall_ms ());
+}
+
+static void
+on_tick (evutil_socket_t fd, short events, void *context)
+{
+  (void)fd;
+  (void)events;
+  daemon_tick (context);
+}
+
+static void
+on_stop_signal (evutil_socket_t fd, short events, void *context)
+{
+  (void)fd;
+  (void)events;
+  daemon_stop (context);
+}
+
+static void
+on_reload_signal (evutil_socket_t fd, short events, void *context)
+{
+  (void)fd;
+  (void)events;
+  daemon_reload (context);
+}
+
+static uint64_t
+random_seed (void)
+{
+  uint64_t seed = 0;
+
+  RAND_bytes ((unsigned char *)&seed, sizeof seed);
+  return seed;
+}
+
+static void
+init_tables (struct daemon *daemon)
+{
+  const struct settings *settings = &daemon->settings;
+  struct admission_limits limits = {
+    .queue_per_customer = (size_t)settings->admission_queue_per_customer,
+    .queue_total = (size_t)settings->admission_queue_total,
+    .ageing_ms = (int)settings->admission_ageing_ms,
+  };
+
+  fleet_init (&daemon->fleet);
+  admission_init (&daemon->admission, &limits);
+  chooser_init (&daemon->chooser, random_seed ());
+  strikes_init (&daemon->strikes, STRIKES_LIMIT);
+  counter_set_init (&daemon->counters, COUNTERS_LIMIT);
+  demand_init (&daemon->demand);
+  ring_init (&daemon->ring);
+  burn_init (&daemon->burn, daemon->now_ms, time_wall_ms ());
+}
+
+static void
+finish_tables (struct daemon *daemon)
+{
+  burn_finish (&daemon->burn);
+  ring_finish (&daemon->ring);
+  demand_finish (&daemon->demand);
+  counter_set_finish (&daemon->counters);
+  strikes_finish (&daemon->strikes);
+  chooser_finish (&daemon->chooser);
+  admission_finish (&daemon->admission);
+  fleet_finish (&daemon->fleet);
+}
+
+static enum result
+init_members (struct daemon *daemon)
+{
+  const struct settings *settings = &daemon->settings;
+  struct member_update self = {
+    .port = (uint16_t)settings->peers_port,
+    .incarnation = (uint64_t)time_wall_ms (),
+  };
+
+  snprintf (self.host, sizeof self.host, "%.63s", settings->host);
+  snprintf (self.data_centre, sizeof self.data_centre, "%.63s",
+            settings->data_centre);
+  snprintf (self.address, sizeof self.address, "%.47s",
+            settings->peers_address);
+  member_init (&daemon->members, &self, random_seed (), daemon->now_ms);
+  for (size_t i = 0; i < settings->peers_seeds.count; i++)
+    {
+      char address[MEMBER_ADDRESS_SIZE];
+      const char *text = settings->peers_seeds.items[i];
+      const char *colon = strrchr (text, ':');
+      unsigned long port = colon != NULL ? strtoul (colon + 1, NULL, 10) : 0;
+
+      if (port == 0 || port > UINT16_MAX
+          || (size_t)(colon - text) >= sizeof address)
+        return RESULT_SETTINGS_BAD_VALUE;
+      memcpy (address, text, (size_t)(colon - text));
+      address[colon - text] = '\0';
+      member_add_seed (&daemon->members, address, (uint16_t)port);
+    }
+  return RESULT_OK;
+}
+
+static enum result
+init_peers (struct daemon *daemon)
+{
+  struct peer_hooks hooks = { .context = daemon,
+                              .health = on_health,
+                              .demand = on_demand,
+                              .strike = on_strike,
+                              .object = on_object };
+  struct peer_keys keys = { .count = 0 };
+
+  for (size_t i = 0; i < daemon->settings.peers_keys.count; i++)
+    if (peer_keys_add (&keys, daemon->settings.peers_keys.items[i])
+        != RESULT_OK)
+      return RESULT_SETTINGS_BAD_VALUE;
+  return peer_init (&daemon->peers, daemon->base, &daemon->members, &hooks,
+                    &keys);
+}
+
+static enum result
+init_control (struct daemon *daemon)
+{
+  const struct settings *settings = &daemon->settings;
+  struct config_hooks hooks = { .context = daemon,
+                                .sheet_changed = on_sheet,
+                                .released = on_released };
+  struct placement_settings placement;
+
+  platform_init (&daemon->platform, daemon->base, settings->platform_address,
+                 (uint16_t)settings->platform_port,
+                 (int)settings->platform_timeout_ms);
+  snprintf (daemon->platform.host, sizeof daemon->platform.host, "%.31s/%.31s",
+            settings->data_centre, settings->host);
+  config_init (&daemon->config, daemon->base, &daemon->platform,
+               &daemon->members, &daemon->peers, &daemon->fleet, &hooks,
+               settings->platform_hosts_interval_ms);
+  prober_init (&daemon->prober, daemon->base, &daemon->fleet, &daemon->members,
+               &daemon->peers);
+  placement_settings_init (&placement);
+  placement.downtime_weight = settings->groups_downtime_weight;
+  placement.stranded_weight = settings->groups_stranded_weight;
+  placement.load_ms = settings->groups_load_ms;
+  placement.warm_load_ms = settings->groups_reload_ms;
+  placement.load_limit = (unsigned)settings->groups_max_loads;
+  return keeper_init (&daemon->keeper, daemon->base, &daemon->platform,
+                      &daemon->config, &daemon->fleet, &daemon->members,
+                      &placement);
+}
+
+static enum result
+init_gateway (struct daemon *daemon)
+{
+  const struct settings *settings = &daemon->settings;
+  struct gateway_tables tables = {
+    .sheet = NULL,
+    .fleet = &daemon->fleet,
+    .chooser = &daemon->chooser,
+    .admission = &daemon->admission,
+    .strikes = &daemon->strikes,
+    .counters = &daemon->counters,
+    .strike_hooks = &daemon->strike_hooks,
+    .data_centre = daemon->members.self.data_centre,
+  };
+  struct gateway_limits limits;
+
+  spread_init (&daemon->spread, &daemon->peers);
+  daemon->strike_hooks.context = &daemon->spread;
+  daemon->strike_hooks.spread = spread_strike;
+  daemon->strike_hooks.acknowledged = spread_is_acknowledged;
+  gateway_limits_default (&limits);
+  limits.header_bytes = (size_t)settings->callers_max_header_bytes;
+  limits.header_count = (unsigned)settings->callers_max_headers;
+  limits.body_bytes = (size_t)settings->callers_max_body_bytes;
+  limits.stream_buffer_bytes = (size_t)settings->callers_buffer_bytes;
+  limits.idle_ms = (int)settings->callers_idle_timeout_ms;
+  limits.slow_caller_ms = (int)settings->callers_stall_timeout_ms;
+  limits.default_deadline_ms = (int)settings->callers_default_deadline_ms;
+  limits.max_deadline_ms = (int)settings->callers_max_deadline_ms;
+  return gateway_init (&daemon->gateway, daemon->base, &tables, &limits,
+                       settings->callers_address,
+                       (uint16_t)settings->callers_port, random_seed ());
+}
+
+static enum result
+init_events (struct daemon *daemon)
+{
+  struct timeval interval = { .tv_usec = DAEMON_TICK_MS * INT64_C (1000) };
+
+  daemon->tick = event_new (daemon->base, -1, EV_PERSIST, on_tick, daemon);
+  daemon->on_term
+      = evsignal_new (daemon->base, SIGTERM, on_stop_signal, daemon);
+  daemon->on_int = evsignal_new (daemon->base, SIGINT, on_stop_signal, daemon);
+  daemon->on_hup
+      = evsignal_new (daemon->base, SIGHUP, on_reload_signal, daemon);
+  if (daemon->tick == NULL || daemon->on_term == NULL || daemon->on_int == NULL
+      || daemon->on_hup == NULL || event_add (daemon->tick, &interval) != 0
+      || event_add (daemon->on_term, NULL) != 0
+      || event_add (daemon->on_int, NULL) != 0
+      || event_add (daemon->on_hup, NULL) != 0)
+    return RESULT_NO_MEMORY;
+  return RESULT_OK;
+}
+
+/* Steps in the order in which they build on each other. */
+enum
+{
+  STEP_TABLES,
+  STEP_MEMBERS,
+  STEP_PEERS,
+  STEP_CONTROL,
+  STEP_GATEWAY,
+  STEP_ADMIN,
+  STEP_EVENTS,
+  STEP_COUNT,
+};
+
+static enum result
+run_step (struct daemon *daemon, unsigned step)
+{
+  switch (step)
+    {
+    case STEP_TABLES:
+      init_tables (daemon);
+      return RESULT_OK;
+    case STEP_MEMBERS:
+      return init_members (daemon);
+    case STEP_PEERS:
+      return init_peers (daemon);
+    case STEP_CONTROL:
+      return init_control (daemon);
+    case STEP_GATEWAY:
+      return init_gateway (daemon);
+    case STEP_ADMIN:
+      return daemon_admin_init (daemon);
+    default:
+      return init_events (daemon);
+    }
+}
+
+static void
+undo_step (struct daemon *daemon, unsigned step)
+{
+  switch (step)
+    {
+    case STEP_TABLES:
+      finish_tables (daemon);
+      break;
+    case STEP_MEMBERS:
+      member_finish (&daemon->members);
+      break;
+    case STEP_PEERS:
+      peer_finish (&daemon->peers);
+      break;
+    case STEP_CONTROL:
+      keeper_finish (&daemon->keeper);
+      prober_finish (&daemon->prober);
+      platform_finish (&daemon->platform);
+      config_finish (&daemon->config);
+      break;
+    case STEP_GATEWAY:
+      gateway_finish (&daemon->gateway);
+      spread_finish (&daemon->spread);
+      break;
+    case STEP_ADMIN:
+      evhttp_free (daemon->admin);
+      break;
+    default:
+      event_free (daemon->tick);
+      event_free (daemon->on_term);
+      event_free (daemon->on_int);
+      event_free (daemon->on_hup);
+      break;
+    }
+}
+
+enum result
+daemon_init (struct daemon *daemon,
+             const struct settings *settings,
+             const char *settings_path)
+{
+  enum result result = RESULT_OK;
+
+  memset (daemon, 0, sizeof *daemon);
+  daemon->settings = *settings;
+  daemon->settings_path = settings_path;
+  daemon->now_ms = time_boot_ms ();
+  daemon->last_burn_ms = daemon->now_ms;
+  uuid_generate (daemon->boot_id);
+  daemon->base = event_base_new ();
+  if (daemon->base == NULL)
+    return RESULT_NO_MEMORY;
+  for (unsigned step = 0; step < STEP_COUNT; step++)
+    {
+      result = run_step (daemon, step);
+      if (result != RESULT_OK)
+        {
+          LOG_EVENT (LOG_LEVEL_ERROR, "start-failed", LOG_U64 ("step", step),
+                     LOG_INT ("code", result),
+                     LOG_STR ("reason", result_info (result)->text));
+          daemon_finish (daemon);
+          return result;
+        }
+      daemon->initialised = step + 1;
+    }
+  log_set_observer (on_log_line, daemon);
+  LOG_EVENT (LOG_LEVEL_NOTICE, "started",
+             LOG_STR ("entry_host", daemon->members.self.host),
+             LOG_STR ("data_centre", daemon->members.self.data_centre),
+             LOG_U64 ("callers_port", daemon->gateway.port),
+             LOG_U64 ("admin_port", daemon->admin_port),
+             LOG_U64 ("peers_port", daemon->members.self.port),
+             LOG_STR ("version", WAXWINGLINK_VERSION));
+  return RESULT_OK;
+}
+
+void
+daemon_run (struct daemon *daemon)
+{
+  event_base_dispatch (daemon->base);
+}
+
+void
+daemon_finish (struct daemon *daemon)
+{
+  log_set_observer (NULL, NULL);
+  while (daemon->initialised > 0)
+    undo_step (daemon, --daemon->initialised);
+  event_base_free (daemon->base);
+}
--- /dev/null
+++ b/packages/daemon/src/loss.c
@@ -0,0 +1,95 @@
+#include "daemon.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define LABELS_SIZE (SHEET_NAME_SIZE + 16)
+
+/*
+ * One entry host per data centre counts, so that a sum over the entry hosts
+ * counts each loss once.
+ */
+static bool
+is_counter (const struct daemon *daemon)
+{
+  const struct member_update *self = &daemon->members.self;
+
+  return member_rank (&daemon->members, self->data_centre, self->host, "losses")
+         == 0;
+}
+
+static unsigned
+count_serving (const struct daemon *daemon, const char *spec)
+{
+  unsigned serving = 0;
+
+  for (const struct fleet_group *group = daemon->fleet.groups; group != NULL;
+       group = group->hh.next)
+    if (strcmp (group->spec, spec) == 0
+        && fleet_group_serving (&daemon->fleet, group, daemon->now_ms)
+               == FLEET_SERVING)
+      serving++;
+  return serving;
+}
+
+static void
+count_downtime (struct daemon *daemon, int64_t elapsed_ms)
+{
+  const struct sheet *sheet = &daemon->config.sheet;
+  unsigned *parts = calloc (sheet->group_count + 1, sizeof *parts);
+
+  if (parts == NULL)
+    return;
+  if (placement_divide (sheet, &daemon->fleet, daemon->members.self.data_centre,
+                        parts)
+      == RESULT_OK)
+    for (size_t i = 0; i < sheet->group_count; i++)
+      {
+        unsigned serving = count_serving (daemon, sheet->groups[i].name);
+        unsigned missing = serving < parts[i] ? parts[i] - serving : 0;
+        char labels[LABELS_SIZE];
+
+        snprintf (labels, sizeof labels, "spec=\"%s\"", sheet->groups[i].name);
+        counter_add (&daemon->counters, "waxwing_group_downtime_ms_total",
+                     labels, (double)missing * (double)elapsed_ms);
+      }
+  free (parts);
+}
+
+static bool
+is_used (const struct daemon *daemon, const struct fleet_host *host)
+{
+  const struct fleet_group *group
+      = fleet_find_group (&daemon->fleet, host->attested.group);
+
+  return group != NULL
+         && fleet_group_serving (&daemon->fleet, group, daemon->now_ms)
+                == FLEET_SERVING;
+}
+
+static void
+count_stranded (struct daemon *daemon, int64_t elapsed_ms)
+{
+  double stranded = 0;
+
+  for (const struct fleet_host *host = daemon->fleet.hosts; host != NULL;
+       host = host->hh.next)
+    if (!host->is_service && fleet_host_present (host, daemon->now_ms)
+        && strcmp (host->data_centre, daemon->members.self.data_centre) == 0
+        && !is_used (daemon, host))
+      stranded += host->accelerators;
+  counter_add (&daemon->counters, "waxwing_stranded_accelerator_ms_total", NULL,
+               stranded * (double)elapsed_ms);
+  counter_put (&daemon->counters, "waxwing_stranded_accelerators", NULL,
+               stranded);
+}
+
+void
+daemon_count_losses (struct daemon *daemon, int64_t elapsed_ms)
+{
+  if (daemon->config.sheet.number == 0 || !is_counter (daemon))
+    return;
+  count_downtime (daemon, elapsed_ms);
+  count_stranded (daemon, elapsed_ms);
+}
--- /dev/null
+++ b/packages/daemon/src/stop.c
@@ -0,0 +1,64 @@
+#include "daemon.h"
+
+#include "log.h"
+
+/* The lease is given back within this time, or left to lapse. */
+#define RELEASE_LIMIT_MS 3000
+
+static void
+enter (struct daemon *daemon, enum daemon_phase phase, const char *event)
+{
+  daemon->phase = phase;
+  daemon->phase_ms = daemon->now_ms;
+  LOG_EVENT (LOG_LEVEL_NOTICE, event,
+             LOG_U64 ("requests", daemon->gateway.request_count));
+}
+
+void
+daemon_stop (struct daemon *daemon)
+{
+  /* A second signal does not cut anything off either. */
+  if (daemon->phase != DAEMON_RUNNING)
+    return;
+  gateway_settle (&daemon->gateway);
+  enter (daemon, DAEMON_SETTLING, "stop-settling");
+}
+
+static void
+leave (struct daemon *daemon)
+{
+  member_leave (&daemon->members);
+  peer_announce (&daemon->peers, daemon->now_ms);
+  LOG_EVENT (LOG_LEVEL_NOTICE, "stopped",
+             LOG_STR ("entry_host", daemon->members.self.host));
+  event_base_loopbreak (daemon->base);
+}
+
+void
+daemon_stop_tick (struct daemon *daemon)
+{
+  int64_t elapsed_ms = daemon->now_ms - daemon->phase_ms;
+
+  switch (daemon->phase)
+    {
+    case DAEMON_RUNNING:
+      break;
+    case DAEMON_SETTLING:
+      if (elapsed_ms < daemon->settings.drain_settle_ms)
+        break;
+      gateway_drain (&daemon->gateway);
+      enter (daemon, DAEMON_DRAINING, "stop-draining");
+      break;
+    case DAEMON_DRAINING:
+      if (!gateway_is_empty (&daemon->gateway)
+          && elapsed_ms < daemon->settings.drain_limit_ms)
+        break;
+      enter (daemon, DAEMON_LEAVING, "stop-leaving");
+      break;
+    case DAEMON_LEAVING:
+      if (keeper_release (&daemon->keeper, daemon->now_ms)
+          || elapsed_ms >= RELEASE_LIMIT_MS)
+        leave (daemon);
+      break;
+    }
+}
--- a/packages/peer/src/udp.c
+++ b/packages/peer/src/udp.c
@@ -60,7 +60,7 @@
   if (!peer_resolve (node->members->self.address, node->members->self.port,
                      &address, &size))
     return RESULT_INVALID;
-  node->socket = socket (address.ss_family,
+  node->socket = socket (((struct sockaddr *)&address)->sa_family,
                          SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (node->socket < 0
       || bind (node->socket, (struct sockaddr *)&address, size) != 0)
--- a/packages/route/include/admission.h
+++ b/packages/route/include/admission.h
@@ -128,4 +128,8 @@
 unsigned admission_demand (const struct admission *admission,
                            const char *target);
 
+/* Running plus queued entries of a customer, over all targets. */
+unsigned admission_customer_demand (const struct admission *admission,
+                                    const char *customer_name);
+
 #endif
--- a/packages/route/src/admission.c
+++ b/packages/route/src/admission.c
@@ -744,3 +744,26 @@
     return 0;
   return target->running + (unsigned)target->queued;
 }
+
+unsigned
+admission_customer_demand (const struct admission *admission,
+                           const char *customer_name)
+{
+  const struct admission_customer *customer;
+  unsigned demand;
+
+  HASH_FIND_STR (admission->customers, customer_name, customer);
+  if (customer == NULL)
+    return 0;
+  demand = customer->running;
+  for (const struct admission_target *target = admission->targets;
+       target != NULL; target = target->hh.next)
+    {
+      const struct flow *flow;
+
+      HASH_FIND (hh, target->flows, &customer, sizeof customer, flow);
+      if (flow != NULL)
+        demand += (unsigned)flow->queued;
+    }
+  return demand;
+}
--- a/packages/settings/src/table.c
+++ b/packages/settings/src/table.c
@@ -20,7 +20,7 @@
   { "admin.address", SETTINGS_ADDRESS, "", NULL, 0, 0, "IP number for operators: status, metrics, explain.", AT (admin_address) },
   { "admin.port", SETTINGS_INTEGER, "", NULL, 0, 65535, "Port for operators; 0 picks one and logs it.", AT (admin_port) },
   { "peers.address", SETTINGS_ADDRESS, "", NULL, 0, 0, "IP number for the other entry hosts, UDP and TCP.", AT (peers_address) },
-  { "peers.port", SETTINGS_INTEGER, "", NULL, 1, 65535, "Port for the other entry hosts, UDP and TCP.", AT (peers_port) },
+  { "peers.port", SETTINGS_INTEGER, "", NULL, 0, 65535, "Port for the other entry hosts, UDP and TCP; 0 picks one and logs it.", AT (peers_port) },
   { "peers.seeds", SETTINGS_LIST, "", "", 0, 0, "ADDRESS:PORT of entry hosts to join through.", AT (peers_seeds) },
   { "peers.keys", SETTINGS_LIST, "", NULL, 0, 0, "ID:HEX keys of 16 bytes or more; the first signs, all verify.", AT (peers_keys) },
   { "platform.address", SETTINGS_ADDRESS, "", NULL, 0, 0, "IP number of the platform's object service.", AT (platform_address) },
--- /dev/null
+++ b/scripts/fleet.sh
@@ -0,0 +1,163 @@
+# Library for scripts and system tests: starts stand-ins and entry hosts on
+# loopback with ephemeral ports, and stops them by process id.
+#
+# Needs $build (a build directory) and $work (a scratch directory).
+
+fleet_pids=()
+fleet_key=1:00112233445566778899aabbccddeeff
+
+# Waits until a command succeeds: wait_for SECONDS COMMAND...
+wait_for () {
+  local end=$((SECONDS + $1))
+  shift
+  until "$@"; do
+    [ "$SECONDS" -lt "$end" ] || { echo "timed out: $*" >&2; return 1; }
+    sleep 0.05
+  done
+}
+
+# Starts a program in the background: fleet_spawn NAME COMMAND...
+# Its output goes to $work/NAME.out and $work/NAME.log.
+fleet_spawn () {
+  local name=$1
+  shift
+  "$@" > "$work/$name.out" 2> "$work/$name.log" &
+  fleet_pids+=($!)
+  echo $! > "$work/$name.pid"
+}
+
+# Ends every process that was started, gently first.
+fleet_stop () {
+  local pid
+  for pid in "${fleet_pids[@]}"; do
+    kill -CONT "$pid" 2>/dev/null || true
+    kill -TERM "$pid" 2>/dev/null || true
+  done
+  for pid in "${fleet_pids[@]}"; do
+    for _ in $(seq 100); do
+      kill -0 "$pid" 2>/dev/null || break
+      sleep 0.1
+    done
+    kill -KILL "$pid" 2>/dev/null || true
+    wait "$pid" 2>/dev/null || true
+  done
+  fleet_pids=()
+}
+
+fleet_platform () {
+  fleet_spawn platform "$build/tests/standin/standin-platform" "$@"
+  wait_for 20 grep -q 'listening port=' "$work/platform.out"
+  platform_port=$(sed -n 's/.*listening port=//p' "$work/platform.out")
+  platform=127.0.0.1:$platform_port
+}
+
+# fleet_engines NAME DATA_CENTRE DOMAIN HOSTS [option...]: one process that
+# plays engines; appends them to the host list.
+fleet_engines () {
+  local name=$1 data_centre=$2 domain=$3 hosts=$4 count
+  shift 4
+  count=$(tr ',' '\n' <<< "$hosts" | wc -l)
+  fleet_spawn "$name" "$build/tests/standin/standin-engine" \
+    --hosts="$hosts" "$@"
+  wait_for 20 fleet_has_lines "$work/$name.out" $((count + 1))
+  fleet_list_hosts "$name" "$data_centre" "$domain" "$*"
+}
+
+fleet_has_lines () {
+  [ "$(grep -c listening "$1")" -ge "$2" ]
+}
+
+fleet_list_hosts () {
+  local name=$1 data_centre=$2 domain=$3 options=$4 host port kind=engine
+  local service='' fencing=true
+  case $options in *--ignore-fence*) fencing=false ;; esac
+  case $options in
+    *--service=*)
+      kind=service
+      service=$(sed 's/.*--service=\([^ ]*\).*/\1/' <<< "$options")
+      ;;
+  esac
+  while read -r _ host port; do
+    host=${host#host=} port=${port#port=}
+    if [ "$host" = control ]; then
+      echo "$port" > "$work/$name.control"
+      continue
+    fi
+    echo "$port" > "$work/$host.port"
+    printf '{"id":"%s","data_centre":"%s","domain":"%s",' \
+      "$host" "$data_centre" "$domain"
+    printf '"address":"127.0.0.1","port":%s,"kind":"%s",' "$port" "$kind"
+    printf '"service":"%s","accelerators":8,"state":"live",' "$service"
+    printf '"fencing":%s}\n' "$fencing"
+  done < <(grep '^listening' "$work/$name.out") >> "$work/hosts.jsonl"
+}
+
+# Gives the host list to the platform.
+fleet_publish_hosts () {
+  curl -sf -X PUT "http://$platform/control/hosts" -o /dev/null \
+    -H 'Content-Type: application/json' \
+    --data "{\"hosts\":[$(paste -sd, "$work/hosts.jsonl")]}"
+}
+
+# fleet_daemon HOST DATA_CENTRE: starts one entry host.
+fleet_daemon () {
+  local host=$1 data_centre=$2
+  cat > "$work/$host.yaml" << YAML
+host: $host
+data_centre: $data_centre
+callers:
+  address: 127.0.0.1
+  port: 0
+admin:
+  address: 127.0.0.1
+  port: 0
+peers:
+  address: 127.0.0.1
+  port: 0
+  seeds: [${fleet_seed:-}]
+  keys: ["$fleet_key"]
+platform:
+  address: 127.0.0.1
+  port: $platform_port
+groups:
+  load_ms: 500
+  reload_ms: 200
+drain:
+  settle_ms: 500
+test:
+  faults: true
+${fleet_settings:-}
+YAML
+  fleet_spawn "$host" "$build/packages/daemon/waxwinglinkd" \
+    --settings "$work/$host.yaml"
+  wait_for 20 grep -q 'event=started' "$work/$host.log"
+  fleet_port "$host" callers_port > "$work/$host.callers"
+  fleet_port "$host" admin_port > "$work/$host.admin"
+  : "${fleet_seed:=127.0.0.1:$(fleet_port "$host" peers_port)}"
+  entries+=(--entry "127.0.0.1:$(cat "$work/$host.admin")")
+}
+
+fleet_port () {
+  sed -n "s/.*event=started .*$2=\([0-9]*\).*/\1/p" "$work/$1.log" | head -1
+}
+
+# The address for callers of an entry host.
+callers () {
+  echo "http://127.0.0.1:$(cat "$work/$1.callers")"
+}
+
+admin () {
+  echo "http://127.0.0.1:$(cat "$work/$1.admin")"
+}
+
+# True if an entry host reports N serving groups of its data centre.
+fleet_serving () {
+  [ "$(curl -sf "$(admin "$1")/status" | grep -o '"serving":"serving"' \
+    | wc -l)" -ge "$2" ]
+}
+
+# The operators' command, pointed at this fleet.
+operator () {
+  "$build/packages/cli/waxwinglink" --platform "$platform" "${entries[@]}" \
+    --operator test "$@"
+}
