--- a/packages/daemon/include/burn.h
+++ b/packages/daemon/include/burn.h
@@ -12,8 +12,8 @@
  * a replaced entry host starts with none, which the report states.
  */
 
-#define BURN_BUCKET_MS 60000
-#define BURN_BUCKETS (3 * 24 * 60) /* three days */
+#define BURN_BUCKET_MS 60000U
+#define BURN_BUCKETS 4320 /* three days */
 
 struct burn_series; /* private */
 
--- a/packages/daemon/src/admin.c
+++ b/packages/daemon/src/admin.c
@@ -1,8 +1,8 @@
 #include "daemon.h"
 
 #include "log.h"
+#include "netutil.h"
 
-#include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/keyvalq_struct.h>
 #include <stdio.h>
@@ -147,20 +147,6 @@
   send_json (request, HTTP_OK, json_pack ("{s:b}", "done", 1));
 }
 
-static uint16_t
-bound_port (struct evhttp_bound_socket *bound)
-{
-  struct sockaddr_storage address = { 0 };
-  socklen_t size = sizeof address;
-
-  if (getsockname (evhttp_bound_socket_get_fd (bound),
-                   (struct sockaddr *)&address, &size)
-      != 0)
-    return 0;
-  /* The port stands at the same place for both families. */
-  return ntohs (((struct sockaddr_in *)&address)->sin_port);
-}
-
 enum result
 daemon_admin_init (struct daemon *daemon)
 {
@@ -189,6 +175,6 @@
       evhttp_free (daemon->admin);
       return RESULT_PEER_UNREACHABLE;
     }
-  daemon->admin_port = bound_port (bound);
+  daemon->admin_port = net_bound_port (evhttp_bound_socket_get_fd (bound));
   return RESULT_OK;
 }
--- a/packages/daemon/src/burn.c
+++ b/packages/daemon/src/burn.c
@@ -112,7 +112,7 @@
            const struct counter_set *counters,
            int64_t now_ms)
 {
-  uint64_t bucket = (uint64_t)((now_ms - burn->started_ms) / BURN_BUCKET_MS);
+  uint64_t bucket = (uint64_t)(now_ms - burn->started_ms) / BURN_BUCKET_MS;
 
   if (bucket > burn->bucket)
     advance (burn, bucket);
--- a/packages/peer/src/udp.c
+++ b/packages/peer/src/udp.c
@@ -1,8 +1,8 @@
 #include "peer-internal.h"
 
+#include "netutil.h"
 #include "timeutil.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
 #include <string.h>
 #include <unistd.h>
@@ -36,21 +36,6 @@
     }
 }
 
-static void
-read_back_port (struct peer_node *node)
-{
-  struct sockaddr_storage bound = { 0 };
-  socklen_t size = sizeof bound;
-
-  if (getsockname (node->socket, (struct sockaddr *)&bound, &size) != 0)
-    return;
-  if (bound.ss_family == AF_INET)
-    node->members->self.port = ntohs (((struct sockaddr_in *)&bound)->sin_port);
-  else
-    node->members->self.port
-        = ntohs (((struct sockaddr_in6 *)&bound)->sin6_port);
-}
-
 enum result
 peer_udp_open (struct peer_node *node)
 {
@@ -65,7 +50,7 @@
   if (node->socket < 0
       || bind (node->socket, (struct sockaddr *)&address, size) != 0)
     return RESULT_PEER_UNREACHABLE;
-  read_back_port (node);
+  node->members->self.port = net_bound_port (node->socket);
   node->readable = event_new (node->base, node->socket, EV_READ | EV_PERSIST,
                               on_readable, node);
   if (node->readable == NULL || event_add (node->readable, NULL) != 0)
--- a/packages/route/src/admission.c
+++ b/packages/route/src/admission.c
@@ -761,7 +761,7 @@
     {
       const struct flow *flow;
 
-      HASH_FIND (hh, target->flows, &customer, sizeof customer, flow);
+      HASH_FIND_PTR (target->flows, &customer, flow);
       if (flow != NULL)
         demand += (unsigned)flow->queued;
     }
