sheet: report errors in the order of rows

Cause: checks over several rows run after the rows were read, so that the report jumped back to earlier rows. Change: a stable sort by row; errors of the whole sheet come last.

--- a/packages/sheet/include/sheet-read.h
+++ b/packages/sheet/include/sheet-read.h
@@ -27,10 +27,10 @@
 
 struct sheet_report
 {
-  struct sheet_error *errors;
-  size_t error_count; /* kept: at most SHEET_ERROR_LIMIT */
-  size_t error_total; /* found */
-  size_t rows;        /* without header and end row */
+  struct sheet_error *errors; /* by row, those of the whole sheet last */
+  size_t error_count;         /* kept: at most SHEET_ERROR_LIMIT */
+  size_t error_total;         /* found */
+  size_t rows;                /* without header and end row */
   bool places_checked;
   bool no_memory;
 };
--- a/packages/sheet/src/sheet-read.c
+++ b/packages/sheet/src/sheet-read.c
@@ -477,6 +477,7 @@
       check_object_size (&reader);
     }
   reader_finish (&reader);
+  sheet_report_sort (report);
   if (report->no_memory)
     return RESULT_NO_MEMORY;
   return report->error_total > 0 ? report->errors[0].code : RESULT_OK;
--- a/packages/sheet/src/sheet-reader.h
+++ b/packages/sheet/src/sheet-reader.h
@@ -16,6 +16,9 @@
                        const char *detail,
                        ...) __attribute__ ((format (printf, 7, 8)));
 
+/* Orders errors by row, those of one row as they were found. */
+void sheet_report_sort (struct sheet_report *report);
+
 /*
  * Length of the valid UTF-8 sequence (RFC 3629) at the start of text, 0 if
  * there is none.
--- a/packages/sheet/src/sheet-report.c
+++ b/packages/sheet/src/sheet-report.c
@@ -126,3 +126,27 @@
   vsnprintf (error->detail, sizeof error->detail, detail, arguments);
   va_end (arguments);
 }
+
+/* The whole sheet (row 0) comes after all rows. */
+static bool
+stands_before (const struct sheet_error *a, const struct sheet_error *b)
+{
+  return a->row != 0 && (b->row == 0 || a->row < b->row);
+}
+
+void
+sheet_report_sort (struct sheet_report *report)
+{
+  /* Stable, and quick since the checks add errors mostly in row order. */
+  for (size_t i = 1; i < report->error_count; i++)
+    {
+      struct sheet_error error = report->errors[i];
+      size_t j = i;
+
+      while (j > 0 && stands_before (&error, &report->errors[j - 1]))
+        j--;
+      memmove (&report->errors[j + 1], &report->errors[j],
+               (i - j) * sizeof error);
+      report->errors[j] = error;
+    }
+}
--- a/packages/sheet/tests/t0100-sheet-parse.c
+++ b/packages/sheet/tests/t0100-sheet-parse.c
@@ -172,6 +172,12 @@
     HEADER MODEL "group,g,m,,,2,2,casa-1,,a1;a2;a3,,,,,,\n" END ("2"),
     .errors = { { RESULT_SHEET_TOO_MANY_HOSTS, 3, "hosts" } } },
 
+  { "errors of both passes come in the order of rows",
+    HEADER "group,g,n,,,1,1,casa-1,,,,,,,,\nmodel,m,,,,,,,,,,,,,,\n" END ("9"),
+    .errors = { { RESULT_SHEET_UNKNOWN_MODEL, 2, "model", "n" },
+                { RESULT_SHEET_BAD_VALUE, 3, "version", "" },
+                { RESULT_SHEET_TRUNCATED, 4, "count", "9" } } },
+
   /* Against the host list. */
   { "fits the host list", GOOD, .with_inventory = true },
   { "unknown data centre, domain and host",
