cli: add waxwinglink with the sheet subcommands

Cause: operators need to check, compare and apply the morning sheet, with a definite outcome when the platform's answer is lost or another operator wins. Change: option parsing, synchronous calls over evhttp, conditional update with read-back by token, where a sheet is in force from /status, and sheet check, diff, apply, status and history. Result: unit tests pass under ASan and UBSan, lint clean. By hand against a throwaway stub: a lost answer after the write ends as accepted (with the token check removed it ends as a conflict), dropped requests are repeated, another operator's write gives exit 4 with that change, endless loss gives exit 3 with the token.

--- /dev/null
+++ b/packages/cli/src/cli.c
@@ -0,0 +1,371 @@
+#include "cli.h"
+
+#include <argtable2.h>
+#include <event2/util.h>
+#include <jansson.h>
+#include <netinet/in.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define PROGRAM "waxwinglink"
+#define WORD_LIMIT 4
+#define TIMEOUT_MS 5000
+/* Over three times the target of 3 s for a change to be in force. */
+#define WAIT_MS 10000
+#define INTERVAL_MS 1000
+#define OBJECTIVE 99.5
+
+enum need
+{
+  NEED_PLATFORM = 1,
+  NEED_ENTRY = 2,
+};
+
+struct command
+{
+  const char *words[2];
+  int argument_min;
+  int argument_max;
+  unsigned needs;
+  enum cli_exit (*run) (struct cli *cli);
+  const char *usage;
+  const char *summary;
+};
+
+static const struct command commands[] = {
+  { { "sheet", "check" },
+    1,
+    1,
+    0,
+    cmd_sheet_check,
+    "sheet check FILE [--force]",
+    "validate a sheet; --platform adds the checks against the fleet" },
+  { { "sheet", "diff" },
+    1,
+    2,
+    0,
+    cmd_sheet_diff,
+    "sheet diff FILE [FILE2]",
+    "compare the accepted sheet with FILE, or FILE with FILE2" },
+  { { "sheet", "apply" },
+    1,
+    1,
+    NEED_PLATFORM,
+    cmd_sheet_apply,
+    "sheet apply FILE [--force]",
+    "validate, accept and wait until it is in force" },
+  { { "sheet", "status" },
+    0,
+    0,
+    NEED_PLATFORM,
+    cmd_sheet_status,
+    "sheet status",
+    "accepted sheet, and where it is in force" },
+  { { "sheet", "history" },
+    0,
+    0,
+    NEED_PLATFORM,
+    cmd_sheet_history,
+    "sheet history",
+    "the last accepted changes" },
+};
+
+#define COMMAND_COUNT (sizeof commands / sizeof commands[0])
+
+bool
+cli_parse_address (const char *text, struct cli_address *out)
+{
+  struct sockaddr_storage storage;
+  struct sockaddr *address = (struct sockaddr *)&storage;
+  int size = sizeof storage;
+  const void *raw;
+
+  memset (out, 0, sizeof *out);
+  if (strlen (text) >= sizeof out->text
+      || evutil_parse_sockaddr_port (text, address, &size) != 0)
+    return false;
+  if (address->sa_family == AF_INET)
+    {
+      const struct sockaddr_in *in = (const void *)address;
+
+      raw = &in->sin_addr;
+      out->port = ntohs (in->sin_port);
+    }
+  else
+    {
+      const struct sockaddr_in6 *in = (const void *)address;
+
+      raw = &in->sin6_addr;
+      out->port = ntohs (in->sin6_port);
+    }
+  memcpy (out->text, text, strlen (text) + 1);
+  return out->port != 0
+         && evutil_inet_ntop (address->sa_family, raw, out->host,
+                              sizeof out->host)
+                != NULL;
+}
+
+enum cli_exit
+cli_exit_for (enum result result)
+{
+  switch (result)
+    {
+    case RESULT_OK:
+      return CLI_GOOD;
+    case RESULT_PLATFORM_UNREACHABLE:
+    case RESULT_PLATFORM_LOST_ANSWER:
+    case RESULT_PLATFORM_OVERLOADED:
+    case RESULT_PLATFORM_OUTAGE:
+    case RESULT_PLATFORM_BAD_ANSWER:
+      return CLI_UNREACHABLE;
+    case RESULT_PLATFORM_CONFLICT:
+    case RESULT_SHEET_CONFLICT:
+      return CLI_CONFLICT;
+    default:
+      return CLI_REFUSED;
+    }
+}
+
+void
+cli_print_result (enum result result, const char *detail)
+{
+  const struct result_info *info = result_info (result);
+
+  fprintf (stderr, PROGRAM ": %d %s: %s%s%s%s\n", info->number, info->name,
+           info->text, detail != NULL ? " (" : "", detail != NULL ? detail : "",
+           detail != NULL ? ")" : "");
+}
+
+static const struct command *
+find_command (const char *const *words, int count, int *used)
+{
+  for (size_t i = 0; i < COMMAND_COUNT; i++)
+    {
+      int length = commands[i].words[1] != NULL ? 2 : 1;
+      bool same = count >= length;
+
+      for (int j = 0; j < length && same; j++)
+        same = strcmp (words[j], commands[i].words[j]) == 0;
+      if (same)
+        {
+          *used = length;
+          return &commands[i];
+        }
+    }
+  return NULL;
+}
+
+static void
+print_help (void **options)
+{
+  printf ("Usage: " PROGRAM " [OPTION...] COMMAND\n\nCommands:\n");
+  for (size_t i = 0; i < COMMAND_COUNT; i++)
+    printf ("  %s\n      %s\n", commands[i].usage, commands[i].summary);
+  printf ("\nOptions:\n");
+  arg_print_glossary (stdout, options, "  %-27s %s\n");
+  printf ("\nExit status: 0 good, 1 refused or not in force, 2 usage,"
+          " 3 unreachable, 4 conflict.\n");
+}
+
+static int
+usage_error (const char *message, const char *value)
+{
+  fprintf (stderr, PROGRAM ": %s%s%s; try " PROGRAM " --help\n", message,
+           value != NULL ? ": " : "", value != NULL ? value : "");
+  return CLI_USAGE;
+}
+
+static int
+run_command (struct cli *cli, const char *const *words, int count)
+{
+  const struct command *command;
+  int used = 0;
+  int status;
+
+  command = find_command (words, count, &used);
+  if (command == NULL)
+    return usage_error ("unknown command", count > 0 ? words[0] : NULL);
+  if (count - used < command->argument_min
+      || count - used > command->argument_max)
+    return usage_error ("usage", command->usage);
+  for (int i = used; i < count; i++)
+    cli->arguments[i - used] = words[i];
+  if ((command->needs & NEED_PLATFORM) != 0 && !cli->has_platform)
+    return usage_error ("--platform is required for", command->usage);
+  if ((command->needs & NEED_ENTRY) != 0 && cli->entry_count == 0)
+    return usage_error ("--entry is required for", command->usage);
+  cli->base = event_base_new ();
+  if (cli->base == NULL)
+    {
+      cli_print_result (RESULT_NO_MEMORY, NULL);
+      return CLI_REFUSED;
+    }
+  status = command->run (cli);
+  event_base_free (cli->base);
+  if (fflush (stdout) != 0 && status == CLI_GOOD)
+    {
+      perror (PROGRAM ": standard output");
+      status = CLI_REFUSED;
+    }
+  return status;
+}
+
+static bool
+copy_text (char *out, size_t size, const char *text)
+{
+  if (strlen (text) >= size)
+    return false;
+  memcpy (out, text, strlen (text) + 1);
+  return true;
+}
+
+/* The operator's name goes into JSON, which holds only UTF-8. */
+static bool
+is_utf8 (const char *text)
+{
+  json_t *json = json_string (text);
+  bool good = json != NULL;
+
+  json_decref (json);
+  return good;
+}
+
+static void
+set_number (int *out, const struct arg_int *option)
+{
+  if (option->count > 0)
+    *out = option->ival[0];
+}
+
+int
+cli_run (int argc, char **argv)
+{
+  static struct cli cli;
+  const char *user = getenv ("USER");
+  struct arg_str *platform = arg_str0 (NULL, "platform", "ADDRESS:PORT",
+                                       "object service of the platform");
+  struct arg_str *entry
+      = arg_strn (NULL, "entry", "ADDRESS:PORT", 0, CLI_ENTRY_LIMIT,
+                  "admin address of an entry host; repeatable, name one or "
+                  "more per data centre");
+  struct arg_lit *json = arg_lit0 (NULL, "json", "write JSON");
+  struct arg_str *operator_name
+      = arg_str0 (NULL, "operator", "NAME", "who changes; default $USER");
+  struct arg_int *timeout
+      = arg_int0 (NULL, "timeout-ms", "N", "for one answer; default 5000");
+  struct arg_int *wait = arg_int0 (NULL, "wait-ms", "N",
+                                   "until a change is in force; default 10000");
+  struct arg_lit *force = arg_lit0 (
+      NULL, "force", "accept a sheet that lost over half of its rows");
+  struct arg_dbl *objective = arg_dbl0 (NULL, "objective", "PERCENT",
+                                        "of good requests; default 99.5");
+  struct arg_str *gnuplot
+      = arg_str0 (NULL, "gnuplot", "FILE", "write a gnuplot script to FILE");
+  struct arg_int *interval = arg_int0 (NULL, "interval-ms", "N",
+                                       "between rounds of watch; default 1000");
+  struct arg_int *rounds
+      = arg_int0 (NULL, "rounds", "N", "of watch; default until interrupted");
+  struct arg_lit *help = arg_lit0 (NULL, "help", "print this help");
+  struct arg_lit *version = arg_lit0 (NULL, "version", "print the version");
+  struct arg_str *words = arg_strn (NULL, NULL, "COMMAND", 0, WORD_LIMIT, NULL);
+  struct arg_end *end = arg_end (8);
+  void *options[] = { platform, entry, json,      operator_name, timeout,
+                      wait,     force, objective, gnuplot,       interval,
+                      rounds,   help,  version,   words,         end };
+  int status;
+
+  signal (SIGPIPE, SIG_IGN);
+  memset (&cli, 0, sizeof cli);
+  cli.timeout_ms = TIMEOUT_MS;
+  cli.wait_ms = WAIT_MS;
+  cli.interval_ms = INTERVAL_MS;
+  cli.objective = OBJECTIVE;
+  if (arg_nullcheck (options) != 0)
+    {
+      cli_print_result (RESULT_NO_MEMORY, NULL);
+      status = CLI_REFUSED;
+      goto finish;
+    }
+  if (arg_parse (argc, argv, options) > 0 && help->count == 0
+      && version->count == 0)
+    {
+      arg_print_errors (stderr, end, PROGRAM);
+      status = usage_error ("the command line is wrong", NULL);
+      goto finish;
+    }
+  if (version->count > 0)
+    {
+      printf (PROGRAM " " WAXWINGLINK_VERSION "\n");
+      status = CLI_GOOD;
+      goto finish;
+    }
+  if (help->count > 0)
+    {
+      print_help (options);
+      status = CLI_GOOD;
+      goto finish;
+    }
+  cli.json = json->count > 0;
+  cli.force = force->count > 0;
+  set_number (&cli.timeout_ms, timeout);
+  set_number (&cli.wait_ms, wait);
+  set_number (&cli.interval_ms, interval);
+  set_number (&cli.rounds, rounds);
+  if (objective->count > 0)
+    cli.objective = objective->dval[0];
+  if (cli.timeout_ms <= 0 || cli.wait_ms < 0 || cli.interval_ms <= 0
+      || cli.rounds < 0)
+    {
+      status = usage_error ("a number is out of its range", NULL);
+      goto finish;
+    }
+  /* Written so that a NaN is refused too. */
+  if (!(cli.objective > 0 && cli.objective < 100))
+    {
+      status = usage_error ("--objective must lie between 0 and 100", NULL);
+      goto finish;
+    }
+  if (platform->count > 0)
+    {
+      if (!cli_parse_address (platform->sval[0], &cli.platform))
+        {
+          status
+              = usage_error ("not an IP address and port", platform->sval[0]);
+          goto finish;
+        }
+      cli.has_platform = true;
+    }
+  for (int i = 0; i < entry->count; i++)
+    {
+      if (!cli_parse_address (entry->sval[i], &cli.entries[i]))
+        {
+          status = usage_error ("not an IP address and port", entry->sval[i]);
+          goto finish;
+        }
+      cli.entry_count++;
+    }
+  if (user == NULL || *user == '\0')
+    user = "unknown";
+  if (operator_name->count > 0)
+    user = operator_name->sval[0];
+  if (*user == '\0' || !is_utf8 (user)
+      || !copy_text (cli.operator_name, sizeof cli.operator_name, user))
+    {
+      status
+          = usage_error ("--operator must have 1 to 63 bytes of UTF-8", NULL);
+      goto finish;
+    }
+  if (gnuplot->count > 0
+      && !copy_text (cli.gnuplot, sizeof cli.gnuplot, gnuplot->sval[0]))
+    {
+      status = usage_error ("--gnuplot is too long", NULL);
+      goto finish;
+    }
+  status = run_command (&cli, words->sval, words->count);
+
+finish:
+  arg_freetable (options, sizeof options / sizeof options[0]);
+  return status;
+}
--- /dev/null
+++ b/packages/cli/src/sheet-file.h
@@ -0,0 +1,38 @@
+#ifndef CLI_SHEET_FILE_H
+#define CLI_SHEET_FILE_H
+
+#include "cli.h"
+#include "object.h"
+#include "sheet-diff.h"
+#include "sheet-read.h"
+
+/* Steps that the sheet subcommands share. */
+
+/* Reads and validates a file; the report tells the errors. */
+enum result sheet_file_read (const char *path,
+                             const struct sheet_read_options *options,
+                             struct sheet *sheet,
+                             struct sheet_report *report);
+
+/*
+ * Reads sheet/current.  The sheet has number 0 if there is none.  object is
+ * replaced, for a later conditional write.
+ */
+enum result sheet_accepted_read (struct cli *cli,
+                                 struct object *object,
+                                 struct sheet *sheet);
+
+/* Reads the host list into an inventory that was just initialised. */
+enum result sheet_inventory_read (struct cli *cli,
+                                  struct sheet_inventory *inventory);
+
+void sheet_report_print (const char *path, const struct sheet_report *report);
+json_t *sheet_report_to_json (const struct sheet_report *report);
+
+void sheet_diff_print (const struct sheet_diff *diff);
+json_t *sheet_diff_to_json (const struct sheet_diff *diff);
+
+/* Prints JSON and a line end to standard output, and drops the reference. */
+void json_print (json_t *json);
+
+#endif
--- /dev/null
+++ b/packages/cli/src/table.h
@@ -0,0 +1,33 @@
+#ifndef CLI_TABLE_H
+#define CLI_TABLE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+
+/* Tables for people: cells are added row by row, then printed aligned. */
+struct table
+{
+  size_t columns;
+  char **cells;
+  size_t count;
+  bool failed; /* out of memory: some cells are missing */
+};
+
+/* headings are separated by '|'; their number is that of the columns. */
+void table_init (struct table *table, const char *headings);
+void table_finish (struct table *table);
+
+/* Control characters are replaced, since values come from other processes. */
+void table_add (struct table *table, const char *format, ...)
+    __attribute__ ((format (printf, 2, 3)));
+
+/* Prints nothing if there are no rows. */
+void table_print (const struct table *table, FILE *out);
+
+/* "2026-01-31T23:59:59Z", or "-" for zero or less. */
+#define TABLE_TIME_SIZE 24
+void table_format_time (char out[TABLE_TIME_SIZE], int64_t wall_ms);
+
+#endif
