--- /dev/null
+++ b/packages/cli/src/cmd-release.c
@@ -0,0 +1,30 @@
+#include "control-change.h"
+
+#include <ctype.h>
+#include <stdio.h>
+#include <string.h>
+
+#define FINGERPRINT_DIGITS 32 /* XXH3-128 */
+
+enum cli_exit
+cmd_release (struct cli *cli)
+{
+  const char *given = cli->arguments[0];
+  char fingerprint[FINGERPRINT_DIGITS + 1] = "";
+  bool good = strlen (given) == FINGERPRINT_DIGITS;
+
+  for (size_t i = 0; i < FINGERPRINT_DIGITS && good; i++)
+    {
+      good = isxdigit ((unsigned char)given[i]) != 0;
+      fingerprint[i] = (char)tolower ((unsigned char)given[i]);
+    }
+  if (!good)
+    {
+      fprintf (stderr,
+               "waxwinglink: a fingerprint has %d hexadecimal"
+               " digits\n",
+               FINGERPRINT_DIGITS);
+      return CLI_USAGE;
+    }
+  return control_change (cli, CONTROL_RELEASE, fingerprint);
+}
--- /dev/null
+++ b/packages/cli/src/cmd-undrain.c
@@ -0,0 +1,7 @@
+#include "control-change.h"
+
+enum cli_exit
+cmd_undrain (struct cli *cli)
+{
+  return control_change (cli, CONTROL_UNDRAIN, cli->arguments[0]);
+}
--- /dev/null
+++ b/packages/cli/src/control-change.c
@@ -0,0 +1,140 @@
+#include "control-change.h"
+
+#include "force-wait.h"
+#include "object.h"
+#include "sheet-file.h"
+#include "timeutil.h"
+#include "uuid.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#define KEY "control/current"
+#define ATTEMPTS 8
+
+/* RESULT_OK with *changed false if there is nothing to change. */
+static enum result
+write_change (struct cli *cli,
+              enum control_action action,
+              const char *subject,
+              struct object *object,
+              char token[UUID_SIZE],
+              bool *changed)
+{
+  enum result result = object_read (cli, KEY, object);
+
+  *changed = false;
+  for (int i = 0; i < ATTEMPTS && result == RESULT_OK; i++)
+    {
+      json_t *next = NULL;
+
+      uuid_generate (token);
+      result = control_next (object->value, action, subject, cli->operator_name,
+                             token, time_wall_ms (), &next);
+      if (result == RESULT_INVALID)
+        result = RESULT_PLATFORM_BAD_ANSWER;
+      if (result != RESULT_OK || next == NULL)
+        return result;
+      result = object_update (cli, KEY, object, next, control_has_token, token);
+      json_decref (next);
+      if (result == RESULT_OK)
+        {
+          *changed = true;
+          return RESULT_OK;
+        }
+      /* object is now what the other operator left. */
+      if (result == RESULT_PLATFORM_CONFLICT && i + 1 < ATTEMPTS)
+        result = RESULT_OK;
+    }
+  return result;
+}
+
+static enum cli_exit
+report (struct cli *cli,
+        enum control_action action,
+        const char *subject,
+        const struct object *object,
+        const char *token,
+        bool changed)
+{
+  const char *name = control_action_name (action);
+  uint64_t number = (uint64_t)json_integer_value (
+      json_object_get (object->value, "number"));
+  struct in_force in_force;
+  enum cli_exit status = CLI_GOOD;
+  int64_t waited_ms = 0;
+
+  in_force_init (&in_force);
+  if (!cli->json)
+    printf (changed ? "%s %s: accepted as control object %" PRIu64 ".\n"
+                    : "%s %s: nothing to change in control object %" PRIu64
+                      ".\n",
+            name, subject, number);
+  if (cli->entry_count > 0 && number > 0)
+    {
+      enum result result
+          = force_wait (cli, IN_FORCE_CONTROL, number, &in_force, &waited_ms);
+
+      status = result == RESULT_OK ? force_exit (&in_force) : CLI_REFUSED;
+      if (!cli->json)
+        force_print (&in_force, IN_FORCE_CONTROL, number);
+      if (in_force.count == 0)
+        {
+          fprintf (stderr, "waxwinglink: no entry host answers, so whether it"
+                           " is in force is unknown\n");
+          status = CLI_REFUSED;
+        }
+    }
+  if (cli->json)
+    json_print (json_pack (
+        "{s:s, s:s, s:s, s:I, s:s, s:o}", "outcome",
+        changed ? "accepted" : "unchanged", "action", name, "subject", subject,
+        "number", (json_int_t)number, "token", changed ? token : "", "in_force",
+        cli->entry_count > 0 ? force_to_json (&in_force) : json_null ()));
+  in_force_finish (&in_force);
+  return status;
+}
+
+/* Daemons keep names of at most 63 bytes, and JSON holds only UTF-8. */
+static bool
+is_name (const char *text)
+{
+  json_t *json = json_string (text);
+  bool good = json != NULL && *text != '\0' && strlen (text) < 64;
+
+  json_decref (json);
+  return good;
+}
+
+enum cli_exit
+control_change (struct cli *cli,
+                enum control_action action,
+                const char *subject)
+{
+  struct object object;
+  char token[UUID_SIZE] = "";
+  bool changed;
+  enum cli_exit status;
+  enum result result;
+
+  if (!is_name (subject))
+    {
+      fprintf (stderr, "waxwinglink: a name has 1 to 63 bytes of UTF-8\n");
+      return CLI_USAGE;
+    }
+  object_init (&object);
+  result = write_change (cli, action, subject, &object, token, &changed);
+  if (result == RESULT_OK)
+    status = report (cli, action, subject, &object, token, changed);
+  else
+    {
+      cli_print_result (result, result == RESULT_PLATFORM_LOST_ANSWER
+                                    ? "whether it took effect is unknown;"
+                                      " repeating the command is safe"
+                                    : "nothing was changed");
+      status = cli_exit_for (result);
+    }
+  object_finish (&object);
+  return status;
+}
--- a/packages/cli/tests/t1304-cli-options.c
+++ b/packages/cli/tests/t1304-cli-options.c
@@ -71,9 +71,17 @@
   { { "sheet", "apply", "examples/atlas.csv" }, CLI_USAGE },
   { { "sheet", "diff", "examples/atlas.csv" }, CLI_USAGE },
   { { "sheet", "diff", "examples/atlas.csv", "examples/atlas.csv" }, CLI_GOOD },
+  { { "status" }, CLI_USAGE },
+  { { "status", "--entry", "nowhere" }, CLI_USAGE },
+  { { "status", "--colour" }, CLI_USAGE },
+  { { "report", "burn", "--objective", "100" }, CLI_USAGE },
+  { { "report", "burn", "--objective", "nan" }, CLI_USAGE },
+  { { "status", "--timeout-ms", "0" }, CLI_USAGE },
   { { "sheet", "history", "--operator", "" }, CLI_USAGE },
   { { "sheet", "check", "examples/atlas.csv", "--operator", "\xff" },
     CLI_USAGE },
+  { { "drain", "", "--force", "--platform", "127.0.0.1:1" }, CLI_USAGE },
+  { { "release", "xyz", "--platform", "127.0.0.1:1" }, CLI_USAGE },
 };
 
 /* Programs that call the command rely on its exit status. */
