--- a/packages/group/include/history.h
+++ b/packages/group/include/history.h
@@ -104,11 +104,11 @@
 bool history_ready (const struct history *history, int64_t now_ms);
 
 const struct history_host *history_find (const struct history *history,
-                                         const char *host);
+                                         const char *id);
 bool
 history_held (const struct history *history, const char *host, int64_t now_ms);
 bool history_domain_held (const struct history *history,
-                          const char *domain,
+                          const char *name,
                           int64_t now_ms);
 
 /* True if the host is known to have the weights of this model version. */
@@ -119,7 +119,7 @@
 
 /* How long the host has been absent; 0 if it is present. */
 int64_t history_absent_ms (const struct history *history,
-                           const char *host,
+                           const char *id,
                            int64_t now_ms);
 
 /*
@@ -135,7 +135,7 @@
 
 /* Since when the group has been seen draining; now_ms if it was not. */
 int64_t history_draining_since (const struct history *history,
-                                const char *group,
+                                const char *id,
                                 uint64_t generation,
                                 int64_t now_ms);
 
--- a/packages/group/include/placement.h
+++ b/packages/group/include/placement.h
@@ -108,13 +108,16 @@
                                const struct placement_input *input);
 
 /*
- * How many groups of each spec this data centre is to form: parts has
- * sheet->group_count entries.
+ * How many groups of each spec this data centre is to form, and how many fit
+ * in no data centre: parts and unplaced have sheet->group_count entries.
+ * unplaced is counted in the data centre of the first rank for the spec only,
+ * so that one of them reports it.
  */
 enum result placement_divide (const struct sheet *sheet,
                               const struct fleet *fleet,
                               const char *data_centre,
-                              unsigned *parts);
+                              unsigned *parts,
+                              unsigned *unplaced);
 
 /*
  * Checks an assignment against the rules: no host twice, one domain per
--- a/packages/group/include/plan.h
+++ b/packages/group/include/plan.h
@@ -150,7 +150,7 @@
  * RESULT_ENDPOINT_CONNECT (not sent) or RESULT_ORDER_LOST.
  */
 void plan_on_order (struct plan *plan,
-                    const char *host,
+                    const char *host_id,
                     const char *order_id,
                     enum result result,
                     int64_t now_ms);
--- a/packages/group/src/divide.c
+++ b/packages/group/src/divide.c
@@ -124,6 +124,8 @@
 {
   const struct sheet_list *list = &spec->data_centres;
 
+  if (list->names == NULL)
+    return NULL;
   for (size_t i = 0; i < list->count; i++)
     {
       uint64_t own = hash_rendezvous (list->names[i], spec->name);
@@ -170,7 +172,8 @@
 placement_divide (const struct sheet *sheet,
                   const struct fleet *fleet,
                   const char *data_centre,
-                  unsigned *parts)
+                  unsigned *parts,
+                  unsigned *unplaced)
 {
   struct division division = { .sheet = sheet, .fleet = fleet };
   size_t *turns = calloc (sheet->group_count + 1, sizeof *turns);
@@ -178,7 +181,14 @@
   enum result result = RESULT_NO_MEMORY;
   bool given = true;
 
-  memset (parts, 0, sheet->group_count * sizeof *parts);
+  for (size_t i = 0; i < sheet->group_count; i++)
+    {
+      const char *first = ranked_data_centre (&sheet->groups[i], 0);
+      bool reports = first != NULL && strcmp (first, data_centre) == 0;
+
+      parts[i] = 0;
+      unplaced[i] = reports ? sheet->groups[i].count : 0;
+    }
   if (turns == NULL || full == NULL)
     goto out;
   result = collect_places (&division);
@@ -194,10 +204,14 @@
           if (full[i] || spec->count < level || spec->span == 0
               || spec->data_centres.count == 0)
             continue;
-          if (give_group (&division, spec, &turns[i], data_centre, &parts[i]))
-            given = true;
-          else
-            full[i] = true;
+          if (!give_group (&division, spec, &turns[i], data_centre, &parts[i]))
+            {
+              full[i] = true;
+              continue;
+            }
+          given = true;
+          if (unplaced[i] > 0)
+            unplaced[i]--;
         }
     }
 
--- a/packages/group/src/form.c
+++ b/packages/group/src/form.c
@@ -333,4 +333,9 @@
         if (spec->valid && spec->part >= level && spec->kept == level - 1)
           form_next (work, spec);
       }
+  for (size_t i = 0; i < work->spec_count; i++)
+    if (work->specs[i].unplaced > 0)
+      work_decide (work, PLACEMENT_UNPLACED, false, &work->specs[i], NULL,
+                   "%u of %u groups fit into no permitted data centre",
+                   work->specs[i].unplaced, work->specs[i].row->count);
 }
--- a/packages/group/src/plan.c
+++ b/packages/group/src/plan.c
@@ -242,13 +242,12 @@
       if (strcmp (host->data_centre, plan->data_centre) != 0)
         continue;
       HASH_FIND_STR (plan->hosts, host->id, state);
-      if (state != NULL && state->fetches
-          && (state->in_flight || now_ms < state->not_before_ms))
-        count++;
-      else if (fleet_host_present (host, now_ms)
-               && attested->state == FLEET_ENGINE_LOADING
-               && !history_has_weights (history, host, attested->model,
-                                        attested->version))
+      if ((state != NULL && state->fetches
+           && (state->in_flight || now_ms < state->not_before_ms))
+          || (fleet_host_present (host, now_ms)
+              && attested->state == FLEET_ENGINE_LOADING
+              && !history_has_weights (history, host, attested->model,
+                                       attested->version)))
         count++;
     }
   return count;
@@ -596,14 +595,14 @@
 
 void
 plan_on_order (struct plan *plan,
-               const char *id,
+               const char *host_id,
                const char *order_id,
                enum result result,
                int64_t now_ms)
 {
   struct plan_host *host;
 
-  HASH_FIND_STR (plan->hosts, id, host);
+  HASH_FIND_STR (plan->hosts, host_id, host);
   if (host == NULL || !host->in_flight
       || strcmp (host->order_id, order_id) != 0)
     return; /* of an earlier term, or given up as lost */
--- a/packages/group/src/work.c
+++ b/packages/group/src/work.c
@@ -135,19 +135,24 @@
 load_specs (struct work *work)
 {
   const struct sheet *sheet = work->input->sheet;
-  unsigned *parts = calloc (sheet->group_count + 1, sizeof *parts);
+  unsigned *parts = calloc (2 * sheet->group_count + 1, sizeof *parts);
+  unsigned *unplaced;
   enum result result = RESULT_NO_MEMORY;
 
   work->specs = calloc (sheet->group_count + 1, sizeof *work->specs);
   if (parts == NULL || work->specs == NULL)
     goto out;
+  unplaced = parts + sheet->group_count;
   result = placement_divide (sheet, work->input->fleet,
-                             work->input->data_centre, parts);
+                             work->input->data_centre, parts, unplaced);
   if (result != RESULT_OK)
     goto out;
   work->spec_count = sheet->group_count;
   for (size_t i = 0; i < work->spec_count; i++)
-    load_spec (work, &work->specs[i], &sheet->groups[i], parts[i]);
+    {
+      load_spec (work, &work->specs[i], &sheet->groups[i], parts[i]);
+      work->specs[i].unplaced = unplaced[i];
+    }
 
 out:
   free (parts);
@@ -306,7 +311,7 @@
   const struct fleet *fleet = work->input->fleet;
   const struct fleet_group *group;
 
-  work->group_capacity = HASH_COUNT (fleet->groups);
+  work->group_capacity = (size_t)HASH_COUNT (fleet->groups);
   for (size_t i = 0; i < work->spec_count; i++)
     work->group_capacity += work->specs[i].part;
   work->groups = calloc (work->group_capacity + 1, sizeof *work->groups);
@@ -445,6 +450,12 @@
   return false;
 }
 
+/*
+ * Entry hosts learn of a drain within FLEET_ATTESTATION_MS, and reports of
+ * work are that old again, so an earlier report of no work proves nothing.
+ */
+static const int64_t drain_least_ms = INT64_C (2) * FLEET_ATTESTATION_MS;
+
 bool
 work_drained (struct work *work, struct work_group *group, const char *reason)
 {
@@ -457,14 +468,9 @@
       = input->now_ms
         - history_draining_since (input->history, group->group.id,
                                   group->group.generation, input->now_ms);
-  /*
-   * Reports of work are up to FLEET_ATTESTATION_MS old, so a report of none
-   * counts only that long after the last request may have been sent.
-   */
   if (group->group.draining
       && (drained_ms >= input->settings->drain_ms
-          || (drained_ms >= 2 * FLEET_ATTESTATION_MS
-              && !has_work (work, group))))
+          || (drained_ms >= drain_least_ms && !has_work (work, group))))
     return true;
   work_decide (work, PLACEMENT_DRAIN, !group->group.draining, group->spec,
                group, "%s; finishing the work in flight first", reason);
--- a/packages/group/src/work.h
+++ b/packages/group/src/work.h
@@ -29,6 +29,7 @@
   char version[FLEET_NAME_SIZE];
   char adapters[256];
   unsigned part;        /* groups that this data centre is to form */
+  unsigned unplaced;    /* groups that fit in no data centre */
   unsigned kept;        /* groups that it has and keeps */
   unsigned next_number; /* lowest group number that may be free */
   bool changing;        /* a group of it is being updated */
--- /dev/null
+++ b/packages/group/tests/fixture.h
@@ -0,0 +1,221 @@
+#ifndef GROUP_FIXTURE_H
+#define GROUP_FIXTURE_H
+
+/*
+ * Sheets, hosts and simulated engines for the tests, fuzzers and measurements
+ * of package group.  Aborts on a lack of memory.
+ */
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "fleet.h"
+#include "plan.h"
+#include "sheet.h"
+
+static inline void *
+fixture_grow (void *array, size_t count, size_t size)
+{
+  char *grown = realloc (array, (count + 1) * size);
+
+  if (grown == NULL)
+    abort ();
+  memset (grown + count * size, 0, size);
+  return grown;
+}
+
+/* names are separated by ';'; "" and "*" give an empty list. */
+static inline void
+fixture_list (struct sheet_list *list, const char *names)
+{
+  if (names == NULL || strcmp (names, "*") == 0)
+    return;
+  while (*names != '\0')
+    {
+      size_t length = strcspn (names, ";");
+
+      list->names
+          = fixture_grow (list->names, list->count, sizeof list->names[0]);
+      snprintf (list->names[list->count++], SHEET_NAME_SIZE, "%.*s",
+                (int)length, names);
+      names += length;
+      if (*names == ';')
+        names++;
+    }
+}
+
+static inline void
+fixture_clear_list (struct sheet_list *list)
+{
+  free (list->names);
+  list->names = NULL;
+  list->count = 0;
+}
+
+static inline struct sheet_group *
+fixture_spec (struct sheet *sheet,
+              const char *name,
+              unsigned span,
+              unsigned count,
+              const char *data_centres,
+              const char *domains,
+              const char *hosts,
+              const char *version)
+{
+  struct sheet_group *spec;
+
+  sheet->number++;
+  sheet->groups
+      = fixture_grow (sheet->groups, sheet->group_count, sizeof *sheet->groups);
+  spec = &sheet->groups[sheet->group_count++];
+  snprintf (spec->name, sizeof spec->name, "%s", name);
+  snprintf (spec->model, sizeof spec->model, "model");
+  snprintf (spec->version, sizeof spec->version, "%s", version);
+  spec->span = span;
+  spec->count = count;
+  fixture_list (&spec->data_centres, data_centres);
+  fixture_list (&spec->domains, domains);
+  fixture_list (&spec->hosts, hosts);
+  return spec;
+}
+
+static inline struct fleet_host *
+fixture_host (struct fleet *fleet,
+              const char *id,
+              const char *data_centre,
+              const char *domain)
+{
+  struct fleet_host *host = fleet_add_host (fleet, id);
+
+  if (host == NULL)
+    abort ();
+  snprintf (host->data_centre, sizeof host->data_centre, "%s", data_centre);
+  snprintf (host->domain, sizeof host->domain, "%s", domain);
+  host->listed = true;
+  host->checks_fence = true;
+  host->accelerators = 8;
+  return host;
+}
+
+/* An engine on a host, as the design page describes it. */
+struct engine
+{
+  struct fleet_attestation says; /* seen_ms is not used */
+  bool up;
+  int64_t ready_ms;       /* end of the load in progress */
+  uint64_t highest_fence; /* of the orders it got */
+  char weights[4][2 * FLEET_NAME_SIZE];
+  unsigned weight_next;
+  unsigned boots;
+};
+
+static inline void
+engine_boot (struct engine *engine, const char *host)
+{
+  memset (&engine->says, 0, sizeof engine->says);
+  snprintf (engine->says.boot_id, sizeof engine->says.boot_id, "%.40s/%u", host,
+            engine->boots++);
+  engine->says.state = FLEET_ENGINE_IDLE;
+  engine->says.slots = 8;
+  engine->up = true;
+}
+
+static inline bool
+engine_has_weights (const struct engine *engine,
+                    const struct fleet_group *group)
+{
+  char text[2 * FLEET_NAME_SIZE];
+
+  snprintf (text, sizeof text, "%s %s", group->model, group->version);
+  for (unsigned i = 0; i < 4; i++)
+    if (strcmp (engine->weights[i], text) == 0)
+      return true;
+  return false;
+}
+
+static inline enum result
+engine_order (struct engine *engine,
+              bool checks_fence,
+              const struct plan_order *order,
+              int64_t now_ms,
+              int64_t load_ms,
+              int64_t warm_load_ms)
+{
+  struct fleet_attestation *says = &engine->says;
+  const struct fleet_group *group = &order->group;
+
+  if (!engine->up)
+    return RESULT_ENDPOINT_CONNECT;
+  if (checks_fence && order->fence < engine->highest_fence)
+    return RESULT_ORDER_FENCED;
+  if (order->fence > engine->highest_fence)
+    engine->highest_fence = order->fence;
+  says->fence = order->fence;
+  if (order->op == PLAN_RELEASE)
+    {
+      says->group[0] = '\0';
+      says->generation = 0;
+      says->state = FLEET_ENGINE_IDLE;
+      return RESULT_OK;
+    }
+  snprintf (says->group, sizeof says->group, "%s", group->id);
+  snprintf (says->model, sizeof says->model, "%s", group->model);
+  snprintf (says->version, sizeof says->version, "%s", group->version);
+  snprintf (says->adapters, sizeof says->adapters, "%s", group->adapters);
+  snprintf (says->role, sizeof says->role, "%s", group->role);
+  says->generation = group->generation;
+  says->rank = order->rank;
+  says->span = group->span;
+  if (order->op != PLAN_LOAD)
+    return RESULT_OK;
+  says->state = FLEET_ENGINE_LOADING;
+  engine->ready_ms
+      = now_ms + (engine_has_weights (engine, group) ? warm_load_ms : load_ms);
+  return RESULT_OK;
+}
+
+static inline void
+engine_tick (struct engine *engine, int64_t now_ms)
+{
+  struct fleet_attestation *says = &engine->says;
+  char text[2 * FLEET_NAME_SIZE];
+
+  if (says->state != FLEET_ENGINE_LOADING || now_ms < engine->ready_ms)
+    return;
+  says->state = FLEET_ENGINE_READY;
+  snprintf (text, sizeof text, "%s %s", says->model, says->version);
+  for (unsigned i = 0; i < 4; i++)
+    if (strcmp (engine->weights[i], text) == 0)
+      return;
+  snprintf (engine->weights[engine->weight_next],
+            sizeof engine->weights[engine->weight_next], "%s", text);
+  engine->weight_next = (engine->weight_next + 1) % 4;
+}
+
+static inline void
+engine_attest (const struct engine *engine,
+               struct fleet_host *host,
+               int64_t now_ms)
+{
+  host->attested = engine->says;
+  host->attested.seen_ms = now_ms;
+}
+
+/* What a daemon does with an assignment that was written. */
+static inline enum result
+fixture_apply (struct fleet *fleet,
+               const char *data_centre,
+               const struct fleet *assignment)
+{
+  json_t *json = fleet_assignment_to_json (assignment, data_centre);
+  enum result result;
+
+  if (json == NULL)
+    abort ();
+  result = fleet_apply_assignment (fleet, data_centre, json);
+  json_decref (json);
+  return result;
+}
+
+#endif
--- /dev/null
+++ b/packages/group/tests/t0400-lease.c
@@ -0,0 +1,358 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "lease.h"
+
+enum step_kind
+{
+  END,
+  TICK,  /* lease_tick; expects an action, version, fence and holder */
+  READ,  /* answer of a read: result, version, fence, holder, seq */
+  WRITE, /* answer of a write: result, version */
+  WATCH, /* like READ */
+  ACTS,  /* expects lease_may_act to be true */
+  ACTS_NOT,
+  RELEASE,
+  FENCE, /* a fencing token seen in the assignment */
+  RANK,
+};
+
+struct step
+{
+  enum step_kind kind;
+  int64_t at;
+  int what; /* lease_action_kind or enum result */
+  uint64_t version;
+  uint64_t fence;
+  const char *holder;
+  uint64_t seq; /* 0 = that of the last write asked for */
+};
+
+struct lease_case
+{
+  const char *guards; /* the failure that the case guards against */
+  struct step steps[24];
+};
+
+#define OK RESULT_OK
+#define CONFLICT RESULT_PLATFORM_CONFLICT
+#define LOST RESULT_PLATFORM_LOST_ANSWER
+#define MISSING RESULT_PLATFORM_NOT_FOUND
+#define OUTAGE RESULT_PLATFORM_OUTAGE
+
+static const struct lease_case cases[] = {
+  { "the first candidate never creates the object",
+    { { TICK, 0, LEASE_READ },
+      { READ, 10, MISSING },
+      { TICK, 10, LEASE_WRITE, 0, 1, "self" },
+      { ACTS_NOT, 15 },
+      { WRITE, 20, OK, 7 },
+      { ACTS, 20 } } },
+  { "the holder acts beyond the time sent + ttl - margin",
+    { { TICK, 0, LEASE_READ },
+      { READ, 10, MISSING },
+      { TICK, 1000, LEASE_WRITE, 0, 1, "self" },
+      { WRITE, 3000, OK, 7 },
+      { ACTS, 6999 },
+      { ACTS_NOT, 7000 },
+      { ACTS_NOT, 8500 } } },
+  { "a renewal does not extend the validity from its time of sending",
+    { { TICK, 0, LEASE_READ },
+      { READ, 0, MISSING },
+      { TICK, 0, LEASE_WRITE, 0, 1, "self" },
+      { WRITE, 0, OK, 7 },
+      { TICK, 1999, LEASE_NOTHING },
+      { TICK, 2000, LEASE_WRITE, 7, 1, "self" },
+      { TICK, 2100, LEASE_NOTHING },
+      { WRITE, 4000, OK, 9 },
+      { ACTS, 7999 },
+      { ACTS_NOT, 8000 } } },
+  { "a candidate takes over before ttl + quiet on its own clock",
+    { { TICK, 0, LEASE_READ },
+      { READ, 100, OK, 5, 3, "other", 8 },
+      { TICK, 10000, LEASE_READ },
+      { READ, 10050, OK, 5, 3, "other", 8 },
+      { TICK, 10099, LEASE_NOTHING },
+      { TICK, 10100, LEASE_WRITE, 5, 4, "self" },
+      { WRITE, 10110, OK, 6 },
+      { ACTS, 10110 } } },
+  { "a renewal seen by a candidate does not restart its wait",
+    { { TICK, 0, LEASE_READ },
+      { READ, 100, OK, 5, 3, "other", 8 },
+      { TICK, 9000, LEASE_READ },
+      { READ, 9000, OK, 6, 3, "other", 9 },
+      { TICK, 10100, LEASE_NOTHING },
+      { TICK, 18999, LEASE_READ },
+      { READ, 18999, OK, 6, 3, "other", 9 },
+      { TICK, 19000, LEASE_WRITE, 6, 4, "self" } } },
+  { "candidates of every rank take over at the same moment",
+    { { RANK, 0, 2 },
+      { TICK, 0, LEASE_READ },
+      { READ, 0, OK, 5, 3, "other", 8 },
+      { TICK, 11999, LEASE_READ },
+      { READ, 11999, OK, 5, 3, "other", 8 },
+      { TICK, 12000, LEASE_WRITE, 5, 4, "self" } } },
+  { "a lost answer of a renewal that took effect costs the lease",
+    { { TICK, 0, LEASE_READ },
+      { READ, 0, MISSING },
+      { TICK, 0, LEASE_WRITE, 0, 1, "self" },
+      { WRITE, 0, OK, 7 },
+      { TICK, 2000, LEASE_WRITE, 7, 1, "self" },
+      { WRITE, 3000, LOST },
+      { TICK, 3500, LEASE_READ },
+      { READ, 3600, OK, 8, 1, "self" },
+      { ACTS, 7999 },
+      { ACTS_NOT, 8000 },
+      { TICK, 4000, LEASE_WRITE, 8, 1, "self" } } },
+  { "a lost answer of a write that did not take effect extends the lease",
+    { { TICK, 0, LEASE_READ },
+      { READ, 0, MISSING },
+      { TICK, 0, LEASE_WRITE, 0, 1, "self" },
+      { WRITE, 0, OK, 7 },
+      { TICK, 2000, LEASE_WRITE, 7, 1, "self" },
+      { WRITE, 3000, LOST },
+      { TICK, 3500, LEASE_READ },
+      { READ, 3600, OK, 7, 1, "self", 1 },
+      { ACTS, 5999 },
+      { ACTS_NOT, 6000 } } },
+  { "an earlier lost write that lands late counts from the later send",
+    { { TICK, 0, LEASE_READ },
+      { READ, 0, OK, 5, 3, "other", 8 },
+      { TICK, 10000, LEASE_WRITE, 5, 4, "self" }, /* seq 9 */
+      { WRITE, 10100, LOST },
+      { TICK, 10600, LEASE_READ },
+      { READ, 10700, OK, 5, 3, "other", 8 },
+      { TICK, 30000, LEASE_WRITE, 5, 4, "self" }, /* seq 10 */
+      { WRITE, 30100, CONFLICT },
+      { TICK, 30100, LEASE_READ },
+      { READ, 30200, OK, 6, 4, "self", 9 },
+      { ACTS_NOT, 30200 },
+      { TICK, 30200, LEASE_WRITE, 6, 4, "self" },
+      { WRITE, 30300, OK, 7 },
+      { ACTS, 30300 } } },
+  { "a holder that was taken over from goes on",
+    { { TICK, 0, LEASE_READ },
+      { READ, 0, MISSING },
+      { TICK, 0, LEASE_WRITE, 0, 1, "self" },
+      { WRITE, 0, OK, 7 },
+      { TICK, 20000, LEASE_WRITE, 7, 1, "self" }, /* after a pause */
+      { ACTS_NOT, 20000 },
+      { WRITE, 20010, CONFLICT },
+      { TICK, 20010, LEASE_READ },
+      { READ, 20020, OK, 9, 2, "other", 5 },
+      { ACTS_NOT, 20020 },
+      { TICK, 20020, LEASE_NOTHING } } },
+  { "a holder whose lease lapsed in an outage cannot renew it",
+    { { TICK, 0, LEASE_READ },
+      { READ, 0, MISSING },
+      { TICK, 0, LEASE_WRITE, 0, 1, "self" },
+      { WRITE, 0, OK, 7 },
+      { TICK, 2000, LEASE_WRITE, 7, 1, "self" },
+      { WRITE, 2010, OUTAGE },
+      { TICK, 2100, LEASE_NOTHING },
+      { TICK, 2510, LEASE_WRITE, 7, 1, "self" },
+      { WRITE, 2520, OUTAGE },
+      { ACTS, 5999 },
+      { ACTS_NOT, 6000 },
+      { TICK, 60000, LEASE_WRITE, 7, 1, "self" },
+      { WRITE, 60010, OK, 8 },
+      { ACTS, 60010 } } },
+  { "a holder acts after a watch showed a takeover",
+    { { TICK, 0, LEASE_READ },
+      { READ, 0, MISSING },
+      { TICK, 0, LEASE_WRITE, 0, 1, "self" },
+      { WRITE, 0, OK, 7 },
+      { ACTS, 1000 },
+      { WATCH, 1000, OK, 8, 2, "other", 4 },
+      { ACTS_NOT, 1000 } } },
+  { "a stale answer of a read hides a takeover shown by the watch",
+    { { TICK, 0, LEASE_READ },
+      { WATCH, 5, OK, 9, 2, "other", 4 },
+      { READ, 10, OK, 7, 1, "self", 1 },
+      { ACTS_NOT, 10 } } },
+  { "shutdown leaves the data centre without a holder for ttl + quiet",
+    { { TICK, 0, LEASE_READ },
+      { READ, 0, MISSING },
+      { TICK, 0, LEASE_WRITE, 0, 1, "self" },
+      { WRITE, 0, OK, 7 },
+      { ACTS, 100 },
+      { RELEASE, 100 },
+      { ACTS_NOT, 100 },
+      { TICK, 100, LEASE_WRITE, 7, 1, "" },
+      { WRITE, 110, OK, 8 },
+      { TICK, 5000, LEASE_NOTHING },
+      { ACTS_NOT, 110 } } },
+  { "a release whose answer is lost is not repeated when it failed",
+    { { TICK, 0, LEASE_READ },
+      { READ, 0, MISSING },
+      { TICK, 0, LEASE_WRITE, 0, 1, "self" },
+      { WRITE, 0, OK, 7 },
+      { RELEASE, 100 },
+      { TICK, 100, LEASE_WRITE, 7, 1, "" },
+      { WRITE, 110, LOST },
+      { TICK, 700, LEASE_READ },
+      { READ, 710, OK, 7, 1, "self", 1 },
+      { TICK, 710, LEASE_WRITE, 7, 1, "" },
+      { WRITE, 720, OK, 8 },
+      { TICK, 800, LEASE_NOTHING } } },
+  { "a candidate waits for a lease that was given back",
+    { { RANK, 0, 1 },
+      { TICK, 0, LEASE_READ },
+      { READ, 0, OK, 8, 3, "", 8 },
+      { TICK, 999, LEASE_NOTHING },
+      { TICK, 1000, LEASE_WRITE, 8, 4, "self" } } },
+  { "a takeover reuses a token that the assignment already carries",
+    { { FENCE, 0, 0, 0, 40 },
+      { TICK, 0, LEASE_READ },
+      { READ, 0, MISSING },
+      { TICK, 0, LEASE_WRITE, 0, 41, "self" } } },
+};
+
+static void
+run_case (const struct lease_case *test)
+{
+  struct lease_settings settings;
+  struct lease lease;
+  uint64_t seq = 0;
+
+  lease_settings_init (&settings);
+  lease_init (&lease, &settings, "self", 0);
+  for (const struct step *step = test->steps; step->kind != END; step++)
+    {
+      struct lease_value value = { .fence = step->fence,
+                                   .ttl_ms = 8000,
+                                   .seq = step->seq != 0 ? step->seq : seq };
+      struct lease_action action;
+
+      if (step->holder != NULL)
+        snprintf (value.holder, sizeof value.holder, "%s", step->holder);
+      switch (step->kind)
+        {
+        case TICK:
+          action = lease_tick (&lease, step->at);
+          assert_int_equal (action.kind, step->what);
+          if (action.kind != LEASE_WRITE)
+            break;
+          assert_int_equal (action.version, step->version);
+          assert_int_equal (action.value.fence, step->fence);
+          assert_string_equal (action.value.holder, step->holder);
+          assert_true (action.value.seq > seq);
+          seq = action.value.seq;
+          break;
+        case READ:
+          lease_on_read (&lease, (enum result)step->what, &value, step->version,
+                         step->at);
+          break;
+        case WRITE:
+          lease_on_write (&lease, (enum result)step->what, step->version,
+                          step->at);
+          break;
+        case WATCH:
+          lease_on_watch (&lease, &value, step->version, step->at);
+          break;
+        case ACTS:
+          assert_true (lease_may_act (&lease, step->at));
+          break;
+        case ACTS_NOT:
+          assert_false (lease_may_act (&lease, step->at));
+          break;
+        case RELEASE:
+          lease_release (&lease);
+          break;
+        case FENCE:
+          lease_see_fence (&lease, step->fence);
+          break;
+        case RANK:
+          lease_set_rank (&lease, (unsigned)step->what);
+          break;
+        case END:
+          break;
+        }
+    }
+}
+
+static void
+test_lease_cases (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      print_message ("guards against: %s\n", cases[i].guards);
+      run_case (&cases[i]);
+    }
+}
+
+struct value_case
+{
+  const char *json;
+  enum result result;
+};
+
+static const struct value_case value_cases[] = {
+  { "{\"holder\":\"a\",\"fence\":1,\"ttl_ms\":8000,\"seq\":3}", RESULT_OK },
+  { "{\"holder\":\"\",\"fence\":1,\"ttl_ms\":8000,\"seq\":3}", RESULT_OK },
+  { "{\"holder\":\"a\",\"fence\":-1,\"ttl_ms\":8000,\"seq\":3}",
+    RESULT_PLATFORM_BAD_ANSWER },
+  { "{\"holder\":\"a\",\"fence\":\"1\",\"ttl_ms\":8000,\"seq\":3}",
+    RESULT_PLATFORM_BAD_ANSWER },
+  { "{\"holder\":7,\"fence\":1,\"ttl_ms\":8000,\"seq\":3}",
+    RESULT_PLATFORM_BAD_ANSWER },
+  { "{\"fence\":1}", RESULT_PLATFORM_BAD_ANSWER },
+  { "[]", RESULT_PLATFORM_BAD_ANSWER },
+};
+
+/* A malformed object must not be taken for a lease that nobody holds. */
+static void
+test_lease_value (void **state)
+{
+  struct lease_value value
+      = { .holder = "h", .fence = 4, .ttl_ms = 8000, .seq = 9 };
+  struct lease_value copy;
+  json_t *json = lease_value_to_json (&value);
+
+  (void)state;
+  assert_int_equal (lease_value_from_json (&copy, json), RESULT_OK);
+  assert_string_equal (copy.holder, "h");
+  assert_int_equal (copy.fence, 4);
+  assert_int_equal (copy.seq, 9);
+  json_decref (json);
+  for (size_t i = 0; i < sizeof value_cases / sizeof value_cases[0]; i++)
+    {
+      json = json_loads (value_cases[i].json, 0, NULL);
+      assert_non_null (json);
+      assert_int_equal (lease_value_from_json (&copy, json),
+                        value_cases[i].result);
+      json_decref (json);
+    }
+}
+
+/* Two candidates with one rank would write at the same moment. */
+static void
+test_ranks_differ (void **state)
+{
+  const char *const names[] = { "a", "b", "c", "d" };
+  unsigned seen = 0;
+
+  (void)state;
+  for (unsigned i = 0; i < 4; i++)
+    seen |= 1U << lease_rank (names[i], names, 4, "dc1");
+  assert_int_equal (seen, 15);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_lease_cases),
+    cmocka_unit_test (test_lease_value),
+    cmocka_unit_test (test_ranks_differ),
+  };
+
+  return cmocka_run_group_tests_name ("lease", tests, NULL, NULL);
+}
