daemon: count groups that fit nowhere as wanted

Cause: placement_divide now gives the groups that fit in no data centre apart. Change: daemon_wanted_groups adds them, for the status and for downtime.

--- a/packages/daemon/include/daemon.h
+++ b/packages/daemon/include/daemon.h
@@ -108,6 +108,13 @@
 void daemon_reload (struct daemon *daemon);
 void daemon_log_settings_errors (const struct settings_errors *errors);
 
+/*
+ * loss.c: the groups that this data centre is to have, by the sheet's group
+ * rows, those that fit nowhere included.  The caller frees the array; NULL
+ * without memory.
+ */
+unsigned *daemon_wanted_groups (const struct daemon *daemon);
+
 /* loss.c: counts group downtime and stranded accelerators. */
 void daemon_count_losses (struct daemon *daemon, int64_t elapsed_ms);
 
--- a/packages/daemon/src/loss.c
+++ b/packages/daemon/src/loss.c
@@ -33,28 +33,45 @@
   return serving;
 }
 
+unsigned *
+daemon_wanted_groups (const struct daemon *daemon)
+{
+  const struct sheet *sheet = &daemon->config.sheet;
+  size_t count = sheet->group_count;
+  /* The parts of this data centre, then what fits nowhere. */
+  unsigned *wanted = calloc (2 * count + 1, sizeof *wanted);
+
+  if (wanted == NULL)
+    return NULL;
+  if (placement_divide (sheet, &daemon->fleet, daemon->members.self.data_centre,
+                        wanted, wanted + count)
+      != RESULT_OK)
+    {
+      free (wanted);
+      return NULL;
+    }
+  for (size_t i = 0; i < count; i++)
+    wanted[i] += wanted[count + i];
+  return wanted;
+}
+
 static void
 count_downtime (struct daemon *daemon, int64_t elapsed_ms)
 {
   const struct sheet *sheet = &daemon->config.sheet;
-  unsigned *parts = calloc (sheet->group_count + 1, sizeof *parts);
+  unsigned *wanted = daemon_wanted_groups (daemon);
 
-  if (parts == NULL)
-    return;
-  if (placement_divide (sheet, &daemon->fleet, daemon->members.self.data_centre,
-                        parts)
-      == RESULT_OK)
-    for (size_t i = 0; i < sheet->group_count; i++)
-      {
-        unsigned serving = count_serving (daemon, sheet->groups[i].name);
-        unsigned missing = serving < parts[i] ? parts[i] - serving : 0;
-        char labels[LABELS_SIZE];
-
-        snprintf (labels, sizeof labels, "spec=\"%s\"", sheet->groups[i].name);
-        counter_add (&daemon->counters, "waxwing_group_downtime_ms_total",
-                     labels, (double)missing * (double)elapsed_ms);
-      }
-  free (parts);
+  for (size_t i = 0; wanted != NULL && i < sheet->group_count; i++)
+    {
+      unsigned serving = count_serving (daemon, sheet->groups[i].name);
+      unsigned missing = serving < wanted[i] ? wanted[i] - serving : 0;
+      char labels[LABELS_SIZE];
+
+      snprintf (labels, sizeof labels, "spec=\"%s\"", sheet->groups[i].name);
+      counter_add (&daemon->counters, "waxwing_group_downtime_ms_total", labels,
+                   (double)missing * (double)elapsed_ms);
+    }
+  free (wanted);
 }
 
 static bool
--- a/packages/daemon/src/status.c
+++ b/packages/daemon/src/status.c
@@ -143,17 +143,13 @@
 wanted_to_json (const struct daemon *daemon)
 {
   const struct sheet *sheet = &daemon->config.sheet;
-  unsigned *parts = calloc (sheet->group_count + 1, sizeof *parts);
+  unsigned *wanted = daemon_wanted_groups (daemon);
   json_t *list = json_array ();
 
-  if (parts != NULL
-      && placement_divide (sheet, &daemon->fleet,
-                           daemon->members.self.data_centre, parts)
-             == RESULT_OK)
-    for (size_t i = 0; i < sheet->group_count; i++)
-      json_array_append_new (
-          list, spec_to_json (daemon, sheet->groups[i].name, parts[i]));
-  free (parts);
+  for (size_t i = 0; wanted != NULL && i < sheet->group_count; i++)
+    json_array_append_new (
+        list, spec_to_json (daemon, sheet->groups[i].name, wanted[i]));
+  free (wanted);
   return list;
 }
 
