--- a/packages/daemon/include/daemon.h
+++ b/packages/daemon/include/daemon.h
@@ -30,7 +30,7 @@
  */
 
 #define DAEMON_TICK_MS 50
-#define DAEMON_SHARES_MS 200  /* slots are divided anew */
+#define DAEMON_SHARES_MS 50   /* slots are divided anew */
 #define DAEMON_DEMAND_MS 1000 /* demand is told to peers */
 #define DAEMON_BURN_MS 1000
 
--- a/packages/peer/src/node.c
+++ b/packages/peer/src/node.c
@@ -7,6 +7,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define PORT_TRIES 20
+
 bool
 peer_resolve (const char *address,
               uint16_t port,
@@ -93,6 +95,29 @@
              LOG_STR ("from", from), LOG_U64 ("count", *counts[kind]));
 }
 
+/*
+ * A free UDP port may be taken for TCP.  A port that was not asked for by
+ * number is then given up for another.
+ */
+static enum result
+open_sockets (struct peer_node *node)
+{
+  uint16_t wanted = node->members->self.port;
+  enum result result = RESULT_PEER_UNREACHABLE;
+
+  for (int tries = 0; tries < (wanted == 0 ? PORT_TRIES : 1); tries++)
+    {
+      node->members->self.port = wanted;
+      result = peer_udp_open (node);
+      if (result == RESULT_OK)
+        result = peer_stream_listen (node);
+      if (result != RESULT_PEER_UNREACHABLE)
+        break;
+      peer_udp_close (node);
+    }
+  return result;
+}
+
 enum result
 peer_init (struct peer_node *node,
            struct event_base *base,
@@ -114,9 +139,7 @@
        i++)
     node->logged_ms[i] = INT64_MIN / 2;
   peer_windows_init (&node->windows);
-  result = peer_udp_open (node);
-  if (result == RESULT_OK)
-    result = peer_stream_listen (node);
+  result = open_sockets (node);
   if (result != RESULT_OK)
     peer_finish (node);
   return result;
