cli: add watch and report burn

Cause: operators need to follow changes as they happen and to see how much of the error budget is used.

--- a/packages/cli/src/cli.c
+++ b/packages/cli/src/cli.c
@@ -105,6 +105,20 @@
     cmd_release,
     "release FINGERPRINT",
     "let a quarantined request run again" },
+  { { "watch", NULL },
+    0,
+    0,
+    NEED_ENTRY,
+    cmd_watch,
+    "watch [--rounds N]",
+    "print changes of the fleet as they happen" },
+  { { "report", "burn" },
+    0,
+    0,
+    NEED_ENTRY,
+    cmd_report_burn,
+    "report burn [--objective PERCENT] [--gnuplot FILE]",
+    "error budget used and burn rate per window" },
 };
 
 #define COMMAND_COUNT (sizeof commands / sizeof commands[0])
--- a/packages/cli/src/cli.h
+++ b/packages/cli/src/cli.h
@@ -70,5 +70,7 @@
 enum cli_exit cmd_drain (struct cli *cli);
 enum cli_exit cmd_undrain (struct cli *cli);
 enum cli_exit cmd_release (struct cli *cli);
+enum cli_exit cmd_watch (struct cli *cli);
+enum cli_exit cmd_report_burn (struct cli *cli);
 
 #endif
