claim: add the claim table and its record codec

Cause: calls that may not be repeated need a durable claim before they are dispatched, and their answers must be found through any entry host. Change: claim_locate, the codec, and a table per entry host with group commit per shard object, read-back after a lost answer, merge after a conflict, and background work that turns the claim of a refused call into not_run, also when its write takes effect after the read-back. Answers over 16 KB, or those for which a shard has no room left, go into objects of their own. A shard takes no claim that could push it over 1 MB.

--- a/packages/claim/include/claim.h
+++ b/packages/claim/include/claim.h
@@ -3,6 +3,7 @@
 
 #include "hash.h"
 #include "result.h"
+#include "rng.h"
 #include "uuid.h"
 
 #include <jansson.h>
@@ -10,30 +11,54 @@
 #include <stddef.h>
 #include <stdint.h>
 #include <sys/queue.h>
-#include <uthash.h>
 
 /*
  * At-most-once execution by claims in the platform's object service.
  *
  * Decisions only: the table takes events (a call to claim, the answer of a
- * read or write, time) and gives actions (read or write a shard object, tell
- * the owner of a call how its claim went).  claim-io.h of package gateway
- * performs them.
+ * read or write, time) and gives actions (read or write an object).
+ * claim-io.h of package gateway performs them.
  *
  * A claim lives in object claims/BUCKET/SHARD, where the bucket follows from
  * the time in the idempotency key, so that every repeat finds the same object
  * through any entry host.  Shard and bucket sizes are part of the stored
  * format: changing them needs another object prefix.
+ *
+ * The value of such an object is {"records":{KEY:{"fingerprint","token",
+ * "host","state","status","content_type","body"|"body64"|"body_at"}}}, the
+ * last four only in state done.  "body_at" names the object that holds a
+ * large answer, answers/TOKEN, {"body"|"body64"}.
  */
 
-#define CLAIM_BUCKET_MS 60000
+#define CLAIM_BUCKET_MS INT64_C (60000)
 #define CLAIM_SHARDS 16
-#define CLAIM_RETENTION_MS (24 * 3600 * INT64_C (1000))
-#define CLAIM_DELETE_MARGIN_MS (3600 * INT64_C (1000))
-#define CLAIM_FUTURE_MS 60000    /* a key may be this far ahead of our clock */
-#define CLAIM_SKEW_MS 30000      /* largest clock difference to the platform */
-#define CLAIM_INLINE_LIMIT 16384 /* bytes of an answer kept in the record */
-#define CLAIM_OBJECT_SIZE 64     /* "claims/BUCKET/SHARD" */
+#define CLAIM_RETENTION_MS (INT64_C (24) * 3600 * 1000)
+#define CLAIM_DELETE_MARGIN_MS (INT64_C (3600) * 1000)
+/* A key may be this far ahead of our clock. */
+#define CLAIM_FUTURE_MS INT64_C (60000)
+/* Largest clock difference to the platform. */
+#define CLAIM_SKEW_MS INT64_C (30000)
+/* Bytes of an answer kept in the record. */
+#define CLAIM_INLINE_LIMIT 16384
+/* "claims/BUCKET/SHARD", "answers/TOKEN" */
+#define CLAIM_OBJECT_SIZE 64
+/* Longest wait for a durable outcome. */
+#define CLAIM_SETTLE_WAIT_MS INT64_C (500)
+
+/* A shard this large in bytes takes no new claims; objects end at 1 MB. */
+#define CLAIM_OBJECT_LIMIT 1000000
+/* Room kept for each record with its outcome, but without its body. */
+#define CLAIM_RECORD_ROOM 512
+/*
+ * Answers stay in the records up to this size of the shard and go into
+ * objects of their own beyond it, so that they do not use up the room for
+ * claims.
+ */
+#define CLAIM_INLINE_TOTAL 500000
+/* Calls and background work that one table holds. */
+#define CLAIM_OPERATION_LIMIT 20000
+/* A shard without work leaves the cache after this time. */
+#define CLAIM_CACHE_MS INT64_C (10000)
 
 enum claim_state
 {
@@ -48,7 +73,7 @@
 {
   int status; /* HTTP status */
   char content_type[64];
-  char *body; /* malloc'd; owned by the record */
+  char *body; /* malloc'd; NULL when empty */
   size_t body_size;
 };
 
@@ -59,14 +84,14 @@
   char token[UUID_SIZE];           /* unique per claim attempt */
   char host[64];                   /* entry host that claimed */
   enum claim_state state;
-  struct claim_answer answer;
-  UT_hash_handle hh;
+  struct claim_answer answer; /* owned; empty unless the state is done */
+  bool body_elsewhere;        /* the body is in answers/TOKEN */
 };
 
 /*
  * Checks the key's form and age against the wall clock:
  * IDEMPOTENCY_KEY_REQUIRED, _EXPIRED, _FUTURE, CLOCK_SKEW or RESULT_OK with
- * the object's name and the hashed key.
+ * the object's name and the hashed key.  idempotency_key may be NULL.
  */
 enum result claim_locate (const char *customer,
                           const char *service,
@@ -76,6 +101,28 @@
                           char object[CLAIM_OBJECT_SIZE],
                           char key[HASH_HEX_SIZE]);
 
+/*
+ * True when the object, of prefix "claims/" or "answers/", is past retention
+ * and margin, so that it may be deleted.  False for any other name.
+ */
+bool claim_object_expired (const char *object, int64_t wall_ms);
+
+/*
+ * The latest bucket whose objects may be deleted; -1 = none.  Their prefix is
+ * "claims/BUCKET/".
+ */
+int64_t claim_expired_bucket (int64_t wall_ms);
+
+/*
+ * Codec of one record.  Decoding fails with RESULT_INVALID and then leaves
+ * the record empty.  Encoding gives NULL without memory.
+ */
+json_t *claim_record_encode (const struct claim_record *record);
+enum result claim_record_decode (struct claim_record *record,
+                                 const char *key,
+                                 const json_t *value);
+void claim_record_finish (struct claim_record *record);
+
 /* How a claim attempt ended. */
 enum claim_verdict
 {
@@ -84,30 +131,134 @@
   CLAIM_VERDICT_REFUSED, /* see the result code */
 };
 
-/* One call that wants a claim; intrusive, memory of the caller. */
+struct claim_operation; /* see claim-internal.h */
+
+/*
+ * One call that wants a claim.  The memory is the caller's, from claim_submit
+ * until decided gave another verdict than GRANTED or until settled was called.
+ */
 struct claim_call
 {
-  char object[CLAIM_OBJECT_SIZE];
-  char key[HASH_HEX_SIZE];
+  char object[CLAIM_OBJECT_SIZE]; /* from claim_locate */
+  char key[HASH_HEX_SIZE];        /* from claim_locate */
   char fingerprint[HASH_HEX_SIZE];
-  char token[UUID_SIZE];
-  int64_t deadline_ms; /* give up waiting for the platform at this time */
+  char token[UUID_SIZE]; /* new for each claim_submit, from uuid_generate */
+  int64_t deadline_ms;   /* give up waiting for the platform at this time */
   /*
-   * Called exactly once per claim_submit.  record is borrowed and NULL unless
-   * the verdict is CLAIM_VERDICT_REPLAY.
+   * Called exactly once per claim_submit, perhaps before that returns.
+   * record is borrowed and NULL unless the verdict is CLAIM_VERDICT_REPLAY.
+   * Refusals: IDEMPOTENCY_KEY_REUSED, CLAIM_IN_PROGRESS, CLAIM_UNAVAILABLE,
+   * NO_MEMORY, INVALID (a token used twice).
    */
   void (*decided) (void *context,
                    enum claim_verdict verdict,
                    enum result result,
                    const struct claim_record *record);
+  /* Called exactly once per claim_settle, perhaps before that returns. */
+  void (*settled) (void *context, bool durable);
   void *context;
 
+  struct claim_operation *operation; /* private */
+};
+
+enum claim_action_kind
+{
+  CLAIM_ACTION_READ,
+  CLAIM_ACTION_WRITE,
+};
+
+/* What the owner of the table is to do; valid until the event that ends it. */
+struct claim_action
+{
+  enum claim_action_kind kind;
+  const char *object;
+  uint64_t version;    /* condition of a write; 0 = must not exist */
+  const json_t *value; /* of a write */
+};
+
+struct claim_shard;
+struct claim_blob;
+
+/* What happened since init. */
+struct claim_counts
+{
+  uint64_t reads;
+  uint64_t writes;
+  uint64_t conflicts;
+  uint64_t lost_answers;
+  uint64_t granted;
+  uint64_t replayed;
+  uint64_t refused;
+  uint64_t late_settles; /* not durable within CLAIM_SETTLE_WAIT_MS */
+  uint64_t cleaned;      /* claims of refused calls that were resolved */
+};
+
+/* The claims of one entry host.  Times are those of one monotonic clock. */
+struct claim_table
+{
+  char host[64];
+  struct rng rng; /* jitter of retries */
+  struct claim_counts counts;
+
   /* Private to claim. */
-  enum claim_state wanted;
-  bool has_answer;
-  struct claim_answer answer;
-  void (*settled) (void *context, bool durable);
-  TAILQ_ENTRY (claim_call) link;
+  struct claim_shard *shards;         /* hash table by object name */
+  struct claim_blob *blobs;           /* hash table by object name */
+  struct claim_operation *operations; /* hash table by token */
+  size_t operation_count;
+  TAILQ_HEAD (, claim_operation) due; /* callbacks to run */
+  TAILQ_HEAD (, claim_shard) shard_actions;
+  TAILQ_HEAD (, claim_blob) blob_actions;
+  bool delivering;
 };
 
+void
+claim_table_init (struct claim_table *table, const char *host, uint64_t seed);
+
+/*
+ * Refuses the calls that are not decided, and tells the others that their
+ * outcome is not durable.
+ */
+void claim_table_finish (struct claim_table *table);
+
+void claim_submit (struct claim_table *table,
+                   struct claim_call *call,
+                   int64_t now_ms);
+
+/*
+ * Records how a granted call ended; state is DONE, NOT_RUN or UNKNOWN.  Takes
+ * ownership of answer->body; answer is NULL unless the state is DONE.  An
+ * answer too large for one object is recorded as UNKNOWN.  The table keeps
+ * trying after it reported an outcome that is not durable yet.
+ */
+void claim_settle (struct claim_table *table,
+                   struct claim_call *call,
+                   enum claim_state state,
+                   struct claim_answer *answer,
+                   int64_t now_ms);
+
+/* False when there is nothing to do now. */
+bool claim_next_action (struct claim_table *table, struct claim_action *action);
+
+/*
+ * The end of each action, with the result codes of platform.h.  value is that
+ * of the object.
+ */
+void claim_read_done (struct claim_table *table,
+                      const char *object,
+                      enum result result,
+                      uint64_t version,
+                      json_t *value,
+                      int64_t now_ms);
+void claim_write_done (struct claim_table *table,
+                       const char *object,
+                       enum result result,
+                       uint64_t version,
+                       int64_t now_ms);
+
+/* Deadlines, retries and the end of unused cache entries; call every tick. */
+void claim_tick (struct claim_table *table, int64_t now_ms);
+
+/* Claims and outcomes still to be written, to wait for before a stop. */
+size_t claim_unwritten (const struct claim_table *table);
+
 #endif
--- /dev/null
+++ b/packages/claim/src/record.c
@@ -0,0 +1,265 @@
+#include "claim-internal.h"
+
+#include "jsonutil.h"
+
+#include <openssl/evp.h>
+#include <stdlib.h>
+#include <string.h>
+
+static const char *const state_names[]
+    = { "claimed", "done", "not_run", "unknown" };
+
+/* Bytes of the text in a JSON string as jansson writes it. */
+static size_t
+escaped_size (const char *text, size_t size)
+{
+  size_t total = 0;
+
+  for (size_t i = 0; i < size; i++)
+    {
+      unsigned char c = (unsigned char)text[i];
+
+      total += c < 0x20 ? 6 : c == '"' || c == '\\' ? 2 : 1;
+    }
+  return total;
+}
+
+static size_t
+base64_size (size_t size)
+{
+  return (size + 2) / 3 * 4;
+}
+
+/*
+ * Text is kept readable unless it is longer that way, is not valid UTF-8 or
+ * holds NUL, which jansson does not read back.
+ */
+static bool
+is_kept_as_text (const char *body, size_t size)
+{
+  json_t *text;
+
+  if (memchr (body, '\0', size) != NULL
+      || escaped_size (body, size) > base64_size (size))
+    return false;
+  text = json_stringn (body, size);
+  json_decref (text);
+  return text != NULL;
+}
+
+size_t
+claim_answer_room (const struct claim_answer *answer)
+{
+  size_t size = answer->body_size;
+
+  if (size == 0)
+    return CLAIM_RECORD_ROOM;
+  return CLAIM_RECORD_ROOM
+         + (is_kept_as_text (answer->body, size)
+                ? escaped_size (answer->body, size)
+                : base64_size (size));
+}
+
+size_t
+claim_record_room (const json_t *value)
+{
+  const json_t *text = json_object_get (value, "body");
+  const json_t *base64 = json_object_get (value, "body64");
+  size_t size = CLAIM_RECORD_ROOM;
+
+  if (json_is_string (text))
+    size += escaped_size (json_string_value (text), json_string_length (text));
+  if (json_is_string (base64))
+    size += json_string_length (base64);
+  return size;
+}
+
+static int
+set_body (json_t *value, const struct claim_answer *answer)
+{
+  size_t size = answer->body_size;
+  char *base64;
+  int failed;
+
+  if (size == 0)
+    return 0;
+  if (is_kept_as_text (answer->body, size))
+    return json_object_set_new (value, "body",
+                                json_stringn_nocheck (answer->body, size));
+  base64 = malloc (base64_size (size) + 1);
+  if (base64 == NULL)
+    return -1;
+  EVP_EncodeBlock ((unsigned char *)base64, (const unsigned char *)answer->body,
+                   (int)size);
+  failed = json_object_set_new (value, "body64", json_string (base64));
+  free (base64);
+  return failed;
+}
+
+json_t *
+claim_body_encode (const struct claim_answer *answer)
+{
+  json_t *value = json_object ();
+
+  if (value != NULL && set_body (value, answer) != 0)
+    {
+      json_decref (value);
+      return NULL;
+    }
+  return value;
+}
+
+static bool
+decode_base64 (const json_t *base64, struct claim_answer *answer)
+{
+  size_t size = json_string_length (base64);
+  const char *text = json_string_value (base64);
+  int decoded;
+
+  if (size == 0 || size % 4 != 0)
+    return false;
+  answer->body = malloc (size / 4 * 3);
+  if (answer->body == NULL)
+    return false;
+  decoded = EVP_DecodeBlock ((unsigned char *)answer->body,
+                             (const unsigned char *)text, (int)size);
+  if (decoded < 0)
+    {
+      free (answer->body);
+      answer->body = NULL;
+      return false;
+    }
+  /* EVP_DecodeBlock counts the padding as data. */
+  answer->body_size
+      = (size_t)decoded - (text[size - 1] == '=') - (text[size - 2] == '=');
+  return true;
+}
+
+bool
+claim_body_decode (const json_t *value, struct claim_answer *answer)
+{
+  const json_t *text = json_object_get (value, "body");
+  const json_t *base64 = json_object_get (value, "body64");
+
+  answer->body = NULL;
+  answer->body_size = 0;
+  if (!json_is_object (value))
+    return false;
+  if (json_is_string (base64))
+    return decode_base64 (base64, answer);
+  if (text == NULL)
+    return true;
+  if (!json_is_string (text))
+    return false;
+  answer->body = malloc (json_string_length (text) + 1);
+  if (answer->body == NULL)
+    return false;
+  answer->body_size = json_string_length (text);
+  memcpy (answer->body, json_string_value (text), answer->body_size + 1);
+  return true;
+}
+
+/*
+ * The content type if it is printable ASCII, which keeps its length in JSON
+ * within CLAIM_RECORD_ROOM.
+ */
+static const char *
+stored_content_type (const struct claim_answer *answer)
+{
+  for (const char *c = answer->content_type; *c != '\0'; c++)
+    if (*c < 0x20 || *c > 0x7e)
+      return "application/octet-stream";
+  return answer->content_type;
+}
+
+json_t *
+claim_record_encode (const struct claim_record *record)
+{
+  json_t *value = json_pack (
+      "{s:s, s:s, s:s, s:s}", "fingerprint", record->fingerprint, "token",
+      record->token, "host", record->host, "state", state_names[record->state]);
+  int failed = 0;
+
+  if (value == NULL || record->state != CLAIM_DONE)
+    return value;
+  failed |= json_object_set_new (value, "status",
+                                 json_integer (record->answer.status));
+  failed |= json_object_set_new (
+      value, "content_type",
+      json_string (stored_content_type (&record->answer)));
+  if (record->body_elsewhere)
+    failed |= json_object_set_new (value, "body_at",
+                                   json_sprintf ("answers/%s", record->token));
+  else
+    failed |= set_body (value, &record->answer);
+  if (failed != 0)
+    {
+      json_decref (value);
+      return NULL;
+    }
+  return value;
+}
+
+bool
+claim_state_read (const json_t *value, enum claim_state *state)
+{
+  char name[16];
+
+  if (!json_read_string (value, "state", name, sizeof name))
+    return false;
+  for (size_t i = 0; i < sizeof state_names / sizeof state_names[0]; i++)
+    if (strcmp (name, state_names[i]) == 0)
+      {
+        *state = (enum claim_state)i;
+        return true;
+      }
+  return false;
+}
+
+static bool
+decode_answer (const json_t *value, struct claim_record *record)
+{
+  struct claim_answer *answer = &record->answer;
+  char body_at[CLAIM_OBJECT_SIZE];
+  uint64_t status;
+
+  if (!json_read_u64 (value, "status", &status) || status < 100 || status > 999
+      || !json_read_string (value, "content_type", answer->content_type,
+                            sizeof answer->content_type))
+    return false;
+  answer->status = (int)status;
+  record->body_elsewhere
+      = json_read_string (value, "body_at", body_at, sizeof body_at);
+  return record->body_elsewhere || claim_body_decode (value, answer);
+}
+
+enum result
+claim_record_decode (struct claim_record *record,
+                     const char *key,
+                     const json_t *value)
+{
+  int64_t token_ms;
+
+  memset (record, 0, sizeof *record);
+  if (strlen (key) < sizeof record->key
+      && json_read_string (value, "fingerprint", record->fingerprint,
+                           sizeof record->fingerprint)
+      && json_read_string (value, "token", record->token, sizeof record->token)
+      && uuid_parse_v7 (record->token, &token_ms)
+      && json_read_string (value, "host", record->host, sizeof record->host)
+      && claim_state_read (value, &record->state)
+      && (record->state != CLAIM_DONE || decode_answer (value, record)))
+    {
+      memcpy (record->key, key, strlen (key) + 1);
+      return RESULT_OK;
+    }
+  claim_record_finish (record);
+  return RESULT_INVALID;
+}
+
+void
+claim_record_finish (struct claim_record *record)
+{
+  free (record->answer.body);
+  memset (record, 0, sizeof *record);
+}
