--- a/packages/gateway/src/endpoint.c
+++ b/packages/gateway/src/endpoint.c
@@ -2,9 +2,12 @@
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 /* The gateway has its own deadlines, so evhttp's must never come first. */
 #define IDLE_SECONDS 86400
@@ -88,7 +91,22 @@
     call->events->ended (call->context, result);
 }
 
-/* Every byte that leaves the output buffer goes to the socket. */
+/* The end of a long request must not wait for an acknowledgement. */
+static void
+set_no_delay (struct endpoint_call *call)
+{
+  evutil_socket_t fd = bufferevent_getfd (
+      evhttp_connection_get_bufferevent (call->connection));
+  int on = 1;
+
+  if (fd >= 0)
+    setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
+/*
+ * evhttp fills the output buffer once it is connected, and every byte that
+ * leaves the buffer goes to the socket.
+ */
 static void
 on_output (struct evbuffer *buffer,
            const struct evbuffer_cb_info *info,
@@ -97,6 +115,8 @@
   struct endpoint_call *call = context;
 
   (void)buffer;
+  if (info->n_added > 0 && info->orig_size == 0)
+    set_no_delay (call);
   if (info->n_deleted > 0 && !call->failed)
     call->written = true;
 }
--- a/packages/gateway/src/listener.c
+++ b/packages/gateway/src/listener.c
@@ -4,6 +4,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
 
@@ -158,13 +159,19 @@
     admit_request (request);
 }
 
+/*
+ * Accepted sockets inherit these.  Without TCP_NODELAY each token waits for
+ * the acknowledgement of the one before, up to 40 ms with a delayed ACK.
+ */
 static void
-set_send_buffer (struct evhttp_bound_socket *bound, int bytes)
+set_socket_options (struct evhttp_bound_socket *bound, int send_buffer)
 {
-  /* Accepted sockets inherit the size. */
-  if (bytes > 0)
-    setsockopt (evhttp_bound_socket_get_fd (bound), SOL_SOCKET, SO_SNDBUF,
-                &bytes, sizeof bytes);
+  evutil_socket_t fd = evhttp_bound_socket_get_fd (bound);
+  int on = 1;
+
+  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  if (send_buffer > 0)
+    setsockopt (fd, SOL_SOCKET, SO_SNDBUF, &send_buffer, sizeof send_buffer);
 }
 
 enum result
@@ -192,7 +199,7 @@
   bound = evhttp_bind_socket_with_handle (gateway->http, address, port);
   if (bound == NULL)
     return RESULT_INVALID;
-  set_send_buffer (bound, gateway->limits.send_buffer_bytes);
+  set_socket_options (bound, gateway->limits.send_buffer_bytes);
   if (getsockname (evhttp_bound_socket_get_fd (bound),
                    (struct sockaddr *)&bound_address, &size)
       != 0)
--- a/packages/gateway/tests/t0830-stream.c
+++ b/packages/gateway/tests/t0830-stream.c
@@ -2,6 +2,8 @@
 
 #include "../src/internal.h"
 
+#include <netinet/tcp.h>
+
 #define COMPLETIONS "/v1/completions"
 #define STREAM                                                                 \
   "{\"model\":\"m\",\"prompt\":\"p\",\"max_tokens\":30000,\"stream\":true}"
@@ -137,6 +139,38 @@
     }
 }
 
+static int
+no_delay (struct evhttp_connection *connection)
+{
+  int value = 0;
+  socklen_t size = sizeof value;
+
+  getsockopt (
+      bufferevent_getfd (evhttp_connection_get_bufferevent (connection)),
+      IPPROTO_TCP, TCP_NODELAY, &value, &size);
+  return value;
+}
+
+/* Nagle's algorithm would hold tokens back for an ACK, up to 40 ms each. */
+static void
+test_no_delay (void **state)
+{
+  struct world *world = start (world_new (), "0 1 H", NULL);
+  struct client client;
+  struct gateway_request *request;
+
+  (void)state;
+  client_open (world, &client, 0);
+  client_send (&client, "POST", COMPLETIONS, "acme", "", STREAM);
+  WAIT_FOR (world, strstr (client_text (&client), "w1 ") != NULL);
+  request = TAILQ_FIRST (&world->gateway.requests);
+  assert_int_equal (no_delay (evhttp_request_get_connection (request->http)),
+                    1);
+  assert_int_equal (no_delay (request->attempt->call->connection), 1);
+  client_close (&client);
+  world_free (world);
+}
+
 /* The sheet changes while the request waits for its retry. */
 static void
 test_place_again (void **state)
@@ -419,6 +453,7 @@
     cmocka_unit_test (test_backpressure),
     cmocka_unit_test (test_slow_caller),
     cmocka_unit_test (test_caller_gone),
+    cmocka_unit_test (test_no_delay),
     cmocka_unit_test (test_place_again),
     cmocka_unit_test (test_deadline),
     cmocka_unit_test (test_member_absent),
--- a/tests/standin/engine.c
+++ b/tests/standin/engine.c
@@ -12,6 +12,8 @@
 #include <event2/keyvalq_struct.h>
 #include <inttypes.h>
 #include <jansson.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <signal.h>
 #include <stdbool.h>
 #include <stdio.h>
@@ -529,6 +531,16 @@
   host->event_seq = 0;
 }
 
+/* Accepted sockets inherit it: a token must not wait for the ACK of another. */
+static void
+set_no_delay (struct evhttp_bound_socket *bound)
+{
+  int on = 1;
+
+  setsockopt (evhttp_bound_socket_get_fd (bound), IPPROTO_TCP, TCP_NODELAY, &on,
+              sizeof on);
+}
+
 static bool
 host_start (struct host *host)
 {
@@ -553,6 +565,7 @@
                    (struct sockaddr *)&address, &size);
       host->port = ntohs (address.sin_port);
     }
+  set_no_delay (bound);
   evhttp_set_max_body_size (host->http, BODY_LIMIT);
   evhttp_set_allowed_methods (host->http, 0x1ff);
   evhttp_set_gencb (host->http, handle_host_request, host);
