control: tell unchanged health by a digest

Cause: each prober told the whole result of each endpoint to each peer every 700 ms; at 24 entry hosts and 48 endpoints that was 32.6 KB/s sent per node, against a target of 24 KB/s. Change: a 24-byte entry with a digest of the contents says that an endpoint was seen again; the whole result goes out on change, to newcomers and every 5 s.

--- a/packages/base/include/hash.h
+++ b/packages/base/include/hash.h
@@ -21,6 +21,9 @@
 /* 64-bit XXH3 of a NUL-terminated string. */
 uint64_t hash_string (const char *text, uint64_t seed);
 
+/* 64-bit XXH3 of a number. */
+uint64_t hash_number (uint64_t number, uint64_t seed);
+
 /*
  * Rendezvous (highest random weight) score of a node for a key: the node with
  * the highest score owns the key.  Thaler and Ravishankar, "A Name-Based
--- a/packages/base/src/hash.c
+++ b/packages/base/src/hash.c
@@ -31,6 +31,12 @@
   return XXH3_64bits_withSeed (text, strlen (text), seed);
 }
 
+uint64_t
+hash_number (uint64_t number, uint64_t seed)
+{
+  return XXH3_64bits_withSeed (&number, sizeof number, seed);
+}
+
 uint64_t
 hash_rendezvous (const char *node, const char *key)
 {
--- a/packages/control/include/prober.h
+++ b/packages/control/include/prober.h
@@ -20,9 +20,8 @@
 #define PROBER_RANKS 2
 #define PROBER_INTERVAL_MS 500
 #define PROBER_TIMEOUT_MS 1000
-#define PROBER_REFRESH_MS                                                      \
-  700 /* unchanged results are told again after this                           \
-       */
+#define PROBER_REFRESH_MS 900 /* a short entry tells that nothing changed */
+#define PROBER_FULL_MS 5000   /* the whole result is told again after this */
 
 struct prober_target
 {
@@ -33,7 +32,8 @@
   uint16_t port;
   bool waiting;
   int64_t next_ms;
-  int64_t told_ms;
+  int64_t told_ms; /* whole or short */
+  int64_t told_full_ms;
   bool changed; /* since it was told last */
   UT_hash_handle hh;
 };
@@ -45,6 +45,7 @@
   struct member_table *members;
   struct peer_node *peers;
   struct prober_target *targets; /* uthash by id */
+  size_t live; /* entry hosts of the data centre at the last tick */
   uint64_t probes;
   uint64_t failures;
   /* An endpoint was seen with another boot id while requests ran there. */
@@ -65,4 +66,8 @@
                   const char *host,
                   const struct fleet_attestation *attested);
 
+/* A peer saw an endpoint again with the contents that the digest names. */
+void prober_take_fresh (struct prober *prober,
+                        const struct peer_fresh_entry *entry);
+
 #endif
--- a/packages/control/src/prober.c
+++ b/packages/control/src/prober.c
@@ -205,29 +205,102 @@
   start_probe (target);
 }
 
+void
+prober_take_fresh (struct prober *prober, const struct peer_fresh_entry *entry)
+{
+  for (struct fleet_host *host = prober->fleet->hosts; host != NULL;
+       host = host->hh.next)
+    {
+      if (peer_host_hash (host->id) != entry->host)
+        continue;
+      if (entry->seen_ms > host->attested.seen_ms
+          && peer_attestation_digest (&host->attested) == entry->digest)
+        {
+          host->attested.seen_ms = entry->seen_ms;
+          host->attested.running = entry->running;
+          host->attested.queued = entry->queued;
+        }
+      return;
+    }
+}
+
+struct tell
+{
+  struct peer_health_entry full[BATCH_LIMIT];
+  struct peer_fresh_entry fresh[BATCH_LIMIT];
+  size_t full_count;
+  size_t fresh_count;
+};
+
+static void
+add_full (struct tell *tell,
+          struct prober_target *target,
+          const struct fleet_host *host,
+          int64_t now_ms)
+{
+  target->changed = false;
+  target->told_ms = now_ms;
+  target->told_full_ms = now_ms;
+  tell->full[tell->full_count].host = host->id;
+  tell->full[tell->full_count++].attested = &host->attested;
+}
+
+static void
+add_fresh (struct tell *tell,
+           struct prober_target *target,
+           const struct fleet_host *host,
+           int64_t now_ms)
+{
+  struct peer_fresh_entry *entry = &tell->fresh[tell->fresh_count++];
+
+  target->told_ms = now_ms;
+  entry->host = peer_host_hash (host->id);
+  entry->digest = peer_attestation_digest (&host->attested);
+  entry->seen_ms = host->attested.seen_ms;
+  entry->running = host->attested.running;
+  entry->queued = host->attested.queued;
+}
+
+/* A newcomer knows no contents that a digest could stand for. */
+static bool
+has_newcomer (struct prober *prober)
+{
+  size_t live
+      = member_count_live (prober->members, prober->members->self.data_centre);
+  bool more = live > prober->live;
+
+  prober->live = live;
+  return more;
+}
+
 static void
 tell_peers (struct prober *prober, int64_t now_ms)
 {
-  struct peer_health_entry batch[BATCH_LIMIT];
-  size_t count = 0;
+  bool newcomer = has_newcomer (prober);
+  struct tell tell;
 
-  for (struct prober_target *target = prober->targets; target != NULL;
+  tell.full_count = 0;
+  tell.fresh_count = 0;
+  for (struct prober_target *target = prober->targets;
+       target != NULL && tell.full_count + tell.fresh_count < BATCH_LIMIT;
        target = target->hh.next)
     {
       const struct fleet_host *host
           = fleet_find_host (prober->fleet, target->id);
 
-      if (host == NULL || count == BATCH_LIMIT
-          || !fleet_host_present (host, now_ms) || !is_ours (prober, host)
-          || (!target->changed && now_ms - target->told_ms < PROBER_REFRESH_MS))
+      if (host == NULL || !fleet_host_present (host, now_ms)
+          || !is_ours (prober, host))
         continue;
-      target->changed = false;
-      target->told_ms = now_ms;
-      batch[count].host = host->id;
-      batch[count++].attested = &host->attested;
+      if (target->changed || newcomer
+          || now_ms - target->told_full_ms >= PROBER_FULL_MS)
+        add_full (&tell, target, host, now_ms);
+      else if (now_ms - target->told_ms >= PROBER_REFRESH_MS)
+        add_fresh (&tell, target, host, now_ms);
     }
-  if (count > 0)
-    peer_send_health (prober->peers, batch, count, now_ms);
+  if (tell.full_count > 0)
+    peer_send_health (prober->peers, tell.full, tell.full_count, now_ms);
+  if (tell.fresh_count > 0)
+    peer_send_fresh (prober->peers, tell.fresh, tell.fresh_count, now_ms);
 }
 
 void
--- a/packages/daemon/src/daemon.c
+++ b/packages/daemon/src/daemon.c
@@ -23,6 +23,14 @@
   prober_take (&daemon->prober, host, attested);
 }
 
+static void
+on_fresh (void *context, const struct peer_fresh_entry *entry)
+{
+  struct daemon *daemon = context;
+
+  prober_take_fresh (&daemon->prober, entry);
+}
+
 static void
 on_demand (void *context, const char *from, const char *name, unsigned demand)
 {
@@ -183,6 +191,7 @@
 {
   struct peer_hooks hooks = { .context = daemon,
                               .health = on_health,
+                              .fresh = on_fresh,
                               .demand = on_demand,
                               .strike = on_strike,
                               .object = on_object };
--- a/packages/peer/include/peer.h
+++ b/packages/peer/include/peer.h
@@ -31,6 +31,15 @@
   PEER_HOSTS = 4,
 };
 
+struct peer_fresh_entry
+{
+  uint32_t host;   /* see peer_host_hash */
+  uint64_t digest; /* see peer_attestation_digest */
+  int64_t seen_ms;
+  unsigned running;
+  unsigned queued;
+};
+
 /* What the owner of the node wants to hear.  All pointers are borrowed. */
 struct peer_hooks
 {
@@ -38,6 +47,8 @@
   void (*health) (void *context,
                   const char *host,
                   const struct fleet_attestation *attested);
+  /* A prober saw the endpoint again, with only its load changed. */
+  void (*fresh) (void *context, const struct peer_fresh_entry *entry);
   void (*demand) (void *context,
                   const char *from,
                   const char *name,
@@ -124,6 +135,17 @@
                        size_t count,
                        int64_t now_ms);
 
+uint32_t peer_host_hash (const char *host);
+
+/* Over everything that an endpoint attests but its load. */
+uint64_t peer_attestation_digest (const struct fleet_attestation *attested);
+
+/* One-way, to every live member of our data centre. */
+void peer_send_fresh (struct peer_node *node,
+                      const struct peer_fresh_entry *entries,
+                      size_t count,
+                      int64_t now_ms);
+
 struct peer_demand_entry
 {
   const char *name;
--- a/packages/peer/peer.x
+++ b/packages/peer/peer.x
@@ -1,7 +1,7 @@
 /*
  * Protocol between entry hosts: ONC RPC program PEER_PROGRAM.  PING, PING_REQ,
- * HEALTH, SHARES and STRIKES go over UDP; FETCH goes over TCP with record
- * marking.  HEALTH and SHARES are one-way: no reply is sent.
+ * HEALTH, FRESH, SHARES and STRIKES go over UDP; FETCH goes over TCP with record
+ * marking.  HEALTH, FRESH and SHARES are one-way: no reply is sent.
  *
  * src/generated holds the output of rpcgen; scripts/generate-xdr.sh makes it
  * again.
@@ -13,6 +13,7 @@
 const PEER_MAC_SIZE = 32;
 const PEER_UPDATES = 8;
 const PEER_HEALTH_ENTRIES = 16;
+const PEER_FRESH_ENTRIES = 32;
 const PEER_DEMAND_ENTRIES = 32;
 const PEER_STRIKE_ENTRIES = 8;
 const PEER_OBJECT_LIMIT = 2097152;
@@ -88,6 +89,24 @@
   peer_health entries<PEER_HEALTH_ENTRIES>;
 };
 
+/*
+ * A prober saw an endpoint again and nothing but its load changed.  The digest
+ * stands for the rest; a receiver that knows another one ignores the entry.
+ */
+struct peer_fresh
+{
+  unsigned int host; /* hash of its name */
+  unsigned hyper digest;
+  unsigned int seen_age_ms;
+  unsigned int running;
+  unsigned int queued;
+};
+
+struct peer_fresh_report
+{
+  peer_fresh entries<PEER_FRESH_ENTRIES>;
+};
+
 struct peer_demand
 {
   string name<PEER_TEXT_LIMIT>;
@@ -142,5 +161,6 @@
     void PEER_SHARES (peer_shares) = 4;
     void PEER_STRIKES (peer_strikes) = 5;
     peer_object PEER_FETCH (peer_fetch) = 6;
+    void PEER_FRESH (peer_fresh_report) = 7;
   } = 1;
 } = 0x20577801;
--- a/packages/peer/src/report.c
+++ b/packages/peer/src/report.c
@@ -1,5 +1,7 @@
 #include "peer-internal.h"
 
+#include "hash.h"
+
 /*
  * Health entries on one datagram: the longest entry of ordinary names takes
  * about 180 bytes; entries that do not fit are sent alone.
@@ -80,6 +82,60 @@
     }
 }
 
+uint32_t
+peer_host_hash (const char *host)
+{
+  return (uint32_t)hash_string (host, 0);
+}
+
+uint64_t
+peer_attestation_digest (const struct fleet_attestation *attested)
+{
+  const uint64_t numbers[]
+      = { attested->generation, attested->rank,  attested->span,
+          attested->fence,      attested->state, attested->leaving,
+          attested->slots };
+  const char *const texts[]
+      = { attested->boot_id, attested->group, attested->model,
+          attested->version, attested->role,  attested->adapters };
+  uint64_t digest = 0;
+
+  for (size_t i = 0; i < sizeof texts / sizeof texts[0]; i++)
+    digest = hash_string (texts[i], digest);
+  for (size_t i = 0; i < sizeof numbers / sizeof numbers[0]; i++)
+    digest = hash_number (numbers[i], digest);
+  return digest;
+}
+
+void
+peer_send_fresh (struct peer_node *node,
+                 const struct peer_fresh_entry *entries,
+                 size_t count,
+                 int64_t now_ms)
+{
+  for (size_t start = 0; start < count; start += PEER_FRESH_ENTRIES)
+    {
+      peer_fresh wire[PEER_FRESH_ENTRIES];
+      size_t used = count - start < PEER_FRESH_ENTRIES ? count - start
+                                                       : PEER_FRESH_ENTRIES;
+      peer_fresh_report report
+          = { .entries = { .entries_len = (u_int)used, .entries_val = wire } };
+
+      for (size_t i = 0; i < used; i++)
+        {
+          const struct peer_fresh_entry *entry = &entries[start + i];
+
+          wire[i].host = entry->host;
+          wire[i].digest = entry->digest;
+          wire[i].seen_age_ms = (u_int)(now_ms - entry->seen_ms);
+          wire[i].running = entry->running;
+          wire[i].queued = entry->queued;
+        }
+      send_to_data_centre (node, PEER_FRESH, (xdrproc_t)xdr_peer_fresh_report,
+                           &report);
+    }
+}
+
 void
 peer_send_demand (struct peer_node *node,
                   const struct peer_demand_entry *entries,
--- a/packages/peer/src/serve.c
+++ b/packages/peer/src/serve.c
@@ -144,6 +144,28 @@
   xdr_free ((xdrproc_t)xdr_peer_health_report, (char *)&report);
 }
 
+static void
+serve_fresh (const struct incoming *in)
+{
+  peer_fresh_report report = { 0 };
+
+  if (decode (in, (xdrproc_t)xdr_peer_fresh_report, &report))
+    for (u_int i = 0; i < report.entries.entries_len; i++)
+      {
+        const peer_fresh *wire = &report.entries.entries_val[i];
+        struct peer_fresh_entry entry = {
+          .host = wire->host,
+          .digest = wire->digest,
+          .seen_ms = in->now_ms - (int64_t)wire->seen_age_ms,
+          .running = wire->running,
+          .queued = wire->queued,
+        };
+
+        in->node->hooks.fresh (in->node->hooks.context, &entry);
+      }
+  xdr_free ((xdrproc_t)xdr_peer_fresh_report, (char *)&report);
+}
+
 static void
 serve_shares (const struct incoming *in)
 {
@@ -193,6 +215,9 @@
     case PEER_HEALTH:
       serve_health (in);
       break;
+    case PEER_FRESH:
+      serve_fresh (in);
+      break;
     case PEER_SHARES:
       serve_shares (in);
       break;
--- a/packages/peer/tests/t0511-peer.c
+++ b/packages/peer/tests/t0511-peer.c
@@ -24,6 +24,7 @@
   struct member_table members[NODES];
   struct peer_node nodes[NODES];
   unsigned health_seen[NODES];
+  unsigned fresh_seen[NODES];
   unsigned strikes_seen[NODES];
   unsigned demand_seen[NODES];
   char object[NODES][64];
@@ -55,6 +56,15 @@
     hook->site->health_seen[hook->index]++;
 }
 
+static void
+on_fresh (void *context, const struct peer_fresh_entry *entry)
+{
+  struct site_hook *hook = context;
+
+  if (entry->host == peer_host_hash ("engine-1") && entry->running == 3)
+    hook->site->fresh_seen[hook->index]++;
+}
+
 static void
 on_demand (void *context, const char *from, const char *name, unsigned demand)
 {
@@ -114,6 +124,7 @@
 {
   struct member_update self = { .address = "127.0.0.1", .incarnation = 1 };
   struct peer_hooks hooks = { .health = on_health,
+                              .fresh = on_fresh,
                               .demand = on_demand,
                               .strike = on_strike,
                               .object = on_object };
@@ -186,7 +197,8 @@
 static bool
 reports_seen (const struct site *s)
 {
-  return s->health_seen[1] > 0 && s->health_seen[2] > 0 && s->demand_seen[1] > 0
+  return s->fresh_seen[1] > 0 && s->fresh_seen[2] > 0 && s->health_seen[1] > 0
+         && s->health_seen[2] > 0 && s->demand_seen[1] > 0
          && s->demand_seen[2] > 0;
 }
 
@@ -221,12 +233,16 @@
       = { .generation = 9, .state = FLEET_ENGINE_READY };
   struct peer_health_entry health = { "engine-1", &attested };
   struct peer_demand_entry demand = { "model/m", 12 };
+  struct peer_fresh_entry fresh
+      = { .host = peer_host_hash ("engine-1"), .running = 3 };
 
   (void)state;
   site_start (&site);
   assert_true (wait_for (&site, all_found));
   attested.seen_ms = time_boot_ms ();
   peer_send_health (&site.nodes[0], &health, 1, time_boot_ms ());
+  fresh.seen_ms = attested.seen_ms;
+  peer_send_fresh (&site.nodes[0], &fresh, 1, time_boot_ms ());
   peer_send_demand (&site.nodes[0], &demand, 1);
   assert_true (wait_for (&site, reports_seen));
 
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -21,6 +21,7 @@
 fleet_spawn () {
   local name=$1
   shift
+  : > "$work/$name.log"
   "$@" > "$work/$name.out" 2> "$work/$name.log" &
   fleet_pids+=($!)
   echo $! > "$work/$name.pid"
