gateway: bind the claim hooks to the claim table

The claim table decides but does no I/O. claimio performs its reads and writes through the platform's client, checks idempotency keys against the platform's clock, and keeps a claim alive after its caller left.

t0840-claimio runs the gateway, the table, the platform's client and a small object service together: replays, reused and bad keys, a lost write, an outage, open outcomes, another entry host and clock skew.

--- /dev/null
+++ b/packages/gateway/include/claimio.h
@@ -0,0 +1,49 @@
+#ifndef GATEWAY_CLAIMIO_H
+#define GATEWAY_CLAIMIO_H
+
+#include "claim.h"
+#include "gateway.h"
+#include "platform.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <sys/queue.h>
+
+/*
+ * The gateway's hooks for at-most-once calls over the claim table and the
+ * platform's client.  Finish it after the gateway and before the platform.
+ */
+
+/* A caller waits for the decision on its claim for at most so long. */
+#define CLAIMIO_WAIT_MS 5000
+
+struct claimio_transfer; /* one read or write in flight; private */
+TAILQ_HEAD (claimio_transfers, claimio_transfer);
+TAILQ_HEAD (claimio_claims, gateway_claim);
+
+struct claimio
+{
+  struct claim_table table;
+  struct gateway_claims hooks; /* for struct gateway_tables */
+  struct platform *platform;   /* borrowed */
+
+  /* Private. */
+  struct claimio_transfers transfers;
+  struct claimio_claims claims; /* not settled yet */
+  bool pumping;
+  bool stopped; /* the platform's client was finished */
+};
+
+void claimio_init (struct claimio *claimio,
+                   struct platform *platform,
+                   const char *host,
+                   uint64_t seed);
+void claimio_finish (struct claimio *claimio);
+
+/* Run each tick, also while draining. */
+void claimio_tick (struct claimio *claimio, int64_t now_ms);
+
+/* Claims and outcomes still to be written, to wait for before a stop. */
+size_t claimio_unwritten (const struct claimio *claimio);
+
+#endif
--- a/packages/gateway/include/gateway.h
+++ b/packages/gateway/include/gateway.h
@@ -90,8 +90,8 @@
   /*
    * Records how a granted call ended.  answer is copied; NULL unless the state
    * is CLAIM_DONE.  settled (may be NULL) is called once when the record is
-   * durable, unless forget is called first.  The write is repeated until it
-   * succeeds.
+   * durable or was not for too long, unless forget is called first.  The write
+   * is repeated until it succeeds.
    */
   void (*settle) (void *context,
                   struct gateway_claim *claim,
--- /dev/null
+++ b/packages/gateway/tests/t0840-claimio.c
@@ -0,0 +1,503 @@
+#include "harness.h"
+
+#include "claimio.h"
+#include "uuid.h"
+
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+
+/* A small object service: conditional writes, and answers that get lost. */
+
+struct object
+{
+  char key[CLAIM_OBJECT_SIZE];
+  uint64_t version;
+  json_t *value;
+};
+
+struct store
+{
+  struct evhttp *http;
+  uint16_t port;
+  struct object objects[16];
+  size_t count;
+  uint64_t revision;
+  size_t writes;
+  size_t lose_answers; /* the next N writes take effect without an answer */
+  bool outage;
+  int64_t skew_s; /* of the Date header */
+};
+
+static struct object *
+store_find (struct store *store, const char *key)
+{
+  for (size_t i = 0; i < store->count; i++)
+    if (strcmp (store->objects[i].key, key) == 0)
+      return &store->objects[i];
+  return NULL;
+}
+
+static void
+store_reply (struct store *store,
+             struct evhttp_request *request,
+             int status,
+             json_t *json)
+{
+  struct evbuffer *body = evbuffer_new ();
+  char *text = json_dumps (json, JSON_COMPACT);
+  time_t now = time (NULL) + (time_t)store->skew_s;
+  struct tm tm;
+  char date[64];
+
+  gmtime_r (&now, &tm);
+  strftime (date, sizeof date, "%a, %d %b %Y %H:%M:%S GMT", &tm);
+  evhttp_add_header (evhttp_request_get_output_headers (request), "Date", date);
+  evbuffer_add (body, text, strlen (text));
+  evhttp_send_reply (request, status, NULL, body);
+  evbuffer_free (body);
+  free (text);
+  json_decref (json);
+}
+
+static void
+store_write (struct store *store,
+             struct evhttp_request *request,
+             const char *key)
+{
+  struct evbuffer *input = evhttp_request_get_input_buffer (request);
+  const char *match = evhttp_find_header (
+      evhttp_request_get_input_headers (request), "If-Match");
+  struct object *object = store_find (store, key);
+  uint64_t version = object != NULL ? object->version : 0;
+  uint64_t wanted = match != NULL ? strtoull (match + 1, NULL, 10) : 0;
+
+  if (wanted != version)
+    {
+      store_reply (store, request, 412,
+                   json_pack ("{s:I}", "version", (json_int_t)version));
+      return;
+    }
+  if (object == NULL)
+    {
+      object = &store->objects[store->count++];
+      snprintf (object->key, sizeof object->key, "%s", key);
+    }
+  json_decref (object->value);
+  object->value = json_loadb ((const char *)evbuffer_pullup (input, -1),
+                              evbuffer_get_length (input), 0, NULL);
+  object->version = ++store->revision;
+  store->writes++;
+  if (store->lose_answers > 0)
+    {
+      store->lose_answers--;
+      evhttp_connection_free (evhttp_request_get_connection (request));
+      return;
+    }
+  store_reply (store, request, 200,
+               json_pack ("{s:I}", "version", (json_int_t)object->version));
+}
+
+static void
+on_store_request (struct evhttp_request *request, void *context)
+{
+  struct store *store = context;
+  const char *path
+      = evhttp_uri_get_path (evhttp_request_get_evhttp_uri (request));
+  const char *key = path + strlen ("/v1/objects/");
+  const struct object *object;
+
+  if (store->outage)
+    {
+      store_reply (store, request, 503, json_object ());
+      return;
+    }
+  if (evhttp_request_get_command (request) == EVHTTP_REQ_PUT)
+    {
+      store_write (store, request, key);
+      return;
+    }
+  object = store_find (store, key);
+  if (object == NULL)
+    store_reply (store, request, 404, json_object ());
+  else
+    store_reply (store, request, 200,
+                 json_pack ("{s:s,s:I,s:O}", "key", key, "version",
+                            (json_int_t)object->version, "value",
+                            object->value));
+}
+
+struct fixture
+{
+  struct world *world;
+  struct store store;
+  struct platform platform;
+  struct claimio claimio;
+  struct event *tick;
+};
+
+static void
+on_claim_tick (evutil_socket_t fd, short what, void *context)
+{
+  struct fixture *fixture = context;
+  struct timeval period = { 0, TICK_US };
+
+  (void)fd;
+  (void)what;
+  claimio_tick (&fixture->claimio, time_boot_ms ());
+  evtimer_add (fixture->tick, &period);
+}
+
+/* The world makes its base in world_start, so the tables are set after it. */
+static struct fixture *
+start (const char *const *scripts)
+{
+  struct fixture *fixture = calloc (1, sizeof *fixture);
+  struct store *store = &fixture->store;
+  struct evhttp_bound_socket *bound;
+  struct sockaddr_in address = { 0 };
+  socklen_t size = sizeof address;
+
+  fixture->world = world_new ();
+  fixture->world->limits.capacity_ms = 50;
+  for (size_t i = 0; i < 4 && scripts[i] != NULL; i++)
+    fixture->world->scripts[fixture->world->script_count++] = scripts[i];
+  world_start (fixture->world);
+  store->http = evhttp_new (fixture->world->base);
+  bound = evhttp_bind_socket_with_handle (store->http, "127.0.0.1", 0);
+  getsockname (evhttp_bound_socket_get_fd (bound), (struct sockaddr *)&address,
+               &size);
+  store->port = ntohs (address.sin_port);
+  evhttp_set_gencb (store->http, on_store_request, store);
+  platform_init (&fixture->platform, fixture->world->base, "127.0.0.1",
+                 store->port, 500);
+  claimio_init (&fixture->claimio, &fixture->platform, "entry-1", 1);
+  fixture->world->gateway.tables.claims = &fixture->claimio.hooks;
+  fixture->tick = evtimer_new (fixture->world->base, on_claim_tick, fixture);
+  on_claim_tick (-1, 0, fixture);
+  return fixture;
+}
+
+static void
+finish (struct fixture *fixture)
+{
+  /* The gateway goes first; world_free finishes it once more, empty. */
+  gateway_finish (&fixture->world->gateway);
+  claimio_finish (&fixture->claimio);
+  platform_finish (&fixture->platform);
+  event_free (fixture->tick);
+  evhttp_free (fixture->store.http);
+  for (size_t i = 0; i < fixture->store.count; i++)
+    json_decref (fixture->store.objects[i].value);
+  world_free (fixture->world);
+  free (fixture);
+}
+
+#define BOOKINGS "/v1/services/app/bookings"
+
+/* Sends a booking and returns the status; the text stays in client. */
+static int
+book (struct fixture *fixture,
+      struct client *client,
+      const char *key,
+      const char *body)
+{
+  char header[128] = "";
+
+  if (key != NULL)
+    snprintf (header, sizeof header, "Idempotency-Key: %s\r\n", key);
+  client_open (fixture->world, client, 0);
+  client_send (client, "POST", BOOKINGS, "acme", header, body);
+  client_wait (fixture->world, client);
+  return client_status (client);
+}
+
+static const char *const ok[] = { "ok", NULL };
+
+static void
+test_replay (void **state)
+{
+  struct fixture *fixture = start (ok);
+  struct client client;
+  char key[UUID_SIZE];
+
+  (void)state;
+  uuid_generate (key);
+  assert_int_equal (book (fixture, &client, key, "{}"), 201);
+  assert_null (strstr (client_text (&client), "Idempotency-Replayed"));
+  client_close (&client);
+  /* Any repeat gets the first answer, without another run (INV-5). */
+  for (int i = 0; i < 3; i++)
+    {
+      assert_int_equal (book (fixture, &client, key, "{}"), 201);
+      assert_non_null (
+          strstr (client_text (&client), "Idempotency-Replayed: true"));
+      assert_non_null (strstr (client_text (&client), "{\"serial\":7}"));
+      assert_non_null (strstr (client_text (&client), "application/json"));
+      client_close (&client);
+    }
+  assert_int_equal (fixture->world->script_calls, 1);
+  /* The same key for another request. */
+  assert_int_equal (book (fixture, &client, key, "{\"a\":1}"), 422);
+  assert_non_null (strstr (client_text (&client), "IDEMPOTENCY_KEY_REUSED"));
+  client_close (&client);
+  /* Another key runs. */
+  uuid_generate (key);
+  assert_int_equal (book (fixture, &client, key, "{}"), 201);
+  client_close (&client);
+  assert_int_equal (fixture->world->script_calls, 2);
+  finish (fixture);
+}
+
+static void
+test_keys (void **state)
+{
+  static const uint64_t bits[2] = { 1, 2 };
+  struct fixture *fixture = start (ok);
+  struct client client;
+  char key[UUID_SIZE];
+
+  (void)state;
+  assert_int_equal (book (fixture, &client, NULL, "{}"), 400);
+  assert_non_null (strstr (client_text (&client), "IDEMPOTENCY_KEY_REQUIRED"));
+  client_close (&client);
+  assert_int_equal (book (fixture, &client, "not-a-uuid", "{}"), 400);
+  client_close (&client);
+  uuid_format_v7 (key, time_wall_ms () - CLAIM_RETENTION_MS - 1000, bits);
+  assert_int_equal (book (fixture, &client, key, "{}"), 409);
+  assert_non_null (strstr (client_text (&client), "\"outcome\":\"unknown\""));
+  client_close (&client);
+  uuid_format_v7 (key, time_wall_ms () + 2 * CLAIM_FUTURE_MS, bits);
+  assert_int_equal (book (fixture, &client, key, "{}"), 400);
+  client_close (&client);
+  assert_int_equal (fixture->world->call_count, 0);
+  finish (fixture);
+}
+
+/* The claim's write takes effect, but its answer is lost: read back. */
+static void
+test_lost_write (void **state)
+{
+  struct fixture *fixture = start (ok);
+  struct client client;
+  char key[UUID_SIZE];
+
+  (void)state;
+  uuid_generate (key);
+  fixture->store.lose_answers = 1;
+  assert_int_equal (book (fixture, &client, key, "{}"), 201);
+  client_close (&client);
+  assert_int_equal (fixture->world->script_calls, 1);
+  assert_int_equal (book (fixture, &client, key, "{}"), 201);
+  assert_non_null (strstr (client_text (&client), "Idempotency-Replayed"));
+  client_close (&client);
+  assert_int_equal (fixture->world->script_calls, 1);
+  finish (fixture);
+}
+
+/* Without the platform nothing runs, and the caller learns that (INV-4). */
+static void
+test_outage (void **state)
+{
+  struct fixture *fixture = start (ok);
+  struct client client;
+  char key[UUID_SIZE];
+
+  (void)state;
+  uuid_generate (key);
+  fixture->store.outage = true;
+  client_open (fixture->world, &client, 0);
+  {
+    char header[160];
+
+    snprintf (header, sizeof header,
+              "Idempotency-Key: %s\r\nX-Deadline-Ms: 500\r\n", key);
+    client_send (&client, "POST", BOOKINGS, "acme", header, "{}");
+  }
+  client_wait (fixture->world, &client);
+  assert_int_equal (client_status (&client), 503);
+  assert_non_null (strstr (client_text (&client), "CLAIM_UNAVAILABLE"));
+  assert_non_null (strstr (client_text (&client), "\"outcome\":\"not-run\""));
+  client_close (&client);
+  assert_int_equal (fixture->world->call_count, 0);
+  /* After the outage the same key runs. */
+  fixture->store.outage = false;
+  assert_int_equal (book (fixture, &client, key, "{}"), 201);
+  client_close (&client);
+  assert_int_equal (fixture->world->script_calls, 1);
+  finish (fixture);
+}
+
+/* The endpoint breaks off: unknown now, and unknown for every repeat. */
+static void
+test_unknown (void **state)
+{
+  static const char *const scripts[] = { "N", "ok", NULL };
+  struct fixture *fixture = start (scripts);
+  struct client client;
+  char key[UUID_SIZE];
+
+  (void)state;
+  uuid_generate (key);
+  assert_int_equal (book (fixture, &client, key, "{}"), 502);
+  client_close (&client);
+  WAIT_FOR (fixture->world, claimio_unwritten (&fixture->claimio) == 0);
+  assert_int_equal (book (fixture, &client, key, "{}"), 409);
+  assert_non_null (strstr (client_text (&client), "\"outcome\":\"unknown\""));
+  client_close (&client);
+  assert_int_equal (fixture->world->script_calls, 1);
+  finish (fixture);
+}
+
+/* Every host refuses: the record says not run, and the key may run later. */
+static void
+test_not_run (void **state)
+{
+  static const char *const scripts[] = { "leaving", "leaving", "ok", NULL };
+  struct fixture *fixture = start (scripts);
+  struct client client;
+  char key[UUID_SIZE];
+
+  (void)state;
+  uuid_generate (key);
+  assert_int_equal (book (fixture, &client, key, "{}"), 503);
+  assert_non_null (strstr (client_text (&client), "\"outcome\":\"not-run\""));
+  client_close (&client);
+  WAIT_FOR (fixture->world, claimio_unwritten (&fixture->claimio) == 0);
+  fleet_find_host (&fixture->world->fleet, "e2")->refused_leaving = false;
+  assert_int_equal (book (fixture, &client, key, "{}"), 201);
+  client_close (&client);
+  assert_int_equal (fixture->world->script_calls, 3);
+  finish (fixture);
+}
+
+struct verdict
+{
+  size_t count;
+  enum claim_verdict verdict;
+  enum result result;
+};
+
+static void
+note_verdict (void *context,
+              struct gateway_claim *claim,
+              enum claim_verdict verdict,
+              enum result result,
+              const struct claim_answer *answer)
+{
+  struct verdict *note = context;
+
+  (void)claim;
+  (void)answer;
+  note->count++;
+  note->verdict = verdict;
+  note->result = result;
+}
+
+/*
+ * Another entry host claims the same call while it runs: it must be told that
+ * the outcome is open, never get a grant.
+ */
+static void
+test_other_entry_host (void **state)
+{
+  static const char *const scripts[] = { "H", NULL };
+  struct fixture *fixture = start (scripts);
+  struct world *world = fixture->world;
+  struct claimio other;
+  struct verdict verdict = { 0 };
+  struct gateway_claim_request wish
+      = { .customer = "acme", .service = "app", .fingerprint = "x" };
+  struct client client;
+  char key[UUID_SIZE];
+  char header[128];
+
+  (void)state;
+  uuid_generate (key);
+  snprintf (header, sizeof header, "Idempotency-Key: %s\r\n", key);
+  client_open (world, &client, 0);
+  client_send (&client, "POST", BOOKINGS, "acme", header, "{}");
+  WAIT_FOR (world, world->script_calls == 1);
+  claimio_init (&other, &fixture->platform, "entry-2", 2);
+  wish.idempotency_key = key;
+  wish.deadline_ms = time_boot_ms () + WAIT_LIMIT_MS;
+  other.hooks.begin (&other, &wish, note_verdict, &verdict);
+  WAIT_FOR (world, verdict.count > 0);
+  assert_int_equal (verdict.count, 1);
+  assert_int_equal (verdict.verdict, CLAIM_VERDICT_REFUSED);
+  assert_true (verdict.result == RESULT_CLAIM_IN_PROGRESS
+               || verdict.result == RESULT_IDEMPOTENCY_KEY_REUSED);
+  claimio_finish (&other);
+  call_status (world_call (world, 0), 201, "{}");
+  client_wait (world, &client);
+  assert_int_equal (client_status (&client), 201);
+  client_close (&client);
+  finish (fixture);
+}
+
+/* The caller leaves before the claim is decided: a repeat may run the call. */
+static void
+test_abandoned (void **state)
+{
+  struct fixture *fixture = start (ok);
+  struct world *world = fixture->world;
+  struct client client;
+  char key[UUID_SIZE];
+  char header[128];
+
+  (void)state;
+  uuid_generate (key);
+  snprintf (header, sizeof header, "Idempotency-Key: %s\r\n", key);
+  client_open (world, &client, 0);
+  client_send (&client, "POST", BOOKINGS, "acme", header, "{}");
+  WAIT_FOR (world, claimio_unwritten (&fixture->claimio) > 0
+                       || world->script_calls > 0);
+  client_close (&client);
+  WAIT_FOR (world, gateway_is_empty (&world->gateway)
+                       && claimio_unwritten (&fixture->claimio) == 0);
+  assert_int_equal (book (fixture, &client, key, "{}"), 201);
+  client_close (&client);
+  assert_int_equal (world->script_calls, 1);
+  finish (fixture);
+}
+
+/* A clock that differs from the platform's makes the buckets unsafe. */
+static void
+test_skew (void **state)
+{
+  struct fixture *fixture = start (ok);
+  struct client client;
+  char key[UUID_SIZE];
+
+  (void)state;
+  uuid_generate (key);
+  assert_int_equal (book (fixture, &client, key, "{}"), 201);
+  client_close (&client);
+  fixture->store.skew_s = 3600;
+  uuid_generate (key);
+  /* The answer to this call shows the difference. */
+  book (fixture, &client, key, "{}");
+  client_close (&client);
+  uuid_generate (key);
+  assert_int_equal (book (fixture, &client, key, "{}"), 503);
+  assert_non_null (strstr (client_text (&client), "CLOCK_SKEW"));
+  client_close (&client);
+  finish (fixture);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_replay),
+    cmocka_unit_test (test_keys),
+    cmocka_unit_test (test_lost_write),
+    cmocka_unit_test (test_outage),
+    cmocka_unit_test (test_unknown),
+    cmocka_unit_test (test_not_run),
+    cmocka_unit_test (test_other_entry_host),
+    cmocka_unit_test (test_abandoned),
+    cmocka_unit_test (test_skew),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
