gateway: gather a slow caller's events in one buffer

evhttp keeps each chunk in evbuffer chains of its own, about a kilobyte for a token of 150 bytes, so callers that read slowly cost several times the 256 KB that the limit allows.

Events now wait in a packed buffer while the connection writes, and go out as one chunk when it is done; with a fast caller each still leaves at once. Request ids are made only for callers that send none.

--- a/packages/gateway/src/generate.c
+++ b/packages/gateway/src/generate.c
@@ -24,13 +24,23 @@
       evhttp_request_get_connection (request->http)));
 }
 
-/* Reading from the endpoint pauses at half of the limit, because what was
- * read already is still passed on, and continues at a quarter. */
+size_t
+generate_pending (const struct gateway_request *request)
+{
+  return evbuffer_get_length (caller_output (request))
+         + (request->backlog != NULL ? evbuffer_get_length (request->backlog)
+                                     : 0);
+}
+
+/*
+ * Reading from the endpoint pauses at half of the limit, because what was
+ * read already is still passed on, and continues at a quarter.
+ */
 void
 generate_backpressure (struct gateway_request *request, int64_t now_ms)
 {
   size_t limit = request->gateway->limits.stream_buffer_bytes;
-  size_t pending = evbuffer_get_length (caller_output (request));
+  size_t pending = generate_pending (request);
   size_t drained
       = pending < request->sent_bytes ? request->sent_bytes - pending : 0;
 
@@ -47,18 +57,57 @@
     endpoint_pause (request->attempt->call, false);
 }
 
+static void on_written (struct evhttp_connection *connection, void *context);
+
 static void
-send_chunk (struct gateway_request *request, struct evbuffer *chunk)
+flush (struct gateway_request *request)
+{
+  size_t before = generate_pending (request);
+
+  request->writing = true;
+  evhttp_send_reply_chunk_with_cb (request->http, request->backlog, on_written,
+                                   request);
+  /* The framing of the chunk. */
+  request->sent_bytes += generate_pending (request) - before;
+}
+
+static void
+on_written (struct evhttp_connection *connection, void *context)
+{
+  struct gateway_request *request = context;
+
+  (void)connection;
+  request->writing = false;
+  generate_backpressure (request, time_boot_ms ());
+  if (evbuffer_get_length (request->backlog) > 0)
+    flush (request);
+}
+
+static bool
+send_text (struct gateway_request *request,
+           const char *const *parts,
+           size_t count)
 {
-  struct evbuffer *output = caller_output (request);
-  size_t before = evbuffer_get_length (output);
   int64_t now_ms = time_boot_ms ();
 
+  if (request->backlog == NULL)
+    request->backlog = evbuffer_new ();
+  if (request->backlog == NULL)
+    return false;
   if (request->drained_bytes == request->sent_bytes)
     request->drained_ms = now_ms;
-  evhttp_send_reply_chunk (request->http, chunk);
-  request->sent_bytes += evbuffer_get_length (output) - before;
+  for (size_t i = 0; i < count; i++)
+    {
+      size_t size = strlen (parts[i]);
+
+      if (evbuffer_add (request->backlog, parts[i], size) != 0)
+        return false;
+      request->sent_bytes += size;
+    }
+  if (!request->writing)
+    flush (request);
   generate_backpressure (request, now_ms);
+  return true;
 }
 
 static void
@@ -83,6 +132,8 @@
 {
   struct evhttp_request *http = request->http;
 
+  if (request->backlog != NULL && evbuffer_get_length (request->backlog) > 0)
+    evhttp_send_reply_chunk (http, request->backlog);
   listener_unwatch (request);
   request->http = NULL;
   evhttp_send_reply_end (http);
@@ -91,14 +142,9 @@
 void
 generate_send_error (struct gateway_request *request, const char *json)
 {
-  struct evbuffer *chunk = evbuffer_new ();
+  const char *const parts[] = { "event: error\ndata: ", json, "\n\n" };
 
-  if (chunk != NULL)
-    {
-      evbuffer_add_printf (chunk, "event: error\ndata: %s\n\n", json);
-      send_chunk (request, chunk);
-      evbuffer_free (chunk);
-    }
+  send_text (request, parts, 3);
   end_reply (request);
 }
 
@@ -130,23 +176,20 @@
 static bool
 relay_streamed (struct gateway_request *request, const char *text)
 {
-  struct evbuffer *chunk = evbuffer_new ();
   json_t *json = json_string (text);
   char *quoted = json_dumps (json, JSON_ENCODE_ANY);
   const char *head = chunk_head (request);
-  bool ok = chunk != NULL && quoted != NULL && head != NULL;
+  const char *const parts[]
+      = { "data: ", head, quoted, request->kind == REQUEST_CHAT ? "}" : "",
+          ",\"finish_reason\":null}]}\n\n" };
+  bool ok = quoted != NULL && head != NULL;
 
   if (ok)
     {
       if (!request->reply_started)
         start_reply (request);
-      evbuffer_add_printf (chunk, "data: %s%s%s,\"finish_reason\":null}]}\n\n",
-                           head, quoted,
-                           request->kind == REQUEST_CHAT ? "}" : "");
-      send_chunk (request, chunk);
+      ok = send_text (request, parts, 5);
     }
-  if (chunk != NULL)
-    evbuffer_free (chunk);
   json_decref (json);
   free (quoted);
   return ok;
@@ -183,25 +226,27 @@
   return request->next_index >= request->max_tokens ? "length" : "stop";
 }
 
-static void
+/* False if the end could not be sent: the stream must not look whole then. */
+static bool
 finish_streamed (struct gateway_request *request)
 {
-  struct evbuffer *chunk = evbuffer_new ();
   const char *head = chunk_head (request);
-
+  const char *const parts[]
+      = { "data: ",
+          head,
+          request->kind == REQUEST_CHAT ? "\"\"}" : "\"\"",
+          ",\"finish_reason\":\"",
+          finish_reason (request),
+          "\"}]}\n\ndata: [DONE]\n\n" };
+
+  if (head == NULL)
+    return false;
   if (!request->reply_started)
     start_reply (request);
-  if (chunk != NULL && head != NULL)
-    {
-      evbuffer_add_printf (
-          chunk, "data: %s\"\"%s,\"finish_reason\":\"%s\"}]}\n\n", head,
-          request->kind == REQUEST_CHAT ? "}" : "", finish_reason (request));
-      evbuffer_add_printf (chunk, "data: [DONE]\n\n");
-      send_chunk (request, chunk);
-    }
-  if (chunk != NULL)
-    evbuffer_free (chunk);
+  if (!send_text (request, parts, 6))
+    return false;
   end_reply (request);
+  return true;
 }
 
 static json_t *
@@ -279,9 +324,8 @@
 {
   attempt_end (request, CHOOSE_END_SUCCESS, false);
   clear_strikes (request);
-  if (request->streamed)
-    finish_streamed (request);
-  else if (!finish_collected (request))
+  if (!(request->streamed ? finish_streamed (request)
+                          : finish_collected (request)))
     {
       request->may_have_run = true;
       request_refuse (request, RESULT_NO_MEMORY, 0);
--- a/packages/gateway/src/identify.c
+++ b/packages/gateway/src/identify.c
@@ -2,6 +2,7 @@
 
 #include "hash.h"
 #include "place.h"
+#include "uuid.h"
 
 #include <ctype.h>
 #include <stdio.h>
@@ -95,14 +96,17 @@
   const char *deadline = evhttp_find_header (headers, "X-Deadline-Ms");
   const char *priority = evhttp_find_header (headers, "X-Priority");
   enum result result = check_framing (request);
+  bool own_id = id != NULL && valid_request_id (id);
 
+  if (own_id)
+    snprintf (request->id, sizeof request->id, "%s", id);
+  else
+    uuid_generate (request->id);
   request->admission.priority = ADMISSION_NORMAL;
   if (result != RESULT_OK)
     return result;
-  if (id != NULL && !valid_request_id (id))
+  if (id != NULL && !own_id)
     return RESULT_MALFORMED_REQUEST;
-  if (id != NULL)
-    snprintf (request->id, sizeof request->id, "%s", id);
   if (evbuffer_get_length (evhttp_request_get_input_buffer (request->http))
       > request->gateway->limits.body_bytes)
     return RESULT_BODY_TOO_LARGE;
--- a/packages/gateway/src/internal.h
+++ b/packages/gateway/src/internal.h
@@ -81,9 +81,15 @@
   struct evbuffer *text;
   char *chunk_head;       /* constant start of each streamed chunk */
   int64_t first_token_ms; /* 0 = none yet */
-  size_t sent_bytes;      /* handed to the caller's connection */
-  size_t drained_bytes;   /* of them, taken by the socket */
-  int64_t drained_ms;     /* last time that drained_bytes rose */
+  /*
+   * Events wait here while the connection still writes those before.  Passing
+   * each on at once would cost a kilobyte of evbuffer chains per token.
+   */
+  struct evbuffer *backlog;
+  bool writing;         /* the connection has not written all it was given */
+  size_t sent_bytes;    /* put into backlog or connection */
+  size_t drained_bytes; /* of them, taken by the socket */
+  int64_t drained_ms;   /* last time that drained_bytes rose */
 
   /* Service. */
   enum evhttp_cmd_type method;
@@ -193,6 +199,8 @@
 bool generate_start (struct gateway_request *request, struct attempt *attempt);
 void generate_cancel (struct gateway *gateway, const struct attempt *attempt);
 void generate_backpressure (struct gateway_request *request, int64_t now_ms);
+/* Bytes that wait for the caller. */
+size_t generate_pending (const struct gateway_request *request);
 /* Ends a stream that has started with an error event. */
 void generate_send_error (struct gateway_request *request, const char *json);
 
--- a/packages/gateway/src/request.c
+++ b/packages/gateway/src/request.c
@@ -1,7 +1,6 @@
 #include "internal.h"
 
 #include "timeutil.h"
-#include "uuid.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -38,7 +37,6 @@
   request->drained_ms = now_ms;
   snprintf (request->unique, sizeof request->unique, "%016" PRIx64,
             rng_next (&gateway->rng));
-  uuid_generate (request->id);
   TAILQ_INSERT_TAIL (&gateway->requests, request, link);
   gateway->request_count++;
   return request;
@@ -59,6 +57,8 @@
   event_free (request->timer);
   if (request->text != NULL)
     evbuffer_free (request->text);
+  if (request->backlog != NULL)
+    evbuffer_free (request->backlog);
   free (request->prompt);
   free (request->chunk_head);
   free (request->path);
--- a/packages/gateway/tests/t0830-stream.c
+++ b/packages/gateway/tests/t0830-stream.c
@@ -23,18 +23,6 @@
   "{\"model\":\"m\",\"prompt\":\"p\",\"max_tokens\":1000000000,"               \
   "\"stream\":true}"
 
-/* Bytes that the gateway holds for the only caller. */
-static size_t
-caller_backlog (const struct world *world)
-{
-  const struct gateway_request *request
-      = TAILQ_FIRST (&world->gateway.requests);
-
-  return evbuffer_get_length (
-      bufferevent_get_output (evhttp_connection_get_bufferevent (
-          evhttp_request_get_connection (request->http))));
-}
-
 /*
  * A caller that does not read must stop the endpoint, not fill the memory;
  * the stream goes on when the caller reads.
@@ -64,8 +52,8 @@
       wait_step (world);
       still = request->next_index == before ? still + 1 : 0;
       before = request->next_index;
-      if (before > 0 && caller_backlog (world) > most)
-        most = caller_backlog (world);
+      if (before > 0 && generate_pending (request) > most)
+        most = generate_pending (request);
     }
   assert_true (request->attempt->call->paused);
   assert_in_range (most, 1, world->limits.stream_buffer_bytes);
