measure: compare the routing policy with a plain one in virtual time

Cause: the targets for overload, fairness and retries were not measured.

The baseline in the same run is first come first served, round robin, and unlimited immediate retries.

--- /dev/null
+++ b/measure/policy.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Admission, endpoint choice and retries against a plain policy, virtual time.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+exec build/release/measure/measure-policy "${1:-5}"
