daemon: bind the claims and tell only demand that matters

Cause: calls that may not be repeated were refused, and every entry host told its demand each second even when it was zero. Change: the claim hooks over the platform's client; a stop waits for outcomes that are not written yet; zero demand is told once.

--- a/packages/daemon/include/daemon.h
+++ b/packages/daemon/include/daemon.h
@@ -4,6 +4,7 @@
 #include "admission.h"
 #include "burn.h"
 #include "choose.h"
+#include "claimio.h"
 #include "config.h"
 #include "counter.h"
 #include "demand.h"
@@ -57,6 +58,7 @@
   struct strikes strikes;
   struct counter_set counters;
   struct demand demand;
+  struct demand_told told[DEMAND_TOLD_LIMIT];
   struct ring ring;
   struct burn burn;
 
@@ -68,6 +70,7 @@
   struct keeper keeper;
   struct spread spread;
   struct gateway_strike_hooks strike_hooks;
+  struct claimio claimio;
   struct gateway gateway;
   struct evhttp *admin;
   uint16_t admin_port;
--- a/packages/daemon/include/demand.h
+++ b/packages/daemon/include/demand.h
@@ -3,6 +3,7 @@
 
 #include "shares.h"
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 #include <uthash.h>
@@ -15,6 +16,16 @@
 #define DEMAND_KEY_SIZE 192
 #define DEMAND_PEERS_LIMIT 128
 
+#define DEMAND_NAME_SIZE 80
+#define DEMAND_TOLD_LIMIT 256
+
+/* What we told of one name last. */
+struct demand_told
+{
+  char name[DEMAND_NAME_SIZE];
+  bool was_zero; /* zero was told already; peers take silence for zero */
+};
+
 struct demand_entry
 {
   char key[DEMAND_KEY_SIZE]; /* "NAME\nFROM" */
--- a/packages/daemon/src/daemon.c
+++ b/packages/daemon/src/daemon.c
@@ -247,11 +247,14 @@
     .strikes = &daemon->strikes,
     .counters = &daemon->counters,
     .strike_hooks = &daemon->strike_hooks,
+    .claims = &daemon->claimio.hooks,
     .data_centre = daemon->members.self.data_centre,
   };
   struct gateway_limits limits;
 
   spread_init (&daemon->spread, &daemon->peers);
+  claimio_init (&daemon->claimio, &daemon->platform, daemon->members.self.host,
+                random_seed ());
   daemon->strike_hooks.context = &daemon->spread;
   daemon->strike_hooks.spread = spread_strike;
   daemon->strike_hooks.acknowledged = spread_is_acknowledged;
@@ -347,6 +350,7 @@
       break;
     case STEP_GATEWAY:
       gateway_finish (&daemon->gateway);
+      claimio_finish (&daemon->claimio);
       spread_finish (&daemon->spread);
       break;
     case STEP_ADMIN:
--- a/packages/daemon/src/quota.c
+++ b/packages/daemon/src/quota.c
@@ -3,8 +3,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#define TARGET_SIZE (SHEET_NAME_SIZE + 16)
-#define DEMANDS_LIMIT 256
+#define TARGET_SIZE DEMAND_NAME_SIZE
 
 /*
  * Slots that the endpoints of a plain service have; its own report counts
@@ -72,38 +71,63 @@
     divide_customer (daemon, &sheet->customers[i]);
 }
 
+static size_t
+add_demand (struct demand_told *told,
+            size_t used,
+            struct peer_demand_entry *entries,
+            size_t count,
+            const char *kind,
+            const char *name,
+            unsigned demand)
+{
+  struct demand_told *slot = &told[used];
+  char text[TARGET_SIZE];
+
+  snprintf (text, sizeof text, "%s/%s", kind, name);
+  if (strcmp (slot->name, text) != 0)
+    {
+      memcpy (slot->name, text, sizeof text);
+      slot->was_zero = false;
+    }
+  if (demand == 0 && slot->was_zero)
+    return count;
+  slot->was_zero = demand == 0;
+  entries[count].name = slot->name;
+  entries[count].demand = demand;
+  return count + 1;
+}
+
 void
 daemon_tell_demand (struct daemon *daemon)
 {
-  static char names[DEMANDS_LIMIT][TARGET_SIZE];
-  struct peer_demand_entry entries[DEMANDS_LIMIT];
+  struct demand_told *told = daemon->told;
+  struct peer_demand_entry entries[DEMAND_TOLD_LIMIT];
   const struct sheet *sheet = &daemon->config.sheet;
+  char target[TARGET_SIZE];
+  size_t used = 0;
   size_t count = 0;
 
-  for (size_t i = 0; i < sheet->model_count && count < DEMANDS_LIMIT; i++)
+  for (size_t i = 0; i < sheet->model_count && used < DEMAND_TOLD_LIMIT; i++)
     {
-      snprintf (names[count], TARGET_SIZE, "model/%s", sheet->models[i].name);
-      entries[count].demand
-          = admission_demand (&daemon->admission, names[count]);
-      count++;
+      snprintf (target, sizeof target, "model/%s", sheet->models[i].name);
+      count = add_demand (told, used++, entries, count, "model",
+                          sheet->models[i].name,
+                          admission_demand (&daemon->admission, target));
     }
-  for (size_t i = 0; i < sheet->service_count && count < DEMANDS_LIMIT; i++)
+  for (size_t i = 0; i < sheet->service_count && used < DEMAND_TOLD_LIMIT; i++)
     {
-      snprintf (names[count], TARGET_SIZE, "service/%s",
-                sheet->services[i].name);
-      entries[count].demand
-          = admission_demand (&daemon->admission, names[count]);
-      count++;
+      snprintf (target, sizeof target, "service/%s", sheet->services[i].name);
+      count = add_demand (told, used++, entries, count, "service",
+                          sheet->services[i].name,
+                          admission_demand (&daemon->admission, target));
     }
-  for (size_t i = 0; i < sheet->customer_count && count < DEMANDS_LIMIT; i++)
+  for (size_t i = 0; i < sheet->customer_count && used < DEMAND_TOLD_LIMIT; i++)
     {
-      snprintf (names[count], TARGET_SIZE, "customer/%s",
-                sheet->customers[i].name);
-      entries[count].demand = admission_customer_demand (
-          &daemon->admission, sheet->customers[i].name);
-      count++;
+      const char *name = sheet->customers[i].name;
+
+      count = add_demand (told, used++, entries, count, "customer", name,
+                          admission_customer_demand (&daemon->admission, name));
     }
-  for (size_t i = 0; i < count; i++)
-    entries[i].name = names[i];
-  peer_send_demand (&daemon->peers, entries, count);
+  if (count > 0)
+    peer_send_demand (&daemon->peers, entries, count);
 }
--- a/packages/daemon/src/stop.c
+++ b/packages/daemon/src/stop.c
@@ -5,6 +5,12 @@
 /* The lease is given back within this time, or left to lapse. */
 #define RELEASE_LIMIT_MS 3000
 
+/*
+ * Outcomes of calls that may not be repeated are written before the process
+ * ends; what the platform does not take within this time stays unknown.
+ */
+#define CLAIMS_LIMIT_MS 30000
+
 static void
 enter (struct daemon *daemon, enum daemon_phase phase, const char *event)
 {
@@ -56,6 +62,9 @@
       enter (daemon, DAEMON_LEAVING, "stop-leaving");
       break;
     case DAEMON_LEAVING:
+      if (claimio_unwritten (&daemon->claimio) > 0
+          && elapsed_ms < CLAIMS_LIMIT_MS)
+        break;
       if (keeper_release (&daemon->keeper, daemon->now_ms)
           || elapsed_ms >= RELEASE_LIMIT_MS)
         leave (daemon);
--- a/packages/daemon/src/tick.c
+++ b/packages/daemon/src/tick.c
@@ -23,6 +23,7 @@
       daemon->next_demand_ms = now_ms + DAEMON_DEMAND_MS;
       daemon_tell_demand (daemon);
     }
+  claimio_tick (&daemon->claimio, now_ms);
   gateway_tick (&daemon->gateway, now_ms);
   if (daemon->phase < DAEMON_LEAVING)
     keeper_tick (&daemon->keeper, now_ms);
