--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -160,5 +160,5 @@
 # The operators' command, pointed at this fleet.
 operator () {
   "$build/packages/cli/waxwinglink" --platform "$platform" "${entries[@]}" \
-    --operator test "$@"
+    --operator "${operator_name:-test}" "$@"
 }
--- a/tests/standin/engine.c
+++ b/tests/standin/engine.c
@@ -596,6 +596,14 @@
     start_timer (host->restart_timer, CRASH_REFUSE_MS);
 }
 
+/* A request that crashed its host is told apart from a host killed by hand. */
+static void
+journal_crash (struct host *host)
+{
+  journal_add (host->engine,
+               json_pack ("{s:s, s:b}", "host", host->id, "crashed", 1));
+}
+
 static bool
 job_crashes (const struct job *job)
 {
@@ -619,6 +627,7 @@
   TAILQ_FOREACH (job, &host->jobs, link)
     if (job->running && job_crashes (job))
       {
+        journal_crash (host);
         on_crash (-1, 0, host);
         return;
       }
@@ -992,6 +1001,7 @@
   (void)what;
   if (crash)
     {
+      journal_crash (host);
       on_crash (-1, 0, host);
       return;
     }
--- /dev/null
+++ b/tests/system/t9100-operators-race.sh
@@ -0,0 +1,46 @@
+# Operators race each other: one wins, the other is told; a lost answer is
+# read back; the number in force only rises (INV-8).
+. tests/system/lib.sh
+
+fleet_platform
+start_data_centre 1 4
+fleet_publish_hosts
+start_entries entry-1-a entry-1-b
+write_sheet "$work/a.csv" 1 2
+write_sheet "$work/b.csv" 2 2
+pids=() names=()
+for i in 1 2 3 4; do
+  file=$work/a.csv
+  [ $((i % 2)) = 0 ] && file=$work/b.csv
+  (
+    code=0
+    operator_name=op-$i operator sheet apply "$file" > "$work/race.$i" 2>&1 || code=$?
+    echo "exit $code" >> "$work/race.$i"
+  ) &
+  pids+=($!)
+done
+wait "${pids[@]}"
+won=$(cat "$work"/race.* | grep -c '^exit 0$' || true)
+lost=$(cat "$work"/race.* | grep -c '^exit 4$' || true)
+check "each one is told how it ended" test $((won + lost)) = 4
+check "someone won" test "$won" -ge 1
+number=$(curl -sf "http://$platform/v1/objects/sheet/current" \
+  | grep -o '"number": *[0-9]*' | head -1 | grep -o '[0-9]*')
+check "each accepted sheet raised the number by one" test "$number" -le "$won"
+
+platform_fault '{"lose_answers":1}'
+write_sheet "$work/c.csv" 2 1
+check "a lost answer is read back" apply_sheet "$work/c.csv"
+check "the sheet is in force" wait_for 10 sheet_number_is entry-1-b $((number + 1))
+check "it was accepted once" test "$(curl -sf \
+  "http://$platform/v1/objects/sheet/current" | grep -o '"number": *[0-9]*' \
+  | head -1 | grep -o '[0-9]*')" = $((number + 1))
+check "history names it" grep -q test <<< "$(operator sheet history)"
+
+sed '$d' "$work/c.csv" > "$work/cut.csv"
+if operator sheet apply "$work/cut.csv" > "$work/cut.out" 2>&1; then
+  echo "a truncated sheet was accepted" >&2
+  exit 1
+fi
+check "a truncated sheet is refused with its code" grep -q 2004 "$work/cut.out"
+check "and changes nothing" sheet_number_is entry-1-a $((number + 1))
