gateway: pause endpoints directly

Pauses went through an event of their own on the belief that evhttp enables reading again at the end of its read callback.

--- a/packages/gateway/src/claimio.c
+++ b/packages/gateway/src/claimio.c
@@ -203,6 +203,20 @@
   return claim;
 }
 
+static bool
+copy_answer (struct claim_answer *copy, const struct claim_answer *answer)
+{
+  *copy = *answer;
+  copy->body = NULL;
+  if (answer->body_size == 0)
+    return true;
+  copy->body = malloc (answer->body_size);
+  if (copy->body == NULL)
+    return false;
+  memcpy (copy->body, answer->body, answer->body_size);
+  return true;
+}
+
 static void
 claim_end (void *context,
            struct gateway_claim *claim,
@@ -213,25 +227,18 @@
 {
   struct claimio *claimio = context;
   struct claim_answer copy = { 0 };
+  bool done = state == CLAIM_DONE;
 
   claim->on_settled = settled;
   claim->settled_context = settled_context;
-  if (answer != NULL)
+  /* It ran, but without memory there is no answer to keep for a repeat. */
+  if (done && !copy_answer (&copy, answer))
     {
-      copy = *answer;
-      copy.body = NULL;
-      if (answer->body_size > 0)
-        {
-          copy.body = malloc (answer->body_size);
-          /* It ran, but there is no answer to keep for a repeat. */
-          if (copy.body == NULL)
-            state = CLAIM_UNKNOWN;
-          else
-            memcpy (copy.body, answer->body, answer->body_size);
-        }
+      state = CLAIM_UNKNOWN;
+      done = false;
     }
-  claim_settle (&claimio->table, &claim->call, state,
-                state == CLAIM_DONE ? &copy : NULL, time_boot_ms ());
+  claim_settle (&claimio->table, &claim->call, state, done ? &copy : NULL,
+                time_boot_ms ());
   pump (claimio);
 }
 
--- a/packages/gateway/src/endpoint.c
+++ b/packages/gateway/src/endpoint.c
@@ -40,8 +40,6 @@
     }
   else if (connection != NULL)
     connection_free (connection);
-  if (call->pause != NULL)
-    event_free (call->pause);
   if (call->release != NULL)
     call->release (call->context);
   free (call);
@@ -288,33 +286,21 @@
                                   : RESULT_ENDPOINT_CONNECT);
 }
 
-static void
-on_pause (evutil_socket_t fd, short what, void *context)
+void
+endpoint_pause (struct endpoint_call *call, bool paused)
 {
-  struct endpoint_call *call = context;
   struct bufferevent *bev
       = evhttp_connection_get_bufferevent (call->connection->http);
 
-  (void)fd;
-  (void)what;
-  if (call->request == NULL || (call->closed && call->resting_ms == 0))
+  if (call->paused == paused || call->request == NULL)
     return;
-  if (call->paused)
+  call->paused = paused;
+  if (paused)
     bufferevent_disable (bev, EV_READ);
   else
     bufferevent_enable (bev, EV_READ);
 }
 
-void
-endpoint_pause (struct endpoint_call *call, bool paused)
-{
-  if (call->paused == paused)
-    return;
-  call->paused = paused;
-  /* evhttp enables reading at the end of its read callback: act after it. */
-  event_active (call->pause, 0, 0);
-}
-
 static struct evhttp_request *
 make_request (struct endpoint_call *call,
               const struct endpoint_request *request)
@@ -411,9 +397,8 @@
   call->started_ms = now_ms;
   call->fresh = request->fresh;
   LIST_INSERT_HEAD (&client->calls, call, link);
-  call->pause = event_new (client->base, -1, 0, on_pause, call);
   call->connection = connection_get (client, request);
-  if (call->pause == NULL || call->connection == NULL)
+  if (call->connection == NULL)
     goto fail;
   call->connection->call = call;
   call->request = make_request (call, request);
--- a/packages/gateway/src/endpoint.h
+++ b/packages/gateway/src/endpoint.h
@@ -79,7 +79,6 @@
   bool whole;  /* the whole answer was read and the connection stays open */
   bool fresh;
   bool paused;
-  struct event *pause; /* applies a pause outside of evhttp's read callback */
   void (*release) (void *context);
   LIST_ENTRY (endpoint_call) link;
 };
