--- a/packages/daemon/src/daemon.c
+++ b/packages/daemon/src/daemon.c
@@ -23,6 +23,14 @@
   prober_take (&daemon->prober, host, attested);
 }
 
+static void
+on_fresh (void *context, const struct peer_fresh_entry *entry)
+{
+  struct daemon *daemon = context;
+
+  prober_take_fresh (&daemon->prober, entry);
+}
+
 static void
 on_demand (void *context, const char *from, const char *name, unsigned demand)
 {
@@ -183,6 +191,7 @@
 {
   struct peer_hooks hooks = { .context = daemon,
                               .health = on_health,
+                              .fresh = on_fresh,
                               .demand = on_demand,
                               .strike = on_strike,
                               .object = on_object };
@@ -238,11 +247,14 @@
     .strikes = &daemon->strikes,
     .counters = &daemon->counters,
     .strike_hooks = &daemon->strike_hooks,
+    .claims = &daemon->claimio.hooks,
     .data_centre = daemon->members.self.data_centre,
   };
   struct gateway_limits limits;
 
   spread_init (&daemon->spread, &daemon->peers);
+  claimio_init (&daemon->claimio, &daemon->platform, daemon->members.self.host,
+                random_seed ());
   daemon->strike_hooks.context = &daemon->spread;
   daemon->strike_hooks.spread = spread_strike;
   daemon->strike_hooks.acknowledged = spread_is_acknowledged;
@@ -338,6 +350,7 @@
       break;
     case STEP_GATEWAY:
       gateway_finish (&daemon->gateway);
+      claimio_finish (&daemon->claimio);
       spread_finish (&daemon->spread);
       break;
     case STEP_ADMIN:
