--- /dev/null
+++ b/fuzz/peer.c
@@ -0,0 +1,114 @@
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "generated/peer_xdr.h"
+#include "peercodec.h"
+
+/*
+ * Any bytes are decoded without harm, and no bytes that the key did not sign
+ * are taken for authentic.  The oracle: a message is authentic only if it
+ * equals one that peer_encode made with the same key.
+ */
+
+int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
+
+static struct peer_keys keys;
+
+static void
+setup (void)
+{
+  if (keys.count == 0
+      && peer_keys_add (&keys, "1:00112233445566778899aabbccddeeff")
+             != RESULT_OK)
+    abort ();
+}
+
+static void
+check_body (const char *buffer,
+            size_t size,
+            size_t offset,
+            xdrproc_t body,
+            size_t body_size)
+{
+  void *arguments = calloc (1, body_size);
+
+  if (arguments == NULL)
+    abort ();
+  peer_decode_body (buffer, size, offset, body, arguments);
+  xdr_free (body, arguments);
+  free (arguments);
+}
+
+static void
+check_bodies (const uint8_t *data, size_t size)
+{
+  const char *buffer = (const char *)data;
+
+  check_body (buffer, size, 0, (xdrproc_t)xdr_peer_ping, sizeof (peer_ping));
+  check_body (buffer, size, 0, (xdrproc_t)xdr_peer_ping_req,
+              sizeof (peer_ping_req));
+  check_body (buffer, size, 0, (xdrproc_t)xdr_peer_health_report,
+              sizeof (peer_health_report));
+  check_body (buffer, size, 0, (xdrproc_t)xdr_peer_fresh_report,
+              sizeof (peer_fresh_report));
+  check_body (buffer, size, 0, (xdrproc_t)xdr_peer_shares,
+              sizeof (peer_shares));
+  check_body (buffer, size, 0, (xdrproc_t)xdr_peer_strikes,
+              sizeof (peer_strikes));
+  check_body (buffer, size, 0, (xdrproc_t)xdr_peer_object,
+              sizeof (peer_object));
+}
+
+/* Flips bytes of a good message as the input says. */
+static void
+check_changed (const uint8_t *data, size_t size)
+{
+  struct peer_header header = { .is_call = (data[0] & 1) != 0,
+                                .xid = 9,
+                                .procedure = 1,
+                                .sender = "e1",
+                                .boot = 1,
+                                .sequence = data[1] };
+  struct peer_header read;
+  char good[512];
+  char changed[512];
+  size_t used;
+  size_t offset;
+
+  if (peer_encode (&keys, &header, peer_xdr_nothing, NULL, good, sizeof good,
+                   &used)
+      != RESULT_OK)
+    abort ();
+  memcpy (changed, good, used);
+  for (size_t i = 2; i + 2 < size; i += 3)
+    changed[(size_t)(data[i] << 8 | data[i + 1]) % used] ^= (char)data[i + 2];
+  if ((peer_decode (&keys, changed, used, &read, &offset) == RESULT_OK)
+      != (memcmp (good, changed, used) == 0))
+    abort ();
+}
+
+int
+LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
+{
+  struct peer_header header;
+  size_t offset;
+  char *copy;
+
+  setup ();
+  if (size < 2)
+    return 0;
+  check_changed (data, size);
+  check_bodies (data, size);
+  copy = malloc (size);
+  if (copy == NULL)
+    abort ();
+  memcpy (copy, data, size);
+  /* Nobody finds a message that the key signed by chance. */
+  if (peer_decode (&keys, copy, size, &header, &offset) == RESULT_OK)
+    abort ();
+  if (memcmp (copy, data, size) != 0)
+    abort ();
+  free (copy);
+  return 0;
+}
--- a/packages/daemon/include/daemon.h
+++ b/packages/daemon/include/daemon.h
@@ -19,6 +19,7 @@
 #include "settings.h"
 #include "spread.h"
 #include "strikes.h"
+#include "sweep.h"
 
 #include <event2/event.h>
 #include <event2/http.h>
@@ -69,6 +70,7 @@
   struct prober prober;
   struct keeper keeper;
   struct spread spread;
+  struct sweep sweep;
   struct gateway_strike_hooks strike_hooks;
   struct claimio claimio;
   struct gateway gateway;
--- a/packages/daemon/src/daemon.c
+++ b/packages/daemon/src/daemon.c
@@ -253,6 +253,8 @@
   struct gateway_limits limits;
 
   spread_init (&daemon->spread, &daemon->peers);
+  sweep_init (&daemon->sweep, &daemon->platform, &daemon->members,
+              daemon->now_ms);
   claimio_init (&daemon->claimio, &daemon->platform, daemon->members.self.host,
                 random_seed ());
   daemon->strike_hooks.context = &daemon->spread;
@@ -352,6 +354,7 @@
       gateway_finish (&daemon->gateway);
       claimio_finish (&daemon->claimio);
       spread_finish (&daemon->spread);
+      sweep_finish (&daemon->sweep);
       break;
     case STEP_ADMIN:
       evhttp_free (daemon->admin);
--- a/packages/daemon/src/tick.c
+++ b/packages/daemon/src/tick.c
@@ -25,6 +25,7 @@
     }
   claimio_tick (&daemon->claimio, now_ms);
   gateway_tick (&daemon->gateway, now_ms);
+  sweep_tick (&daemon->sweep, now_ms);
   if (daemon->phase < DAEMON_LEAVING)
     keeper_tick (&daemon->keeper, now_ms);
   if (now_ms >= daemon->next_burn_ms)
