route: start no entry that is expected to end after its deadline

Cause: under overload the queue admits entries in their last second, which take a slot and are then cut off by their deadline.

Change: the time that an entry is expected to run, the mean or less for a cheaper entry, is left out of the time that it may wait, when it is submitted and while it is queued. Entries that had less time from the start are not held to the estimate, and it is never scaled up.

--- a/packages/route/src/admission.c
+++ b/packages/route/src/admission.c
@@ -62,6 +62,7 @@
   struct flow *flows;    /* uthash by customer */
   struct flow_ring ring; /* flows with queued entries */
   size_t active;         /* flows in the ring */
+  double mean_cost;      /* moving mean of the costs of released entries */
   double mean_ms;      /* moving mean from admission to release; 0 = unknown */
   int64_t progress_ms; /* last release, or when the target became full */
   UT_hash_handle hh;
@@ -255,6 +256,12 @@
     customer->refilled_ms = now_ms;
 }
 
+static void
+move_mean (double *mean, double sample)
+{
+  *mean = *mean > 0 ? *mean + MEAN_WEIGHT * (sample - *mean) : sample;
+}
+
 static bool
 at_in_flight_limit (const struct admission_customer *customer)
 {
@@ -327,6 +334,42 @@
   return wait_ms;
 }
 
+static double
+cost_of (const struct admission_entry *entry)
+{
+  return entry->cost > 0 ? entry->cost : 1;
+}
+
+/*
+ * Time that the entry is expected to run: the mean, or less if it costs less
+ * than the mean.  It is not scaled up, since a caller may ask for many tokens
+ * and get few.  An entry that had less time than that from the start is not
+ * held to the estimate.
+ */
+static double
+service_ms (const struct admission_target *target,
+            const struct admission_entry *entry,
+            int64_t queued_ms)
+{
+  double expected_ms = target->mean_ms;
+
+  if (cost_of (entry) < target->mean_cost)
+    expected_ms *= cost_of (entry) / target->mean_cost;
+  return expected_ms < (double)(entry->deadline_ms - queued_ms) ? expected_ms
+                                                                : 0;
+}
+
+/*
+ * An entry started too late to finish would take a slot for nothing, so the
+ * time that it needs is left out of the time that it may wait.
+ */
+static bool
+can_meet_deadline (const struct admission_entry *entry, int64_t now_ms)
+{
+  return (double)(entry->deadline_ms - now_ms)
+         > service_ms (entry->at, entry, entry->queued_ms);
+}
+
 /* Why a new entry cannot be queued, apart from its rate; sets the retry. */
 static enum result
 check_queue (const struct admission *admission,
@@ -350,6 +393,7 @@
     }
   if (left_ms <= 0)
     return RESULT_DEADLINE_UNREACHABLE;
+  left_ms -= service_ms (target, entry, now_ms);
   if (wait_ms > left_ms)
     {
       /* When the wait has come down to the time that this entry had. */
@@ -459,12 +503,6 @@
   return (int64_t)entry->priority + steps;
 }
 
-static bool
-can_meet_deadline (const struct admission_entry *entry, int64_t now_ms)
-{
-  return entry->deadline_ms > now_ms;
-}
-
 /*
  * The flow's entry that is due first: highest priority with ageing, then
  * longest wait.  Each queue is in order of arrival, so only the first of each
@@ -536,12 +574,6 @@
   return heaviest;
 }
 
-static double
-cost_of (const struct admission_entry *entry)
-{
-  return entry->cost > 0 ? entry->cost : 1;
-}
-
 /*
  * Gives every eligible flow the rounds after which the first of them can send,
  * which is what visiting the ring that often would do.
@@ -713,12 +745,8 @@
   target->progress_ms = now_ms;
   if (now_ms >= entry->admitted_ms)
     {
-      double sample = (double)(now_ms - entry->admitted_ms);
-
-      target->mean_ms
-          = target->mean_ms > 0
-                ? target->mean_ms + MEAN_WEIGHT * (sample - target->mean_ms)
-                : sample;
+      move_mean (&target->mean_ms, (double)(now_ms - entry->admitted_ms));
+      move_mean (&target->mean_cost, cost_of (entry));
     }
 }
 
