route: let a customer's first entry start before its cost is saved up

Cause: plain deficit round robin makes a costly first entry wait for as many rounds as it costs, in which others start several of theirs, so that small customers missed their deadline.

Change: surplus round robin. A flow sends while it has no debt and pays afterwards; a flow that leaves the ring keeps its debt, less what the others did meanwhile per weight. Nothing is charged while nobody else waits.

test_sparse_customer guards against both the wait and a customer that gets turns whatever its entries cost.

--- a/packages/route/src/admission.c
+++ b/packages/route/src/admission.c
@@ -5,11 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-/*
- * Part of an entry's cost that may be missing when it is sent: sums of
- * quanta are rounded.
- */
-#define COST_TOLERANCE 1e-9
+/* Sums of quanta are rounded, so a deficit this small counts as none. */
+#define DEFICIT_TOLERANCE 1e-3
 
 /* A rate limit saves up what one second permits, and at least one request. */
 #define BURST_SECONDS 1.0
@@ -33,7 +30,8 @@
   struct admission_customer *customer; /* hash key */
   struct entry_queue queues[ADMISSION_PRIORITIES];
   size_t queued;
-  double deficit;
+  double deficit;          /* below zero: work done ahead of its turn */
+  double left_at;          /* the target's rounds when its queue became empty */
   bool visited;            /* got its quantum for this turn */
   TAILQ_ENTRY (flow) link; /* in the ring, while queued > 0 */
   UT_hash_handle hh;
@@ -62,6 +60,7 @@
   struct flow *flows;    /* uthash by customer */
   struct flow_ring ring; /* flows with queued entries */
   size_t active;         /* flows in the ring */
+  double rounds;         /* work done so far per weight */
   double mean_cost;      /* moving mean of the costs of released entries */
   double mean_ms;      /* moving mean from admission to release; 0 = unknown */
   int64_t progress_ms; /* last release, or when the target became full */
@@ -403,6 +402,54 @@
   return RESULT_OK;
 }
 
+/*
+ * Work that a flow may do per round: one unit for the heaviest customer.  A
+ * round is then never longer than one cheap entry of each, whatever the scale
+ * of the weights; rounds in which nobody can send are skipped in one step.
+ */
+static double
+quantum_of (const struct flow *flow, double heaviest)
+{
+  return flow->customer->weight / heaviest;
+}
+
+static double
+heaviest_weight (const struct admission_target *target)
+{
+  const struct flow *flow;
+  double heaviest = 1;
+
+  TAILQ_FOREACH (flow, &target->ring, link)
+    {
+      if (flow->customer->weight > heaviest)
+        heaviest = flow->customer->weight;
+    }
+  return heaviest;
+}
+
+/*
+ * A flow sends as long as it has no debt, and pays for it afterwards (surplus
+ * round robin: Adiseshu, Parulkar and Varghese, "A Reliable and Scalable
+ * Striping Protocol", 1996), so that a first costly entry need not wait until
+ * its cost is saved up.  A flow that returns keeps its debt, less what the
+ * rounds since it left would have paid off; otherwise a customer that always
+ * has one entry queued would get as many turns as others whatever its entries
+ * cost.
+ */
+static void
+join_ring (struct admission_target *target, struct flow *flow)
+{
+  if (target->active == 0)
+    flow->deficit = 0;
+  else
+    flow->deficit += (target->rounds - flow->left_at) * flow->customer->weight;
+  if (flow->deficit > 0)
+    flow->deficit = 0;
+  flow->visited = false;
+  TAILQ_INSERT_TAIL (&target->ring, flow, link);
+  target->active++;
+}
+
 static void
 enqueue (struct admission *admission,
          struct flow *flow,
@@ -410,12 +457,7 @@
 {
   TAILQ_INSERT_TAIL (&flow->queues[entry->priority], entry, link);
   if (flow->queued == 0)
-    {
-      flow->deficit = 0;
-      flow->visited = false;
-      TAILQ_INSERT_TAIL (&entry->at->ring, flow, link);
-      entry->at->active++;
-    }
+    join_ring (entry->at, flow);
   flow->queued++;
   entry->at->queued++;
   admission->queued++;
@@ -436,6 +478,7 @@
     {
       TAILQ_REMOVE (&entry->at->ring, flow, link);
       entry->at->active--;
+      flow->left_at = entry->at->rounds;
     }
 }
 
@@ -549,31 +592,6 @@
   return first_of (admission, flow, now_ms);
 }
 
-/*
- * Work that a flow may do per round: one unit for the heaviest customer.  A
- * round is then never longer than one cheap entry of each, whatever the scale
- * of the weights; rounds in which nobody can send are skipped in one step.
- */
-static double
-quantum_of (const struct flow *flow, double heaviest)
-{
-  return flow->customer->weight / heaviest;
-}
-
-static double
-heaviest_weight (const struct admission_target *target)
-{
-  const struct flow *flow;
-  double heaviest = 1;
-
-  TAILQ_FOREACH (flow, &target->ring, link)
-    {
-      if (flow->customer->weight > heaviest)
-        heaviest = flow->customer->weight;
-    }
-  return heaviest;
-}
-
 /*
  * Gives every eligible flow the rounds after which the first of them can send,
  * which is what visiting the ring that often would do.
@@ -589,29 +607,38 @@
 
   TAILQ_FOREACH (flow, &target->ring, link)
     {
-      const struct admission_entry *entry
-          = eligible_entry (admission, flow, now_ms);
       double rounds;
 
-      if (entry == NULL)
+      if (eligible_entry (admission, flow, now_ms) == NULL)
         continue;
-      rounds = ceil ((cost_of (entry) - flow->deficit)
-                     / quantum_of (flow, heaviest));
+      rounds = ceil (-flow->deficit / quantum_of (flow, heaviest));
       if (rounds < fewest)
         fewest = rounds;
     }
   if (isinf (fewest))
     return false;
   /* The visit that follows gives the last round. */
-  if (fewest > 1)
-    TAILQ_FOREACH (flow, &target->ring, link)
-      {
-        if (eligible_entry (admission, flow, now_ms) != NULL)
-          flow->deficit += (fewest - 1) * quantum_of (flow, heaviest);
-      }
+  if (fewest <= 1)
+    return true;
+  target->rounds += (fewest - 1) / heaviest;
+  TAILQ_FOREACH (flow, &target->ring, link)
+    {
+      if (eligible_entry (admission, flow, now_ms) != NULL)
+        flow->deficit += (fewest - 1) * quantum_of (flow, heaviest);
+    }
   return true;
 }
 
+/* Nothing is charged while nobody else waits. */
+static void
+charge (struct admission_target *target, struct flow *flow, double cost)
+{
+  if (target->active > 1)
+    flow->deficit -= cost;
+  else
+    target->rounds += cost / flow->customer->weight;
+}
+
 static struct admission_entry *
 visit (const struct admission *admission,
        struct admission_target *target,
@@ -625,10 +652,11 @@
     {
       flow->deficit += quantum_of (flow, heaviest);
       flow->visited = true;
+      target->rounds += 1 / heaviest / (double)target->active;
     }
-  if (entry != NULL && flow->deficit >= cost_of (entry) * (1 - COST_TOLERANCE))
+  if (entry != NULL && flow->deficit > -DEFICIT_TOLERANCE)
     {
-      flow->deficit -= cost_of (entry);
+      charge (target, flow, cost_of (entry));
       return entry;
     }
   flow->visited = false;
--- a/packages/route/tests/t0200-admission.c
+++ b/packages/route/tests/t0200-admission.c
@@ -255,6 +255,60 @@
     }
 }
 
+struct sparse_case
+{
+  const char *guards;
+  unsigned cost;     /* of the small customer's entries */
+  unsigned first_by; /* admission that takes its first entry, at the latest */
+  unsigned at_least; /* of its entries among 100 admissions */
+  unsigned at_most;
+};
+
+/*
+ * A large customer with a backlog of cost 10 each, and a small one that has one
+ * entry queued at any time.
+ */
+static const struct sparse_case sparse_cases[] = {
+  { "a costly first entry waits until its cost is saved up", 300, 2, 3, 5 },
+  { "a returning customer gets turns whatever its cost", 100, 2, 9, 11 },
+  { "a returning customer gets less than its part", 10, 2, 49, 51 },
+};
+
+static void
+test_sparse_customer (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof sparse_cases / sizeof sparse_cases[0]; i++)
+    {
+      const struct sparse_case *test = &sparse_cases[i];
+      struct admission admission;
+      unsigned got = 0;
+      unsigned first = 0;
+
+      set_up (&admission, 1000, 1000, 1);
+      for (int n = 0; n < 110; n++)
+        submit (&admission, "large", ADMISSION_NORMAL, 10, NOW);
+      submit (&admission, "small", ADMISSION_NORMAL, test->cost, NOW);
+      for (unsigned n = 1; n <= 100; n++)
+        {
+          struct admission_entry *entry = admission_next (&admission, NOW);
+
+          assert_non_null (entry);
+          admission_release (&admission, entry, NOW);
+          if (strcmp (entry->customer, "small") != 0)
+            continue;
+          got++;
+          first = first == 0 ? n : first;
+          submit (&admission, "small", ADMISSION_NORMAL, test->cost, NOW);
+        }
+      if (first > test->first_by || got < test->at_least || got > test->at_most)
+        print_error ("failure: %s (%u, %u)\n", test->guards, first, got);
+      assert_in_range (first, 1, test->first_by);
+      assert_in_range (got, test->at_least, test->at_most);
+      admission_finish (&admission);
+    }
+}
+
 struct ageing_case
 {
   const char *guards;
@@ -520,6 +574,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_refusals),
     cmocka_unit_test (test_fairness),
+    cmocka_unit_test (test_sparse_customer),
     cmocka_unit_test (test_ageing),
     cmocka_unit_test (test_rate_over_time),
     cmocka_unit_test (test_slots_are_accounted),
