--- a/packages/route/tests/t0200-admission.c
+++ b/packages/route/tests/t0200-admission.c
@@ -110,15 +110,19 @@
   { "retry time of a low rate is wrong", 99, 99, 9, 0.5F, 0, 1, 0, 5000,
     RESULT_RATE_LIMITED, 2000, 2000 },
   { "doomed entry is queued", 99, 99, 1, 0, 0, 5, 0, 400,
-    RESULT_DEADLINE_UNREACHABLE, 100, 100 },
-  { "entry that can make it is refused", 99, 99, 1, 0, 0, 5, 0, 500, RESULT_OK,
+    RESULT_DEADLINE_UNREACHABLE, 200, 200 },
+  { "entry that ends after its deadline is queued", 99, 99, 1, 0, 0, 5, 0, 599,
+    RESULT_DEADLINE_UNREACHABLE, 1, 1 },
+  { "entry that can make it is refused", 99, 99, 1, 0, 0, 5, 0, 600, RESULT_OK,
     0, 0 },
+  { "short deadline is refused although slots are free", 99, 99, 9, 0, 0, 0, 0,
+    50, RESULT_OK, 0, 0 },
   { "entry past its deadline is queued", 99, 99, 9, 0, 0, 0, 0, 0,
     RESULT_DEADLINE_UNREACHABLE, 0, 0 },
   { "another customer's queue counts as one's own", 99, 99, 1, 0, 0, 0, 50, 300,
     RESULT_OK, 0, 0 },
   { "wait for the customer's own limit is not counted", 99, 99, 9, 0, 1, 5, 0,
-    400, RESULT_DEADLINE_UNREACHABLE, 100, 100 },
+    400, RESULT_DEADLINE_UNREACHABLE, 200, 200 },
 };
 
 static void
@@ -251,6 +255,60 @@
     }
 }
 
+struct sparse_case
+{
+  const char *guards;
+  unsigned cost;     /* of the small customer's entries */
+  unsigned first_by; /* admission that takes its first entry, at the latest */
+  unsigned at_least; /* of its entries among 100 admissions */
+  unsigned at_most;
+};
+
+/*
+ * A large customer with a backlog of cost 10 each, and a small one that has one
+ * entry queued at any time.
+ */
+static const struct sparse_case sparse_cases[] = {
+  { "a costly first entry waits until its cost is saved up", 300, 2, 3, 5 },
+  { "a returning customer gets turns whatever its cost", 100, 2, 9, 11 },
+  { "a returning customer gets less than its part", 10, 2, 49, 51 },
+};
+
+static void
+test_sparse_customer (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof sparse_cases / sizeof sparse_cases[0]; i++)
+    {
+      const struct sparse_case *test = &sparse_cases[i];
+      struct admission admission;
+      unsigned got = 0;
+      unsigned first = 0;
+
+      set_up (&admission, 1000, 1000, 1);
+      for (int n = 0; n < 110; n++)
+        submit (&admission, "large", ADMISSION_NORMAL, 10, NOW);
+      submit (&admission, "small", ADMISSION_NORMAL, test->cost, NOW);
+      for (unsigned n = 1; n <= 100; n++)
+        {
+          struct admission_entry *entry = admission_next (&admission, NOW);
+
+          assert_non_null (entry);
+          admission_release (&admission, entry, NOW);
+          if (strcmp (entry->customer, "small") != 0)
+            continue;
+          got++;
+          first = first == 0 ? n : first;
+          submit (&admission, "small", ADMISSION_NORMAL, test->cost, NOW);
+        }
+      if (first > test->first_by || got < test->at_least || got > test->at_most)
+        print_error ("failure: %s (%u, %u)\n", test->guards, first, got);
+      assert_in_range (first, 1, test->first_by);
+      assert_in_range (got, test->at_least, test->at_most);
+      admission_finish (&admission);
+    }
+}
+
 struct ageing_case
 {
   const char *guards;
@@ -392,6 +450,54 @@
   admission_finish (&admission);
 }
 
+struct late_case
+{
+  const char *guards;
+  unsigned cost;
+  int deadline_ms; /* of the entry, after NOW */
+  int at_ms;       /* when a slot comes free, after NOW */
+  bool starts;
+};
+
+/* Requests of cost 10 took 100 ms. */
+static const struct late_case late_cases[] = {
+  { "entry that can finish is dropped", 10, 500, 399, true },
+  { "entry starts too late to finish", 10, 500, 400, false },
+  { "cheap entry is held to the mean", 5, 500, 449, true },
+  { "cheap entry starts too late", 5, 500, 450, false },
+  { "estimate is scaled up with the cost asked for", 100, 500, 399, true },
+  { "entry shorter than the estimate never starts", 10, 90, 89, true },
+  { "entry past its deadline starts", 10, 90, 90, false },
+};
+
+static void
+test_late_starts (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof late_cases / sizeof late_cases[0]; i++)
+    {
+      const struct late_case *test = &late_cases[i];
+      int64_t at_ms = NOW + test->at_ms;
+      struct admission admission;
+      struct admission_entry *entry;
+      int64_t retry_ms;
+
+      set_up (&admission, 9, 9, 1);
+      entry = submit (&admission, "c", ADMISSION_NORMAL, 10, NOW - 100);
+      assert_ptr_equal (admission_next (&admission, NOW - 100), entry);
+      admission_release (&admission, entry, NOW);
+      entry = make ("c", ADMISSION_NORMAL, test->cost, NOW + test->deadline_ms);
+      assert_int_equal (admission_submit (&admission, entry, NOW, &retry_ms),
+                        RESULT_OK);
+      if ((admission_next (&admission, at_ms) == entry) != test->starts)
+        print_error ("failure: %s\n", test->guards);
+      assert_int_equal (entry->admitted, test->starts);
+      assert_int_equal (admission_next_expired (&admission, at_ms) == entry,
+                        !test->starts);
+      admission_finish (&admission);
+    }
+}
+
 struct wait_case
 {
   const char *guards;
@@ -468,10 +574,12 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_refusals),
     cmocka_unit_test (test_fairness),
+    cmocka_unit_test (test_sparse_customer),
     cmocka_unit_test (test_ageing),
     cmocka_unit_test (test_rate_over_time),
     cmocka_unit_test (test_slots_are_accounted),
     cmocka_unit_test (test_expired_entries),
+    cmocka_unit_test (test_late_starts),
     cmocka_unit_test (test_expected_wait),
     cmocka_unit_test (test_targets_are_apart),
   };
