--- a/packages/claim/include/claim.h
+++ b/packages/claim/include/claim.h
@@ -31,7 +31,7 @@
  */
 
 #define CLAIM_BUCKET_MS INT64_C (60000)
-#define CLAIM_SHARDS 16
+#define CLAIM_SHARDS 256
 #define CLAIM_RETENTION_MS (INT64_C (24) * 3600 * 1000)
 #define CLAIM_DELETE_MARGIN_MS (INT64_C (3600) * 1000)
 /* A key may be this far ahead of our clock. */
--- a/packages/claim/tests/t0300-claim.c
+++ b/packages/claim/tests/t0300-claim.c
@@ -393,7 +393,7 @@
   int counts[CLAIM_SHARDS] = { 0 };
 
   (void)state;
-  for (uint64_t i = 0; i < 1600; i++)
+  for (uint64_t i = 0; i < UINT64_C (100) * CLAIM_SHARDS; i++)
     {
       const uint64_t bits[2] = { 0, i };
       char uuid[UUID_SIZE];
