gateway: test that a cancelled call's connection closes

With the check for a whole answer taken out, a connection that still owed an answer went back into use, and no test noticed.

--- a/packages/gateway/tests/t0830-stream.c
+++ b/packages/gateway/tests/t0830-stream.c
@@ -187,6 +187,28 @@
   world_free (world);
 }
 
+/* A cancelled call's connection still owes an answer: it must close. */
+static void
+test_no_reuse_after_cancel (void **state)
+{
+  struct world *world = start (world_new (), "0 1 H", "0 D E");
+  struct client client;
+
+  (void)state;
+  client_open (world, &client, 0);
+  client_send (&client, "POST", COMPLETIONS, "acme", "", STREAM);
+  WAIT_FOR (world, strstr (client_text (&client), "w1 ") != NULL);
+  client_close (&client);
+  WAIT_FOR (world, gateway_is_empty (&world->gateway) && world->cancels == 1);
+  client_open (world, &client, 0);
+  client_send (&client, "POST", COMPLETIONS, "acme", "", STREAM);
+  client_wait (world, &client);
+  assert_int_equal (client_status (&client), 200);
+  assert_true (world_call (world, 0)->closed);
+  client_close (&client);
+  world_free (world);
+}
+
 /* The sheet changes while the request waits for its retry. */
 static void
 test_place_again (void **state)
@@ -471,6 +493,7 @@
     cmocka_unit_test (test_caller_gone),
     cmocka_unit_test (test_no_delay),
     cmocka_unit_test (test_reuse),
+    cmocka_unit_test (test_no_reuse_after_cancel),
     cmocka_unit_test (test_place_again),
     cmocka_unit_test (test_deadline),
     cmocka_unit_test (test_member_absent),
