control: let a release act once

Cause: each new control object released every fingerprint that it lists, so a drain freed requests that had crashed endpoints since their release. Result: 3 tests pass; without the comparison of numbers, and without that of the lists, t0700-config fails.

--- a/packages/control/include/config.h
+++ b/packages/control/include/config.h
@@ -60,7 +60,8 @@
 
   struct sheet sheet;
   struct config_object objects[PEER_HOSTS + 1]; /* by enum peer_object_id */
-  json_t *drains; /* of the control object; NULL if none */
+  json_t *drains;   /* of the control object; NULL if none */
+  json_t *releases; /* likewise */
 
   uint64_t revision; /* the platform's, up to which changes were seen */
   bool watching;
--- a/packages/control/src/config.c
+++ b/packages/control/src/config.c
@@ -52,6 +52,7 @@
   for (size_t i = 0; i <= PEER_HOSTS; i++)
     free (config->objects[i].text);
   json_decref (config->drains);
+  json_decref (config->releases);
   sheet_finish (&config->sheet);
 }
 
@@ -107,22 +108,49 @@
     host->drained = array_has (config->drains, host->id);
 }
 
+/*
+ * Releases that the control object names and the one before did not.  New
+ * ones stand at the end, and a repeated release moves its entry there, so what
+ * is left after the old list has been matched in order is new.  A release
+ * must act once only: the request may have crashed endpoints since.
+ */
+static void
+apply_releases (struct config *config, const json_t *releases)
+{
+  size_t old_count = json_array_size (config->releases);
+  size_t matched = 0;
+  const json_t *entry;
+  size_t i;
+
+  json_array_foreach (releases, i, entry)
+    {
+      size_t at = matched;
+
+      while (at < old_count
+             && !json_equal (json_array_get (config->releases, at), entry))
+        at++;
+      if (at < old_count)
+        matched = at + 1;
+      else if (json_is_string (entry))
+        config->hooks.released (config->hooks.context,
+                                json_string_value (entry));
+    }
+}
+
 static enum result
 adopt_control (struct config *config, const json_t *json)
 {
-  const json_t *releases = json_object_get (json, "releases");
+  json_t *releases = json_object_get (json, "releases");
   json_t *drains = json_object_get (json, "drains");
-  const json_t *entry;
-  size_t i;
 
-  if (!json_is_array (drains))
+  if (!json_is_array (drains) || !json_is_array (releases))
     return RESULT_PLATFORM_BAD_ANSWER;
   json_decref (config->drains);
   config->drains = json_incref (drains);
   config_apply_drains (config);
-  json_array_foreach (releases, i, entry)
-    if (json_is_string (entry))
-      config->hooks.released (config->hooks.context, json_string_value (entry));
+  apply_releases (config, releases);
+  json_decref (config->releases);
+  config->releases = json_incref (releases);
   return RESULT_OK;
 }
 
