--- a/packages/base/tests/t0001-base.c
+++ b/packages/base/tests/t0001-base.c
@@ -145,6 +145,34 @@
   assert_int_equal (result_info ((enum result)99999)->number, RESULT_INTERNAL);
 }
 
+/* The page for callers and operators must not drift from the table. */
+static void
+test_documentation_lists_every_code (void **state)
+{
+  static char page[1 << 16];
+  const struct result_info *info;
+  FILE *file = fopen ("docs/errors.md", "re");
+  size_t size;
+
+  (void)state;
+  assert_non_null (file);
+  size = fread (page, 1, sizeof page - 1, file);
+  page[size] = '\0';
+  fclose (file);
+  for (unsigned i = 0; (info = result_at (i)) != NULL; i++)
+    {
+      char status[8] = "";
+      char row[512];
+
+      if (info->http_status != 0)
+        snprintf (status, sizeof status, "%d", info->http_status);
+      snprintf (row, sizeof row, "| %d | %s | %s | %s | %s |", info->number,
+                info->name, status, outcome_name (info->outcome), info->text);
+      if (strstr (page, row) == NULL)
+        fail_msg ("docs/errors.md lacks: %s", row);
+    }
+}
+
 static void
 test_rng_and_hash_are_stable (void **state)
 {
@@ -179,6 +207,7 @@
     cmocka_unit_test (test_histogram_quantiles),
     cmocka_unit_test (test_counter_limit),
     cmocka_unit_test (test_result_numbers_are_unique),
+    cmocka_unit_test (test_documentation_lists_every_code),
     cmocka_unit_test (test_rng_and_hash_are_stable),
   };
 
