group: keep one decision from undoing another

Cause: fuzz/placement.c found that a group moved or replaced in one round was dissolved in the next: repair of second groups took the hosts that a spec without any group needed, spares of a draining group went to others, a moved group got a new number and so a lower level, and decided loads were counted only once the engines loaded.

--- a/packages/group/include/placement.h
+++ b/packages/group/include/placement.h
@@ -64,6 +64,7 @@
 {
   PLACEMENT_FORM,     /* new group */
   PLACEMENT_REPLACE,  /* members replaced by spares of the same domain */
+  PLACEMENT_MOVE,     /* all members replaced, in another domain */
   PLACEMENT_DISSOLVE, /* group removed */
   PLACEMENT_UPDATE,   /* new version or adapters, same members */
   PLACEMENT_DRAIN,    /* gets no new work; a later step changes it */
--- a/packages/group/src/form.c
+++ b/packages/group/src/form.c
@@ -152,8 +152,7 @@
   const struct work_host *host;
 
   if (group->removed || group->spec == spec || group->level < 2
-      || group->group.generation == work->generation
-      || group->absent + group->leaving > 0)
+      || group->group.generation == work->generation)
     return false;
   host = work_find_host (work, group->group.members[0]);
   return host != NULL && host->domain == domain;
@@ -179,10 +178,15 @@
   return count;
 }
 
-/* A group that already drains goes first, then the least urgent one. */
+/* A broken group goes first, then one that drains, then the least urgent. */
 static bool
 yields_before (const struct work_group *a, const struct work_group *b)
 {
+  bool a_broken = a->absent + a->leaving > 0;
+  bool b_broken = b->absent + b->leaving > 0;
+
+  if (a_broken != b_broken)
+    return a_broken;
   if (a->group.draining != b->group.draining)
     return a->group.draining;
   if (a->level != b->level)
@@ -279,8 +283,13 @@
       best_count = count;
       memcpy (best, found, sizeof best);
     }
-  if (best_domain < 0 || !dissolve_for (work, spec, best, best_count))
+  if (best_domain < 0)
     return -1;
+  if (!dissolve_for (work, spec, best, best_count))
+    {
+      work_reserve (work, spec, (unsigned)best_domain, spec->row->span);
+      return -1;
+    }
   return best_domain;
 }
 
@@ -298,6 +307,7 @@
     domain = make_room (work, spec);
   if (domain < 0)
     {
+      spec->blocked = true;
       work_decide (work, PLACEMENT_UNPLACED, false, spec, NULL,
                    "has %u of %u groups; needs %u free hosts in one domain "
                    "of %s, the largest has %u",
@@ -306,7 +316,10 @@
     }
   group = work_form (work, spec, (unsigned)domain);
   if (group == NULL)
-    return;
+    {
+      spec->blocked = true;
+      return;
+    }
   decision = work_decide (work, PLACEMENT_FORM, true, spec, group,
                           "has %u of %u groups; %s fits best", spec->kept - 1,
                           spec->part, work->domains[domain].name);
@@ -318,21 +331,21 @@
 }
 
 void
-work_form_missing (struct work *work)
+work_form_missing (struct work *work, unsigned level)
 {
-  unsigned highest = 0;
-
   for (size_t i = 0; i < work->spec_count; i++)
-    if (work->specs[i].part > highest)
-      highest = work->specs[i].part;
-  for (unsigned level = 1; level <= highest; level++)
-    for (size_t i = 0; i < work->spec_count; i++)
-      {
-        struct work_spec *spec = &work->specs[i];
-
-        if (spec->valid && spec->part >= level && spec->kept == level - 1)
-          form_next (work, spec);
-      }
+    {
+      struct work_spec *spec = &work->specs[i];
+
+      while (spec->valid && !spec->blocked && spec->part >= level
+             && spec->kept < level)
+        form_next (work, spec);
+    }
+}
+
+void
+work_report_unplaced (struct work *work)
+{
   for (size_t i = 0; i < work->spec_count; i++)
     if (work->specs[i].unplaced > 0)
       work_decide (work, PLACEMENT_UNPLACED, false, &work->specs[i], NULL,
--- a/packages/group/src/placement.c
+++ b/packages/group/src/placement.c
@@ -23,10 +23,10 @@
 placement_step_name (enum placement_step step)
 {
   static const char *const names[] = {
-    [PLACEMENT_FORM] = "form",         [PLACEMENT_REPLACE] = "replace",
-    [PLACEMENT_DISSOLVE] = "dissolve", [PLACEMENT_UPDATE] = "update",
-    [PLACEMENT_DRAIN] = "drain",       [PLACEMENT_WAIT] = "wait",
-    [PLACEMENT_UNPLACED] = "unplaced",
+    [PLACEMENT_FORM] = "form",     [PLACEMENT_REPLACE] = "replace",
+    [PLACEMENT_MOVE] = "move",     [PLACEMENT_DISSOLVE] = "dissolve",
+    [PLACEMENT_UPDATE] = "update", [PLACEMENT_DRAIN] = "drain",
+    [PLACEMENT_WAIT] = "wait",     [PLACEMENT_UNPLACED] = "unplaced",
   };
 
   return names[step];
@@ -116,6 +116,21 @@
   return false;
 }
 
+static unsigned
+highest_level (const struct work *work)
+{
+  unsigned highest = 0;
+
+  for (size_t i = 0; i < work->spec_count; i++)
+    {
+      if (work->specs[i].part > highest)
+        highest = work->specs[i].part;
+      if (work->specs[i].kept > highest)
+        highest = work->specs[i].kept;
+    }
+  return highest;
+}
+
 enum result
 placement_compute (struct placement *placement,
                    const struct placement_input *input)
@@ -131,9 +146,13 @@
   if (may_decide (input))
     {
       work_remove_unwanted (&work);
-      work_repair (&work);
+      for (unsigned level = 1; level <= highest_level (&work); level++)
+        {
+          work_repair (&work, level);
+          work_form_missing (&work, level);
+        }
       work_update (&work);
-      work_form_missing (&work);
+      work_report_unplaced (&work);
     }
   else
     for (size_t i = 0; i < work.group_count; i++)
--- a/packages/group/src/repair.c
+++ b/packages/group/src/repair.c
@@ -146,7 +146,10 @@
   unsigned fetches;
 
   if (!work_drained (work, group, "a member leaves"))
-    return;
+    {
+      work_reserve (work, group->spec, repair->domain, repair->missing_count);
+      return;
+    }
   decision = work_decide (work, PLACEMENT_REPLACE, true, group->spec, group,
                           "%u of %u members absent or leaving; spares in %s, "
                           "%.0f s, cost %.1f",
@@ -167,10 +170,16 @@
 {
   struct work_group *group = repair->group;
   struct placement_decision *decision;
+  bool all_ranks[FLEET_SPAN_LIMIT];
+  unsigned fetches;
 
   if (!work_drained (work, group, "a member leaves"))
-    return;
-  decision = work_decide (work, PLACEMENT_DISSOLVE, true, group->spec, group,
+    {
+      work_reserve (work, group->spec, (unsigned)repair->elsewhere,
+                    group->group.span);
+      return;
+    }
+  decision = work_decide (work, PLACEMENT_MOVE, true, group->spec, group,
                           "%u of %u members absent or leaving; reform in %s, "
                           "%.0f s, cost %.1f",
                           repair->missing_count, group->group.span,
@@ -181,9 +190,14 @@
                (double)group->absent_ms / 1000,
                expected_wait (work, group, NO_ALTERNATIVE_MS) / 1000);
   reject_replace (work, repair, decision);
-  group->spec->kept--;
-  work_remove (work, group);
-  /* work_form_missing forms it anew, in the domain chosen here. */
+  /* Under the same id, so that its level stays the same. */
+  memset (all_ranks, 1, sizeof all_ranks);
+  work_take (work, group, false);
+  snprintf (group->group.domain, sizeof group->group.domain, "%s",
+            work->domains[repair->elsewhere].name);
+  work_pick (work, group, (unsigned)repair->elsewhere, all_ranks, &fetches);
+  work->fetching += fetches;
+  work_renew (work, group);
 }
 
 static void
@@ -296,21 +310,16 @@
 }
 
 void
-work_repair (struct work *work)
+work_repair (struct work *work, unsigned level)
 {
-  unsigned highest = 0;
-  size_t count = work->group_count; /* groups formed below need no repair */
+  size_t count = work->group_count; /* groups formed here need no repair */
 
   for (size_t i = 0; i < count; i++)
-    if (work->groups[i].level > highest)
-      highest = work->groups[i].level;
-  for (unsigned level = 1; level <= highest; level++)
-    for (size_t i = 0; i < count; i++)
-      {
-        struct work_group *group = &work->groups[i];
+    {
+      struct work_group *group = &work->groups[i];
 
-        if (group->level == level && !group->removed && group->legal
-            && group->absent + group->leaving > 0)
-          repair_group (work, group);
-      }
+      if (group->level == level && !group->removed && group->legal
+          && group->absent + group->leaving > 0)
+        repair_group (work, group);
+    }
 }
--- a/packages/group/src/work.c
+++ b/packages/group/src/work.c
@@ -226,11 +226,22 @@
          && attested->state == FLEET_ENGINE_READY;
 }
 
+/* A load that is still to be ordered and will fetch the weights. */
+static bool
+awaits_fetch (const struct work *work,
+              const struct fleet_group *group,
+              unsigned rank,
+              const struct fleet_host *host)
+{
+  return !member_is_ready (group, rank, host)
+         && host->attested.state != FLEET_ENGINE_LOADING
+         && !history_has_weights (work->input->history, host, group->model,
+                                  group->version);
+}
+
 /* Presence of the members, and whether they may still be where they are. */
 static void
-inspect_member (const struct work *work,
-                struct work_group *entry,
-                unsigned rank)
+inspect_member (struct work *work, struct work_group *entry, unsigned rank)
 {
   const struct fleet_group *group = &entry->group;
   const struct work_host *found = work_find_host (work, group->members[rank]);
@@ -252,6 +263,8 @@
         entry->leaving++;
       if (!member_is_ready (group, rank, found->host))
         entry->whole = false;
+      if (awaits_fetch (work, group, rank, found->host))
+        work->fetching++;
     }
   if (found != NULL && entry->spec != NULL
       && (!work_permits (entry->spec, found->host)
@@ -511,6 +524,25 @@
   return rank == group->group.span;
 }
 
+void
+work_reserve (struct work *work,
+              const struct work_spec *spec,
+              unsigned domain,
+              unsigned count)
+{
+  for (int cold = 0; cold <= 1; cold++)
+    for (size_t i = 0; i < work->host_count && count > 0; i++)
+      {
+        struct work_host *host = &work->hosts[i];
+
+        if (host->domain != domain || !work_is_free (work, spec, host)
+            || work_has_weights (work, spec, host) == (cold == 1))
+          continue;
+        host->taken = true;
+        count--;
+      }
+}
+
 struct placement_decision *
 work_decide (struct work *work,
              enum placement_step step,
--- a/packages/group/src/work.h
+++ b/packages/group/src/work.h
@@ -32,7 +32,7 @@
   unsigned unplaced;    /* groups that fit in no data centre */
   unsigned kept;        /* groups that it has and keeps */
   unsigned next_number; /* lowest group number that may be free */
-  bool changing;        /* a group of it is being updated */
+  bool blocked;         /* no room was found for its next group */
 };
 
 struct work_group
@@ -123,6 +123,15 @@
                 const bool *wanted_ranks,
                 unsigned *fetches);
 
+/*
+ * Keeps up to count free hosts of the domain for a group that first finishes
+ * its work, so that nothing else takes them in this round.
+ */
+void work_reserve (struct work *work,
+                   const struct work_spec *spec,
+                   unsigned domain,
+                   unsigned count);
+
 /* A decision to fill in further; NULL on no memory. */
 struct placement_decision *work_decide (struct work *work,
                                         enum placement_step step,
@@ -151,7 +160,10 @@
 
 void work_remove_unwanted (struct work *work);
 void work_update (struct work *work);
-void work_repair (struct work *work);
-void work_form_missing (struct work *work);
+void work_report_unplaced (struct work *work);
+
+/* Repairs the groups of one level; forms the missing groups up to it. */
+void work_repair (struct work *work, unsigned level);
+void work_form_missing (struct work *work, unsigned level);
 
 #endif
