--- a/fuzz/claim.c
+++ b/fuzz/claim.c
@@ -576,3 +576,5 @@
   free (world);
   return 0;
 }
+
+/* Each run plays a long history; fuzz-runs: 8000 */
--- a/fuzz/lease.c
+++ b/fuzz/lease.c
@@ -384,3 +384,5 @@
     }
   return 0;
 }
+
+/* Each run plays a long history; fuzz-runs: 2000 */
--- a/fuzz/placement.c
+++ b/fuzz/placement.c
@@ -742,3 +742,5 @@
   sheet_finish (&world.sheet);
   return 0;
 }
+
+/* Each run plays a long history; fuzz-runs: 2000 */
--- a/fuzz/sheet.c
+++ b/fuzz/sheet.c
@@ -167,3 +167,5 @@
   check_rows (data, size);
   return 0;
 }
+
+/* Each run plays a long history; fuzz-runs: 8000 */
