route: let a customer below its part save up credit

Cause: at one entry host the demand of a small customer comes in bursts, and it has only its part of the moment, so that it loses requests although its total is within its part.

Change: a flow that returns has the work that it left to others since, up to 16 mean entries.

--- a/packages/route/src/admission.c
+++ b/packages/route/src/admission.c
@@ -8,6 +8,12 @@
 /* Sums of quanta are rounded, so a deficit this small counts as none. */
 #define DEFICIT_TOLERANCE 1e-3
 
+/*
+ * Work that a customer below its part may save up, in mean entries.  Demand at
+ * one entry host comes in bursts, even of a customer whose total is small.
+ */
+#define CREDIT_ENTRIES 16.0
+
 /* A rate limit saves up what one second permits, and at least one request. */
 #define BURST_SECONDS 1.0
 
@@ -439,12 +445,13 @@
 static void
 join_ring (struct admission_target *target, struct flow *flow)
 {
-  if (target->active == 0)
-    flow->deficit = 0;
-  else
-    flow->deficit += (target->rounds - flow->left_at) * flow->customer->weight;
-  if (flow->deficit > 0)
+  double credit = CREDIT_ENTRIES * target->mean_cost;
+
+  if (target->active == 0 && flow->deficit < 0)
     flow->deficit = 0;
+  flow->deficit += (target->rounds - flow->left_at) * flow->customer->weight;
+  if (flow->deficit > credit)
+    flow->deficit = credit;
   flow->visited = false;
   TAILQ_INSERT_TAIL (&target->ring, flow, link);
   target->active++;
