control: let one prober tell what the other saw too

Cause: both probers of an endpoint told every peer; ranks were hashed for every host on each tick. Change: the second prober tells only after 1.2 s of silence, and only what it saw itself; whole results go out twice on change and else every 15 s; ranks are kept for 500 ms.

--- a/measure/control-cost.sh
+++ b/measure/control-cost.sh
@@ -60,7 +60,8 @@
     hosts+=("entry-$i")
   done
   wait_for 120 all_joined "$nodes"
-  sleep 3
+  # Until newcomers have been told everything.
+  sleep $((3 + nodes / 6))
   sent=$(total waxwing_peer_bytes_sent_total)
   received=$(total waxwing_peer_bytes_received_total)
   calls=$(total waxwing_platform_calls_total)
--- a/packages/control/include/prober.h
+++ b/packages/control/include/prober.h
@@ -20,8 +20,12 @@
 #define PROBER_RANKS 2
 #define PROBER_INTERVAL_MS 500
 #define PROBER_TIMEOUT_MS 1000
-#define PROBER_REFRESH_MS 900 /* a short entry tells that nothing changed */
-#define PROBER_FULL_MS 5000   /* the whole result is told again after this */
+#define PROBER_REFRESH_MS 900  /* a short entry tells that nothing changed */
+#define PROBER_FULL_MS 15000   /* the whole result is told again after this */
+#define PROBER_SILENCE_MS 1200 /* then the next prober tells */
+#define PROBER_RANK_MS 500     /* ranks are computed anew */
+#define PROBER_OWN_MS 1200     /* an older probe of ours is not told */
+#define PROBER_CHANGE_SENDS 2  /* a change is told so often, against loss */
 
 struct prober_target
 {
@@ -34,7 +38,11 @@
   int64_t next_ms;
   int64_t told_ms; /* whole or short */
   int64_t told_full_ms;
-  bool changed; /* since it was told last */
+  unsigned to_send;  /* how often the whole result is still to be told */
+  size_t rank;       /* ours among the probers of this endpoint */
+  int64_t ranked_ms; /* when it was computed */
+  int64_t probed_ms; /* last success of our own probe */
+  int64_t heard_ms;  /* when a peer told the same of it */
   UT_hash_handle hh;
 };
 
--- a/packages/control/src/prober.c
+++ b/packages/control/src/prober.c
@@ -80,6 +80,19 @@
     prober->restarted (prober->context, host->id, old_boot);
 }
 
+/* A peer told the contents that we know, too. */
+static void
+note_heard (struct prober *prober,
+            const struct fleet_host *host,
+            uint64_t digest)
+{
+  struct prober_target *target;
+
+  HASH_FIND_STR (prober->targets, host->id, target);
+  if (target != NULL && peer_attestation_digest (&host->attested) == digest)
+    target->heard_ms = time_boot_ms ();
+}
+
 void
 prober_take (struct prober *prober,
              const char *host_id,
@@ -87,8 +100,11 @@
 {
   struct fleet_host *host = fleet_find_host (prober->fleet, host_id);
 
-  if (host != NULL && attested->seen_ms > host->attested.seen_ms)
+  if (host == NULL)
+    return;
+  if (attested->seen_ms > host->attested.seen_ms)
     take_attestation (prober, host, attested);
+  note_heard (prober, host, peer_attestation_digest (attested));
 }
 
 static json_t *
@@ -118,8 +134,10 @@
       && fleet_attestation_from_json (&attested, json, time_boot_ms ())
              == RESULT_OK)
     {
-      target->changed |= differs (&host->attested, &attested);
+      if (differs (&host->attested, &attested))
+        target->to_send = PROBER_CHANGE_SENDS;
       take_attestation (prober, host, &attested);
+      target->probed_ms = attested.seen_ms;
     }
   else
     prober->failures++;
@@ -168,6 +186,9 @@
         return NULL;
       memcpy (target->id, host->id, sizeof target->id);
       target->prober = prober;
+      target->ranked_ms = INT64_MIN / 2;
+      target->probed_ms = INT64_MIN / 2;
+      target->heard_ms = INT64_MIN / 2;
       HASH_ADD_STR (prober->targets, id, target);
     }
   if (target->port != host->port
@@ -181,14 +202,23 @@
 }
 
 static bool
-is_ours (const struct prober *prober, const struct fleet_host *host)
+is_local (const struct prober *prober, const struct fleet_host *host)
+{
+  return host->port != 0
+         && strcmp (host->data_centre, prober->members->self.data_centre) == 0;
+}
+
+/* Ranks change only with the membership; hashing each tick costs too much. */
+static void
+update_rank (struct prober_target *target, int64_t now_ms)
 {
-  const struct member_update *self = &prober->members->self;
+  const struct member_table *members = target->prober->members;
 
-  return host->port != 0 && strcmp (host->data_centre, self->data_centre) == 0
-         && member_rank (prober->members, self->data_centre, self->host,
-                         host->id)
-                < PROBER_RANKS;
+  if (now_ms - target->ranked_ms < PROBER_RANK_MS)
+    return;
+  target->ranked_ms = now_ms;
+  target->rank = member_rank (members, members->self.data_centre,
+                              members->self.host, target->id);
 }
 
 static void
@@ -198,7 +228,11 @@
 {
   struct prober_target *target = find_or_add (prober, host);
 
-  if (target == NULL || target->waiting || now_ms < target->next_ms)
+  if (target == NULL)
+    return;
+  update_rank (target, now_ms);
+  if (target->rank >= PROBER_RANKS || target->waiting
+      || now_ms < target->next_ms)
     return;
   /* A late tick must not be followed by a burst. */
   target->next_ms = now_ms + PROBER_INTERVAL_MS;
@@ -220,6 +254,7 @@
           host->attested.running = entry->running;
           host->attested.queued = entry->queued;
         }
+      note_heard (prober, host, entry->digest);
       return;
     }
 }
@@ -238,7 +273,8 @@
           const struct fleet_host *host,
           int64_t now_ms)
 {
-  target->changed = false;
+  if (target->to_send > 0)
+    target->to_send--;
   target->told_ms = now_ms;
   target->told_full_ms = now_ms;
   tell->full[tell->full_count].host = host->id;
@@ -273,6 +309,16 @@
   return more;
 }
 
+/*
+ * The first prober tells; the others only when it has been silent, so that
+ * its death costs one refresh and not the attestation.
+ */
+static bool
+is_told_by_peer (const struct prober_target *target, int64_t now_ms)
+{
+  return target->rank > 0 && now_ms - target->heard_ms < PROBER_SILENCE_MS;
+}
+
 static void
 tell_peers (struct prober *prober, int64_t now_ms)
 {
@@ -288,13 +334,18 @@
       const struct fleet_host *host
           = fleet_find_host (prober->fleet, target->id);
 
-      if (host == NULL || !fleet_host_present (host, now_ms)
-          || !is_ours (prober, host))
+      /* Only what we saw ourselves: told on, a peer's word would never age. */
+      if (host == NULL || target->rank >= PROBER_RANKS
+          || now_ms - target->probed_ms > PROBER_OWN_MS)
         continue;
-      if (target->changed || newcomer
-          || now_ms - target->told_full_ms >= PROBER_FULL_MS)
+      if (newcomer)
+        target->to_send = PROBER_CHANGE_SENDS;
+      if (target->to_send > 0
+          || (!is_told_by_peer (target, now_ms)
+              && now_ms - target->told_full_ms >= PROBER_FULL_MS))
         add_full (&tell, target, host, now_ms);
-      else if (now_ms - target->told_ms >= PROBER_REFRESH_MS)
+      else if (!is_told_by_peer (target, now_ms)
+               && now_ms - target->told_ms >= PROBER_REFRESH_MS)
         add_fresh (&tell, target, host, now_ms);
     }
   if (tell.full_count > 0)
@@ -308,7 +359,7 @@
 {
   for (const struct fleet_host *host = prober->fleet->hosts; host != NULL;
        host = host->hh.next)
-    if (is_ours (prober, host))
+    if (is_local (prober, host))
       probe_host (prober, host, now_ms);
   tell_peers (prober, now_ms);
 }
