--- a/tests/system/lib.sh
+++ b/tests/system/lib.sh
@@ -143,3 +143,48 @@
 apply_sheet () {
   operator sheet apply "$1"
 }
+
+# start_load NAME [option...]: a recorded load on all entry hosts.  Customer
+# school-1 may be served everywhere, school-2 in the last data centre only.
+start_load () {
+  local name=$1
+  shift
+  : > "$work/$name.record"
+  fleet_spawn "$name" "$build/tests/standin/standin-load" \
+    --ports "$(cat "$work"/entry-*.callers | paste -sd,)" \
+    --customers "school-1:$credential:3,school-2:other:1" \
+    --model draft-llm --service booking-app \
+    --record "$work/$name.record" "$@"
+}
+
+load_ended () {
+  ! kill -0 "$(cat "$work/$1.pid")" 2>/dev/null
+}
+
+# group_member ENTRY: group, generation and last member of a serving group.
+group_member () {
+  curl -sf "$(admin "$1")/status" | grep -o \
+    '"id":"[^"]*","spec"[^[]*"serving":"serving","members":\[[^]]*\]' \
+    | head -1 | sed 's/"id":"\([^"]*\)".*"generation":\([0-9]*\),.*"host":"\([^"]*\)".*/\1 \2 \3/'
+}
+
+# absent NAME HOST GROUP GENERATION: from now on the group may not run.
+absent () {
+  printf '{"host":"%s","group":"%s","generation":%s,"from_ms":%s,"to_ms":%s}\n' \
+    "$2" "$3" "$4" "$(journal "$1" | sed 's/.*"now_ms":\([0-9]*\).*/\1/')" \
+    9007199254740991 >> "$work/absent.jsonl"
+}
+
+# checked NAME: standin-check of a recorded load and all journals.
+checked () {
+  local file name options=()
+  for file in "$work"/*.control; do
+    name=$(basename "$file" .control)
+    journal "$name" > "$work/$name.journal" || return 2
+    options+=(--journal "$work/$name.journal")
+  done
+  [ ! -f "$work/absent.jsonl" ] || options+=(--absent "$work/absent.jsonl")
+  "$build/tests/standin/standin-check" --record "$work/$1.record" \
+    --hosts "$work/hosts.jsonl" "${options[@]}" \
+    --allow "school-1=$centres" --allow "school-2=${centres##*;}"
+}
