--- a/packages/claim/src/shard.c
+++ b/packages/claim/src/shard.c
@@ -159,6 +159,9 @@
     case CLAIM_NOT_RUN:
       return NEED_WRITE;
     case CLAIM_DONE:
+#ifdef BREAK_GUARD_REPLAY
+      return NEED_WRITE;
+#endif
       return replay (table, operation, value, stored.token, now_ms);
     case CLAIM_UNKNOWN:
       claim_operation_refuse (table, operation, RESULT_CLAIM_IN_PROGRESS);
@@ -503,6 +506,10 @@
   struct claim_operation *operation;
   json_t *written = shard->written;
 
+#ifdef BREAK_GUARD_CLAIM_VERSION
+  if (result == RESULT_PLATFORM_CONFLICT)
+    result = RESULT_OK;
+#endif
   shard->transfer = TRANSFER_NONE;
   shard->written = NULL;
   if (!had_no_effect (result) && result != RESULT_OK)
--- a/packages/fleet/src/serving.c
+++ b/packages/fleet/src/serving.c
@@ -5,6 +5,9 @@
 bool
 fleet_host_leaving (const struct fleet_host *host)
 {
+#ifdef BREAK_GUARD_LEAVING
+  return false;
+#endif
   return host->listed_leaving || host->drained || host->refused_leaving
          || host->attested.leaving;
 }
@@ -25,6 +28,10 @@
   const struct fleet_host *host = fleet_find_host (fleet, group->members[rank]);
   const struct fleet_attestation *attested;
 
+#ifdef BREAK_GUARD_ATTESTATION
+  if (host != NULL && !fleet_host_present (host, now_ms))
+    return FLEET_SERVING;
+#endif
   if (host == NULL || !fleet_host_present (host, now_ms))
     return FLEET_MEMBER_ABSENT;
   if (fleet_host_leaving (host))
--- a/packages/gateway/src/dispatch.c
+++ b/packages/gateway/src/dispatch.c
@@ -265,6 +265,9 @@
 static bool
 says_not_run (enum result result)
 {
+#ifdef BREAK_GUARD_NOT_RUN
+  return true;
+#endif
   return result == RESULT_ENDPOINT_CONNECT
          || result == RESULT_ENDPOINT_WRONG_GROUP
          || result == RESULT_ENDPOINT_LEAVING || result == RESULT_ENDPOINT_BUSY;
@@ -301,6 +304,9 @@
   const struct gateway_limits *limits = &request->gateway->limits;
   int64_t delay_ms = 0;
 
+#ifdef BREAK_GUARD_RETRY
+  request->repeatable = true;
+#endif
   if (request->http == NULL)
     request_refuse (request, RESULT_CALLER_GONE, 0);
   else if ((request->may_have_run && !request->repeatable)
--- a/packages/gateway/src/generate.c
+++ b/packages/gateway/src/generate.c
@@ -398,6 +398,13 @@
   struct attempt *attempt = context;
   struct gateway_request *request = attempt->request;
 
+#ifdef BREAK_GUARD_STREAM_END
+  if (result != RESULT_OK && request->next_index > 0)
+    {
+      finish (request);
+      return;
+    }
+#endif
   if (result != RESULT_OK)
     {
       attempt_failed (request, result, result == RESULT_UPSTREAM_UNKNOWN);
--- a/packages/gateway/src/service.c
+++ b/packages/gateway/src/service.c
@@ -127,6 +127,10 @@
   struct gateway_claim *claim;
   bool decided = false;
 
+#ifdef BREAK_GUARD_CLAIM
+  request_dispatch (request);
+  return;
+#endif
   if (claims == NULL)
     {
       request_refuse (request, RESULT_CLAIM_UNAVAILABLE, 0);
--- a/packages/gateway/src/sse.c
+++ b/packages/gateway/src/sse.c
@@ -166,6 +166,10 @@
 enum token_verdict
 token_check (uint64_t *next, uint64_t index)
 {
+#ifdef BREAK_GUARD_TOKEN_INDEX
+  *next = index + 1;
+  return TOKEN_NEXT;
+#endif
   if (index < *next)
     return TOKEN_DUPLICATE;
   if (index > *next)
--- a/packages/route/src/place.c
+++ b/packages/route/src/place.c
@@ -18,9 +18,11 @@
     return RESULT_NO_CONFIGURATION;
   if (customer == NULL || customer->data_centres.count == 0)
     return RESULT_PLACE_UNKNOWN;
+#ifndef BREAK_GUARD_PLACE
   if (data_centre == NULL
       || !sheet_list_has (&customer->data_centres, data_centre))
     return RESULT_WRONG_DATA_CENTRE;
+#endif
   return RESULT_OK;
 }
 
--- a/tests/standin/engine.c
+++ b/tests/standin/engine.c
@@ -112,6 +112,7 @@
   double slow_factor;
   char crash_word[NAME_SIZE];
   uint64_t break_after_tokens;
+  uint64_t resume_early; /* a resume repeats so many tokens */
   uint64_t lose_answers; /* service calls that run and are not answered */
 
   struct job_list jobs; /* running and queued, in order of arrival */
@@ -876,6 +877,9 @@
                 header_of (request, "X-Request-Id"));
       json_read_string (body, "model", job->model, sizeof job->model);
       json_read_u64 (body, "resume_from", &job->next_index);
+      job->next_index -= job->next_index < host->resume_early
+                             ? job->next_index
+                             : host->resume_early;
       if (!json_read_u64 (body, "max_tokens", &job->max_tokens))
         job->max_tokens = 16;
       TAILQ_INSERT_TAIL (&host->jobs, job, link);
@@ -1092,6 +1096,8 @@
                       sizeof host->crash_word);
   if (json_object_get (body, "break_after_tokens") != NULL)
     json_read_u64 (body, "break_after_tokens", &host->break_after_tokens);
+  if (json_object_get (body, "resume_early") != NULL)
+    json_read_u64 (body, "resume_early", &host->resume_early);
   if (json_object_get (body, "lose_answers") != NULL)
     json_read_u64 (body, "lose_answers", &host->lose_answers);
   factor = json_object_get (body, "slow_factor");
