group: load weights on spares ahead of time

After a member's death its replacement by a spare took a whole load from the weight store, since the spare had no weights.

The plan now sends idle present spares a load without a group, with the model, version and adapters that have the fewest spares per member in the fabric domain. A spare that has, or is loading, a version that its domain uses gets no further order, so a new holder derives the same orders from attestation alone. These loads go out only while fewer than prefetch_limit (8) loads are in progress and leave at least one of load_limit free; hosts that an assignment or the wanted placement names, and leaving, unlisted or held hosts, get none. A host that attests a model and version while idle has the weights. The simulated engine therefore attests no model after a release, as standin-engine already did: a load cut short would pass for weights otherwise.

The older cases of t0402 run with prefetch_limit 0, since their expected texts name every order and they have two spares; their checks are unchanged. The placement fuzzer checks that no load without a group goes to a host of an assignment.

The measurement now counts downtime by cause and a lower bound from the usable hosts.

--- a/fuzz/placement.c
+++ b/fuzz/placement.c
@@ -397,6 +397,18 @@
   return count;
 }
 
+static bool
+is_assigned (const char *id)
+{
+  const struct fleet_group *group;
+
+  for (group = world.fleet.groups; group != NULL; group = group->hh.next)
+    for (unsigned rank = 0; rank < group->member_count; rank++)
+      if (strcmp (group->members[rank], id) == 0)
+        return true;
+  return false;
+}
+
 static void
 answer_orders (void)
 {
@@ -412,6 +424,8 @@
       REQUIRE (world.now_ms - host_at ((unsigned)host)->attested.seen_ms
                <= 2000);
       world.order_total++;
+      if (order->op == PLAN_LOAD && order->group.id[0] == '\0')
+        REQUIRE (!is_assigned (order->host));
       result = RESULT_ORDER_LOST;
       if (!world.silent[host])
         result = engine_order (&world.engines[host], true, order, world.now_ms,
--- a/measure/repair.c
+++ b/measure/repair.c
@@ -17,6 +17,7 @@
 
 #define HOSTS_LIMIT 800
 #define DCS_LIMIT 5
+#define DOMAINS_LIMIT 4
 #define WARM_UP_MS 400000
 #define LOAD_MS 60000
 #define WARM_LOAD_MS 10000
@@ -59,6 +60,20 @@
   int64_t leaves_ms; /* planned restart: goes away at this moment; 0 = none */
 };
 
+/* Why a wanted group does not serve, the first that applies. */
+enum cause
+{
+  CAUSE_UNFORMED, /* it is not in the assignment */
+  CAUSE_DRAINING, /* it finishes its work before a change */
+  CAUSE_NO_SPARE, /* members are gone and its domain has too few spares */
+  CAUSE_WAITING,  /* members are gone and nothing is ordered yet */
+  CAUSE_FETCHING, /* a present member lacks the weights */
+  CAUSE_LOADING,  /* members load weights that they have, or await the order */
+  CAUSE_COUNT
+};
+static const char *const cause_names[]
+    = { "unformed", "draining", "no_spare", "waiting", "fetching", "loading" };
+
 struct figures
 {
   double down_s;            /* wanted groups that do not serve */
@@ -66,6 +81,9 @@
   double stranded_groups_s; /* the same, divided by the mean span */
   unsigned orders;
   unsigned loads;
+  unsigned prefetches;         /* loads that give a spare weights */
+  double cause_s[CAUSE_COUNT]; /* down_s by cause */
+  double bound_s; /* down_s with loads and changes that take no time */
 };
 
 struct run
@@ -85,6 +103,7 @@
   struct host_state hosts[HOSTS_LIMIT];
   unsigned host_count;
   unsigned wanted;
+  unsigned parts[4]; /* of wanted, by spec */
   double mean_span;
   struct figures figures;
   int64_t now_ms;
@@ -168,6 +187,7 @@
   for (size_t i = 0; i < run->sheet.group_count; i++)
     {
       run->wanted += parts[i];
+      run->parts[i] = parts[i];
       hosts += parts[i] * run->sheet.groups[i].span;
     }
   run->mean_span = run->wanted > 0 ? (double)hosts / run->wanted : 1;
@@ -425,7 +445,99 @@
       run->figures.orders++;
       if (order->op == PLAN_LOAD)
         run->figures.loads++;
+      if (order->op == PLAN_LOAD && order->group.id[0] == '\0')
+        run->figures.prefetches++;
+    }
+}
+
+/* Hosts of the domain that could replace a member now. */
+static unsigned
+count_spares (const struct run *run, const char *domain)
+{
+  unsigned count = 0;
+
+  for (unsigned i = 0; i < run->host_count; i++)
+    {
+      const struct fleet_host *host = run->hosts[i].host;
+      bool assigned = false;
+
+      for (const struct fleet_group *group = run->fleet.groups;
+           group != NULL && !assigned; group = group->hh.next)
+        for (unsigned rank = 0; rank < group->member_count; rank++)
+          if (strcmp (group->members[rank], host->id) == 0)
+            assigned = true;
+      if (!assigned && strcmp (host->domain, domain) == 0
+          && is_usable (run, host)
+          && !history_held (&run->history, host->id, run->now_ms))
+        count++;
+    }
+  return count;
+}
+
+static enum cause
+find_cause (struct run *run, const struct fleet_group *group)
+{
+  unsigned gone = group->span - group->member_count;
+  bool fetching = false;
+
+  if (group->draining)
+    return CAUSE_DRAINING;
+  for (unsigned rank = 0; rank < group->member_count; rank++)
+    {
+      const struct host_state *state = find_state (run, group->members[rank]);
+
+      if (state == NULL || !is_usable (run, state->host))
+        gone++;
+      else if (!engine_has_weights (&state->engine, group))
+        fetching = true;
+    }
+  if (gone > 0)
+    return count_spares (run, group->domain) < gone ? CAUSE_NO_SPARE
+                                                    : CAUSE_WAITING;
+  return fetching ? CAUSE_FETCHING : CAUSE_LOADING;
+}
+
+/*
+ * At most so many wanted groups can serve with the usable hosts: shorter spans
+ * first, each span as if it had every domain to itself, and no more hosts in
+ * all than there are.
+ */
+static unsigned
+most_serving (const struct run *run)
+{
+  unsigned usable[DOMAINS_LIMIT] = { 0 };
+  unsigned left = 0;
+  unsigned groups = 0;
+  unsigned next = 0;
+
+  for (unsigned i = 0; i < run->host_count; i++)
+    if (is_usable (run, run->hosts[i].host))
+      {
+        usable[strtoul (run->hosts[i].host->domain + 1, NULL, 10)]++;
+        left++;
+      }
+  for (unsigned span = 1; span <= FLEET_SPAN_LIMIT; span = next)
+    {
+      unsigned wanted = 0;
+      unsigned fit = 0;
+
+      next = FLEET_SPAN_LIMIT + 1;
+      for (size_t i = 0; i < run->sheet.group_count; i++)
+        if (run->sheet.groups[i].span == span)
+          wanted += run->parts[i];
+        else if (run->sheet.groups[i].span > span
+                 && run->sheet.groups[i].span < next)
+          next = run->sheet.groups[i].span;
+      for (unsigned d = 0; d < run->size->domains; d++)
+        fit += usable[d] / span;
+      if (fit > wanted)
+        fit = wanted;
+      if (fit > left / span)
+        fit = left / span;
+      left -= fit * span;
+      groups += fit;
     }
+  return groups;
 }
 
 static void
@@ -443,9 +555,15 @@
         serving++;
         busy += group->span;
       }
+    else
+      run->figures.cause_s[find_cause (run, group)] += tick_s;
   for (unsigned i = 0; i < run->host_count; i++)
     if (is_usable (run, run->hosts[i].host))
       present++;
+  if (HASH_COUNT (run->fleet.groups) < run->wanted)
+    run->figures.cause_s[CAUSE_UNFORMED]
+        += (run->wanted - HASH_COUNT (run->fleet.groups)) * tick_s;
+  run->figures.bound_s += (run->wanted - most_serving (run)) * tick_s;
   if (serving < run->wanted)
     run->figures.down_s += (run->wanted - serving) * tick_s;
   run->figures.stranded_s += (present - busy) * tick_s;
@@ -514,6 +632,8 @@
   placement_settings_init (&run->settings);
   run->settings.stranded_weight = stranded_weight;
   plan_settings_init (&plan_settings);
+  if (policy != POLICY_GROUP)
+    plan_settings.prefetch_limit = 0;
   plan_init (&run->plan, &plan_settings, run->data_centre, "holder");
   plan_steps_init (&run->steps);
   run->lease.phase = LEASE_HOLDING;
@@ -527,6 +647,10 @@
   sum->stranded_groups_s += run->figures.stranded_groups_s;
   sum->orders += run->figures.orders;
   sum->loads += run->figures.loads;
+  sum->bound_s += run->figures.bound_s;
+  sum->prefetches += run->figures.prefetches;
+  for (int cause = 0; cause < CAUSE_COUNT; cause++)
+    sum->cause_s[cause] += run->figures.cause_s[cause];
   plan_steps_finish (&run->steps);
   plan_finish (&run->plan);
   placement_finish (&run->placement);
@@ -566,11 +690,15 @@
       for (unsigned d = 0; d < size->data_centres; d++)
         run_data_centre (size, (enum policy)policy, d, seed, weight, &sum);
       printf ("fleet=%s stranded_weight=%s seed=%s policy=%s down_s=%.0f "
-              "stranded_accelerator_h=%.1f weighted=%.0f orders=%u loads=%u\n",
+              "stranded_accelerator_h=%.1f weighted=%.0f orders=%u loads=%u "
+              "prefetches=%u",
               argv[1], argv[2], argv[3], policy_names[policy], sum.down_s,
               sum.stranded_s * 8 / 3600,
               sum.down_s + weight * sum.stranded_groups_s, sum.orders,
-              sum.loads);
+              sum.loads, sum.prefetches);
+      for (int cause = 0; cause < CAUSE_COUNT; cause++)
+        printf (" %s_s=%.0f", cause_names[cause], sum.cause_s[cause]);
+      printf (" bound_s=%.0f\n", sum.bound_s);
     }
   qsort (tick_us, tick_count, sizeof *tick_us, compare_doubles);
   printf ("fleet=%s seed=%s tick_us_median=%.0f tick_us_worst=%.0f\n", argv[1],
--- a/measure/repair.sh
+++ b/measure/repair.sh
@@ -23,6 +23,11 @@
           stranded[p, k] = v["stranded_accelerator_h"]
           weighted[p, k] = v["weighted"]
           orders[p, k] = v["orders"]; loads[p, k] = v["loads"]
+          prefetches[p, k] = v["prefetches"]
+          split ("unformed draining no_spare waiting fetching loading bound",
+                 causes, " ")
+          for (c in causes)
+            cause[causes[c], p, k] = v[causes[c] "_s"]
         } else {
           tick[++ticks] = v["tick_us_median"]
           if (v["tick_us_worst"] > worst) worst = v["tick_us_worst"]
@@ -32,13 +37,21 @@
         for (i = 1; i <= count[p]; i++) list[i] = table[p, i]
         return median (list, count[p])
       }
+      function of_cause (name, p,   i, list) {
+        for (i = 1; i <= count[p]; i++) list[i] = cause[name, p, i]
+        return median (list, count[p])
+      }
       END {
-        for (p in count)
+        for (p in count) {
           printf "fleet=%s stranded_weight=%s policy=%s seeds=%d " \
                  "down_s=%.0f stranded_accelerator_h=%.1f weighted=%.0f " \
-                 "orders=%.0f loads=%.0f\n", fleet, weight, p, count[p],
+                 "orders=%.0f loads=%.0f prefetches=%.0f", fleet, weight, p, count[p],
                  of(down, p), of(stranded, p), of(weighted, p),
-                 of(orders, p), of(loads, p)
+                 of(orders, p), of(loads, p), of(prefetches, p)
+          for (c = 1; c <= 7; c++)
+            printf " %s_s=%.0f", causes[c], of_cause(causes[c], p)
+          printf "\n"
+        }
         printf "fleet=%s stranded_weight=%s tick_us_median=%.0f " \
                "tick_us_worst=%.0f\n", fleet, weight, median (tick, ticks),
                worst
--- a/packages/group/include/history.h
+++ b/packages/group/include/history.h
@@ -111,7 +111,11 @@
                           const char *name,
                           int64_t now_ms);
 
-/* True if the host is known to have the weights of this model version. */
+/*
+ * True if the host is known to have the weights of this model version: it
+ * attests or has attested them, idle or ready.  While it is loading, they are
+ * not there yet.
+ */
 bool history_has_weights (const struct history *history,
                           const struct fleet_host *host,
                           const char *model,
--- a/packages/group/include/plan.h
+++ b/packages/group/include/plan.h
@@ -28,12 +28,16 @@
 
 struct plan_settings
 {
-  int64_t order_ms;       /* 5000: longest time an order is in flight */
-  int64_t settle_ms;      /* 2000: wait for the attestation after an order was
-                             accepted, before it is repeated */
-  int64_t retry_ms;       /* 1000: wait after a refusal, doubles */
-  int64_t retry_limit_ms; /* 30000 */
-  unsigned load_limit;    /* loads that fetch weights at the same time: 16 */
+  int64_t order_ms;        /* 5000: longest time an order is in flight */
+  int64_t settle_ms;       /* 2000: wait for the attestation after an order was
+                              accepted, before it is repeated */
+  int64_t retry_ms;        /* 1000: wait after a refusal, doubles */
+  int64_t retry_limit_ms;  /* 30000 */
+  unsigned load_limit;     /* loads that fetch weights at the same time: 16 */
+  unsigned prefetch_limit; /* spares get weights ahead of time only while fewer
+                              loads than this are in progress: 8; 0 = never.
+                              The rest of load_limit stays free for members,
+                              at least one load. */
 };
 
 void plan_settings_init (struct plan_settings *settings);
@@ -58,7 +62,8 @@
   unsigned rank;
   /*
    * The group as assigned; for PLAN_RELEASE the id and generation that the
-   * host attests, without members.
+   * host attests, without members; for a PLAN_LOAD that gives a spare weights
+   * ahead of time only model, version and adapters, with an empty id.
    */
   struct fleet_group group;
   char reason[PLACEMENT_TEXT_SIZE];
@@ -74,7 +79,8 @@
   char order_id[PLAN_ORDER_ID_SIZE];
   enum plan_op op;
   bool in_flight;
-  bool assigned; /* scratch: member of a group in this tick */
+  bool assigned; /* scratch: member of a group in this tick, assigned or (from
+                    the prefetch step on) wanted */
   bool fetches;  /* a load that counts against the limit */
   int64_t sent_ms;
   int64_t not_before_ms; /* no order before this moment, */
--- a/packages/group/src/history.c
+++ b/packages/group/src/history.c
@@ -190,13 +190,22 @@
     }
 }
 
+/* A spare that loaded weights ahead of time attests them while idle. */
+static bool
+attests_weights (const struct fleet_attestation *attested)
+{
+  return attested->model[0] != '\0'
+         && (attested->state == FLEET_ENGINE_READY
+             || attested->state == FLEET_ENGINE_IDLE);
+}
+
 static void
 remember_weights (struct history_host *host,
                   const struct fleet_attestation *attested)
 {
   char text[2 * FLEET_NAME_SIZE];
 
-  if (attested->state != FLEET_ENGINE_READY || attested->model[0] == '\0')
+  if (!attests_weights (attested))
     return;
   snprintf (text, sizeof text, "%s %s", attested->model, attested->version);
   for (unsigned i = 0; i < HISTORY_WEIGHTS; i++)
@@ -401,7 +410,7 @@
   const struct history_host *seen = history_find (history, host->id);
   char text[2 * FLEET_NAME_SIZE];
 
-  if (host->attested.state == FLEET_ENGINE_READY
+  if (attests_weights (&host->attested)
       && strcmp (host->attested.model, model) == 0
       && strcmp (host->attested.version, version) == 0)
     return true;
--- a/packages/group/src/plan.c
+++ b/packages/group/src/plan.c
@@ -13,6 +13,7 @@
     .retry_ms = 1000,
     .retry_limit_ms = 30000,
     .load_limit = 16,
+    .prefetch_limit = 8,
   };
 }
 
@@ -464,6 +465,221 @@
   return RESULT_OK;
 }
 
+/* What the groups of one fabric domain run, and the spares that have it. */
+struct contents
+{
+  const struct fleet_group *group; /* any group with these contents */
+  unsigned members;                /* of all groups with them */
+  unsigned spares;                 /* that have the weights or load them */
+};
+
+/* More model versions than this in one domain are passed over. */
+#define CONTENTS_LIMIT 16
+
+static bool
+same_weights (const struct fleet_group *a, const struct fleet_group *b)
+{
+  return strcmp (a->model, b->model) == 0
+         && strcmp (a->version, b->version) == 0;
+}
+
+static size_t
+list_contents (const struct placement *wanted,
+               const char *domain,
+               struct contents *contents)
+{
+  size_t count = 0;
+
+  for (size_t i = 0; i < wanted->group_count; i++)
+    {
+      const struct fleet_group *group = &wanted->groups[i];
+      size_t at = 0;
+
+      if (strcmp (group->domain, domain) != 0)
+        continue;
+      while (at < count && !same_weights (contents[at].group, group))
+        at++;
+      if (at == CONTENTS_LIMIT)
+        continue;
+      if (at == count)
+        contents[count++] = (struct contents){ .group = group };
+      contents[at].members += group->member_count;
+    }
+  return count;
+}
+
+/* A host outside every assigned and wanted group that may join one. */
+static bool
+is_spare (const struct order_round *round, const struct fleet_host *host)
+{
+  const struct plan_host *state;
+
+  if (host->is_service || !host->listed || fleet_host_leaving (host)
+      || strcmp (host->data_centre, round->plan->data_centre) != 0
+      || !fleet_host_present (host, round->now_ms)
+      || host->attested.group[0] != '\0'
+      || history_held (round->history, host->id, round->now_ms))
+    return false;
+  HASH_FIND_STR (round->plan->hosts, host->id, state);
+  return state != NULL && !state->assigned;
+}
+
+/*
+ * Whether the spare has the weights or loads them.  A load that was ordered
+ * and is not attested yet is not seen here: the spare then gets no order, since
+ * may_order is false, and the count of its contents is one too low.
+ */
+static bool
+covers (const struct order_round *round,
+        const struct fleet_host *host,
+        const struct fleet_group *group)
+{
+  return history_has_weights (round->history, host, group->model,
+                              group->version)
+         || (host->attested.state == FLEET_ENGINE_LOADING
+             && same_contents (group, &host->attested));
+}
+
+static void
+count_covering (const struct order_round *round,
+                const char *domain,
+                struct contents *contents,
+                size_t count)
+{
+  const struct fleet_host *host;
+
+  for (host = round->fleet->hosts; host != NULL; host = host->hh.next)
+    if (strcmp (host->domain, domain) == 0 && is_spare (round, host))
+      for (size_t i = 0; i < count; i++)
+        if (covers (round, host, contents[i].group))
+          contents[i].spares++;
+}
+
+/*
+ * The contents that the spare is to load: those with the fewest spares per
+ * member.  NULL if it has contents of the domain already.  A spare is never
+ * ordered from one needed version to another, so that spares keep what they
+ * have whoever holds the lease.
+ */
+static struct contents *
+choose_contents (const struct order_round *round,
+                 const struct fleet_host *host,
+                 struct contents *contents,
+                 size_t count)
+{
+  struct contents *best = NULL;
+
+  for (size_t i = 0; i < count; i++)
+    {
+      if (covers (round, host, contents[i].group))
+        return NULL;
+      if (best == NULL
+          || (uint64_t)contents[i].members * (best->spares + 1)
+                 > (uint64_t)best->members * (contents[i].spares + 1))
+        best = &contents[i];
+    }
+  return best;
+}
+
+static enum result
+order_prefetch (struct order_round *round,
+                struct plan_host *state,
+                const struct fleet_group *group)
+{
+  struct plan_order *order
+      = add_order (round->plan, round->steps, state, PLAN_LOAD, round->now_ms);
+
+  if (order == NULL)
+    return RESULT_NO_MEMORY;
+  state->fetches = true;
+  round->fetches++;
+  memcpy (order->group.model, group->model, sizeof order->group.model);
+  memcpy (order->group.version, group->version, sizeof order->group.version);
+  memcpy (order->group.adapters, group->adapters, sizeof order->group.adapters);
+  snprintf (order->reason, sizeof order->reason,
+            "it is a spare without weights that %.40s uses", group->domain);
+  return RESULT_OK;
+}
+
+/* Whether a spare may load now without taking a load from a member. */
+static bool
+may_prefetch (const struct order_round *round)
+{
+  const struct plan_settings *settings = &round->plan->settings;
+
+  return round->fetches < settings->prefetch_limit
+         && round->fetches + 1 < settings->load_limit;
+}
+
+static enum result
+prefetch_domain (struct order_round *round,
+                 const struct placement *wanted,
+                 const char *domain)
+{
+  struct contents contents[CONTENTS_LIMIT];
+  size_t count = list_contents (wanted, domain, contents);
+  const struct fleet_host *host;
+  enum result result = RESULT_OK;
+
+  count_covering (round, domain, contents, count);
+  for (host = round->fleet->hosts;
+       host != NULL && result == RESULT_OK && count > 0 && may_prefetch (round);
+       host = host->hh.next)
+    {
+      struct contents *chosen;
+      struct plan_host *state;
+
+      if (strcmp (host->domain, domain) != 0 || !is_spare (round, host)
+          || host->attested.state != FLEET_ENGINE_IDLE)
+        continue;
+      HASH_FIND_STR (round->plan->hosts, host->id, state);
+      chosen = choose_contents (round, host, contents, count);
+      if (state == NULL || chosen == NULL
+          || !may_order (round->plan, state, host, round->now_ms))
+        continue;
+      result = order_prefetch (round, state, chosen->group);
+      chosen->spares++;
+    }
+  return result;
+}
+
+/*
+ * Loads weights on spares ahead of time, for the domains in the order of their
+ * most urgent group.  The wanted groups may be written in a moment, so their
+ * members are no spares either.
+ */
+static enum result
+prefetch (struct order_round *round, const struct placement *wanted)
+{
+  enum result result = RESULT_OK;
+
+  if (!may_prefetch (round))
+    return RESULT_OK;
+  for (size_t i = 0; i < wanted->group_count; i++)
+    for (unsigned rank = 0; rank < wanted->groups[i].member_count; rank++)
+      {
+        struct plan_host *state
+            = get_host (round->plan, wanted->groups[i].members[rank]);
+
+        if (state == NULL)
+          return RESULT_NO_MEMORY;
+        state->assigned = true;
+      }
+  for (size_t i = 0;
+       i < wanted->group_count && result == RESULT_OK && may_prefetch (round);
+       i++)
+    {
+      const char *domain = wanted->groups[i].domain;
+      bool done = false;
+
+      for (size_t j = 0; j < i && !done; j++)
+        done = strcmp (wanted->groups[j].domain, domain) == 0;
+      if (!done)
+        result = prefetch_domain (round, wanted, domain);
+    }
+  return result;
+}
+
 /* Orders from the assignment as written, the most urgent group first. */
 static enum result
 order_hosts (struct order_round *round, const struct placement *wanted)
@@ -496,6 +712,8 @@
        host = host->hh.next)
     if (!host->is_service && strcmp (host->data_centre, plan->data_centre) == 0)
       result = order_release (round, host);
+  if (result == RESULT_OK)
+    result = prefetch (round, wanted);
   return result;
 }
 
--- a/packages/group/tests/fixture.h
+++ b/packages/group/tests/fixture.h
@@ -156,6 +156,8 @@
     {
       says->group[0] = '\0';
       says->generation = 0;
+      says->model[0] = '\0'; /* a load cut short left no weights */
+      says->version[0] = '\0';
       says->state = FLEET_ENGINE_IDLE;
       return RESULT_OK;
     }
@@ -183,7 +185,7 @@
 
   if (says->state != FLEET_ENGINE_LOADING || now_ms < engine->ready_ms)
     return;
-  says->state = FLEET_ENGINE_READY;
+  says->state = says->group[0] != '\0' ? FLEET_ENGINE_READY : FLEET_ENGINE_IDLE;
   snprintf (text, sizeof text, "%s %s", says->model, says->version);
   for (unsigned i = 0; i < 4; i++)
     if (strcmp (engine->weights[i], text) == 0)
--- a/packages/group/tests/t0402-plan.c
+++ b/packages/group/tests/t0402-plan.c
@@ -37,7 +37,11 @@
   NO_SPEC,  /* the sheet drops the spec */
   NEW_PLAN, /* another process takes over: empty plan, same inputs */
   LIMIT,    /* number = loads at the same time */
-  BY_OTHER  /* another holder wrote the assignment with fence number */
+  BY_OTHER, /* another holder wrote the assignment with fence number */
+  PREFETCH, /* number = prefetch limit; it is 0 before */
+  SPEC,     /* the sheet gets another spec: one group of span 1, version 2 */
+  LEAVING,  /* the host list says that the host is leaving */
+  FORGET    /* the observed history is lost, as in a process that starts */
 };
 
 struct step
@@ -291,6 +295,153 @@
       { NEXT, 20200, "load a-0;load a-1;" },
       { NEXT, 25100, "" },
       { NEXT, 25200, "load a-0;load a-1;" } } },
+  { "a spare gets no weights, or the load again while it runs or is done",
+    { FORMED,
+      { PREFETCH, 0, NULL, RESULT_OK, 8 },
+      { NEXT, 31000, "load a-2;load a-3;" },
+      { RUN, 31000, "a-2" },
+      { ORDER, 31100, "a-2" },
+      { RUN, 31000, "a-3" },
+      { ORDER, 31100, "a-3" },
+      { NEXT, 35000, "" },
+      { NEXT, 45000, "" } } },
+  { "a new holder without history repeats the loads of spares",
+    { FORMED,
+      { PREFETCH, 0, NULL, RESULT_OK, 8 },
+      { NEXT, 31000, "load a-2;load a-3;" },
+      { RUN, 31000, "a-2" },
+      { NEW_PLAN },
+      { FORGET },
+      { PREFETCH, 0, NULL, RESULT_OK, 8 },
+      { LEASE, 900000, NULL, RESULT_OK, 2 },
+      { NEXT, 36000, "read;" },
+      { READ, 36000, NULL, RESULT_PLATFORM_UNCHANGED },
+      { NEXT, 36000, "write 2 3;" },
+      { WRITE, 36000 },
+      { NEXT, 36100, "load a-3;" },
+      { RUN, 36100, "a-3" },
+      { ORDER, 36100, "a-3" },
+      { NEXT, 60000, "" } } },
+  { "spares take the loads that members need",
+    { { LIMIT, 0, NULL, RESULT_OK, 2 },
+      { PREFETCH, 0, NULL, RESULT_OK, 8 },
+      STARTED (1),
+      { NEXT, 20000, "write 1 1;" },
+      { WRITE, 20000 },
+      { NEXT, 20100, "write 1 2;" },
+      { WRITE, 20100 },
+      { NEXT, 20200, "load a-0;load a-1;" },
+      { RUN, 20200, "a-0" },
+      { RUN, 20200, "a-1" },
+      { ORDER, 20300, "a-0" },
+      { ORDER, 20300, "a-1" },
+      { NEXT, 25000, "" },
+      { NEXT, 31000, "load a-2;" },
+      { RUN, 31000, "a-2" },
+      { ORDER, 31000, "a-2" },
+      { NEXT, 35000, "" },
+      { NEXT, 42000, "load a-3;" } } },
+  { "spares take more loads than their limit",
+    { FORMED,
+      { PREFETCH, 0, NULL, RESULT_OK, 1 },
+      { NEXT, 31000, "load a-2;" },
+      { NEXT, 31100, "" },
+      { RUN, 31100, "a-2" },
+      { ORDER, 31100, "a-2" },
+      { NEXT, 35000, "" },
+      { NEXT, 42000, "load a-3;" } } },
+  { "a host of a group that is not written yet is taken for a spare",
+    { { PREFETCH, 0, NULL, RESULT_OK, 8 },
+      STARTED (1),
+      { NEXT, 20000, "write 1 1;" },
+      { WRITE, 20000 },
+      { NEXT, 20100, "write 1 2;" },
+      { WRITE, 20100, NULL, RESULT_PLATFORM_OUTAGE },
+      { NEXT, 20200, "load a-2;load a-3;" } } },
+  { "a spare is ordered back and forth between two versions",
+    { { SPEC, 0, "t" },
+      STARTED (1),
+      { NEXT, 20000, "write 1 1;" },
+      { WRITE, 20000 },
+      { NEXT, 20100, "write 1 2;" },
+      { WRITE, 20100 },
+      { NEXT, 20200, "load a-0;load a-1;load a-2;" },
+      { RUN, 20200, "a-0" },
+      { RUN, 20200, "a-1" },
+      { RUN, 20200, "a-2" },
+      { ORDER, 20300, "a-0" },
+      { ORDER, 20300, "a-1" },
+      { ORDER, 20300, "a-2" },
+      { NEXT, 85000, "" },
+      { PREFETCH, 0, NULL, RESULT_OK, 8 },
+      { NEXT, 85100, "load a-3;" },
+      { RUN, 85100, "a-3" },
+      { ORDER, 85100, "a-3" },
+      { NEXT, 90000, "" },
+      { NEXT, 160000, "" } } },
+  { "a leaving host gets weights",
+    { FORMED,
+      { PREFETCH, 0, NULL, RESULT_OK, 8 },
+      { LEAVING, 31000, "a-2" },
+      { NEXT, 31000, "load a-3;" } } },
+  { "a flapping host gets weights while it is held, or never again",
+    { FORMED,
+      { SILENT, 31000, "a-2" },
+      { NEXT, 35000, "" },
+      { TALKS, 35000, "a-2" },
+      { NEXT, 36000, "" },
+      { SILENT, 36000, "a-2" },
+      { NEXT, 40000, "" },
+      { TALKS, 40000, "a-2" },
+      { NEXT, 41000, "" },
+      { SILENT, 41000, "a-2" },
+      { NEXT, 45000, "" },
+      { TALKS, 45000, "a-2" },
+      { NEXT, 46000, "" },
+      { PREFETCH, 0, NULL, RESULT_OK, 8 },
+      { NEXT, 46100, "load a-3;" },
+      { RUN, 46100, "a-3" },
+      { ORDER, 46100, "a-3" },
+      { NEXT, 200000, "load a-2;" } } },
+  { "a spare with weights cannot join a group or be released from one",
+    { FORMED,
+      { PREFETCH, 0, NULL, RESULT_OK, 8 },
+      { NEXT, 31000, "load a-2;load a-3;" },
+      { RUN, 31000, "a-2" },
+      { ORDER, 31000, "a-2" },
+      { RUN, 31000, "a-3" },
+      { ORDER, 31000, "a-3" },
+      { NEXT, 42000, "" },
+      { SILENT, 42000, "a-1" },
+      { NEXT, 70000, "write 1 3;" },
+      { WRITE, 70000 },
+      { NEXT, 70100, "load a-0;load a-2;" },
+      { RUN, 70100, "a-0" },
+      { ORDER, 70100, "a-0" },
+      { RUN, 70100, "a-2" },
+      { ORDER, 70100, "a-2" },
+      { NEXT, 85000, "" },
+      { NO_SPEC, 85000 },
+      { NEXT, 85000, "write 1 4;" },
+      { WRITE, 85000 },
+      { NEXT, 92000, "write 1 5;" },
+      { WRITE, 92000 },
+      { NEXT, 92100, "release a-0;release a-2;" } } },
+  { "spares keep the weights of a version that no group runs any more",
+    { FORMED,
+      { PREFETCH, 0, NULL, RESULT_OK, 8 },
+      { NEXT, 31000, "load a-2;load a-3;" },
+      { RUN, 31000, "a-2" },
+      { ORDER, 31000, "a-2" },
+      { RUN, 31000, "a-3" },
+      { ORDER, 31000, "a-3" },
+      { NEXT, 42000, "" },
+      { VERSION, 42000, "2" },
+      { NEXT, 42000, "write 1 3;" },
+      { WRITE, 42000 },
+      { NEXT, 49000, "write 1 4;" },
+      { WRITE, 49000 },
+      { NEXT, 49100, "load a-0;load a-1;load a-2;load a-3;" } } },
 };
 
 struct world
@@ -320,18 +471,26 @@
 }
 
 static void
-start_world (struct world *world)
+start_history (struct world *world)
 {
-  struct history_settings history_settings;
+  struct history_settings settings;
+
+  history_settings_init (&settings);
+  history_init (&world->history, &settings, "dc");
+}
 
+static void
+start_world (struct world *world)
+{
   memset (world, 0, sizeof *world);
   sheet_init (&world->sheet);
   fleet_init (&world->fleet);
   placement_init (&world->placement);
   placement_settings_init (&world->settings);
-  history_settings_init (&history_settings);
-  history_init (&world->history, &history_settings, "dc");
+  start_history (world);
   plan_settings_init (&world->plan_settings);
+  /* Cases about other steps leave the spares alone. */
+  world->plan_settings.prefetch_limit = 0;
   plan_init (&world->plan, &world->plan_settings, "dc", "self");
   plan_steps_init (&world->steps);
   fixture_spec (&world->sheet, "s", 2, 1, "dc", "*", "*", "1");
@@ -412,6 +571,15 @@
       const struct plan_order *order = &world->steps.orders[i];
 
       assert_int_equal (order->fence, world->lease.value.fence);
+      /* Without a group nothing of the order may name one. */
+      if (order->op == PLAN_LOAD && order->group.id[0] == '\0')
+        {
+          assert_int_equal (order->group.generation, 0);
+          assert_int_equal (order->group.member_count, 0);
+          assert_string_equal (order->group.model, "model");
+          assert_string_equal (order->group.version,
+                               world->sheet.groups[0].version);
+        }
       world->last[host_index (order->host)] = *order;
       used += (size_t)snprintf (text + used, TEXT_SIZE - used, "%s %s;",
                                 plan_op_name (order->op), order->host);
@@ -500,6 +668,20 @@
       world->fleet.assignment_fence = step->number;
       world->fleet.assignment_number++;
       break;
+    case PREFETCH:
+      world->plan_settings.prefetch_limit = (unsigned)step->number;
+      world->plan.settings.prefetch_limit = (unsigned)step->number;
+      break;
+    case SPEC:
+      fixture_spec (&world->sheet, step->text, 1, 1, "dc", "*", "*", "2");
+      break;
+    case LEAVING:
+      fleet_find_host (&world->fleet, step->text)->listed_leaving = true;
+      break;
+    case FORGET:
+      history_finish (&world->history);
+      start_history (world);
+      break;
     case END:
       break;
     }
--- a/tests/standin/engine.c
+++ b/tests/standin/engine.c
@@ -649,7 +649,8 @@
 
   (void)fd;
   (void)what;
-  host->state = ENGINE_READY;
+  /* A load without a group leaves a spare with the weights. */
+  host->state = host->group[0] != '\0' ? ENGINE_READY : ENGINE_IDLE;
 }
 
 /* True if the weights were there already; they are afterwards. */
