peer: count the age of a report from its arrival

Reports that had waited in the socket, and answers to its own probes, counted as seen when they were processed. Change: the kernel's receive time (SO_TIMESTAMPNS) dates reports; a probe is dated from when it was sent.

--- a/packages/control/include/prober.h
+++ b/packages/control/include/prober.h
@@ -35,6 +35,7 @@
   char address[FLEET_ADDRESS_SIZE];
   uint16_t port;
   bool waiting;
+  int64_t started_ms; /* when the probe that is waited for was sent */
   int64_t next_ms;
   int64_t told_ms; /* whole or short */
   int64_t told_full_ms;
--- a/packages/control/src/prober.c
+++ b/packages/control/src/prober.c
@@ -131,7 +131,7 @@
   if (request != NULL && evhttp_request_get_response_code (request) == 200)
     json = read_body (request);
   if (json != NULL && host != NULL
-      && fleet_attestation_from_json (&attested, json, time_boot_ms ())
+      && fleet_attestation_from_json (&attested, json, target->started_ms)
              == RESULT_OK)
     {
       if (differs (&host->attested, &attested))
@@ -166,6 +166,9 @@
   snprintf (host, sizeof host, "%s:%u", target->address, target->port);
   evhttp_add_header (evhttp_request_get_output_headers (request), "Host", host);
   target->waiting = true;
+  /* The answer may wait in the socket while we are paused, so the endpoint is
+   * known to have been well only when it was asked. */
+  target->started_ms = time_boot_ms ();
   target->prober->probes++;
   if (evhttp_make_request (target->connection, request, EVHTTP_REQ_GET,
                            "/v1/state")
--- a/packages/peer/src/peer-internal.h
+++ b/packages/peer/src/peer-internal.h
@@ -97,7 +97,8 @@
                  size_t size,
                  const struct sockaddr_storage *from,
                  socklen_t from_size,
-                 int64_t now_ms);
+                 int64_t now_ms,
+                 int64_t waited_ms);
 
 /* stream.c */
 enum result peer_stream_listen (struct peer_node *node);
--- a/packages/peer/src/serve.c
+++ b/packages/peer/src/serve.c
@@ -15,6 +15,7 @@
   const struct sockaddr_storage *from;
   socklen_t from_size;
   int64_t now_ms;
+  int64_t arrived_ms;
 };
 
 static bool
@@ -109,7 +110,7 @@
 tell_health (const struct incoming *in, const struct peer_health *entry)
 {
   struct fleet_attestation attested = {
-    .seen_ms = in->now_ms - (int64_t)entry->seen_age_ms,
+    .seen_ms = in->arrived_ms - (int64_t)entry->seen_age_ms,
     .generation = entry->generation,
     .rank = entry->rank,
     .span = entry->span,
@@ -156,7 +157,7 @@
         struct peer_fresh_entry entry = {
           .host = wire->host,
           .digest = wire->digest,
-          .seen_ms = in->now_ms - (int64_t)wire->seen_age_ms,
+          .seen_ms = in->arrived_ms - (int64_t)wire->seen_age_ms,
           .running = wire->running,
           .queued = wire->queued,
         };
@@ -269,7 +270,8 @@
             size_t size,
             const struct sockaddr_storage *from,
             socklen_t from_size,
-            int64_t now_ms)
+            int64_t now_ms,
+            int64_t waited_ms)
 {
   struct peer_header header;
   struct incoming in = {
@@ -280,6 +282,7 @@
     .from = from,
     .from_size = from_size,
     .now_ms = now_ms,
+    .arrived_ms = now_ms - waited_ms,
   };
   enum result result
       = peer_decode (&node->keys, buffer, size, &header, &in.offset);
--- a/packages/peer/src/udp.c
+++ b/packages/peer/src/udp.c
@@ -5,11 +5,31 @@
 
 #include <errno.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 /* Datagrams read per wake-up, so that a flood does not stall the loop. */
 #define READ_BATCH 64
 
+/*
+ * How long the datagram waited in the socket, as after a pause of the process.
+ */
+static int64_t
+waited_ms (struct msghdr *message)
+{
+  struct cmsghdr *part = CMSG_FIRSTHDR (message);
+  struct timespec arrived;
+  int64_t ms;
+
+  if (part == NULL || part->cmsg_level != SOL_SOCKET
+      || part->cmsg_type != SCM_TIMESTAMPNS)
+    return 0;
+  memcpy (&arrived, CMSG_DATA (part), sizeof arrived);
+  ms = time_wall_ms () - (int64_t)arrived.tv_sec * 1000
+       - arrived.tv_nsec / 1000000;
+  return ms > 0 ? ms : 0;
+}
+
 static void
 on_readable (evutil_socket_t socket, short events, void *context)
 {
@@ -21,9 +41,17 @@
   for (int i = 0; i < READ_BATCH; i++)
     {
       struct sockaddr_storage from;
-      socklen_t from_size = sizeof from;
-      ssize_t size = recvfrom (socket, buffer, sizeof buffer, 0,
-                               (struct sockaddr *)&from, &from_size);
+      struct iovec part = { buffer, sizeof buffer };
+      char control[CMSG_SPACE (sizeof (struct timespec))];
+      struct msghdr message = {
+        .msg_name = &from,
+        .msg_namelen = sizeof from,
+        .msg_iov = &part,
+        .msg_iovlen = 1,
+        .msg_control = control,
+        .msg_controllen = sizeof control,
+      };
+      ssize_t size = recvmsg (socket, &message, 0);
 
       if (size < 0)
         break;
@@ -32,7 +60,8 @@
       if (size > PEER_DATAGRAM_LIMIT)
         peer_note_bad (node, RESULT_PEER_TOO_LARGE, "-");
       else
-        peer_serve (node, buffer, (size_t)size, &from, from_size, now_ms);
+        peer_serve (node, buffer, (size_t)size, &from, message.msg_namelen,
+                    now_ms, waited_ms (&message));
     }
 }
 
@@ -41,6 +70,7 @@
 {
   struct sockaddr_storage address = { 0 };
   socklen_t size = 0;
+  int on = 1;
 
   if (!peer_resolve (node->members->self.address, node->members->self.port,
                      &address, &size))
@@ -50,6 +80,7 @@
   if (node->socket < 0
       || bind (node->socket, (struct sockaddr *)&address, size) != 0)
     return RESULT_PEER_UNREACHABLE;
+  setsockopt (node->socket, SOL_SOCKET, SO_TIMESTAMPNS, &on, sizeof on);
   node->members->self.port = net_bound_port (node->socket);
   node->readable = event_new (node->base, node->socket, EV_READ | EV_PERSIST,
                               on_readable, node);
