--- a/tests/standin/load.c
+++ b/tests/standin/load.c
@@ -139,6 +139,8 @@
   uint64_t codes[CODES_LIMIT];
   uint64_t not_run;
   uint64_t unknown;
+  FILE *first_file; /* every time to first token, one per line */
+  struct ev_token_bucket_cfg *read_rate; /* of a slow reader; NULL: no limit */
   struct histogram first_us;
   struct histogram total_us;
   struct histogram service_us;
@@ -259,6 +261,9 @@
   connection->http
       = evhttp_connection_base_new (load->base, NULL, "127.0.0.1", port);
   evhttp_connection_set_timeout (connection->http, CALL_SECONDS);
+  if (load->read_rate != NULL)
+    bufferevent_set_rate_limit (
+        evhttp_connection_get_bufferevent (connection->http), load->read_rate);
   return connection;
 }
 
@@ -304,8 +309,14 @@
 static void
 note_first (struct call *call)
 {
+  int64_t us = now_us () - call->due_us;
+
   if (!call->first_seen)
-    histogram_add (&call->load->first_us, (uint64_t)(now_us () - call->due_us));
+    {
+      histogram_add (&call->load->first_us, (uint64_t)us);
+      if (call->load->first_file != NULL)
+        fprintf (call->load->first_file, "%" PRId64 "\n", us);
+    }
   call->first_seen = true;
 }
 
@@ -911,14 +922,19 @@
       = arg_int0 (NULL, "prompts", "N", "different prompts (1000)");
   struct arg_int *deadline
       = arg_int0 (NULL, "deadline-ms", "MS", "deadline of a call (none)");
+  struct arg_int *read_rate
+      = arg_int0 (NULL, "read-bytes-per-s", "N", "slow readers (no limit)");
+  struct arg_str *first_file = arg_str0 (NULL, "first-file", "PATH",
+                                         "every time to first token, in us");
   struct arg_int *seed = arg_int0 (NULL, "seed", "N", "seed (1)");
   struct arg_lit *help = arg_lit0 (NULL, "help", "show this help");
   struct arg_end *end = arg_end (5);
   void *table[]
-      = { ports,         customers, priorities, model, service, get_share,
-          service_share, group,     generation, rate,  count,   seconds,
-          drain,         in_flight, streamed,   chat,  tokens,  prompt_bytes,
-          prompts,       deadline,  seed,       help,  end };
+      = { ports,     customers,     priorities,   model,      service,
+          get_share, service_share, group,        generation, rate,
+          count,     seconds,       drain,        in_flight,  streamed,
+          chat,      tokens,        prompt_bytes, prompts,    deadline,
+          read_rate, first_file,    seed,         help,       end };
   int errors = arg_parse (argc, argv, table);
   int status = 2;
   struct load *load = calloc (1, sizeof *load);
@@ -951,16 +967,29 @@
       load->drain_ms = or_int (drain, 10000);
       load->in_flight_limit = (size_t)or_int (in_flight, 2000);
       rng_init (&load->rng, (uint64_t)or_int (seed, 1));
-      if (!parse_ports (load, ports->sval[0])
-          || !parse_list (&load->customers, or_text (customers, "acme:acme:1"),
-                          true)
-          || !parse_list (&load->priorities, or_text (priorities, "normal:1"),
-                          false)
-          || load->rate <= 0 || load->max_tokens == 0 || load->prompts <= 0
-          || load->prompt_bytes >= PROMPT_LIMIT)
+      if (first_file->count > 0)
+        load->first_file = fopen (first_file->sval[0], "w");
+      if (read_rate->count > 0 && read_rate->ival[0] > 0)
+        load->read_rate = ev_token_bucket_cfg_new (
+            (size_t)read_rate->ival[0], (size_t)read_rate->ival[0],
+            EV_RATE_LIMIT_MAX, EV_RATE_LIMIT_MAX, NULL);
+      if (first_file->count > 0 && load->first_file == NULL)
+        fprintf (stderr, "standin-load: cannot write %s\n",
+                 first_file->sval[0]);
+      else if (!parse_ports (load, ports->sval[0])
+               || !parse_list (&load->customers,
+                               or_text (customers, "acme:acme:1"), true)
+               || !parse_list (&load->priorities,
+                               or_text (priorities, "normal:1"), false)
+               || load->rate <= 0 || load->max_tokens == 0 || load->prompts <= 0
+               || load->prompt_bytes >= PROMPT_LIMIT)
         fprintf (stderr, "standin-load: bad list or number\n");
       else
         status = run (load, or_int (seconds, 10));
+      if (load->first_file != NULL && fclose (load->first_file) != 0)
+        status = EXIT_FAILURE;
+      if (load->read_rate != NULL)
+        ev_token_bucket_cfg_free (load->read_rate);
     }
   free (load);
   arg_freetable (table, sizeof table / sizeof table[0]);
