control: use the usual names for controller, outage and broadcast

Cause: keeper, dark domain, spread and tell were names of our own. Change: controller, outage, broadcast and batch or sent; no behaviour changes.

--- a/fuzz/placement.c
+++ b/fuzz/placement.c
@@ -7,7 +7,7 @@
 /*
  * Placement and plan over a small simulated data centre.  The input chooses
  * the hosts, the specs and then events: losses, returns, restarts, drains,
- * leaving and delisted hosts, dark domains, sheet changes, lost answers, new
+ * leaving and delisted hosts, domain outages, sheet changes, lost answers, new
  * lease holders.  The oracle:
  * - no host is in two groups, and every group has the size of its span;
  * - a group that is new or changed has all its members in one permitted
@@ -527,11 +527,11 @@
 }
 
 static void
-dark_domain (const char *domain, bool dark)
+domain_outage (const char *domain, bool outage)
 {
   for (unsigned i = 0; i < world.host_count; i++)
     if (strcmp (host_at (i)->domain, domain) == 0)
-      world.silent[i] = dark;
+      world.silent[i] = outage;
 }
 
 static void
@@ -570,10 +570,10 @@
       host_at (i)->listed = !host_at (i)->listed;
       break;
     case 7:
-      dark_domain (domains[value % 3], true);
+      domain_outage (domains[value % 3], true);
       break;
     case 8:
-      dark_domain (domains[value % 3], false);
+      domain_outage (domains[value % 3], false);
       for (unsigned j = 0; j < world.host_count; j++)
         if (!world.engines[j].up && !world.silent[j])
           engine_boot (&world.engines[j], world.names[j]);
--- a/measure/repair.c
+++ b/measure/repair.c
@@ -8,9 +8,9 @@
 #include <time.h>
 
 /*
- * Replays seeded histories of host failures, returns, pauses, dark domains and
- * sheet changes through the group decisions in virtual time, and through two
- * baselines: "rebuild" forms a group anew as soon as a member is missing,
+ * Replays seeded histories of host failures, returns, pauses, domain outages
+ * and sheet changes through the group decisions in virtual time, and through
+ * two baselines: "rebuild" forms a group anew as soon as a member is missing,
  * "never" changes no members.  All three form the first assignment and order
  * the engines in the same way.  One process runs one seed.
  */
@@ -249,14 +249,14 @@
     go_away (state, run->now_ms, 1800000 + 4 * time_ms, true);
 }
 
-/* A domain goes dark twice in a run, once for seconds, once for minutes. */
+/* A domain has two outages in a run, once for seconds, once for minutes. */
 static void
 domain_events (struct run *run)
 {
   int64_t since_ms = run->now_ms - WARM_UP_MS;
   int64_t third_ms = run->size->length_ms / 3;
   unsigned domain = (unsigned)rng_below (&run->rng, run->size->domains);
-  int64_t dark_ms = since_ms < third_ms + run->size->tick_ms ? 12000 : 240000;
+  int64_t outage_ms = since_ms < third_ms + run->size->tick_ms ? 12000 : 240000;
   char name[16];
 
   if (since_ms % third_ms >= run->size->tick_ms || since_ms < third_ms)
@@ -264,7 +264,7 @@
   snprintf (name, sizeof name, "f%u", domain);
   for (unsigned i = 0; i < run->host_count; i++)
     if (strcmp (run->hosts[i].host->domain, name) == 0 && !run->hosts[i].away)
-      go_away (&run->hosts[i], run->now_ms, dark_ms, dark_ms > 60000);
+      go_away (&run->hosts[i], run->now_ms, outage_ms, outage_ms > 60000);
 }
 
 /* The first spec gets a new version at half time. */
--- a/packages/control/include/keeper.h
+++ b/packages/control/include/controller.h
@@ -1,5 +1,5 @@
-#ifndef CONTROL_KEEPER_H
-#define CONTROL_KEEPER_H
+#ifndef CONTROL_CONTROLLER_H
+#define CONTROL_CONTROLLER_H
 
 #include "config.h"
 #include "fleet.h"
@@ -19,12 +19,12 @@
  * Every step is logged as one decision with its reason.
  */
 
-#define KEEPER_INTERVAL_MS 200
-#define KEEPER_ORDER_TIMEOUT_MS 5000
+#define CONTROLLER_INTERVAL_MS 200
+#define CONTROLLER_ORDER_TIMEOUT_MS 5000
 
-struct keeper_order; /* an order in flight; private */
+struct controller_order; /* an order in flight; private */
 
-struct keeper
+struct controller
 {
   struct event_base *base;
   struct platform *platform;
@@ -40,7 +40,7 @@
   struct placement placement; /* wanted, of the latest tick as holder */
   struct plan plan;
   struct plan_steps steps;
-  struct keeper_order *orders;
+  struct controller_order *orders;
   json_t *written; /* assignment whose write is in flight */
   bool was_holder;
   int64_t next_ms;
@@ -48,19 +48,19 @@
   uint64_t decided; /* hash of the decisions logged last */
 };
 
-enum result keeper_init (struct keeper *keeper,
-                         struct event_base *base,
-                         struct platform *platform,
-                         struct config *config,
-                         struct fleet *fleet,
-                         struct member_table *members,
-                         const struct placement_settings *settings);
-void keeper_finish (struct keeper *keeper);
-void keeper_tick (struct keeper *keeper, int64_t now_ms);
+enum result controller_init (struct controller *controller,
+                             struct event_base *base,
+                             struct platform *platform,
+                             struct config *config,
+                             struct fleet *fleet,
+                             struct member_table *members,
+                             const struct placement_settings *settings);
+void controller_finish (struct controller *controller);
+void controller_tick (struct controller *controller, int64_t now_ms);
 
 /* Gives the lease back; true once that is done or cannot be done. */
-bool keeper_release (struct keeper *keeper, int64_t now_ms);
+bool controller_release (struct controller *controller, int64_t now_ms);
 
-bool keeper_is_holder (const struct keeper *keeper, int64_t now_ms);
+bool controller_is_holder (const struct controller *controller, int64_t now_ms);
 
 #endif
--- a/packages/control/include/prober.h
+++ b/packages/control/include/prober.h
@@ -37,8 +37,8 @@
   bool waiting;
   int64_t started_ms; /* when the probe that is waited for was sent */
   int64_t next_ms;
-  int64_t told_ms; /* whole or short */
-  int64_t told_full_ms;
+  int64_t sent_ms; /* whole or short */
+  int64_t sent_full_ms;
   unsigned to_send;  /* how often the whole result is still to be told */
   size_t rank;       /* ours among the probers of this endpoint */
   int64_t ranked_ms; /* when it was computed */
--- /dev/null
+++ b/packages/control/src/controller-assignment.c
@@ -0,0 +1,71 @@
+#include "controller-internal.h"
+
+#include "log.h"
+#include "timeutil.h"
+
+static void
+on_written (void *context, const struct platform_answer *answer)
+{
+  struct controller *controller = context;
+  int64_t now_ms = time_boot_ms ();
+
+  if (answer->result == RESULT_OK)
+    config_adopt (controller->config, PEER_ASSIGNMENT, controller->written,
+                  answer->version, "platform");
+  else
+    LOG_EVENT (LOG_LEVEL_WARNING, "assignment-write-failed",
+               LOG_STR ("data_centre", controller->data_centre),
+               LOG_INT ("code", answer->result),
+               LOG_STR ("reason", result_info (answer->result)->name));
+  json_decref (controller->written);
+  controller->written = NULL;
+  plan_on_write (&controller->plan, answer->result, now_ms);
+}
+
+void
+controller_write_assignment (struct controller *controller, int64_t now_ms)
+{
+  const struct config_object *object
+      = &controller->config->objects[PEER_ASSIGNMENT];
+
+  /* An order of writes is kept by the platform's version: if another holder
+   * wrote meanwhile, this write fails. */
+  if (controller->written != NULL
+      || !lease_may_act (&controller->lease, now_ms))
+    {
+      plan_on_write (&controller->plan, RESULT_LEASE_NOT_HELD, now_ms);
+      return;
+    }
+  controller->written = fleet_assignment_to_json (&controller->steps.assignment,
+                                                  controller->data_centre);
+  if (controller->written == NULL)
+    {
+      plan_on_write (&controller->plan, RESULT_NO_MEMORY, now_ms);
+      return;
+    }
+  LOG_EVENT (LOG_LEVEL_NOTICE, "assignment-write",
+             LOG_STR ("data_centre", controller->data_centre),
+             LOG_U64 ("number", controller->steps.assignment.assignment_number),
+             LOG_U64 ("fence", controller->steps.assignment.assignment_fence),
+             LOG_STR ("reason", controller->steps.write_reason));
+  platform_put (controller->platform, controller->assignment_key,
+                object->version, controller->written, on_written, controller);
+}
+
+static void
+on_read (void *context, const struct platform_answer *answer)
+{
+  struct controller *controller = context;
+
+  if (answer->result == RESULT_OK)
+    config_adopt (controller->config, PEER_ASSIGNMENT, answer->value,
+                  answer->version, "platform");
+  plan_on_read (&controller->plan, answer->result, time_boot_ms ());
+}
+
+void
+controller_read_assignment (struct controller *controller)
+{
+  platform_get (controller->platform, controller->assignment_key, on_read,
+                controller);
+}
--- /dev/null
+++ b/packages/control/src/controller-lease.c
@@ -0,0 +1,54 @@
+#include "controller-internal.h"
+
+#include "timeutil.h"
+
+static void
+on_read (void *context, const struct platform_answer *answer)
+{
+  struct controller *controller = context;
+  struct lease_value value;
+  enum result result = answer->result;
+
+  if (result == RESULT_OK)
+    result = lease_value_from_json (&value, answer->value);
+  lease_on_read (&controller->lease, result,
+                 result == RESULT_OK ? &value : NULL, answer->version,
+                 time_boot_ms ());
+}
+
+static void
+on_write (void *context, const struct platform_answer *answer)
+{
+  struct controller *controller = context;
+
+  lease_on_write (&controller->lease, answer->result, answer->version,
+                  time_boot_ms ());
+}
+
+void
+controller_run_lease (struct controller *controller, int64_t now_ms)
+{
+  struct lease_action action = lease_tick (&controller->lease, now_ms);
+  json_t *json;
+
+  switch (action.kind)
+    {
+    case LEASE_NOTHING:
+      break;
+    case LEASE_READ:
+      platform_get (controller->platform, controller->lease_key, on_read,
+                    controller);
+      break;
+    case LEASE_WRITE:
+      json = lease_value_to_json (&action.value);
+      if (json == NULL)
+        {
+          lease_on_write (&controller->lease, RESULT_NO_MEMORY, 0, now_ms);
+          break;
+        }
+      platform_put (controller->platform, controller->lease_key, action.version,
+                    json, on_write, controller);
+      json_decref (json);
+      break;
+    }
+}
--- a/packages/control/src/keeper-log.c
+++ b/packages/control/src/controller-log.c
@@ -1,4 +1,4 @@
-#include "keeper-internal.h"
+#include "controller-internal.h"
 
 #include "hash.h"
 #include "log.h"
@@ -26,16 +26,16 @@
 
 /* Decisions are computed on each tick; only a changed set is logged. */
 void
-keeper_log_decisions (struct keeper *keeper)
+controller_log_decisions (struct controller *controller)
 {
-  const struct placement *placement = &keeper->placement;
+  const struct placement *placement = &controller->placement;
   uint64_t hash = 1;
 
   for (size_t i = 0; i < placement->decision_count; i++)
     hash = hash_decision (&placement->decisions[i], hash);
-  if (hash == keeper->decided)
+  if (hash == controller->decided)
     return;
-  keeper->decided = hash;
+  controller->decided = hash;
   for (size_t i = 0; i < placement->decision_count; i++)
     log_decision (&placement->decisions[i]);
 }
--- a/packages/control/src/keeper-orders.c
+++ b/packages/control/src/controller-orders.c
@@ -1,4 +1,4 @@
-#include "keeper-internal.h"
+#include "controller-internal.h"
 
 #include "log.h"
 #include "timeutil.h"
@@ -10,20 +10,20 @@
 #include <stdlib.h>
 #include <string.h>
 
-struct keeper_order
+struct controller_order
 {
-  struct keeper *keeper;
+  struct controller *controller;
   struct evhttp_connection *connection;
   char host[FLEET_NAME_SIZE];
   char order_id[PLAN_ORDER_ID_SIZE];
   bool connected; /* the request may have reached the engine */
-  struct keeper_order *next;
+  struct controller_order *next;
 };
 
 static void
-order_free (struct keeper_order *order)
+order_free (struct controller_order *order)
 {
-  struct keeper_order **link = &order->keeper->orders;
+  struct controller_order **link = &order->controller->orders;
 
   while (*link != NULL && *link != order)
     link = &(*link)->next;
@@ -35,10 +35,10 @@
 }
 
 void
-keeper_orders_finish (struct keeper *keeper)
+controller_orders_finish (struct controller *controller)
 {
-  while (keeper->orders != NULL)
-    order_free (keeper->orders);
+  while (controller->orders != NULL)
+    order_free (controller->orders);
 }
 
 static enum result
@@ -50,22 +50,22 @@
 }
 
 static void
-finish_order (struct keeper_order *order, enum result result)
+finish_order (struct controller_order *order, enum result result)
 {
-  struct keeper *keeper = order->keeper;
+  struct controller *controller = order->controller;
 
   LOG_EVENT (result == RESULT_OK ? LOG_LEVEL_INFO : LOG_LEVEL_WARNING,
              "order-end", LOG_STR ("host", order->host),
              LOG_STR ("order_id", order->order_id), LOG_INT ("code", result),
              LOG_STR ("result", result_info (result)->name));
-  plan_on_order (&keeper->plan, order->host, order->order_id, result,
+  plan_on_order (&controller->plan, order->host, order->order_id, result,
                  time_boot_ms ());
 }
 
 static void
 on_answer (struct evhttp_request *request, void *context)
 {
-  struct keeper_order *order = context;
+  struct controller_order *order = context;
   int status = request != NULL ? evhttp_request_get_response_code (request) : 0;
 
   /* Without a status it is unknown whether the order arrived. */
@@ -76,15 +76,15 @@
 }
 
 static bool
-post_order (struct keeper_order *order,
+post_order (struct controller_order *order,
             const struct fleet_host *host,
             const char *body)
 {
-  struct timeval timeout = { .tv_sec = KEEPER_ORDER_TIMEOUT_MS / 1000 };
+  struct timeval timeout = { .tv_sec = CONTROLLER_ORDER_TIMEOUT_MS / 1000 };
   struct evhttp_request *request;
   char name[FLEET_ADDRESS_SIZE + 8];
 
-  order->connection = evhttp_connection_base_new (order->keeper->base, NULL,
+  order->connection = evhttp_connection_base_new (order->controller->base, NULL,
                                                   host->address, host->port);
   if (order->connection == NULL)
     return false;
@@ -116,46 +116,46 @@
   return text;
 }
 
-static struct keeper_order *
-order_new (struct keeper *keeper, const struct plan_order *plan_order)
+static struct controller_order *
+order_new (struct controller *controller, const struct plan_order *plan_order)
 {
-  struct keeper_order *order = calloc (1, sizeof *order);
+  struct controller_order *order = calloc (1, sizeof *order);
 
   if (order == NULL)
     return NULL;
-  order->keeper = keeper;
+  order->controller = controller;
   memcpy (order->host, plan_order->host, sizeof order->host);
   memcpy (order->order_id, plan_order->order_id, sizeof order->order_id);
-  order->next = keeper->orders;
-  keeper->orders = order;
+  order->next = controller->orders;
+  controller->orders = order;
   return order;
 }
 
 void
-keeper_send_order (struct keeper *keeper,
-                   const struct plan_order *plan_order,
-                   int64_t now_ms)
+controller_send_order (struct controller *controller,
+                       const struct plan_order *plan_order,
+                       int64_t now_ms)
 {
   const struct fleet_host *host
-      = fleet_find_host (keeper->fleet, plan_order->host);
-  struct keeper_order *order = NULL;
+      = fleet_find_host (controller->fleet, plan_order->host);
+  struct controller_order *order = NULL;
   char *body = NULL;
 
   /* The lease is checked just before each order, since the decision may have
    * been made before a pause of this process. */
-  if (host != NULL && lease_may_act (&keeper->lease, time_boot_ms ()))
-    order = order_new (keeper, plan_order);
+  if (host != NULL && lease_may_act (&controller->lease, time_boot_ms ()))
+    order = order_new (controller, plan_order);
   if (order != NULL)
     body = encode_order (plan_order);
   if (body == NULL || !post_order (order, host, body))
     {
-      plan_on_order (&keeper->plan, plan_order->host, plan_order->order_id,
+      plan_on_order (&controller->plan, plan_order->host, plan_order->order_id,
                      RESULT_ENDPOINT_CONNECT, now_ms);
       if (order != NULL)
         order_free (order);
       goto out;
     }
-  keeper->orders_sent++;
+  controller->orders_sent++;
   LOG_EVENT (LOG_LEVEL_NOTICE, "order-sent", LOG_STR ("host", plan_order->host),
              LOG_STR ("op", plan_op_name (plan_order->op)),
              LOG_STR ("group", plan_order->group.id),
--- a/packages/control/src/prober.c
+++ b/packages/control/src/prober.c
@@ -262,7 +262,7 @@
     }
 }
 
-struct tell
+struct health_batch
 {
   struct peer_health_entry full[BATCH_LIMIT];
   struct peer_fresh_entry fresh[BATCH_LIMIT];
@@ -271,28 +271,28 @@
 };
 
 static void
-add_full (struct tell *tell,
+add_full (struct health_batch *batch,
           struct prober_target *target,
           const struct fleet_host *host,
           int64_t now_ms)
 {
   if (target->to_send > 0)
     target->to_send--;
-  target->told_ms = now_ms;
-  target->told_full_ms = now_ms;
-  tell->full[tell->full_count].host = host->id;
-  tell->full[tell->full_count++].attested = &host->attested;
+  target->sent_ms = now_ms;
+  target->sent_full_ms = now_ms;
+  batch->full[batch->full_count].host = host->id;
+  batch->full[batch->full_count++].attested = &host->attested;
 }
 
 static void
-add_fresh (struct tell *tell,
+add_fresh (struct health_batch *batch,
            struct prober_target *target,
            const struct fleet_host *host,
            int64_t now_ms)
 {
-  struct peer_fresh_entry *entry = &tell->fresh[tell->fresh_count++];
+  struct peer_fresh_entry *entry = &batch->fresh[batch->fresh_count++];
 
-  target->told_ms = now_ms;
+  target->sent_ms = now_ms;
   entry->host = peer_host_hash (host->id);
   entry->digest = peer_attestation_digest (&host->attested);
   entry->seen_ms = host->attested.seen_ms;
@@ -317,21 +317,21 @@
  * its death costs one refresh and not the attestation.
  */
 static bool
-is_told_by_peer (const struct prober_target *target, int64_t now_ms)
+is_reported_by_peer (const struct prober_target *target, int64_t now_ms)
 {
   return target->rank > 0 && now_ms - target->heard_ms < PROBER_SILENCE_MS;
 }
 
 static void
-tell_peers (struct prober *prober, int64_t now_ms)
+report_health (struct prober *prober, int64_t now_ms)
 {
   bool newcomer = has_newcomer (prober);
-  struct tell tell;
+  struct health_batch batch;
 
-  tell.full_count = 0;
-  tell.fresh_count = 0;
+  batch.full_count = 0;
+  batch.fresh_count = 0;
   for (struct prober_target *target = prober->targets;
-       target != NULL && tell.full_count + tell.fresh_count < BATCH_LIMIT;
+       target != NULL && batch.full_count + batch.fresh_count < BATCH_LIMIT;
        target = target->hh.next)
     {
       const struct fleet_host *host
@@ -344,17 +344,17 @@
       if (newcomer)
         target->to_send = PROBER_CHANGE_SENDS;
       if (target->to_send > 0
-          || (!is_told_by_peer (target, now_ms)
-              && now_ms - target->told_full_ms >= PROBER_FULL_MS))
-        add_full (&tell, target, host, now_ms);
-      else if (!is_told_by_peer (target, now_ms)
-               && now_ms - target->told_ms >= PROBER_REFRESH_MS)
-        add_fresh (&tell, target, host, now_ms);
+          || (!is_reported_by_peer (target, now_ms)
+              && now_ms - target->sent_full_ms >= PROBER_FULL_MS))
+        add_full (&batch, target, host, now_ms);
+      else if (!is_reported_by_peer (target, now_ms)
+               && now_ms - target->sent_ms >= PROBER_REFRESH_MS)
+        add_fresh (&batch, target, host, now_ms);
     }
-  if (tell.full_count > 0)
-    peer_send_health (prober->peers, tell.full, tell.full_count, now_ms);
-  if (tell.fresh_count > 0)
-    peer_send_fresh (prober->peers, tell.fresh, tell.fresh_count, now_ms);
+  if (batch.full_count > 0)
+    peer_send_health (prober->peers, batch.full, batch.full_count, now_ms);
+  if (batch.fresh_count > 0)
+    peer_send_fresh (prober->peers, batch.fresh, batch.fresh_count, now_ms);
 }
 
 void
@@ -364,5 +364,5 @@
        host = host->hh.next)
     if (is_local (prober, host))
       probe_host (prober, host, now_ms);
-  tell_peers (prober, now_ms);
+  report_health (prober, now_ms);
 }
--- a/packages/daemon/include/daemon.h
+++ b/packages/daemon/include/daemon.h
@@ -2,22 +2,22 @@
 #define DAEMON_DAEMON_H
 
 #include "admission.h"
+#include "broadcast.h"
 #include "burn.h"
 #include "choose.h"
 #include "claimio.h"
 #include "config.h"
+#include "controller.h"
 #include "counter.h"
 #include "demand.h"
 #include "fleet.h"
 #include "gateway.h"
-#include "keeper.h"
 #include "member.h"
 #include "peer.h"
 #include "platform.h"
 #include "prober.h"
 #include "ring.h"
 #include "settings.h"
-#include "spread.h"
 #include "strikes.h"
 #include "sweep.h"
 
@@ -59,7 +59,7 @@
   struct strikes strikes;
   struct counter_set counters;
   struct demand demand;
-  struct demand_told told[DEMAND_TOLD_LIMIT];
+  struct demand_sent sent[DEMAND_SENT_LIMIT];
   struct ring ring;
   struct burn burn;
 
@@ -68,8 +68,8 @@
   struct peer_node peers;
   struct config config;
   struct prober prober;
-  struct keeper keeper;
-  struct spread spread;
+  struct controller controller;
+  struct broadcast broadcast;
   struct sweep sweep;
   struct gateway_strike_hooks strike_hooks;
   struct claimio claimio;
@@ -103,7 +103,7 @@
 
 /* quota.c: divides slots and rates among the entry hosts. */
 void daemon_divide (struct daemon *daemon);
-void daemon_tell_demand (struct daemon *daemon);
+void daemon_send_demand (struct daemon *daemon);
 
 /* stop.c */
 void daemon_stop (struct daemon *daemon);
--- a/packages/daemon/include/demand.h
+++ b/packages/daemon/include/demand.h
@@ -17,10 +17,10 @@
 #define DEMAND_PEERS_LIMIT 128
 
 #define DEMAND_NAME_SIZE 80
-#define DEMAND_TOLD_LIMIT 256
+#define DEMAND_SENT_LIMIT 256
 
 /* What we told of one name last. */
-struct demand_told
+struct demand_sent
 {
   char name[DEMAND_NAME_SIZE];
   bool was_zero; /* zero was told already; peers take silence for zero */
--- a/packages/daemon/src/daemon.c
+++ b/packages/daemon/src/daemon.c
@@ -230,9 +230,9 @@
   placement.load_ms = settings->groups_load_ms;
   placement.warm_load_ms = settings->groups_reload_ms;
   placement.load_limit = (unsigned)settings->groups_max_loads;
-  return keeper_init (&daemon->keeper, daemon->base, &daemon->platform,
-                      &daemon->config, &daemon->fleet, &daemon->members,
-                      &placement);
+  return controller_init (&daemon->controller, daemon->base, &daemon->platform,
+                          &daemon->config, &daemon->fleet, &daemon->members,
+                          &placement);
 }
 
 static enum result
@@ -252,14 +252,14 @@
   };
   struct gateway_limits limits;
 
-  spread_init (&daemon->spread, &daemon->peers);
+  broadcast_init (&daemon->broadcast, &daemon->peers);
   sweep_init (&daemon->sweep, &daemon->platform, &daemon->members,
               daemon->now_ms);
   claimio_init (&daemon->claimio, &daemon->platform, daemon->members.self.host,
                 random_seed ());
-  daemon->strike_hooks.context = &daemon->spread;
-  daemon->strike_hooks.spread = spread_strike;
-  daemon->strike_hooks.acknowledged = spread_is_acknowledged;
+  daemon->strike_hooks.context = &daemon->broadcast;
+  daemon->strike_hooks.broadcast = broadcast_strike;
+  daemon->strike_hooks.acknowledged = broadcast_is_acknowledged;
   gateway_limits_default (&limits);
   limits.header_bytes = (size_t)settings->callers_max_header_bytes;
   limits.header_count = (unsigned)settings->callers_max_headers;
@@ -345,7 +345,7 @@
       peer_finish (&daemon->peers);
       break;
     case STEP_CONTROL:
-      keeper_finish (&daemon->keeper);
+      controller_finish (&daemon->controller);
       prober_finish (&daemon->prober);
       platform_finish (&daemon->platform);
       config_finish (&daemon->config);
@@ -353,7 +353,7 @@
     case STEP_GATEWAY:
       gateway_finish (&daemon->gateway);
       claimio_finish (&daemon->claimio);
-      spread_finish (&daemon->spread);
+      broadcast_finish (&daemon->broadcast);
       sweep_finish (&daemon->sweep);
       break;
     case STEP_ADMIN:
--- a/packages/daemon/src/metrics.c
+++ b/packages/daemon/src/metrics.c
@@ -57,11 +57,11 @@
   put (daemon, "waxwing_probe_failures_total", NULL,
        (double)daemon->prober.failures);
   put (daemon, "waxwing_orders_total", NULL,
-       (double)daemon->keeper.orders_sent);
+       (double)daemon->controller.orders_sent);
   put (daemon, "waxwing_sheet_number", NULL,
        (double)daemon->config.objects[PEER_SHEET].number);
   put (daemon, "waxwing_lease_held", NULL,
-       keeper_is_holder (&daemon->keeper, daemon->now_ms) ? 1 : 0);
+       controller_is_holder (&daemon->controller, daemon->now_ms) ? 1 : 0);
   put (daemon, "waxwing_requests_in_flight", NULL,
        (double)daemon->gateway.request_count);
 }
--- a/packages/daemon/src/quota.c
+++ b/packages/daemon/src/quota.c
@@ -72,7 +72,7 @@
 }
 
 static size_t
-add_demand (struct demand_told *told,
+add_demand (struct demand_sent *sent,
             size_t used,
             struct peer_demand_entry *entries,
             size_t count,
@@ -80,7 +80,7 @@
             const char *name,
             unsigned demand)
 {
-  struct demand_told *slot = &told[used];
+  struct demand_sent *slot = &sent[used];
   char text[TARGET_SIZE];
 
   snprintf (text, sizeof text, "%s/%s", kind, name);
@@ -98,34 +98,34 @@
 }
 
 void
-daemon_tell_demand (struct daemon *daemon)
+daemon_send_demand (struct daemon *daemon)
 {
-  struct demand_told *told = daemon->told;
-  struct peer_demand_entry entries[DEMAND_TOLD_LIMIT];
+  struct demand_sent *sent = daemon->sent;
+  struct peer_demand_entry entries[DEMAND_SENT_LIMIT];
   const struct sheet *sheet = &daemon->config.sheet;
   char target[TARGET_SIZE];
   size_t used = 0;
   size_t count = 0;
 
-  for (size_t i = 0; i < sheet->model_count && used < DEMAND_TOLD_LIMIT; i++)
+  for (size_t i = 0; i < sheet->model_count && used < DEMAND_SENT_LIMIT; i++)
     {
       snprintf (target, sizeof target, "model/%s", sheet->models[i].name);
-      count = add_demand (told, used++, entries, count, "model",
+      count = add_demand (sent, used++, entries, count, "model",
                           sheet->models[i].name,
                           admission_demand (&daemon->admission, target));
     }
-  for (size_t i = 0; i < sheet->service_count && used < DEMAND_TOLD_LIMIT; i++)
+  for (size_t i = 0; i < sheet->service_count && used < DEMAND_SENT_LIMIT; i++)
     {
       snprintf (target, sizeof target, "service/%s", sheet->services[i].name);
-      count = add_demand (told, used++, entries, count, "service",
+      count = add_demand (sent, used++, entries, count, "service",
                           sheet->services[i].name,
                           admission_demand (&daemon->admission, target));
     }
-  for (size_t i = 0; i < sheet->customer_count && used < DEMAND_TOLD_LIMIT; i++)
+  for (size_t i = 0; i < sheet->customer_count && used < DEMAND_SENT_LIMIT; i++)
     {
       const char *name = sheet->customers[i].name;
 
-      count = add_demand (told, used++, entries, count, "customer", name,
+      count = add_demand (sent, used++, entries, count, "customer", name,
                           admission_customer_demand (&daemon->admission, name));
     }
   if (count > 0)
--- a/packages/daemon/src/reload.c
+++ b/packages/daemon/src/reload.c
@@ -54,7 +54,7 @@
 apply (struct daemon *daemon)
 {
   const struct settings *settings = &daemon->settings;
-  struct placement_settings *placement = &daemon->keeper.placement_settings;
+  struct placement_settings *placement = &daemon->controller.placement_settings;
   int level = log_parse_level (settings->log_level);
 
   if (level >= 0)
--- a/packages/daemon/src/status.c
+++ b/packages/daemon/src/status.c
@@ -111,7 +111,7 @@
 static const char *
 reason_of (const struct daemon *daemon, const char *spec)
 {
-  const struct placement *placement = &daemon->keeper.placement;
+  const struct placement *placement = &daemon->controller.placement;
 
   for (size_t i = 0; i < placement->decision_count; i++)
     if (strcmp (placement->decisions[i].spec, spec) == 0)
@@ -197,9 +197,9 @@
 lease_status (const struct daemon *daemon)
 {
   return json_pack ("{s:s, s:b, s:I}", "holder",
-                    daemon->keeper.lease.value.holder, "held",
-                    keeper_is_holder (&daemon->keeper, daemon->now_ms), "fence",
-                    (json_int_t)daemon->keeper.lease.value.fence);
+                    daemon->controller.lease.value.holder, "held",
+                    controller_is_holder (&daemon->controller, daemon->now_ms),
+                    "fence", (json_int_t)daemon->controller.lease.value.fence);
 }
 
 json_t *
--- a/packages/daemon/src/stop.c
+++ b/packages/daemon/src/stop.c
@@ -65,7 +65,7 @@
       if (claimio_unwritten (&daemon->claimio) > 0
           && elapsed_ms < CLAIMS_LIMIT_MS)
         break;
-      if (keeper_release (&daemon->keeper, daemon->now_ms)
+      if (controller_release (&daemon->controller, daemon->now_ms)
           || elapsed_ms >= RELEASE_LIMIT_MS)
         leave (daemon);
       break;
--- a/packages/daemon/src/tick.c
+++ b/packages/daemon/src/tick.c
@@ -21,13 +21,13 @@
   if (now_ms >= daemon->next_demand_ms)
     {
       daemon->next_demand_ms = now_ms + DAEMON_DEMAND_MS;
-      daemon_tell_demand (daemon);
+      daemon_send_demand (daemon);
     }
   claimio_tick (&daemon->claimio, now_ms);
   gateway_tick (&daemon->gateway, now_ms);
   sweep_tick (&daemon->sweep, now_ms);
   if (daemon->phase < DAEMON_LEAVING)
-    keeper_tick (&daemon->keeper, now_ms);
+    controller_tick (&daemon->controller, now_ms);
   if (now_ms >= daemon->next_burn_ms)
     {
       daemon->next_burn_ms = now_ms + DAEMON_BURN_MS;
--- a/packages/gateway/include/gateway.h
+++ b/packages/gateway/include/gateway.h
@@ -112,10 +112,10 @@
 struct gateway_strike_hooks
 {
   void *context;
-  void (*spread) (void *context,
-                  const char *fingerprint,
-                  const char *host,
-                  const char *boot_id);
+  void (*broadcast) (void *context,
+                     const char *fingerprint,
+                     const char *host,
+                     const char *boot_id);
   /* True when every live peer acknowledged the strikes of a fingerprint. */
   bool (*acknowledged) (void *context, const char *fingerprint);
   /* A struck request completed, so that its strikes were cleared here. */
--- a/packages/gateway/src/dispatch.c
+++ b/packages/gateway/src/dispatch.c
@@ -283,9 +283,9 @@
 
   strikes_add (tables->strikes, request->fingerprint, attempt->host,
                attempt->boot_id, now_ms);
-  if (hooks != NULL && hooks->spread != NULL)
-    hooks->spread (hooks->context, request->fingerprint, attempt->host,
-                   attempt->boot_id);
+  if (hooks != NULL && hooks->broadcast != NULL)
+    hooks->broadcast (hooks->context, request->fingerprint, attempt->host,
+                      attempt->boot_id);
 }
 
 static bool
--- a/packages/gateway/tests/harness.h
+++ b/packages/gateway/tests/harness.h
@@ -92,7 +92,7 @@
   char log[LOG_LIMIT];
   size_t log_used;
   int64_t limit_ms;
-  size_t spread;
+  size_t broadcast;
   bool acknowledged;
   size_t asked;
 };
--- a/packages/gateway/tests/t0810-generate.c
+++ b/packages/gateway/tests/t0810-generate.c
@@ -232,7 +232,7 @@
 };
 
 static bool
-spread_acknowledged (void *context, const char *fingerprint)
+broadcast_acknowledged (void *context, const char *fingerprint)
 {
   struct world *world = context;
 
@@ -242,21 +242,21 @@
 }
 
 static void
-spread (void *context,
-        const char *fingerprint,
-        const char *host,
-        const char *boot_id)
+broadcast (void *context,
+           const char *fingerprint,
+           const char *host,
+           const char *boot_id)
 {
   struct world *world = context;
 
   assert_int_equal (strlen (fingerprint), HASH_HEX_SIZE - 1);
   assert_true (host[0] == 'e');
   assert_true (strncmp (boot_id, "boot-", 5) == 0);
-  world->spread++;
+  world->broadcast++;
 }
 
 static struct gateway_strike_hooks hooks
-    = { .spread = spread, .acknowledged = spread_acknowledged };
+    = { .broadcast = broadcast, .acknowledged = broadcast_acknowledged };
 
 static struct world *
 start (const char *const *scripts)
@@ -296,7 +296,7 @@
   assert_null (strstr (world->log, "secret"));
   if (test->resume != NULL)
     assert_non_null (strstr (world_call (world, 1)->text, test->resume));
-  assert_int_equal (world->spread, test->strikes);
+  assert_int_equal (world->broadcast, test->strikes);
   client_close (&client);
   world_free (world);
 }
--- a/packages/group/include/history.h
+++ b/packages/group/include/history.h
@@ -23,10 +23,10 @@
   int64_t blind_gap_ms;       /* 1000: a longer gap between observations means
                                  that the observer itself was paused */
   int64_t settle_ms;          /* 3000: wait after start or such a gap */
-  unsigned dark_hosts;        /* 3: more lost hosts than this, or */
-  double dark_share;          /* 1/3: this share of a domain, */
-  int64_t dark_window_ms;     /* 10000: within this time */
-  int64_t dark_hold_ms;       /* 20000: hold repair in the domain this long */
+  unsigned outage_hosts;      /* 3: more lost hosts than this, or */
+  double outage_share;        /* 1/3: this share of a domain, */
+  int64_t outage_window_ms;   /* 10000: within this time */
+  int64_t outage_hold_ms;     /* 20000: hold repair in the domain this long */
   unsigned flap_losses;       /* 3: this many losses */
   int64_t flap_window_ms;     /* 600000: within this time */
   int64_t flap_hold_ms;       /* 60000: first hold-off, doubles per loss */
--- a/packages/group/src/form.c
+++ b/packages/group/src/form.c
@@ -327,7 +327,7 @@
     if ((int)other != domain)
       work_reject (decision, "%s: %u free hosts%s", work->domains[other].name,
                    work_count_free (work, spec, other),
-                   work->domains[other].held ? ", dark" : "");
+                   work->domains[other].held ? ", outage" : "");
 }
 
 void
--- a/packages/group/src/history.c
+++ b/packages/group/src/history.c
@@ -22,10 +22,10 @@
   *settings = (struct history_settings){
     .blind_gap_ms = 1000,
     .settle_ms = 3000,
-    .dark_hosts = 3,
-    .dark_share = 1.0 / 3,
-    .dark_window_ms = 10000,
-    .dark_hold_ms = 20000,
+    .outage_hosts = 3,
+    .outage_share = 1.0 / 3,
+    .outage_window_ms = 10000,
+    .outage_hold_ms = 20000,
     .flap_losses = 3,
     .flap_window_ms = 600000,
     .flap_hold_ms = 60000,
@@ -274,27 +274,27 @@
     observe_absent (history, host, fleet_host, now_ms);
   domain->hosts++;
   if (!host->present && host->loss_count > 0
-      && host->losses_ms[0] > now_ms - history->settings.dark_window_ms)
+      && host->losses_ms[0] > now_ms - history->settings.outage_window_ms)
     domain->recent++;
   return RESULT_OK;
 }
 
 /* Hosts that vanish together share a cause and tend to return together. */
 static void
-hold_dark_domains (struct history *history, int64_t now_ms)
+hold_failed_domains (struct history *history, int64_t now_ms)
 {
   const struct history_settings *settings = &history->settings;
   struct history_domain *domain;
 
   for (domain = history->domains; domain != NULL; domain = domain->hh.next)
     {
-      bool dark
-          = domain->recent > settings->dark_hosts
+      bool outage
+          = domain->recent > settings->outage_hosts
             || (domain->recent >= 2
-                && domain->recent >= settings->dark_share * domain->hosts);
+                && domain->recent >= settings->outage_share * domain->hosts);
 
-      if (dark && domain->hold_until_ms <= now_ms)
-        domain->hold_until_ms = now_ms + settings->dark_hold_ms;
+      if (outage && domain->hold_until_ms <= now_ms)
+        domain->hold_until_ms = now_ms + settings->outage_hold_ms;
     }
 }
 
@@ -363,7 +363,7 @@
       if (result != RESULT_OK)
         return result;
     }
-  hold_dark_domains (history, now_ms);
+  hold_failed_domains (history, now_ms);
   return observe_draining (history, fleet, now_ms);
 }
 
--- a/packages/group/src/repair.c
+++ b/packages/group/src/repair.c
@@ -281,7 +281,8 @@
     return;
   if (work->domains[repair.domain].held && group->leaving == 0)
     {
-      wait_for_members (work, &repair, "its domain went dark a moment ago");
+      wait_for_members (work, &repair,
+                        "an outage of its domain was seen a moment ago");
       return;
     }
   best_ms = repair.replace_ms;
--- a/packages/group/src/work.h
+++ b/packages/group/src/work.h
@@ -18,7 +18,7 @@
 struct work_domain
 {
   const char *name;
-  bool held; /* dark: no repair and no new groups for now */
+  bool held; /* outage: no repair and no new groups for now */
 };
 
 struct work_spec
--- a/packages/peer/include/peer.h
+++ b/packages/peer/include/peer.h
@@ -75,9 +75,9 @@
   uint64_t too_large;
 };
 
-struct peer_call;   /* a call that waits for its reply; private */
-struct peer_stream; /* a TCP connection; private */
-struct peer_spread; /* strikes that wait for acknowledgements; private */
+struct peer_call;      /* a call that waits for its reply; private */
+struct peer_stream;    /* a TCP connection; private */
+struct peer_broadcast; /* strikes that wait for acknowledgements; private */
 
 struct peer_node
 {
@@ -95,7 +95,7 @@
   struct evconnlistener *listener;
   struct peer_call *calls; /* uthash by xid */
   struct peer_stream *streams;
-  struct peer_spread *spreads;
+  struct peer_broadcast *broadcasts;
   int64_t logged_ms[4]; /* by kind of bad message */
   /*
    * Test setting: messages from and to this data centre are dropped; "*"
--- a/packages/peer/src/peer-internal.h
+++ b/packages/peer/src/peer-internal.h
@@ -27,7 +27,7 @@
   socklen_t asker_size;
   uint32_t asker_xid;
   /* For PEER_CALL_STRIKE. */
-  struct peer_spread *spread;
+  struct peer_broadcast *broadcast;
   char host[MEMBER_NAME_SIZE];
   UT_hash_handle hh;
 };
@@ -86,7 +86,7 @@
 
 /* strike.c */
 void peer_strike_acknowledged (struct peer_node *node,
-                               struct peer_spread *spread,
+                               struct peer_broadcast *broadcast,
                                const char *host);
 void peer_strikes_tick (struct peer_node *node, int64_t now_ms);
 void peer_strikes_finish (struct peer_node *node);
--- a/packages/peer/src/strike.c
+++ b/packages/peer/src/strike.c
@@ -7,7 +7,7 @@
 #define RECEIVERS_LIMIT 128 /* entry hosts of one data centre */
 
 /* One strike on its way to the live members of our data centre. */
-struct peer_spread
+struct peer_broadcast
 {
   char fingerprint[MEMBER_NAME_SIZE];
   char host[MEMBER_NAME_SIZE];
@@ -23,34 +23,34 @@
   size_t missing;
   void (*done) (void *context);
   void *context;
-  struct peer_spread *next;
+  struct peer_broadcast *next;
 };
 
 void
 peer_strike_acknowledged (struct peer_node *node,
-                          struct peer_spread *spread,
+                          struct peer_broadcast *broadcast,
                           const char *host)
 {
   (void)node;
-  for (size_t i = 0; i < spread->receiver_count; i++)
-    if (!spread->receivers[i].acknowledged
-        && strcmp (spread->receivers[i].host, host) == 0)
+  for (size_t i = 0; i < broadcast->receiver_count; i++)
+    if (!broadcast->receivers[i].acknowledged
+        && strcmp (broadcast->receivers[i].host, host) == 0)
       {
-        spread->receivers[i].acknowledged = true;
-        spread->missing--;
+        broadcast->receivers[i].acknowledged = true;
+        broadcast->missing--;
       }
 }
 
 static void
 send_strike (struct peer_node *node,
-             struct peer_spread *spread,
+             struct peer_broadcast *broadcast,
              const char *receiver,
              int64_t now_ms)
 {
   const struct member *member = member_find (node->members, receiver);
-  struct peer_strike strike = { .fingerprint = spread->fingerprint,
-                                .host = spread->host,
-                                .boot_id = spread->boot_id };
+  struct peer_strike strike = { .fingerprint = broadcast->fingerprint,
+                                .host = broadcast->host,
+                                .boot_id = broadcast->boot_id };
   peer_strikes strikes
       = { .entries = { .entries_len = 1, .entries_val = &strike } };
   struct peer_header header;
@@ -61,7 +61,7 @@
   call = peer_call_add (node, PEER_CALL_STRIKE, now_ms);
   if (call == NULL)
     return;
-  call->spread = spread;
+  call->broadcast = broadcast;
   peer_fill_header (node, &header, true, call->xid, PEER_STRIKES);
   peer_udp_send_member (node, member, &header, (xdrproc_t)xdr_peer_strikes,
                         &strikes);
@@ -69,26 +69,26 @@
 
 static void
 send_missing (struct peer_node *node,
-              struct peer_spread *spread,
+              struct peer_broadcast *broadcast,
               int64_t now_ms)
 {
-  spread->next_send_ms = now_ms + PEER_STRIKE_RETRY_MS;
-  for (size_t i = 0; i < spread->receiver_count; i++)
-    if (!spread->receivers[i].acknowledged)
-      send_strike (node, spread, spread->receivers[i].host, now_ms);
+  broadcast->next_send_ms = now_ms + PEER_STRIKE_RETRY_MS;
+  for (size_t i = 0; i < broadcast->receiver_count; i++)
+    if (!broadcast->receivers[i].acknowledged)
+      send_strike (node, broadcast, broadcast->receivers[i].host, now_ms);
 }
 
 static void
-collect_receivers (struct peer_node *node, struct peer_spread *spread)
+collect_receivers (struct peer_node *node, struct peer_broadcast *broadcast)
 {
   for (const struct member *member = node->members->members; member != NULL;
        member = member->hh.next)
-    if (spread->receiver_count < RECEIVERS_LIMIT && member_is_live (member)
+    if (broadcast->receiver_count < RECEIVERS_LIMIT && member_is_live (member)
         && strcmp (member->info.data_centre, node->members->self.data_centre)
                == 0)
-      snprintf (spread->receivers[spread->receiver_count++].host,
+      snprintf (broadcast->receivers[broadcast->receiver_count++].host,
                 MEMBER_NAME_SIZE, "%s", member->info.host);
-  spread->missing = spread->receiver_count;
+  broadcast->missing = broadcast->receiver_count;
 }
 
 void
@@ -100,9 +100,9 @@
                   void (*done) (void *context),
                   void *context)
 {
-  struct peer_spread *spread = calloc (1, sizeof *spread);
+  struct peer_broadcast *broadcast = calloc (1, sizeof *broadcast);
 
-  if (spread == NULL)
+  if (broadcast == NULL)
     {
       /* Without memory the waiting time cannot be kept; the two candidate
        * groups of a request still bound the damage. */
@@ -110,21 +110,22 @@
         done (context);
       return;
     }
-  snprintf (spread->fingerprint, sizeof spread->fingerprint, "%s", fingerprint);
-  snprintf (spread->host, sizeof spread->host, "%s", host);
-  snprintf (spread->boot_id, sizeof spread->boot_id, "%s", boot_id);
-  spread->started_ms = now_ms;
-  spread->done = done;
-  spread->context = context;
-  collect_receivers (node, spread);
-  spread->next = node->spreads;
-  node->spreads = spread;
-  send_missing (node, spread, now_ms);
+  snprintf (broadcast->fingerprint, sizeof broadcast->fingerprint, "%s",
+            fingerprint);
+  snprintf (broadcast->host, sizeof broadcast->host, "%s", host);
+  snprintf (broadcast->boot_id, sizeof broadcast->boot_id, "%s", boot_id);
+  broadcast->started_ms = now_ms;
+  broadcast->done = done;
+  broadcast->context = context;
+  collect_receivers (node, broadcast);
+  broadcast->next = node->broadcasts;
+  node->broadcasts = broadcast;
+  send_missing (node, broadcast, now_ms);
 }
 
-/* Calls that still wait for this spread lose their reference to it. */
+/* Calls that still wait for this broadcast lose their reference to it. */
 static void
-drop_calls (struct peer_node *node, const struct peer_spread *spread)
+drop_calls (struct peer_node *node, const struct peer_broadcast *broadcast)
 {
   struct peer_call *call = node->calls;
 
@@ -132,7 +133,7 @@
     {
       struct peer_call *next = call->hh.next;
 
-      if (call->kind == PEER_CALL_STRIKE && call->spread == spread)
+      if (call->kind == PEER_CALL_STRIKE && call->broadcast == broadcast)
         peer_call_remove (node, call);
       call = next;
     }
@@ -141,36 +142,36 @@
 void
 peer_strikes_tick (struct peer_node *node, int64_t now_ms)
 {
-  struct peer_spread **link = &node->spreads;
+  struct peer_broadcast **link = &node->broadcasts;
 
   while (*link != NULL)
     {
-      struct peer_spread *spread = *link;
+      struct peer_broadcast *broadcast = *link;
 
-      if (spread->missing == 0
-          || now_ms - spread->started_ms >= PEER_CALL_TIMEOUT_MS)
+      if (broadcast->missing == 0
+          || now_ms - broadcast->started_ms >= PEER_CALL_TIMEOUT_MS)
         {
-          *link = spread->next;
-          drop_calls (node, spread);
-          if (spread->done != NULL)
-            spread->done (spread->context);
-          free (spread);
+          *link = broadcast->next;
+          drop_calls (node, broadcast);
+          if (broadcast->done != NULL)
+            broadcast->done (broadcast->context);
+          free (broadcast);
           continue;
         }
-      if (now_ms >= spread->next_send_ms)
-        send_missing (node, spread, now_ms);
-      link = &spread->next;
+      if (now_ms >= broadcast->next_send_ms)
+        send_missing (node, broadcast, now_ms);
+      link = &broadcast->next;
     }
 }
 
 void
 peer_strikes_finish (struct peer_node *node)
 {
-  while (node->spreads != NULL)
+  while (node->broadcasts != NULL)
     {
-      struct peer_spread *spread = node->spreads;
+      struct peer_broadcast *broadcast = node->broadcasts;
 
-      node->spreads = spread->next;
-      free (spread);
+      node->broadcasts = broadcast->next;
+      free (broadcast);
     }
 }
--- a/packages/peer/tests/t0511-peer.c
+++ b/packages/peer/tests/t0511-peer.c
@@ -32,7 +32,7 @@
   char fetched[64];
   enum result fetch_result;
   bool fetch_done;
-  bool spread_done;
+  bool broadcast_done;
 };
 
 struct site_hook
@@ -114,9 +114,9 @@
 }
 
 static void
-on_spread (void *context)
+on_broadcast (void *context)
 {
-  ((struct site *)context)->spread_done = true;
+  ((struct site *)context)->broadcast_done = true;
 }
 
 static void
@@ -203,9 +203,9 @@
 }
 
 static bool
-spread_done (const struct site *s)
+broadcast_done (const struct site *s)
 {
-  return s->spread_done;
+  return s->broadcast_done;
 }
 
 static bool
@@ -247,8 +247,8 @@
   assert_true (wait_for (&site, reports_seen));
 
   peer_send_strike (&site.nodes[0], "f1", "engine-1", "b1", time_boot_ms (),
-                    on_spread, &site);
-  assert_true (wait_for (&site, spread_done));
+                    on_broadcast, &site);
+  assert_true (wait_for (&site, broadcast_done));
   assert_true (site.strikes_seen[1] > 0 && site.strikes_seen[2] > 0);
 
   snprintf (site.object[0], sizeof site.object[0], "{\"number\":42}");
