peer: fill a datagram only as far as its names allow

Cause: read-through. A ping with eight updates, or six health entries, of long names did not fit into 1400 bytes; peer_encode refused them each time, so such hosts never joined and their health was never told. Change: messages are filled by the size of their texts; the rest goes on the next message or datagram. Result: test_long_names (63-byte names) fails before and passes after.

--- a/packages/peer/src/peer-internal.h
+++ b/packages/peer/src/peer-internal.h
@@ -62,6 +62,14 @@
 void peer_update_to_wire (peer_update *wire,
                           const struct member_update *update);
 
+/*
+ * size.c: bytes that texts and updates take in XDR, so that a message is
+ * filled only as far as a datagram allows, whatever the names.
+ */
+#define PEER_BODY_LIMIT 1150 /* a datagram less RPC header and verifier */
+size_t peer_text_size (const char *text);
+size_t peer_update_size (const struct member_update *update);
+
 /* udp.c */
 enum result peer_udp_open (struct peer_node *node);
 void peer_udp_close (struct peer_node *node);
--- a/packages/peer/src/ping.c
+++ b/packages/peer/src/ping.c
@@ -42,16 +42,25 @@
 {
   const struct member_table *members = node->members;
   size_t count = member_collect (node->members, receiver, ping->updates);
+  /* The sender, the versions, a ping request's target and the count. */
+  size_t size = 3 * peer_update_size (&members->self) + 64;
+  size_t fitting = 0;
 
   peer_update_to_wire (&ping->body.sender, &members->self);
   ping->body.versions.sheet = members->versions.sheet;
   ping->body.versions.control = members->versions.control;
   ping->body.versions.assignment = members->versions.assignment;
   ping->body.versions.hosts = members->versions.hosts;
-  for (size_t i = 0; i < count; i++)
-    peer_update_to_wire (&ping->wire[i], &ping->updates[i]);
+  /* What does not fit is told later: every message carries others. */
+  for (; fitting < count; fitting++)
+    {
+      size += peer_update_size (&ping->updates[fitting]);
+      if (size > PEER_BODY_LIMIT)
+        break;
+      peer_update_to_wire (&ping->wire[fitting], &ping->updates[fitting]);
+    }
   ping->body.updates.updates_val = ping->wire;
-  ping->body.updates.updates_len = (u_int)count;
+  ping->body.updates.updates_len = (u_int)fitting;
 }
 
 void
--- a/packages/peer/src/report.c
+++ b/packages/peer/src/report.c
@@ -2,10 +2,7 @@
 
 #include "hash.h"
 
-/*
- * Health entries on one datagram: the longest entry of ordinary names takes
- * about 180 bytes; entries that do not fit are sent alone.
- */
+/* Entries on one datagram, if their names are short enough. */
 #define HEALTH_BATCH 6
 #define DEMAND_BATCH 16
 
@@ -56,6 +53,27 @@
   wire->seen_age_ms = (u_int)(now_ms - attested->seen_ms);
 }
 
+static size_t
+health_size (const struct peer_health *wire)
+{
+  return peer_text_size (wire->host) + peer_text_size (wire->boot_id)
+         + peer_text_size (wire->group) + peer_text_size (wire->model)
+         + peer_text_size (wire->model_version) + peer_text_size (wire->role)
+         + peer_text_size (wire->adapters) + 56;
+}
+
+static void
+flush_health (struct peer_node *node, struct peer_health *wire, u_int *used)
+{
+  peer_health_report report
+      = { .entries = { .entries_len = *used, .entries_val = wire } };
+
+  if (*used > 0)
+    send_to_data_centre (node, PEER_HEALTH, (xdrproc_t)xdr_peer_health_report,
+                         &report);
+  *used = 0;
+}
+
 void
 peer_send_health (struct peer_node *node,
                   const struct peer_health_entry *entries,
@@ -63,23 +81,26 @@
                   int64_t now_ms)
 {
   struct peer_health wire[HEALTH_BATCH];
+  size_t size = 0;
   u_int used = 0;
 
   for (size_t i = 0; i < count; i++)
     {
+      struct peer_health next;
+
       /* An attestation that never came has no age to tell. */
-      if (entries[i].attested->seen_ms != FLEET_NEVER)
-        fill_health (&wire[used++], &entries[i], now_ms);
-      if (used == HEALTH_BATCH || (i + 1 == count && used > 0))
+      if (entries[i].attested->seen_ms == FLEET_NEVER)
+        continue;
+      fill_health (&next, &entries[i], now_ms);
+      if (used == HEALTH_BATCH || size + health_size (&next) > PEER_BODY_LIMIT)
         {
-          peer_health_report report
-              = { .entries = { .entries_len = used, .entries_val = wire } };
-
-          send_to_data_centre (node, PEER_HEALTH,
-                               (xdrproc_t)xdr_peer_health_report, &report);
-          used = 0;
+          flush_health (node, wire, &used);
+          size = 0;
         }
+      size += health_size (&next);
+      wire[used++] = next;
     }
+  flush_health (node, wire, &used);
 }
 
 uint32_t
@@ -136,24 +157,39 @@
     }
 }
 
+static void
+flush_demand (struct peer_node *node, peer_demand *wire, u_int *used)
+{
+  peer_shares shares
+      = { .entries = { .entries_len = *used, .entries_val = wire } };
+
+  if (*used > 0)
+    send_to_data_centre (node, PEER_SHARES, (xdrproc_t)xdr_peer_shares,
+                         &shares);
+  *used = 0;
+}
+
 void
 peer_send_demand (struct peer_node *node,
                   const struct peer_demand_entry *entries,
                   size_t count)
 {
-  for (size_t start = 0; start < count; start += DEMAND_BATCH)
+  peer_demand wire[DEMAND_BATCH];
+  size_t size = 0;
+  u_int used = 0;
+
+  for (size_t i = 0; i < count; i++)
     {
-      peer_demand wire[DEMAND_BATCH];
-      size_t used = count - start < DEMAND_BATCH ? count - start : DEMAND_BATCH;
-      peer_shares shares
-          = { .entries = { .entries_len = (u_int)used, .entries_val = wire } };
+      size_t next = peer_text_size (entries[i].name) + 4;
 
-      for (size_t i = 0; i < used; i++)
+      if (used == DEMAND_BATCH || size + next > PEER_BODY_LIMIT)
         {
-          wire[i].name = (char *)entries[start + i].name;
-          wire[i].demand = entries[start + i].demand;
+          flush_demand (node, wire, &used);
+          size = 0;
         }
-      send_to_data_centre (node, PEER_SHARES, (xdrproc_t)xdr_peer_shares,
-                           &shares);
+      size += next;
+      wire[used].name = (char *)entries[i].name;
+      wire[used++].demand = entries[i].demand;
     }
+  flush_demand (node, wire, &used);
 }
--- a/packages/peer/tests/t0511-peer.c
+++ b/packages/peer/tests/t0511-peer.c
@@ -43,6 +43,7 @@
 
 static struct site site;
 static struct site_hook hook_contexts[NODES];
+static const char *name_suffix = ""; /* of hosts and data centres */
 
 static void
 on_health (void *context,
@@ -129,8 +130,8 @@
                               .strike = on_strike,
                               .object = on_object };
 
-  snprintf (self.host, sizeof self.host, "e%zu", i);
-  snprintf (self.data_centre, sizeof self.data_centre, "dc1");
+  snprintf (self.host, sizeof self.host, "e%zu%s", i, name_suffix);
+  snprintf (self.data_centre, sizeof self.data_centre, "dc1%s", name_suffix);
   hook_contexts[i] = (struct site_hook){ .site = s, .index = i };
   hooks.context = &hook_contexts[i];
   member_init (&s->members[i], &self, i, time_boot_ms ());
@@ -310,6 +311,43 @@
   site_finish (&site);
 }
 
+static bool
+long_health_seen (const struct site *s)
+{
+  return s->health_seen[1] >= 8 && s->health_seen[2] >= 8;
+}
+
+/* Names of any permitted length must not make a message too large to send. */
+static void
+test_long_names (void **state)
+{
+  struct fleet_attestation attested
+      = { .generation = 9, .state = FLEET_ENGINE_READY };
+  struct peer_health_entry health[8];
+  char text[FLEET_NAME_SIZE];
+
+  (void)state;
+  memset (text, 'n', sizeof text - 1);
+  text[sizeof text - 1] = '\0';
+  name_suffix = text + 4;
+  site_start (&site);
+  assert_true (wait_for (&site, all_found));
+  memcpy (attested.boot_id, text, sizeof text);
+  memcpy (attested.group, text, sizeof text);
+  memcpy (attested.model, text, sizeof text);
+  memcpy (attested.version, text, sizeof text);
+  memcpy (attested.role, text, sizeof text);
+  memset (attested.adapters, 'a', sizeof attested.adapters - 1);
+  attested.seen_ms = time_boot_ms ();
+  for (size_t i = 0; i < 8; i++)
+    health[i] = (struct peer_health_entry){ "engine-1", &attested };
+  peer_send_health (&site.nodes[0], health, 8, time_boot_ms ());
+  assert_true (wait_for (&site, long_health_seen));
+  assert_int_equal (site.nodes[0].counts.too_large, 0);
+  site_finish (&site);
+  name_suffix = "";
+}
+
 static void
 drop_line (void *context, enum log_level level, const char *line)
 {
@@ -325,6 +363,7 @@
     cmocka_unit_test (test_nodes_talk),
     cmocka_unit_test (test_forged_messages_are_dropped),
     cmocka_unit_test (test_cut_heals),
+    cmocka_unit_test (test_long_names),
   };
 
   log_set_sink (drop_line, NULL);
