control: ask another peer when one does not answer

Cause: read-through. An object was fetched from one fixed peer with a timeout of 3 s; a paused peer, which counts as live for about 4 s, could hold the sheet back beyond the 3 s of INV-8. Change: each try takes the next member with the highest number, and a fetch is given up after 1 s.

--- a/packages/control/include/config.h
+++ b/packages/control/include/config.h
@@ -43,6 +43,7 @@
   uint64_t version; /* the platform's, 0 if it came from a peer */
   char *text;       /* JSON, malloc'd */
   bool fetching;    /* a peer is being asked */
+  size_t tries;     /* how often peers were asked */
   int64_t adopted_ms;
 };
 
--- a/packages/control/src/follow.c
+++ b/packages/control/src/follow.c
@@ -30,36 +30,53 @@
 }
 
 /*
- * The member with the highest number above ours, one of our data centre
- * first.  An assignment and a host list come only from our data centre: the
- * assignment is its own, and host lists are numbered by its readers.
+ * An assignment and a host list come only from our data centre: the assignment
+ * is its own, and host lists are numbered by its readers.
+ */
+static bool
+may_be_source (const struct config *config,
+               enum peer_object_id id,
+               const struct member *member)
+{
+  bool local = strcmp (member->info.data_centre, config->data_centre) == 0;
+
+  return member_is_live (member)
+         && number_of (&member->versions, id) > config->objects[id].number
+         && !peer_is_cut (config->peers, member->info.data_centre)
+         && (local || (id != PEER_ASSIGNMENT && id != PEER_HOSTS));
+}
+
+/*
+ * One of the members with the highest number above ours.  Each try takes the
+ * next of them, since one that is paused still counts as live for seconds.
  */
 static const struct member *
-find_source (const struct config *config, enum peer_object_id id)
+find_source (struct config *config, enum peer_object_id id)
 {
-  uint64_t ours = config->objects[id].number;
-  const struct member *best = NULL;
-  bool best_local = false;
+  const struct member *found = NULL;
+  uint64_t highest = 0;
+  size_t count = 0;
+  size_t skip;
 
   for (const struct member *member = config->members->members; member != NULL;
        member = member->hh.next)
     {
-      bool local = strcmp (member->info.data_centre, config->data_centre) == 0;
       uint64_t number = number_of (&member->versions, id);
 
-      if (!member_is_live (member) || number <= ours
-          || peer_is_cut (config->peers, member->info.data_centre)
-          || (!local && (id == PEER_ASSIGNMENT || id == PEER_HOSTS)))
+      if (!may_be_source (config, id, member) || number < highest)
         continue;
-      if (best == NULL || number > number_of (&best->versions, id)
-          || (number == number_of (&best->versions, id) && local
-              && !best_local))
-        {
-          best = member;
-          best_local = local;
-        }
+      count = number > highest ? 1 : count + 1;
+      highest = number;
     }
-  return best;
+  if (count == 0)
+    return NULL;
+  skip = config->objects[id].tries++ % count;
+  for (const struct member *member = config->members->members;
+       member != NULL && found == NULL; member = member->hh.next)
+    if (may_be_source (config, id, member)
+        && number_of (&member->versions, id) == highest && skip-- == 0)
+      found = member;
+  return found;
 }
 
 static void
--- a/packages/peer/include/peer.h
+++ b/packages/peer/include/peer.h
@@ -19,7 +19,7 @@
  */
 
 #define PEER_CALL_TIMEOUT_MS 1000
-#define PEER_FETCH_TIMEOUT_MS 3000
+#define PEER_FETCH_TIMEOUT_MS 1000 /* leaves time for others within 3 s */
 #define PEER_STRIKE_RETRY_MS 200
 #define PEER_LOG_INTERVAL_MS 10000 /* one line per kind of bad message */
 
