--- a/packages/control/src/follow.c
+++ b/packages/control/src/follow.c
@@ -36,12 +36,12 @@
 static bool
 may_be_source (const struct config *config,
                enum peer_object_id id,
+               uint64_t ours,
                const struct member *member)
 {
   bool local = strcmp (member->info.data_centre, config->data_centre) == 0;
 
-  return member_is_live (member)
-         && number_of (&member->versions, id) > config->objects[id].number
+  return member_is_live (member) && number_of (&member->versions, id) > ours
          && !peer_is_cut (config->peers, member->info.data_centre)
          && (local || (id != PEER_ASSIGNMENT && id != PEER_HOSTS));
 }
@@ -54,6 +54,7 @@
 find_source (struct config *config, enum peer_object_id id)
 {
   const struct member *found = NULL;
+  uint64_t ours = config->objects[id].number;
   uint64_t highest = 0;
   size_t count = 0;
   size_t skip;
@@ -63,7 +64,7 @@
     {
       uint64_t number = number_of (&member->versions, id);
 
-      if (!may_be_source (config, id, member) || number < highest)
+      if (!may_be_source (config, id, ours, member) || number < highest)
         continue;
       count = number > highest ? 1 : count + 1;
       highest = number;
@@ -73,7 +74,7 @@
   skip = config->objects[id].tries++ % count;
   for (const struct member *member = config->members->members;
        member != NULL && found == NULL; member = member->hh.next)
-    if (may_be_source (config, id, member)
+    if (may_be_source (config, id, ours, member)
         && number_of (&member->versions, id) == highest && skip-- == 0)
       found = member;
   return found;
