control: drop dead state and share the look-up of a bound port

Cause: read-through of the whole change. The gateway's listener read its port back beside net_bound_port, which serves the other two; the prober kept a restart hook that nobody set, an order a flag that nobody read, an adopted object a time that nobody read, and the acknowledgement of a strike took a node it did not use. One comment spoke of plain services only. Change: one look-up; the dead parts are gone. Behaviour stays as it is.

--- a/packages/control/include/config.h
+++ b/packages/control/include/config.h
@@ -44,7 +44,6 @@
   char *text;       /* JSON, malloc'd */
   bool fetching;    /* a peer is being asked */
   size_t tries;     /* how often peers were asked */
-  int64_t adopted_ms;
 };
 
 struct config
--- a/packages/control/include/prober.h
+++ b/packages/control/include/prober.h
@@ -57,9 +57,6 @@
   size_t live; /* entry hosts of the data centre at the last tick */
   uint64_t probes;
   uint64_t failures;
-  /* An endpoint was seen with another boot id while requests ran there. */
-  void (*restarted) (void *context, const char *host, const char *boot_id);
-  void *context;
 };
 
 void prober_init (struct prober *prober,
--- a/packages/control/src/config-internal.h
+++ b/packages/control/src/config-internal.h
@@ -3,8 +3,6 @@
 
 #include "config.h"
 
-const char *config_object_name (enum peer_object_id id);
-
 /* Marks the hosts that the control object drains. */
 void config_apply_drains (struct config *config);
 
--- a/packages/control/src/config.c
+++ b/packages/control/src/config.c
@@ -16,12 +16,6 @@
   [PEER_HOSTS] = "hosts",
 };
 
-const char *
-config_object_name (enum peer_object_id id)
-{
-  return object_names[id];
-}
-
 void
 config_init (struct config *config,
              struct event_base *base,
@@ -229,7 +223,6 @@
   object->text = text;
   object->number = number;
   object->version = version;
-  object->adopted_ms = config->now_ms;
   publish_numbers (config);
   LOG_EVENT (id == PEER_HOSTS ? LOG_LEVEL_DEBUG : LOG_LEVEL_NOTICE,
              "config-adopted", LOG_STR ("object", object_names[id]),
--- a/packages/control/src/controller-orders.c
+++ b/packages/control/src/controller-orders.c
@@ -16,7 +16,6 @@
   struct evhttp_connection *connection;
   char host[FLEET_NAME_SIZE];
   char order_id[PLAN_ORDER_ID_SIZE];
-  bool connected; /* the request may have reached the engine */
   struct controller_order *next;
 };
 
--- a/packages/control/src/prober.c
+++ b/packages/control/src/prober.c
@@ -62,22 +62,13 @@
 }
 
 static void
-take_attestation (struct prober *prober,
-                  struct fleet_host *host,
+take_attestation (struct fleet_host *host,
                   const struct fleet_attestation *attested)
 {
-  bool restarted = host->attested.seen_ms != FLEET_NEVER
-                   && host->attested.boot_id[0] != '\0'
-                   && strcmp (host->attested.boot_id, attested->boot_id) != 0;
-  char old_boot[FLEET_NAME_SIZE];
-
-  memcpy (old_boot, host->attested.boot_id, sizeof old_boot);
   host->attested = *attested;
   /* The endpoint's own word ends a refusal that it gave before. */
   if (!attested->leaving)
     host->refused_leaving = false;
-  if (restarted && prober->restarted != NULL)
-    prober->restarted (prober->context, host->id, old_boot);
 }
 
 /* A peer told the contents that we know, too. */
@@ -103,7 +94,7 @@
   if (host == NULL)
     return;
   if (attested->seen_ms > host->attested.seen_ms)
-    take_attestation (prober, host, attested);
+    take_attestation (host, attested);
   note_heard (prober, host, peer_attestation_digest (attested));
 }
 
@@ -136,7 +127,7 @@
     {
       if (differs (&host->attested, &attested))
         target->to_send = PROBER_CHANGE_SENDS;
-      take_attestation (prober, host, &attested);
+      take_attestation (host, &attested);
       target->probed_ms = attested.seen_ms;
     }
   else
--- a/packages/daemon/src/quota.c
+++ b/packages/daemon/src/quota.c
@@ -5,10 +5,7 @@
 
 #define TARGET_SIZE DEMAND_NAME_SIZE
 
-/*
- * Slots that the endpoints of a plain service have; its own report counts
- * when it gives one.
- */
+/* This entry host's part of a target's slots. */
 static unsigned
 own_slots (struct daemon *daemon, const char *target, unsigned total)
 {
--- a/packages/gateway/src/listener.c
+++ b/packages/gateway/src/listener.c
@@ -1,8 +1,8 @@
 #include "internal.h"
 
+#include "netutil.h"
 #include "timeutil.h"
 
-#include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
@@ -179,8 +179,6 @@
 {
   struct timeval idle = from_ms (gateway->limits.idle_ms);
   struct evhttp_bound_socket *bound;
-  struct sockaddr_in bound_address = { 0 };
-  socklen_t size = sizeof bound_address;
 
   gateway->http = evhttp_new (gateway->base);
   if (gateway->http == NULL)
@@ -200,12 +198,8 @@
   if (bound == NULL)
     return RESULT_INVALID;
   set_socket_options (bound, gateway->limits.send_buffer_bytes);
-  if (getsockname (evhttp_bound_socket_get_fd (bound),
-                   (struct sockaddr *)&bound_address, &size)
-      != 0)
-    return RESULT_INTERNAL;
-  gateway->port = ntohs (bound_address.sin_port);
-  return RESULT_OK;
+  gateway->port = net_bound_port (evhttp_bound_socket_get_fd (bound));
+  return gateway->port != 0 ? RESULT_OK : RESULT_INTERNAL;
 }
 
 void
--- a/packages/peer/src/peer-internal.h
+++ b/packages/peer/src/peer-internal.h
@@ -93,8 +93,7 @@
 void peer_call_remove (struct peer_node *node, struct peer_call *call);
 
 /* strike.c */
-void peer_strike_acknowledged (struct peer_node *node,
-                               struct peer_broadcast *broadcast,
+void peer_strike_acknowledged (struct peer_broadcast *broadcast,
                                const char *host);
 void peer_strikes_tick (struct peer_node *node, int64_t now_ms);
 void peer_strikes_finish (struct peer_node *node);
--- a/packages/peer/src/serve.c
+++ b/packages/peer/src/serve.c
@@ -258,7 +258,7 @@
   if (call == NULL)
     return;
   if (call->kind == PEER_CALL_STRIKE)
-    peer_strike_acknowledged (in->node, call->broadcast, in->header->sender);
+    peer_strike_acknowledged (call->broadcast, in->header->sender);
   else
     take_ping_reply (in, call);
   peer_call_remove (in->node, call);
--- a/packages/peer/src/strike.c
+++ b/packages/peer/src/strike.c
@@ -27,11 +27,8 @@
 };
 
 void
-peer_strike_acknowledged (struct peer_node *node,
-                          struct peer_broadcast *broadcast,
-                          const char *host)
+peer_strike_acknowledged (struct peer_broadcast *broadcast, const char *host)
 {
-  (void)node;
   for (size_t i = 0; i < broadcast->receiver_count; i++)
     if (!broadcast->receivers[i].acknowledged
         && strcmp (broadcast->receivers[i].host, host) == 0)
