--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -21,7 +21,7 @@
 endfunction()
 
 function(waxwing_package_tests name dir)
-  if(WITH_FUZZERS)
+  if(WITH_FUZZERS OR NOT WITH_TESTS)
     return()
   endif()
   file(GLOB tests CONFIGURE_DEPENDS ${dir}/t[0-9]*.c)
--- /dev/null
+++ b/packages/balance/include/balance.h
@@ -0,0 +1,93 @@
+#ifndef BALANCE_BALANCE_H
+#define BALANCE_BALANCE_H
+
+#include "catalog.h"
+#include "endpoints.h"
+#include "result.h"
+#include "rng.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <uthash.h>
+
+/*
+ * Choice of the endpoint that gets a request, from what this entry host and
+ * its peers have running there.
+ *
+ * A lane is what is known of the work at one endpoint: an endpoint that serves
+ * alone, or the head of a group.  Times are milliseconds on CLOCK_BOOTTIME.
+ */
+
+#define BALANCE_EXCLUDE_LIMIT 4
+
+struct lane
+{
+  char id[CATALOG_NAME_SIZE];
+  struct endpoint *endpoint; /* NULL once it is gone */
+  unsigned running;          /* own requests there */
+  unsigned peer_running;     /* those of the other entry hosts */
+  int64_t progress_ms;       /* last sign of life of an own request */
+  int64_t avoid_ms;          /* gets no request before this moment */
+  double pause_ms;           /* moving mean of the time between events */
+  int64_t pause_seen_ms;     /* when that was last fed */
+  double failing;            /* moving mean of failures, 0 to 1 */
+  int64_t failed_ms;         /* last failure */
+  unsigned references;       /* connections and attempts that point here */
+  UT_hash_handle hh;
+};
+
+struct lanes
+{
+  struct lane *table; /* uthash by id */
+  struct rng rng;
+  char data_centre[CATALOG_NAME_SIZE]; /* of this entry host */
+};
+
+void lanes_init (struct lanes *lanes, const char *data_centre, uint64_t seed);
+void lanes_finish (struct lanes *lanes);
+
+/* Finds or adds the lane of an endpoint; NULL without memory. */
+struct lane *lanes_get (struct lanes *lanes, struct endpoint *endpoint);
+struct lane *lanes_find (const struct lanes *lanes, const char *id);
+
+/* The endpoint is gone; the lane goes with its last reference. */
+void lanes_detach (struct lanes *lanes, struct lane *lane);
+void lanes_ref (struct lane *lane);
+void lanes_unref (struct lanes *lanes, struct lane *lane);
+
+struct balance_request
+{
+  const struct catalog_service *service;
+  const struct catalog_model *model; /* NULL if endpoints serve alone */
+  bool urgent; /* can still meet its objective: may use the last slots */
+  const struct lane *excluded[BALANCE_EXCLUDE_LIMIT];
+  unsigned excluded_count;
+};
+
+enum balance_verdict
+{
+  BALANCE_CHOSEN,
+  BALANCE_FULL, /* all that could serve it have no room now */
+  BALANCE_NONE, /* nothing serves it */
+};
+
+/* The endpoint that starts the request soonest. */
+enum balance_verdict balance_choose (struct lanes *lanes,
+                                     const struct endpoints *endpoints,
+                                     const struct balance_request *request,
+                                     int64_t now_ms,
+                                     struct lane **chosen);
+
+/* Requests that an endpoint of the service runs at once. */
+unsigned balance_slots (const struct catalog_service *service,
+                        const struct endpoint *endpoint);
+
+/* What became of an attempt. */
+void balance_note_pause (struct lane *lane, int64_t pause_ms, int64_t now_ms);
+void balance_note_success (struct lane *lane, int64_t now_ms);
+void balance_note_failure (struct lane *lane, int64_t now_ms);
+
+/* The endpoint refused, or cannot be reached: avoided for this long. */
+void balance_avoid (struct lane *lane, int64_t until_ms);
+
+#endif
--- /dev/null
+++ b/packages/balance/src/lanes.c
@@ -0,0 +1,90 @@
+#include "balance.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+void
+lanes_init (struct lanes *lanes, const char *data_centre, uint64_t seed)
+{
+  size_t size = strnlen (data_centre, sizeof lanes->data_centre - 1);
+
+  memset (lanes, 0, sizeof *lanes);
+  memcpy (lanes->data_centre, data_centre, size);
+  rng_init (&lanes->rng, seed);
+}
+
+void
+lanes_finish (struct lanes *lanes)
+{
+  struct lane *lane = lanes->table;
+
+  HASH_CLEAR (hh, lanes->table);
+  while (lane != NULL)
+    {
+      struct lane *next = lane->hh.next;
+
+      free (lane);
+      lane = next;
+    }
+}
+
+struct lane *
+lanes_find (const struct lanes *lanes, const char *id)
+{
+  struct lane *lane;
+
+  HASH_FIND_STR (lanes->table, id, lane);
+  return lane;
+}
+
+struct lane *
+lanes_get (struct lanes *lanes, struct endpoint *endpoint)
+{
+  struct lane *lane = endpoint->link;
+
+  if (lane != NULL)
+    return lane;
+  lane = lanes_find (lanes, endpoint->id);
+  if (lane == NULL)
+    {
+      lane = calloc (1, sizeof *lane);
+      if (lane == NULL)
+        return NULL;
+      memcpy (lane->id, endpoint->id, sizeof lane->id);
+      HASH_ADD_STR (lanes->table, id, lane);
+    }
+  lane->endpoint = endpoint;
+  endpoint->link = lane;
+  return lane;
+}
+
+static void
+drop (struct lanes *lanes, struct lane *lane)
+{
+  if (lane->references > 0 || lane->endpoint != NULL)
+    return;
+  HASH_DELETE (hh, lanes->table, lane);
+  free (lane);
+}
+
+void
+lanes_detach (struct lanes *lanes, struct lane *lane)
+{
+  if (lane->endpoint != NULL)
+    lane->endpoint->link = NULL;
+  lane->endpoint = NULL;
+  drop (lanes, lane);
+}
+
+void
+lanes_ref (struct lane *lane)
+{
+  lane->references++;
+}
+
+void
+lanes_unref (struct lanes *lanes, struct lane *lane)
+{
+  lane->references--;
+  drop (lanes, lane);
+}
--- a/packages/base/include/log.h
+++ b/packages/base/include/log.h
@@ -92,6 +92,12 @@
                                         const char *line),
                        void *context);
 
+/*
+ * Lines go to standard output instead, which never blocks: while it takes no
+ * more, lines are dropped, counted and reported once it does.
+ */
+void log_to_output (void);
+
 /* Parses "error", "warning", "notice", "info" or "debug"; -1 if unknown. */
 int log_parse_level (const char *name);
 
--- a/packages/base/src/log.c
+++ b/packages/base/src/log.c
@@ -1,10 +1,12 @@
 #include "log.h"
 
+#include <fcntl.h>
 #include <inttypes.h>
 #include <stdarg.h>
 #include <stdbool.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/uio.h>
 #include <time.h>
 #include <unistd.h>
 
@@ -20,6 +22,7 @@
   void *sink_context;
   void (*observe) (void *context, enum log_level level, const char *line);
   void *observe_context;
+  uint64_t dropped; /* lines that standard output did not take */
 } state = { .program = "waxwinglink", .host = "-", .level = LOG_LEVEL_INFO };
 
 struct line
@@ -149,6 +152,49 @@
   state.observe_context = context;
 }
 
+/* One write per line, so that lines of different processes never mix. */
+static void
+write_output (void *context, enum log_level level, const char *text)
+{
+  struct iovec parts[3];
+  char lost[64];
+  int count = 0;
+  ssize_t size;
+  size_t wanted = strlen (text) + 1;
+
+  (void)context;
+  (void)level;
+  if (state.dropped > 0)
+    {
+      int n = snprintf (lost, sizeof lost, "event=log-lines-lost count=%" PRIu64
+                                           "\n",
+                        state.dropped);
+
+      parts[count].iov_base = lost;
+      parts[count++].iov_len = (size_t)n;
+      wanted += (size_t)n;
+    }
+  parts[count].iov_base = (char *)text;
+  parts[count++].iov_len = strlen (text);
+  parts[count].iov_base = "\n";
+  parts[count++].iov_len = 1;
+  size = writev (STDOUT_FILENO, parts, count);
+  if (size == (ssize_t)wanted)
+    state.dropped = 0;
+  else
+    state.dropped++;
+}
+
+void
+log_to_output (void)
+{
+  int flags = fcntl (STDOUT_FILENO, F_GETFL);
+
+  if (flags >= 0)
+    fcntl (STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+  log_set_sink (write_output, NULL);
+}
+
 int
 log_parse_level (const char *name)
 {
--- /dev/null
+++ b/packages/catalog/src/endpoints.c
@@ -0,0 +1,163 @@
+#include "endpoints.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/*
+ * Entries that lapsed while the platform was away are back within this time
+ * of its return if their endpoint lives (the users' platform promises 2 s).
+ */
+#define RETURN_MS 2200
+
+const char *
+endpoint_group_state_name (enum endpoint_group_state state)
+{
+  static const char *const names[] = {
+    [ENDPOINT_GROUP_NONE] = "none",       [ENDPOINT_GROUP_JOINING] = "joining",
+    [ENDPOINT_GROUP_READY] = "ready",     [ENDPOINT_GROUP_OPEN] = "open",
+    [ENDPOINT_GROUP_CLOSING] = "closing", [ENDPOINT_GROUP_BROKEN] = "broken",
+  };
+
+  return names[state];
+}
+
+void
+endpoints_init (struct endpoints *endpoints,
+                void (*removed) (void *context, struct endpoint *endpoint),
+                void *context)
+{
+  memset (endpoints, 0, sizeof *endpoints);
+  endpoints->removed = removed;
+  endpoints->context = context;
+}
+
+static void
+remove_endpoint (struct endpoints *endpoints, struct endpoint *endpoint)
+{
+  HASH_DELETE (hh, endpoints->table, endpoint);
+  if (endpoints->removed != NULL)
+    endpoints->removed (endpoints->context, endpoint);
+  free (endpoint);
+}
+
+void
+endpoints_finish (struct endpoints *endpoints)
+{
+  while (endpoints->table != NULL)
+    remove_endpoint (endpoints, endpoints->table);
+}
+
+struct endpoint *
+endpoints_find (const struct endpoints *endpoints, const char *id)
+{
+  struct endpoint *endpoint;
+
+  HASH_FIND_STR (endpoints->table, id, endpoint);
+  return endpoint;
+}
+
+static struct endpoint *
+add (struct endpoints *endpoints, const char *id)
+{
+  struct endpoint *endpoint;
+  size_t size = strlen (id);
+
+  if (size >= sizeof endpoint->id)
+    return NULL;
+  endpoint = calloc (1, sizeof *endpoint);
+  if (endpoint == NULL)
+    return NULL;
+  memcpy (endpoint->id, id, size + 1);
+  HASH_ADD_STR (endpoints->table, id, endpoint);
+  return endpoint;
+}
+
+enum result
+endpoints_report (struct endpoints *endpoints,
+                  const char *id,
+                  const struct endpoint_report *report,
+                  uint64_t revision,
+                  int64_t now_ms)
+{
+  struct endpoint *endpoint = endpoints_find (endpoints, id);
+
+  if (endpoint == NULL)
+    endpoint = add (endpoints, id);
+  if (endpoint == NULL)
+    return RESULT_NO_MEMORY;
+  endpoint->stale = false;
+  endpoint->deleted_ms = 0;
+  if (revision < endpoint->revision)
+    return RESULT_OK;
+  if (endpoint->report.started_ms != report->started_ms)
+    endpoint->leaving_since_ms = 0;
+  endpoint->report = *report;
+  endpoint->revision = revision;
+  if (report->leaving && endpoint->leaving_since_ms == 0)
+    endpoint->leaving_since_ms = now_ms;
+  return RESULT_OK;
+}
+
+void
+endpoints_delete (struct endpoints *endpoints, const char *id, int64_t now_ms)
+{
+  struct endpoint *endpoint = endpoints_find (endpoints, id);
+
+  if (endpoint != NULL && endpoint->deleted_ms == 0)
+    endpoint->deleted_ms = now_ms;
+}
+
+void
+endpoints_relist_begin (struct endpoints *endpoints)
+{
+  for (struct endpoint *endpoint = endpoints->table; endpoint != NULL;
+       endpoint = endpoint->hh.next)
+    endpoint->stale = true;
+}
+
+void
+endpoints_relist_end (struct endpoints *endpoints, int64_t now_ms)
+{
+  for (struct endpoint *endpoint = endpoints->table; endpoint != NULL;
+       endpoint = endpoint->hh.next)
+    if (endpoint->stale && endpoint->deleted_ms == 0)
+      endpoint->deleted_ms = now_ms;
+}
+
+void
+endpoints_distrust (struct endpoints *endpoints, int64_t now_ms)
+{
+  endpoints->believe_ms = now_ms + RETURN_MS;
+}
+
+void
+endpoints_tick (struct endpoints *endpoints, int64_t now_ms)
+{
+  struct endpoint *endpoint = endpoints->table;
+
+  if (now_ms < endpoints->believe_ms)
+    return;
+  while (endpoint != NULL)
+    {
+      struct endpoint *next = endpoint->hh.next;
+
+      if (endpoint->deleted_ms != 0)
+        remove_endpoint (endpoints, endpoint);
+      endpoint = next;
+    }
+}
+
+bool
+endpoint_is_usable (const struct endpoint *endpoint)
+{
+  return !endpoint->report.leaving;
+}
+
+bool
+endpoint_has_staged (const struct endpoint *endpoint, const char *model)
+{
+  for (unsigned i = 0; i < endpoint->report.staged_count; i++)
+    if (strcmp (endpoint->report.staged[i], model) == 0)
+      return true;
+  return false;
+}
--- a/packages/daemon/bin/main.c
+++ b/packages/daemon/bin/main.c
@@ -1,5 +1,7 @@
 #include "daemon.h"
+#include "edge.h"
 #include "log.h"
+#include "users-platform.h"
 
 #include <argtable2.h>
 #include <signal.h>
@@ -10,6 +12,8 @@
 
 static struct daemon instance;
 static struct settings settings;
+static struct edge edge;
+static struct edge_settings edge_settings;
 static struct settings_errors errors;
 
 static void
@@ -58,18 +62,53 @@
   return EXIT_SUCCESS;
 }
 
+/* An entry host on the users' platform. */
+static int
+run_edge (const char *path, bool check_only)
+{
+  enum result result
+      = settings_load_table (&edge_settings_table, &edge_settings, path,
+                             &errors);
+  int level = log_parse_level (edge_settings.log_level);
+  int status = EXIT_FAILURE;
+
+  if (result != RESULT_OK || level < 0)
+    {
+      print_errors ();
+      return EXIT_FAILURE;
+    }
+  if (check_only)
+    {
+      printf ("%s: good\n", path);
+      return EXIT_SUCCESS;
+    }
+  log_setup ("waxwinglinkd", edge_settings.host, (enum log_level)level);
+  log_to_output ();
+  signal (SIGPIPE, SIG_IGN);
+  result = edge_init (&edge, &users_platform, &edge_settings, path);
+  if (result == RESULT_OK)
+    {
+      edge_run (&edge);
+      edge_finish (&edge);
+      status = EXIT_SUCCESS;
+    }
+  return status;
+}
+
 int
 main (int argc, char **argv)
 {
   struct arg_file *file
       = arg_file0 ("s", "settings", "FILE", "settings file (YAML)");
+  struct arg_lit *platform
+      = arg_lit0 (NULL, "platform", "run on the users' platform");
   struct arg_lit *check
       = arg_lit0 (NULL, "check", "check the settings and exit");
   struct arg_lit *help = arg_lit0 ("h", "help", "show this help and exit");
   struct arg_lit *version
       = arg_lit0 (NULL, "version", "show the version and exit");
   struct arg_end *end = arg_end (10);
-  void *table[] = { file, check, help, version, end };
+  void *table[] = { file, platform, check, help, version, end };
   int status = EXIT_USAGE;
   int wrong;
 
@@ -95,7 +134,9 @@
                        "--help\n");
     }
   else
-    status = run (file->filename[0], check->count > 0);
+    status = platform->count > 0
+                 ? run_edge (file->filename[0], check->count > 0)
+                 : run (file->filename[0], check->count > 0);
 
 out:
   arg_freetable (table, sizeof table / sizeof table[0]);
--- /dev/null
+++ b/packages/edge/include/edge-settings.h
@@ -0,0 +1,33 @@
+#ifndef EDGE_EDGE_SETTINGS_H
+#define EDGE_EDGE_SETTINGS_H
+
+#include "settings.h"
+
+#include <stdint.h>
+
+/*
+ * Settings of an entry host on a provided platform; docs/settings.md lists
+ * them.  Addresses are "IP:PORT".
+ */
+struct edge_settings
+{
+  char host[SETTINGS_TEXT_SIZE];
+  char data_centre[SETTINGS_TEXT_SIZE];
+  struct settings_list data_centres;
+  char log_level[SETTINGS_TEXT_SIZE];
+  char callers_listen[SETTINGS_TEXT_SIZE];
+  char readiness_listen[SETTINGS_TEXT_SIZE];
+  char peers_address[SETTINGS_TEXT_SIZE];
+  int64_t peers_port;
+  char platform_store[SETTINGS_TEXT_SIZE];
+  double drain_limit_s;
+  int64_t keys_revoke_ms;
+  double retry_ratio;
+  int64_t retry_slack;
+  int64_t retry_window_s;
+  int64_t groups_stall_ms;
+};
+
+extern const struct settings_table edge_settings_table;
+
+#endif
--- /dev/null
+++ b/packages/edge/include/edge.h
@@ -0,0 +1,80 @@
+#ifndef EDGE_EDGE_H
+#define EDGE_EDGE_H
+
+#include "adapter.h"
+#include "counter.h"
+#include "edge-settings.h"
+#include "endpoints.h"
+#include "follower.h"
+#include "leader.h"
+#include "records.h"
+#include "relay.h"
+
+#include <event2/event.h>
+#include <event2/http.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/*
+ * An entry host on a provided platform: follows the configuration and the
+ * endpoints, forwards requests, and forms the groups of its data centre while
+ * it holds the lease.
+ */
+
+enum edge_phase
+{
+  EDGE_RUNNING,
+  EDGE_LEAVING, /* not ready; answers what it has and what still arrives */
+  EDGE_CLOSING, /* no new connections */
+};
+
+struct edge
+{
+  struct edge_settings settings;
+  const char *settings_path;
+  const struct adapter *adapter;
+  char boot_id[64];
+  struct event_base *base;
+  struct event *tick;
+  struct event *on_term;
+  struct event *on_hup;
+  struct evhttp *readiness;
+  struct counter_set counters;
+  struct endpoints endpoints;
+  struct records records;
+  struct follower configuration;
+  struct follower entries;
+  struct relay relay;
+  struct leader leader;
+  enum edge_phase phase;
+  int64_t phase_ms;
+  int64_t now_ms;
+};
+
+enum result edge_init (struct edge *edge,
+                       const struct adapter *adapter,
+                       const struct edge_settings *settings,
+                       const char *settings_path);
+void edge_run (struct edge *edge);
+void edge_finish (struct edge *edge);
+
+/* True if this host may get new connections. */
+bool edge_is_ready (const struct edge *edge);
+
+/* follow.c */
+void edge_follow_init (struct edge *edge);
+
+/* readiness.c */
+enum result edge_readiness_init (struct edge *edge);
+
+/* stop.c */
+void edge_stop (struct edge *edge);
+void edge_stop_tick (struct edge *edge);
+
+/* "IP:PORT"; false if it is not. */
+bool edge_parse_address (const char *text,
+                         char *address,
+                         size_t size,
+                         uint16_t *port);
+
+#endif
--- /dev/null
+++ b/packages/edge/include/leader.h
@@ -0,0 +1,52 @@
+#ifndef EDGE_LEADER_H
+#define EDGE_LEADER_H
+
+#include "adapter.h"
+#include "endpoints.h"
+#include "formation.h"
+#include "lease.h"
+#include "orders.h"
+#include "records.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/*
+ * Competes for the lease of the data centre and, while it holds it, carries
+ * out the formation of groups.
+ */
+struct leader
+{
+  struct event_base *base;
+  const struct adapter *adapter;
+  struct records *records;
+  const struct endpoints *endpoints;
+  struct lease lease;
+  struct formation formation;
+  struct orders orders;
+  char lease_name[CATALOG_NAME_SIZE];
+  bool acting;
+  int64_t now_ms;
+  int64_t lease_sent_ms;
+};
+
+void leader_init (struct leader *leader,
+                  struct event_base *base,
+                  const struct adapter *adapter,
+                  struct records *records,
+                  const struct endpoints *endpoints,
+                  const struct formation_settings *settings,
+                  const char *self);
+void leader_finish (struct leader *leader);
+
+/* traffic: requests have been seen. */
+void leader_tick (struct leader *leader,
+                  const struct catalog *catalog,
+                  bool traffic,
+                  int64_t now_ms);
+
+/* Gives the lease back; done when leader_is_done. */
+void leader_leave (struct leader *leader);
+bool leader_is_done (const struct leader *leader);
+
+#endif
--- /dev/null
+++ b/packages/edge/src/edge-settings.c
@@ -0,0 +1,26 @@
+#include "edge-settings.h"
+
+#define AT(field) offsetof (struct edge_settings, field)
+
+/* clang-format off */
+static const struct settings_key keys[] = {
+  { "host", SETTINGS_STRING, "", NULL, 1, 63, "Name of this entry host, unique in the fleet.", AT (host) },
+  { "data_centre", SETTINGS_STRING, "", NULL, 1, 63, "Data centre of this entry host.", AT (data_centre) },
+  { "data_centres", SETTINGS_LIST, "", "", 0, 0, "All data centres of the deployment.", AT (data_centres) },
+  { "log_level", SETTINGS_STRING, "", "info", 1, 63, "error, warning, notice, info or debug.", AT (log_level) },
+  { "callers.listen", SETTINGS_STRING, "", NULL, 9, 63, "IP:PORT that callers reach.", AT (callers_listen) },
+  { "readiness.listen", SETTINGS_STRING, "", NULL, 9, 63, "IP:PORT for the platform's readiness check, and /metrics.", AT (readiness_listen) },
+  { "peers.address", SETTINGS_ADDRESS, "", NULL, 0, 0, "IP number for the other entry hosts.", AT (peers_address) },
+  { "peers.port", SETTINGS_INTEGER, "", NULL, 1, 65535, "UDP port for the other entry hosts, the same on all.", AT (peers_port) },
+  { "platform.store", SETTINGS_STRING, "", NULL, 9, 63, "IP:PORT of the platform's store.", AT (platform_store) },
+  { "drain.limit_s", SETTINGS_REAL, "s", "8", 1, 3600, "Time after SIGTERM until the platform kills the process.", AT (drain_limit_s) },
+  { "keys.revoke_ms", SETTINGS_INTEGER, "ms", "5000", 500, 3600000, "A key that was taken away is refused within this time.", AT (keys_revoke_ms) },
+  { "retry.ratio", SETTINGS_REAL, "", "0.1", 0, 10, "Retries of the whole fleet, as a part of the requests for a service.", AT (retry_ratio) },
+  { "retry.slack", SETTINGS_INTEGER, "", "0", 0, 1000000, "Retries of the whole fleet besides, per window.", AT (retry_slack) },
+  { "retry.window_s", SETTINGS_INTEGER, "s", "10", 1, 3600, "Window of retry.slack.", AT (retry_window_s) },
+  { "groups.stall_ms", SETTINGS_INTEGER, "ms", "4000", 100, 600000, "A group that lost a member stands still for this long, then breaks.", AT (groups_stall_ms) },
+};
+/* clang-format on */
+
+const struct settings_table edge_settings_table
+    = { keys, sizeof keys / sizeof keys[0], sizeof (struct edge_settings) };
--- /dev/null
+++ b/packages/edge/src/edge.c
@@ -0,0 +1,250 @@
+#include "edge.h"
+
+#include "hash.h"
+#include "log.h"
+#include "timeutil.h"
+#include "uuid.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/*
+ * A key taken away is refused within keys.revoke_ms of that by any host, so
+ * each accepts keys only this long after it last knew the configuration to be
+ * current.  The rest covers a store that holds changes back for a second.
+ */
+#define KEY_MARGIN_MS 1500
+/* Denials need a configuration proven current this recently. */
+#define DENY_PROOF_MS 2600
+/* Part of the fleet's retry slack that is given out at all. */
+#define SLACK_PART 0.8
+/* Part of the ratio that is used; windows differ between hosts. */
+#define RATIO_PART 0.8
+#define COUNTER_LIMIT 2000
+/* Entry hosts that share the retry slack until their number is known. */
+#define ASSUMED_HOSTS 21
+
+bool
+edge_parse_address (const char *text,
+                    char *address,
+                    size_t size,
+                    uint16_t *port)
+{
+  const char *colon = strrchr (text, ':');
+  char *end;
+  long number;
+
+  if (colon == NULL || (size_t)(colon - text) >= size)
+    return false;
+  number = strtol (colon + 1, &end, 10);
+  if (end == colon + 1 || *end != '\0' || number <= 0 || number > UINT16_MAX)
+    return false;
+  memcpy (address, text, (size_t)(colon - text));
+  address[colon - text] = '\0';
+  *port = (uint16_t)number;
+  return true;
+}
+
+bool
+edge_is_ready (const struct edge *edge)
+{
+  return edge->phase == EDGE_RUNNING && edge->relay.catalog != NULL
+         && edge->entries.listed;
+}
+
+static void
+on_tick (evutil_socket_t fd, short what, void *context)
+{
+  struct edge *edge = context;
+
+  (void)fd;
+  (void)what;
+  edge->now_ms = time_boot_ms ();
+  records_tick (&edge->records, edge->now_ms);
+  follower_tick (&edge->configuration, edge->now_ms);
+  follower_tick (&edge->entries, edge->now_ms);
+  endpoints_tick (&edge->endpoints, edge->now_ms);
+  edge->relay.catalog_proof_ms = edge->configuration.proof_ms;
+  relay_tick (&edge->relay, edge->now_ms);
+  leader_tick (&edge->leader, edge->relay.catalog, edge->relay.saw_request,
+               edge->now_ms);
+  edge_stop_tick (edge);
+}
+
+static void
+on_term (evutil_socket_t fd, short what, void *context)
+{
+  struct edge *edge = context;
+
+  (void)fd;
+  (void)what;
+  edge->now_ms = time_boot_ms ();
+  edge_stop (edge);
+}
+
+static void
+on_hup (evutil_socket_t fd, short what, void *context)
+{
+  struct edge *edge = context;
+  struct edge_settings *settings = malloc (sizeof *settings);
+  struct settings_errors *errors = malloc (sizeof *errors);
+  enum result result = RESULT_NO_MEMORY;
+
+  (void)fd;
+  (void)what;
+  if (settings != NULL && errors != NULL)
+    result = settings_load_table (&edge_settings_table, settings,
+                                  edge->settings_path, errors);
+  /* Addresses and names are fixed for the life of the process. */
+  if (result == RESULT_OK)
+    {
+      edge->settings.drain_limit_s = settings->drain_limit_s;
+      edge->settings.keys_revoke_ms = settings->keys_revoke_ms;
+      log_set_level ((enum log_level)log_parse_level (settings->log_level));
+    }
+  LOG_EVENT (LOG_LEVEL_NOTICE, "settings-reloaded", LOG_INT ("code", result));
+  free (settings);
+  free (errors);
+}
+
+static void
+on_removed (void *context, struct endpoint *endpoint)
+{
+  struct edge *edge = context;
+
+  relay_endpoint_removed (&edge->relay, endpoint);
+}
+
+static enum result
+start_timers (struct edge *edge)
+{
+  const struct timeval interval = { 0, RELAY_TICK_MS * 1000 };
+
+  edge->tick = event_new (edge->base, -1, EV_PERSIST, on_tick, edge);
+  edge->on_term = evsignal_new (edge->base, SIGTERM, on_term, edge);
+  edge->on_hup = evsignal_new (edge->base, SIGHUP, on_hup, edge);
+  if (edge->tick == NULL || edge->on_term == NULL || edge->on_hup == NULL)
+    return RESULT_NO_MEMORY;
+  event_add (edge->tick, &interval);
+  event_add (edge->on_term, NULL);
+  event_add (edge->on_hup, NULL);
+  return RESULT_OK;
+}
+
+static enum result
+start_relay (struct edge *edge)
+{
+  const struct edge_settings *settings = &edge->settings;
+  const struct relay_limits limits = {
+    .key_proof_ms = settings->keys_revoke_ms - KEY_MARGIN_MS,
+    .route_proof_ms = DENY_PROOF_MS,
+    .retry_ratio = settings->retry_ratio * RATIO_PART,
+    .retry_slack
+    = (double)settings->retry_slack * SLACK_PART / ASSUMED_HOSTS,
+    .retry_window_ms = settings->retry_window_s * 1000,
+  };
+  char address[SETTINGS_TEXT_SIZE];
+  uint16_t port;
+  enum result result;
+
+  if (!edge_parse_address (settings->callers_listen, address, sizeof address,
+                           &port))
+    return RESULT_SETTINGS_BAD_VALUE;
+  result = relay_init (&edge->relay, edge->base, edge->adapter->names, &limits,
+                       &edge->endpoints, &edge->counters,
+                       settings->data_centre,
+                       hash_string (edge->boot_id, 0));
+  if (result != RESULT_OK)
+    return result;
+  return relay_listen (&edge->relay, address, port);
+}
+
+static enum result
+start_platform (struct edge *edge)
+{
+  const struct edge_settings *settings = &edge->settings;
+  struct formation_settings formation = {
+    .data_centres = (unsigned)settings->data_centres.count,
+    .stall_ms = settings->groups_stall_ms,
+  };
+  char address[SETTINGS_TEXT_SIZE];
+  char self[LEASE_NAME_SIZE];
+  uint16_t port;
+
+  if (!edge_parse_address (settings->platform_store, address, sizeof address,
+                           &port))
+    return RESULT_SETTINGS_BAD_VALUE;
+  snprintf (formation.data_centre, sizeof formation.data_centre, "%.63s",
+            settings->data_centre);
+  snprintf (self, sizeof self, "%.40s/%.20s", settings->host, edge->boot_id);
+  records_init (&edge->records, edge->base, edge->adapter->records, address,
+                port);
+  edge_follow_init (edge);
+  leader_init (&edge->leader, edge->base, edge->adapter, &edge->records,
+               &edge->endpoints, &formation, self);
+  return RESULT_OK;
+}
+
+enum result
+edge_init (struct edge *edge,
+           const struct adapter *adapter,
+           const struct edge_settings *settings,
+           const char *settings_path)
+{
+  enum result result;
+
+  memset (edge, 0, sizeof *edge);
+  edge->settings = *settings;
+  edge->settings_path = settings_path;
+  edge->adapter = adapter;
+  edge->now_ms = time_boot_ms ();
+  snprintf (edge->boot_id, sizeof edge->boot_id, "%016llx",
+            (unsigned long long)hash_number ((uint64_t)time_wall_ms (),
+                                             hash_string (settings->host,
+                                                          (uint64_t)
+                                                              edge->now_ms)));
+  counter_set_init (&edge->counters, COUNTER_LIMIT);
+  endpoints_init (&edge->endpoints, on_removed, edge);
+  edge->base = event_base_new ();
+  if (edge->base == NULL)
+    return RESULT_NO_MEMORY;
+  result = start_relay (edge);
+  if (result == RESULT_OK)
+    result = edge_readiness_init (edge);
+  if (result == RESULT_OK)
+    result = start_platform (edge);
+  if (result == RESULT_OK)
+    result = start_timers (edge);
+  LOG_EVENT (LOG_LEVEL_NOTICE, "started", LOG_INT ("code", result),
+             LOG_STR ("data_centre", settings->data_centre),
+             LOG_STR ("boot_id", edge->boot_id));
+  return result;
+}
+
+void
+edge_run (struct edge *edge)
+{
+  event_base_dispatch (edge->base);
+}
+
+void
+edge_finish (struct edge *edge)
+{
+  LOG_EVENT (LOG_LEVEL_NOTICE, "stopped",
+             LOG_U64 ("in_flight", relay_in_flight (&edge->relay)));
+  leader_finish (&edge->leader);
+  records_finish (&edge->records);
+  relay_finish (&edge->relay);
+  endpoints_finish (&edge->endpoints);
+  if (edge->readiness != NULL)
+    evhttp_free (edge->readiness);
+  event_free (edge->tick);
+  event_free (edge->on_term);
+  event_free (edge->on_hup);
+  /* Runs the pending releases of memory. */
+  event_base_loop (edge->base, EVLOOP_NONBLOCK);
+  event_base_free (edge->base);
+  counter_set_finish (&edge->counters);
+}
--- /dev/null
+++ b/packages/edge/src/leader.c
@@ -0,0 +1,222 @@
+#include "leader.h"
+
+#include "hash.h"
+#include "log.h"
+#include "timeutil.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/*
+ * A data centre without a holder of the lease repairs nothing, so the lease is
+ * short; a write takes a few ms, and one lost answer leaves time for another.
+ */
+#define LEASE_TTL_MS 3000
+#define LEASE_RENEW_MS 800
+#define LEASE_MARGIN_MS 600
+#define LEASE_QUIET_MS 400
+#define LEASE_STAGGER_MS 150
+#define LEASE_POLL_MS 1500
+#define LEASE_SLOW_POLL_MS 4000
+#define LEASE_RETRY_MS 250
+#define LEASE_RANKS 4      /* candidates are spread over this many delays */
+#define LEASE_CALL_MS 1000 /* a call without an answer for this long is lost */
+
+static void
+send_order (void *context, const struct formation_order *order)
+{
+  struct leader *leader = context;
+  struct endpoint *endpoint
+      = endpoints_find (leader->endpoints, order->endpoint);
+
+  if (endpoint == NULL || !lease_may_act (&leader->lease, time_boot_ms ()))
+    return;
+  LOG_EVENT (LOG_LEVEL_INFO, "order",
+             LOG_STR ("op", formation_op_name (order->op)),
+             LOG_STR ("endpoint", order->endpoint),
+             LOG_STR ("group", order->group), LOG_U64 ("epoch", order->epoch),
+             LOG_STR ("model", order->model),
+             LOG_U64 ("revision", endpoint->revision),
+             LOG_STR ("state", endpoint_group_state_name (
+                                   endpoint->report.state)),
+             LOG_STR ("reason", order->reason));
+  orders_send (&leader->orders, order, lease_fence (&leader->lease),
+               endpoint->report.address, endpoint->report.port,
+               leader->now_ms);
+}
+
+static void
+group_changed (void *context,
+               const struct formation_group *group,
+               const char *reason)
+{
+  const struct leader *leader = context;
+
+  LOG_EVENT (LOG_LEVEL_NOTICE, "group", LOG_STR ("group", group->name),
+             LOG_U64 ("epoch", group->epoch), LOG_STR ("model", group->model),
+             LOG_STR ("domain", group->domain),
+             LOG_STR ("head", group->members[0]),
+             LOG_STR ("phase", formation_phase_name (group->phase)),
+             LOG_U64 ("fence", leader->formation.fence),
+             LOG_STR ("reason", reason));
+}
+
+static bool
+is_silent (void *context, const struct endpoint *endpoint)
+{
+  (void)context;
+  (void)endpoint;
+  return false;
+}
+
+static void
+order_fenced (void *context, const char *endpoint)
+{
+  struct leader *leader = context;
+  struct formation_member *member;
+
+  HASH_FIND_STR (leader->formation.members, endpoint, member);
+  if (member != NULL)
+    member->hold_ms = leader->now_ms + LEASE_TTL_MS;
+}
+
+void
+leader_init (struct leader *leader,
+             struct event_base *base,
+             const struct adapter *adapter,
+             struct records *records,
+             const struct endpoints *endpoints,
+             const struct formation_settings *settings,
+             const char *self)
+{
+  struct lease_settings lease = {
+    .ttl_ms = LEASE_TTL_MS,
+    .renew_ms = LEASE_RENEW_MS,
+    .margin_ms = LEASE_MARGIN_MS,
+    .quiet_ms = LEASE_QUIET_MS,
+    .stagger_ms = LEASE_STAGGER_MS,
+    .poll_ms = LEASE_POLL_MS,
+    .slow_poll_ms = LEASE_SLOW_POLL_MS,
+    .poll_ranks = LEASE_RANKS / 2,
+    .retry_ms = LEASE_RETRY_MS,
+  };
+
+  memset (leader, 0, sizeof *leader);
+  leader->base = base;
+  leader->adapter = adapter;
+  leader->records = records;
+  leader->endpoints = endpoints;
+  memcpy (leader->lease_name, settings->data_centre,
+          sizeof leader->lease_name);
+  lease_init (&leader->lease, &lease, self,
+              (unsigned)(hash_string (self, 0) % LEASE_RANKS));
+  formation_init (&leader->formation, settings);
+  orders_init (&leader->orders, base, adapter, order_fenced, leader);
+}
+
+void
+leader_finish (struct leader *leader)
+{
+  orders_finish (&leader->orders);
+  formation_finish (&leader->formation);
+}
+
+static void
+on_read (void *context, const struct records_answer *answer)
+{
+  struct leader *leader = context;
+  struct lease_value value = { .fence = 0 };
+  enum result result = answer->result;
+
+  if (result == RESULT_OK)
+    result = answer->record != NULL && answer->record->value != NULL
+                 ? lease_value_from_json (&value, answer->record->value)
+                 : RESULT_PLATFORM_BAD_ANSWER;
+  lease_on_read (&leader->lease, result, &value, answer->revision,
+                 time_boot_ms ());
+}
+
+static void
+on_write (void *context, const struct records_answer *answer)
+{
+  struct leader *leader = context;
+
+  lease_on_write (&leader->lease, answer->result, answer->revision,
+                  time_boot_ms ());
+}
+
+static void
+act_on_lease (struct leader *leader)
+{
+  struct lease_action action = lease_tick (&leader->lease, leader->now_ms);
+  struct records_request request = {
+    .kind = RECORDS_LEASES,
+    .name = leader->lease_name,
+    .verb = RECORDS_READ,
+    .revision = action.version,
+  };
+  json_t *value = NULL;
+
+  switch (action.kind)
+    {
+    case LEASE_NOTHING:
+      return;
+    case LEASE_READ:
+      records_call (leader->records, &request, LEASE_CALL_MS, on_read, leader);
+      return;
+    case LEASE_WRITE:
+      value = lease_value_to_json (&action.value);
+      request.verb = action.version == 0 ? RECORDS_CREATE : RECORDS_REPLACE;
+      request.value = value;
+      records_call (leader->records, &request, LEASE_CALL_MS, on_write, leader);
+      json_decref (value);
+      return;
+    }
+}
+
+static void
+note_lease (struct leader *leader)
+{
+  bool acting = lease_may_act (&leader->lease, leader->now_ms);
+  uint64_t fence = acting ? lease_fence (&leader->lease) : 0;
+
+  if (acting != leader->acting)
+    LOG_EVENT (LOG_LEVEL_NOTICE, acting ? "lease-acquired" : "lease-lost",
+               LOG_STR ("lease", leader->lease_name),
+               LOG_U64 ("fence", leader->lease.value.fence),
+               LOG_U64 ("revision", leader->lease.version));
+  leader->acting = acting;
+  formation_set_fence (&leader->formation, fence, leader->now_ms);
+}
+
+void
+leader_tick (struct leader *leader,
+             const struct catalog *catalog,
+             bool traffic,
+             int64_t now_ms)
+{
+  const struct formation_hooks hooks
+      = { leader, send_order, group_changed, is_silent };
+
+  leader->now_ms = now_ms;
+  orders_tick (&leader->orders, now_ms);
+  act_on_lease (leader);
+  note_lease (leader);
+  if (traffic)
+    leader->formation.traffic = true;
+  formation_tick (&leader->formation, leader->endpoints, catalog, &hooks,
+                  now_ms);
+}
+
+void
+leader_leave (struct leader *leader)
+{
+  lease_release (&leader->lease);
+}
+
+bool
+leader_is_done (const struct leader *leader)
+{
+  return leader->lease.phase == LEASE_RELEASED
+         || leader->lease.phase == LEASE_FOLLOWING;
+}
--- /dev/null
+++ b/packages/edge/src/orders.c
@@ -0,0 +1,201 @@
+#include "orders.h"
+
+#include "http-connection.h"
+#include "log.h"
+#include "timeutil.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* An order without an answer for this long counts as lost. */
+#define ORDER_MS 1500
+#define HEADER_BYTES 16384
+
+struct order_call
+{
+  struct orders *orders;
+  struct http_connection connection;
+  enum formation_op op;
+  char endpoint[CATALOG_NAME_SIZE];
+  char group[CATALOG_NAME_SIZE];
+  uint64_t fence;
+  int64_t sent_ms;
+  unsigned status;
+  struct http_text request;
+  TAILQ_ENTRY (order_call) link;
+};
+
+static void
+close_call (struct order_call *call)
+{
+  TAILQ_REMOVE (&call->orders->calls, call, link);
+  http_connection_finish (&call->connection);
+  http_text_finish (&call->request);
+  http_free_later (call->orders->base, call);
+}
+
+static void
+end_call (struct order_call *call, enum result result)
+{
+  struct orders *orders = call->orders;
+
+  LOG_EVENT (result == RESULT_OK ? LOG_LEVEL_INFO : LOG_LEVEL_NOTICE,
+             "order-answered", LOG_STR ("op", formation_op_name (call->op)),
+             LOG_STR ("endpoint", call->endpoint),
+             LOG_STR ("group", call->group), LOG_U64 ("fence", call->fence),
+             LOG_U64 ("status", call->status), LOG_INT ("code", result),
+             LOG_INT ("after_ms", time_boot_ms () - call->sent_ms));
+  if (result == RESULT_ORDER_FENCED && orders->fenced != NULL)
+    orders->fenced (orders->context, call->endpoint);
+  close_call (call);
+}
+
+static void
+on_connected (void *context)
+{
+  struct order_call *call = context;
+
+  http_connection_write (&call->connection, call->request.data,
+                         call->request.size);
+}
+
+static void
+on_head (void *context, const struct http_head *head)
+{
+  struct order_call *call = context;
+
+  call->status = head->status;
+}
+
+static void
+on_body (void *context, const char *data, size_t size)
+{
+  (void)context;
+  (void)data;
+  (void)size;
+}
+
+static void
+on_complete (void *context)
+{
+  struct order_call *call = context;
+
+  end_call (call, call->orders->adapter->decode_order_status (call->status));
+}
+
+static void
+on_closed (void *context, enum http_end end)
+{
+  (void)end;
+  end_call (context, RESULT_ORDER_LOST);
+}
+
+static const struct http_events events = {
+  .connected = on_connected,
+  .head = on_head,
+  .body = on_body,
+  .complete = on_complete,
+  .closed = on_closed,
+};
+
+void
+orders_init (struct orders *orders,
+             struct event_base *base,
+             const struct adapter *adapter,
+             void (*fenced) (void *context, const char *endpoint),
+             void *context)
+{
+  memset (orders, 0, sizeof *orders);
+  orders->base = base;
+  orders->adapter = adapter;
+  orders->fenced = fenced;
+  orders->context = context;
+  TAILQ_INIT (&orders->calls);
+}
+
+void
+orders_finish (struct orders *orders)
+{
+  struct order_call *call;
+
+  while ((call = TAILQ_FIRST (&orders->calls)) != NULL)
+    close_call (call);
+}
+
+static void
+encode (struct order_call *call,
+        const struct formation_order *order,
+        const char *address,
+        uint16_t port)
+{
+  struct http_text target;
+  struct http_text body;
+
+  http_text_init (&target);
+  http_text_init (&body);
+  call->orders->adapter->encode_order (order, call->fence, &target, &body);
+  http_text_format (&call->request,
+                    "POST %s HTTP/1.1\r\nHost: %s:%u\r\n"
+                    "Content-Type: application/json\r\n"
+                    "Content-Length: %zu\r\nConnection: close\r\n\r\n",
+                    target.data != NULL ? target.data : "/", address, port,
+                    body.size);
+  http_text_add (&call->request, body.data, body.size);
+  if (target.failed || body.failed)
+    call->request.failed = true;
+  http_text_finish (&target);
+  http_text_finish (&body);
+}
+
+void
+orders_send (struct orders *orders,
+             const struct formation_order *order,
+             uint64_t fence,
+             const char *address,
+             uint16_t port,
+             int64_t now_ms)
+{
+  const struct http_limits limits = { HEADER_BYTES, HEADER_BYTES };
+  struct order_call *call = calloc (1, sizeof *call);
+
+  if (call == NULL)
+    goto failed;
+  call->orders = orders;
+  call->op = order->op;
+  call->fence = fence;
+  call->sent_ms = now_ms;
+  memcpy (call->endpoint, order->endpoint, strlen (order->endpoint) + 1);
+  memcpy (call->group, order->group, strlen (order->group) + 1);
+  http_text_init (&call->request);
+  encode (call, order, address, port);
+  if (call->request.failed
+      || http_connection_connect (&call->connection, orders->base, address,
+                                  port, ORDER_MS, &limits, &events, call)
+             != RESULT_OK)
+    goto failed;
+  TAILQ_INSERT_TAIL (&orders->calls, call, link);
+  return;
+
+failed:
+  LOG_EVENT (LOG_LEVEL_WARNING, "order-not-sent",
+             LOG_STR ("op", formation_op_name (order->op)),
+             LOG_STR ("endpoint", order->endpoint));
+  if (call != NULL)
+    http_text_finish (&call->request);
+  free (call);
+}
+
+void
+orders_tick (struct orders *orders, int64_t now_ms)
+{
+  struct order_call *call = TAILQ_FIRST (&orders->calls);
+
+  while (call != NULL)
+    {
+      struct order_call *next = TAILQ_NEXT (call, link);
+
+      if (now_ms - call->sent_ms >= ORDER_MS)
+        end_call (call, RESULT_ORDER_LOST);
+      call = next;
+    }
+}
--- /dev/null
+++ b/packages/edge/src/readiness.c
@@ -0,0 +1,98 @@
+#include "edge.h"
+#include "log.h"
+
+#include <event2/buffer.h>
+#include <stdio.h>
+#include <string.h>
+
+static void
+on_ready (struct evhttp_request *request, void *context)
+{
+  const struct edge *edge = context;
+
+  if (edge_is_ready (edge))
+    evhttp_send_reply (request, 200, "OK", NULL);
+  else
+    evhttp_send_reply (request, 503, "Not ready", NULL);
+}
+
+static void
+add_line (void *context, const char *line)
+{
+  evbuffer_add (context, line, strlen (line));
+}
+
+static void
+put_histogram (struct edge *edge,
+               const char *name,
+               const struct histogram *histogram)
+{
+  static const struct
+  {
+    const char *label;
+    double quantile;
+  } quantiles[] = { { "quantile=\"0.5\"", 0.5 },
+                    { "quantile=\"0.95\"", 0.95 },
+                    { "quantile=\"0.99\"", 0.99 } };
+  char count[128];
+
+  for (size_t i = 0; i < sizeof quantiles / sizeof quantiles[0]; i++)
+    counter_put (&edge->counters, name, quantiles[i].label,
+                 (double)histogram_quantile (histogram,
+                                             quantiles[i].quantile));
+  snprintf (count, sizeof count, "%s_count", name);
+  counter_put (&edge->counters, count, NULL, (double)histogram->count);
+}
+
+static void
+on_metrics (struct evhttp_request *request, void *context)
+{
+  struct edge *edge = context;
+  struct counter_set *counters = &edge->counters;
+
+  counter_put (counters, "waxwing_requests_in_flight", NULL,
+               relay_in_flight (&edge->relay));
+  counter_put (counters, "waxwing_callers", NULL, edge->relay.caller_count);
+  counter_put (counters, "waxwing_endpoints", NULL,
+               HASH_COUNT (edge->endpoints.table));
+  counter_put (counters, "waxwing_platform_calls_total", NULL,
+               (double)edge->records.calls);
+  counter_put (counters, "waxwing_platform_failures_total", NULL,
+               (double)edge->records.failures);
+  counter_put (counters, "waxwing_configuration_version", NULL,
+               edge->relay.catalog != NULL
+                   ? (double)edge->relay.catalog->version
+                   : 0);
+  counter_put (counters, "waxwing_configuration_proof_age_ms", NULL,
+               (double)(edge->now_ms - edge->configuration.proof_ms));
+  counter_put (counters, "waxwing_lease_held", NULL, edge->leader.acting);
+  put_histogram (edge, "waxwing_first_event_ms", &edge->relay.first_event_ms);
+  put_histogram (edge, "waxwing_answer_ms", &edge->relay.answer_ms);
+  counter_write (counters, add_line,
+                 evhttp_request_get_output_buffer (request));
+  evhttp_add_header (evhttp_request_get_output_headers (request),
+                     "Content-Type", "text/plain; version=0.0.4");
+  evhttp_send_reply (request, 200, "OK", NULL);
+}
+
+enum result
+edge_readiness_init (struct edge *edge)
+{
+  char address[SETTINGS_TEXT_SIZE];
+  uint16_t port;
+
+  if (!edge_parse_address (edge->settings.readiness_listen, address,
+                           sizeof address, &port))
+    return RESULT_SETTINGS_BAD_VALUE;
+  edge->readiness = evhttp_new (edge->base);
+  if (edge->readiness == NULL)
+    return RESULT_NO_MEMORY;
+  evhttp_set_allowed_methods (edge->readiness, EVHTTP_REQ_GET);
+  if (evhttp_set_cb (edge->readiness, edge->adapter->ready_path, on_ready, edge)
+          != 0
+      || evhttp_set_cb (edge->readiness, "/metrics", on_metrics, edge) != 0)
+    return RESULT_NO_MEMORY;
+  return evhttp_bind_socket (edge->readiness, address, port) == 0
+             ? RESULT_OK
+             : RESULT_INVALID;
+}
--- /dev/null
+++ b/packages/edge/src/stop.c
@@ -0,0 +1,43 @@
+#include "edge.h"
+#include "log.h"
+
+/*
+ * The platform stops sending connections after two readiness checks a second
+ * apart without a good answer.
+ */
+#define OUT_OF_ROTATION_MS 2600
+/* The process ends this long before it would be killed. */
+#define KILL_MARGIN_MS 500
+
+void
+edge_stop (struct edge *edge)
+{
+  if (edge->phase != EDGE_RUNNING)
+    return;
+  edge->phase = EDGE_LEAVING;
+  edge->phase_ms = edge->now_ms;
+  LOG_EVENT (LOG_LEVEL_NOTICE, "stopping",
+             LOG_U64 ("in_flight", relay_in_flight (&edge->relay)));
+  relay_leave (&edge->relay);
+  leader_leave (&edge->leader);
+}
+
+void
+edge_stop_tick (struct edge *edge)
+{
+  int64_t stopping_ms = edge->now_ms - edge->phase_ms;
+  int64_t limit_ms
+      = (int64_t)(edge->settings.drain_limit_s * 1000) - KILL_MARGIN_MS;
+
+  if (edge->phase == EDGE_RUNNING)
+    return;
+  if (edge->phase == EDGE_LEAVING && stopping_ms >= OUT_OF_ROTATION_MS)
+    {
+      edge->phase = EDGE_CLOSING;
+      relay_stop_listening (&edge->relay);
+    }
+  if (stopping_ms >= limit_ms
+      || (edge->phase == EDGE_CLOSING && relay_in_flight (&edge->relay) == 0
+          && leader_is_done (&edge->leader)))
+    event_base_loopbreak (edge->base);
+}
--- /dev/null
+++ b/packages/formation/src/formation.c
@@ -0,0 +1,122 @@
+#include "formation.h"
+
+#include "formation-internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+const char *
+formation_op_name (enum formation_op op)
+{
+  static const char *const names[] = {
+    [FORMATION_JOIN] = "join",   [FORMATION_OPEN] = "open",
+    [FORMATION_DRAIN] = "drain", [FORMATION_EVICT] = "evict",
+    [FORMATION_LEAVE] = "leave", [FORMATION_STAGE] = "stage",
+  };
+
+  return names[op];
+}
+
+const char *
+formation_phase_name (enum formation_phase phase)
+{
+  static const char *const names[] = {
+    [FORMATION_JOINING] = "joining",   [FORMATION_OPENING] = "opening",
+    [FORMATION_SERVING] = "serving",   [FORMATION_RETIRING] = "retiring",
+    [FORMATION_FAILED] = "failed",     [FORMATION_GONE] = "gone",
+  };
+
+  return names[phase];
+}
+
+void
+formation_init (struct formation *formation,
+                const struct formation_settings *settings)
+{
+  memset (formation, 0, sizeof *formation);
+  formation->settings = *settings;
+  TAILQ_INIT (&formation->groups);
+}
+
+static void
+clear (struct formation *formation)
+{
+  struct formation_member *member = formation->members;
+  struct formation_group *group;
+
+  HASH_CLEAR (hh, formation->members);
+  while (member != NULL)
+    {
+      struct formation_member *next = member->hh.next;
+
+      free (member);
+      member = next;
+    }
+  while ((group = TAILQ_FIRST (&formation->groups)) != NULL)
+    {
+      TAILQ_REMOVE (&formation->groups, group, link);
+      free (group);
+    }
+}
+
+void
+formation_finish (struct formation *formation)
+{
+  clear (formation);
+}
+
+void
+formation_set_fence (struct formation *formation,
+                     uint64_t fence,
+                     int64_t now_ms)
+{
+  if (formation->fence == fence)
+    return;
+  clear (formation);
+  formation->fence = fence;
+  formation->formed = 0;
+  formation->held_since_ms = now_ms;
+  formation->refilled_ms = now_ms;
+  formation->load_tokens = 0;
+}
+
+/* Drops the records of groups whose members are free. */
+static void
+drop_gone (struct formation *formation)
+{
+  struct formation_group *group = TAILQ_FIRST (&formation->groups);
+
+  while (group != NULL)
+    {
+      struct formation_group *next = TAILQ_NEXT (group, link);
+
+      if (group->phase == FORMATION_GONE)
+        {
+          for (struct formation_member *member = formation->members;
+               member != NULL; member = member->hh.next)
+            if (member->group == group)
+              member->group = NULL;
+          TAILQ_REMOVE (&formation->groups, group, link);
+          free (group);
+        }
+      group = next;
+    }
+}
+
+void
+formation_tick (struct formation *formation,
+                const struct endpoints *endpoints,
+                const struct catalog *catalog,
+                const struct formation_hooks *hooks,
+                int64_t now_ms)
+{
+  struct formation_run run = { formation, endpoints, catalog, hooks, now_ms };
+
+  if (formation->fence == 0 || catalog == NULL)
+    return;
+  formation_forget_members (&run);
+  formation_adopt (&run);
+  formation_progress (&run);
+  drop_gone (formation);
+  formation_build (&run);
+}
--- /dev/null
+++ b/packages/http/include/http-text.h
@@ -0,0 +1,32 @@
+#ifndef HTTP_TEXT_H
+#define HTTP_TEXT_H
+
+#include <stdbool.h>
+#include <stddef.h>
+
+/* A growing byte buffer.  After a failed allocation it stays failed. */
+struct http_text
+{
+  char *data;
+  size_t size;
+  size_t capacity;
+  bool failed;
+};
+
+void http_text_init (struct http_text *text);
+void http_text_finish (struct http_text *text);
+void http_text_reset (struct http_text *text);
+void http_text_add (struct http_text *text, const void *data, size_t size);
+void http_text_add_string (struct http_text *text, const char *string);
+void http_text_format (struct http_text *text, const char *format, ...)
+    __attribute__ ((format (printf, 2, 3)));
+
+/* Removes the first bytes. */
+void http_text_drop (struct http_text *text, size_t size);
+
+/* "Name: value\r\n". */
+void http_text_add_field (struct http_text *text,
+                          const char *name,
+                          const char *value);
+
+#endif
--- /dev/null
+++ b/packages/http/src/http-connection.c
@@ -0,0 +1,580 @@
+#include "http-connection.h"
+
+#include "log.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <event2/buffer.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define READ_BYTES 16384 /* one read; an event of a stream is about 100 */
+
+/* Keep-alive probes start after this idle time and follow at this interval. */
+#define KEEPALIVE_S 1
+/* Unanswered probes before a silent connection counts as lost. */
+#define KEEPALIVE_PROBES 2
+
+const char *
+http_end_name (enum http_end end)
+{
+  static const char *const names[] = {
+    [HTTP_END_CLOSED] = "closed",
+    [HTTP_END_RESET] = "reset",
+    [HTTP_END_PROTOCOL] = "protocol",
+    [HTTP_END_LIMIT] = "limit",
+  };
+
+  return names[end];
+}
+
+static void
+free_memory (evutil_socket_t fd, short what, void *memory)
+{
+  (void)fd;
+  (void)what;
+  free (memory);
+}
+
+void
+http_free_later (struct event_base *base, void *memory)
+{
+  static const struct timeval now = { 0, 0 };
+
+  if (event_base_once (base, -1, EV_TIMEOUT, free_memory, memory, &now) != 0)
+    LOG_EVENT (LOG_LEVEL_ERROR, "memory-not-freed",
+               LOG_STR ("reason", "no memory for the event"));
+}
+
+/* Parser callbacks: the head grows as the pieces arrive. */
+
+static int
+head_add (struct http_head *head, const char *data, size_t size)
+{
+  if (head->used + size + 1 > head->capacity)
+    {
+      size_t larger = (head->used + size + 1) * 2;
+      char *grown;
+
+      if (larger < 1024)
+        larger = 1024;
+      grown = realloc (head->text, larger);
+      if (grown == NULL)
+        return -1;
+      head->text = grown;
+      head->capacity = (uint32_t)larger;
+    }
+  memcpy (head->text + head->used, data, size);
+  head->used += (uint32_t)size;
+  head->text[head->used] = '\0';
+  return 0;
+}
+
+static int
+on_begin (struct http_parser *parser)
+{
+  struct http_connection *connection = parser->data;
+
+  http_head_reset (&connection->head);
+  connection->in_value = false;
+  connection->head_done = false;
+  connection->message_begun = true;
+  return 0;
+}
+
+static int
+on_target (struct http_parser *parser, const char *data, size_t size)
+{
+  struct http_connection *connection = parser->data;
+
+  return head_add (&connection->head, data, size);
+}
+
+static int
+on_name (struct http_parser *parser, const char *data, size_t size)
+{
+  struct http_connection *connection = parser->data;
+  struct http_head *head = &connection->head;
+
+  /* Trailer fields concern this connection only and are dropped. */
+  if (connection->head_done)
+    return 0;
+  if (connection->in_value || head->field_count == 0)
+    {
+      if (head->field_count == HTTP_FIELD_LIMIT)
+        return -1;
+      head->used += head->used > 0 ? 1 : 0;
+      head->fields[head->field_count].name = head->used;
+      head->fields[head->field_count].value = 0;
+      head->fields[head->field_count].value_size = 0;
+      head->field_count++;
+      connection->in_value = false;
+    }
+  return head_add (head, data, size);
+}
+
+static int
+on_value (struct http_parser *parser, const char *data, size_t size)
+{
+  struct http_connection *connection = parser->data;
+  struct http_head *head = &connection->head;
+  struct http_field *field;
+
+  if (connection->head_done)
+    return 0;
+  field = &head->fields[head->field_count - 1];
+  if (!connection->in_value)
+    {
+      head->used++;
+      field->value = head->used;
+      connection->in_value = true;
+    }
+  field->value_size += (uint32_t)size;
+  return head_add (head, data, size);
+}
+
+static int
+on_head (struct http_parser *parser)
+{
+  struct http_connection *connection = parser->data;
+  struct http_head *head = &connection->head;
+
+  connection->head_done = true;
+  head->status = parser->status_code;
+  if (!connection->is_client)
+    head->method = http_method_str ((enum http_method)parser->method);
+  head->keep_alive = http_should_keep_alive (parser) != 0;
+  head->has_length = (parser->flags & F_CONTENTLENGTH) != 0;
+  if (connection->is_client && head->status < 200)
+    return 0;
+  connection->events->head (connection->context, head);
+  if (connection->fd < 0)
+    return -1;
+  return connection->is_client && connection->no_body ? 1 : 0;
+}
+
+static int
+on_body (struct http_parser *parser, const char *data, size_t size)
+{
+  struct http_connection *connection = parser->data;
+
+  connection->events->body (connection->context, data, size);
+  return connection->fd < 0 ? -1 : 0;
+}
+
+static int
+on_complete (struct http_parser *parser)
+{
+  struct http_connection *connection = parser->data;
+
+  /* An interim response (RFC 9110, section 15.2) precedes the final one. */
+  if (connection->is_client && connection->head.status < 200)
+    return 0;
+  connection->paused = true;
+  http_parser_pause (parser, 1);
+  return 0;
+}
+
+static const struct http_parser_settings callbacks = {
+  .on_message_begin = on_begin,
+  .on_url = on_target,
+  .on_header_field = on_name,
+  .on_header_value = on_value,
+  .on_headers_complete = on_head,
+  .on_body = on_body,
+  .on_message_complete = on_complete,
+};
+
+static void
+stop (struct http_connection *connection)
+{
+  event_del (&connection->readable);
+  event_del (&connection->writable);
+}
+
+static void
+report_end (struct http_connection *connection, enum http_end end)
+{
+  stop (connection);
+  connection->ended = true;
+  connection->events->closed (connection->context, end);
+}
+
+static void
+keep (struct http_connection *connection, const char *data, size_t size)
+{
+  if (evbuffer_get_length (connection->pending) + size
+          > connection->limits.pending_bytes
+      || evbuffer_add (connection->pending, data, size) != 0)
+    report_end (connection, HTTP_END_LIMIT);
+}
+
+static void
+parse (struct http_connection *connection, const char *data, size_t size)
+{
+  size_t used;
+  enum http_errno error;
+
+  used = http_parser_execute (&connection->parser, &callbacks, data, size);
+  if (connection->fd < 0)
+    return;
+  error = HTTP_PARSER_ERRNO (&connection->parser);
+  if (connection->paused)
+    {
+      if (used < size)
+        keep (connection, data + used, size - used);
+      if (connection->fd < 0 || connection->ended)
+        return;
+      connection->events->complete (connection->context);
+      return;
+    }
+  if (error == HPE_HEADER_OVERFLOW || error == HPE_CB_header_field)
+    report_end (connection, HTTP_END_LIMIT);
+  else if (error != HPE_OK || connection->parser.upgrade)
+    report_end (connection, HTTP_END_PROTOCOL);
+}
+
+/* The other side sends nothing more. */
+static void
+take_end (struct http_connection *connection, bool orderly)
+{
+  if (connection->paused || !connection->message_begun || !orderly)
+    {
+      report_end (connection, orderly ? HTTP_END_CLOSED : HTTP_END_RESET);
+      return;
+    }
+  /* Completes a body that ends with its connection. */
+  http_parser_execute (&connection->parser, &callbacks, NULL, 0);
+  if (connection->fd < 0)
+    return;
+  if (connection->paused)
+    {
+      connection->head.keep_alive = false;
+      connection->ended = true;
+      stop (connection);
+      connection->events->complete (connection->context);
+    }
+  else
+    report_end (connection, HTTP_END_PROTOCOL);
+}
+
+static void
+take_input (struct http_connection *connection, const char *data, size_t size)
+{
+  connection->bytes_in += size;
+  if (connection->paused)
+    keep (connection, data, size);
+  else
+    parse (connection, data, size);
+}
+
+static void
+on_readable (evutil_socket_t fd, short what, void *context)
+{
+  struct http_connection *connection = context;
+  char buffer[READ_BYTES];
+  ssize_t size;
+
+  (void)what;
+  size = recv (fd, buffer, sizeof buffer, 0);
+  if (size > 0)
+    take_input (connection, buffer, (size_t)size);
+  else if (size == 0)
+    take_end (connection, true);
+  else if (errno != EAGAIN && errno != EINTR)
+    take_end (connection, false);
+}
+
+static void
+take_connected (struct http_connection *connection)
+{
+  int error = 0;
+  socklen_t size = sizeof error;
+
+  connection->connecting = false;
+  if (getsockopt (connection->fd, SOL_SOCKET, SO_ERROR, &error, &size) != 0
+      || error != 0)
+    {
+      report_end (connection, HTTP_END_RESET);
+      return;
+    }
+  if (!connection->held)
+    event_add (&connection->readable, NULL);
+  connection->events->connected (connection->context);
+}
+
+static void
+flush (struct http_connection *connection)
+{
+  while (evbuffer_get_length (connection->output) > 0)
+    {
+      struct evbuffer_iovec part;
+      ssize_t size;
+
+      evbuffer_peek (connection->output, -1, NULL, &part, 1);
+      size = send (connection->fd, part.iov_base, part.iov_len, MSG_NOSIGNAL);
+      if (size < 0)
+        {
+          if (errno == EINTR)
+            continue;
+          /* A failed write shows up as a failed read as well. */
+          if (errno != EAGAIN)
+            evbuffer_drain (connection->output,
+                            evbuffer_get_length (connection->output));
+          break;
+        }
+      evbuffer_drain (connection->output, (size_t)size);
+    }
+  connection->unwritten_seen = evbuffer_get_length (connection->output) > 0;
+  if (connection->unwritten_seen)
+    event_add (&connection->writable, NULL);
+}
+
+static void
+on_writable (evutil_socket_t fd, short what, void *context)
+{
+  struct http_connection *connection = context;
+
+  (void)fd;
+  (void)what;
+  if (connection->connecting)
+    {
+      take_connected (connection);
+      if (connection->fd < 0 || connection->ended)
+        return;
+    }
+  flush (connection);
+  if (!connection->unwritten_seen && connection->events->drained != NULL)
+    connection->events->drained (connection->context);
+}
+
+static enum result
+init (struct http_connection *connection,
+      struct event_base *base,
+      int fd,
+      const struct http_limits *limits,
+      const struct http_events *events,
+      void *context)
+{
+  memset (connection, 0, sizeof *connection);
+  connection->base = base;
+  connection->fd = fd;
+  connection->events = events;
+  connection->context = context;
+  connection->limits = *limits;
+  http_head_init (&connection->head);
+  connection->output = evbuffer_new ();
+  connection->pending = evbuffer_new ();
+  event_assign (&connection->readable, base, fd, EV_READ | EV_PERSIST,
+                on_readable, connection);
+  event_assign (&connection->writable, base, fd, EV_WRITE, on_writable,
+                connection);
+  if (connection->output == NULL || connection->pending == NULL)
+    {
+      http_connection_finish (connection);
+      return RESULT_NO_MEMORY;
+    }
+  return RESULT_OK;
+}
+
+static void
+start_parser (struct http_connection *connection, enum http_parser_type type)
+{
+  http_parser_init (&connection->parser, type);
+  connection->parser.data = connection;
+  connection->is_client = type == HTTP_RESPONSE;
+}
+
+static void
+set_option (int fd, int level, int option, int value)
+{
+  /* Without the option the connection works, only less well. */
+  if (setsockopt (fd, level, option, &value, sizeof value) != 0)
+    LOG_EVENT (LOG_LEVEL_DEBUG, "socket-option", LOG_INT ("option", option),
+               LOG_INT ("errno", errno));
+}
+
+enum result
+http_connection_accept (struct http_connection *connection,
+                        struct event_base *base,
+                        int fd,
+                        const struct http_limits *limits,
+                        const struct http_events *events,
+                        void *context)
+{
+  enum result result
+      = init (connection, base, fd, limits, events, context);
+
+  if (result != RESULT_OK)
+    return result;
+  set_option (fd, IPPROTO_TCP, TCP_NODELAY, 1);
+  start_parser (connection, HTTP_REQUEST);
+  event_add (&connection->readable, NULL);
+  return RESULT_OK;
+}
+
+enum result
+http_connection_connect (struct http_connection *connection,
+                         struct event_base *base,
+                         const char *address,
+                         uint16_t port,
+                         int silence_ms,
+                         const struct http_limits *limits,
+                         const struct http_events *events,
+                         void *context)
+{
+  struct sockaddr_in to = { .sin_family = AF_INET, .sin_port = htons (port) };
+  enum result result;
+  int fd;
+
+  memset (connection, 0, sizeof *connection);
+  connection->fd = -1;
+  if (inet_pton (AF_INET, address, &to.sin_addr) != 1)
+    return RESULT_ENDPOINT_CONNECT;
+  fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0)
+    return RESULT_ENDPOINT_CONNECT;
+  set_option (fd, IPPROTO_TCP, TCP_NODELAY, 1);
+  set_option (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, silence_ms);
+  set_option (fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+  set_option (fd, IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_S);
+  set_option (fd, IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_S);
+  set_option (fd, IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES);
+  if (connect (fd, (struct sockaddr *)&to, sizeof to) != 0
+      && errno != EINPROGRESS)
+    {
+      close (fd);
+      return RESULT_ENDPOINT_CONNECT;
+    }
+  result = init (connection, base, fd, limits, events, context);
+  if (result != RESULT_OK)
+    return result;
+  start_parser (connection, HTTP_RESPONSE);
+  connection->connecting = true;
+  event_add (&connection->writable, NULL);
+  return RESULT_OK;
+}
+
+void
+http_connection_finish (struct http_connection *connection)
+{
+  if (connection->fd < 0)
+    return;
+  stop (connection);
+  close (connection->fd);
+  connection->fd = -1;
+  if (connection->output != NULL)
+    evbuffer_free (connection->output);
+  if (connection->pending != NULL)
+    evbuffer_free (connection->pending);
+  connection->output = NULL;
+  connection->pending = NULL;
+  http_head_finish (&connection->head);
+}
+
+void
+http_connection_write (struct http_connection *connection,
+                       const void *data,
+                       size_t size)
+{
+  if (connection->fd < 0)
+    return;
+  if (!connection->connecting && !connection->unwritten_seen)
+    {
+      ssize_t sent = send (connection->fd, data, size, MSG_NOSIGNAL);
+
+      if (sent == (ssize_t)size)
+        return;
+      if (sent < 0 && errno != EAGAIN && errno != EINTR)
+        return; /* the next read reports the error */
+      if (sent > 0)
+        {
+          data = (const char *)data + sent;
+          size -= (size_t)sent;
+        }
+    }
+  if (evbuffer_add (connection->output, data, size) != 0)
+    LOG_EVENT (LOG_LEVEL_ERROR, "output-lost",
+               LOG_U64 ("bytes", (uint64_t)size));
+  connection->unwritten_seen = true;
+  event_add (&connection->writable, NULL);
+}
+
+size_t
+http_connection_unwritten (const struct http_connection *connection)
+{
+  return connection->output != NULL ? evbuffer_get_length (connection->output)
+                                    : 0;
+}
+
+size_t
+http_connection_surplus (const struct http_connection *connection)
+{
+  return connection->pending != NULL
+             ? evbuffer_get_length (connection->pending)
+             : 0;
+}
+
+bool
+http_connection_idle (const struct http_connection *connection)
+{
+  return connection->fd >= 0 && !connection->ended && !connection->connecting
+         && !connection->paused && !connection->message_begun
+         && http_connection_surplus (connection) == 0
+         && http_connection_unwritten (connection) == 0;
+}
+
+static void
+parse_kept (evutil_socket_t fd, short what, void *context)
+{
+  struct http_connection *connection = context;
+  size_t size = http_connection_surplus (connection);
+  unsigned char *kept;
+
+  (void)fd;
+  (void)what;
+  if (size == 0 || connection->paused)
+    return;
+  kept = malloc (size);
+  if (kept == NULL)
+    {
+      report_end (connection, HTTP_END_LIMIT);
+      return;
+    }
+  evbuffer_remove (connection->pending, kept, size);
+  parse (connection, (const char *)kept, size);
+  free (kept);
+}
+
+void
+http_connection_next (struct http_connection *connection, bool no_body)
+{
+  if (connection->fd < 0)
+    return;
+  connection->no_body = no_body;
+  connection->message_begun = false;
+  if (!connection->paused)
+    return;
+  connection->paused = false;
+  http_parser_pause (&connection->parser, 0);
+  if (http_connection_surplus (connection) > 0)
+    parse_kept (-1, 0, connection);
+}
+
+void
+http_connection_hold (struct http_connection *connection, bool hold)
+{
+  if (connection->fd < 0 || connection->held == hold)
+    return;
+  connection->held = hold;
+  if (connection->ended || connection->connecting)
+    return;
+  if (hold)
+    event_del (&connection->readable);
+  else
+    event_add (&connection->readable, NULL);
+}
--- /dev/null
+++ b/packages/http/src/http-head.c
@@ -0,0 +1,116 @@
+#include "http-head.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+void
+http_head_init (struct http_head *head)
+{
+  head->text = NULL;
+  head->capacity = 0;
+  http_head_reset (head);
+}
+
+void
+http_head_finish (struct http_head *head)
+{
+  free (head->text);
+  http_head_init (head);
+}
+
+void
+http_head_reset (struct http_head *head)
+{
+  head->used = 0;
+  head->field_count = 0;
+  head->target = 0;
+  head->method = "";
+  head->status = 0;
+  head->keep_alive = false;
+  head->has_length = false;
+}
+
+const char *
+http_field_name (const struct http_head *head, unsigned index)
+{
+  return head->text + head->fields[index].name;
+}
+
+const char *
+http_field_value (const struct http_head *head, unsigned index)
+{
+  return head->text + head->fields[index].value;
+}
+
+const char *
+http_head_target (const struct http_head *head)
+{
+  return head->text != NULL ? head->text + head->target : "";
+}
+
+const char *
+http_head_get (const struct http_head *head, const char *name)
+{
+  for (unsigned i = 0; i < head->field_count; i++)
+    if (strcasecmp (http_field_name (head, i), name) == 0)
+      return http_field_value (head, i);
+  return NULL;
+}
+
+/* True if the comma-separated list names the token, ignoring case. */
+static bool
+list_names (const char *list, const char *token)
+{
+  size_t size = strlen (token);
+
+  while (*list != '\0')
+    {
+      size_t length;
+
+      list += strspn (list, " \t,");
+      length = strcspn (list, " \t,");
+      if (length == size && strncasecmp (list, token, size) == 0)
+        return true;
+      list += length;
+    }
+  return false;
+}
+
+bool
+http_field_is_hop_by_hop (const struct http_head *head, unsigned index)
+{
+  static const char *const names[] = {
+    "Connection",    "Keep-Alive", "Proxy-Authenticate",
+    "TE",            "Trailer",    "Proxy-Authorization",
+    "Upgrade",       "Expect",     "Transfer-Encoding",
+    "Proxy-Connection",
+  };
+  const char *name = http_field_name (head, index);
+
+  for (size_t i = 0; i < sizeof names / sizeof names[0]; i++)
+    if (strcasecmp (name, names[i]) == 0)
+      return true;
+  for (unsigned i = 0; i < head->field_count; i++)
+    if (strcasecmp (http_field_name (head, i), "Connection") == 0
+        && list_names (http_field_value (head, i), name))
+      return true;
+  return false;
+}
+
+bool
+http_parse_number (const char *text, int64_t *number)
+{
+  char *end;
+  long long value;
+
+  if (text == NULL || *text < '0' || *text > '9')
+    return false;
+  errno = 0;
+  value = strtoll (text, &end, 10);
+  if (*end != '\0' || errno != 0)
+    return false;
+  *number = value;
+  return true;
+}
--- /dev/null
+++ b/packages/records/src/records.c
@@ -0,0 +1,327 @@
+#include "records.h"
+
+#include "http-connection.h"
+#include "log.h"
+#include "timeutil.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define HEADER_BYTES 65536
+/* Largest answer: a page of 500 records, or one record of 1 MB with its frame. */
+#define ANSWER_BYTES (8U << 20)
+/* Bytes sent to a silent store are given up after this; see also the calls. */
+#define SILENCE_MS 2000
+/* The store may close connections that are idle for longer. */
+#define IDLE_MS 8000
+
+/* One connection, with the call that it carries. */
+struct records_call
+{
+  struct records *records;
+  struct http_connection connection;
+  bool busy;
+  bool established;
+  bool sent;
+  bool is_write;
+  enum records_verb verb;
+  int64_t limit_ms; /* the call's end; of an idle connection, its close */
+  unsigned status;
+  struct http_text request;
+  struct http_text body;
+  void (*done) (void *context, const struct records_answer *answer);
+  void *context;
+  TAILQ_ENTRY (records_call) link;
+};
+
+void
+records_init (struct records *records,
+              struct event_base *base,
+              const struct records_codec *codec,
+              const char *address,
+              uint16_t port)
+{
+  size_t size = strnlen (address, sizeof records->address - 1);
+
+  memset (records, 0, sizeof *records);
+  records->base = base;
+  records->codec = codec;
+  memcpy (records->address, address, size);
+  records->port = port;
+  TAILQ_INIT (&records->sent);
+  TAILQ_INIT (&records->idle);
+}
+
+static void
+close_call (struct records_call *call)
+{
+  struct records *records = call->records;
+
+  if (call->busy)
+    TAILQ_REMOVE (&records->sent, call, link);
+  else
+    TAILQ_REMOVE (&records->idle, call, link);
+  http_connection_finish (&call->connection);
+  http_text_finish (&call->request);
+  http_text_finish (&call->body);
+  http_free_later (records->base, call);
+}
+
+void
+records_finish (struct records *records)
+{
+  struct records_call *call;
+
+  while ((call = TAILQ_FIRST (&records->sent)) != NULL)
+    close_call (call);
+  while ((call = TAILQ_FIRST (&records->idle)) != NULL)
+    close_call (call);
+}
+
+/* Ends the call and closes its connection, then reports. */
+static void
+fail (struct records_call *call, enum result why)
+{
+  void (*done) (void *context, const struct records_answer *answer)
+      = call->done;
+  void *context = call->context;
+  struct records_answer answer = { .result = why };
+
+  call->records->failures++;
+  close_call (call);
+  done (context, &answer);
+}
+
+static void
+lose (struct records_call *call)
+{
+  if (!call->busy)
+    {
+      close_call (call);
+      return;
+    }
+  fail (call, call->sent && call->is_write ? RESULT_PLATFORM_LOST_ANSWER
+                                           : RESULT_PLATFORM_UNREACHABLE);
+}
+
+static void
+send_request (struct records_call *call)
+{
+  call->sent = true;
+  http_connection_write (&call->connection, call->request.data,
+                         call->request.size);
+}
+
+static void
+on_connected (void *context)
+{
+  struct records_call *call = context;
+
+  call->established = true;
+  send_request (call);
+}
+
+static void
+on_head (void *context, const struct http_head *head)
+{
+  struct records_call *call = context;
+
+  call->status = head->status;
+}
+
+static void
+on_body (void *context, const char *data, size_t size)
+{
+  struct records_call *call = context;
+
+  http_text_add (&call->body, data, size);
+  if (call->body.failed || call->body.size > ANSWER_BYTES)
+    lose (call);
+}
+
+static void
+on_complete (void *context)
+{
+  struct records_call *call = context;
+  struct records *records = call->records;
+  void (*done) (void *context, const struct records_answer *answer)
+      = call->done;
+  void *done_context = call->context;
+  json_t *json;
+  enum records_verb verb = call->verb;
+  unsigned status = call->status;
+
+  if (!call->busy)
+    {
+      close_call (call);
+      return;
+    }
+  json = json_loadb (call->body.data != NULL ? call->body.data : "",
+                     call->body.size, 0, NULL);
+  if (call->connection.head.keep_alive && !call->connection.ended
+      && http_connection_surplus (&call->connection) == 0)
+    {
+      TAILQ_REMOVE (&records->sent, call, link);
+      call->busy = false;
+      call->limit_ms = time_boot_ms () + IDLE_MS;
+      TAILQ_INSERT_HEAD (&records->idle, call, link);
+      http_connection_next (&call->connection, false);
+    }
+  else
+    close_call (call);
+  records->codec->decode (verb, status, json, done, done_context);
+  json_decref (json);
+}
+
+static void
+on_closed (void *context, enum http_end end)
+{
+  (void)end;
+  lose (context);
+}
+
+static const struct http_events events = {
+  .connected = on_connected,
+  .head = on_head,
+  .body = on_body,
+  .complete = on_complete,
+  .closed = on_closed,
+};
+
+static void
+encode (struct records_call *call, const struct records_request *request)
+{
+  struct records *records = call->records;
+  struct http_text target;
+  struct http_text body;
+  const char *method = "GET";
+
+  http_text_init (&target);
+  http_text_init (&body);
+  records->codec->encode (request, &method, &target, &body);
+  http_text_reset (&call->request);
+  http_text_add_string (&call->request, method);
+  http_text_add (&call->request, " ", 1);
+  http_text_add (&call->request, target.data, target.size);
+  http_text_format (&call->request, " HTTP/1.1\r\nHost: %s:%u\r\n",
+                    records->address, records->port);
+  if (body.size > 0)
+    http_text_format (&call->request,
+                      "Content-Type: application/json\r\n"
+                      "Content-Length: %zu\r\n",
+                      body.size);
+  http_text_add (&call->request, "\r\n", 2);
+  http_text_add (&call->request, body.data, body.size);
+  if (target.failed || body.failed)
+    call->request.failed = true;
+  http_text_finish (&target);
+  http_text_finish (&body);
+}
+
+static struct records_call *
+open_call (struct records *records)
+{
+  const struct http_limits limits = { HEADER_BYTES, HEADER_BYTES };
+  struct records_call *call = calloc (1, sizeof *call);
+
+  if (call == NULL)
+    return NULL;
+  call->records = records;
+  http_text_init (&call->request);
+  http_text_init (&call->body);
+  if (http_connection_connect (&call->connection, records->base,
+                               records->address, records->port, SILENCE_MS,
+                               &limits, &events, call)
+      != RESULT_OK)
+    {
+      free (call);
+      return NULL;
+    }
+  return call;
+}
+
+static struct records_call *
+take_idle (struct records *records)
+{
+  struct records_call *call;
+
+  TAILQ_FOREACH (call, &records->idle, link)
+  if (http_connection_idle (&call->connection))
+    {
+      TAILQ_REMOVE (&records->idle, call, link);
+      return call;
+    }
+  return NULL;
+}
+
+void
+records_call (struct records *records,
+              const struct records_request *request,
+              int timeout_ms,
+              void (*done) (void *context, const struct records_answer *answer),
+              void *context)
+{
+  struct records_call *call = take_idle (records);
+  bool reused = call != NULL;
+
+  records->calls++;
+  if (call == NULL)
+    call = open_call (records);
+  if (call == NULL)
+    {
+      struct records_answer answer = { .result = RESULT_PLATFORM_UNREACHABLE };
+
+      done (context, &answer);
+      return;
+    }
+  call->busy = true;
+  call->sent = false;
+  call->verb = request->verb;
+  call->is_write = request->verb == RECORDS_CREATE
+                   || request->verb == RECORDS_REPLACE;
+  call->limit_ms = time_boot_ms () + timeout_ms;
+  call->done = done;
+  call->context = context;
+  call->status = 0;
+  http_text_reset (&call->body);
+  TAILQ_INSERT_TAIL (&records->sent, call, link);
+  encode (call, request);
+  if (call->request.failed)
+    fail (call, RESULT_NO_MEMORY);
+  else if (reused)
+    send_request (call);
+}
+
+void
+records_tick (struct records *records, int64_t now_ms)
+{
+  struct records_call *call = TAILQ_FIRST (&records->sent);
+
+  while (call != NULL)
+    {
+      struct records_call *next = TAILQ_NEXT (call, link);
+
+      if (now_ms >= call->limit_ms)
+        lose (call);
+      call = next;
+    }
+  call = TAILQ_FIRST (&records->idle);
+  while (call != NULL)
+    {
+      struct records_call *next = TAILQ_NEXT (call, link);
+
+      if (now_ms >= call->limit_ms)
+        close_call (call);
+      call = next;
+    }
+}
+
+bool
+records_is_trouble (enum result result)
+{
+  return result == RESULT_PLATFORM_UNREACHABLE
+         || result == RESULT_PLATFORM_LOST_ANSWER
+         || result == RESULT_PLATFORM_OVERLOADED
+         || result == RESULT_PLATFORM_OUTAGE
+         || result == RESULT_PLATFORM_BAD_ANSWER;
+}
--- /dev/null
+++ b/packages/relay/src/answer.c
@@ -0,0 +1,250 @@
+#include "internal.h"
+#include "log.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+/* A refusal's body, as on the errors page. */
+#define REFUSAL_FORMAT                                                         \
+  "{\"error\":{\"code\":%d,\"name\":\"%s\",\"message\":\"%s\","                \
+  "\"outcome\":\"%s\",\"retry_after_ms\":%" PRId64 "}}\n"
+
+static const char *
+reason_phrase (unsigned status)
+{
+  return http_status_str ((enum http_status)status);
+}
+
+void
+relay_refuse_caller (struct relay_caller *caller,
+                     const char *request_id,
+                     enum result why,
+                     int64_t retry_after_ms)
+{
+  const struct result_info *info = result_info (why);
+  unsigned status = info->http_status != 0 ? (unsigned)info->http_status : 503;
+  struct http_text text;
+  char body[512];
+  int size;
+
+  http_text_init (&text);
+  size = snprintf (body, sizeof body, REFUSAL_FORMAT, info->number, info->name,
+                   info->text, outcome_name (info->outcome), retry_after_ms);
+  http_text_format (&text, "HTTP/1.1 %u %s\r\n", status,
+                    reason_phrase (status));
+  if (request_id[0] != '\0')
+    http_text_add_field (&text, caller->relay->names->request_id, request_id);
+  http_text_add_field (&text, "Content-Type", "application/json");
+  http_text_format (&text, "Content-Length: %d\r\n", size);
+  if (retry_after_ms > 0)
+    http_text_format (&text, "Retry-After: %.3f\r\n",
+                      (double)retry_after_ms / 1000);
+  if (caller->close_after || caller->relay->leaving
+      || !caller->connection.paused)
+    {
+      caller->close_after = true;
+      http_text_add_field (&text, "Connection", "close");
+    }
+  http_text_add (&text, "\r\n", 2);
+  http_text_add (&text, body, (size_t)size);
+  if (!text.failed)
+    http_connection_write (&caller->connection, text.data, text.size);
+  http_text_finish (&text);
+}
+
+void
+relay_refuse (struct relay_request *request,
+              enum result why,
+              int64_t retry_after_ms)
+{
+  struct relay_caller *caller = request->caller;
+  const struct result_info *info = result_info (why);
+
+  relay_log_end (request, "refused", (unsigned)info->http_status, why);
+  relay_refuse_caller (caller, request->id, why, retry_after_ms);
+  relay_request_free (request);
+  relay_caller_answered (caller);
+}
+
+void
+relay_answer_collect_head (struct relay_upstream *upstream,
+                           const struct http_head *head)
+{
+  http_text_reset (&upstream->head);
+  for (unsigned i = 0; i < head->field_count; i++)
+    {
+      const char *name = http_field_name (head, i);
+
+      if (http_field_is_hop_by_hop (head, i)
+          || (strcasecmp (name, "Content-Length") == 0
+              && !upstream->request->is_head_method))
+        continue;
+      http_text_add_field (&upstream->head, name, http_field_value (head, i));
+    }
+}
+
+static void
+add_start (struct http_text *text,
+           struct relay_request *request,
+           const struct relay_upstream *upstream)
+{
+  struct relay_caller *caller = request->caller;
+
+  http_text_format (text, "HTTP/1.1 %u %s\r\n", upstream->status,
+                    reason_phrase (upstream->status));
+  http_text_add (text, upstream->head.data, upstream->head.size);
+  if (request->relay->leaving)
+    caller->close_after = true;
+  if (caller->close_after)
+    http_text_add_field (text, "Connection", "close");
+}
+
+void
+relay_answer_plain (struct relay_request *request,
+                    struct relay_upstream *upstream)
+{
+  struct relay_caller *caller = request->caller;
+  struct relay *relay = request->relay;
+  struct http_text text;
+
+  http_text_init (&text);
+  add_start (&text, request, upstream);
+  if (upstream->status != 204 && upstream->status != 304
+      && !request->is_head_method)
+    http_text_format (&text, "Content-Length: %zu\r\n", upstream->body.size);
+  http_text_add (&text, "\r\n", 2);
+  http_text_add (&text, upstream->body.data, upstream->body.size);
+  if (text.failed)
+    caller->close_after = true;
+  else
+    http_connection_write (&caller->connection, text.data, text.size);
+  http_text_finish (&text);
+  histogram_add (&relay->answer_ms,
+                 (uint64_t)(relay->now_ms - request->arrived_ms));
+  relay_log_end (request, "answered", upstream->status, RESULT_OK);
+}
+
+/* The size of the first whole event, 0 if there is none yet. */
+static size_t
+event_size (const char *data, size_t size)
+{
+  size_t at = 0;
+
+  while (at < size)
+    {
+      const char *end = memchr (data + at, '\n', size - at);
+      size_t line;
+
+      if (end == NULL)
+        return 0;
+      line = (size_t)(end - data) - at;
+      if (line == 0 || (line == 1 && data[at] == '\r'))
+        return (size_t)(end - data) + 1;
+      at = (size_t)(end - data) + 1;
+    }
+  return 0;
+}
+
+/* The number in the event's id line; false without one. */
+static bool
+event_id (const char *data, size_t size, uint64_t *id)
+{
+  size_t at = 0;
+
+  while (at + 3 < size)
+    {
+      const char *end = memchr (data + at, '\n', size - at);
+
+      if (strncmp (data + at, "id:", 3) == 0)
+        {
+          char *stop;
+
+          *id = strtoull (data + at + 3, &stop, 10);
+          return stop != data + at + 3;
+        }
+      if (end == NULL)
+        return false;
+      at = (size_t)(end - data) + 1;
+    }
+  return false;
+}
+
+/*
+ * Counts the whole events at the start of the buffer, checking that their ids
+ * go on where the last one ended.
+ */
+static bool
+take_events (struct relay_request *request,
+             const struct relay_upstream *upstream,
+             size_t *whole)
+{
+  const struct http_text *body = &upstream->body;
+
+  *whole = 0;
+  for (;;)
+    {
+      size_t size = event_size (body->data + *whole, body->size - *whole);
+      uint64_t id;
+
+      if (size == 0)
+        return true;
+      if (event_id (body->data + *whole, size, &id))
+        {
+          if (request->has_last_event && id != request->last_event + 1)
+            return false;
+          request->last_event = id;
+          request->has_last_event = true;
+        }
+      request->events_sent++;
+      *whole += size;
+    }
+}
+
+bool
+relay_answer_events (struct relay_request *request,
+                     struct relay_upstream *upstream)
+{
+  struct relay *relay = request->relay;
+  struct http_connection *to = &request->caller->connection;
+  struct http_text text;
+  bool expected;
+  size_t whole;
+
+  expected = take_events (request, upstream, &whole);
+  if (whole == 0)
+    return expected;
+  http_text_init (&text);
+  if (!request->head_sent)
+    {
+      add_start (&text, request, upstream);
+      http_text_add_field (&text, "Transfer-Encoding", "chunked");
+      http_text_add (&text, "\r\n", 2);
+      request->head_sent = true;
+      histogram_add (&relay->first_event_ms,
+                     (uint64_t)(relay->now_ms - request->arrived_ms));
+    }
+  http_text_format (&text, "%zx\r\n", whole);
+  http_text_add (&text, upstream->body.data, whole);
+  http_text_add (&text, "\r\n", 2);
+  http_text_drop (&upstream->body, whole);
+  if (text.failed)
+    expected = false;
+  else
+    http_connection_write (to, text.data, text.size);
+  http_text_finish (&text);
+  return expected;
+}
+
+void
+relay_answer_stream_end (struct relay_request *request)
+{
+  struct relay *relay = request->relay;
+
+  http_connection_write (&request->caller->connection, "0\r\n\r\n", 5);
+  histogram_add (&relay->answer_ms,
+                 (uint64_t)(relay->now_ms - request->arrived_ms));
+  relay_log_end (request, "answered", 200, RESULT_OK);
+}
--- /dev/null
+++ b/packages/relay/src/attempt.c
@@ -0,0 +1,169 @@
+#include "internal.h"
+#include "log.h"
+
+#include <string.h>
+
+/* Sends of one request, including those that certainly did not run. */
+#define SEND_LIMIT 4
+/* An endpoint that refused is left alone for this long. */
+#define REFUSED_AVOID_MS 250
+/* One that cannot be reached is left alone for this long. */
+#define UNREACHED_AVOID_MS 1000
+/* When to come back: see request.c. */
+#define RETRY_AFTER_MS 500
+#define RETRY_AFTER_SPREAD_MS 700
+/* Least time to wait for room, when the objective is nearly over. */
+#define WAIT_LEAST_MS 30
+/* Part of the objective that an endpoint itself takes to the first event. */
+#define START_PART 0.4
+
+static int64_t
+retry_after_ms (struct relay *relay)
+{
+  return RETRY_AFTER_MS
+         + (int64_t)rng_below (&relay->lanes.rng, RETRY_AFTER_SPREAD_MS);
+}
+
+void
+relay_attempt_start (struct relay_request *request, struct lane *lane)
+{
+  struct relay *relay = request->relay;
+  struct relay_upstream *upstream;
+
+  relay_request_queue (request, false);
+  request->phase = RELAY_RUNNING;
+  request->sends++;
+  upstream = relay_upstream_get (request, lane);
+  if (upstream == NULL)
+    {
+      balance_avoid (lane, relay->now_ms + UNREACHED_AVOID_MS);
+      request->phase = RELAY_WAITING;
+      relay_attempt_failed (request, false, RESULT_ENDPOINT_CONNECT);
+    }
+}
+
+/* No more attempts: the last word to the caller. */
+static void
+give_up (struct relay_request *request, enum result why)
+{
+  struct relay *relay = request->relay;
+
+  if (request->head_sent)
+    {
+      struct relay_caller *caller = request->caller;
+
+      relay_log_end (request, "cut-off", 0, RESULT_STREAM_BROKEN);
+      relay_caller_close (caller);
+    }
+  else if (request->runs > 0)
+    relay_refuse (request, RESULT_UPSTREAM_UNKNOWN, 0);
+  else
+    relay_refuse (request,
+                  result_info (why)->http_status == 503 ? why
+                                                        : RESULT_NO_CAPACITY,
+                  retry_after_ms (relay));
+}
+
+static void
+note_tried (struct relay_request *request, struct lane *lane)
+{
+  if (request->tried_count == BALANCE_EXCLUDE_LIMIT)
+    return;
+  lanes_ref (lane);
+  request->tried[request->tried_count++] = lane;
+}
+
+void
+relay_attempt_failed (struct relay_request *request,
+                      bool may_have_run,
+                      enum result why)
+{
+  struct relay *relay = request->relay;
+  struct relay_upstream *upstream = request->upstream;
+
+  if (upstream != NULL)
+    {
+      struct lane *lane = upstream->lane;
+
+      LOG_EVENT (LOG_LEVEL_NOTICE, "attempt-failed",
+                 LOG_STR ("request", request->id),
+                 LOG_STR ("endpoint", lane->id),
+                 LOG_INT ("code", why),
+                 LOG_STR ("may_have_run", may_have_run ? "yes" : "no"),
+                 LOG_U64 ("status", upstream->status),
+                 LOG_U64 ("events", request->events_sent),
+                 LOG_INT ("after_ms", relay->now_ms - upstream->started_ms));
+      note_tried (request, lane);
+      balance_note_failure (lane, relay->now_ms);
+      if (why == RESULT_ENDPOINT_CONNECT)
+        balance_avoid (lane, relay->now_ms + UNREACHED_AVOID_MS);
+      else if (!may_have_run)
+        balance_avoid (lane, relay->now_ms + REFUSED_AVOID_MS);
+      if (request->upstream != NULL)
+        relay_upstream_close (upstream);
+    }
+  if (may_have_run)
+    request->runs++;
+  request->failure = why;
+  request->phase = RELAY_WAITING;
+  if ((may_have_run && !catalog_is_repeatable (request->route))
+      || request->runs >= request->route->attempts
+      || request->sends >= SEND_LIMIT
+      || relay->now_ms >= request->deadline_ms
+      || !retry_budget_take (&relay->budgets, request->service->name,
+                             relay->now_ms))
+    {
+      give_up (request, why);
+      return;
+    }
+  relay_dispatch (request);
+}
+
+/* True if waiting for room still serves the caller. */
+static bool
+may_wait (const struct relay_request *request)
+{
+  const struct relay *relay = request->relay;
+  int64_t until_ms;
+
+  if (request->head_sent)
+    return relay->now_ms < request->deadline_ms;
+  until_ms = request->objective_by_ms
+             - (int64_t)((double)request->route->objective_ms * START_PART);
+  if (until_ms < request->arrived_ms + WAIT_LEAST_MS)
+    until_ms = request->arrived_ms + WAIT_LEAST_MS;
+  return relay->now_ms < until_ms;
+}
+
+void
+relay_dispatch (struct relay_request *request)
+{
+  struct relay *relay = request->relay;
+  struct balance_request wanted = {
+    .service = request->service,
+    .model = request->model,
+    .urgent
+    = relay->now_ms < request->objective_by_ms || request->head_sent,
+    .excluded_count = request->tried_count,
+  };
+  struct lane *lane;
+
+  for (unsigned i = 0; i < request->tried_count; i++)
+    wanted.excluded[i] = request->tried[i];
+  switch (balance_choose (&relay->lanes, relay->endpoints, &wanted,
+                          relay->now_ms, &lane))
+    {
+    case BALANCE_CHOSEN:
+      relay_attempt_start (request, lane);
+      break;
+    case BALANCE_FULL:
+      if (may_wait (request))
+        relay_request_queue (request, true);
+      else
+        give_up (request, RESULT_SHED);
+      break;
+    case BALANCE_NONE:
+      give_up (request, RESULT_NO_CAPACITY);
+      break;
+    }
+}
--- /dev/null
+++ b/packages/relay/src/caller.c
@@ -0,0 +1,211 @@
+#include "internal.h"
+#include "log.h"
+#include "timeutil.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+/*
+ * Callers connected at once.  An entry host has about 2,900 descriptors, of
+ * which 200 are for files and the rest for callers and endpoints.
+ */
+#define CALLER_LIMIT 1400
+/* Before a configuration names limits. */
+#define DEFAULT_HEADER_BYTES 16384
+#define DEFAULT_HEADER_TIMEOUT_MS 3000
+#define DEFAULT_IDLE_TIMEOUT_MS 15000
+/* Pipelined bytes kept while a request is being served. */
+#define PENDING_BYTES 65536
+/* A caller that reads slowly suspends its stream above this. */
+#define UNWRITTEN_HIGH 262144
+
+static void
+on_head (void *context, const struct http_head *head)
+{
+  struct relay_caller *caller = context;
+
+  caller->relay->now_ms = time_boot_ms ();
+  caller->request = relay_request_new (caller, head);
+}
+
+static void
+on_body (void *context, const char *data, size_t size)
+{
+  struct relay_caller *caller = context;
+  struct relay_request *request = caller->request;
+  const struct catalog *catalog = caller->relay->catalog;
+
+  if (request == NULL)
+    return;
+  http_text_add (&request->body, data, size);
+  caller->relay->body_bytes += size;
+  if (request->body.failed
+      || (catalog != NULL
+          && (int64_t)request->body.size > catalog->limits.body_bytes))
+    {
+      caller->close_after = true;
+      relay_refuse (request, RESULT_BODY_TOO_LARGE, 0);
+    }
+}
+
+static void
+on_complete (void *context)
+{
+  struct relay_caller *caller = context;
+
+  caller->relay->now_ms = time_boot_ms ();
+  caller->relay->saw_request = true;
+  if (caller->request != NULL)
+    relay_request_start (caller->request);
+}
+
+static void
+on_closed (void *context, enum http_end end)
+{
+  struct relay_caller *caller = context;
+
+  caller->relay->now_ms = time_boot_ms ();
+  if (end == HTTP_END_LIMIT || end == HTTP_END_PROTOCOL)
+    {
+      /* What cannot be parsed gets one answer; an abort in a body none. */
+      if (caller->request == NULL && !caller->connection.paused)
+        relay_refuse_caller (caller, "", RESULT_MALFORMED_REQUEST, 0);
+    }
+  if (caller->request != NULL)
+    {
+      if (caller->request->phase != RELAY_READING)
+        relay_log_end (caller->request, "caller-gone", 0, RESULT_CALLER_GONE);
+      relay_request_free (caller->request);
+    }
+  relay_caller_close (caller);
+}
+
+static void
+on_drained (void *context)
+{
+  struct relay_caller *caller = context;
+
+  if (caller->close_after && caller->request == NULL)
+    relay_caller_close (caller);
+  else if (caller->request != NULL && caller->request->upstream != NULL)
+    http_connection_hold (&caller->request->upstream->connection, false);
+}
+
+static const struct http_events events = {
+  .head = on_head,
+  .body = on_body,
+  .complete = on_complete,
+  .closed = on_closed,
+  .drained = on_drained,
+};
+
+void
+relay_caller_accept (struct evconnlistener *listener,
+                     evutil_socket_t fd,
+                     struct sockaddr *address,
+                     int size,
+                     void *context)
+{
+  struct relay *relay = context;
+  struct relay_caller *caller = NULL;
+  struct http_limits limits = { DEFAULT_HEADER_BYTES, PENDING_BYTES };
+
+  (void)listener;
+  (void)address;
+  (void)size;
+  if (relay->caller_count < CALLER_LIMIT)
+    caller = calloc (1, sizeof *caller);
+  if (caller == NULL)
+    {
+      counter_add (relay->counters, "waxwing_callers_rejected_total", NULL, 1);
+      close (fd);
+      return;
+    }
+  if (relay->catalog != NULL)
+    limits.header_bytes = (size_t)relay->catalog->limits.header_bytes;
+  caller->relay = relay;
+  caller->since_ms = time_boot_ms ();
+  if (http_connection_accept (&caller->connection, relay->base, fd, &limits,
+                              &events, caller)
+      != RESULT_OK)
+    {
+      free (caller);
+      return;
+    }
+  relay->caller_count++;
+  TAILQ_INSERT_TAIL (&relay->callers, caller, link);
+}
+
+void
+relay_caller_close (struct relay_caller *caller)
+{
+  struct relay *relay = caller->relay;
+
+  if (caller->connection.fd < 0)
+    return;
+  if (caller->request != NULL)
+    relay_request_free (caller->request);
+  http_connection_finish (&caller->connection);
+  relay->caller_count--;
+  TAILQ_REMOVE (&relay->callers, caller, link);
+  http_free_later (relay->base, caller);
+}
+
+void
+relay_caller_answered (struct relay_caller *caller)
+{
+  struct http_connection *connection = &caller->connection;
+  bool is_whole = connection->paused;
+
+  caller->since_ms = caller->relay->now_ms;
+  caller->reading = false;
+  if (caller->close_after || !is_whole || connection->ended)
+    {
+      caller->close_after = true;
+      if (http_connection_unwritten (connection) == 0)
+        relay_caller_close (caller);
+      return;
+    }
+  http_connection_next (connection, false);
+}
+
+void
+relay_caller_tick (struct relay_caller *caller, int64_t now_ms)
+{
+  const struct catalog *catalog = caller->relay->catalog;
+  int64_t header_ms = catalog != NULL ? catalog->limits.header_timeout_ms
+                                      : DEFAULT_HEADER_TIMEOUT_MS;
+  int64_t idle_ms = catalog != NULL ? catalog->limits.idle_timeout_ms
+                                    : DEFAULT_IDLE_TIMEOUT_MS;
+  bool reading = caller->connection.message_begun;
+
+  if (caller->request != NULL
+      && (caller->request->phase != RELAY_READING))
+    {
+      if (caller->request->upstream != NULL
+          && http_connection_unwritten (&caller->connection) > UNWRITTEN_HIGH)
+        http_connection_hold (&caller->request->upstream->connection, true);
+      return;
+    }
+  if (reading && !caller->reading)
+    {
+      caller->reading = true;
+      caller->since_ms = now_ms;
+    }
+  if (caller->close_after)
+    {
+      if (now_ms - caller->since_ms > header_ms)
+        relay_caller_close (caller);
+    }
+  else if (reading && !caller->connection.head_done)
+    {
+      if (now_ms - caller->since_ms > header_ms)
+        {
+          caller->close_after = true;
+          relay_refuse_caller (caller, "", RESULT_SLOW_CALLER, 0);
+        }
+    }
+  else if (now_ms - caller->since_ms > idle_ms)
+    relay_caller_close (caller);
+}
--- /dev/null
+++ b/packages/relay/src/log.c
@@ -0,0 +1,36 @@
+#include "internal.h"
+#include "log.h"
+
+#include <stdio.h>
+
+void
+relay_log_end (const struct relay_request *request,
+               const char *outcome,
+               unsigned status,
+               enum result why)
+{
+  const struct relay *relay = request->relay;
+  const struct relay_upstream *upstream = request->upstream;
+  char labels[64];
+  bool good = status >= 200 && status < 300;
+
+  LOG_EVENT (
+      good ? LOG_LEVEL_INFO : LOG_LEVEL_NOTICE, "request-end",
+      LOG_STR ("request", request->id), LOG_STR ("outcome", outcome),
+      LOG_U64 ("status", status), LOG_INT ("code", why),
+      LOG_STR ("route", request->route != NULL ? request->route->name : ""),
+      LOG_STR ("customer",
+               request->customer != NULL ? request->customer->name : ""),
+      LOG_INT ("configuration",
+               request->catalog != NULL ? request->catalog->version : 0),
+      LOG_INT ("proof_age_ms", relay->now_ms - relay->catalog_proof_ms),
+      LOG_STR ("endpoint", upstream != NULL ? upstream->lane->id : ""),
+      LOG_U64 ("sends", request->sends), LOG_U64 ("runs", request->runs),
+      LOG_U64 ("events", request->events_sent),
+      LOG_STR ("returned", request->returned ? "yes" : "no"),
+      LOG_INT ("held_ms", relay->now_ms - request->arrived_ms),
+      LOG_INT ("left_ms", request->deadline_ms - relay->now_ms));
+  snprintf (labels, sizeof labels, "outcome=\"%s\",code=\"%d\"", outcome,
+            (int)why);
+  counter_add (relay->counters, "waxwing_requests_total", labels, 1);
+}
--- /dev/null
+++ b/packages/relay/src/relay.c
@@ -0,0 +1,194 @@
+#include "relay.h"
+
+#include "internal.h"
+#include "log.h"
+#include "timeutil.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* New connections that wait to be accepted. */
+#define LISTEN_BACKLOG 1024
+
+enum result
+relay_init (struct relay *relay,
+            struct event_base *base,
+            const struct relay_names *names,
+            const struct relay_limits *limits,
+            struct endpoints *endpoints,
+            struct counter_set *counters,
+            const char *data_centre,
+            uint64_t seed)
+{
+  memset (relay, 0, sizeof *relay);
+  relay->base = base;
+  relay->names = names;
+  relay->limits = *limits;
+  relay->endpoints = endpoints;
+  relay->counters = counters;
+  relay->catalog_proof_ms = INT64_MIN / 2;
+  lanes_init (&relay->lanes, data_centre, seed);
+  retry_budgets_init (&relay->budgets, limits->retry_ratio,
+                      limits->retry_slack, limits->retry_window_ms);
+  histogram_init (&relay->first_event_ms);
+  histogram_init (&relay->answer_ms);
+  TAILQ_INIT (&relay->callers);
+  TAILQ_INIT (&relay->idle);
+  TAILQ_INIT (&relay->busy);
+  TAILQ_INIT (&relay->requests);
+  TAILQ_INIT (&relay->waiting);
+  return RESULT_OK;
+}
+
+enum result
+relay_listen (struct relay *relay, const char *address, uint16_t port)
+{
+  struct sockaddr_in own = { .sin_family = AF_INET, .sin_port = htons (port) };
+
+  if (inet_pton (AF_INET, address, &own.sin_addr) != 1)
+    return RESULT_INVALID;
+  relay->listener = evconnlistener_new_bind (
+      relay->base, relay_caller_accept, relay,
+      LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
+      LISTEN_BACKLOG, (struct sockaddr *)&own, sizeof own);
+  return relay->listener != NULL ? RESULT_OK : RESULT_INVALID;
+}
+
+void
+relay_stop_listening (struct relay *relay)
+{
+  if (relay->listener != NULL)
+    evconnlistener_free (relay->listener);
+  relay->listener = NULL;
+}
+
+void
+relay_finish (struct relay *relay)
+{
+  struct relay_caller *caller;
+  struct relay_upstream *upstream;
+  struct relay_route_deadline *deadline = relay->deadlines;
+
+  relay_stop_listening (relay);
+  while ((caller = TAILQ_FIRST (&relay->callers)) != NULL)
+    relay_caller_close (caller);
+  while ((upstream = TAILQ_FIRST (&relay->idle)) != NULL)
+    relay_upstream_close (upstream);
+  while ((upstream = TAILQ_FIRST (&relay->busy)) != NULL)
+    relay_upstream_close (upstream);
+  HASH_CLEAR (hh, relay->deadlines);
+  while (deadline != NULL)
+    {
+      struct relay_route_deadline *next = deadline->hh.next;
+
+      free (deadline);
+      deadline = next;
+    }
+  retry_budgets_finish (&relay->budgets);
+  lanes_finish (&relay->lanes);
+  catalog_unref (relay->catalog);
+  relay->catalog = NULL;
+}
+
+void
+relay_set_catalog (struct relay *relay, struct catalog *catalog)
+{
+  if (relay->catalog != NULL && catalog->version <= relay->catalog->version)
+    {
+      catalog_unref (catalog);
+      return;
+    }
+  LOG_EVENT (LOG_LEVEL_NOTICE, "configuration-in-force",
+             LOG_INT ("version", catalog->version),
+             LOG_INT ("previous",
+                      relay->catalog != NULL ? relay->catalog->version : 0),
+             LOG_U64 ("routes", catalog->route_count),
+             LOG_U64 ("customers", catalog->customer_count));
+  catalog_unref (relay->catalog);
+  relay->catalog = catalog;
+}
+
+void
+relay_endpoint_removed (struct relay *relay, struct endpoint *endpoint)
+{
+  struct lane *lane = endpoint->link;
+  struct relay_upstream *upstream = TAILQ_FIRST (&relay->idle);
+
+  if (lane == NULL)
+    return;
+  while (upstream != NULL)
+    {
+      struct relay_upstream *next = TAILQ_NEXT (upstream, link);
+
+      if (upstream->lane == lane)
+        relay_upstream_close (upstream);
+      upstream = next;
+    }
+  lanes_detach (&relay->lanes, lane);
+}
+
+void
+relay_dispatch_waiting (struct relay *relay)
+{
+  struct relay_request *request = TAILQ_FIRST (&relay->waiting);
+
+  /* Each dispatch takes its request off the queue, or leaves it there. */
+  while (request != NULL)
+    {
+      struct relay_request *next = TAILQ_NEXT (request, queue);
+
+      relay_dispatch (request);
+      request = next;
+    }
+}
+
+void
+relay_tick (struct relay *relay, int64_t now_ms)
+{
+  struct relay_caller *caller = TAILQ_FIRST (&relay->callers);
+  struct relay_request *request = TAILQ_FIRST (&relay->requests);
+  struct relay_upstream *upstream = TAILQ_FIRST (&relay->idle);
+
+  relay->now_ms = now_ms;
+  while (request != NULL)
+    {
+      struct relay_request *next = TAILQ_NEXT (request, link);
+
+      relay_request_tick (request);
+      request = next;
+    }
+  while (upstream != NULL)
+    {
+      struct relay_upstream *next = TAILQ_NEXT (upstream, link);
+
+      relay_upstream_tick (upstream);
+      upstream = next;
+    }
+  while (caller != NULL)
+    {
+      struct relay_caller *next = TAILQ_NEXT (caller, link);
+
+      relay_caller_tick (caller, now_ms);
+      caller = next;
+    }
+  relay_dispatch_waiting (relay);
+}
+
+void
+relay_leave (struct relay *relay)
+{
+  relay->leaving = true;
+}
+
+unsigned
+relay_in_flight (const struct relay *relay)
+{
+  const struct relay_request *request;
+  unsigned count = 0;
+
+  TAILQ_FOREACH (request, &relay->requests, link)
+  count++;
+  return count;
+}
--- /dev/null
+++ b/packages/relay/src/request.c
@@ -0,0 +1,389 @@
+#include "internal.h"
+#include "log.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+/* Of a request that names no deadline, before its route is known. */
+#define DEFAULT_DEADLINE_MS 30000
+/* Bodies held at once: a third of the smallest host's memory. */
+#define BODY_BYTES_LIMIT (48U << 20)
+/* A caller whose deadline is shorter than this part of the longest returned. */
+#define RETURNED_PART 0.97
+/* Sent with requests that can no longer meet their objective; 0 is first. */
+#define LATE_URGENCY_STEP 4
+#define URGENCY_LIMIT 9
+#define URGENCY_FIRST 2
+/* The endpoint ends the work at the deadline itself; its answer comes then. */
+#define DEADLINE_GRACE_MS 60
+/* When to come back to a host without a current configuration. */
+#define RETRY_AFTER_MS 500
+/*
+ * A stream is taken to stand still when its endpoint has sent none of our
+ * streams an event for this many times the pause objective.
+ */
+#define STALL_PAUSES 1.3
+/* The same before the first event, in objectives. */
+#define STALL_OBJECTIVES 3.0
+/* An endpoint that stands still is left alone for this long. */
+#define STALL_AVOID_MS 1500
+
+struct relay_request *
+relay_request_new (struct relay_caller *caller, const struct http_head *head)
+{
+  struct relay *relay = caller->relay;
+  struct relay_request *request = calloc (1, sizeof *request);
+  const char *id = http_head_get (head, relay->names->request_id);
+
+  if (request == NULL)
+    {
+      relay_caller_close (caller);
+      return NULL;
+    }
+  request->relay = relay;
+  request->caller = caller;
+  request->arrived_ms = relay->now_ms;
+  request->deadline_ms = relay->now_ms + DEFAULT_DEADLINE_MS;
+  request->is_head_method = strcmp (head->method, "HEAD") == 0;
+  snprintf (request->id, sizeof request->id, "%s", id != NULL ? id : "");
+  http_text_init (&request->fields);
+  http_text_init (&request->body);
+  TAILQ_INSERT_TAIL (&relay->requests, request, link);
+  caller->request = request;
+  if (http_head_get (head, "Expect") != NULL)
+    http_connection_write (&caller->connection,
+                           "HTTP/1.1 100 Continue\r\n\r\n", 25);
+  if (relay->body_bytes > BODY_BYTES_LIMIT)
+    {
+      caller->close_after = true;
+      relay_refuse (request, RESULT_SHED, RETRY_AFTER_MS);
+      return NULL;
+    }
+  return request;
+}
+
+void
+relay_request_free (struct relay_request *request)
+{
+  struct relay *relay = request->relay;
+
+  if (request->upstream != NULL)
+    relay_upstream_close (request->upstream);
+  for (unsigned i = 0; i < request->tried_count; i++)
+    lanes_unref (&relay->lanes, request->tried[i]);
+  if (request->queued)
+    TAILQ_REMOVE (&relay->waiting, request, queue);
+  TAILQ_REMOVE (&relay->requests, request, link);
+  if (request->caller != NULL)
+    request->caller->request = NULL;
+  relay->body_bytes -= request->body.size;
+  http_text_finish (&request->fields);
+  http_text_finish (&request->body);
+  catalog_unref (request->catalog);
+  http_free_later (relay->base, request);
+}
+
+/* How long ago the caller first sent this request, from its deadline. */
+static int64_t
+time_spent_before (struct relay *relay,
+                   const struct catalog_route *route,
+                   int64_t deadline_ms)
+{
+  struct relay_route_deadline *entry;
+
+  HASH_FIND_STR (relay->deadlines, route->name, entry);
+  if (entry == NULL)
+    {
+      entry = calloc (1, sizeof *entry);
+      if (entry == NULL)
+        return 0;
+      memcpy (entry->route, route->name, sizeof entry->route);
+      HASH_ADD_STR (relay->deadlines, route, entry);
+    }
+  if (deadline_ms >= (int64_t)((double)entry->longest_ms * RETURNED_PART))
+    {
+      if (deadline_ms > entry->longest_ms)
+        entry->longest_ms = deadline_ms;
+      return 0;
+    }
+  return entry->longest_ms - deadline_ms;
+}
+
+static void
+set_times (struct relay_request *request, const struct http_head *head)
+{
+  struct relay *relay = request->relay;
+  const struct catalog_route *route = request->route;
+  int64_t left_ms = route->timeout_ms > 0 ? route->timeout_ms
+                                          : DEFAULT_DEADLINE_MS;
+  int64_t callers_ms;
+  int64_t spent_ms = 0;
+
+  if (http_parse_number (http_head_get (head, relay->names->deadline),
+                         &callers_ms))
+    {
+      spent_ms = time_spent_before (relay, route, callers_ms);
+      if (callers_ms < left_ms)
+        left_ms = callers_ms;
+    }
+  request->returned = spent_ms > 0;
+  request->deadline_ms = request->arrived_ms + left_ms;
+  request->objective_by_ms
+      = request->arrived_ms - spent_ms + route->objective_ms;
+}
+
+static bool
+is_set_by_us (const struct relay_names *names, const char *field)
+{
+  const char *const set[] = { names->deadline,      names->customer,
+                              names->expected_endpoint,
+                              names->expected_version,
+                              names->urgency,       names->credential,
+                              names->last_event_id, "Content-Length" };
+
+  for (size_t i = 0; i < sizeof set / sizeof set[0]; i++)
+    if (strcasecmp (set[i], field) == 0)
+      return true;
+  return false;
+}
+
+static void
+build_fields (struct relay_request *request, const struct http_head *head)
+{
+  const struct relay_names *names = request->relay->names;
+  struct http_text *fields = &request->fields;
+
+  http_text_add_string (fields, head->method);
+  http_text_add (fields, " ", 1);
+  http_text_add_string (fields, http_head_target (head));
+  http_text_add_string (fields, " HTTP/1.1\r\n");
+  for (unsigned i = 0; i < head->field_count; i++)
+    if (!http_field_is_hop_by_hop (head, i)
+        && !is_set_by_us (names, http_field_name (head, i)))
+      http_text_add_field (fields, http_field_name (head, i),
+                           http_field_value (head, i));
+  if (request->customer != NULL)
+    http_text_add_field (fields, names->customer, request->customer->name);
+  if (request->body.size > 0 || head->has_length)
+    http_text_format (fields, "Content-Length: %zu\r\n", request->body.size);
+}
+
+/* The credential without its scheme; NULL if it is missing or of another. */
+static const char *
+credential (const struct relay_names *names, const struct http_head *head)
+{
+  const char *value = http_head_get (head, names->credential);
+  size_t size = strlen (names->credential_scheme);
+
+  if (value == NULL || strncasecmp (value, names->credential_scheme, size) != 0
+      || value[size] != ' ')
+    return NULL;
+  value += size;
+  return value + strspn (value, " ");
+}
+
+/*
+ * Route, customer and place of the request.  What is denied is denied only
+ * while the configuration is known to be current; otherwise the caller is to
+ * come back.
+ */
+static enum result
+classify (struct relay_request *request, const struct http_head *head)
+{
+  struct relay *relay = request->relay;
+  const char *host = http_head_get (head, "Host");
+  int64_t proof_age_ms = relay->now_ms - relay->catalog_proof_ms;
+  bool is_current = proof_age_ms <= relay->limits.route_proof_ms;
+  const char *key;
+
+  if (relay->catalog == NULL)
+    return RESULT_NO_CONFIGURATION;
+  request->catalog = catalog_ref (relay->catalog);
+  if (host == NULL)
+    return RESULT_MALFORMED_REQUEST;
+  request->route
+      = catalog_find_route (request->catalog, host, http_head_target (head));
+  if (request->route == NULL)
+    return is_current ? RESULT_UNKNOWN_TARGET : RESULT_NO_CONFIGURATION;
+  if (request->catalog->needs_keys && !request->route->open)
+    {
+      key = credential (relay->names, head);
+      if (key != NULL)
+        request->customer = catalog_find_key (request->catalog, key);
+      if (request->customer == NULL)
+        return is_current ? RESULT_UNAUTHENTICATED : RESULT_NO_CONFIGURATION;
+      /* A key may have been taken away since the configuration was read. */
+      if (proof_age_ms > relay->limits.key_proof_ms)
+        return RESULT_NO_CONFIGURATION;
+    }
+  return RESULT_OK;
+}
+
+static enum result
+find_target (struct relay_request *request, const struct http_head *head)
+{
+  struct relay *relay = request->relay;
+  const char *service
+      = catalog_pick_target (request->route, rng_next (&relay->lanes.rng));
+  const char *model = http_head_get (head, relay->names->model);
+
+  request->service = catalog_find_service (request->catalog, service);
+  if (request->service == NULL)
+    return RESULT_NO_CAPACITY;
+  if (request->service->model_count > 0)
+    {
+      request->model
+          = model != NULL ? catalog_find_model (request->service, model) : NULL;
+      if (request->model == NULL)
+        return RESULT_NO_CAPACITY;
+    }
+  return RESULT_OK;
+}
+
+static void
+set_urgency (struct relay_request *request)
+{
+  unsigned urgency = request->customer != NULL && request->customer->has_priority
+                         ? request->customer->priority
+                         : request->route->priority;
+
+  urgency += URGENCY_FIRST;
+  if (request->relay->now_ms >= request->objective_by_ms)
+    urgency += LATE_URGENCY_STEP;
+  request->urgency = urgency < URGENCY_LIMIT ? urgency : URGENCY_LIMIT;
+}
+
+void
+relay_request_start (struct relay_request *request)
+{
+  const struct http_head *head = &request->caller->connection.head;
+  struct relay *relay = request->relay;
+  const char *last_event;
+  int64_t number;
+  enum result result = classify (request, head);
+
+  if (!head->keep_alive)
+    request->caller->close_after = true;
+  if (result == RESULT_OK)
+    {
+      set_times (request, head);
+      retry_budget_note_request (&relay->budgets, request->route->targets[0].service,
+                                 relay->now_ms);
+      result = find_target (request, head);
+    }
+  if (result == RESULT_OK)
+    {
+      last_event = http_head_get (head, relay->names->last_event_id);
+      if (last_event != NULL && http_parse_number (last_event, &number))
+        {
+          request->last_event = (uint64_t)number;
+          request->has_last_event = true;
+        }
+      set_urgency (request);
+      build_fields (request, head);
+      if (request->fields.failed || request->body.failed)
+        result = RESULT_NO_MEMORY;
+    }
+  if (result != RESULT_OK)
+    {
+      relay_refuse (request, result,
+                    result_info (result)->http_status == 503 ? RETRY_AFTER_MS
+                                                             : 0);
+      return;
+    }
+  request->phase = RELAY_WAITING;
+  relay_dispatch (request);
+}
+
+void
+relay_request_queue (struct relay_request *request, bool wait)
+{
+  struct relay *relay = request->relay;
+
+  if (request->queued == wait)
+    return;
+  request->queued = wait;
+  if (wait)
+    TAILQ_INSERT_TAIL (&relay->waiting, request, queue);
+  else
+    TAILQ_REMOVE (&relay->waiting, request, queue);
+}
+
+/* The deadline has passed: the final answer, whatever it can be. */
+static void
+expire (struct relay_request *request)
+{
+  struct relay_caller *caller = request->caller;
+
+  if (request->head_sent)
+    {
+      relay_log_end (request, "cut-off", 0, RESULT_DEADLINE_EXCEEDED);
+      relay_caller_close (caller);
+    }
+  else
+    relay_refuse (request,
+                  request->runs == 0 && request->upstream == NULL
+                      ? RESULT_DEADLINE_UNREACHABLE
+                      : RESULT_DEADLINE_EXCEEDED,
+                  0);
+}
+
+/* True if the endpoint has shown no life to any of our streams for too long. */
+static bool
+stands_still (const struct relay_request *request)
+{
+  const struct relay_upstream *upstream = request->upstream;
+  const struct relay *relay = request->relay;
+  int64_t seen_ms;
+  double limit_ms;
+
+  if (!upstream->is_stream && upstream->head_seen)
+    return false;
+  seen_ms = upstream->progress_ms;
+  if (upstream->lane->progress_ms > seen_ms)
+    seen_ms = upstream->lane->progress_ms;
+  limit_ms = upstream->head_seen
+                 ? (double)request->route->pause_objective_ms * STALL_PAUSES
+                 : (double)request->route->objective_ms * STALL_OBJECTIVES;
+  return (double)(relay->now_ms - seen_ms) > limit_ms;
+}
+
+void
+relay_request_tick (struct relay_request *request)
+{
+  struct relay *relay = request->relay;
+  struct relay_upstream *upstream = request->upstream;
+  int64_t now_ms = relay->now_ms;
+
+  if (request->phase == RELAY_READING)
+    return;
+  if (now_ms >= request->deadline_ms + DEADLINE_GRACE_MS
+      || (upstream == NULL && now_ms >= request->deadline_ms))
+    {
+      expire (request);
+      return;
+    }
+  if (upstream == NULL)
+    return;
+  if (relay_upstream_is_overdue (upstream))
+    {
+      relay_attempt_failed (request, false, RESULT_ENDPOINT_CONNECT);
+      return;
+    }
+  if (request->route->kind == CATALOG_STREAM && request->route->resumable
+      && upstream->written && stands_still (request))
+    {
+      bool first = upstream->lane->avoid_ms <= now_ms;
+
+      balance_avoid (upstream->lane, now_ms + STALL_AVOID_MS);
+      if (first)
+        LOG_EVENT (LOG_LEVEL_NOTICE, "endpoint-stands-still",
+                   LOG_STR ("request", request->id),
+                   LOG_STR ("endpoint", upstream->lane->id),
+                   LOG_INT ("silent_ms", now_ms - upstream->progress_ms));
+      if (request->runs + 1 < request->route->attempts)
+        relay_attempt_failed (request, true, RESULT_STREAM_BROKEN);
+    }
+}
--- /dev/null
+++ b/packages/relay/src/retry-budget.c
@@ -0,0 +1,86 @@
+#include "retry-budget.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+void
+retry_budgets_init (struct retry_budgets *budgets,
+                    double ratio,
+                    double slack,
+                    int64_t window_ms)
+{
+  memset (budgets, 0, sizeof *budgets);
+  budgets->ratio = ratio;
+  budgets->slack = slack;
+  budgets->window_ms = window_ms;
+}
+
+void
+retry_budgets_finish (struct retry_budgets *budgets)
+{
+  struct retry_budget *budget = budgets->table;
+
+  HASH_CLEAR (hh, budgets->table);
+  while (budget != NULL)
+    {
+      struct retry_budget *next = budget->hh.next;
+
+      free (budget);
+      budget = next;
+    }
+}
+
+static struct retry_budget *
+find (struct retry_budgets *budgets, const char *service, int64_t now_ms)
+{
+  struct retry_budget *budget;
+  double limit = budgets->slack;
+
+  HASH_FIND_STR (budgets->table, service, budget);
+  if (budget == NULL)
+    {
+      size_t size = strnlen (service, sizeof budget->service - 1);
+
+      budget = calloc (1, sizeof *budget);
+      if (budget == NULL)
+        return NULL;
+      memcpy (budget->service, service, size);
+      budget->tokens = limit / 2;
+      budget->refilled_ms = now_ms;
+      HASH_ADD_STR (budgets->table, service, budget);
+    }
+  /*
+   * Half of the slack may stand by and half comes back per window, so that no
+   * window sees more than the whole.
+   */
+  budget->tokens += (double)(now_ms - budget->refilled_ms)
+                    / (double)budgets->window_ms * limit / 2;
+  budget->refilled_ms = now_ms;
+  if (budget->tokens > limit / 2)
+    budget->tokens = limit / 2;
+  return budget;
+}
+
+void
+retry_budget_note_request (struct retry_budgets *budgets,
+                           const char *service,
+                           int64_t now_ms)
+{
+  struct retry_budget *budget = find (budgets, service, now_ms);
+
+  if (budget != NULL)
+    budget->tokens += budgets->ratio;
+}
+
+bool
+retry_budget_take (struct retry_budgets *budgets,
+                   const char *service,
+                   int64_t now_ms)
+{
+  struct retry_budget *budget = find (budgets, service, now_ms);
+
+  if (budget == NULL || budget->tokens < 1)
+    return false;
+  budget->tokens -= 1;
+  return true;
+}
--- /dev/null
+++ b/packages/relay/src/upstream.c
@@ -0,0 +1,405 @@
+#include "internal.h"
+#include "log.h"
+#include "timeutil.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* A connection that is not established in this time is given up. */
+#define CONNECT_MS 300
+/* Written bytes and probes without an answer for this long end it. */
+#define SILENCE_MS 2500
+/* Idle connections without a stated time-out are kept this long. */
+#define IDLE_MS 4000
+/* Closed this long before the endpoint would. */
+#define IDLE_MARGIN_MS 600
+/* For requests that run at most once only connections used lately are good. */
+#define FRESH_MS 700
+#define HEADER_BYTES 65536
+/* Largest plain answer. */
+#define BODY_BYTES (8U << 20)
+
+static void
+detach (struct relay_upstream *upstream)
+{
+  struct relay_request *request = upstream->request;
+
+  if (request == NULL)
+    return;
+  upstream->lane->running--;
+  request->upstream = NULL;
+  upstream->request = NULL;
+}
+
+void
+relay_upstream_close (struct relay_upstream *upstream)
+{
+  struct relay *relay = upstream->relay;
+
+  if (upstream->connection.fd < 0)
+    return;
+  if (upstream->request != NULL)
+    TAILQ_REMOVE (&relay->busy, upstream, link);
+  else
+    TAILQ_REMOVE (&relay->idle, upstream, link);
+  detach (upstream);
+  http_connection_finish (&upstream->connection);
+  http_text_finish (&upstream->head);
+  http_text_finish (&upstream->body);
+  lanes_unref (&relay->lanes, upstream->lane);
+  http_free_later (relay->base, upstream);
+}
+
+static void
+attach (struct relay_upstream *upstream, struct relay_request *request)
+{
+  struct relay *relay = upstream->relay;
+
+  upstream->request = request;
+  upstream->written = false;
+  upstream->head_seen = false;
+  upstream->is_stream = false;
+  upstream->foreign = false;
+  upstream->status = 0;
+  upstream->started_ms = relay->now_ms;
+  upstream->progress_ms = relay->now_ms;
+  http_text_reset (&upstream->head);
+  http_text_reset (&upstream->body);
+  upstream->lane->running++;
+  request->upstream = upstream;
+  TAILQ_INSERT_TAIL (&relay->busy, upstream, link);
+}
+
+void
+relay_upstream_send (struct relay_upstream *upstream)
+{
+  struct relay_request *request = upstream->request;
+  struct relay *relay = upstream->relay;
+  const struct relay_names *names = relay->names;
+  int64_t left_ms = request->deadline_ms - relay->now_ms;
+  struct http_text text;
+
+  http_text_init (&text);
+  http_text_add (&text, request->fields.data, request->fields.size);
+  http_text_format (&text, "%s: %lld\r\n", names->deadline,
+                    (long long)(left_ms > 1 ? left_ms : 1));
+  http_text_add_field (&text, names->expected_endpoint, upstream->lane->id);
+  http_text_format (&text, "%s: %u\r\n", names->urgency, request->urgency);
+  if (request->has_last_event)
+    http_text_format (&text, "%s: %llu\r\n", names->last_event_id,
+                      (unsigned long long)request->last_event);
+  http_text_add (&text, "\r\n", 2);
+  http_text_add (&text, request->body.data, request->body.size);
+  if (text.failed)
+    {
+      http_text_finish (&text);
+      relay_attempt_failed (request, false, RESULT_NO_MEMORY);
+      return;
+    }
+  upstream->written = true;
+  upstream->progress_ms = relay->now_ms;
+  http_connection_write (&upstream->connection, text.data, text.size);
+  http_text_finish (&text);
+}
+
+static void
+on_connected (void *context)
+{
+  struct relay_upstream *upstream = context;
+
+  upstream->relay->now_ms = time_boot_ms ();
+  upstream->established = true;
+  if (upstream->request != NULL)
+    relay_upstream_send (upstream);
+}
+
+static void
+note_progress (struct relay_upstream *upstream)
+{
+  int64_t now_ms = upstream->relay->now_ms;
+
+  if (upstream->is_stream)
+    balance_note_pause (upstream->lane, now_ms - upstream->progress_ms, now_ms);
+  upstream->progress_ms = now_ms;
+  upstream->lane->progress_ms = now_ms;
+}
+
+static void
+on_head (void *context, const struct http_head *head)
+{
+  struct relay_upstream *upstream = context;
+  struct relay_request *request = upstream->request;
+  struct relay *relay = upstream->relay;
+  const char *id = http_head_get (head, relay->names->request_id);
+
+  relay->now_ms = time_boot_ms ();
+  if (request == NULL)
+    return; /* closed when it is complete */
+  upstream->foreign = id != NULL && strcmp (id, request->id) != 0;
+  if (upstream->foreign)
+    return;
+  upstream->head_seen = true;
+  upstream->status = head->status;
+  upstream->keep_alive = head->keep_alive;
+  upstream->idle_limit_ms = IDLE_MS;
+  if (http_head_get (head, "Keep-Alive") != NULL)
+    {
+      const char *timeout
+          = strstr (http_head_get (head, "Keep-Alive"), "timeout=");
+
+      if (timeout != NULL)
+        upstream->idle_limit_ms
+            = strtoll (timeout + 8, NULL, 10) * 1000 - IDLE_MARGIN_MS;
+    }
+  if (http_head_get (head, "Content-Encoding") != NULL
+      || (id == NULL && head->status < 300))
+    {
+      relay_attempt_failed (request, true, RESULT_UPSTREAM_UNKNOWN);
+      return;
+    }
+  upstream->is_stream
+      = request->route->kind == CATALOG_STREAM && head->status == 200;
+  note_progress (upstream);
+  relay_answer_collect_head (upstream, head);
+}
+
+static void
+on_body (void *context, const char *data, size_t size)
+{
+  struct relay_upstream *upstream = context;
+  struct relay_request *request = upstream->request;
+
+  if (request == NULL || upstream->foreign)
+    return;
+  upstream->relay->now_ms = time_boot_ms ();
+  http_text_add (&upstream->body, data, size);
+  if (upstream->body.failed || upstream->body.size > BODY_BYTES)
+    {
+      relay_attempt_failed (request, true, RESULT_TOO_LARGE);
+      return;
+    }
+  if (!upstream->is_stream)
+    return;
+  note_progress (upstream);
+  if (!relay_answer_events (request, upstream))
+    relay_attempt_failed (request, true, RESULT_STREAM_BROKEN);
+}
+
+/* Keeps the connection for the next request if it is clean. */
+static void
+release (struct relay_upstream *upstream)
+{
+  struct relay *relay = upstream->relay;
+  bool clean = upstream->keep_alive && !upstream->connection.ended
+               && http_connection_surplus (&upstream->connection) == 0
+               && http_connection_unwritten (&upstream->connection) == 0
+               && upstream->lane->endpoint != NULL
+               && !upstream->lane->endpoint->report.leaving
+               && upstream->idle_limit_ms > 0;
+
+  if (!clean)
+    {
+      relay_upstream_close (upstream);
+      return;
+    }
+  TAILQ_REMOVE (&relay->busy, upstream, link);
+  detach (upstream);
+  upstream->started_ms = relay->now_ms;
+  TAILQ_INSERT_HEAD (&relay->idle, upstream, link);
+  http_connection_hold (&upstream->connection, false);
+  http_connection_next (&upstream->connection, false);
+}
+
+/* True if the endpoint says that the request did not run. */
+static bool
+says_not_run (const struct relay_upstream *upstream)
+{
+  const struct http_head *head = &upstream->connection.head;
+
+  return upstream->status == 421
+         || http_head_get (head, upstream->relay->names->not_run) != NULL;
+}
+
+static void
+finish_stream (struct relay_upstream *upstream)
+{
+  struct relay_request *request = upstream->request;
+  struct relay_caller *caller = request->caller;
+
+  if (upstream->body.size > 0 || request->events_sent == 0)
+    {
+      relay_attempt_failed (request, true, RESULT_STREAM_BROKEN);
+      return;
+    }
+  balance_note_success (upstream->lane, upstream->relay->now_ms);
+  relay_answer_stream_end (request);
+  release (upstream);
+  relay_request_free (request);
+  relay_caller_answered (caller);
+}
+
+static void
+finish_plain (struct relay_upstream *upstream)
+{
+  struct relay_request *request = upstream->request;
+  struct relay_caller *caller = request->caller;
+  bool failed = upstream->status >= 500;
+
+  if (says_not_run (upstream))
+    {
+      relay_attempt_failed (request, false,
+                            upstream->status == 421 ? RESULT_ENDPOINT_WRONG_GROUP
+                                                    : RESULT_ENDPOINT_BUSY);
+      return;
+    }
+  /* A resumed stream that is refused cannot be answered any other way. */
+  if (request->head_sent
+      || (failed && catalog_is_repeatable (request->route)
+          && request->runs + 1 < request->route->attempts))
+    {
+      relay_attempt_failed (request, true, RESULT_UPSTREAM_UNKNOWN);
+      return;
+    }
+  if (failed)
+    balance_note_failure (upstream->lane, upstream->relay->now_ms);
+  else
+    balance_note_success (upstream->lane, upstream->relay->now_ms);
+  relay_answer_plain (request, upstream);
+  release (upstream);
+  relay_request_free (request);
+  relay_caller_answered (caller);
+}
+
+static void
+on_complete (void *context)
+{
+  struct relay_upstream *upstream = context;
+  struct relay *relay = upstream->relay;
+
+  relay->now_ms = time_boot_ms ();
+  if (upstream->request == NULL)
+    {
+      /* An answer that nobody waits for. */
+      relay_upstream_close (upstream);
+      return;
+    }
+  if (upstream->foreign)
+    {
+      upstream->foreign = false;
+      http_connection_next (&upstream->connection,
+                            upstream->request->is_head_method);
+      return;
+    }
+  if (upstream->is_stream)
+    finish_stream (upstream);
+  else
+    finish_plain (upstream);
+  relay_dispatch_waiting (relay);
+}
+
+static void
+on_closed (void *context, enum http_end end)
+{
+  struct relay_upstream *upstream = context;
+  struct relay_request *request = upstream->request;
+
+  (void)end;
+  upstream->relay->now_ms = time_boot_ms ();
+  if (request == NULL)
+    {
+      relay_upstream_close (upstream);
+      return;
+    }
+  relay_attempt_failed (request, upstream->written,
+                        upstream->written ? RESULT_UPSTREAM_UNKNOWN
+                                          : RESULT_ENDPOINT_CONNECT);
+}
+
+static const struct http_events events = {
+  .connected = on_connected,
+  .head = on_head,
+  .body = on_body,
+  .complete = on_complete,
+  .closed = on_closed,
+};
+
+static struct relay_upstream *
+find_idle (struct relay *relay, const struct lane *lane, bool fresh)
+{
+  struct relay_upstream *upstream;
+
+  TAILQ_FOREACH (upstream, &relay->idle, link)
+  if (upstream->lane == lane && http_connection_idle (&upstream->connection)
+      && (!fresh || relay->now_ms - upstream->started_ms < FRESH_MS))
+    return upstream;
+  return NULL;
+}
+
+static struct relay_upstream *
+open_upstream (struct relay *relay, struct lane *lane)
+{
+  const struct http_limits limits = { HEADER_BYTES, HEADER_BYTES };
+  struct relay_upstream *upstream = calloc (1, sizeof *upstream);
+
+  if (upstream == NULL)
+    return NULL;
+  upstream->relay = relay;
+  upstream->lane = lane;
+  http_text_init (&upstream->head);
+  http_text_init (&upstream->body);
+  if (http_connection_connect (
+          &upstream->connection, relay->base, lane->endpoint->report.address,
+          lane->endpoint->report.port, SILENCE_MS, &limits, &events, upstream)
+      != RESULT_OK)
+    {
+      free (upstream);
+      return NULL;
+    }
+  counter_add (relay->counters, "waxwing_endpoint_connections_total", NULL, 1);
+  lanes_ref (lane);
+  return upstream;
+}
+
+struct relay_upstream *
+relay_upstream_get (struct relay_request *request, struct lane *lane)
+{
+  struct relay *relay = request->relay;
+  bool fresh = !catalog_is_repeatable (request->route);
+  struct relay_upstream *upstream = find_idle (relay, lane, fresh);
+
+  if (upstream != NULL)
+    {
+      TAILQ_REMOVE (&relay->idle, upstream, link);
+      upstream->reused = true;
+      attach (upstream, request);
+      http_connection_next (&upstream->connection, request->is_head_method);
+      relay_upstream_send (upstream);
+      return upstream;
+    }
+  upstream = open_upstream (relay, lane);
+  if (upstream != NULL)
+    {
+      attach (upstream, request);
+      upstream->connection.no_body = request->is_head_method;
+    }
+  return upstream;
+}
+
+bool
+relay_upstream_is_overdue (const struct relay_upstream *upstream)
+{
+  return !upstream->established
+         && upstream->relay->now_ms - upstream->started_ms >= CONNECT_MS;
+}
+
+/* Ends idle connections before their endpoint does. */
+void
+relay_upstream_tick (struct relay_upstream *upstream)
+{
+  struct relay *relay = upstream->relay;
+
+  if (relay->now_ms - upstream->started_ms >= upstream->idle_limit_ms
+      || upstream->lane->endpoint == NULL
+      || upstream->lane->endpoint->report.leaving)
+    relay_upstream_close (upstream);
+}
--- a/packages/settings/include/settings.h
+++ b/packages/settings/include/settings.h
@@ -102,10 +102,20 @@
   double min;
   double max;
   const char *meaning;
-  size_t offset; /* into struct settings */
+  size_t offset; /* into the struct that is filled */
 };
 
-/* Walks the table of keys: NULL past the last. */
+/* The keys of one kind of settings file, and the struct that they fill. */
+struct settings_table
+{
+  const struct settings_key *keys;
+  unsigned count;
+  size_t size; /* bytes of the struct */
+};
+
+extern const struct settings_table settings_table;
+
+/* Walks the daemon's table of keys: NULL past the last. */
 const struct settings_key *settings_key_at (unsigned index);
 
 /*
@@ -117,6 +127,17 @@
                             size_t size,
                             struct settings_errors *errors);
 
+/* The same for any table and the struct that it describes. */
+enum result settings_parse_table (const struct settings_table *table,
+                                  void *target,
+                                  const char *text,
+                                  size_t size,
+                                  struct settings_errors *errors);
+enum result settings_load_table (const struct settings_table *table,
+                                 void *target,
+                                 const char *path,
+                                 struct settings_errors *errors);
+
 /* Reads the file and parses it. */
 enum result settings_load (struct settings *settings,
                            const char *path,
--- a/packages/settings/src/parse.c
+++ b/packages/settings/src/parse.c
@@ -14,7 +14,8 @@
 
 struct parse
 {
-  struct settings *settings;
+  const struct settings_table *table;
+  void *target; /* the struct that the table's offsets are for */
   struct settings_errors *errors;
   enum result first;
   yaml_document_t document;
@@ -50,7 +51,7 @@
 static void *
 field (struct parse *parse, const struct settings_key *key)
 {
-  return (char *)parse->settings + key->offset;
+  return (char *)parse->target + key->offset;
 }
 
 static void
@@ -231,14 +232,17 @@
 
 /* The index of the key, or -1; *is_section is set if keys lie below it. */
 static int
-find_key (const char *name, bool *is_section)
+find_key (const struct settings_table *table,
+          const char *name,
+          bool *is_section)
 {
   size_t length = strlen (name);
-  const struct settings_key *key;
 
   *is_section = false;
-  for (unsigned i = 0; (key = settings_key_at (i)) != NULL; i++)
+  for (unsigned i = 0; i < table->count; i++)
     {
+      const struct settings_key *key = &table->keys[i];
+
       if (strcmp (key->name, name) == 0)
         return (int)i;
       if (strncmp (key->name, name, length) == 0 && key->name[length] == '.')
@@ -269,7 +273,7 @@
   snprintf (name, sizeof name, "%s%s%.128s", prefix,
             prefix[0] != '\0' ? "." : "",
             (const char *)name_node->data.scalar.value);
-  index = find_key (name, &is_section);
+  index = find_key (parse->table, name, &is_section);
   if (is_section && value->type == YAML_MAPPING_NODE)
     walk_mapping (parse, value, name);
   else if (is_section)
@@ -284,7 +288,7 @@
   else
     {
       parse->seen_line[index] = line_of (name_node);
-      set_node (parse, settings_key_at ((unsigned)index), value);
+      set_node (parse, &parse->table->keys[index], value);
     }
 }
 
@@ -300,10 +304,10 @@
 static void
 fill_defaults (struct parse *parse)
 {
-  const struct settings_key *key;
-
-  for (unsigned i = 0; (key = settings_key_at (i)) != NULL; i++)
+  for (unsigned i = 0; i < parse->table->count; i++)
     {
+      const struct settings_key *key = &parse->table->keys[i];
+
       if (parse->seen_line[i] != 0)
         continue;
       if (key->default_value != NULL)
@@ -330,15 +334,17 @@
 }
 
 enum result
-settings_parse (struct settings *settings,
-                const char *text,
-                size_t size,
-                struct settings_errors *errors)
+settings_parse_table (const struct settings_table *table,
+                      void *target,
+                      const char *text,
+                      size_t size,
+                      struct settings_errors *errors)
 {
-  struct parse parse = { .settings = settings, .errors = errors };
+  struct parse parse
+      = { .table = table, .target = target, .errors = errors };
   yaml_parser_t parser;
 
-  memset (settings, 0, sizeof *settings);
+  memset (target, 0, table->size);
   errors->count = 0;
   if (yaml_parser_initialize (&parser) == 0)
     return RESULT_NO_MEMORY;
@@ -357,11 +363,13 @@
 }
 
 enum result
-settings_load (struct settings *settings,
-               const char *path,
-               struct settings_errors *errors)
+settings_load_table (const struct settings_table *table,
+                     void *target,
+                     const char *path,
+                     struct settings_errors *errors)
 {
-  struct parse parse = { .settings = settings, .errors = errors };
+  struct parse parse
+      = { .table = table, .target = target, .errors = errors };
   enum result result = RESULT_SETTINGS_UNREADABLE;
   char *text = NULL;
   size_t size;
@@ -386,10 +394,27 @@
       report (&parse, result, 0, "", "%s cannot be read or is too large", path);
       goto out;
     }
-  result = settings_parse (settings, text, size, errors);
+  result = settings_parse_table (table, target, text, size, errors);
 
 out:
   free (text);
   fclose (file);
   return result;
 }
+
+enum result
+settings_parse (struct settings *settings,
+                const char *text,
+                size_t size,
+                struct settings_errors *errors)
+{
+  return settings_parse_table (&settings_table, settings, text, size, errors);
+}
+
+enum result
+settings_load (struct settings *settings,
+               const char *path,
+               struct settings_errors *errors)
+{
+  return settings_load_table (&settings_table, settings, path, errors);
+}
--- a/packages/settings/src/table.c
+++ b/packages/settings/src/table.c
@@ -3,7 +3,7 @@
 #define AT(field) offsetof (struct settings, field)
 
 /* clang-format off */
-static const struct settings_key table[] = {
+static const struct settings_key keys[] = {
   { "host", SETTINGS_STRING, "", NULL, 1, 63, "Name of this entry host, unique in the fleet.", AT (host) },
   { "data_centre", SETTINGS_STRING, "", NULL, 1, 63, "Data centre of this entry host, as in the host list.", AT (data_centre) },
   { "log_level", SETTINGS_STRING, "", "info", 1, 63, "error, warning, notice, info or debug.", AT (log_level) },
@@ -41,8 +41,11 @@
 };
 /* clang-format on */
 
+const struct settings_table settings_table
+    = { keys, sizeof keys / sizeof keys[0], sizeof (struct settings) };
+
 const struct settings_key *
 settings_key_at (unsigned index)
 {
-  return index < sizeof table / sizeof table[0] ? &table[index] : NULL;
+  return index < settings_table.count ? &keys[index] : NULL;
 }
