edge: share load between entry hosts and form groups of staged endpoints

Cause: a lost member was noticed only when its entry lapsed (2.4 to 3.6 s), entry hosts chose by their own requests only, and groups that waited for a load held up members that could serve.

Entry hosts tell each other by UDP what they run where and which endpoints stand still; the holder of the lease then checks the members and evicts the head. Once there is traffic groups are formed only of endpoints that have the weights, a fifth of the endpoints stand by as spares, and a model that is due at the start waits for its load.

--- a/packages/balance/include/balance.h
+++ b/packages/balance/include/balance.h
@@ -23,11 +23,14 @@
 struct lane
 {
   char id[CATALOG_NAME_SIZE];
+  uint64_t hash;             /* hash_string of the id */
   struct endpoint *endpoint; /* NULL once it is gone */
   unsigned running;          /* own requests there */
   unsigned peer_running;     /* those of the other entry hosts */
   int64_t progress_ms;       /* last sign of life of an own request */
+  int64_t peer_progress_ms;  /* the same of the other entry hosts */
   int64_t avoid_ms;          /* gets no request before this moment */
+  int64_t stalled_ms;        /* seen standing still; tell peers until then */
   double pause_ms;           /* moving mean of the time between events */
   int64_t pause_seen_ms;     /* when that was last fed */
   double failing;            /* moving mean of failures, 0 to 1 */
--- a/packages/balance/src/lanes.c
+++ b/packages/balance/src/lanes.c
@@ -1,5 +1,7 @@
 #include "balance.h"
 
+#include "hash.h"
+
 #include <stdlib.h>
 #include <string.h>
 
@@ -51,6 +53,7 @@
       if (lane == NULL)
         return NULL;
       memcpy (lane->id, endpoint->id, sizeof lane->id);
+      lane->hash = hash_string (lane->id, 0);
       HASH_ADD_STR (lanes->table, id, lane);
     }
   lane->endpoint = endpoint;
--- a/packages/edge/include/edge.h
+++ b/packages/edge/include/edge.h
@@ -7,6 +7,7 @@
 #include "endpoints.h"
 #include "follower.h"
 #include "leader.h"
+#include "mesh.h"
 #include "records.h"
 #include "relay.h"
 
@@ -46,6 +47,7 @@
   struct follower entries;
   struct relay relay;
   struct leader leader;
+  struct mesh mesh;
   enum edge_phase phase;
   int64_t phase_ms;
   int64_t now_ms;
--- a/packages/edge/include/leader.h
+++ b/packages/edge/include/leader.h
@@ -2,6 +2,7 @@
 #define EDGE_LEADER_H
 
 #include "adapter.h"
+#include "checker.h"
 #include "endpoints.h"
 #include "formation.h"
 #include "lease.h"
@@ -24,6 +25,7 @@
   struct lease lease;
   struct formation formation;
   struct orders orders;
+  struct checker checker;
   char lease_name[CATALOG_NAME_SIZE];
   bool acting;
   int64_t now_ms;
@@ -45,6 +47,9 @@
                   bool traffic,
                   int64_t now_ms);
 
+/* Requests at this endpoint stand still: its group is to be looked at. */
+void leader_suspect (struct leader *leader, const char *endpoint);
+
 /* Gives the lease back; done when leader_is_done. */
 void leader_leave (struct leader *leader);
 bool leader_is_done (const struct leader *leader);
--- a/packages/edge/include/orders.h
+++ b/packages/edge/include/orders.h
@@ -22,6 +22,8 @@
   TAILQ_HEAD (, order_call) calls;
   /* An endpoint refused the fencing token or the epoch. */
   void (*fenced) (void *context, const char *endpoint);
+  /* An order got no answer. */
+  void (*lost) (void *context, const char *endpoint);
   void *context;
 };
 
@@ -29,6 +31,7 @@
                   struct event_base *base,
                   const struct adapter *adapter,
                   void (*fenced) (void *context, const char *endpoint),
+                  void (*lost) (void *context, const char *endpoint),
                   void *context);
 void orders_finish (struct orders *orders);
 
--- a/packages/edge/src/edge.c
+++ b/packages/edge/src/edge.c
@@ -63,12 +63,13 @@
   (void)what;
   edge->now_ms = time_boot_ms ();
   records_tick (&edge->records, edge->now_ms);
+  mesh_tick (&edge->mesh, edge->relay.saw_request, edge->now_ms);
   follower_tick (&edge->configuration, edge->now_ms);
   follower_tick (&edge->entries, edge->now_ms);
   endpoints_tick (&edge->endpoints, edge->now_ms);
   edge->relay.catalog_proof_ms = edge->configuration.proof_ms;
   relay_tick (&edge->relay, edge->now_ms);
-  leader_tick (&edge->leader, edge->relay.catalog, edge->relay.saw_request,
+  leader_tick (&edge->leader, edge->relay.catalog, edge->mesh.traffic,
                edge->now_ms);
   edge_stop_tick (edge);
 }
@@ -117,6 +118,37 @@
   relay_endpoint_removed (&edge->relay, endpoint);
 }
 
+/* A host that leads its data centre told what it read. */
+static void
+on_peer_report (void *context,
+                const char *endpoint,
+                const struct endpoint_report *report,
+                uint64_t revision)
+{
+  struct edge *edge = context;
+
+  if (endpoints_find (&edge->endpoints, endpoint) != NULL)
+    endpoints_report (&edge->endpoints, endpoint, report, revision,
+                      edge->now_ms);
+}
+
+static void
+on_peer_stall (void *context, struct lane *lane)
+{
+  struct edge *edge = context;
+
+  relay_note_peer_stall (&edge->relay, lane);
+  leader_suspect (&edge->leader, lane->id);
+}
+
+static void
+on_own_stall (void *context, struct lane *lane)
+{
+  struct edge *edge = context;
+
+  leader_suspect (&edge->leader, lane->id);
+}
+
 static enum result
 start_timers (struct edge *edge)
 {
@@ -169,6 +201,8 @@
     .data_centres = (unsigned)settings->data_centres.count,
     .stall_ms = settings->groups_stall_ms,
   };
+  const struct mesh_hooks mesh_hooks
+      = { edge, on_peer_report, on_peer_stall };
   char address[SETTINGS_TEXT_SIZE];
   char self[LEASE_NAME_SIZE];
   uint16_t port;
@@ -179,12 +213,18 @@
   snprintf (formation.data_centre, sizeof formation.data_centre, "%.63s",
             settings->data_centre);
   snprintf (self, sizeof self, "%.40s/%.20s", settings->host, edge->boot_id);
+  edge->relay.stalled = on_own_stall;
+  edge->relay.stalled_context = edge;
   records_init (&edge->records, edge->base, edge->adapter->records, address,
                 port);
   edge_follow_init (edge);
   leader_init (&edge->leader, edge->base, edge->adapter, &edge->records,
                &edge->endpoints, &formation, self);
-  return RESULT_OK;
+  return mesh_init (&edge->mesh, edge->base, &edge->records,
+                    &edge->relay.lanes, &mesh_hooks, settings->host,
+                    settings->data_centre, settings->peers_address,
+                    (uint16_t)settings->peers_port,
+                    hash_string (edge->boot_id, 0));
 }
 
 enum result
@@ -235,6 +275,7 @@
   LOG_EVENT (LOG_LEVEL_NOTICE, "stopped",
              LOG_U64 ("in_flight", relay_in_flight (&edge->relay)));
   leader_finish (&edge->leader);
+  mesh_finish (&edge->mesh);
   records_finish (&edge->records);
   relay_finish (&edge->relay);
   endpoints_finish (&edge->endpoints);
--- a/packages/edge/src/follow.c
+++ b/packages/edge/src/follow.c
@@ -75,6 +75,10 @@
   log_entry (record->name, &report, record->revision);
   endpoints_report (&edge->endpoints, record->name, &report, record->revision,
                     edge->now_ms);
+  /* The holder of the lease reads its own data centre soonest. */
+  if (edge->leader.acting
+      && strcmp (report.data_centre, edge->settings.data_centre) == 0)
+    mesh_send_report (&edge->mesh, record->name, &report, record->revision);
 }
 
 static void
--- a/packages/edge/src/leader.c
+++ b/packages/edge/src/leader.c
@@ -64,9 +64,17 @@
 static bool
 is_silent (void *context, const struct endpoint *endpoint)
 {
-  (void)context;
-  (void)endpoint;
-  return false;
+  const struct leader *leader = context;
+
+  return checker_is_silent (&leader->checker, endpoint->id);
+}
+
+static void
+order_lost (void *context, const char *endpoint)
+{
+  struct leader *leader = context;
+
+  checker_suspect (&leader->checker, endpoint, leader->now_ms);
 }
 
 static void
@@ -111,13 +119,16 @@
   lease_init (&leader->lease, &lease, self,
               (unsigned)(hash_string (self, 0) % LEASE_RANKS));
   formation_init (&leader->formation, settings);
-  orders_init (&leader->orders, base, adapter, order_fenced, leader);
+  orders_init (&leader->orders, base, adapter, order_fenced, order_lost,
+               leader);
+  checker_init (&leader->checker, base, adapter, endpoints);
 }
 
 void
 leader_finish (struct leader *leader)
 {
   orders_finish (&leader->orders);
+  checker_finish (&leader->checker);
   formation_finish (&leader->formation);
 }
 
@@ -200,6 +211,7 @@
 
   leader->now_ms = now_ms;
   orders_tick (&leader->orders, now_ms);
+  checker_tick (&leader->checker, now_ms);
   act_on_lease (leader);
   note_lease (leader);
   if (traffic)
@@ -208,6 +220,24 @@
                   now_ms);
 }
 
+void
+leader_suspect (struct leader *leader, const char *endpoint)
+{
+  const struct formation_group *group;
+
+  if (!leader->acting)
+    return;
+  TAILQ_FOREACH (group, &leader->formation.groups, link)
+  {
+    if (strcmp (group->members[0], endpoint) != 0)
+      continue;
+    for (unsigned rank = 0; rank < group->size; rank++)
+      if (group->members[rank][0] != '\0')
+        checker_suspect (&leader->checker, group->members[rank],
+                         leader->now_ms);
+  }
+}
+
 void
 leader_leave (struct leader *leader)
 {
--- a/packages/edge/src/orders.c
+++ b/packages/edge/src/orders.c
@@ -47,6 +47,8 @@
              LOG_INT ("after_ms", time_boot_ms () - call->sent_ms));
   if (result == RESULT_ORDER_FENCED && orders->fenced != NULL)
     orders->fenced (orders->context, call->endpoint);
+  if (result == RESULT_ORDER_LOST && orders->lost != NULL)
+    orders->lost (orders->context, call->endpoint);
   close_call (call);
 }
 
@@ -103,12 +105,14 @@
              struct event_base *base,
              const struct adapter *adapter,
              void (*fenced) (void *context, const char *endpoint),
+             void (*lost) (void *context, const char *endpoint),
              void *context)
 {
   memset (orders, 0, sizeof *orders);
   orders->base = base;
   orders->adapter = adapter;
   orders->fenced = fenced;
+  orders->lost = lost;
   orders->context = context;
   TAILQ_INIT (&orders->calls);
 }
--- a/packages/formation/include/formation.h
+++ b/packages/formation/include/formation.h
@@ -77,6 +77,7 @@
   int64_t ordered_ms; /* last order of this phase */
   unsigned tries;
   bool adopted; /* formed by an earlier holder of the lease */
+  uint64_t head_revision; /* of the head's report when the phase began */
   TAILQ_ENTRY (formation_group) link;
 };
 
@@ -106,7 +107,8 @@
 {
   struct formation_settings settings;
   uint64_t fence; /* fencing token of the lease; 0 = not held */
-  uint64_t formed;
+  uint64_t last_fence; /* the highest one held */
+  uint64_t formed;     /* groups under it */
   int64_t held_since_ms;
   bool traffic;        /* requests were seen: loads take their full time */
   double load_tokens;  /* loads that may begin now */
--- a/packages/formation/src/build.c
+++ b/packages/formation/src/build.c
@@ -6,27 +6,32 @@
 
 #define FREE_LIMIT 512 /* free endpoints of a service looked at in one tick */
 
+/*
+ * Part of the endpoints that stand by as spares, so that a lost member is
+ * replaced in the time of a warm join and not of a load.
+ */
+#define SPARE_PART 0.2
 /*
  * Loads of this data centre that may run at once before the first request;
  * they take a tenth of their time then, and many groups wait.
  */
-#define STARTUP_LOADS 6
-/* Loads that may run at once later, so that a whole group can be loaded. */
-#define STEADY_LOADS 4
-/* Window and margin of the weight store's limit on loads that begin. */
-#define LOAD_BURST 3.0
+#define STARTUP_LOADS 8
+/* Loads that begin at once: the weight store allows 3 besides its rate. */
+#define LOAD_BURST 2.0
 #define LOAD_RATE_MARGIN 0.8
 /* A stage order without effect is sent again after this time. */
 #define STAGE_RETRY_MS 3000
 /* A load may take this many times its nominal time when others run. */
-#define LOAD_SLACK 2
+#define LOAD_SLACK 3
 
+/* Free endpoints of one service. */
 struct pool
 {
   struct endpoint *endpoints[FREE_LIMIT];
   struct formation_member *members[FREE_LIMIT];
   bool used[FREE_LIMIT];
   unsigned count;
+  unsigned usable; /* endpoints of the service, free or not */
 };
 
 struct choice
@@ -37,23 +42,19 @@
   bool found;
 };
 
-static bool
-was_last_model (const struct endpoint *endpoint, const char *model)
+enum join_cost
 {
-  return strcmp (endpoint->report.model, model) == 0;
-}
+  JOIN_HOT,  /* the model was the last one it served */
+  JOIN_WARM, /* from its own copy */
+  JOIN_COLD, /* from the weight store */
+};
 
-/* 0 = takes part at once, 1 = from its own copy, 2 = from the weight store. */
-static unsigned
-join_cost (const struct pool *pool, unsigned index, const char *model)
+static enum join_cost
+join_cost (const struct endpoint *endpoint, const char *model)
 {
-  const struct endpoint *endpoint = pool->endpoints[index];
-
-  if (was_last_model (endpoint, model))
-    return 0;
-  if (endpoint_has_staged (endpoint, model))
-    return 1;
-  return 2;
+  if (strcmp (endpoint->report.model, model) == 0)
+    return JOIN_HOT;
+  return endpoint_has_staged (endpoint, model) ? JOIN_WARM : JOIN_COLD;
 }
 
 static void
@@ -62,8 +63,8 @@
               struct pool *pool)
 {
   pool->count = 0;
-  for (struct endpoint *endpoint = run->endpoints->table;
-       endpoint != NULL && pool->count < FREE_LIMIT;
+  pool->usable = 0;
+  for (struct endpoint *endpoint = run->endpoints->table; endpoint != NULL;
        endpoint = endpoint->hh.next)
     {
       struct formation_member *member;
@@ -72,9 +73,10 @@
           || !formation_concerns (run, endpoint)
           || !formation_usable (run, endpoint) || endpoint->deleted_ms != 0)
         continue;
+      pool->usable++;
       member = formation_member (run->formation, endpoint);
       if (member == NULL || member->group != NULL
-          || member->hold_ms > run->now_ms)
+          || member->hold_ms > run->now_ms || pool->count == FREE_LIMIT)
         continue;
       pool->endpoints[pool->count] = endpoint;
       pool->members[pool->count] = member;
@@ -83,15 +85,20 @@
     }
 }
 
+static bool
+is_free_in (const struct pool *pool, unsigned index, const char *domain)
+{
+  return !pool->used[index]
+         && strcmp (pool->endpoints[index]->report.domain, domain) == 0;
+}
+
 static unsigned
-free_in_domain (const struct pool *pool, const char *domain)
+count_free (const struct pool *pool)
 {
   unsigned count = 0;
 
   for (unsigned i = 0; i < pool->count; i++)
-    if (!pool->used[i]
-        && strcmp (pool->endpoints[i]->report.domain, domain) == 0)
-      count++;
+    count += pool->used[i] ? 0 : 1;
   return count;
 }
 
@@ -104,25 +111,26 @@
   struct choice choice = { .found = false };
   unsigned picked = 0;
 
-  for (unsigned cost = 0; cost <= 2; cost++)
+  if (model->size > FORMATION_SIZE_LIMIT)
+    return choice;
+  for (int cost = JOIN_HOT; cost <= JOIN_COLD; cost++)
     for (unsigned i = 0; i < pool->count && picked < model->size; i++)
-      if (!pool->used[i]
-          && strcmp (pool->endpoints[i]->report.domain, domain) == 0
-          && join_cost (pool, i, model->name) == cost)
+      if (is_free_in (pool, i, domain)
+          && (int)join_cost (pool->endpoints[i], model->name) == cost)
         {
           choice.picked[picked++] = i;
-          choice.cost += cost == 2 ? 100 : cost;
-          choice.cold += cost == 2 ? 1 : 0;
+          choice.cost += (unsigned)cost;
+          choice.cold += cost == JOIN_COLD ? 1 : 0;
         }
   choice.found = picked == model->size;
   return choice;
 }
 
-/* Endpoints in groups of the model that serve or are about to. */
+/* Groups of the model that serve or are about to. */
 static unsigned
-endpoints_of_model (const struct formation_run *run,
-                    const struct catalog_service *service,
-                    const struct catalog_model *model)
+groups_of_model (const struct formation_run *run,
+                 const struct catalog_service *service,
+                 const struct catalog_model *model)
 {
   const struct formation_group *group;
   unsigned count = 0;
@@ -131,10 +139,17 @@
   if (group->phase <= FORMATION_SERVING
       && strcmp (group->service, service->name) == 0
       && strcmp (group->model, model->name) == 0)
-    count += group->size;
+    count++;
   return count;
 }
 
+/* The number of groups that gives the model its share of the endpoints. */
+static double
+wanted_groups (const struct pool *pool, const struct catalog_model *model)
+{
+  return model->share * (1 - SPARE_PART) * pool->usable / model->size;
+}
+
 static unsigned
 loads_running (const struct formation_run *run)
 {
@@ -147,23 +162,31 @@
         const struct endpoint *endpoint
             = endpoints_find (run->endpoints, member->id);
 
-        if (endpoint != NULL && endpoint_has_staged (endpoint, member->staging))
-          continue;
-        count++;
+        if (endpoint != NULL && !endpoint_has_staged (endpoint, member->staging))
+          count++;
       }
   return count;
 }
 
+/* Whether so many more loads may begin now. */
 static bool
-loads_allowed (const struct formation_run *run, unsigned count)
+loads_allowed (const struct formation_run *run,
+               const struct catalog_service *service,
+               unsigned count)
 {
-  unsigned limit = run->formation->traffic ? STEADY_LOADS : STARTUP_LOADS;
+  const struct formation *formation = run->formation;
+  unsigned parts = formation->settings.data_centres;
+  unsigned limit;
 
   if (count == 0)
     return true;
-  if (loads_running (run) + count > limit)
-    return false;
-  return !run->formation->traffic || run->formation->load_tokens >= count;
+  if (!formation->traffic)
+    return loads_running (run) + count <= STARTUP_LOADS;
+  limit = service->loads_at_once / (parts > 0 ? parts : 1);
+  if (limit == 0)
+    limit = 1;
+  return loads_running (run) + count <= limit
+         && formation->load_tokens >= count;
 }
 
 static void
@@ -197,7 +220,6 @@
   /* Room for a million formations under one holder of the lease. */
   group->epoch = (formation->fence << 20) | formation->formed;
   group->size = model->size;
-  group->since_ms = run->now_ms;
   memcpy (group->service, service->name, sizeof group->service);
   memcpy (group->model, model->name, sizeof group->model);
   memcpy (group->domain, pool->endpoints[choice->picked[0]]->report.domain,
@@ -212,7 +234,7 @@
       unsigned index = choice->picked[rank];
       struct formation_member *member = pool->members[index];
 
-      if (join_cost (pool, index, model->name) == 2
+      if (join_cost (pool->endpoints[index], model->name) == JOIN_COLD
           && strcmp (member->staging, model->name) != 0)
         note_load (run, member, model);
       pool->used[index] = true;
@@ -224,159 +246,205 @@
 }
 
 /*
- * Whether one more group is worth its endpoints: below its share a model gets
- * it in any case; above, only if its domain keeps a spare for repairs.
+ * Forms one group of the model where that is cheapest.  Once there is traffic
+ * only of endpoints that have the weights: an endpoint that loads would hold
+ * up those that could serve.
  */
 static bool
-is_wanted (const struct pool *pool,
-           const struct catalog_model *model,
-           double filled,
-           const char *domain)
-{
-  unsigned left = free_in_domain (pool, domain) - model->size;
-
-  return filled < 0.6 || left > 0;
-}
-
-/* Forms one group of the model where that is cheapest. */
-static bool
 form_one (const struct formation_run *run,
           const struct catalog_service *service,
           const struct catalog_model *model,
-          double filled,
           struct pool *pool)
 {
   struct choice best = { .found = false };
 
   for (unsigned i = 0; i < pool->count; i++)
     {
-      const char *domain = pool->endpoints[i]->report.domain;
       struct choice choice;
 
       if (pool->used[i])
         continue;
-      choice = choose_members (pool, model, domain);
+      choice = choose_members (pool, model, pool->endpoints[i]->report.domain);
       if (!choice.found || (best.found && choice.cost >= best.cost)
-          || !is_wanted (pool, model, filled, domain))
+          || (run->formation->traffic && choice.cold > 0))
         continue;
       best = choice;
     }
-  if (!best.found || !loads_allowed (run, best.cold))
+  if (!best.found || !loads_allowed (run, service, best.cold))
     return false;
   form (run, service, model, pool, &best);
   return true;
 }
 
+/* The model that lacks the largest part of its share, of those not tried. */
+static int
+poorest_model (const struct formation_run *run,
+               const struct catalog_service *service,
+               const struct pool *pool,
+               const bool *tried,
+               double *filled)
+{
+  int poorest = -1;
+
+  for (unsigned m = 0; m < service->model_count; m++)
+    {
+      const struct catalog_model *model = &service->models[m];
+      double wanted = wanted_groups (pool, model);
+      double part = wanted > 0
+                        ? groups_of_model (run, service, model) / wanted
+                        : 1;
+
+      if (tried[m] || (poorest >= 0 && part >= *filled))
+        continue;
+      poorest = (int)m;
+      *filled = part;
+    }
+  return poorest;
+}
+
 static void
 form_groups (const struct formation_run *run,
              const struct catalog_service *service,
-             struct pool *pool,
-             unsigned usable)
+             struct pool *pool)
 {
-  for (;;)
-    {
-      bool tried[CATALOG_MODEL_LIMIT] = { false };
-      bool formed = false;
+  bool tried[CATALOG_MODEL_LIMIT] = { false };
+  double filled = 0;
+  int index;
 
-      /* The model that lacks the largest part of its share comes first. */
-      for (unsigned round = 0; round < service->model_count && !formed; round++)
-        {
-          int poorest = -1;
-          double least = 0;
-
-          for (unsigned m = 0; m < service->model_count; m++)
-            {
-              const struct catalog_model *model = &service->models[m];
-              double target = model->share * usable;
-              double filled
-                  = target > 0
-                        ? endpoints_of_model (run, service, model) / target
-                        : 1;
-
-              if (!tried[m] && (poorest < 0 || filled < least))
-                {
-                  poorest = (int)m;
-                  least = filled;
-                }
-            }
-          tried[poorest] = true;
-          formed = form_one (run, service, &service->models[poorest], least,
-                             pool);
-        }
-      if (!formed)
+  while ((index = poorest_model (run, service, pool, tried, &filled)) >= 0)
+    {
+      const struct catalog_model *model = &service->models[index];
+      unsigned left = count_free (pool);
+
+      tried[index] = true;
+      /* Beyond its share a model gets only what leaves enough spares. */
+      if (groups_of_model (run, service, model) + 0.5
+              >= wanted_groups (pool, model)
+          && left < model->size + SPARE_PART * pool->usable)
+        continue;
+      if (form_one (run, service, model, pool))
+        memset (tried, 0, sizeof tried);
+      else if (!run->formation->traffic)
+        /* At the start loads are quick: the model that is due waits. */
         return;
     }
 }
 
+/* Free endpoints of the domain that have the model's weights or get them. */
 static unsigned
-staged_spares (const struct pool *pool, const char *domain, const char *model)
+staged_free (const struct pool *pool, const char *domain, const char *model)
 {
   unsigned count = 0;
 
   for (unsigned i = 0; i < pool->count; i++)
-    if (!pool->used[i]
-        && strcmp (pool->endpoints[i]->report.domain, domain) == 0
-        && (endpoint_has_staged (pool->endpoints[i], model)
+    if (is_free_in (pool, i, domain)
+        && (join_cost (pool->endpoints[i], model) != JOIN_COLD
             || strcmp (pool->members[i]->staging, model) == 0))
       count++;
   return count;
 }
 
+static unsigned
+groups_in_domain (const struct formation_run *run,
+                  const struct catalog_model *model,
+                  const char *domain)
+{
+  const struct formation_group *group;
+  unsigned count = 0;
+
+  TAILQ_FOREACH (group, &run->formation->groups, link)
+  if (group->phase <= FORMATION_SERVING
+      && strcmp (group->model, model->name) == 0
+      && strcmp (group->domain, domain) == 0)
+    count++;
+  return count;
+}
+
+/*
+ * How much one more endpoint with the model's weights is worth in the domain:
+ * most if it completes a group that the model lacks, then if groups of the
+ * model have no spare there.
+ */
+static double
+stage_value (const struct formation_run *run,
+             const struct catalog_service *service,
+             const struct catalog_model *model,
+             const struct pool *pool,
+             const char *domain)
+{
+  unsigned have = staged_free (pool, domain, model->name);
+  unsigned groups = groups_in_domain (run, model, domain);
+  double lacking = wanted_groups (pool, model)
+                   - groups_of_model (run, service, model);
+  unsigned missing = model->size - have % model->size;
+  double value = 0;
+
+  if (lacking > 0.5)
+    value += 2.0 * lacking / missing;
+  value += (groups + 0.2) / (1.0 + have);
+  return value;
+}
+
 static bool
-has_any_staged (const struct catalog_service *service,
-                const struct endpoint *endpoint)
+has_any_weights (const struct catalog_service *service,
+                 const struct endpoint *endpoint)
 {
   for (unsigned m = 0; m < service->model_count; m++)
-    if (endpoint_has_staged (endpoint, service->models[m].name))
+    if (join_cost (endpoint, service->models[m].name) != JOIN_COLD)
       return true;
   return false;
 }
 
-/* Spares get the weights of the model that has fewest spares in the domain. */
 static void
-stage_spares (const struct formation_run *run,
-              const struct catalog_service *service,
-              struct pool *pool)
+stage_one (const struct formation_run *run,
+           const struct catalog_service *service,
+           struct pool *pool,
+           unsigned index)
 {
-  for (unsigned i = 0; i < pool->count; i++)
+  struct endpoint *endpoint = pool->endpoints[index];
+  struct formation_member *member = pool->members[index];
+  const struct catalog_model *best = NULL;
+  double most = 0;
+
+  for (unsigned m = 0; m < service->model_count; m++)
     {
-      struct endpoint *endpoint = pool->endpoints[i];
-      struct formation_member *member = pool->members[i];
-      const struct catalog_model *best = NULL;
-      double least = 0;
-
-      if (pool->used[i] || has_any_staged (service, endpoint)
-          || (member->staged_ms != 0
-              && run->now_ms - member->staged_ms < STAGE_RETRY_MS))
-        continue;
-      for (unsigned m = 0; m < service->model_count; m++)
+      const struct catalog_model *model = &service->models[m];
+      double value
+          = stage_value (run, service, model, pool, endpoint->report.domain);
+
+      if (best == NULL || value > most)
         {
-          const struct catalog_model *model = &service->models[m];
-          double spares
-              = staged_spares (pool, endpoint->report.domain, model->name)
-                / (model->share > 0 ? model->share : 1);
-
-          if (best == NULL || spares < least)
-            {
-              best = model;
-              least = spares;
-            }
+          best = model;
+          most = value;
         }
-      if (best == NULL
-          || (member->staging[0] == '\0' && !loads_allowed (run, 1)))
-        continue;
-      if (member->staging[0] == '\0')
-        note_load (run, member, best);
-      member->staged_ms = run->now_ms;
-      run->hooks->order (run->hooks->context,
-                         &(struct formation_order){
-                             .op = FORMATION_STAGE,
-                             .endpoint = endpoint->id,
-                             .group = "",
-                             .model = member->staging,
-                             .reason = "spare without weights",
-                         });
     }
+  if (best == NULL
+      || (member->staging[0] == '\0' && !loads_allowed (run, service, 1)))
+    return;
+  if (member->staging[0] == '\0')
+    note_load (run, member, best);
+  member->staged_ms = run->now_ms;
+  run->hooks->order (run->hooks->context,
+                     &(struct formation_order){
+                         .op = FORMATION_STAGE,
+                         .endpoint = endpoint->id,
+                         .group = "",
+                         .model = member->staging,
+                         .reason = "spare without weights",
+                     });
+}
+
+/* Spares without weights get those that are worth most where they stand. */
+static void
+stage_spares (const struct formation_run *run,
+              const struct catalog_service *service,
+              struct pool *pool)
+{
+  for (unsigned i = 0; i < pool->count; i++)
+    if (!pool->used[i] && !has_any_weights (service, pool->endpoints[i])
+        && (pool->members[i]->staged_ms == 0
+            || run->now_ms - pool->members[i]->staged_ms >= STAGE_RETRY_MS))
+      stage_one (run, service, pool, i);
 }
 
 static void
@@ -404,19 +472,12 @@
   for (unsigned s = 0; s < run->catalog->service_count; s++)
     {
       const struct catalog_service *service = &run->catalog->services[s];
-      unsigned usable = 0;
 
       if (service->model_count == 0)
         continue;
-      for (struct endpoint *endpoint = run->endpoints->table;
-           endpoint != NULL; endpoint = endpoint->hh.next)
-        if (formation_concerns (run, endpoint)
-            && strcmp (endpoint->report.service, service->name) == 0
-            && formation_usable (run, endpoint))
-          usable++;
       refill_loads (run, service);
       collect_free (run, service, pool);
-      form_groups (run, service, pool, usable);
+      form_groups (run, service, pool);
       stage_spares (run, service, pool);
     }
   free (pool);
--- a/packages/formation/src/formation.c
+++ b/packages/formation/src/formation.c
@@ -72,9 +72,14 @@
 {
   if (formation->fence == fence)
     return;
-  clear (formation);
   formation->fence = fence;
-  formation->formed = 0;
+  if (fence == 0)
+    return;
+  clear (formation);
+  /* The number restarts only under a new fencing token: names never repeat. */
+  if (fence > formation->last_fence)
+    formation->formed = 0;
+  formation->last_fence = fence;
   formation->held_since_ms = now_ms;
   formation->refilled_ms = now_ms;
   formation->load_tokens = 0;
--- a/packages/formation/src/progress.c
+++ b/packages/formation/src/progress.c
@@ -12,6 +12,8 @@
 #define JOIN_HOLD_MS 4000
 /* Added to the time after which a group that stands still has broken. */
 #define STALL_MARGIN_MS 400
+/* An order to open has had its effect, and the report is there, by then. */
+#define SHUT_WAIT_MS 1200
 /* A new holder of the lease gives incomplete groups this long to show up. */
 #define ADOPT_MS 1500
 /* A closing group that still has work after this is cut off. */
@@ -44,7 +46,11 @@
                      enum formation_phase phase,
                      const char *reason)
 {
+  const struct endpoint *head
+      = endpoints_find (run->endpoints, group->members[0]);
+
   group->phase = phase;
+  group->head_revision = head != NULL ? head->revision : 0;
   group->since_ms = run->now_ms;
   group->ordered_ms = 0;
   group->tries = 0;
@@ -256,7 +262,9 @@
       && head->report.state == ENDPOINT_GROUP_OPEN)
     formation_set_phase (run, group, FORMATION_SERVING, "head is open");
   else if (view.lost > 0 || view.leaving > 0)
-    formation_set_phase (run, group, FORMATION_GONE,
+    /* An earlier holder of the lease may have ordered the head to open. */
+    formation_set_phase (run, group,
+                         group->adopted ? FORMATION_FAILED : FORMATION_GONE,
                          "lost a member before it opened");
   else if (view.ready == group->size)
     formation_set_phase (run, group, FORMATION_OPENING, "all members ready");
@@ -312,7 +320,10 @@
     formation_set_phase (run, group, FORMATION_OPENING, "head had closed");
 }
 
-/* True if the head reports that it cannot serve. */
+/*
+ * True if the head reports that it cannot serve.  What it reported before the
+ * phase began may be older than an order to open that it has got since.
+ */
 static bool
 head_is_shut (const struct formation_run *run,
               const struct formation_group *group)
@@ -321,6 +332,9 @@
 
   if (head == NULL || run->hooks->is_silent (run->hooks->context, head))
     return false;
+  if (head->revision <= group->head_revision
+      && run->now_ms - group->since_ms < SHUT_WAIT_MS)
+    return false;
   return !reports_group (head, group)
          || head->report.state == ENDPOINT_GROUP_READY
          || head->report.state == ENDPOINT_GROUP_JOINING
--- a/packages/relay/include/relay.h
+++ b/packages/relay/include/relay.h
@@ -168,6 +168,9 @@
   struct relay_route_deadline *deadlines; /* uthash by route */
   size_t body_bytes;                      /* of all requests held */
   unsigned caller_count;
+  /* Requests at an endpoint stand still. */
+  void (*stalled) (void *context, struct lane *lane);
+  void *stalled_context;
   bool leaving;      /* shutting down: connections end with their answer */
   bool saw_request;
   int64_t now_ms; /* of the present callback */
@@ -196,6 +199,9 @@
 /* Room may have come free at an endpoint. */
 void relay_dispatch_waiting (struct relay *relay);
 
+/* Another entry host sees requests at this endpoint stand still. */
+void relay_note_peer_stall (struct relay *relay, struct lane *lane);
+
 /* Time-outs; call every RELAY_TICK_MS. */
 #define RELAY_TICK_MS 25
 void relay_tick (struct relay *relay, int64_t now_ms);
--- a/packages/relay/src/request.c
+++ b/packages/relay/src/request.c
@@ -29,6 +29,10 @@
 #define STALL_OBJECTIVES 3.0
 /* An endpoint that stands still is left alone for this long. */
 #define STALL_AVOID_MS 1500
+/* The other entry hosts are told for this long. */
+#define STALL_TELL_MS 400
+/* Own events this recent say that the endpoint does not stand still. */
+#define STALL_OWN_MS 150
 
 struct relay_request *
 relay_request_new (struct relay_caller *caller, const struct http_head *head)
@@ -344,12 +348,43 @@
   seen_ms = upstream->progress_ms;
   if (upstream->lane->progress_ms > seen_ms)
     seen_ms = upstream->lane->progress_ms;
+  if (upstream->lane->peer_progress_ms > seen_ms)
+    seen_ms = upstream->lane->peer_progress_ms;
   limit_ms = upstream->head_seen
                  ? (double)request->route->pause_objective_ms * STALL_PAUSES
                  : (double)request->route->objective_ms * STALL_OBJECTIVES;
   return (double)(relay->now_ms - seen_ms) > limit_ms;
 }
 
+static void
+note_stall (struct relay_request *request)
+{
+  struct relay *relay = request->relay;
+  struct lane *lane = request->upstream->lane;
+
+  balance_avoid (lane, relay->now_ms + STALL_AVOID_MS);
+  if (lane->stalled_ms > relay->now_ms)
+    return;
+  lane->stalled_ms = relay->now_ms + STALL_TELL_MS;
+  LOG_EVENT (LOG_LEVEL_NOTICE, "endpoint-stands-still",
+             LOG_STR ("request", request->id), LOG_STR ("endpoint", lane->id),
+             LOG_INT ("silent_ms",
+                      relay->now_ms - request->upstream->progress_ms));
+  if (relay->stalled != NULL)
+    relay->stalled (relay->stalled_context, lane);
+}
+
+void
+relay_note_peer_stall (struct relay *relay, struct lane *lane)
+{
+  int64_t seen_ms = lane->progress_ms;
+
+  /* What this host sees itself goes first. */
+  if (lane->running > 0 && relay->now_ms - seen_ms < STALL_OWN_MS)
+    return;
+  balance_avoid (lane, relay->now_ms + STALL_TELL_MS);
+}
+
 void
 relay_request_tick (struct relay_request *request)
 {
@@ -375,14 +410,7 @@
   if (request->route->kind == CATALOG_STREAM && request->route->resumable
       && upstream->written && stands_still (request))
     {
-      bool first = upstream->lane->avoid_ms <= now_ms;
-
-      balance_avoid (upstream->lane, now_ms + STALL_AVOID_MS);
-      if (first)
-        LOG_EVENT (LOG_LEVEL_NOTICE, "endpoint-stands-still",
-                   LOG_STR ("request", request->id),
-                   LOG_STR ("endpoint", upstream->lane->id),
-                   LOG_INT ("silent_ms", now_ms - upstream->progress_ms));
+      note_stall (request);
       if (request->runs + 1 < request->route->attempts)
         relay_attempt_failed (request, true, RESULT_STREAM_BROKEN);
     }
