formation: join an endpoint only when its group cannot serve

A head that was cut off for 5 s came back still open and was joined elsewhere, since its group was taken to have broken after the stall time. Ruled out: a late order (none was sent).

An endpoint now counts as free only when its head reports that it is shut, or when the endpoint itself has left; the head of a group that is no longer in the records is evicted first. The stall time is not needed any more.

--- a/packages/edge/include/edge-settings.h
+++ b/packages/edge/include/edge-settings.h
@@ -25,7 +25,6 @@
   double retry_ratio;
   int64_t retry_slack;
   int64_t retry_window_s;
-  int64_t groups_stall_ms;
 };
 
 extern const struct settings_table edge_settings_table;
--- a/packages/edge/src/edge-settings.c
+++ b/packages/edge/src/edge-settings.c
@@ -18,7 +18,6 @@
   { "retry.ratio", SETTINGS_REAL, "", "0.1", 0, 10, "Retries of the whole fleet, as a part of the requests for a service.", AT (retry_ratio) },
   { "retry.slack", SETTINGS_INTEGER, "", "0", 0, 1000000, "Retries of the whole fleet besides, per window.", AT (retry_slack) },
   { "retry.window_s", SETTINGS_INTEGER, "s", "10", 1, 3600, "Window of retry.slack.", AT (retry_window_s) },
-  { "groups.stall_ms", SETTINGS_INTEGER, "ms", "4000", 100, 600000, "A group that lost a member stands still for this long, then breaks.", AT (groups_stall_ms) },
 };
 /* clang-format on */
 
--- a/packages/edge/src/edge.c
+++ b/packages/edge/src/edge.c
@@ -199,7 +199,6 @@
   const struct edge_settings *settings = &edge->settings;
   struct formation_settings formation = {
     .data_centres = (unsigned)settings->data_centres.count,
-    .stall_ms = settings->groups_stall_ms,
   };
   const struct mesh_hooks mesh_hooks
       = { edge, on_peer_report, on_peer_stall };
--- a/packages/formation/include/formation.h
+++ b/packages/formation/include/formation.h
@@ -19,9 +19,8 @@
  * new holder of the lease adopts the groups that it finds.
  *
  * Safety.  An endpoint is ordered into another group only when the head of its
- * present group cannot serve any more: it never opened, it reported that it
- * closed or broke, or the group lost a member longer ago than the time after
- * which a group that stands still breaks by itself.  Epochs rise with each
+ * present group reports that it cannot serve, or when the endpoint itself
+ * reports that it has left that group.  Epochs rise with each
  * formation and with each holder of the lease, so a late order of an earlier
  * formation is refused by its endpoint.
  */
@@ -89,6 +88,7 @@
   int64_t joined_ms;  /* last join order */
   unsigned tries;     /* join orders without effect */
   int64_t hold_ms;    /* not used for a new group before this moment */
+  int64_t released_ms; /* last order to leave its group */
   int64_t staged_ms;  /* last stage order; 0 = none */
   char staging[CATALOG_NAME_SIZE];
   int64_t loads_until_ms; /* a load that this order began counts until then */
@@ -100,7 +100,6 @@
 {
   char data_centre[CATALOG_NAME_SIZE];
   unsigned data_centres; /* that share the weight store */
-  int64_t stall_ms;      /* a group that stands still breaks after this */
 };
 
 struct formation
--- a/packages/formation/src/build.c
+++ b/packages/formation/src/build.c
@@ -76,7 +76,8 @@
       pool->usable++;
       member = formation_member (run->formation, endpoint);
       if (member == NULL || member->group != NULL
-          || member->hold_ms > run->now_ms || pool->count == FREE_LIMIT)
+          || member->hold_ms > run->now_ms || pool->count == FREE_LIMIT
+          || !formation_release (run, member, endpoint))
         continue;
       pool->endpoints[pool->count] = endpoint;
       pool->members[pool->count] = member;
@@ -217,8 +218,8 @@
             formation->settings.data_centre,
             (unsigned long long)formation->fence,
             (unsigned long long)formation->formed);
-  /* Room for a million formations under one holder of the lease. */
-  group->epoch = (formation->fence << 20) | formation->formed;
+  group->epoch
+      = (formation->fence << FORMATION_EPOCH_SHIFT) | formation->formed;
   group->size = model->size;
   memcpy (group->service, service->name, sizeof group->service);
   memcpy (group->model, model->name, sizeof group->model);
--- a/packages/formation/src/formation-internal.h
+++ b/packages/formation/src/formation-internal.h
@@ -3,6 +3,12 @@
 
 #include "formation.h"
 
+/*
+ * An epoch is the fencing token of the holder that formed the group, and the
+ * number of the formation under it: room for a million of them.
+ */
+#define FORMATION_EPOCH_SHIFT 20
+
 /* One run of formation_tick. */
 struct formation_run
 {
@@ -26,6 +32,14 @@
 bool formation_concerns (const struct formation_run *run,
                          const struct endpoint *endpoint);
 
+/*
+ * True if the endpoint may be ordered into a group: it is in none, or the head
+ * of its group cannot serve.  Otherwise orders what is needed for that.
+ */
+bool formation_release (const struct formation_run *run,
+                        struct formation_member *member,
+                        const struct endpoint *endpoint);
+
 /* progress.c: carries each group one step on. */
 void formation_adopt (const struct formation_run *run);
 void formation_progress (const struct formation_run *run);
--- a/packages/formation/src/member.c
+++ b/packages/formation/src/member.c
@@ -3,6 +3,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* An order to leave without effect is sent again after this time. */
+#define RELEASE_RETRY_MS 1000
+
 struct formation_member *
 formation_member (struct formation *formation, const struct endpoint *endpoint)
 {
@@ -64,3 +67,55 @@
       member = next;
     }
 }
+
+/* The head of the endpoint's group, if it is known and answers. */
+static const struct endpoint *
+reported_head (const struct formation_run *run, const struct endpoint *endpoint)
+{
+  for (const struct endpoint *other = run->endpoints->table; other != NULL;
+       other = other->hh.next)
+    if (other->report.state != ENDPOINT_GROUP_NONE && other->report.rank == 0
+        && other->report.epoch == endpoint->report.epoch
+        && strcmp (other->report.group, endpoint->report.group) == 0)
+      return run->hooks->is_silent (run->hooks->context, other)
+                     || other->deleted_ms != 0
+                 ? NULL
+                 : other;
+  return NULL;
+}
+
+static bool
+may_serve (const struct endpoint *head)
+{
+  return head->report.state == ENDPOINT_GROUP_OPEN
+         || head->report.state == ENDPOINT_GROUP_CLOSING;
+}
+
+bool
+formation_release (const struct formation_run *run,
+                   struct formation_member *member,
+                   const struct endpoint *endpoint)
+{
+  const struct endpoint_report *report = &endpoint->report;
+  const struct endpoint *head;
+  struct formation_order order = {
+    .endpoint = endpoint->id,
+    .group = report->group,
+    .epoch = report->epoch,
+    .model = report->model,
+  };
+
+  if (report->state == ENDPOINT_GROUP_NONE)
+    return true;
+  head = report->rank == 0 ? endpoint : reported_head (run, endpoint);
+  if (head != NULL && !may_serve (head))
+    return true;
+  if (run->now_ms - member->released_ms < RELEASE_RETRY_MS)
+    return false;
+  member->released_ms = run->now_ms;
+  order.op = head == endpoint ? FORMATION_EVICT : FORMATION_LEAVE;
+  order.reason = head == endpoint ? "serves in no known group"
+                                  : "its head may still serve";
+  run->hooks->order (run->hooks->context, &order);
+  return false;
+}
--- a/packages/formation/src/progress.c
+++ b/packages/formation/src/progress.c
@@ -10,8 +10,8 @@
 #define JOIN_TRIES 4
 /* An endpoint that ignores orders is left out for this long. */
 #define JOIN_HOLD_MS 4000
-/* Added to the time after which a group that stands still has broken. */
-#define STALL_MARGIN_MS 400
+/* A head that does not close in this time is left to its members' leaving. */
+#define FAILED_LIMIT_MS 4000
 /* An order to open has had its effect, and the report is there, by then. */
 #define SHUT_WAIT_MS 1200
 /* A new holder of the lease gives incomplete groups this long to show up. */
@@ -96,6 +96,15 @@
   return group;
 }
 
+/* True for a group of this holder that is no longer among its records. */
+static bool
+was_given_up (const struct formation_run *run,
+              const struct endpoint_report *report)
+{
+  return report->epoch >> FORMATION_EPOCH_SHIFT == run->formation->fence
+         && run->now_ms - run->formation->held_since_ms > ADOPT_MS;
+}
+
 /* Takes up groups that an earlier holder of the lease has formed. */
 void
 formation_adopt (const struct formation_run *run)
@@ -115,7 +124,7 @@
         {
           member = formation_member (run->formation, endpoint);
           if (member == NULL || member->group != NULL
-              || run->now_ms - run->formation->held_since_ms > ADOPT_MS)
+              || was_given_up (run, report))
             continue;
           group = adopt_group (run, endpoint);
         }
@@ -346,28 +355,16 @@
                  struct formation_group *group)
 {
   const struct endpoint *head = member_endpoint (run, group, 0);
-  int64_t limit = run->formation->settings.stall_ms + STALL_MARGIN_MS;
 
-  if (group->ordered_ms != 0 && head_is_shut (run, group))
-    {
-      formation_set_phase (run, group, FORMATION_GONE, "head is shut");
-      return;
-    }
-  if (run->now_ms - group->since_ms >= limit)
-    {
-      formation_set_phase (run, group, FORMATION_GONE, "has broken by now");
-      return;
-    }
-  if (!order_due (run, group))
-    return;
-  if (head != NULL)
+  if (head == NULL || run->hooks->is_silent (run->hooks->context, head))
+    /* The members are ordered to leave one by one; see member.c. */
+    formation_set_phase (run, group, FORMATION_GONE, "lost the head");
+  else if (head_is_shut (run, group))
+    formation_set_phase (run, group, FORMATION_GONE, "head is shut");
+  else if (run->now_ms - group->since_ms >= FAILED_LIMIT_MS)
+    formation_set_phase (run, group, FORMATION_GONE, "head stays open");
+  else if (order_due (run, group))
     formation_order (run, group, FORMATION_EVICT, head->id, "lost a member");
-  else
-    /* Members that leave make a head that is only cut off break. */
-    for (unsigned rank = 1; rank < group->size; rank++)
-      if (member_endpoint (run, group, rank) != NULL)
-        formation_order (run, group, FORMATION_LEAVE, group->members[rank],
-                         "lost the head");
 }
 
 static void
