formation: keep domains to one model

Ruled out: the weight store alone; the free endpoints had weights, but not in one domain.

A model gets the domain that it already uses, or an empty one; spares are kept back only for large groups.

--- a/packages/formation/src/build.c
+++ b/packages/formation/src/build.c
@@ -7,10 +7,11 @@
 #define FREE_LIMIT 512 /* free endpoints of a service looked at in one tick */
 
 /*
- * Part of the endpoints that stand by as spares, so that a lost member is
- * replaced in the time of a warm join and not of a load.
+ * Spares that a domain keeps for its groups before another group is formed, as
+ * a part of their members: a lost member is then replaced in the time of a
+ * warm join and not of a load.  Small groups are better formed than kept back.
  */
-#define SPARE_PART 0.2
+#define SPARE_PART 0.1
 /*
  * Loads of this data centre that may run at once before the first request;
  * they take a tenth of their time then, and many groups wait.
@@ -39,6 +40,7 @@
   unsigned picked[FORMATION_SIZE_LIMIT]; /* indices into the pool */
   unsigned cold; /* members that need a load from the weight store */
   unsigned cost;
+  unsigned affinity; /* see domain_affinity */
   bool found;
 };
 
@@ -94,12 +96,12 @@
 }
 
 static unsigned
-count_free (const struct pool *pool)
+free_in_domain (const struct pool *pool, const char *domain)
 {
   unsigned count = 0;
 
   for (unsigned i = 0; i < pool->count; i++)
-    count += pool->used[i] ? 0 : 1;
+    count += is_free_in (pool, i, domain) ? 1 : 0;
   return count;
 }
 
@@ -148,7 +150,7 @@
 static double
 wanted_groups (const struct pool *pool, const struct catalog_model *model)
 {
-  return model->share * (1 - SPARE_PART) * pool->usable / model->size;
+  return model->share * pool->usable / model->size;
 }
 
 static unsigned
@@ -246,10 +248,65 @@
     }
 }
 
+/* Members of groups in the domain, of one model or (NULL) of any. */
+static unsigned
+grouped_in_domain (const struct formation_run *run,
+                   const struct catalog_model *model,
+                   const char *domain)
+{
+  const struct formation_group *group;
+  unsigned count = 0;
+
+  TAILQ_FOREACH (group, &run->formation->groups, link)
+  if (group->phase <= FORMATION_SERVING
+      && (model == NULL || strcmp (group->model, model->name) == 0)
+      && strcmp (group->domain, domain) == 0)
+    count += group->size;
+  return count;
+}
+
 /*
- * Forms one group of the model where that is cheapest.  Once there is traffic
- * only of endpoints that have the weights: an endpoint that loads would hold
- * up those that could serve.
+ * How well the domain suits the model: spares serve any group of their model
+ * in the domain, so domains with one model lose the fewest groups.
+ */
+static unsigned
+domain_affinity (const struct formation_run *run,
+                 const struct catalog_model *model,
+                 const char *domain)
+{
+  if (grouped_in_domain (run, model, domain) > 0)
+    return 2;
+  return grouped_in_domain (run, NULL, domain) == 0 ? 1 : 0;
+}
+
+static bool
+leaves_spares (const struct formation_run *run,
+               const struct pool *pool,
+               const struct catalog_model *model,
+               const char *domain)
+{
+  unsigned grouped = grouped_in_domain (run, NULL, domain);
+  unsigned left = free_in_domain (pool, domain) - model->size;
+
+  return left >= (unsigned)(SPARE_PART * grouped);
+}
+
+static bool
+is_better (const struct choice *choice, const struct choice *best)
+{
+  if (!best->found)
+    return true;
+  if (choice->cold != best->cold)
+    return choice->cold < best->cold;
+  if (choice->affinity != best->affinity)
+    return choice->affinity > best->affinity;
+  return choice->cost < best->cost;
+}
+
+/*
+ * Forms one group of the model where that is best.  Once there is traffic only
+ * of endpoints that have the weights: an endpoint that loads would hold up
+ * those that could serve.
  */
 static bool
 form_one (const struct formation_run *run,
@@ -261,15 +318,18 @@
 
   for (unsigned i = 0; i < pool->count; i++)
     {
+      const char *domain = pool->endpoints[i]->report.domain;
       struct choice choice;
 
       if (pool->used[i])
         continue;
-      choice = choose_members (pool, model, pool->endpoints[i]->report.domain);
-      if (!choice.found || (best.found && choice.cost >= best.cost)
-          || (run->formation->traffic && choice.cold > 0))
+      choice = choose_members (pool, model, domain);
+      if (!choice.found || (run->formation->traffic && choice.cold > 0)
+          || !leaves_spares (run, pool, model, domain))
         continue;
-      best = choice;
+      choice.affinity = domain_affinity (run, model, domain);
+      if (is_better (&choice, &best))
+        best = choice;
     }
   if (!best.found || !loads_allowed (run, service, best.cold))
     return false;
@@ -315,17 +375,11 @@
   while ((index = poorest_model (run, service, pool, tried, &filled)) >= 0)
     {
       const struct catalog_model *model = &service->models[index];
-      unsigned left = count_free (pool);
 
       tried[index] = true;
-      /* Beyond its share a model gets only what leaves enough spares. */
-      if (groups_of_model (run, service, model) + 0.5
-              >= wanted_groups (pool, model)
-          && left < model->size + SPARE_PART * pool->usable)
-        continue;
       if (form_one (run, service, model, pool))
         memset (tried, 0, sizeof tried);
-      else if (!run->formation->traffic)
+      else if (!run->formation->traffic && filled < 1 && loads_running (run) > 0)
         /* At the start loads are quick: the model that is due waits. */
         return;
     }
@@ -345,22 +399,6 @@
   return count;
 }
 
-static unsigned
-groups_in_domain (const struct formation_run *run,
-                  const struct catalog_model *model,
-                  const char *domain)
-{
-  const struct formation_group *group;
-  unsigned count = 0;
-
-  TAILQ_FOREACH (group, &run->formation->groups, link)
-  if (group->phase <= FORMATION_SERVING
-      && strcmp (group->model, model->name) == 0
-      && strcmp (group->domain, domain) == 0)
-    count++;
-  return count;
-}
-
 /*
  * How much one more endpoint with the model's weights is worth in the domain:
  * most if it completes a group that the model lacks, then if groups of the
@@ -374,7 +412,8 @@
              const char *domain)
 {
   unsigned have = staged_free (pool, domain, model->name);
-  unsigned groups = groups_in_domain (run, model, domain);
+  unsigned groups
+      = grouped_in_domain (run, model, domain) / model->size;
   double lacking = wanted_groups (pool, model)
                    - groups_of_model (run, service, model);
   unsigned missing = model->size - have % model->size;
