balance: admit by the expected time to the first event

A group's expected time to the first event counts the prompts that wait to be read, of this entry host and its peers; a request goes only where it is in time, and waits a small part of its objective.

--- a/packages/balance/include/balance.h
+++ b/packages/balance/include/balance.h
@@ -27,6 +27,8 @@
   struct endpoint *endpoint; /* NULL once it is gone */
   unsigned running;          /* own requests there */
   unsigned peer_running;     /* those of the other entry hosts */
+  uint64_t reading;          /* prompt tokens of own requests not begun */
+  uint64_t peer_reading;
   int64_t progress_ms;       /* last sign of life of an own request */
   int64_t peer_progress_ms;  /* the same of the other entry hosts */
   int64_t avoid_ms;          /* gets no request before this moment */
@@ -62,7 +64,9 @@
 {
   const struct catalog_service *service;
   const struct catalog_model *model; /* NULL if endpoints serve alone */
-  bool urgent; /* can still meet its objective: may use the last slots */
+  uint64_t prompt_tokens;
+  int64_t objective_ms; /* of a new request, to the first event or answer */
+  int64_t left_ms;      /* of it; negative = it is over */
   const struct lane *excluded[BALANCE_EXCLUDE_LIMIT];
   unsigned excluded_count;
 };
@@ -74,13 +78,23 @@
   BALANCE_NONE, /* nothing serves it */
 };
 
-/* The endpoint that starts the request soonest. */
+/*
+ * The endpoint that answers soonest.  A request that can meet its objective is
+ * given only to an endpoint where it will; one that cannot, only to an
+ * endpoint with so little to do that others are not made late by it.
+ */
 enum balance_verdict balance_choose (struct lanes *lanes,
                                      const struct endpoints *endpoints,
                                      const struct balance_request *request,
                                      int64_t now_ms,
                                      struct lane **chosen);
 
+/*
+ * Expected time to the first event at a group that does nothing else, ms; 0
+ * for services whose endpoints serve alone.
+ */
+double balance_least_ms (const struct balance_request *request);
+
 /* Requests that an endpoint of the service runs at once. */
 unsigned balance_slots (const struct catalog_service *service,
                         const struct endpoint *endpoint);
--- a/packages/balance/src/choose.c
+++ b/packages/balance/src/choose.c
@@ -2,22 +2,31 @@
 
 #include <string.h>
 
-/* Requests queued at a group above its slots: about one token step each. */
-#define QUEUE_AHEAD 2
-/* Slots kept free for requests that can still meet their objective. */
-#define URGENT_SLOTS 3
 /* Requests per slot at an endpoint that serves alone: wait for one other. */
 #define ALONE_PER_SLOT 3
-/* Advantage of an endpoint in the own data centre, as a part of its slots. */
-#define NEAR_BONUS 0.04
+/* Advantage of an endpoint in the own data centre, ms or parts of a slot. */
+#define NEAR_MS 4.0
+#define NEAR_LOAD 0.04
+/* Part of the objective that an estimate may take up; the rest is its error. */
+#define OBJECTIVE_PART 0.9
+/* The same for requests that are late already: only spare time is theirs. */
+#define LATE_PART 0.6
 /* Weight of a new sample in the moving means. */
 #define SAMPLE_WEIGHT 0.2
 /* A pace without samples for this long is taken for the usual one again. */
 #define PAUSE_FORGET_MS 2000
 /* Failures count half after this time. */
 #define FAILURE_HALF_MS 2000
+/* Failing every time counts like this much longer a wait. */
+#define FAILURE_MS 400.0
+#define FAILURE_LOAD 2.0
+/* Batches differ in size, so only a clear difference in pace counts. */
+#define SLOWNESS_LEAST 2.0
 /* An endpoint this many times slower than the usual counts no slower. */
 #define SLOWNESS_LIMIT 8.0
+/* Spreads choices between endpoints that are alike. */
+#define DRAW_MS 6.0
+#define DRAW_LOAD 0.02
 
 unsigned
 balance_slots (const struct catalog_service *service,
@@ -93,45 +102,99 @@
              : lane->failing / (1.0 + (double)age_ms / FAILURE_HALF_MS);
 }
 
-/* Expected work ahead of the request, in full batches of the endpoint. */
 static double
-score (struct lanes *lanes,
-       const struct balance_request *request,
-       const struct lane *lane,
-       double usual,
-       int64_t now_ms)
+slowness (const struct lane *lane, double usual, int64_t now_ms)
 {
-  unsigned slots = balance_slots (request->service, lane->endpoint);
-  double load = (double)(lane->running + lane->peer_running + 1) / slots;
   double pause = recent_pause (lane, now_ms);
-  double slowness = usual > 0 && pause > 0 ? pause / usual : 1;
+  double ratio = usual > 0 && pause > 0 ? pause / usual : 1;
+
+  if (ratio < SLOWNESS_LEAST)
+    return 1;
+  return ratio < SLOWNESS_LIMIT ? ratio : SLOWNESS_LIMIT;
+}
+
+/* Token steps between two events of a batch of this many requests, ms. */
+static double
+steps_ms (const struct balance_request *request, unsigned running)
+{
+  const struct catalog_service *service = request->service;
+
+  return request->model->pace * service->tokens_per_event
+         * (service->step_ms + service->step_per_request_ms * running);
+}
+
+static double
+reading_ms (const struct balance_request *request, uint64_t tokens)
+{
+  if (request->service->read_per_ms <= 0)
+    return 0;
+  return request->model->pace * (double)tokens / request->service->read_per_ms;
+}
+
+/*
+ * Time to the first event: the rest of the present pass, then a pass that
+ * reads all prompts that wait and makes one event of each request.
+ */
+static double
+first_event_ms (const struct balance_request *request,
+                unsigned running,
+                uint64_t reading)
+{
+  return 1.5 * steps_ms (request, running + 1)
+         + reading_ms (request, reading + request->prompt_tokens);
+}
+
+double
+balance_least_ms (const struct balance_request *request)
+{
+  return request->model != NULL ? first_event_ms (request, 0, 0) : 0;
+}
 
-  /* Batches differ in size, so only a clear difference counts. */
-  if (slowness < 2)
-    slowness = 1;
-  if (slowness > SLOWNESS_LIMIT)
-    slowness = SLOWNESS_LIMIT;
-  load *= slowness;
-  load += recent_failing (lane, now_ms) * 2;
-  if (strcmp (lane->endpoint->report.data_centre, lanes->data_centre) == 0)
-    load -= NEAR_BONUS;
-  return load + rng_real (&lanes->rng) * 0.02;
+static bool
+is_near (const struct lanes *lanes, const struct lane *lane)
+{
+  return strcmp (lane->endpoint->report.data_centre, lanes->data_centre) == 0;
 }
 
-static unsigned
-room (const struct balance_request *request, const struct lane *lane)
+/* Whether the lane has room for the request, and how good a choice it is. */
+static bool
+rate_group (struct lanes *lanes,
+            const struct balance_request *request,
+            const struct lane *lane,
+            double usual,
+            int64_t now_ms,
+            double *value)
+{
+  unsigned running = lane->running + lane->peer_running;
+  double expected_ms
+      = first_event_ms (request, running, lane->reading + lane->peer_reading)
+        * slowness (lane, usual, now_ms);
+  double limit_ms = OBJECTIVE_PART * (double)request->left_ms;
+
+  if (balance_least_ms (request) > limit_ms)
+    limit_ms = LATE_PART * (double)request->objective_ms;
+  *value = expected_ms + FAILURE_MS * recent_failing (lane, now_ms)
+           - (is_near (lanes, lane) ? NEAR_MS : 0)
+           + DRAW_MS * rng_real (&lanes->rng);
+  return running < balance_slots (request->service, lane->endpoint)
+         && expected_ms <= limit_ms;
+}
+
+static bool
+rate_alone (struct lanes *lanes,
+            const struct balance_request *request,
+            const struct lane *lane,
+            int64_t now_ms,
+            double *value)
 {
   unsigned slots = balance_slots (request->service, lane->endpoint);
-  unsigned limit;
   unsigned running = lane->running + lane->peer_running;
 
-  if (request->service->model_count == 0)
-    limit = slots * ALONE_PER_SLOT;
-  else if (request->urgent)
-    limit = slots + QUEUE_AHEAD;
-  else
-    limit = slots > URGENT_SLOTS ? slots - URGENT_SLOTS : 1;
-  return limit > running ? limit - running : 0;
+  *value = (double)(running + 1) / slots
+           + FAILURE_LOAD * recent_failing (lane, now_ms)
+           - (is_near (lanes, lane) ? NEAR_LOAD : 0)
+           + DRAW_LOAD * rng_real (&lanes->rng);
+  return running < slots * ALONE_PER_SLOT;
 }
 
 enum balance_verdict
@@ -142,7 +205,9 @@
                 struct lane **chosen)
 {
   enum balance_verdict verdict = BALANCE_NONE;
-  double usual = usual_pause (lanes, endpoints, request, now_ms);
+  bool grouped = request->service->model_count > 0;
+  double usual
+      = grouped ? usual_pause (lanes, endpoints, request, now_ms) : 0;
   double least = 0;
 
   *chosen = NULL;
@@ -151,6 +216,7 @@
     {
       struct lane *lane;
       double value;
+      bool room;
 
       if (!is_candidate (request, endpoint))
         continue;
@@ -158,13 +224,14 @@
       if (lane == NULL || lane->avoid_ms > now_ms
           || is_excluded (request, lane))
         continue;
-      if (room (request, lane) == 0)
+      room = grouped ? rate_group (lanes, request, lane, usual, now_ms, &value)
+                     : rate_alone (lanes, request, lane, now_ms, &value);
+      if (!room)
         {
           if (verdict == BALANCE_NONE)
             verdict = BALANCE_FULL;
           continue;
         }
-      value = score (lanes, request, lane, usual, now_ms);
       if (*chosen == NULL || value < least)
         {
           *chosen = lane;
--- a/packages/edge/include/gossip.h
+++ b/packages/edge/include/gossip.h
@@ -19,7 +19,7 @@
 
 #define GOSSIP_VERSION 1
 #define GOSSIP_BYTES 1400 /* one datagram without fragments on Ethernet */
-#define GOSSIP_LOADS 64   /* entries of one message */
+#define GOSSIP_LOADS 48   /* entries of one message */
 #define GOSSIP_NEVER_MS UINT32_MAX
 
 enum gossip_kind
@@ -32,6 +32,7 @@
 {
   uint64_t endpoint; /* hash_string of its id */
   uint32_t running;
+  uint32_t reading;   /* prompt tokens of those that have not begun */
   uint32_t silent_ms; /* since the last sign of life of a request there */
   bool stands_still;  /* the sender avoids it for that reason */
 };
--- a/packages/edge/src/gossip.c
+++ b/packages/edge/src/gossip.c
@@ -31,6 +31,7 @@
 {
   return xdr_uint64_t (xdr, &load->endpoint)
          && xdr_uint32_t (xdr, &load->running)
+         && xdr_uint32_t (xdr, &load->reading)
          && xdr_uint32_t (xdr, &load->silent_ms)
          && code_flag (xdr, &load->stands_still);
 }
--- a/packages/edge/src/mesh.c
+++ b/packages/edge/src/mesh.c
@@ -15,7 +15,7 @@
 #include <unistd.h>
 
 /* Loads are told this often by a small fleet, and less often by a large one. */
-#define LOAD_INTERVAL_MS 100
+#define LOAD_INTERVAL_MS 50
 #define LOAD_INTERVAL_PER_HOST_MS 5
 /* What a host told is forgotten after this many intervals. */
 #define LOAD_LIFE_INTERVALS 8
@@ -317,6 +317,7 @@
       loads[count++] = (struct gossip_load){
         .endpoint = hash_string (lane->id, 0),
         .running = lane->running,
+        .reading = (uint32_t)lane->reading,
         .silent_ms = lane->progress_ms != 0 && silent_ms < GOSSIP_NEVER_MS
                          ? (uint32_t)silent_ms
                          : GOSSIP_NEVER_MS,
@@ -384,6 +385,7 @@
   if (lane == NULL)
     return;
   lane->peer_running += load->running;
+  lane->peer_reading += load->reading;
   if (load->silent_ms != GOSSIP_NEVER_MS)
     {
       progress_ms = host->heard_ms - (int64_t)load->silent_ms;
@@ -406,7 +408,10 @@
   mesh->changed = false;
   for (struct lane *lane = mesh->lanes->table; lane != NULL;
        lane = lane->hh.next)
-    lane->peer_running = 0;
+    {
+      lane->peer_running = 0;
+      lane->peer_reading = 0;
+    }
   for (struct mesh_host *host = mesh->hosts; host != NULL; host = host->hh.next)
     if (host->heard_ms >= oldest_ms)
       for (unsigned i = 0; i < host->load_count; i++)
--- a/packages/relay/include/relay.h
+++ b/packages/relay/include/relay.h
@@ -35,6 +35,7 @@
   const char *request_id;
   const char *deadline;      /* ms that the caller still waits; set */
   const char *model;
+  const char *token_counts;  /* "PROMPT,MOST-ANSWERED" */
   const char *last_event_id; /* resume after this event */
   const char *seal;          /* the endpoint's signature of its answer */
   const char *customer;      /* set */
@@ -60,14 +61,6 @@
 struct relay;
 struct relay_request;
 
-/* The longest deadline seen on a route: that of a caller's first attempt. */
-struct relay_route_deadline
-{
-  char route[CATALOG_NAME_SIZE];
-  int64_t longest_ms;
-  UT_hash_handle hh;
-};
-
 struct relay_caller
 {
   struct relay *relay;
@@ -96,6 +89,7 @@
   bool established;
   bool reused;
   bool written;        /* bytes of the request have left */
+  bool reading;        /* its prompt counts in the lane's reading */
   bool head_seen;
   bool is_stream;
   bool foreign;        /* the present answer belongs to an earlier request */
@@ -121,11 +115,11 @@
   enum relay_phase phase;
   char id[RELAY_ID_SIZE];
   bool is_head_method;
-  bool returned;        /* the caller was here before with this request */
   int64_t arrived_ms;
   int64_t deadline_ms;  /* the caller's, or the route's if that is earlier */
   int64_t objective_by_ms;
   unsigned urgency;
+  uint64_t prompt_tokens;
   struct http_text fields; /* request line and field lines to pass on */
   struct http_text body;
   uint64_t last_event;
@@ -137,6 +131,9 @@
   unsigned runs;     /* sends that may have run */
   bool head_sent;    /* the caller has got the start of its answer */
   uint64_t events_sent;
+  int64_t first_event_ms;   /* when it was passed on; 0 = not yet */
+  int64_t last_event_ms;
+  int64_t longest_pause_ms; /* between two events */
   enum result failure; /* of the last attempt */
   bool answered;       /* the whole answer is with the caller's connection */
   TAILQ_ENTRY (relay_request) link;  /* all */
@@ -165,8 +162,7 @@
   TAILQ_HEAD (, relay_upstream) busy;
   struct relay_request_list requests;
   struct relay_request_list waiting;
-  struct relay_route_deadline *deadlines; /* uthash by route */
-  size_t body_bytes;                      /* of all requests held */
+  size_t body_bytes; /* of all requests held */
   unsigned caller_count;
   /* Requests at an endpoint stand still. */
   void (*stalled) (void *context, struct lane *lane);
--- a/packages/relay/src/answer.c
+++ b/packages/relay/src/answer.c
@@ -226,6 +226,11 @@
       histogram_add (&relay->first_event_ms,
                      (uint64_t)(relay->now_ms - request->arrived_ms));
     }
+  if (request->first_event_ms == 0)
+    request->first_event_ms = relay->now_ms;
+  else if (relay->now_ms - request->last_event_ms > request->longest_pause_ms)
+    request->longest_pause_ms = relay->now_ms - request->last_event_ms;
+  request->last_event_ms = relay->now_ms;
   http_text_format (&text, "%zx\r\n", whole);
   http_text_add (&text, upstream->body.data, whole);
   http_text_add (&text, "\r\n", 2);
--- a/packages/relay/src/attempt.c
+++ b/packages/relay/src/attempt.c
@@ -12,10 +12,8 @@
 /* When to come back: see request.c. */
 #define RETRY_AFTER_MS 500
 #define RETRY_AFTER_SPREAD_MS 700
-/* Least time to wait for room, when the objective is nearly over. */
-#define WAIT_LEAST_MS 30
-/* Part of the objective that an endpoint itself takes to the first event. */
-#define START_PART 0.4
+/* A new request waits for room this part of its objective. */
+#define WAIT_PART 0.15
 
 static int64_t
 retry_after_ms (struct relay *relay)
@@ -119,20 +117,20 @@
   relay_dispatch (request);
 }
 
-/* True if waiting for room still serves the caller. */
+/*
+ * True if waiting for room still serves the caller: a stream that has begun
+ * cannot be refused any more, and a new request is better refused soon.
+ */
 static bool
-may_wait (const struct relay_request *request)
+may_wait (const struct relay_request *request,
+          const struct balance_request *wanted)
 {
   const struct relay *relay = request->relay;
-  int64_t until_ms;
+  double waited_ms = (double)(relay->now_ms - request->arrived_ms);
 
   if (request->head_sent)
     return relay->now_ms < request->deadline_ms;
-  until_ms = request->objective_by_ms
-             - (int64_t)((double)request->route->objective_ms * START_PART);
-  if (until_ms < request->arrived_ms + WAIT_LEAST_MS)
-    until_ms = request->arrived_ms + WAIT_LEAST_MS;
-  return relay->now_ms < until_ms;
+  return waited_ms < WAIT_PART * (double)wanted->objective_ms;
 }
 
 void
@@ -142,8 +140,10 @@
   struct balance_request wanted = {
     .service = request->service,
     .model = request->model,
-    .urgent
-    = relay->now_ms < request->objective_by_ms || request->head_sent,
+    .prompt_tokens = request->prompt_tokens,
+    .objective_ms = request->route->objective_ms,
+    .left_ms = request->head_sent ? request->route->objective_ms
+                                  : request->objective_by_ms - relay->now_ms,
     .excluded_count = request->tried_count,
   };
   struct lane *lane;
@@ -157,7 +157,7 @@
       relay_attempt_start (request, lane);
       break;
     case BALANCE_FULL:
-      if (may_wait (request))
+      if (may_wait (request, &wanted))
         relay_request_queue (request, true);
       else
         give_up (request, RESULT_SHED);
--- a/packages/relay/src/log.c
+++ b/packages/relay/src/log.c
@@ -27,7 +27,11 @@
       LOG_STR ("endpoint", upstream != NULL ? upstream->lane->id : ""),
       LOG_U64 ("sends", request->sends), LOG_U64 ("runs", request->runs),
       LOG_U64 ("events", request->events_sent),
-      LOG_STR ("returned", request->returned ? "yes" : "no"),
+      LOG_INT ("first_event_ms",
+               request->first_event_ms > 0
+                   ? request->first_event_ms - request->arrived_ms
+                   : -1),
+      LOG_INT ("longest_pause_ms", request->longest_pause_ms),
       LOG_INT ("held_ms", relay->now_ms - request->arrived_ms),
       LOG_INT ("left_ms", request->deadline_ms - relay->now_ms));
   snprintf (labels, sizeof labels, "outcome=\"%s\",code=\"%d\"", outcome,
--- a/packages/relay/src/relay.c
+++ b/packages/relay/src/relay.c
@@ -69,7 +69,6 @@
 {
   struct relay_caller *caller;
   struct relay_upstream *upstream;
-  struct relay_route_deadline *deadline = relay->deadlines;
 
   relay_stop_listening (relay);
   while ((caller = TAILQ_FIRST (&relay->callers)) != NULL)
@@ -78,14 +77,6 @@
     relay_upstream_close (upstream);
   while ((upstream = TAILQ_FIRST (&relay->busy)) != NULL)
     relay_upstream_close (upstream);
-  HASH_CLEAR (hh, relay->deadlines);
-  while (deadline != NULL)
-    {
-      struct relay_route_deadline *next = deadline->hh.next;
-
-      free (deadline);
-      deadline = next;
-    }
   retry_budgets_finish (&relay->budgets);
   lanes_finish (&relay->lanes);
   catalog_unref (relay->catalog);
--- a/packages/relay/src/request.c
+++ b/packages/relay/src/request.c
@@ -10,8 +10,6 @@
 #define DEFAULT_DEADLINE_MS 30000
 /* Bodies held at once: a third of the smallest host's memory. */
 #define BODY_BYTES_LIMIT (48U << 20)
-/* A caller whose deadline is shorter than this part of the longest returned. */
-#define RETURNED_PART 0.97
 /* Sent with requests that can no longer meet their objective; 0 is first. */
 #define LATE_URGENCY_STEP 4
 #define URGENCY_LIMIT 9
@@ -89,53 +87,20 @@
   http_free_later (relay->base, request);
 }
 
-/* How long ago the caller first sent this request, from its deadline. */
-static int64_t
-time_spent_before (struct relay *relay,
-                   const struct catalog_route *route,
-                   int64_t deadline_ms)
-{
-  struct relay_route_deadline *entry;
-
-  HASH_FIND_STR (relay->deadlines, route->name, entry);
-  if (entry == NULL)
-    {
-      entry = calloc (1, sizeof *entry);
-      if (entry == NULL)
-        return 0;
-      memcpy (entry->route, route->name, sizeof entry->route);
-      HASH_ADD_STR (relay->deadlines, route, entry);
-    }
-  if (deadline_ms >= (int64_t)((double)entry->longest_ms * RETURNED_PART))
-    {
-      if (deadline_ms > entry->longest_ms)
-        entry->longest_ms = deadline_ms;
-      return 0;
-    }
-  return entry->longest_ms - deadline_ms;
-}
-
 static void
 set_times (struct relay_request *request, const struct http_head *head)
 {
-  struct relay *relay = request->relay;
   const struct catalog_route *route = request->route;
   int64_t left_ms = route->timeout_ms > 0 ? route->timeout_ms
                                           : DEFAULT_DEADLINE_MS;
   int64_t callers_ms;
-  int64_t spent_ms = 0;
 
-  if (http_parse_number (http_head_get (head, relay->names->deadline),
-                         &callers_ms))
-    {
-      spent_ms = time_spent_before (relay, route, callers_ms);
-      if (callers_ms < left_ms)
-        left_ms = callers_ms;
-    }
-  request->returned = spent_ms > 0;
+  if (http_parse_number (http_head_get (head, request->relay->names->deadline),
+                         &callers_ms)
+      && callers_ms < left_ms)
+    left_ms = callers_ms;
   request->deadline_ms = request->arrived_ms + left_ms;
-  request->objective_by_ms
-      = request->arrived_ms - spent_ms + route->objective_ms;
+  request->objective_by_ms = request->arrived_ms + route->objective_ms;
 }
 
 static bool
@@ -259,6 +224,15 @@
   request->urgency = urgency < URGENCY_LIMIT ? urgency : URGENCY_LIMIT;
 }
 
+static void
+read_token_counts (struct relay_request *request, const struct http_head *head)
+{
+  const char *text = http_head_get (head, request->relay->names->token_counts);
+
+  if (text != NULL)
+    request->prompt_tokens = strtoull (text, NULL, 10);
+}
+
 void
 relay_request_start (struct relay_request *request)
 {
@@ -285,6 +259,7 @@
           request->last_event = (uint64_t)number;
           request->has_last_event = true;
         }
+      read_token_counts (request, head);
       set_urgency (request);
       build_fields (request, head);
       if (request->fields.failed || request->body.failed)
--- a/packages/relay/src/upstream.c
+++ b/packages/relay/src/upstream.c
@@ -19,6 +19,16 @@
 /* Largest plain answer. */
 #define BODY_BYTES (8U << 20)
 
+/* The endpoint has read the prompt, or never will. */
+static void
+end_reading (struct relay_upstream *upstream)
+{
+  if (!upstream->reading)
+    return;
+  upstream->reading = false;
+  upstream->lane->reading -= upstream->request->prompt_tokens;
+}
+
 static void
 detach (struct relay_upstream *upstream)
 {
@@ -26,6 +36,7 @@
 
   if (request == NULL)
     return;
+  end_reading (upstream);
   upstream->lane->running--;
   request->upstream = NULL;
   upstream->request = NULL;
@@ -66,6 +77,8 @@
   http_text_reset (&upstream->head);
   http_text_reset (&upstream->body);
   upstream->lane->running++;
+  upstream->reading = true;
+  upstream->lane->reading += request->prompt_tokens;
   request->upstream = upstream;
   TAILQ_INSERT_TAIL (&relay->busy, upstream, link);
 }
@@ -180,6 +193,7 @@
     }
   if (!upstream->is_stream)
     return;
+  end_reading (upstream);
   note_progress (upstream);
   if (!relay_answer_events (request, upstream))
     relay_attempt_failed (request, true, RESULT_STREAM_BROKEN);
