--- a/packages/balance/include/balance.h
+++ b/packages/balance/include/balance.h
@@ -78,6 +78,12 @@
   BALANCE_NONE, /* nothing serves it */
 };
 
+struct balance_choice
+{
+  struct lane *lane;
+  double expected_ms; /* to the first event; 0 if endpoints serve alone */
+};
+
 /*
  * The endpoint that answers soonest.  A request that can meet its objective is
  * given only to an endpoint where it will; one that cannot, only to an
@@ -87,7 +93,7 @@
                                      const struct endpoints *endpoints,
                                      const struct balance_request *request,
                                      int64_t now_ms,
-                                     struct lane **chosen);
+                                     struct balance_choice *choice);
 
 /*
  * Expected time to the first event at a group that does nothing else, ms; 0
--- a/packages/balance/src/choose.c
+++ b/packages/balance/src/choose.c
@@ -7,6 +7,8 @@
 /* Advantage of an endpoint in the own data centre, ms or parts of a slot. */
 #define NEAR_MS 4.0
 #define NEAR_LOAD 0.04
+/* Passes that a request lives through until its first event. */
+#define PASSES 2.3
 /* Part of the objective that an estimate may take up; the rest is its error. */
 #define OBJECTIVE_PART 0.9
 /* The same for requests that are late already: only spare time is theirs. */
@@ -133,14 +135,15 @@
 
 /*
  * Time to the first event: the rest of the present pass, then a pass that
- * reads all prompts that wait and makes one event of each request.
+ * reads all prompts that wait and makes one event of each request.  A prompt
+ * often just misses a pass, so both count nearly whole.
  */
 static double
 first_event_ms (const struct balance_request *request,
                 unsigned running,
                 uint64_t reading)
 {
-  return 1.5 * steps_ms (request, running + 1)
+  return PASSES * steps_ms (request, running + 1)
          + reading_ms (request, reading + request->prompt_tokens);
 }
 
@@ -163,21 +166,23 @@
             const struct lane *lane,
             double usual,
             int64_t now_ms,
+            double *expected_ms,
             double *value)
 {
   unsigned running = lane->running + lane->peer_running;
-  double expected_ms
+  double limit_ms = OBJECTIVE_PART * (double)request->left_ms;
+
+  *expected_ms
       = first_event_ms (request, running, lane->reading + lane->peer_reading)
         * slowness (lane, usual, now_ms);
-  double limit_ms = OBJECTIVE_PART * (double)request->left_ms;
 
   if (balance_least_ms (request) > limit_ms)
     limit_ms = LATE_PART * (double)request->objective_ms;
-  *value = expected_ms + FAILURE_MS * recent_failing (lane, now_ms)
+  *value = *expected_ms + FAILURE_MS * recent_failing (lane, now_ms)
            - (is_near (lanes, lane) ? NEAR_MS : 0)
            + DRAW_MS * rng_real (&lanes->rng);
   return running < balance_slots (request->service, lane->endpoint)
-         && expected_ms <= limit_ms;
+         && *expected_ms <= limit_ms;
 }
 
 static bool
@@ -202,7 +207,7 @@
                 const struct endpoints *endpoints,
                 const struct balance_request *request,
                 int64_t now_ms,
-                struct lane **chosen)
+                struct balance_choice *choice)
 {
   enum balance_verdict verdict = BALANCE_NONE;
   bool grouped = request->service->model_count > 0;
@@ -210,11 +215,12 @@
       = grouped ? usual_pause (lanes, endpoints, request, now_ms) : 0;
   double least = 0;
 
-  *chosen = NULL;
+  *choice = (struct balance_choice){ .lane = NULL };
   for (struct endpoint *endpoint = endpoints->table; endpoint != NULL;
        endpoint = endpoint->hh.next)
     {
       struct lane *lane;
+      double expected_ms = 0;
       double value;
       bool room;
 
@@ -224,7 +230,8 @@
       if (lane == NULL || lane->avoid_ms > now_ms
           || is_excluded (request, lane))
         continue;
-      room = grouped ? rate_group (lanes, request, lane, usual, now_ms, &value)
+      room = grouped ? rate_group (lanes, request, lane, usual, now_ms,
+                                  &expected_ms, &value)
                      : rate_alone (lanes, request, lane, now_ms, &value);
       if (!room)
         {
@@ -232,9 +239,10 @@
             verdict = BALANCE_FULL;
           continue;
         }
-      if (*chosen == NULL || value < least)
+      if (choice->lane == NULL || value < least)
         {
-          *chosen = lane;
+          choice->lane = lane;
+          choice->expected_ms = expected_ms;
           least = value;
         }
       verdict = BALANCE_CHOSEN;
--- a/packages/relay/include/relay.h
+++ b/packages/relay/include/relay.h
@@ -120,6 +120,7 @@
   int64_t objective_by_ms;
   unsigned urgency;
   uint64_t prompt_tokens;
+  double expected_ms; /* to the first event, when the endpoint was chosen */
   struct http_text fields; /* request line and field lines to pass on */
   struct http_text body;
   uint64_t last_event;
--- a/packages/relay/src/attempt.c
+++ b/packages/relay/src/attempt.c
@@ -146,15 +146,16 @@
                                   : request->objective_by_ms - relay->now_ms,
     .excluded_count = request->tried_count,
   };
-  struct lane *lane;
+  struct balance_choice choice;
 
   for (unsigned i = 0; i < request->tried_count; i++)
     wanted.excluded[i] = request->tried[i];
   switch (balance_choose (&relay->lanes, relay->endpoints, &wanted,
-                          relay->now_ms, &lane))
+                          relay->now_ms, &choice))
     {
     case BALANCE_CHOSEN:
-      relay_attempt_start (request, lane);
+      request->expected_ms = choice.expected_ms;
+      relay_attempt_start (request, choice.lane);
       break;
     case BALANCE_FULL:
       if (may_wait (request, &wanted))
--- a/packages/relay/src/log.c
+++ b/packages/relay/src/log.c
@@ -27,6 +27,8 @@
       LOG_STR ("endpoint", upstream != NULL ? upstream->lane->id : ""),
       LOG_U64 ("sends", request->sends), LOG_U64 ("runs", request->runs),
       LOG_U64 ("events", request->events_sent),
+      LOG_U64 ("prompt_tokens", request->prompt_tokens),
+      LOG_INT ("expected_ms", (int64_t)request->expected_ms),
       LOG_INT ("first_event_ms",
                request->first_event_ms > 0
                    ? request->first_event_ms - request->arrived_ms
