--- a/packages/balance/include/balance.h
+++ b/packages/balance/include/balance.h
@@ -55,6 +55,11 @@
 struct lane *lanes_get (struct lanes *lanes, struct endpoint *endpoint);
 struct lane *lanes_find (const struct lanes *lanes, const char *id);
 
+/* What the other entry hosts run is to be told anew. */
+void lanes_forget_peers (struct lanes *lanes);
+
+struct lane *lanes_find_hash (const struct lanes *lanes, uint64_t hash);
+
 /* The endpoint is gone; the lane goes with its last reference. */
 void lanes_detach (struct lanes *lanes, struct lane *lane);
 void lanes_ref (struct lane *lane);
--- a/packages/balance/src/lanes.c
+++ b/packages/balance/src/lanes.c
@@ -39,6 +39,25 @@
   return lane;
 }
 
+struct lane *
+lanes_find_hash (const struct lanes *lanes, uint64_t hash)
+{
+  for (struct lane *lane = lanes->table; lane != NULL; lane = lane->hh.next)
+    if (lane->hash == hash)
+      return lane;
+  return NULL;
+}
+
+void
+lanes_forget_peers (struct lanes *lanes)
+{
+  for (struct lane *lane = lanes->table; lane != NULL; lane = lane->hh.next)
+    {
+      lane->peer_running = 0;
+      lane->peer_reading = 0;
+    }
+}
+
 struct lane *
 lanes_get (struct lanes *lanes, struct endpoint *endpoint)
 {
--- a/packages/catalog/include/endpoints.h
+++ b/packages/catalog/include/endpoints.h
@@ -55,6 +55,7 @@
   uint64_t revision;      /* of the entry that the report came from */
   int64_t leaving_since_ms; /* when it was first seen leaving; 0 = never */
   int64_t deleted_ms;     /* when its entry was missed; 0 = it is there */
+  uint64_t deleted_revision; /* of the change that deleted it */
   bool stale;             /* scratch of a relisting */
   void *link;             /* of the owner of the table */
   UT_hash_handle hh;
@@ -68,6 +69,8 @@
    * platform was away and entries may have lapsed meanwhile.
    */
   int64_t believe_ms;
+  /* Over ids and revisions; two equal tables have the same. */
+  uint64_t digest;
   void (*removed) (void *context, struct endpoint *endpoint);
   void *context;
 };
@@ -88,14 +91,17 @@
                               uint64_t revision,
                               int64_t now_ms);
 
-/* Its entry is gone, or cannot be read any more. */
+/* Its entry was deleted by the change of this revision. */
 void endpoints_delete (struct endpoints *endpoints,
                        const char *id,
+                       uint64_t revision,
                        int64_t now_ms);
 
 /* Around a relisting: entries that are not reported between count as gone. */
 void endpoints_relist_begin (struct endpoints *endpoints);
-void endpoints_relist_end (struct endpoints *endpoints, int64_t now_ms);
+void endpoints_relist_end (struct endpoints *endpoints,
+                           uint64_t revision,
+                           int64_t now_ms);
 
 /* The platform was away until now_ms; see believe_ms. */
 void endpoints_distrust (struct endpoints *endpoints, int64_t now_ms);
--- a/packages/catalog/src/endpoints.c
+++ b/packages/catalog/src/endpoints.c
@@ -1,5 +1,7 @@
 #include "endpoints.h"
 
+#include "hash.h"
+
 #include <stdlib.h>
 #include <string.h>
 
@@ -31,10 +33,17 @@
   endpoints->context = context;
 }
 
+static uint64_t
+digest_of (const struct endpoint *endpoint)
+{
+  return hash_string (endpoint->id, endpoint->revision);
+}
+
 static void
 remove_endpoint (struct endpoints *endpoints, struct endpoint *endpoint)
 {
   HASH_DELETE (hh, endpoints->table, endpoint);
+  endpoints->digest ^= digest_of (endpoint);
   if (endpoints->removed != NULL)
     endpoints->removed (endpoints->context, endpoint);
   free (endpoint);
@@ -69,6 +78,7 @@
     return NULL;
   memcpy (endpoint->id, id, size + 1);
   HASH_ADD_STR (endpoints->table, id, endpoint);
+  endpoints->digest ^= digest_of (endpoint);
   return endpoint;
 }
 
@@ -86,25 +96,34 @@
   if (endpoint == NULL)
     return RESULT_NO_MEMORY;
   endpoint->stale = false;
-  endpoint->deleted_ms = 0;
-  if (revision < endpoint->revision)
+  if (revision < endpoint->revision
+      || (endpoint->deleted_ms != 0 && revision <= endpoint->deleted_revision))
     return RESULT_OK;
+  endpoint->deleted_ms = 0;
+  endpoints->digest ^= digest_of (endpoint);
   if (endpoint->report.started_ms != report->started_ms)
     endpoint->leaving_since_ms = 0;
   endpoint->report = *report;
   endpoint->revision = revision;
+  endpoints->digest ^= digest_of (endpoint);
   if (report->leaving && endpoint->leaving_since_ms == 0)
     endpoint->leaving_since_ms = now_ms;
   return RESULT_OK;
 }
 
 void
-endpoints_delete (struct endpoints *endpoints, const char *id, int64_t now_ms)
+endpoints_delete (struct endpoints *endpoints,
+                  const char *id,
+                  uint64_t revision,
+                  int64_t now_ms)
 {
   struct endpoint *endpoint = endpoints_find (endpoints, id);
 
-  if (endpoint != NULL && endpoint->deleted_ms == 0)
-    endpoint->deleted_ms = now_ms;
+  if (endpoint == NULL || endpoint->deleted_ms != 0
+      || revision < endpoint->revision)
+    return;
+  endpoint->deleted_ms = now_ms;
+  endpoint->deleted_revision = revision;
 }
 
 void
@@ -116,12 +135,14 @@
 }
 
 void
-endpoints_relist_end (struct endpoints *endpoints, int64_t now_ms)
+endpoints_relist_end (struct endpoints *endpoints,
+                      uint64_t revision,
+                      int64_t now_ms)
 {
   for (struct endpoint *endpoint = endpoints->table; endpoint != NULL;
        endpoint = endpoint->hh.next)
-    if (endpoint->stale && endpoint->deleted_ms == 0)
-      endpoint->deleted_ms = now_ms;
+    if (endpoint->stale)
+      endpoints_delete (endpoints, endpoint->id, revision, now_ms);
 }
 
 void
--- a/packages/edge/include/edge-settings.h
+++ b/packages/edge/include/edge-settings.h
@@ -19,6 +19,8 @@
   char readiness_listen[SETTINGS_TEXT_SIZE];
   char peers_address[SETTINGS_TEXT_SIZE];
   int64_t peers_port;
+  struct settings_list peers_seeds;
+  double host_cores;
   char platform_store[SETTINGS_TEXT_SIZE];
   double drain_limit_s;
   int64_t keys_revoke_ms;
--- a/packages/edge/include/edge.h
+++ b/packages/edge/include/edge.h
@@ -10,6 +10,7 @@
 #include "mesh.h"
 #include "records.h"
 #include "relay.h"
+#include "vouch.h"
 
 #include <event2/event.h>
 #include <event2/http.h>
@@ -48,6 +49,11 @@
   struct relay relay;
   struct leader leader;
   struct mesh mesh;
+  struct vouch vouch;
+  bool direct;   /* reads the platform itself, for others too */
+  bool fetching; /* a read of the configuration is under way */
+  int64_t fetch_ms; /* next one */
+  int64_t fetched_ms; /* when the last one was sent */
   enum edge_phase phase;
   int64_t phase_ms;
   int64_t now_ms;
@@ -65,6 +71,11 @@
 
 /* follow.c */
 void edge_follow_init (struct edge *edge);
+void edge_follow_tick (struct edge *edge);
+
+/* peers.c: what the other entry hosts tell and are told. */
+enum result edge_peers_init (struct edge *edge);
+void edge_peers_tick (struct edge *edge);
 
 /* readiness.c */
 enum result edge_readiness_init (struct edge *edge);
--- a/packages/edge/include/gossip.h
+++ b/packages/edge/include/gossip.h
@@ -3,6 +3,7 @@
 
 #include "catalog.h"
 #include "endpoints.h"
+#include "lease.h"
 #include "result.h"
 
 #include <stdbool.h>
@@ -10,22 +11,27 @@
 #include <stdint.h>
 
 /*
- * Datagrams between entry hosts, in XDR (RFC 4506).
- *
- * A load message tells what the sender runs where; a report message repeats
- * what the platform's list says of endpoints, so that most hosts learn of a
- * change without a call to the platform.
+ * Datagrams between entry hosts, in XDR (RFC 4506).  mesh.h says who sends
+ * what to whom.
  */
 
 #define GOSSIP_VERSION 1
 #define GOSSIP_BYTES 1400 /* one datagram without fragments on Ethernet */
-#define GOSSIP_LOADS 48   /* entries of one message */
+#define GOSSIP_LOADS 40   /* entries of one message */
+#define GOSSIP_HOSTS 12
 #define GOSSIP_NEVER_MS UINT32_MAX
 
 enum gossip_kind
 {
-  GOSSIP_LOAD = 1,
-  GOSSIP_REPORT = 2,
+  GOSSIP_LOAD = 1, /* what the sender runs */
+  GOSSIP_SUM,      /* what the hosts of its data centre run */
+  GOSSIP_TOTAL,    /* what all hosts run */
+  GOSSIP_HELLO,    /* the sender wants to know the hosts */
+  GOSSIP_KNOWN,    /* hosts that the sender knows */
+  GOSSIP_ASK,      /* how current is what the receiver knows? */
+  GOSSIP_VOUCH,    /* the answer */
+  GOSSIP_REPORT,   /* an endpoint's entry on the platform */
+  GOSSIP_DELETED,  /* such an entry is gone */
 };
 
 struct gossip_load
@@ -37,25 +43,72 @@
   bool stands_still;  /* the sender avoids it for that reason */
 };
 
-struct gossip_message
+/* LOAD, SUM and TOTAL: entries from first on, of total. */
+struct gossip_loads
 {
-  enum gossip_kind kind;
-  char host[CATALOG_NAME_SIZE];
-  char data_centre[CATALOG_NAME_SIZE];
-  uint64_t boot;     /* of the process */
-  uint32_t sequence; /* rises with each message */
-  bool traffic;      /* the sender has seen requests */
-
-  /* GOSSIP_LOAD: the part of the sender's entries from first on, of total. */
+  uint32_t hosts; /* that the entries are of */
   uint32_t first;
   uint32_t total;
-  uint32_t load_count;
-  struct gossip_load loads[GOSSIP_LOADS];
+  uint32_t count;
+  struct gossip_load list[GOSSIP_LOADS];
+  /* Lease of the sender's data centre as it knows it; version 0 = not. */
+  uint64_t lease_version;
+  struct lease_value lease;
+};
+
+struct gossip_host
+{
+  char name[CATALOG_NAME_SIZE];
+  char data_centre[CATALOG_NAME_SIZE];
+  char address[16]; /* IPv4 */
+  uint16_t port;
+  uint32_t capacity; /* thousandths of a processor core */
+};
+
+struct gossip_hosts
+{
+  uint32_t known; /* by the sender, in all */
+  uint32_t count;
+  struct gossip_host list[GOSSIP_HOSTS];
+};
 
-  /* GOSSIP_REPORT */
+struct gossip_ask
+{
+  uint64_t nonce;    /* the asker's clock, returned with the answer */
+  uint64_t revision; /* up to which the asker knows the entries */
+};
+
+struct gossip_vouch
+{
+  uint64_t nonce;
+  int64_t configuration;          /* version; 0 = none */
+  uint32_t configuration_age_ms;  /* since it was known to be current */
+  uint64_t revision;              /* up to which the entries are known */
+  uint64_t digest;                /* see endpoints.h */
+};
+
+struct gossip_report
+{
   char endpoint[CATALOG_NAME_SIZE];
   uint64_t revision;
-  struct endpoint_report report;
+  struct endpoint_report report; /* not for GOSSIP_DELETED */
+};
+
+struct gossip_message
+{
+  enum gossip_kind kind;
+  struct gossip_host sender; /* without address */
+  uint64_t boot;             /* of the process */
+  uint32_t sequence;         /* rises with each message */
+  bool traffic;              /* the sender knows of requests */
+  union
+  {
+    struct gossip_loads loads;
+    struct gossip_hosts hosts;
+    struct gossip_ask ask;
+    struct gossip_vouch vouch;
+    struct gossip_report report;
+  } body;
 };
 
 /* The size, or 0 if the message does not fit. */
--- a/packages/edge/include/leader.h
+++ b/packages/edge/include/leader.h
@@ -41,12 +41,22 @@
                   const char *self);
 void leader_finish (struct leader *leader);
 
-/* traffic: requests have been seen. */
+/*
+ * traffic: requests have been seen.  candidate: this host may take the lease;
+ * one that holds it keeps it.
+ */
 void leader_tick (struct leader *leader,
                   const struct catalog *catalog,
                   bool traffic,
+                  bool candidate,
                   int64_t now_ms);
 
+/* Another host told what the lease is. */
+void leader_take_lease (struct leader *leader,
+                        const struct lease_value *value,
+                        uint64_t version,
+                        int64_t now_ms);
+
 /* Requests at this endpoint stand still: its group is to be looked at. */
 void leader_suspect (struct leader *leader, const char *endpoint);
 
--- /dev/null
+++ b/packages/edge/include/vouch.h
@@ -0,0 +1,76 @@
+#ifndef EDGE_VOUCH_H
+#define EDGE_VOUCH_H
+
+#include "endpoints.h"
+#include "mesh.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/*
+ * How most entry hosts stay current without calls to the platform: they ask
+ * their hub, which sends what has changed and says how current its own
+ * knowledge is.
+ *
+ * A host counts the age of an answer from the moment it asked, so an answer
+ * that waited somewhere, or reached a host that was suspended, proves nothing
+ * newer than that.
+ */
+
+#define VOUCH_TOMBSTONES 128
+
+struct vouch_hooks
+{
+  void *context;
+  /* Version of the configuration in force here; 0 = none. */
+  int64_t (*configuration) (void *context);
+  /*
+   * What this host read itself: false if it may not vouch; else when its
+   * configuration was last known to be current, and the entries' revision.
+   */
+  bool (*own) (void *context, int64_t *proof_ms, uint64_t *revision);
+};
+
+struct vouch_tombstone
+{
+  char endpoint[CATALOG_NAME_SIZE];
+  uint64_t revision;
+};
+
+struct vouch
+{
+  struct mesh *mesh;
+  struct endpoints *endpoints;
+  struct vouch_hooks hooks;
+  struct vouch_tombstone tombstones[VOUCH_TOMBSTONES];
+  uint64_t buried; /* tombstones ever set */
+  int64_t ask_ms;  /* next question */
+  int64_t asked_ms;
+  /* The configuration in force was current at this moment. */
+  int64_t proof_ms;
+  int64_t newest;     /* configuration that a hub has */
+  bool synced;        /* the entries were the same as a hub's once */
+  uint64_t revision;  /* of the entries then */
+  int64_t differs_ms; /* since when they differ; 0 = they do not */
+  int64_t now_ms;
+};
+
+void vouch_init (struct vouch *vouch,
+                 struct mesh *mesh,
+                 struct endpoints *endpoints,
+                 const struct vouch_hooks *hooks);
+
+/* An endpoint was removed from the table by a change of this revision. */
+void vouch_bury (struct vouch *vouch, const char *endpoint, uint64_t revision);
+
+/* asks: this host relies on its hub. */
+void vouch_tick (struct vouch *vouch, bool asks, int64_t now_ms);
+void vouch_take (struct vouch *vouch,
+                 struct mesh_host *from,
+                 const struct gossip_message *message,
+                 int64_t now_ms);
+
+/* Tells all hosts of a change at once. */
+void vouch_tell (struct vouch *vouch, const struct endpoint *endpoint);
+
+#endif
--- a/packages/edge/src/edge-settings.c
+++ b/packages/edge/src/edge-settings.c
@@ -12,6 +12,8 @@
   { "readiness.listen", SETTINGS_STRING, "", NULL, 9, 63, "IP:PORT for the platform's readiness check, and /metrics.", AT (readiness_listen) },
   { "peers.address", SETTINGS_ADDRESS, "", NULL, 0, 0, "IP number for the other entry hosts.", AT (peers_address) },
   { "peers.port", SETTINGS_INTEGER, "", NULL, 1, 65535, "UDP port for the other entry hosts, the same on all.", AT (peers_port) },
+  { "peers.seeds", SETTINGS_LIST, "", "", 0, 0, "IP:PORT of entry hosts that may be there; only the IP counts.", AT (peers_seeds) },
+  { "processor.cores", SETTINGS_REAL, "", "1", 0.001, 1024, "Processor of this host, in cores; hosts with more of it do more for the others.", AT (host_cores) },
   { "platform.store", SETTINGS_STRING, "", NULL, 9, 63, "IP:PORT of the platform's store.", AT (platform_store) },
   { "drain.limit_s", SETTINGS_REAL, "s", "8", 1, 3600, "Time after SIGTERM until the platform kills the process.", AT (drain_limit_s) },
   { "keys.revoke_ms", SETTINGS_INTEGER, "ms", "5000", 500, 3600000, "A key that was taken away is refused within this time.", AT (keys_revoke_ms) },
--- a/packages/edge/src/edge.c
+++ b/packages/edge/src/edge.c
@@ -51,7 +51,7 @@
 edge_is_ready (const struct edge *edge)
 {
   return edge->phase == EDGE_RUNNING && edge->relay.catalog != NULL
-         && edge->entries.listed;
+         && (edge->entries.listed || edge->vouch.synced);
 }
 
 static void
@@ -63,13 +63,12 @@
   (void)what;
   edge->now_ms = time_boot_ms ();
   records_tick (&edge->records, edge->now_ms);
-  mesh_tick (&edge->mesh, edge->relay.saw_request, edge->now_ms);
-  follower_tick (&edge->configuration, edge->now_ms);
-  follower_tick (&edge->entries, edge->now_ms);
+  edge_peers_tick (edge);
+  edge_follow_tick (edge);
   endpoints_tick (&edge->endpoints, edge->now_ms);
-  edge->relay.catalog_proof_ms = edge->configuration.proof_ms;
   relay_tick (&edge->relay, edge->now_ms);
   leader_tick (&edge->leader, edge->relay.catalog, edge->mesh.traffic,
+               mesh_is_settled (&edge->mesh) && mesh_is_hub (&edge->mesh),
                edge->now_ms);
   edge_stop_tick (edge);
 }
@@ -115,40 +114,10 @@
 {
   struct edge *edge = context;
 
+  vouch_bury (&edge->vouch, endpoint->id, endpoint->deleted_revision);
   relay_endpoint_removed (&edge->relay, endpoint);
 }
 
-/* A host that leads its data centre told what it read. */
-static void
-on_peer_report (void *context,
-                const char *endpoint,
-                const struct endpoint_report *report,
-                uint64_t revision)
-{
-  struct edge *edge = context;
-
-  if (endpoints_find (&edge->endpoints, endpoint) != NULL)
-    endpoints_report (&edge->endpoints, endpoint, report, revision,
-                      edge->now_ms);
-}
-
-static void
-on_peer_stall (void *context, struct lane *lane)
-{
-  struct edge *edge = context;
-
-  relay_note_peer_stall (&edge->relay, lane);
-  leader_suspect (&edge->leader, lane->id);
-}
-
-static void
-on_own_stall (void *context, struct lane *lane)
-{
-  struct edge *edge = context;
-
-  leader_suspect (&edge->leader, lane->id);
-}
-
 static enum result
 start_timers (struct edge *edge)
 {
@@ -200,8 +169,6 @@
   struct formation_settings formation = {
     .data_centres = (unsigned)settings->data_centres.count,
   };
-  const struct mesh_hooks mesh_hooks
-      = { edge, on_peer_report, on_peer_stall };
   char address[SETTINGS_TEXT_SIZE];
   char self[LEASE_NAME_SIZE];
   uint16_t port;
@@ -212,18 +179,12 @@
   snprintf (formation.data_centre, sizeof formation.data_centre, "%.63s",
             settings->data_centre);
   snprintf (self, sizeof self, "%.40s/%.20s", settings->host, edge->boot_id);
-  edge->relay.stalled = on_own_stall;
-  edge->relay.stalled_context = edge;
   records_init (&edge->records, edge->base, edge->adapter->records, address,
                 port);
   edge_follow_init (edge);
   leader_init (&edge->leader, edge->base, edge->adapter, &edge->records,
                &edge->endpoints, &formation, self);
-  return mesh_init (&edge->mesh, edge->base, &edge->records,
-                    &edge->relay.lanes, &mesh_hooks, settings->host,
-                    settings->data_centre, settings->peers_address,
-                    (uint16_t)settings->peers_port,
-                    hash_string (edge->boot_id, 0));
+  return edge_peers_init (edge);
 }
 
 enum result
--- a/packages/edge/src/follow.c
+++ b/packages/edge/src/follow.c
@@ -11,7 +11,16 @@
 #define CONFIGURATION_PACE_MS 20
 #define ENTRIES_WAIT_MS 10000
 /* Changes of the endpoints gather for this long, to save calls. */
-#define ENTRIES_PACE_MS 200
+#define ENTRIES_PACE_MS 150
+/* A read of the configuration alone, and the least time between two. */
+#define FETCH_MS 1200
+#define FETCH_PACE_MS 300
+/* A host without an own proof this recent reads the platform itself. */
+#define PROOF_LIMIT_MS 2600
+/* A new host waits this long for a hub to bring it up to date. */
+#define START_MS 1500
+/* The same if its entries differ from its hub's for this long. */
+#define DIFFERS_LIMIT_MS 1200
 
 static void
 on_configuration (void *context, const struct records_record *record)
@@ -50,6 +59,25 @@
              LOG_U64 ("revision", revision));
 }
 
+/*
+ * The holder of the lease reads its own data centre soonest.  Others route by
+ * the heads of groups and by endpoints that leave; the rest can wait.
+ */
+static void
+tell_others (struct edge *edge,
+             const char *id,
+             const struct endpoint_report *report)
+{
+  const struct endpoint *endpoint = endpoints_find (&edge->endpoints, id);
+
+  if (endpoint != NULL && edge->leader.acting
+      && strcmp (report->data_centre, edge->settings.data_centre) == 0
+      && (report->leaving
+          || (report->rank == 0
+              && report->state >= ENDPOINT_GROUP_OPEN)))
+    vouch_tell (&edge->vouch, endpoint);
+}
+
 static void
 on_entry (void *context, const struct records_record *record)
 {
@@ -62,7 +90,8 @@
       LOG_EVENT (LOG_LEVEL_INFO, "endpoint-deleted",
                  LOG_STR ("endpoint", record->name),
                  LOG_U64 ("revision", record->revision));
-      endpoints_delete (&edge->endpoints, record->name, edge->now_ms);
+      endpoints_delete (&edge->endpoints, record->name, record->revision,
+                        edge->now_ms);
       return;
     }
   result = edge->adapter->decode_endpoint (record->value, &report);
@@ -76,10 +105,7 @@
   log_entry (record->name, &report, record->revision);
   endpoints_report (&edge->endpoints, record->name, &report, record->revision,
                     edge->now_ms);
-  /* The holder of the lease reads its own data centre soonest. */
-  if (edge->leader.acting
-      && strcmp (report.data_centre, edge->settings.data_centre) == 0)
-    mesh_send_report (&edge->mesh, record->name, &report, record->revision);
+  tell_others (edge, record->name, &report);
 }
 
 static void
@@ -95,7 +121,8 @@
 {
   struct edge *edge = context;
 
-  endpoints_relist_end (&edge->endpoints, edge->now_ms);
+  endpoints_relist_end (&edge->endpoints, edge->entries.revision,
+                        edge->now_ms);
 }
 
 static void
@@ -136,3 +163,99 @@
   follower_init (&edge->entries, &edge->records, RECORDS_ENDPOINTS,
                  "endpoints", &entries, ENTRIES_WAIT_MS, ENTRIES_PACE_MS);
 }
+
+static void
+on_fetched (void *context, const struct records_answer *answer)
+{
+  struct edge *edge = context;
+
+  edge->fetching = false;
+  if (answer->result != RESULT_OK || answer->record == NULL)
+    return;
+  on_configuration (edge, answer->record);
+  if (edge->fetched_ms > edge->vouch.proof_ms)
+    edge->vouch.proof_ms = edge->fetched_ms;
+}
+
+/* Reads the configuration once, after a hub said that there is a newer one. */
+static void
+fetch_configuration (struct edge *edge)
+{
+  const struct records_request request = {
+    .verb = RECORDS_READ,
+    .kind = RECORDS_CONFIGURATION,
+    .name = edge->adapter->configuration,
+  };
+
+  if (edge->fetching || edge->now_ms < edge->fetch_ms)
+    return;
+  edge->fetching = true;
+  edge->fetched_ms = edge->now_ms;
+  edge->fetch_ms = edge->now_ms + FETCH_PACE_MS;
+  records_call (&edge->records, &request, FETCH_MS, on_fetched, edge);
+}
+
+static int64_t
+version_in_force (const struct edge *edge)
+{
+  return edge->relay.catalog != NULL ? edge->relay.catalog->version : 0;
+}
+
+/* Whether this host has to read the platform itself. */
+static bool
+must_be_direct (const struct edge *edge)
+{
+  const struct vouch *vouch = &edge->vouch;
+
+  if (edge->leader.acting)
+    return true;
+  if (!mesh_is_settled (&edge->mesh))
+    return false;
+  if (mesh_is_reader (&edge->mesh))
+    return true;
+  if (edge->now_ms - edge->mesh.started_ms < START_MS)
+    return false;
+  return edge->now_ms - edge->relay.catalog_proof_ms > PROOF_LIMIT_MS
+         || (vouch->differs_ms != 0
+             && edge->now_ms - vouch->differs_ms > DIFFERS_LIMIT_MS);
+}
+
+static void
+set_direct (struct edge *edge, bool direct)
+{
+  struct follower *entries = &edge->entries;
+
+  if (direct == edge->direct)
+    return;
+  edge->direct = direct;
+  LOG_EVENT (LOG_LEVEL_INFO, direct ? "reads-platform" : "relies-on-hub",
+             LOG_INT ("proof_age_ms",
+                      edge->now_ms - edge->relay.catalog_proof_ms),
+             LOG_U64 ("revision", edge->vouch.revision));
+  /* Goes on from where the hub has brought this host. */
+  if (direct && edge->vouch.synced
+      && edge->vouch.revision > entries->revision)
+    {
+      entries->revision = edge->vouch.revision;
+      entries->state = FOLLOWER_WATCHING;
+      entries->listed = true;
+    }
+}
+
+void
+edge_follow_tick (struct edge *edge)
+{
+  set_direct (edge, must_be_direct (edge));
+  if (edge->direct)
+    {
+      follower_tick (&edge->configuration, edge->now_ms);
+      follower_tick (&edge->entries, edge->now_ms);
+    }
+  else if (edge->vouch.newest > version_in_force (edge))
+    fetch_configuration (edge);
+  vouch_tick (&edge->vouch, !edge->direct, edge->now_ms);
+  edge->relay.catalog_proof_ms
+      = edge->configuration.proof_ms > edge->vouch.proof_ms
+            ? edge->configuration.proof_ms
+            : edge->vouch.proof_ms;
+}
--- a/packages/edge/src/gossip.c
+++ b/packages/edge/src/gossip.c
@@ -21,9 +21,23 @@
 }
 
 static bool
-code_count (XDR *xdr, unsigned *count, unsigned limit)
+code_count (XDR *xdr, uint32_t *count, unsigned limit)
 {
-  return xdr_u_int (xdr, count) && *count <= limit;
+  return xdr_uint32_t (xdr, count) && *count <= limit;
+}
+
+static bool
+code_lease (XDR *xdr, struct gossip_loads *loads)
+{
+  struct lease_value *lease = &loads->lease;
+
+  if (!xdr_uint64_t (xdr, &loads->lease_version))
+    return false;
+  return loads->lease_version == 0
+         || (code_text (xdr, lease->holder, sizeof lease->holder)
+             && xdr_uint64_t (xdr, &lease->fence)
+             && xdr_uint64_t (xdr, &lease->ttl_ms)
+             && xdr_uint64_t (xdr, &lease->seq));
 }
 
 static bool
@@ -37,18 +51,50 @@
 }
 
 static bool
-code_loads (XDR *xdr, struct gossip_message *message)
+code_loads (XDR *xdr, struct gossip_loads *loads)
+{
+  if (!xdr_uint32_t (xdr, &loads->hosts) || !xdr_uint32_t (xdr, &loads->first)
+      || !xdr_uint32_t (xdr, &loads->total)
+      || !code_count (xdr, &loads->count, GOSSIP_LOADS))
+    return false;
+  for (unsigned i = 0; i < loads->count; i++)
+    if (!code_load (xdr, &loads->list[i]))
+      return false;
+  return code_lease (xdr, loads);
+}
+
+static bool
+code_host (XDR *xdr, struct gossip_host *host)
+{
+  return code_text (xdr, host->name, sizeof host->name)
+         && code_text (xdr, host->data_centre, sizeof host->data_centre)
+         && code_text (xdr, host->address, sizeof host->address)
+         && xdr_u_short (xdr, &host->port)
+         && xdr_uint32_t (xdr, &host->capacity);
+}
+
+static bool
+code_hosts (XDR *xdr, struct gossip_hosts *hosts)
 {
-  if (!xdr_uint32_t (xdr, &message->first)
-      || !xdr_uint32_t (xdr, &message->total)
-      || !code_count (xdr, &message->load_count, GOSSIP_LOADS))
+  if (!xdr_uint32_t (xdr, &hosts->known)
+      || !code_count (xdr, &hosts->count, GOSSIP_HOSTS))
     return false;
-  for (unsigned i = 0; i < message->load_count; i++)
-    if (!code_load (xdr, &message->loads[i]))
+  for (unsigned i = 0; i < hosts->count; i++)
+    if (!code_host (xdr, &hosts->list[i]))
       return false;
   return true;
 }
 
+static bool
+code_vouch (XDR *xdr, struct gossip_vouch *vouch)
+{
+  return xdr_uint64_t (xdr, &vouch->nonce)
+         && xdr_int64_t (xdr, &vouch->configuration)
+         && xdr_uint32_t (xdr, &vouch->configuration_age_ms)
+         && xdr_uint64_t (xdr, &vouch->revision)
+         && xdr_uint64_t (xdr, &vouch->digest);
+}
+
 static bool
 code_staged (XDR *xdr, struct endpoint_report *report)
 {
@@ -61,13 +107,10 @@
 }
 
 static bool
-code_report (XDR *xdr, struct gossip_message *message)
+code_endpoint (XDR *xdr, struct endpoint_report *report)
 {
-  struct endpoint_report *report = &message->report;
   int state = (int)report->state;
-  bool good = code_text (xdr, message->endpoint, sizeof message->endpoint)
-              && xdr_uint64_t (xdr, &message->revision)
-              && code_text (xdr, report->service, sizeof report->service)
+  bool good = code_text (xdr, report->service, sizeof report->service)
               && code_text (xdr, report->address, sizeof report->address)
               && xdr_u_short (xdr, &report->port)
               && code_text (xdr, report->data_centre,
@@ -89,6 +132,39 @@
   return true;
 }
 
+static bool
+code_report (XDR *xdr, struct gossip_report *report, bool has_report)
+{
+  return code_text (xdr, report->endpoint, sizeof report->endpoint)
+         && xdr_uint64_t (xdr, &report->revision)
+         && (!has_report || code_endpoint (xdr, &report->report));
+}
+
+static bool
+code_body (XDR *xdr, struct gossip_message *message)
+{
+  switch (message->kind)
+    {
+    case GOSSIP_LOAD:
+    case GOSSIP_SUM:
+    case GOSSIP_TOTAL:
+      return code_loads (xdr, &message->body.loads);
+    case GOSSIP_HELLO:
+    case GOSSIP_KNOWN:
+      return code_hosts (xdr, &message->body.hosts);
+    case GOSSIP_ASK:
+      return xdr_uint64_t (xdr, &message->body.ask.nonce)
+             && xdr_uint64_t (xdr, &message->body.ask.revision);
+    case GOSSIP_VOUCH:
+      return code_vouch (xdr, &message->body.vouch);
+    case GOSSIP_REPORT:
+    case GOSSIP_DELETED:
+      return code_report (xdr, &message->body.report,
+                          message->kind == GOSSIP_REPORT);
+    }
+  return false;
+}
+
 static bool
 code_message (XDR *xdr, struct gossip_message *message)
 {
@@ -96,22 +172,14 @@
   int kind = (int)message->kind;
 
   if (!xdr_uint32_t (xdr, &version) || version != GOSSIP_VERSION
-      || !xdr_int (xdr, &kind)
-      || !code_text (xdr, message->host, sizeof message->host)
-      || !code_text (xdr, message->data_centre, sizeof message->data_centre)
+      || !xdr_int (xdr, &kind) || !code_host (xdr, &message->sender)
       || !xdr_uint64_t (xdr, &message->boot)
       || !xdr_uint32_t (xdr, &message->sequence)
-      || !code_flag (xdr, &message->traffic))
+      || !code_flag (xdr, &message->traffic) || kind < GOSSIP_LOAD
+      || kind > GOSSIP_DELETED)
     return false;
   message->kind = (enum gossip_kind)kind;
-  switch (message->kind)
-    {
-    case GOSSIP_LOAD:
-      return code_loads (xdr, message);
-    case GOSSIP_REPORT:
-      return code_report (xdr, message);
-    }
-  return false;
+  return code_body (xdr, message);
 }
 
 size_t
--- a/packages/edge/src/leader.c
+++ b/packages/edge/src/leader.c
@@ -204,6 +204,7 @@
 leader_tick (struct leader *leader,
              const struct catalog *catalog,
              bool traffic,
+             bool candidate,
              int64_t now_ms)
 {
   const struct formation_hooks hooks
@@ -212,7 +213,8 @@
   leader->now_ms = now_ms;
   orders_tick (&leader->orders, now_ms);
   checker_tick (&leader->checker, now_ms);
-  act_on_lease (leader);
+  if (candidate || leader->lease.phase == LEASE_HOLDING)
+    act_on_lease (leader);
   note_lease (leader);
   if (traffic)
     leader->formation.traffic = true;
@@ -220,6 +222,16 @@
                   now_ms);
 }
 
+void
+leader_take_lease (struct leader *leader,
+                   const struct lease_value *value,
+                   uint64_t version,
+                   int64_t now_ms)
+{
+  if (version > leader->lease.version)
+    lease_on_watch (&leader->lease, value, version, now_ms);
+}
+
 void
 leader_suspect (struct leader *leader, const char *endpoint)
 {
--- /dev/null
+++ b/packages/edge/src/mesh-load.c
@@ -0,0 +1,418 @@
+#include "mesh-internal.h"
+
+#include "hash.h"
+#include "log.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Loads are told this often by a small fleet, and less often by a large one. */
+#define LOAD_INTERVAL_MS 60
+#define LOAD_INTERVAL_PER_HOST_MS 2
+#define LOAD_INTERVAL_LIMIT_MS 200
+/* What a host told is forgotten after this many intervals. */
+#define LOAD_LIFE_INTERVALS 8
+/* Without a total for this many intervals the first hub counts as dead. */
+#define HUB_INTERVALS 5
+/* Without one for this long a host takes itself for a hub. */
+#define ALONE_INTERVALS 12
+/* A hub that fell silent is not chosen again for this long. */
+#define HUB_DEAD_MS 2000
+/* Entries of all hosts that one sum is made from. */
+#define MERGE_LIMIT 16384
+
+static int64_t
+interval_ms (const struct mesh *mesh)
+{
+  int64_t interval = (int64_t)HASH_COUNT (mesh->hosts)
+                     * LOAD_INTERVAL_PER_HOST_MS;
+
+  if (interval < LOAD_INTERVAL_MS)
+    return LOAD_INTERVAL_MS;
+  return interval < LOAD_INTERVAL_LIMIT_MS ? interval : LOAD_INTERVAL_LIMIT_MS;
+}
+
+/* The order of candidates for a hub: the same on all hosts. */
+static bool
+goes_before (const struct gossip_host *a, const struct gossip_host *b)
+{
+  if (a->capacity != b->capacity)
+    return a->capacity > b->capacity;
+  return strcmp (a->name, b->name) < 0;
+}
+
+static bool
+is_candidate (const struct mesh *mesh, const struct mesh_host *host)
+{
+  return strcmp (host->self.data_centre, mesh->self.data_centre) == 0
+         && host->dead_ms <= mesh->now_ms;
+}
+
+static unsigned
+own_rank (const struct mesh *mesh)
+{
+  unsigned rank = 0;
+
+  for (const struct mesh_host *host = mesh->hosts; host != NULL;
+       host = host->hh.next)
+    if (is_candidate (mesh, host) && goes_before (&host->self, &mesh->self))
+      rank++;
+  return rank;
+}
+
+static bool
+hears_totals (const struct mesh *mesh)
+{
+  return mesh->now_ms - mesh->total_ms < HUB_INTERVALS * interval_ms (mesh);
+}
+
+/* No hub serves this host; it has to do without. */
+static bool
+is_alone (const struct mesh *mesh)
+{
+  return mesh->now_ms - mesh->total_ms > ALONE_INTERVALS * interval_ms (mesh);
+}
+
+bool
+mesh_is_hub (const struct mesh *mesh)
+{
+  return own_rank (mesh) < MESH_HUBS || is_alone (mesh);
+}
+
+bool
+mesh_is_reader (const struct mesh *mesh)
+{
+  return own_rank (mesh) == 0 || is_alone (mesh);
+}
+
+struct mesh_host *
+mesh_hub (struct mesh *mesh)
+{
+  struct mesh_host *best = NULL;
+
+  for (struct mesh_host *host = mesh->hosts; host != NULL; host = host->hh.next)
+    if (is_candidate (mesh, host)
+        && (best == NULL || goes_before (&host->self, &best->self)))
+      best = host;
+  return best;
+}
+
+void
+mesh_set_lease (struct mesh *mesh,
+                const struct lease_value *value,
+                uint64_t version)
+{
+  if (version <= mesh->lease_version)
+    return;
+  mesh->lease = *value;
+  mesh->lease_version = version;
+}
+
+static bool
+keep_loads (struct mesh_loads *loads,
+            const struct gossip_loads *told,
+            int64_t now_ms)
+{
+  if (told->total > MESH_LOAD_LIMIT || told->first + told->count > told->total)
+    return false;
+  memcpy (&loads->list[told->first], told->list,
+          told->count * sizeof told->list[0]);
+  loads->count = told->total;
+  loads->hosts = told->hosts;
+  loads->heard_ms = now_ms;
+  return true;
+}
+
+static struct mesh_sum *
+sum_of (struct mesh *mesh, const char *data_centre)
+{
+  struct mesh_sum *sum;
+
+  HASH_FIND_STR (mesh->sums, data_centre, sum);
+  if (sum == NULL)
+    {
+      sum = calloc (1, sizeof *sum);
+      if (sum == NULL)
+        return NULL;
+      memcpy (sum->data_centre, data_centre, sizeof sum->data_centre);
+      HASH_ADD_STR (mesh->sums, data_centre, sum);
+    }
+  return sum;
+}
+
+/* The total less what this host itself has told. */
+static void
+give_others (struct mesh *mesh, const struct mesh_loads *total)
+{
+  struct mesh_loads *others = &mesh->work;
+
+  others->count = total->count;
+  for (unsigned i = 0; i < total->count; i++)
+    {
+      struct gossip_load *load = &others->list[i];
+
+      *load = total->list[i];
+      for (unsigned j = 0; j < mesh->own.count; j++)
+        {
+          const struct gossip_load *own = &mesh->own.list[j];
+
+          if (own->endpoint != load->endpoint)
+            continue;
+          load->running -= own->running < load->running ? own->running
+                                                        : load->running;
+          load->reading -= own->reading < load->reading ? own->reading
+                                                        : load->reading;
+        }
+    }
+  mesh->live_hosts = total->hosts > 0 ? total->hosts : 1;
+  mesh->hooks.loads (mesh->hooks.context, others->list, others->count);
+}
+
+void
+mesh_take_loads (struct mesh *mesh,
+                 struct mesh_host *from,
+                 const struct gossip_message *message)
+{
+  const struct gossip_loads *told = &message->body.loads;
+  bool own = strcmp (from->self.data_centre, mesh->self.data_centre) == 0;
+  struct mesh_sum *sum;
+
+  if (own && told->lease_version != 0)
+    {
+      mesh_set_lease (mesh, &told->lease, told->lease_version);
+      mesh->hooks.lease (mesh->hooks.context, &told->lease,
+                         told->lease_version);
+    }
+  if (message->kind == GOSSIP_LOAD)
+    {
+      if (from->loads == NULL)
+        from->loads = calloc (1, sizeof *from->loads);
+      if (from->loads != NULL)
+        keep_loads (from->loads, told, mesh->now_ms);
+      return;
+    }
+  /* A total is for the own data centre, a sum for the others. */
+  if ((message->kind == GOSSIP_TOTAL) != own)
+    return;
+  sum = sum_of (mesh, from->self.data_centre);
+  if (sum == NULL || !keep_loads (&sum->loads, told, mesh->now_ms))
+    return;
+  if (own)
+    {
+      mesh->total_ms = mesh->now_ms;
+      if (told->first + told->count == told->total)
+        give_others (mesh, &sum->loads);
+    }
+}
+
+static int
+compare_endpoints (const void *a, const void *b)
+{
+  const struct gossip_load *left = a;
+  const struct gossip_load *right = b;
+
+  if (left->endpoint == right->endpoint)
+    return 0;
+  return left->endpoint < right->endpoint ? -1 : 1;
+}
+
+struct merge
+{
+  struct gossip_load *list;
+  unsigned count;
+  unsigned hosts;
+};
+
+static void
+merge_add (struct merge *merge, const struct mesh_loads *loads)
+{
+  unsigned count = loads->count;
+
+  if (count > MERGE_LIMIT - merge->count)
+    count = MERGE_LIMIT - merge->count;
+  memcpy (&merge->list[merge->count], loads->list,
+          count * sizeof loads->list[0]);
+  merge->count += count;
+  merge->hosts += loads->hosts;
+}
+
+/* Adds up the entries of each endpoint. */
+static void
+merge_into (struct merge *merge, struct mesh_loads *sum)
+{
+  sum->count = 0;
+  sum->hosts = merge->hosts;
+  qsort (merge->list, merge->count, sizeof merge->list[0], compare_endpoints);
+  for (unsigned i = 0; i < merge->count; i++)
+    {
+      const struct gossip_load *load = &merge->list[i];
+      struct gossip_load *last
+          = sum->count > 0 ? &sum->list[sum->count - 1] : NULL;
+
+      if (last == NULL || last->endpoint != load->endpoint)
+        {
+          if (sum->count == MESH_LOAD_LIMIT)
+            return;
+          sum->list[sum->count++] = *load;
+          continue;
+        }
+      last->running += load->running;
+      last->reading += load->reading;
+      if (load->silent_ms < last->silent_ms)
+        last->silent_ms = load->silent_ms;
+      last->stands_still = last->stands_still || load->stands_still;
+    }
+}
+
+static bool
+is_fresh (const struct mesh *mesh, const struct mesh_loads *loads)
+{
+  return loads != NULL && loads->heard_ms != 0
+         && mesh->now_ms - loads->heard_ms
+                < LOAD_LIFE_INTERVALS * interval_ms (mesh);
+}
+
+/* What the hosts of this data centre run, as far as they told. */
+static void
+add_own_hosts (struct mesh *mesh, struct merge *merge)
+{
+  merge_add (merge, &mesh->own);
+  for (struct mesh_host *host = mesh->hosts; host != NULL; host = host->hh.next)
+    if (strcmp (host->self.data_centre, mesh->self.data_centre) == 0
+        && is_fresh (mesh, host->loads))
+      merge_add (merge, host->loads);
+}
+
+static void
+add_other_sums (struct mesh *mesh, struct merge *merge)
+{
+  for (struct mesh_sum *sum = mesh->sums; sum != NULL; sum = sum->hh.next)
+    if (strcmp (sum->data_centre, mesh->self.data_centre) != 0
+        && is_fresh (mesh, &sum->loads))
+      merge_add (merge, &sum->loads);
+}
+
+static void
+send_loads (struct mesh *mesh,
+            enum gossip_kind kind,
+            const struct mesh_loads *loads,
+            bool (*wanted) (const struct mesh *mesh,
+                            const struct mesh_host *host))
+{
+  struct gossip_message *message = &mesh->message;
+  struct gossip_loads *told = &message->body.loads;
+
+  for (unsigned first = 0; first == 0 || first < loads->count;
+       first += GOSSIP_LOADS)
+    {
+      message->kind = kind;
+      told->hosts = loads->hosts;
+      told->first = first;
+      told->total = loads->count;
+      told->count = loads->count - first;
+      if (told->count > GOSSIP_LOADS)
+        told->count = GOSSIP_LOADS;
+      memcpy (told->list, &loads->list[first],
+              told->count * sizeof told->list[0]);
+      told->lease_version = mesh->lease_version;
+      told->lease = mesh->lease;
+      for (struct mesh_host *host = mesh->hosts; host != NULL;
+           host = host->hh.next)
+        if (wanted (mesh, host))
+          mesh_send (mesh, host, message);
+    }
+}
+
+/* Hosts of this data centre that told their load lately. */
+static bool
+is_own_host (const struct mesh *mesh, const struct mesh_host *host)
+{
+  return strcmp (host->self.data_centre, mesh->self.data_centre) == 0
+         && is_fresh (mesh, host->loads);
+}
+
+/* The first two candidates of each data centre. */
+static bool
+is_hub_host (const struct mesh *mesh, const struct mesh_host *host)
+{
+  unsigned before = 0;
+
+  if (host->dead_ms > mesh->now_ms)
+    return false;
+  for (const struct mesh_host *other = mesh->hosts; other != NULL;
+       other = other->hh.next)
+    if (other != host && other->dead_ms <= mesh->now_ms
+        && strcmp (other->self.data_centre, host->self.data_centre) == 0
+        && goes_before (&other->self, &host->self))
+      before++;
+  return before < MESH_HUBS;
+}
+
+static bool
+is_other_hub (const struct mesh *mesh, const struct mesh_host *host)
+{
+  return strcmp (host->self.data_centre, mesh->self.data_centre) != 0
+         && is_hub_host (mesh, host);
+}
+
+static bool
+is_own_hub (const struct mesh *mesh, const struct mesh_host *host)
+{
+  return strcmp (host->self.data_centre, mesh->self.data_centre) == 0
+         && is_hub_host (mesh, host);
+}
+
+static void
+act_as_hub (struct mesh *mesh)
+{
+  struct merge merge = { .count = 0 };
+
+  merge.list = malloc (MERGE_LIMIT * sizeof merge.list[0]);
+  if (merge.list == NULL)
+    return;
+  add_own_hosts (mesh, &merge);
+  merge_into (&merge, &mesh->work);
+  send_loads (mesh, GOSSIP_SUM, &mesh->work, is_other_hub);
+  merge.count = 0;
+  merge.hosts = 0;
+  merge_add (&merge, &mesh->work);
+  add_other_sums (mesh, &merge);
+  merge_into (&merge, &mesh->work);
+  send_loads (mesh, GOSSIP_TOTAL, &mesh->work, is_own_host);
+  free (merge.list);
+  give_others (mesh, &mesh->work);
+}
+
+/* Marks the first hub dead if it sends no totals. */
+static void
+check_hub (struct mesh *mesh)
+{
+  struct mesh_host *hub = mesh_hub (mesh);
+
+  if (hears_totals (mesh) || hub == NULL
+      || !goes_before (&hub->self, &mesh->self))
+    return;
+  if (hub->heard_ms != 0
+      && mesh->now_ms - hub->heard_ms < HUB_INTERVALS * interval_ms (mesh))
+    return;
+  hub->dead_ms = mesh->now_ms + HUB_DEAD_MS;
+  LOG_EVENT (LOG_LEVEL_NOTICE, "hub-silent", LOG_STR ("hub", hub->self.name),
+             LOG_INT ("heard_ms_ago", mesh->now_ms - hub->heard_ms));
+}
+
+void
+mesh_exchange_loads (struct mesh *mesh,
+                     void (*collect) (void *context, struct mesh_loads *own),
+                     void *context)
+{
+  if (mesh->now_ms < mesh->send_ms)
+    return;
+  mesh->send_ms = mesh->now_ms + interval_ms (mesh);
+  collect (context, &mesh->own);
+  mesh->own.hosts = 1;
+  send_loads (mesh, GOSSIP_LOAD, &mesh->own, is_own_hub);
+  /* The second hub waits until the first one falls silent. */
+  if (own_rank (mesh) == 0 || !hears_totals (mesh))
+    act_as_hub (mesh);
+  check_hub (mesh);
+}
--- a/packages/edge/src/mesh.c
+++ b/packages/edge/src/mesh.c
@@ -3,130 +3,217 @@
 #include "hash.h"
 #include "jsonutil.h"
 #include "log.h"
+#include "mesh-internal.h"
 #include "timeutil.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
-#include <netinet/in.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-/* Loads are told this often by a small fleet, and less often by a large one. */
-#define LOAD_INTERVAL_MS 50
-#define LOAD_INTERVAL_PER_HOST_MS 5
-/* What a host told is forgotten after this many intervals. */
-#define LOAD_LIFE_INTERVALS 8
-/* A host that was not heard for this long does not count as live. */
-#define LIVE_MS 3000
+/* Time for the hosts that a new one has greeted to answer. */
+#define SETTLE_MS 800
+/* New hosts greet this often until they know the others, and rarely later. */
+#define HELLO_EARLY_MS 250
+#define HELLO_LATE_MS 3000
+#define HELLO_EARLY_FOR_MS 4000
 #define REGISTER_RETRY_MS 500
 #define REGISTER_MS 1000
+/* Records of hubs change rarely. */
 #define HOSTS_WAIT_MS 25000
-#define HOSTS_PACE_MS 1500
+#define HOSTS_PACE_MS 2000
 /* Datagrams read in one go, so that other work is not held up. */
 #define READ_BURST 64
 
-static struct mesh_host *
-add_host (struct mesh *mesh, const char *name)
+struct mesh_host *
+mesh_add_host (struct mesh *mesh, const struct gossip_host *known)
 {
   struct mesh_host *host;
 
-  if (strcmp (name, mesh->self) == 0 || strlen (name) >= sizeof host->name)
+  if (strcmp (known->name, mesh->self.name) == 0 || known->port == 0)
     return NULL;
-  HASH_FIND_STR (mesh->hosts, name, host);
-  if (host != NULL)
-    return host;
-  host = calloc (1, sizeof *host);
+  HASH_FIND_STR (mesh->hosts, known->name, host);
   if (host == NULL)
-    return NULL;
-  memcpy (host->name, name, strlen (name) + 1);
-  HASH_ADD_STR (mesh->hosts, name, host);
+    {
+      host = calloc (1, sizeof *host);
+      if (host == NULL)
+        return NULL;
+      memcpy (host->self.name, known->name, sizeof host->self.name);
+      HASH_ADD (hh, mesh->hosts, self.name, strlen (host->self.name), host);
+    }
+  host->self = *known;
+  host->to.sin_family = AF_INET;
+  host->to.sin_port = htons (known->port);
+  if (inet_pton (AF_INET, known->address, &host->to.sin_addr) != 1)
+    host->to.sin_port = 0;
   return host;
 }
 
 static void
-on_host_record (void *context, const struct records_record *record)
+send_to (struct mesh *mesh,
+         const struct sockaddr_in *to,
+         const void *data,
+         size_t size)
 {
-  struct mesh *mesh = context;
-  struct mesh_host *host;
-  uint64_t port;
+  /* A lost datagram is made good by the next one. */
+  if (sendto (mesh->socket, data, size, 0, (const struct sockaddr *)to,
+              sizeof *to)
+      < 0)
+    LOG_EVENT (LOG_LEVEL_DEBUG, "datagram-not-sent", LOG_INT ("errno", errno));
+}
+
+static size_t
+encode (struct mesh *mesh, struct gossip_message *message, char *buffer)
+{
+  size_t size;
 
-  if (strcmp (record->name, mesh->self) == 0)
+  message->sender = mesh->self;
+  message->boot = mesh->boot;
+  message->sequence = ++mesh->sequence;
+  message->traffic = mesh->traffic;
+  size = gossip_encode (message, buffer, GOSSIP_BYTES);
+  if (size == 0)
+    LOG_EVENT (LOG_LEVEL_ERROR, "datagram-too-large",
+               LOG_INT ("kind", message->kind));
+  return size;
+}
+
+void
+mesh_send (struct mesh *mesh,
+           struct mesh_host *to,
+           struct gossip_message *message)
+{
+  char buffer[GOSSIP_BYTES];
+  size_t size = encode (mesh, message, buffer);
+
+  if (size == 0)
+    return;
+  if (to != NULL)
     {
-      mesh->own_revision = record->revision;
+      send_to (mesh, &to->to, buffer, size);
       return;
     }
-  if (record->deleted || !json_read_u64 (record->value, "port", &port)
-      || port > UINT16_MAX)
-    return;
-  host = add_host (mesh, record->name);
-  if (host == NULL)
-    return;
-  json_read_string (record->value, "address", host->address,
-                    sizeof host->address);
-  host->port = (uint16_t)port;
+  for (struct mesh_host *host = mesh->hosts; host != NULL; host = host->hh.next)
+    send_to (mesh, &host->to, buffer, size);
 }
 
 static void
-ignore_list (void *context)
+send_hello (struct mesh *mesh, const struct sockaddr_in *to)
 {
-  (void)context;
+  struct gossip_message *message = &mesh->message;
+  char buffer[GOSSIP_BYTES];
+  size_t size;
+
+  message->kind = GOSSIP_HELLO;
+  message->body.hosts.known = HASH_COUNT (mesh->hosts);
+  message->body.hosts.count = 0;
+  size = encode (mesh, message, buffer);
+  if (size > 0)
+    send_to (mesh, to, buffer, size);
 }
 
-static int64_t
-load_interval_ms (const struct mesh *mesh)
+/* Greets the seeds, and one host that is already known. */
+static void
+greet (struct mesh *mesh)
 {
-  int64_t scaled = (int64_t)HASH_COUNT (mesh->hosts) * LOAD_INTERVAL_PER_HOST_MS;
+  bool early = mesh->now_ms - mesh->started_ms < HELLO_EARLY_FOR_MS;
+  unsigned known = HASH_COUNT (mesh->hosts);
+  unsigned turn = known > 0 ? mesh->sequence % known : 0;
+  struct mesh_host *host = mesh->hosts;
 
-  return scaled > LOAD_INTERVAL_MS ? scaled : LOAD_INTERVAL_MS;
+  if (mesh->now_ms < mesh->hello_ms)
+    return;
+  mesh->hello_ms = mesh->now_ms + (early ? HELLO_EARLY_MS : HELLO_LATE_MS);
+  for (unsigned i = 0; i < mesh->seed_count && (early || known == 0); i++)
+    send_hello (mesh, &mesh->seeds[i]);
+  while (host != NULL && turn-- > 0)
+    host = host->hh.next;
+  if (host != NULL)
+    send_hello (mesh, &host->to);
 }
 
+/* Tells a host that knows fewer than this one all that it knows. */
 static void
-take_loads (struct mesh *mesh,
-            struct mesh_host *host,
-            const struct gossip_message *message)
+answer_hello (struct mesh *mesh,
+              struct mesh_host *to,
+              const struct gossip_hosts *theirs)
 {
-  if (message->total > MESH_LOAD_LIMIT
-      || message->first + message->load_count > message->total)
+  struct gossip_message *message = &mesh->message;
+  struct mesh_host *host = mesh->hosts;
+
+  if (theirs->known >= HASH_COUNT (mesh->hosts))
     return;
-  memcpy (&host->loads[message->first], message->loads,
-          message->load_count * sizeof message->loads[0]);
-  host->load_count = message->total;
-  mesh->changed = true;
+  message->kind = GOSSIP_KNOWN;
+  while (host != NULL)
+    {
+      struct gossip_hosts *hosts = &message->body.hosts;
+
+      hosts->known = HASH_COUNT (mesh->hosts);
+      for (hosts->count = 0; host != NULL && hosts->count < GOSSIP_HOSTS;
+           host = host->hh.next)
+        hosts->list[hosts->count++] = host->self;
+      mesh_send (mesh, to, message);
+    }
+}
+
+static void
+take_hosts (struct mesh *mesh, const struct gossip_hosts *hosts)
+{
+  for (unsigned i = 0; i < hosts->count; i++)
+    {
+      struct mesh_host *known;
+
+      HASH_FIND_STR (mesh->hosts, hosts->list[i].name, known);
+      if (known == NULL)
+        mesh_add_host (mesh, &hosts->list[i]);
+    }
 }
 
 static void
 take_message (struct mesh *mesh,
-              const struct gossip_message *message,
+              struct gossip_message *message,
               const struct sockaddr_in *from)
 {
-  struct mesh_host *host = add_host (mesh, message->host);
+  struct mesh_host *host;
 
+  inet_ntop (AF_INET, &from->sin_addr, message->sender.address,
+             sizeof message->sender.address);
+  message->sender.port = ntohs (from->sin_port);
+  host = mesh_add_host (mesh, &message->sender);
   if (host == NULL)
     return;
-  /* Datagrams may arrive out of order; a new life starts anew. */
+  /* Datagrams may be repeated or late; a new life starts anew. */
   if (host->boot == message->boot && message->sequence <= host->sequence)
     return;
   if (host->heard_ms == 0 || host->boot != message->boot)
-    LOG_EVENT (LOG_LEVEL_INFO, "host-heard", LOG_STR ("from", host->name),
+    LOG_EVENT (LOG_LEVEL_INFO, "host-heard", LOG_STR ("from", host->self.name),
                LOG_U64 ("boot", message->boot));
   host->boot = message->boot;
   host->sequence = message->sequence;
   host->heard_ms = mesh->now_ms;
-  memcpy (host->data_centre, message->data_centre, sizeof host->data_centre);
-  inet_ntop (AF_INET, &from->sin_addr, host->address, sizeof host->address);
-  host->port = ntohs (from->sin_port);
+  host->dead_ms = 0;
   mesh->traffic = mesh->traffic || message->traffic;
   switch (message->kind)
     {
     case GOSSIP_LOAD:
-      take_loads (mesh, host, message);
+    case GOSSIP_SUM:
+    case GOSSIP_TOTAL:
+      mesh_take_loads (mesh, host, message);
+      break;
+    case GOSSIP_HELLO:
+      answer_hello (mesh, host, &message->body.hosts);
       break;
+    case GOSSIP_KNOWN:
+      take_hosts (mesh, &message->body.hosts);
+      break;
+    case GOSSIP_ASK:
+    case GOSSIP_VOUCH:
     case GOSSIP_REPORT:
-      mesh->hooks.report (mesh->hooks.context, message->endpoint,
-                          &message->report, message->revision);
+    case GOSSIP_DELETED:
+      mesh->hooks.message (mesh->hooks.context, host, message);
       break;
     }
 }
@@ -157,6 +244,76 @@
     }
 }
 
+static void
+on_host_record (void *context, const struct records_record *record)
+{
+  struct mesh *mesh = context;
+  struct gossip_host known = { .capacity = 0 };
+  uint64_t port;
+  uint64_t capacity;
+
+  if (strcmp (record->name, mesh->self.name) == 0)
+    {
+      mesh->own_revision = record->revision;
+      return;
+    }
+  if (record->deleted || strlen (record->name) >= sizeof known.name
+      || !json_read_string (record->value, "address", known.address,
+                            sizeof known.address)
+      || !json_read_string (record->value, "data_centre", known.data_centre,
+                            sizeof known.data_centre)
+      || !json_read_u64 (record->value, "port", &port) || port > UINT16_MAX
+      || !json_read_u64 (record->value, "capacity", &capacity))
+    return;
+  memcpy (known.name, record->name, strlen (record->name) + 1);
+  known.port = (uint16_t)port;
+  known.capacity = (uint32_t)capacity;
+  take_hosts (mesh, &(struct gossip_hosts){ .count = 1, .list = { known } });
+}
+
+static void
+ignore_list (void *context)
+{
+  (void)context;
+}
+
+static void
+on_registered (void *context, const struct records_answer *answer)
+{
+  struct mesh *mesh = context;
+
+  mesh->registering = false;
+  mesh->registered = answer->result == RESULT_OK;
+  if (answer->record != NULL)
+    mesh->own_revision = answer->revision;
+}
+
+/* Writes the own record, which an earlier life may have left behind. */
+static void
+register_hub (struct mesh *mesh)
+{
+  struct records_request request = {
+    .verb = mesh->own_revision != 0 ? RECORDS_REPLACE : RECORDS_CREATE,
+    .kind = RECORDS_HOSTS,
+    .name = mesh->self.name,
+    .revision = mesh->own_revision,
+  };
+  json_t *value;
+
+  if (mesh->registered || mesh->registering
+      || mesh->now_ms < mesh->register_ms)
+    return;
+  value = json_pack ("{s:s, s:s, s:i, s:i}", "address", mesh->self.address,
+                     "data_centre", mesh->self.data_centre, "port",
+                     (int)mesh->self.port, "capacity",
+                     (int)mesh->self.capacity);
+  request.value = value;
+  mesh->registering = true;
+  mesh->register_ms = mesh->now_ms + REGISTER_RETRY_MS;
+  records_call (mesh->records, &request, REGISTER_MS, on_registered, mesh);
+  json_decref (value);
+}
+
 static int
 open_socket (const char *address, uint16_t port)
 {
@@ -178,12 +335,8 @@
 mesh_init (struct mesh *mesh,
            struct event_base *base,
            struct records *records,
-           struct lanes *lanes,
            const struct mesh_hooks *hooks,
-           const char *self,
-           const char *data_centre,
-           const char *address,
-           uint16_t port,
+           const struct gossip_host *self,
            uint64_t boot)
 {
   const struct follower_hooks follower
@@ -192,16 +345,14 @@
   memset (mesh, 0, sizeof *mesh);
   mesh->base = base;
   mesh->records = records;
-  mesh->lanes = lanes;
   mesh->hooks = *hooks;
-  mesh->port = port;
+  mesh->self = *self;
   mesh->boot = boot;
-  snprintf (mesh->self, sizeof mesh->self, "%s", self);
-  snprintf (mesh->data_centre, sizeof mesh->data_centre, "%s", data_centre);
-  snprintf (mesh->address, sizeof mesh->address, "%s", address);
+  mesh->live_hosts = 1;
+  mesh->started_ms = time_boot_ms ();
   follower_init (&mesh->follower, records, RECORDS_HOSTS, "hosts", &follower,
                  HOSTS_WAIT_MS, HOSTS_PACE_MS);
-  mesh->socket = open_socket (address, port);
+  mesh->socket = open_socket (self->address, self->port);
   if (mesh->socket < 0)
     return RESULT_PEER_UNREACHABLE;
   mesh->readable
@@ -216,231 +367,73 @@
 mesh_finish (struct mesh *mesh)
 {
   struct mesh_host *host = mesh->hosts;
+  struct mesh_sum *sum = mesh->sums;
 
   HASH_CLEAR (hh, mesh->hosts);
   while (host != NULL)
     {
       struct mesh_host *next = host->hh.next;
 
+      free (host->loads);
       free (host);
       host = next;
     }
+  HASH_CLEAR (hh, mesh->sums);
+  while (sum != NULL)
+    {
+      struct mesh_sum *next = sum->hh.next;
+
+      free (sum);
+      sum = next;
+    }
   if (mesh->readable != NULL)
     event_free (mesh->readable);
   if (mesh->socket >= 0)
     close (mesh->socket);
 }
 
-static void
-on_registered (void *context, const struct records_answer *answer)
-{
-  struct mesh *mesh = context;
-
-  mesh->registering = false;
-  mesh->registered = answer->result == RESULT_OK;
-  if (answer->record != NULL)
-    mesh->own_revision = answer->revision;
-}
-
-/* Writes the own record, which an earlier life may have left behind. */
-static void
-register_host (struct mesh *mesh)
-{
-  struct records_request request = {
-    .verb = mesh->own_revision != 0 ? RECORDS_REPLACE : RECORDS_CREATE,
-    .kind = RECORDS_HOSTS,
-    .name = mesh->self,
-    .revision = mesh->own_revision,
-  };
-  json_t *value;
-
-  if (mesh->registered || mesh->registering
-      || mesh->now_ms < mesh->register_ms)
-    return;
-  value = json_pack ("{s:s, s:i}", "address", mesh->address, "port",
-                     (int)mesh->port);
-  request.value = value;
-  mesh->registering = true;
-  mesh->register_ms = mesh->now_ms + REGISTER_RETRY_MS;
-  records_call (mesh->records, &request, REGISTER_MS, on_registered, mesh);
-  json_decref (value);
-}
-
-static void
-broadcast (struct mesh *mesh, struct gossip_message *message)
-{
-  char buffer[GOSSIP_BYTES];
-  size_t size;
-
-  snprintf (message->host, sizeof message->host, "%s", mesh->self);
-  snprintf (message->data_centre, sizeof message->data_centre, "%s",
-            mesh->data_centre);
-  message->boot = mesh->boot;
-  message->sequence = ++mesh->sequence;
-  message->traffic = mesh->traffic;
-  size = gossip_encode (message, buffer, sizeof buffer);
-  if (size == 0)
-    {
-      LOG_EVENT (LOG_LEVEL_ERROR, "datagram-too-large",
-                 LOG_INT ("kind", message->kind));
-      return;
-    }
-  for (struct mesh_host *host = mesh->hosts; host != NULL; host = host->hh.next)
-    {
-      struct sockaddr_in to
-          = { .sin_family = AF_INET, .sin_port = htons (host->port) };
-
-      if (host->port == 0
-          || inet_pton (AF_INET, host->address, &to.sin_addr) != 1)
-        continue;
-      /* A lost datagram is made good by the next one. */
-      if (sendto (mesh->socket, buffer, size, 0, (struct sockaddr *)&to,
-                  sizeof to)
-          < 0)
-        LOG_EVENT (LOG_LEVEL_DEBUG, "datagram-not-sent",
-                   LOG_STR ("to", host->name), LOG_INT ("errno", errno));
-    }
-}
-
-static unsigned
-collect_loads (struct mesh *mesh, struct gossip_load *loads)
-{
-  unsigned count = 0;
-
-  for (struct lane *lane = mesh->lanes->table;
-       lane != NULL && count < MESH_LOAD_LIMIT; lane = lane->hh.next)
-    {
-      int64_t silent_ms = mesh->now_ms - lane->progress_ms;
-
-      if (lane->running == 0 && lane->avoid_ms <= mesh->now_ms)
-        continue;
-      loads[count++] = (struct gossip_load){
-        .endpoint = hash_string (lane->id, 0),
-        .running = lane->running,
-        .reading = (uint32_t)lane->reading,
-        .silent_ms = lane->progress_ms != 0 && silent_ms < GOSSIP_NEVER_MS
-                         ? (uint32_t)silent_ms
-                         : GOSSIP_NEVER_MS,
-        .stands_still = lane->stalled_ms > mesh->now_ms,
-      };
-    }
-  return count;
-}
-
-static void
-send_loads (struct mesh *mesh)
-{
-  struct gossip_message *message = &mesh->message;
-  unsigned total = collect_loads (mesh, mesh->loads);
-
-  for (unsigned first = 0; first == 0 || first < total; first += GOSSIP_LOADS)
-    {
-      unsigned count = total - first;
-
-      if (count > GOSSIP_LOADS)
-        count = GOSSIP_LOADS;
-      message->kind = GOSSIP_LOAD;
-      message->first = first;
-      message->total = total;
-      message->load_count = count;
-      memcpy (message->loads, &mesh->loads[first],
-              count * sizeof mesh->loads[0]);
-      broadcast (mesh, message);
-    }
-}
-
 void
-mesh_send_report (struct mesh *mesh,
-                  const char *endpoint,
-                  const struct endpoint_report *report,
-                  uint64_t revision)
-{
-  struct gossip_message *message = &mesh->message;
-
-  message->kind = GOSSIP_REPORT;
-  snprintf (message->endpoint, sizeof message->endpoint, "%s", endpoint);
-  message->revision = revision;
-  message->report = *report;
-  broadcast (mesh, message);
-}
-
-static struct lane *
-find_lane (const struct mesh *mesh, uint64_t hash)
-{
-  for (struct lane *lane = mesh->lanes->table; lane != NULL;
-       lane = lane->hh.next)
-    if (lane->hash == hash)
-      return lane;
-  return NULL;
-}
-
-static void
-add_load (struct mesh *mesh,
-          const struct mesh_host *host,
-          const struct gossip_load *load)
+mesh_add_seed (struct mesh *mesh, const char *seed)
 {
-  struct lane *lane = find_lane (mesh, load->endpoint);
-  int64_t progress_ms;
+  struct sockaddr_in *to = &mesh->seeds[mesh->seed_count];
+  char address[64];
+  size_t size = strcspn (seed, ":");
 
-  if (lane == NULL)
+  if (size >= sizeof address
+      || mesh->seed_count == sizeof mesh->seeds / sizeof mesh->seeds[0])
     return;
-  lane->peer_running += load->running;
-  lane->peer_reading += load->reading;
-  if (load->silent_ms != GOSSIP_NEVER_MS)
-    {
-      progress_ms = host->heard_ms - (int64_t)load->silent_ms;
-      if (progress_ms > lane->peer_progress_ms)
-        lane->peer_progress_ms = progress_ms;
-    }
-  if (load->stands_still)
-    mesh->hooks.stands_still (mesh->hooks.context, lane);
+  memcpy (address, seed, size);
+  address[size] = '\0';
+  to->sin_family = AF_INET;
+  to->sin_port = htons (mesh->self.port);
+  if (inet_pton (AF_INET, address, &to->sin_addr) == 1
+      && strcmp (address, mesh->self.address) != 0)
+    mesh->seed_count++;
 }
 
-/* Sums up what all hosts have running at each endpoint. */
-static void
-sum_loads (struct mesh *mesh)
+bool
+mesh_is_settled (const struct mesh *mesh)
 {
-  int64_t oldest_ms
-      = mesh->now_ms - LOAD_LIFE_INTERVALS * load_interval_ms (mesh);
-
-  if (!mesh->changed)
-    return;
-  mesh->changed = false;
-  for (struct lane *lane = mesh->lanes->table; lane != NULL;
-       lane = lane->hh.next)
-    {
-      lane->peer_running = 0;
-      lane->peer_reading = 0;
-    }
-  for (struct mesh_host *host = mesh->hosts; host != NULL; host = host->hh.next)
-    if (host->heard_ms >= oldest_ms)
-      for (unsigned i = 0; i < host->load_count; i++)
-        add_load (mesh, host, &host->loads[i]);
+  return mesh->now_ms - mesh->started_ms >= SETTLE_MS;
 }
 
 void
-mesh_tick (struct mesh *mesh, bool traffic, int64_t now_ms)
+mesh_tick (struct mesh *mesh,
+           bool traffic,
+           void (*collect) (void *context, struct mesh_loads *own),
+           void *context,
+           int64_t now_ms)
 {
+  bool lonely;
+
   mesh->now_ms = now_ms;
   mesh->traffic = mesh->traffic || traffic;
-  follower_tick (&mesh->follower, now_ms);
-  register_host (mesh);
-  sum_loads (mesh);
-  if (now_ms >= mesh->send_ms)
+  greet (mesh);
+  lonely = HASH_COUNT (mesh->hosts) == 0;
+  if (mesh_is_settled (mesh) && (mesh_is_hub (mesh) || lonely))
     {
-      mesh->send_ms = now_ms + load_interval_ms (mesh);
-      send_loads (mesh);
+      register_hub (mesh);
+      follower_tick (&mesh->follower, now_ms);
     }
-}
-
-unsigned
-mesh_live_hosts (const struct mesh *mesh)
-{
-  unsigned count = 1;
-
-  for (const struct mesh_host *host = mesh->hosts; host != NULL;
-       host = host->hh.next)
-    if (host->heard_ms != 0 && mesh->now_ms - host->heard_ms < LIVE_MS)
-      count++;
-  return count;
+  mesh_exchange_loads (mesh, collect, context);
 }
--- /dev/null
+++ b/packages/edge/src/vouch.c
@@ -0,0 +1,179 @@
+#include "vouch.h"
+
+#include "log.h"
+
+#include <string.h>
+
+/* The entries and the configuration are asked for this often. */
+#define ASK_MS 350
+/* Sooner after an answer that did not bring both to the same state. */
+#define ASK_AGAIN_MS 100
+
+void
+vouch_init (struct vouch *vouch,
+            struct mesh *mesh,
+            struct endpoints *endpoints,
+            const struct vouch_hooks *hooks)
+{
+  memset (vouch, 0, sizeof *vouch);
+  vouch->mesh = mesh;
+  vouch->endpoints = endpoints;
+  vouch->hooks = *hooks;
+  vouch->proof_ms = INT64_MIN / 2;
+}
+
+void
+vouch_bury (struct vouch *vouch, const char *endpoint, uint64_t revision)
+{
+  struct vouch_tombstone *tombstone
+      = &vouch->tombstones[vouch->buried++ % VOUCH_TOMBSTONES];
+
+  memcpy (tombstone->endpoint, endpoint, sizeof tombstone->endpoint);
+  tombstone->revision = revision;
+}
+
+static void
+send_report (struct vouch *vouch,
+             struct mesh_host *to,
+             const struct endpoint *endpoint)
+{
+  struct gossip_message *message = &vouch->mesh->message;
+  struct gossip_report *report = &message->body.report;
+
+  message->kind = GOSSIP_REPORT;
+  memcpy (report->endpoint, endpoint->id, sizeof report->endpoint);
+  report->revision = endpoint->revision;
+  report->report = endpoint->report;
+  mesh_send (vouch->mesh, to, message);
+}
+
+void
+vouch_tell (struct vouch *vouch, const struct endpoint *endpoint)
+{
+  send_report (vouch, NULL, endpoint);
+}
+
+/* What changed since the asker's revision, then how current that is. */
+static void
+answer (struct vouch *vouch,
+        struct mesh_host *to,
+        const struct gossip_ask *ask)
+{
+  struct gossip_message *message = &vouch->mesh->message;
+  uint64_t first = vouch->buried > VOUCH_TOMBSTONES
+                       ? vouch->buried - VOUCH_TOMBSTONES
+                       : 0;
+  uint64_t nonce = ask->nonce;
+  int64_t proof_ms;
+  uint64_t revision;
+
+  if (!vouch->hooks.own (vouch->hooks.context, &proof_ms, &revision))
+    return;
+  for (struct endpoint *endpoint = vouch->endpoints->table; endpoint != NULL;
+       endpoint = endpoint->hh.next)
+    if (endpoint->revision > ask->revision)
+      send_report (vouch, to, endpoint);
+  for (uint64_t i = first; i < vouch->buried; i++)
+    {
+      const struct vouch_tombstone *tombstone
+          = &vouch->tombstones[i % VOUCH_TOMBSTONES];
+
+      if (tombstone->revision <= ask->revision || ask->revision == 0)
+        continue;
+      message->kind = GOSSIP_DELETED;
+      memcpy (message->body.report.endpoint, tombstone->endpoint,
+              sizeof tombstone->endpoint);
+      message->body.report.revision = tombstone->revision;
+      mesh_send (vouch->mesh, to, message);
+    }
+  message->kind = GOSSIP_VOUCH;
+  message->body.vouch = (struct gossip_vouch){
+    .nonce = nonce,
+    .configuration = vouch->hooks.configuration (vouch->hooks.context),
+    .configuration_age_ms = (uint32_t)(vouch->now_ms - proof_ms),
+    .revision = revision,
+    .digest = vouch->endpoints->digest,
+  };
+  mesh_send (vouch->mesh, to, message);
+}
+
+static void
+take_vouch (struct vouch *vouch, const struct gossip_vouch *said)
+{
+  int64_t own = vouch->hooks.configuration (vouch->hooks.context);
+  int64_t proof_ms
+      = vouch->asked_ms - (int64_t)said->configuration_age_ms;
+
+  if ((int64_t)said->nonce != vouch->asked_ms)
+    return;
+  if (said->configuration > vouch->newest)
+    vouch->newest = said->configuration;
+  if (said->configuration == own && own != 0 && proof_ms > vouch->proof_ms)
+    vouch->proof_ms = proof_ms;
+  if (said->digest == vouch->endpoints->digest)
+    {
+      vouch->synced = true;
+      vouch->differs_ms = 0;
+      if (said->revision > vouch->revision)
+        vouch->revision = said->revision;
+      return;
+    }
+  if (vouch->differs_ms == 0)
+    vouch->differs_ms = vouch->now_ms;
+  vouch->ask_ms = vouch->now_ms + ASK_AGAIN_MS;
+}
+
+void
+vouch_take (struct vouch *vouch,
+            struct mesh_host *from,
+            const struct gossip_message *message,
+            int64_t now_ms)
+{
+  const struct gossip_report *report = &message->body.report;
+
+  vouch->now_ms = now_ms;
+  switch (message->kind)
+    {
+    case GOSSIP_ASK:
+      answer (vouch, from, &message->body.ask);
+      break;
+    case GOSSIP_VOUCH:
+      take_vouch (vouch, &message->body.vouch);
+      break;
+    case GOSSIP_REPORT:
+      endpoints_report (vouch->endpoints, report->endpoint, &report->report,
+                        report->revision, now_ms);
+      break;
+    case GOSSIP_DELETED:
+      endpoints_delete (vouch->endpoints, report->endpoint, report->revision,
+                        now_ms);
+      break;
+    default:
+      break;
+    }
+}
+
+void
+vouch_tick (struct vouch *vouch, bool asks, int64_t now_ms)
+{
+  struct gossip_message *message = &vouch->mesh->message;
+  struct mesh_host *hub;
+
+  vouch->now_ms = now_ms;
+  if (!asks)
+    {
+      vouch->differs_ms = 0;
+      return;
+    }
+  if (now_ms < vouch->ask_ms)
+    return;
+  hub = mesh_hub (vouch->mesh);
+  if (hub == NULL)
+    return;
+  vouch->ask_ms = now_ms + ASK_MS;
+  vouch->asked_ms = now_ms;
+  message->kind = GOSSIP_ASK;
+  message->body.ask.nonce = (uint64_t)now_ms;
+  message->body.ask.revision = vouch->revision;
+  mesh_send (vouch->mesh, hub, message);
+}
