formation: stage nothing at the start while a group waits for loads

Cause: on the grown site the first endpoints known were staged one by one, with both models in each domain, and no group of 16 was ever formed.

Before the first request spares wait until no group is due, the limit on loads follows the weight store, and a whole group may always load.

--- a/packages/formation/src/build.c
+++ b/packages/formation/src/build.c
@@ -13,10 +13,13 @@
  */
 #define SPARE_PART 0.1
 /*
- * Loads of this data centre that may run at once before the first request;
- * they take a tenth of their time then, and many groups wait.
+ * Before the first request loads take a tenth of their time.  Then so many
+ * times the loads that the weight store runs at full speed are kept going, so
+ * that it never idles between two groups.
  */
-#define STARTUP_LOADS 8
+#define STARTUP_LOADS 4
+/* A new holder of the lease learns of all endpoints before it stages any. */
+#define STARTUP_QUIET_MS 1500
 /* Loads that begin at once: the weight store allows 3 besides its rate. */
 #define LOAD_BURST 2.0
 #define LOAD_RATE_MARGIN 0.8
@@ -179,15 +182,16 @@
 {
   const struct formation *formation = run->formation;
   unsigned parts = formation->settings.data_centres;
-  unsigned limit;
+  unsigned limit = service->loads_at_once / (parts > 0 ? parts : 1);
 
   if (count == 0)
     return true;
-  if (!formation->traffic)
-    return loads_running (run) + count <= STARTUP_LOADS;
-  limit = service->loads_at_once / (parts > 0 ? parts : 1);
   if (limit == 0)
     limit = 1;
+  /* A whole group is loaded at once, whatever its size. */
+  if (!formation->traffic)
+    return loads_running (run) == 0
+           || loads_running (run) + count <= STARTUP_LOADS * limit;
   return loads_running (run) + count <= limit
          && formation->load_tokens >= count;
 }
@@ -363,7 +367,8 @@
   return poorest;
 }
 
-static void
+/* False if a group that is due has to wait for the loads that are running. */
+static bool
 form_groups (const struct formation_run *run,
              const struct catalog_service *service,
              struct pool *pool)
@@ -381,8 +386,9 @@
         memset (tried, 0, sizeof tried);
       else if (!run->formation->traffic && filled < 1 && loads_running (run) > 0)
         /* At the start loads are quick: the model that is due waits. */
-        return;
+        return false;
     }
+  return true;
 }
 
 /* Free endpoints of the domain that have the model's weights or get them. */
@@ -517,8 +523,11 @@
         continue;
       refill_loads (run, service);
       collect_free (run, service, pool);
-      form_groups (run, service, pool);
-      stage_spares (run, service, pool);
+      if (form_groups (run, service, pool)
+          && (run->formation->traffic
+              || run->now_ms - run->formation->held_since_ms
+                     >= STARTUP_QUIET_MS))
+        stage_spares (run, service, pool);
     }
   free (pool);
 }
