edge: vouch for endpoints by age, and read anew what differs

Answers carry the age of the entries too, a host without proof for 1.3 s reads the platform itself, late reports of removed endpoints are dropped, and entries that still differ are listed again.

--- a/packages/edge/include/gossip.h
+++ b/packages/edge/include/gossip.h
@@ -83,6 +83,7 @@
   uint64_t nonce;
   int64_t configuration;          /* version; 0 = none */
   uint32_t configuration_age_ms;  /* since it was known to be current */
+  uint32_t entries_age_ms;        /* the same of the entries */
   uint64_t revision;              /* up to which the entries are known */
   uint64_t digest;                /* see endpoints.h */
 };
--- a/packages/edge/include/vouch.h
+++ b/packages/edge/include/vouch.h
@@ -19,16 +19,20 @@
 
 #define VOUCH_TOMBSTONES 128
 
+struct vouch_knowledge
+{
+  int64_t configuration_ms; /* when it was last known to be current */
+  int64_t entries_ms;       /* the same of the endpoints */
+  uint64_t revision;        /* up to which the endpoints are known */
+};
+
 struct vouch_hooks
 {
   void *context;
   /* Version of the configuration in force here; 0 = none. */
   int64_t (*configuration) (void *context);
-  /*
-   * What this host read itself: false if it may not vouch; else when its
-   * configuration was last known to be current, and the entries' revision.
-   */
-  bool (*own) (void *context, int64_t *proof_ms, uint64_t *revision);
+  /* What this host has read itself; false if it may not vouch. */
+  bool (*own) (void *context, struct vouch_knowledge *knowledge);
 };
 
 struct vouch_tombstone
@@ -48,6 +52,7 @@
   int64_t asked_ms;
   /* The configuration in force was current at this moment. */
   int64_t proof_ms;
+  int64_t entries_ms; /* the same of the endpoints */
   int64_t newest;     /* configuration that a hub has */
   bool synced;        /* the entries were the same as a hub's once */
   uint64_t revision;  /* of the entries then */
--- a/packages/edge/src/follow.c
+++ b/packages/edge/src/follow.c
@@ -4,19 +4,22 @@
 #include <string.h>
 
 /*
- * One watch of the configuration lasts this long: each answer proves that the
- * configuration is current, and keys need such a proof every few seconds.
+ * A watch lasts this long: each answer proves that what is known is current,
+ * for this host and for those that rely on it.
  */
-#define CONFIGURATION_WAIT_MS 1500
+#define CONFIGURATION_WAIT_MS 600
 #define CONFIGURATION_PACE_MS 20
-#define ENTRIES_WAIT_MS 10000
+#define ENTRIES_WAIT_MS 600
 /* Changes of the endpoints gather for this long, to save calls. */
 #define ENTRIES_PACE_MS 150
 /* A read of the configuration alone, and the least time between two. */
 #define FETCH_MS 1200
 #define FETCH_PACE_MS 300
-/* A host without an own proof this recent reads the platform itself. */
-#define PROOF_LIMIT_MS 2600
+/*
+ * A host whose hub proves nothing newer than this reads the platform itself:
+ * changes are to be in force within 2 s.
+ */
+#define PROOF_LIMIT_MS 1300
 /* A new host waits this long for a hub to bring it up to date. */
 #define START_MS 1500
 /* The same if its entries differ from its hub's for this long. */
@@ -201,6 +204,14 @@
   return edge->relay.catalog != NULL ? edge->relay.catalog->version : 0;
 }
 
+static int64_t
+entries_proof_ms (const struct edge *edge)
+{
+  return edge->entries.proof_ms > edge->vouch.entries_ms
+             ? edge->entries.proof_ms
+             : edge->vouch.entries_ms;
+}
+
 /* Whether this host has to read the platform itself. */
 static bool
 must_be_direct (const struct edge *edge)
@@ -216,6 +227,7 @@
   if (edge->now_ms - edge->mesh.started_ms < START_MS)
     return false;
   return edge->now_ms - edge->relay.catalog_proof_ms > PROOF_LIMIT_MS
+         || edge->now_ms - entries_proof_ms (edge) > PROOF_LIMIT_MS
          || (vouch->differs_ms != 0
              && edge->now_ms - vouch->differs_ms > DIFFERS_LIMIT_MS);
 }
@@ -232,8 +244,11 @@
              LOG_INT ("proof_age_ms",
                       edge->now_ms - edge->relay.catalog_proof_ms),
              LOG_U64 ("revision", edge->vouch.revision));
+  /* What differs for no known reason is read anew. */
+  if (direct && edge->vouch.differs_ms != 0)
+    entries->state = FOLLOWER_LISTING;
   /* Goes on from where the hub has brought this host. */
-  if (direct && edge->vouch.synced
+  else if (direct && edge->vouch.synced
       && edge->vouch.revision > entries->revision)
     {
       entries->revision = edge->vouch.revision;
--- a/packages/edge/src/gossip.c
+++ b/packages/edge/src/gossip.c
@@ -91,6 +91,7 @@
   return xdr_uint64_t (xdr, &vouch->nonce)
          && xdr_int64_t (xdr, &vouch->configuration)
          && xdr_uint32_t (xdr, &vouch->configuration_age_ms)
+         && xdr_uint32_t (xdr, &vouch->entries_age_ms)
          && xdr_uint64_t (xdr, &vouch->revision)
          && xdr_uint64_t (xdr, &vouch->digest);
 }
--- a/packages/edge/src/peers.c
+++ b/packages/edge/src/peers.c
@@ -65,12 +65,13 @@
 }
 
 static bool
-own_knowledge (void *context, int64_t *proof_ms, uint64_t *revision)
+own_knowledge (void *context, struct vouch_knowledge *knowledge)
 {
   const struct edge *edge = context;
 
-  *proof_ms = edge->configuration.proof_ms;
-  *revision = edge->entries.revision;
+  knowledge->configuration_ms = edge->configuration.proof_ms;
+  knowledge->entries_ms = edge->entries.proof_ms;
+  knowledge->revision = edge->entries.revision;
   return edge->direct && edge->entries.listed
          && edge->entries.failing_since_ms == 0;
 }
--- a/packages/edge/src/vouch.c
+++ b/packages/edge/src/vouch.c
@@ -20,6 +20,7 @@
   vouch->endpoints = endpoints;
   vouch->hooks = *hooks;
   vouch->proof_ms = INT64_MIN / 2;
+  vouch->entries_ms = INT64_MIN / 2;
 }
 
 void
@@ -32,6 +33,20 @@
   tombstone->revision = revision;
 }
 
+/* True if the endpoint was removed by a later change than this revision. */
+static bool
+is_buried (const struct vouch *vouch, const char *endpoint, uint64_t revision)
+{
+  uint64_t count = vouch->buried < VOUCH_TOMBSTONES ? vouch->buried
+                                                    : VOUCH_TOMBSTONES;
+
+  for (uint64_t i = 0; i < count; i++)
+    if (vouch->tombstones[i].revision >= revision
+        && strcmp (vouch->tombstones[i].endpoint, endpoint) == 0)
+      return true;
+  return false;
+}
+
 static void
 send_report (struct vouch *vouch,
              struct mesh_host *to,
@@ -64,10 +79,9 @@
                        ? vouch->buried - VOUCH_TOMBSTONES
                        : 0;
   uint64_t nonce = ask->nonce;
-  int64_t proof_ms;
-  uint64_t revision;
+  struct vouch_knowledge own;
 
-  if (!vouch->hooks.own (vouch->hooks.context, &proof_ms, &revision))
+  if (!vouch->hooks.own (vouch->hooks.context, &own))
     return;
   for (struct endpoint *endpoint = vouch->endpoints->table; endpoint != NULL;
        endpoint = endpoint->hh.next)
@@ -90,8 +104,9 @@
   message->body.vouch = (struct gossip_vouch){
     .nonce = nonce,
     .configuration = vouch->hooks.configuration (vouch->hooks.context),
-    .configuration_age_ms = (uint32_t)(vouch->now_ms - proof_ms),
-    .revision = revision,
+    .configuration_age_ms = (uint32_t)(vouch->now_ms - own.configuration_ms),
+    .entries_age_ms = (uint32_t)(vouch->now_ms - own.entries_ms),
+    .revision = own.revision,
     .digest = vouch->endpoints->digest,
   };
   mesh_send (vouch->mesh, to, message);
@@ -112,7 +127,11 @@
     vouch->proof_ms = proof_ms;
   if (said->digest == vouch->endpoints->digest)
     {
+      int64_t entries_ms = vouch->asked_ms - (int64_t)said->entries_age_ms;
+
       vouch->synced = true;
+      if (entries_ms > vouch->entries_ms)
+        vouch->entries_ms = entries_ms;
       vouch->differs_ms = 0;
       if (said->revision > vouch->revision)
         vouch->revision = said->revision;
@@ -141,8 +160,11 @@
       take_vouch (vouch, &message->body.vouch);
       break;
     case GOSSIP_REPORT:
-      endpoints_report (vouch->endpoints, report->endpoint, &report->report,
-                        report->revision, now_ms);
+      /* A report may arrive after the endpoint is gone. */
+      if (endpoints_find (vouch->endpoints, report->endpoint) != NULL
+          || !is_buried (vouch, report->endpoint, report->revision))
+        endpoints_report (vouch->endpoints, report->endpoint, &report->report,
+                          report->revision, now_ms);
       break;
     case GOSSIP_DELETED:
       endpoints_delete (vouch->endpoints, report->endpoint, report->revision,
--- a/packages/formation/include/formation.h
+++ b/packages/formation/include/formation.h
@@ -109,6 +109,8 @@
   uint64_t last_fence; /* the highest one held */
   uint64_t formed;     /* groups under it */
   int64_t held_since_ms;
+  unsigned most_usable; /* endpoints seen at once */
+  int64_t grown_ms;     /* when there were last more of them */
   bool traffic;        /* requests were seen: loads take their full time */
   double load_tokens;  /* loads that may begin now */
   int64_t refilled_ms;
--- a/packages/formation/src/build.c
+++ b/packages/formation/src/build.c
@@ -18,8 +18,14 @@
  * that it never idles between two groups.
  */
 #define STARTUP_LOADS 4
-/* A new holder of the lease learns of all endpoints before it stages any. */
-#define STARTUP_QUIET_MS 1500
+/*
+ * Before the first request nothing is formed while endpoints still appear: it
+ * takes this long without a new one, or the limit, to know the domains.
+ */
+#define STARTUP_QUIET_MS 250
+#define STARTUP_LIMIT_MS 2500
+/* Weight of a spare against an endpoint that helps to complete a group. */
+#define SPARE_VALUE 4.0
 /* Loads that begin at once: the weight store allows 3 besides its rate. */
 #define LOAD_BURST 2.0
 #define LOAD_RATE_MARGIN 0.8
@@ -418,8 +424,7 @@
              const char *domain)
 {
   unsigned have = staged_free (pool, domain, model->name);
-  unsigned groups
-      = grouped_in_domain (run, model, domain) / model->size;
+  unsigned members = grouped_in_domain (run, model, domain);
   double lacking = wanted_groups (pool, model)
                    - groups_of_model (run, service, model);
   unsigned missing = model->size - have % model->size;
@@ -427,7 +432,9 @@
 
   if (lacking > 0.5)
     value += 2.0 * lacking / missing;
-  value += (groups + 0.2) / (1.0 + have);
+  /* A member lost without a spare stops all members of its group. */
+  value += SPARE_VALUE * (members + 0.5) * model->size / (1.0 + have)
+           / (pool->usable + 1);
   return value;
 }
 
@@ -508,6 +515,21 @@
   formation->refilled_ms = run->now_ms;
 }
 
+static bool
+knows_endpoints (const struct formation_run *run, const struct pool *pool)
+{
+  struct formation *formation = run->formation;
+
+  if (pool->usable > formation->most_usable)
+    {
+      formation->most_usable = pool->usable;
+      formation->grown_ms = run->now_ms;
+    }
+  return formation->traffic
+         || run->now_ms - formation->grown_ms >= STARTUP_QUIET_MS
+         || run->now_ms - formation->held_since_ms >= STARTUP_LIMIT_MS;
+}
+
 void
 formation_build (const struct formation_run *run)
 {
@@ -523,10 +545,7 @@
         continue;
       refill_loads (run, service);
       collect_free (run, service, pool);
-      if (form_groups (run, service, pool)
-          && (run->formation->traffic
-              || run->now_ms - run->formation->held_since_ms
-                     >= STARTUP_QUIET_MS))
+      if (knows_endpoints (run, pool) && form_groups (run, service, pool))
         stage_spares (run, service, pool);
     }
   free (pool);
--- a/packages/formation/src/formation.c
+++ b/packages/formation/src/formation.c
@@ -81,6 +81,8 @@
     formation->formed = 0;
   formation->last_fence = fence;
   formation->held_since_ms = now_ms;
+  formation->most_usable = 0;
+  formation->grown_ms = now_ms;
   formation->refilled_ms = now_ms;
   formation->load_tokens = 0;
 }
--- a/packages/records/src/follower.c
+++ b/packages/records/src/follower.c
@@ -10,8 +10,9 @@
 #define ANSWER_MS 1200
 /* A list is several pages of at most 1 MB. */
 #define LIST_MS 2000
-/* Wait after a failed call. */
-#define RETRY_MS 300
+/* Wait after a failed call; doubles up to the limit. */
+#define RETRY_MS 200
+#define RETRY_LIMIT_MS 800
 
 void
 follower_init (struct follower *follower,
@@ -30,12 +31,16 @@
   follower->wait_ms = wait_ms;
   follower->pace_ms = pace_ms;
   follower->proof_ms = INT64_MIN / 2;
+  follower->retry_ms = RETRY_MS;
 }
 
 static void
 note_failure (struct follower *follower, enum result why, int64_t now_ms)
 {
-  follower->next_ms = now_ms + RETRY_MS;
+  follower->next_ms = now_ms + follower->retry_ms;
+  follower->retry_ms *= 2;
+  if (follower->retry_ms > RETRY_LIMIT_MS)
+    follower->retry_ms = RETRY_LIMIT_MS;
   if (follower->failing_since_ms != 0 || !records_is_trouble (why))
     return;
   follower->failing_since_ms = now_ms;
@@ -50,6 +55,7 @@
 {
   int64_t away_ms;
 
+  follower->retry_ms = RETRY_MS;
   if (follower->failing_since_ms == 0)
     return;
   away_ms = now_ms - follower->failing_since_ms;
