edge: vouch only for endpoints that are routed to, by any hub

Only endpoints that requests go to count and are sent; a hub that cannot vouch says so and the next one is asked; removals bear the revision of the list; what differs for 1.5 s is listed anew; the holder of the lease lists all endpoints before it acts.

--- a/packages/catalog/include/endpoints.h
+++ b/packages/catalog/include/endpoints.h
@@ -56,6 +56,7 @@
   int64_t leaving_since_ms; /* when it was first seen leaving; 0 = never */
   int64_t deleted_ms;     /* when its entry was missed; 0 = it is there */
   uint64_t deleted_revision; /* of the change that deleted it */
+  uint64_t routed_revision;  /* of the last change to or from being routed */
   bool stale;             /* scratch of a relisting */
   void *link;             /* of the owner of the table */
   UT_hash_handle hh;
@@ -69,7 +70,7 @@
    * platform was away and entries may have lapsed meanwhile.
    */
   int64_t believe_ms;
-  /* Over ids and revisions; two equal tables have the same. */
+  /* Over ids and revisions of the endpoints that are routed to. */
   uint64_t digest;
   void (*removed) (void *context, struct endpoint *endpoint);
   void *context;
@@ -112,6 +113,9 @@
 /* True if new work may go there: listed and not leaving. */
 bool endpoint_is_usable (const struct endpoint *endpoint);
 
+/* True if requests go there, or went there until it began to leave. */
+bool endpoint_is_routed (const struct endpoint *endpoint);
+
 bool endpoint_has_staged (const struct endpoint *endpoint, const char *model);
 
 #endif
--- a/packages/catalog/src/endpoints.c
+++ b/packages/catalog/src/endpoints.c
@@ -33,9 +33,24 @@
   endpoints->context = context;
 }
 
+bool
+endpoint_is_routed (const struct endpoint *endpoint)
+{
+  const struct endpoint_report *report = &endpoint->report;
+
+  /* Endpoints that form groups have a fabric domain. */
+  if (report->domain[0] == '\0')
+    return true;
+  return report->rank == 0
+         && (report->state == ENDPOINT_GROUP_OPEN
+             || report->state == ENDPOINT_GROUP_CLOSING);
+}
+
 static uint64_t
 digest_of (const struct endpoint *endpoint)
 {
+  if (endpoint->revision == 0 || !endpoint_is_routed (endpoint))
+    return 0;
   return hash_string (endpoint->id, endpoint->revision);
 }
 
@@ -90,6 +105,7 @@
                   int64_t now_ms)
 {
   struct endpoint *endpoint = endpoints_find (endpoints, id);
+  bool was_routed;
 
   if (endpoint == NULL)
     endpoint = add (endpoints, id);
@@ -101,10 +117,13 @@
     return RESULT_OK;
   endpoint->deleted_ms = 0;
   endpoints->digest ^= digest_of (endpoint);
+  was_routed = endpoint->revision != 0 && endpoint_is_routed (endpoint);
   if (endpoint->report.started_ms != report->started_ms)
     endpoint->leaving_since_ms = 0;
   endpoint->report = *report;
   endpoint->revision = revision;
+  if (was_routed || endpoint_is_routed (endpoint))
+    endpoint->routed_revision = revision;
   endpoints->digest ^= digest_of (endpoint);
   if (report->leaving && endpoint->leaving_since_ms == 0)
     endpoint->leaving_since_ms = now_ms;
--- a/packages/edge/include/leader.h
+++ b/packages/edge/include/leader.h
@@ -43,12 +43,13 @@
 
 /*
  * traffic: requests have been seen.  candidate: this host may take the lease;
- * one that holds it keeps it.
+ * one that holds it keeps it.  knows_all: the table holds all endpoints.
  */
 void leader_tick (struct leader *leader,
                   const struct catalog *catalog,
                   bool traffic,
                   bool candidate,
+                  bool knows_all,
                   int64_t now_ms);
 
 /* Another host told what the lease is. */
--- a/packages/edge/include/mesh.h
+++ b/packages/edge/include/mesh.h
@@ -133,8 +133,11 @@
 /* Whether this host reads the platform for its data centre. */
 bool mesh_is_reader (const struct mesh *mesh);
 
-/* The best hub other than this host; NULL if none is known. */
-struct mesh_host *mesh_hub (struct mesh *mesh);
+/*
+ * The candidate for a hub of this rank, other than this host; the best one if
+ * there are not so many, NULL if there is none.
+ */
+struct mesh_host *mesh_hub (struct mesh *mesh, unsigned rank);
 
 /* Fills in the sender and sends; to all hosts if to is NULL. */
 void mesh_send (struct mesh *mesh,
--- a/packages/edge/src/edge.c
+++ b/packages/edge/src/edge.c
@@ -23,6 +23,8 @@
 /* Part of the ratio that is used; windows differ between hosts. */
 #define RATIO_PART 0.8
 #define COUNTER_LIMIT 2000
+/* Interval of status lines. */
+#define STATUS_MS 10000
 /* Entry hosts that share the retry slack until their number is known. */
 #define ASSUMED_HOSTS 21
 
@@ -54,6 +56,32 @@
          && (edge->entries.listed || edge->vouch.synced);
 }
 
+/* One line now and then, so that a log alone shows how a host fared. */
+static void
+log_status (struct edge *edge)
+{
+  if (edge->now_ms < edge->status_ms)
+    return;
+  edge->status_ms = edge->now_ms + STATUS_MS;
+  LOG_EVENT (
+      LOG_LEVEL_INFO, "status",
+      LOG_STR ("reads_platform", edge->direct ? "yes" : "no"),
+      LOG_STR ("lease", edge->leader.acting ? "held" : "not-held"),
+      LOG_INT ("configuration", edge->relay.catalog != NULL
+                                    ? edge->relay.catalog->version
+                                    : 0),
+      LOG_U64 ("endpoints", HASH_COUNT (edge->endpoints.table)),
+      LOG_U64 ("live_hosts", edge->mesh.live_hosts),
+      LOG_U64 ("in_flight", relay_in_flight (&edge->relay)),
+      LOG_U64 ("callers", edge->relay.caller_count),
+      LOG_U64 ("configuration_calls",
+               edge->records.calls[RECORDS_CONFIGURATION]),
+      LOG_U64 ("endpoint_calls", edge->records.calls[RECORDS_ENDPOINTS]),
+      LOG_U64 ("lease_calls", edge->records.calls[RECORDS_LEASES]),
+      LOG_U64 ("host_calls", edge->records.calls[RECORDS_HOSTS]),
+      LOG_U64 ("platform_failures", edge->records.failures));
+}
+
 static void
 on_tick (evutil_socket_t fd, short what, void *context)
 {
@@ -69,8 +97,9 @@
   relay_tick (&edge->relay, edge->now_ms);
   leader_tick (&edge->leader, edge->relay.catalog, edge->mesh.traffic,
                mesh_is_settled (&edge->mesh) && mesh_is_hub (&edge->mesh),
-               edge->now_ms);
+               edge->knows_all, edge->now_ms);
   edge_stop_tick (edge);
+  log_status (edge);
 }
 
 static void
--- a/packages/edge/src/follow.c
+++ b/packages/edge/src/follow.c
@@ -9,21 +9,23 @@
  */
 #define CONFIGURATION_WAIT_MS 600
 #define CONFIGURATION_PACE_MS 20
-#define ENTRIES_WAIT_MS 600
+#define ENTRIES_WAIT_MS 500
 /* Changes of the endpoints gather for this long, to save calls. */
 #define ENTRIES_PACE_MS 150
 /* A read of the configuration alone, and the least time between two. */
 #define FETCH_MS 1200
-#define FETCH_PACE_MS 300
+#define FETCH_PACE_MS 600
 /*
  * A host whose hub proves nothing newer than this reads the platform itself:
  * changes are to be in force within 2 s.
  */
-#define PROOF_LIMIT_MS 1300
+#define PROOF_LIMIT_MS 1600
 /* A new host waits this long for a hub to bring it up to date. */
 #define START_MS 1500
-/* The same if its entries differ from its hub's for this long. */
-#define DIFFERS_LIMIT_MS 1200
+/* Entries that differ from a hub's for this long are read anew. */
+#define DIFFERS_LIMIT_MS 1500
+/* A host that others ask reads the platform for so long. */
+#define RELIED_MS 2000
 
 static void
 on_configuration (void *context, const struct records_record *record)
@@ -93,8 +95,9 @@
       LOG_EVENT (LOG_LEVEL_INFO, "endpoint-deleted",
                  LOG_STR ("endpoint", record->name),
                  LOG_U64 ("revision", record->revision));
-      endpoints_delete (&edge->endpoints, record->name, record->revision,
-                        edge->now_ms);
+      /* The record bears the revision of its last change before that. */
+      endpoints_delete (&edge->endpoints, record->name,
+                        edge->entries.revision, edge->now_ms);
       return;
     }
   result = edge->adapter->decode_endpoint (record->value, &report);
@@ -126,6 +129,7 @@
 
   endpoints_relist_end (&edge->endpoints, edge->entries.revision,
                         edge->now_ms);
+  edge->knows_all = edge->direct;
 }
 
 static void
@@ -222,7 +226,8 @@
     return true;
   if (!mesh_is_settled (&edge->mesh))
     return false;
-  if (mesh_is_reader (&edge->mesh))
+  if (mesh_is_reader (&edge->mesh)
+      || edge->now_ms - vouch->relied_ms < RELIED_MS)
     return true;
   if (edge->now_ms - edge->mesh.started_ms < START_MS)
     return false;
@@ -243,24 +248,48 @@
   LOG_EVENT (LOG_LEVEL_INFO, direct ? "reads-platform" : "relies-on-hub",
              LOG_INT ("proof_age_ms",
                       edge->now_ms - edge->relay.catalog_proof_ms),
+             LOG_INT ("entries_age_ms",
+                      edge->now_ms - entries_proof_ms (edge)),
+             LOG_INT ("differs_ms", edge->vouch.differs_ms != 0
+                                        ? edge->now_ms - edge->vouch.differs_ms
+                                        : 0),
              LOG_U64 ("revision", edge->vouch.revision));
-  /* What differs for no known reason is read anew. */
-  if (direct && edge->vouch.differs_ms != 0)
-    entries->state = FOLLOWER_LISTING;
+  if (!direct)
+    {
+      /* From now on only endpoints that are routed to are kept up to date. */
+      edge->knows_all = false;
+      return;
+    }
   /* Goes on from where the hub has brought this host. */
-  else if (direct && edge->vouch.synced
-      && edge->vouch.revision > entries->revision)
+  if (edge->vouch.synced && edge->vouch.revision > entries->revision)
     {
       entries->revision = edge->vouch.revision;
       entries->state = FOLLOWER_WATCHING;
-      entries->listed = true;
     }
+  if (edge->vouch.differs_ms != 0
+      && edge->now_ms - edge->vouch.differs_ms > DIFFERS_LIMIT_MS)
+    {
+      entries->state = FOLLOWER_LISTING;
+      edge->vouch.differs_ms = 0;
+    }
+}
+
+/* The holder of the lease has to know all endpoints. */
+static void
+read_all (struct edge *edge)
+{
+  if (!edge->leader.acting || edge->knows_all
+      || edge->entries.state == FOLLOWER_LISTING)
+    return;
+  edge->entries.state = FOLLOWER_LISTING;
+  edge->entries.after[0] = '\0';
 }
 
 void
 edge_follow_tick (struct edge *edge)
 {
   set_direct (edge, must_be_direct (edge));
+  read_all (edge);
   if (edge->direct)
     {
       follower_tick (&edge->configuration, edge->now_ms);
--- a/packages/edge/src/leader.c
+++ b/packages/edge/src/leader.c
@@ -205,6 +205,7 @@
              const struct catalog *catalog,
              bool traffic,
              bool candidate,
+             bool knows_all,
              int64_t now_ms)
 {
   const struct formation_hooks hooks
@@ -218,8 +219,9 @@
   note_lease (leader);
   if (traffic)
     leader->formation.traffic = true;
-  formation_tick (&leader->formation, leader->endpoints, catalog, &hooks,
-                  now_ms);
+  if (knows_all)
+    formation_tick (&leader->formation, leader->endpoints, catalog, &hooks,
+                    now_ms);
 }
 
 void
--- a/packages/edge/src/mesh-load.c
+++ b/packages/edge/src/mesh-load.c
@@ -86,14 +86,26 @@
 }
 
 struct mesh_host *
-mesh_hub (struct mesh *mesh)
+mesh_hub (struct mesh *mesh, unsigned rank)
 {
   struct mesh_host *best = NULL;
 
   for (struct mesh_host *host = mesh->hosts; host != NULL; host = host->hh.next)
-    if (is_candidate (mesh, host)
-        && (best == NULL || goes_before (&host->self, &best->self)))
-      best = host;
+    {
+      unsigned before = 0;
+
+      if (!is_candidate (mesh, host))
+        continue;
+      for (struct mesh_host *other = mesh->hosts; other != NULL;
+           other = other->hh.next)
+        if (other != host && is_candidate (mesh, other)
+            && goes_before (&other->self, &host->self))
+          before++;
+      if (before == rank)
+        return host;
+      if (before == 0)
+        best = host;
+    }
   return best;
 }
 
@@ -387,7 +399,7 @@
 static void
 check_hub (struct mesh *mesh)
 {
-  struct mesh_host *hub = mesh_hub (mesh);
+  struct mesh_host *hub = mesh_hub (mesh, 0);
 
   if (hears_totals (mesh) || hub == NULL
       || !goes_before (&hub->self, &mesh->self))
--- a/packages/edge/src/peers.c
+++ b/packages/edge/src/peers.c
@@ -73,7 +73,8 @@
   knowledge->entries_ms = edge->entries.proof_ms;
   knowledge->revision = edge->entries.revision;
   return edge->direct && edge->entries.listed
-         && edge->entries.failing_since_ms == 0;
+         && edge->entries.failing_since_ms == 0
+         && edge->configuration.failing_since_ms == 0;
 }
 
 enum result
--- a/packages/edge/src/readiness.c
+++ b/packages/edge/src/readiness.c
@@ -55,8 +55,15 @@
   counter_put (counters, "waxwing_callers", NULL, edge->relay.caller_count);
   counter_put (counters, "waxwing_endpoints", NULL,
                HASH_COUNT (edge->endpoints.table));
-  counter_put (counters, "waxwing_platform_calls_total", NULL,
-               (double)edge->records.calls);
+  for (int kind = 0; kind < RECORDS_KINDS; kind++)
+    {
+      char label[64];
+
+      snprintf (label, sizeof label, "records=\"%s\"",
+                records_kind_name ((enum records_kind)kind));
+      counter_put (counters, "waxwing_platform_calls_total", label,
+                   (double)edge->records.calls[kind]);
+    }
   counter_put (counters, "waxwing_platform_failures_total", NULL,
                (double)edge->records.failures);
   counter_put (counters, "waxwing_configuration_version", NULL,
--- a/packages/edge/src/vouch.c
+++ b/packages/edge/src/vouch.c
@@ -5,7 +5,15 @@
 #include <string.h>
 
 /* The entries and the configuration are asked for this often. */
-#define ASK_MS 350
+#define ASK_MS 300
+/* Questions without an answer before another hub is asked. */
+#define UNANSWERED_LIMIT 2
+/* Hubs that are asked in turn until one can vouch. */
+#define HUB_CHOICES 3
+/* A hub that knows nothing newer is no better than none. */
+#define AGE_LIMIT_MS 1000
+/* The first hub is tried again after this time. */
+#define CHOICE_MS 4000
 /* Sooner after an answer that did not bring both to the same state. */
 #define ASK_AGAIN_MS 100
 
@@ -81,11 +89,17 @@
   uint64_t nonce = ask->nonce;
   struct vouch_knowledge own;
 
+  vouch->relied_ms = vouch->now_ms;
   if (!vouch->hooks.own (vouch->hooks.context, &own))
-    return;
+    {
+      message->kind = GOSSIP_VOUCH;
+      message->body.vouch = (struct gossip_vouch){ .nonce = nonce };
+      mesh_send (vouch->mesh, to, message);
+      return;
+    }
   for (struct endpoint *endpoint = vouch->endpoints->table; endpoint != NULL;
        endpoint = endpoint->hh.next)
-    if (endpoint->revision > ask->revision)
+    if (endpoint->routed_revision > ask->revision)
       send_report (vouch, to, endpoint);
   for (uint64_t i = first; i < vouch->buried; i++)
     {
@@ -112,6 +126,13 @@
   mesh_send (vouch->mesh, to, message);
 }
 
+static void
+next_hub (struct vouch *vouch)
+{
+  vouch->choice++;
+  vouch->chosen_ms = vouch->now_ms;
+}
+
 static void
 take_vouch (struct vouch *vouch, const struct gossip_vouch *said)
 {
@@ -121,6 +142,15 @@
 
   if ((int64_t)said->nonce != vouch->asked_ms)
     return;
+  vouch->unanswered = 0;
+  if (said->revision == 0 || said->configuration_age_ms > AGE_LIMIT_MS
+      || said->entries_age_ms > AGE_LIMIT_MS)
+    {
+      /* It cannot reach the platform itself. */
+      next_hub (vouch);
+      vouch->ask_ms = vouch->now_ms;
+      return;
+    }
   if (said->configuration > vouch->newest)
     vouch->newest = said->configuration;
   if (said->configuration == own && own != 0 && proof_ms > vouch->proof_ms)
@@ -182,16 +212,19 @@
   struct mesh_host *hub;
 
   vouch->now_ms = now_ms;
-  if (!asks)
+  if (!asks || now_ms < vouch->ask_ms)
+    return;
+  if (vouch->unanswered >= UNANSWERED_LIMIT)
     {
-      vouch->differs_ms = 0;
-      return;
+      vouch->unanswered = 0;
+      next_hub (vouch);
     }
-  if (now_ms < vouch->ask_ms)
-    return;
-  hub = mesh_hub (vouch->mesh);
+  if (vouch->choice > 0 && now_ms - vouch->chosen_ms > CHOICE_MS)
+    vouch->choice = 0;
+  hub = mesh_hub (vouch->mesh, vouch->choice % HUB_CHOICES);
   if (hub == NULL)
     return;
+  vouch->unanswered++;
   vouch->ask_ms = now_ms + ASK_MS;
   vouch->asked_ms = now_ms;
   message->kind = GOSSIP_ASK;
--- a/packages/records/include/records.h
+++ b/packages/records/include/records.h
@@ -26,7 +26,9 @@
   RECORDS_ENDPOINTS,
   RECORDS_LEASES,
   RECORDS_HOSTS,
+  RECORDS_KINDS,
 };
+const char *records_kind_name (enum records_kind kind);
 
 enum records_verb
 {
@@ -94,7 +96,7 @@
   const struct records_codec *codec;
   char address[64];
   uint16_t port;
-  uint64_t calls;
+  uint64_t calls[RECORDS_KINDS]; /* sent, by kind */
   uint64_t failures;
   TAILQ_HEAD (, records_call) sent;
   TAILQ_HEAD (, records_call) idle; /* connections without a call */
--- a/packages/records/src/follower.c
+++ b/packages/records/src/follower.c
@@ -104,9 +104,9 @@
 {
   int64_t waited_until_ms = follower->sent_ms + follower->wait_ms;
 
-  take_records (follower, answer);
   if (answer->revision > follower->revision)
     follower->revision = answer->revision;
+  take_records (follower, answer);
   /* Without a change the store has looked until the wait was over. */
   follower->proof_ms = answer->count == 0 && now_ms >= waited_until_ms
                            ? waited_until_ms
--- a/packages/records/src/records.c
+++ b/packages/records/src/records.c
@@ -34,6 +34,19 @@
   TAILQ_ENTRY (records_call) link;
 };
 
+const char *
+records_kind_name (enum records_kind kind)
+{
+  static const char *const names[] = {
+    [RECORDS_CONFIGURATION] = "configuration",
+    [RECORDS_ENDPOINTS] = "endpoints",
+    [RECORDS_LEASES] = "leases",
+    [RECORDS_HOSTS] = "hosts",
+  };
+
+  return names[kind];
+}
+
 void
 records_init (struct records *records,
               struct event_base *base,
@@ -264,7 +277,7 @@
   struct records_call *call = take_idle (records);
   bool reused = call != NULL;
 
-  records->calls++;
+  records->calls[request->kind]++;
   if (call == NULL)
     call = open_call (records);
   if (call == NULL)
