records: never take the answer of a watch for a list

Ruled out: the election (3.3 s) and the avoidance of whole data centres.

An answer counts only in the state that it was asked in, and a group that was given up is not adopted again.

--- a/packages/balance/include/balance.h
+++ b/packages/balance/include/balance.h
@@ -41,9 +41,21 @@
   UT_hash_handle hh;
 };
 
+/* What is known of the way to another data centre. */
+struct lane_place
+{
+  char data_centre[CATALOG_NAME_SIZE];
+  unsigned unreached; /* endpoints there in a row that did not answer */
+  const struct lane *last; /* of them */
+  int64_t unreached_ms;
+  int64_t avoid_ms;
+  UT_hash_handle hh;
+};
+
 struct lanes
 {
   struct lane *table; /* uthash by id */
+  struct lane_place *places; /* uthash by data centre */
   struct rng rng;
   char data_centre[CATALOG_NAME_SIZE]; /* of this entry host */
 };
@@ -115,6 +127,17 @@
 void balance_note_success (struct lane *lane, int64_t now_ms);
 void balance_note_failure (struct lane *lane, int64_t now_ms);
 
+/*
+ * The endpoint did not answer at all.  If several of another data centre do
+ * not and none does, the way there is cut and all are avoided for a while.
+ */
+void balance_note_unreached (struct lanes *lanes,
+                             const struct lane *lane,
+                             int64_t now_ms);
+
+/* An endpoint of its data centre answered. */
+void balance_note_reached (struct lanes *lanes, const struct lane *lane);
+
 /* The endpoint refused, or cannot be reached: avoided for this long. */
 void balance_avoid (struct lane *lane, int64_t until_ms);
 
--- a/packages/balance/src/choose.c
+++ b/packages/balance/src/choose.c
@@ -1,4 +1,5 @@
 #include "balance.h"
+#include "balance-internal.h"
 
 #include <string.h>
 
@@ -66,6 +67,19 @@
   return false;
 }
 
+static bool
+is_avoided (const struct lanes *lanes, const struct lane *lane, int64_t now_ms)
+{
+  const struct lane_place *place;
+
+  if (lane->avoid_ms > now_ms)
+    return true;
+  if (lanes->places == NULL)
+    return false;
+  place = balance_find_place (lanes, lane->endpoint->report.data_centre);
+  return place != NULL && place->avoid_ms > now_ms;
+}
+
 static double
 recent_pause (const struct lane *lane, int64_t now_ms)
 {
@@ -227,7 +241,7 @@
       if (!is_candidate (request, endpoint))
         continue;
       lane = lanes_get (lanes, endpoint);
-      if (lane == NULL || lane->avoid_ms > now_ms
+      if (lane == NULL || is_avoided (lanes, lane, now_ms)
           || is_excluded (request, lane))
         continue;
       room = grouped ? rate_group (lanes, request, lane, usual, now_ms,
--- a/packages/balance/src/lanes.c
+++ b/packages/balance/src/lanes.c
@@ -19,7 +19,16 @@
 lanes_finish (struct lanes *lanes)
 {
   struct lane *lane = lanes->table;
+  struct lane_place *place = lanes->places;
 
+  HASH_CLEAR (hh, lanes->places);
+  while (place != NULL)
+    {
+      struct lane_place *next = place->hh.next;
+
+      free (place);
+      place = next;
+    }
   HASH_CLEAR (hh, lanes->table);
   while (lane != NULL)
     {
--- a/packages/edge/src/follow.c
+++ b/packages/edge/src/follow.c
@@ -269,7 +269,7 @@
   if (edge->vouch.differs_ms != 0
       && edge->now_ms - edge->vouch.differs_ms > DIFFERS_LIMIT_MS)
     {
-      entries->state = FOLLOWER_LISTING;
+      follower_relist (entries);
       edge->vouch.differs_ms = 0;
     }
 }
@@ -281,8 +281,7 @@
   if (!edge->leader.acting || edge->knows_all
       || edge->entries.state == FOLLOWER_LISTING)
     return;
-  edge->entries.state = FOLLOWER_LISTING;
-  edge->entries.after[0] = '\0';
+  follower_relist (&edge->entries);
 }
 
 void
--- a/packages/formation/include/formation.h
+++ b/packages/formation/include/formation.h
@@ -85,6 +85,7 @@
 {
   char id[CATALOG_NAME_SIZE];
   struct formation_group *group;
+  uint64_t given_up;  /* epoch of the last group that was given up */
   int64_t joined_ms;  /* last join order */
   unsigned tries;     /* join orders without effect */
   int64_t hold_ms;    /* not used for a new group before this moment */
--- a/packages/formation/src/formation.c
+++ b/packages/formation/src/formation.c
@@ -102,7 +102,10 @@
           for (struct formation_member *member = formation->members;
                member != NULL; member = member->hh.next)
             if (member->group == group)
-              member->group = NULL;
+              {
+                member->group = NULL;
+                member->given_up = group->epoch;
+              }
           TAILQ_REMOVE (&formation->groups, group, link);
           free (group);
         }
--- a/packages/formation/src/progress.c
+++ b/packages/formation/src/progress.c
@@ -124,7 +124,8 @@
         {
           member = formation_member (run->formation, endpoint);
           if (member == NULL || member->group != NULL
-              || was_given_up (run, report))
+              || was_given_up (run, report)
+              || member->given_up == report->epoch)
             continue;
           group = adopt_group (run, endpoint);
         }
--- a/packages/records/include/follower.h
+++ b/packages/records/include/follower.h
@@ -41,6 +41,7 @@
   uint64_t revision;
   bool listed; /* a whole list was read */
   bool asked;
+  enum follower_state asked_in; /* state that the call was made in */
   int64_t sent_ms;
   int64_t list_sent_ms;
   int64_t next_ms;
@@ -57,6 +58,9 @@
                     const struct follower_hooks *hooks,
                     int wait_ms,
                     int pace_ms);
+/* Lists anew, whatever call is under way. */
+void follower_relist (struct follower *follower);
+
 void follower_tick (struct follower *follower, int64_t now_ms);
 
 #endif
--- a/packages/records/src/follower.c
+++ b/packages/records/src/follower.c
@@ -120,6 +120,9 @@
   int64_t now_ms = time_boot_ms ();
 
   follower->asked = false;
+  /* A list was asked for meanwhile; this answer is of a watch. */
+  if (follower->asked_in != follower->state)
+    return;
   if (answer->result == RESULT_OK)
     {
       note_success (follower, now_ms);
@@ -131,8 +134,7 @@
     }
   if (answer->result == RESULT_PLATFORM_HISTORY_GONE)
     {
-      follower->state = FOLLOWER_LISTING;
-      follower->after[0] = '\0';
+      follower_relist (follower);
       LOG_EVENT (LOG_LEVEL_NOTICE, "platform-history-gone",
                  LOG_STR ("records", follower->name),
                  LOG_U64 ("revision", follower->revision));
@@ -143,6 +145,13 @@
   note_failure (follower, answer->result, now_ms);
 }
 
+void
+follower_relist (struct follower *follower)
+{
+  follower->state = FOLLOWER_LISTING;
+  follower->after[0] = '\0';
+}
+
 void
 follower_tick (struct follower *follower, int64_t now_ms)
 {
@@ -164,6 +173,7 @@
   else if (follower->after[0] != '\0')
     request.after = follower->after;
   follower->asked = true;
+  follower->asked_in = follower->state;
   follower->sent_ms = now_ms;
   follower->next_ms = now_ms + follower->pace_ms;
   records_call (follower->records, &request, timeout_ms, on_answer, follower);
--- a/packages/relay/src/attempt.c
+++ b/packages/relay/src/attempt.c
@@ -94,7 +94,10 @@
       note_tried (request, lane);
       balance_note_failure (lane, relay->now_ms);
       if (why == RESULT_ENDPOINT_CONNECT)
-        balance_avoid (lane, relay->now_ms + UNREACHED_AVOID_MS);
+        {
+          balance_avoid (lane, relay->now_ms + UNREACHED_AVOID_MS);
+          balance_note_unreached (&relay->lanes, lane, relay->now_ms);
+        }
       else if (!may_have_run)
         balance_avoid (lane, relay->now_ms + REFUSED_AVOID_MS);
       if (request->upstream != NULL)
--- a/packages/relay/src/request.c
+++ b/packages/relay/src/request.c
@@ -341,6 +341,7 @@
   if (lane->stalled_ms > relay->now_ms)
     return;
   lane->stalled_ms = relay->now_ms + STALL_TELL_MS;
+  balance_note_unreached (&relay->lanes, lane, relay->now_ms);
   LOG_EVENT (LOG_LEVEL_NOTICE, "endpoint-stands-still",
              LOG_STR ("request", request->id), LOG_STR ("endpoint", lane->id),
              LOG_INT ("silent_ms",
--- a/packages/relay/src/upstream.c
+++ b/packages/relay/src/upstream.c
@@ -122,6 +122,7 @@
 
   upstream->relay->now_ms = time_boot_ms ();
   upstream->established = true;
+  balance_note_reached (&upstream->relay->lanes, upstream->lane);
   if (upstream->request != NULL)
     relay_upstream_send (upstream);
 }
@@ -135,6 +136,7 @@
     balance_note_pause (upstream->lane, now_ms - upstream->progress_ms, now_ms);
   upstream->progress_ms = now_ms;
   upstream->lane->progress_ms = now_ms;
+  balance_note_reached (&upstream->relay->lanes, upstream->lane);
 }
 
 static void
