balance: draw choices from the range that other hosts add unseen

Ruled out: the engines (medians agree with the estimate) and the number of groups (six all the time).

A choice adds a draw over the time that requests not yet heard of add, from the age of the loads and what runs.

--- a/packages/balance/include/balance.h
+++ b/packages/balance/include/balance.h
@@ -57,6 +57,7 @@
   struct lane *table;        /* uthash by id */
   struct lane_place *places; /* uthash by data centre */
   struct rng rng;
+  int64_t age_ms; /* of what is known of the other hosts' requests */
   char data_centre[CATALOG_NAME_SIZE]; /* of this entry host */
 };
 
--- a/packages/balance/src/choose.c
+++ b/packages/balance/src/choose.c
@@ -29,6 +29,9 @@
 #define SLOWNESS_LIMIT 8.0
 /* Spreads choices between endpoints that are alike. */
 #define DRAW_MS 6.0
+#define DRAW_UNSEEN 2.0
+/* A request runs about this long, for an estimate of how many arrive. */
+#define REQUEST_MS 1000.0
 #define DRAW_LOAD 0.02
 
 unsigned
@@ -86,26 +89,41 @@
   return now_ms - lane->pause_seen_ms < PAUSE_FORGET_MS ? lane->pause_ms : 0;
 }
 
-/* The shortest recent pause between events of all candidates; 0 = unknown. */
-static double
-usual_pause (struct lanes *lanes,
-             const struct endpoints *endpoints,
-             const struct balance_request *request,
-             int64_t now_ms)
+/* What the candidates have in common. */
+struct survey
+{
+  double usual_pause_ms; /* the shortest recent one; 0 = unknown */
+  unsigned count;
+  unsigned running; /* at all of them */
+};
+
+static struct survey
+survey_candidates (struct lanes *lanes,
+                   const struct endpoints *endpoints,
+                   const struct balance_request *request,
+                   int64_t now_ms)
 {
-  double usual = 0;
+  struct survey survey = { .count = 0 };
 
   for (struct endpoint *endpoint = endpoints->table; endpoint != NULL;
        endpoint = endpoint->hh.next)
-    if (is_candidate (request, endpoint))
-      {
-        struct lane *lane = lanes_get (lanes, endpoint);
-        double pause = lane != NULL ? recent_pause (lane, now_ms) : 0;
-
-        if (pause > 0 && (usual == 0 || pause < usual))
-          usual = pause;
-      }
-  return usual;
+    {
+      struct lane *lane;
+      double pause;
+
+      if (!is_candidate (request, endpoint))
+        continue;
+      lane = lanes_get (lanes, endpoint);
+      if (lane == NULL)
+        continue;
+      survey.count++;
+      survey.running += lane->running + lane->peer_running;
+      pause = recent_pause (lane, now_ms);
+      if (pause > 0
+          && (survey.usual_pause_ms == 0 || pause < survey.usual_pause_ms))
+        survey.usual_pause_ms = pause;
+    }
+  return survey;
 }
 
 static double
@@ -173,12 +191,29 @@
   return strcmp (lane->endpoint->report.data_centre, lanes->data_centre) == 0;
 }
 
+/*
+ * Time that requests of other hosts, which this one has not heard of yet, add
+ * at each candidate.  The choice is drawn from this range: hosts with the same
+ * old knowledge would all choose the same group otherwise (Mitzenmacher, "How
+ * Useful Is Old Information?", 2000).
+ */
+static double
+unseen_ms (const struct lanes *lanes,
+           const struct balance_request *request,
+           const struct survey *survey)
+{
+  double unseen = (double)survey->running * (double)lanes->age_ms
+                  / REQUEST_MS / survey->count;
+
+  return unseen * reading_ms (request, request->prompt_tokens);
+}
+
 /* Whether the lane has room for the request, and how good a choice it is. */
 static bool
 rate_group (struct lanes *lanes,
             const struct balance_request *request,
             const struct lane *lane,
-            double usual,
+            const struct survey *survey,
             int64_t now_ms,
             double *expected_ms,
             double *value)
@@ -188,13 +223,13 @@
 
   *expected_ms
       = first_event_ms (request, running, lane->reading + lane->peer_reading)
-        * slowness (lane, usual, now_ms);
-
+        * slowness (lane, survey->usual_pause_ms, now_ms);
   if (balance_least_ms (request) > limit_ms)
     limit_ms = LATE_PART * (double)request->objective_ms;
   *value = *expected_ms + FAILURE_MS * recent_failing (lane, now_ms)
            - (is_near (lanes, lane) ? NEAR_MS : 0)
-           + DRAW_MS * rng_real (&lanes->rng);
+           + (DRAW_MS + DRAW_UNSEEN * unseen_ms (lanes, request, survey))
+                 * rng_real (&lanes->rng);
   return running < balance_slots (request->service, lane->endpoint)
          && *expected_ms <= limit_ms;
 }
@@ -225,10 +260,12 @@
 {
   enum balance_verdict verdict = BALANCE_NONE;
   bool grouped = request->service->model_count > 0;
-  double usual = grouped ? usual_pause (lanes, endpoints, request, now_ms) : 0;
+  struct survey survey = { .count = 0 };
   double least = 0;
 
   *choice = (struct balance_choice){ .lane = NULL };
+  if (grouped)
+    survey = survey_candidates (lanes, endpoints, request, now_ms);
   for (struct endpoint *endpoint = endpoints->table; endpoint != NULL;
        endpoint = endpoint->hh.next)
     {
@@ -243,8 +280,8 @@
       if (lane == NULL || is_avoided (lanes, lane, now_ms)
           || is_excluded (request, lane))
         continue;
-      room = grouped ? rate_group (lanes, request, lane, usual, now_ms,
-                                   &expected_ms, &value)
+      room = grouped ? rate_group (lanes, request, lane, &survey, now_ms,
+                                  &expected_ms, &value)
                      : rate_alone (lanes, request, lane, now_ms, &value);
       if (!room)
         {
--- a/packages/edge/include/mesh.h
+++ b/packages/edge/include/mesh.h
@@ -130,6 +130,9 @@
 /* Whether this host is a hub, or has to do without one. */
 bool mesh_is_hub (const struct mesh *mesh);
 
+/* How old the loads of the other hosts are when the next ones come. */
+int64_t mesh_load_age_ms (const struct mesh *mesh);
+
 /* Whether this host reads the platform for its data centre. */
 bool mesh_is_reader (const struct mesh *mesh);
 
--- a/packages/edge/src/mesh-load.c
+++ b/packages/edge/src/mesh-load.c
@@ -32,6 +32,13 @@
   return interval < LOAD_INTERVAL_LIMIT_MS ? interval : LOAD_INTERVAL_LIMIT_MS;
 }
 
+int64_t
+mesh_load_age_ms (const struct mesh *mesh)
+{
+  /* To the hub, on to the hosts, and half of a round until used. */
+  return 5 * interval_ms (mesh) / 2;
+}
+
 /* The order of candidates for a hub: the same on all hosts. */
 static bool
 goes_before (const struct gossip_host *a, const struct gossip_host *b)
--- a/packages/edge/src/peers.c
+++ b/packages/edge/src/peers.c
@@ -141,6 +141,7 @@
   if (edge->leader.lease.version != 0)
     mesh_set_lease (&edge->mesh, &edge->leader.lease.value,
                     edge->leader.lease.version);
+  edge->relay.lanes.age_ms = mesh_load_age_ms (&edge->mesh);
   mesh_tick (&edge->mesh, edge->relay.saw_request, collect_loads, edge,
              edge->now_ms);
 }
