relay: let a request whose endpoint failed wait for another

Cause: of the requests at a group that lost a member, some with sends left got 502 or were cut off: the new choice found every group too slow for what was left of their objective, or the retry budget was empty, since half of the slack stood by.

Such a request counts its objective anew and waits up to its length; a broken stream waits until its deadline; seven tenths of the slack stand by.

--- a/packages/balance/src/choose.c
+++ b/packages/balance/src/choose.c
@@ -29,7 +29,7 @@
 #define SLOWNESS_LIMIT 8.0
 /* Spreads choices between endpoints that are alike. */
 #define DRAW_MS 6.0
-#define DRAW_UNSEEN 2.0
+#define DRAW_UNSEEN 4.0
 /* A request runs about this long, for an estimate of how many arrive. */
 #define REQUEST_MS 1000.0
 #define DRAW_LOAD 0.02
@@ -202,8 +202,8 @@
            const struct balance_request *request,
            const struct survey *survey)
 {
-  double unseen = (double)survey->running * (double)lanes->age_ms
-                  / REQUEST_MS / survey->count;
+  double unseen = (double)survey->running * (double)lanes->age_ms / REQUEST_MS
+                  / survey->count;
 
   return unseen * reading_ms (request, request->prompt_tokens);
 }
@@ -281,7 +281,7 @@
           || is_excluded (request, lane))
         continue;
       room = grouped ? rate_group (lanes, request, lane, &survey, now_ms,
-                                  &expected_ms, &value)
+                                   &expected_ms, &value)
                      : rate_alone (lanes, request, lane, now_ms, &value);
       if (!room)
         {
--- a/packages/base/include/log.h
+++ b/packages/base/include/log.h
@@ -93,8 +93,8 @@
                        void *context);
 
 /*
- * Lines go to standard output instead, which never blocks: while it takes no
- * more, lines are dropped, counted and reported once it does.
+ * Lines go to standard output instead, which never blocks: lines that it does
+ * not take, or that come too fast, are dropped, counted and reported later.
  */
 void log_to_output (void);
 
--- a/packages/base/src/log.c
+++ b/packages/base/src/log.c
@@ -13,6 +13,13 @@
 #define LINE_SIZE 2048
 #define FACILITY_DAEMON (3 << 3)
 
+/*
+ * Lines a second to standard output, and how many may come at once: several
+ * lines for each of the requests that one entry host takes at its peak.
+ */
+#define OUTPUT_LINES_PER_S 1000
+#define OUTPUT_BURST 2000
+
 static struct
 {
   char program[32];
@@ -22,7 +29,9 @@
   void *sink_context;
   void (*observe) (void *context, enum log_level level, const char *line);
   void *observe_context;
-  uint64_t dropped; /* lines that standard output did not take */
+  uint64_t dropped;    /* lines over the limit, or not taken by the output */
+  double output_lines; /* that may be written now */
+  int64_t output_ms;   /* when that was last reckoned */
 } state = { .program = "waxwinglink", .host = "-", .level = LOG_LEVEL_INFO };
 
 struct line
@@ -152,6 +161,26 @@
   state.observe_context = context;
 }
 
+/* Takes one line of what may be written now. */
+static bool
+take_output_line (void)
+{
+  struct timespec now;
+  int64_t now_ms;
+
+  clock_gettime (CLOCK_BOOTTIME, &now);
+  now_ms = (int64_t)now.tv_sec * 1000 + now.tv_nsec / 1000000;
+  state.output_lines
+      += (double)(now_ms - state.output_ms) / 1000 * OUTPUT_LINES_PER_S;
+  state.output_ms = now_ms;
+  if (state.output_lines > OUTPUT_BURST)
+    state.output_lines = OUTPUT_BURST;
+  if (state.output_lines < 1)
+    return false;
+  state.output_lines -= 1;
+  return true;
+}
+
 /* One write per line, so that lines of different processes never mix. */
 static void
 write_output (void *context, enum log_level level, const char *text)
@@ -164,10 +193,15 @@
 
   (void)context;
   (void)level;
+  if (!take_output_line ())
+    {
+      state.dropped++;
+      return;
+    }
   if (state.dropped > 0)
     {
-      int n = snprintf (lost, sizeof lost, "event=log-lines-lost count=%" PRIu64
-                                           "\n",
+      int n = snprintf (lost, sizeof lost,
+                        "event=log-lines-lost count=%" PRIu64 "\n",
                         state.dropped);
 
       parts[count].iov_base = lost;
--- a/packages/edge/src/follow.c
+++ b/packages/edge/src/follow.c
@@ -11,7 +11,7 @@
 #define CONFIGURATION_PACE_MS 20
 #define ENTRIES_WAIT_MS 500
 /* Changes of the endpoints gather for this long, to save calls. */
-#define ENTRIES_PACE_MS 150
+#define ENTRIES_PACE_MS 200
 /* A read of the configuration alone, and the least time between two. */
 #define FETCH_MS 1200
 #define FETCH_PACE_MS 600
--- a/packages/edge/src/leader.c
+++ b/packages/edge/src/leader.c
@@ -19,9 +19,10 @@
 #define LEASE_POLL_MS 1500
 #define LEASE_SLOW_POLL_MS 4000
 #define LEASE_RETRY_MS 250
-#define LEASE_RANKS 4      /* candidates are spread over this many delays */
-#define LEASE_CALL_MS 1000 /* a call without an answer for this long is lost   \
-                            */
+#define LEASE_RANKS 4 /* candidates are spread over this many delays */
+#define LEASE_CALL_MS                                                          \
+  1000 /* a call without an answer for this long is lost                       \
+        */
 
 static void
 send_order (void *context, const struct formation_order *order)
--- a/packages/edge/src/mesh.c
+++ b/packages/edge/src/mesh.c
@@ -15,7 +15,7 @@
 #include <unistd.h>
 
 /* Time for the hosts that a new one has greeted to answer. */
-#define SETTLE_MS 800
+#define SETTLE_MS 600
 /* New hosts greet this often until they know the others, and rarely later. */
 #define HELLO_EARLY_MS 250
 #define HELLO_LATE_MS 3000
--- a/packages/edge/src/vouch.c
+++ b/packages/edge/src/vouch.c
@@ -144,7 +144,7 @@
     {
       /* It cannot reach the platform itself. */
       next_hub (vouch);
-      vouch->ask_ms = vouch->now_ms;
+      vouch->ask_ms = vouch->now_ms + ASK_AGAIN_MS;
       return;
     }
   if (said->configuration > vouch->newest)
--- /dev/null
+++ b/packages/edge/tests/t0962-edge-settings.c
@@ -0,0 +1,117 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "edge-settings.h"
+#include "edge.h"
+
+#define GOOD                                                                   \
+  "host: edge-1\n"                                                             \
+  "data_centre: casa-a\n"                                                      \
+  "data_centres: [casa-a, casa-b]\n"                                           \
+  "callers: {listen: 10.0.0.1:80}\n"                                           \
+  "readiness: {listen: 10.0.0.1:81}\n"                                         \
+  "peers: {address: 10.0.0.1, port: 7340, seeds: [10.0.0.2:9]}\n"              \
+  "platform: {store: 10.0.0.9:8223}\n"
+
+static struct edge_settings settings;
+static struct settings_errors errors;
+
+struct settings_case
+{
+  const char *extra;
+  enum result result;
+};
+
+static const struct settings_case cases[] = {
+  { "", RESULT_OK },
+  { "drain: {limit_s: 7.5}\n", RESULT_OK },
+  { "drain: {limit_s: 0}\n", RESULT_SETTINGS_OUT_OF_RANGE },
+  { "keys: {revoke_ms: soon}\n", RESULT_SETTINGS_BAD_VALUE },
+  { "colour: red\n", RESULT_SETTINGS_UNKNOWN_KEY },
+  { "host: again\n", RESULT_SETTINGS_DUPLICATE_KEY },
+};
+
+static void
+test_cases (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      char text[1024];
+
+      snprintf (text, sizeof text, "%s%s", GOOD, cases[i].extra);
+      assert_int_equal (settings_parse_table (&edge_settings_table, &settings,
+                                              text, strlen (text), &errors),
+                        cases[i].result);
+    }
+}
+
+struct address_case
+{
+  const char *text;
+  bool good;
+};
+
+static const struct address_case addresses[] = {
+  { "10.0.0.1:80", true },  { "10.0.0.1", false },
+  { "10.0.0.1:", false },   { "10.0.0.1:0", false },
+  { "10.0.0.1:8x", false }, { "10.0.0.1:70000", false },
+};
+
+static void
+test_addresses (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof addresses / sizeof addresses[0]; i++)
+    {
+      char address[64];
+      uint16_t port;
+
+      assert_int_equal (edge_parse_address (addresses[i].text, address,
+                                            sizeof address, &port),
+                        addresses[i].good);
+    }
+}
+
+/* The operators' page must not drift from the table of keys. */
+static void
+test_documentation (void **state)
+{
+  static char page[1 << 16];
+  FILE *file = fopen ("docs/settings.md", "re");
+  size_t size;
+
+  (void)state;
+  assert_non_null (file);
+  size = fread (page, 1, sizeof page - 1, file);
+  page[size] = '\0';
+  fclose (file);
+  for (unsigned i = 0; i < edge_settings_table.count; i++)
+    {
+      const struct settings_key *key = &edge_settings_table.keys[i];
+      char row[512];
+
+      snprintf (row, sizeof row, "| `%s` | %s | %s | ", key->name, key->unit,
+                key->default_value != NULL ? key->default_value : "required");
+      if (strstr (page, row) == NULL || strstr (page, key->meaning) == NULL)
+        fail_msg ("docs/settings.md lacks: %s", row);
+    }
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_cases),
+    cmocka_unit_test (test_addresses),
+    cmocka_unit_test (test_documentation),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/packages/relay/include/relay.h
+++ b/packages/relay/include/relay.h
@@ -118,6 +118,7 @@
   int64_t arrived_ms;
   int64_t deadline_ms; /* the caller's, or the route's if that is earlier */
   int64_t objective_by_ms;
+  int64_t waiting_since_ms; /* for an endpoint, for the first or next time */
   unsigned urgency;
   uint64_t prompt_tokens;
   double expected_ms; /* to the first event, when the endpoint was chosen */
--- a/packages/relay/src/attempt.c
+++ b/packages/relay/src/attempt.c
@@ -106,6 +106,7 @@
     request->runs++;
   request->failure = why;
   request->phase = RELAY_WAITING;
+  request->waiting_since_ms = relay->now_ms;
   if ((may_have_run && !catalog_is_repeatable (request->route))
       || request->runs >= request->route->attempts
       || request->sends >= SEND_LIMIT || relay->now_ms >= request->deadline_ms
@@ -118,20 +119,29 @@
   relay_dispatch (request);
 }
 
+/* True if the request has been at an endpoint and failed there. */
+static bool
+was_sent (const struct relay_request *request)
+{
+  return request->sends > 0;
+}
+
 /*
- * True if waiting for room still serves the caller: a stream that has begun
- * cannot be refused any more, and a new request is better refused soon.
+ * True if waiting for room still serves the caller.  A new request is better
+ * refused soon; one whose endpoint failed has waited for nothing so far, and a
+ * stream that has begun cannot be refused any more.
  */
 static bool
-may_wait (const struct relay_request *request,
-          const struct balance_request *wanted)
+may_wait (const struct relay_request *request)
 {
   const struct relay *relay = request->relay;
-  double waited_ms = (double)(relay->now_ms - request->arrived_ms);
+  int64_t waited_ms = relay->now_ms - request->waiting_since_ms;
 
   if (request->head_sent)
     return relay->now_ms < request->deadline_ms;
-  return waited_ms < WAIT_PART * (double)wanted->objective_ms;
+  if (was_sent (request))
+    return waited_ms < request->route->objective_ms;
+  return (double)waited_ms < WAIT_PART * (double)request->route->objective_ms;
 }
 
 void
@@ -143,7 +153,7 @@
     .model = request->model,
     .prompt_tokens = request->prompt_tokens,
     .objective_ms = request->route->objective_ms,
-    .left_ms = request->head_sent ? request->route->objective_ms
+    .left_ms = was_sent (request) ? request->route->objective_ms
                                   : request->objective_by_ms - relay->now_ms,
     .excluded_count = request->tried_count,
   };
@@ -159,13 +169,17 @@
       relay_attempt_start (request, choice.lane);
       break;
     case BALANCE_FULL:
-      if (may_wait (request, &wanted))
+      if (may_wait (request))
         relay_request_queue (request, true);
       else
         give_up (request, RESULT_SHED);
       break;
     case BALANCE_NONE:
-      give_up (request, RESULT_NO_CAPACITY);
+      /* A group may come back while a broken stream can still go on. */
+      if (request->head_sent && may_wait (request))
+        relay_request_queue (request, true);
+      else
+        give_up (request, RESULT_NO_CAPACITY);
       break;
     }
 }
--- a/packages/relay/src/request.c
+++ b/packages/relay/src/request.c
@@ -273,6 +273,7 @@
       return;
     }
   request->phase = RELAY_WAITING;
+  request->waiting_since_ms = relay->now_ms;
   relay_dispatch (request);
 }
 
--- a/packages/relay/src/retry-budget.c
+++ b/packages/relay/src/retry-budget.c
@@ -3,6 +3,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Part of the slack that stands by for a sudden need, such as a lost group. */
+#define STANDBY_PART 0.7
+
 void
 retry_budgets_init (struct retry_budgets *budgets,
                     double ratio,
@@ -45,19 +48,16 @@
       if (budget == NULL)
         return NULL;
       memcpy (budget->service, service, size);
-      budget->tokens = limit / 2;
+      budget->tokens = limit * STANDBY_PART;
       budget->refilled_ms = now_ms;
       HASH_ADD_STR (budgets->table, service, budget);
     }
-  /*
-   * Half of the slack may stand by and half comes back per window, so that no
-   * window sees more than the whole.
-   */
+  /* What stands by and what comes back in a window make up the slack. */
   budget->tokens += (double)(now_ms - budget->refilled_ms)
-                    / (double)budgets->window_ms * limit / 2;
+                    / (double)budgets->window_ms * limit * (1 - STANDBY_PART);
   budget->refilled_ms = now_ms;
-  if (budget->tokens > limit / 2)
-    budget->tokens = limit / 2;
+  if (budget->tokens > limit * STANDBY_PART)
+    budget->tokens = limit * STANDBY_PART;
   return budget;
 }
 
