--- a/packages/edge/src/follow.c
+++ b/packages/edge/src/follow.c
@@ -24,6 +24,12 @@
 #define START_MS 1500
 /* Entries that differ from a hub's for this long are read anew. */
 #define DIFFERS_LIMIT_MS 1500
+/*
+ * While the platform is away readers try it this often.  The others learn of
+ * its return from them, and try it themselves only now and then.
+ */
+#define READER_RETRY_MS 800
+#define OTHER_RETRY_MS 3200
 /* A host that others ask reads the platform for so long. */
 #define RELIED_MS 2000
 
@@ -283,6 +289,12 @@
 void
 edge_follow_tick (struct edge *edge)
 {
+  int64_t retry_ms = mesh_is_reader (&edge->mesh) || edge->leader.acting
+                         ? READER_RETRY_MS
+                         : OTHER_RETRY_MS;
+
+  edge->configuration.retry_limit_ms = retry_ms;
+  edge->entries.retry_limit_ms = retry_ms;
   set_direct (edge, must_be_direct (edge));
   read_all (edge);
   if (edge->direct)
--- a/packages/records/src/follower.c
+++ b/packages/records/src/follower.c
@@ -10,7 +10,7 @@
 #define ANSWER_MS 1200
 /* A list is several pages of at most 1 MB. */
 #define LIST_MS 2000
-/* Wait after a failed call; doubles up to the limit. */
+/* Wait after a failed call; doubles up to the follower's limit. */
 #define RETRY_MS 200
 #define RETRY_LIMIT_MS 800
 
@@ -32,6 +32,7 @@
   follower->pace_ms = pace_ms;
   follower->proof_ms = INT64_MIN / 2;
   follower->retry_ms = RETRY_MS;
+  follower->retry_limit_ms = RETRY_LIMIT_MS;
 }
 
 static void
@@ -39,8 +40,8 @@
 {
   follower->next_ms = now_ms + follower->retry_ms;
   follower->retry_ms *= 2;
-  if (follower->retry_ms > RETRY_LIMIT_MS)
-    follower->retry_ms = RETRY_LIMIT_MS;
+  if (follower->retry_ms > follower->retry_limit_ms)
+    follower->retry_ms = follower->retry_limit_ms;
   if (follower->failing_since_ms != 0 || !records_is_trouble (why))
     return;
   follower->failing_since_ms = now_ms;
