--- a/packages/balance/src/choose.c
+++ b/packages/balance/src/choose.c
@@ -131,7 +131,7 @@
 {
   int64_t age_ms = now_ms - lane->failed_ms;
 
-  return age_ms > 4 * FAILURE_HALF_MS
+  return age_ms > 4L * FAILURE_HALF_MS
              ? 0
              : lane->failing / (1.0 + (double)age_ms / FAILURE_HALF_MS);
 }
--- a/packages/catalog/include/endpoints.h
+++ b/packages/catalog/include/endpoints.h
@@ -59,6 +59,7 @@
   uint64_t routed_revision;  /* of the last change to or from being routed */
   bool stale;                /* scratch of a relisting */
   void *link;                /* of the owner of the table */
+  struct endpoint *next_removed; /* private to endpoints */
   UT_hash_handle hh;
 };
 
--- a/packages/catalog/src/catalog.c
+++ b/packages/catalog/src/catalog.c
@@ -5,7 +5,7 @@
 #include <string.h>
 
 /* Host names compare without case (RFC 9110, section 4.2.3) and port. */
-#define ROUTE_KEY_SIZE (2 * CATALOG_PATH_SIZE)
+#define ROUTE_KEY_SIZE (2UL * CATALOG_PATH_SIZE)
 
 struct catalog *
 catalog_new (unsigned routes, unsigned services, unsigned customers)
--- a/packages/catalog/src/endpoints.c
+++ b/packages/catalog/src/endpoints.c
@@ -54,21 +54,35 @@
   return hash_string (endpoint->id, endpoint->revision);
 }
 
+/* Frees endpoints that are out of the table already. */
 static void
-remove_endpoint (struct endpoints *endpoints, struct endpoint *endpoint)
+free_removed (struct endpoints *endpoints, struct endpoint *endpoint)
 {
-  HASH_DELETE (hh, endpoints->table, endpoint);
-  endpoints->digest ^= digest_of (endpoint);
-  if (endpoints->removed != NULL)
-    endpoints->removed (endpoints->context, endpoint);
-  free (endpoint);
+  while (endpoint != NULL)
+    {
+      struct endpoint *next = endpoint->next_removed;
+
+      endpoints->digest ^= digest_of (endpoint);
+      if (endpoints->removed != NULL)
+        endpoints->removed (endpoints->context, endpoint);
+      free (endpoint);
+      endpoint = next;
+    }
 }
 
 void
 endpoints_finish (struct endpoints *endpoints)
 {
-  while (endpoints->table != NULL)
-    remove_endpoint (endpoints, endpoints->table);
+  struct endpoint *removed = NULL;
+
+  for (struct endpoint *endpoint = endpoints->table; endpoint != NULL;
+       endpoint = endpoint->hh.next)
+    {
+      endpoint->next_removed = removed;
+      removed = endpoint;
+    }
+  HASH_CLEAR (hh, endpoints->table);
+  free_removed (endpoints, removed);
 }
 
 struct endpoint *
@@ -174,6 +188,7 @@
 endpoints_tick (struct endpoints *endpoints, int64_t now_ms)
 {
   struct endpoint *endpoint = endpoints->table;
+  struct endpoint *removed = NULL;
 
   if (now_ms < endpoints->believe_ms)
     return;
@@ -182,9 +197,14 @@
       struct endpoint *next = endpoint->hh.next;
 
       if (endpoint->deleted_ms != 0)
-        remove_endpoint (endpoints, endpoint);
+        {
+          HASH_DELETE (hh, endpoints->table, endpoint);
+          endpoint->next_removed = removed;
+          removed = endpoint;
+        }
       endpoint = next;
     }
+  free_removed (endpoints, removed);
 }
 
 bool
--- a/packages/daemon/bin/main.c
+++ b/packages/daemon/bin/main.c
@@ -66,9 +66,8 @@
 static int
 run_edge (const char *path, bool check_only)
 {
-  enum result result
-      = settings_load_table (&edge_settings_table, &edge_settings, path,
-                             &errors);
+  enum result result = settings_load_table (&edge_settings_table,
+                                            &edge_settings, path, &errors);
   int level = log_parse_level (edge_settings.log_level);
   int status = EXIT_FAILURE;
 
--- a/packages/edge/src/edge.c
+++ b/packages/edge/src/edge.c
@@ -168,7 +168,7 @@
 static enum result
 start_timers (struct edge *edge)
 {
-  const struct timeval interval = { 0, RELAY_TICK_MS * 1000 };
+  const struct timeval interval = { 0, RELAY_TICK_MS * 1000L };
 
   edge->tick = event_new (edge->base, -1, EV_PERSIST, on_tick, edge);
   edge->on_term = evsignal_new (edge->base, SIGTERM, on_term, edge);
--- a/packages/edge/src/follow.c
+++ b/packages/edge/src/follow.c
@@ -40,7 +40,8 @@
   struct catalog *catalog;
   enum result result;
 
-  if (record->deleted || strcmp (record->name, edge->adapter->configuration))
+  if (record->deleted
+      || strcmp (record->name, edge->adapter->configuration) != 0)
     return;
   result = edge->adapter->decode_catalog (record->value, &catalog);
   if (result != RESULT_OK)
--- a/packages/edge/src/mesh.c
+++ b/packages/edge/src/mesh.c
@@ -228,7 +228,7 @@
   for (int i = 0; i < READ_BURST; i++)
     {
       struct gossip_message message;
-      struct sockaddr_in from;
+      struct sockaddr_in from = { .sin_family = AF_INET };
       socklen_t from_size = sizeof from;
       char buffer[GOSSIP_BYTES];
       ssize_t size = recvfrom (fd, buffer, sizeof buffer, 0,
--- a/packages/formation/src/member.c
+++ b/packages/formation/src/member.c
@@ -46,25 +46,41 @@
   return service != NULL && service->model_count > 0;
 }
 
+static bool
+is_forgotten (const struct formation_run *run,
+              const struct formation_member *member)
+{
+  const struct endpoint *endpoint = endpoints_find (run->endpoints, member->id);
+
+  return endpoint == NULL || endpoint->report.started_ms != member->started_ms;
+}
+
 /* Forgets endpoints that are gone, and the former lives of those restarted. */
 void
 formation_forget_members (const struct formation_run *run)
 {
-  struct formation_member *member = run->formation->members;
+  struct formation *formation = run->formation;
+  struct formation_member *member = formation->members;
+  struct formation_member *kept = NULL;
 
+  while (member != NULL && !is_forgotten (run, member))
+    member = member->hh.next;
+  if (member == NULL)
+    return;
+  member = formation->members;
+  /* The table is built anew, since entries may not be freed while walked. */
+  HASH_CLEAR (hh, formation->members);
   while (member != NULL)
     {
       struct formation_member *next = member->hh.next;
-      const struct endpoint *endpoint
-          = endpoints_find (run->endpoints, member->id);
-
-      if (endpoint == NULL || endpoint->report.started_ms != member->started_ms)
-        {
-          HASH_DELETE (hh, run->formation->members, member);
-          free (member);
-        }
+
+      if (is_forgotten (run, member))
+        free (member);
+      else
+        HASH_ADD_STR (kept, id, member);
       member = next;
     }
+  formation->members = kept;
 }
 
 /* The head of the endpoint's group, if it is known and answers. */
--- a/packages/formation/src/progress.c
+++ b/packages/formation/src/progress.c
@@ -301,12 +301,12 @@
 
   if (view.lost > 0 || view.leaving > 0)
     progress_loss (run, group, &view);
-  else if (head->report.state == ENDPOINT_GROUP_OPEN
+  else if (head != NULL && head->report.state == ENDPOINT_GROUP_OPEN
            && reports_group (head, group))
     formation_set_phase (run, group, FORMATION_SERVING, "head is open");
   else if (view.pending > 0)
     formation_set_phase (run, group, FORMATION_FAILED, "a member changed");
-  else if (order_due (run, group))
+  else if (head != NULL && order_due (run, group))
     formation_order (run, group, FORMATION_OPEN, head->id, "all ready");
 }
 
@@ -324,7 +324,7 @@
     progress_loss (run, group, &view);
   else if (view.pending > 0)
     formation_set_phase (run, group, FORMATION_FAILED, "a member changed");
-  else if (head->report.state == ENDPOINT_GROUP_READY)
+  else if (head != NULL && head->report.state == ENDPOINT_GROUP_READY)
     formation_set_phase (run, group, FORMATION_OPENING, "head had closed");
 }
 
@@ -378,7 +378,7 @@
     formation_set_phase (run, group, FORMATION_GONE, "closed");
   else if (run->now_ms - group->since_ms > RETIRE_LIMIT_MS)
     formation_set_phase (run, group, FORMATION_FAILED, "closes too slowly");
-  else if (order_due (run, group))
+  else if (head != NULL && order_due (run, group))
     formation_order (run, group, FORMATION_DRAIN, head->id, "a member leaves");
 }
 
--- a/packages/records/include/follower.h
+++ b/packages/records/include/follower.h
@@ -45,8 +45,8 @@
   int64_t sent_ms;
   int64_t list_sent_ms;
   int64_t next_ms;
-  int64_t retry_ms;       /* wait after the next failure */
-  int64_t retry_limit_ms; /* the longest such wait; may be set at any time */
+  int64_t retry_ms;         /* wait after the next failure */
+  int64_t retry_limit_ms;   /* the longest such wait; may be set at any time */
   int64_t failing_since_ms; /* 0 = not failing */
   /* Everything that was acknowledged before this moment is known. */
   int64_t proof_ms;
--- a/packages/settings/src/parse.c
+++ b/packages/settings/src/parse.c
@@ -340,8 +340,7 @@
                       size_t size,
                       struct settings_errors *errors)
 {
-  struct parse parse
-      = { .table = table, .target = target, .errors = errors };
+  struct parse parse = { .table = table, .target = target, .errors = errors };
   yaml_parser_t parser;
 
   memset (target, 0, table->size);
@@ -368,8 +367,7 @@
                      const char *path,
                      struct settings_errors *errors)
 {
-  struct parse parse
-      = { .table = table, .target = target, .errors = errors };
+  struct parse parse = { .table = table, .target = target, .errors = errors };
   enum result result = RESULT_SETTINGS_UNREADABLE;
   char *text = NULL;
   size_t size;
