edge: ask endpoints whose entries lapsed with the platform away

Ruled out: the wait for a configuration (hubs prove it at 26.5 s).

Kept: it can only bring the repair forward.

--- a/packages/edge/src/leader.c
+++ b/packages/edge/src/leader.c
@@ -197,6 +197,22 @@
   formation_set_fence (&leader->formation, fence, leader->now_ms);
 }
 
+/*
+ * Entries that lapsed while the platform was away count as present for a
+ * while.  Asking their endpoints tells sooner which of them live.
+ */
+static void
+check_lapsed (struct leader *leader)
+{
+  if (!leader->acting)
+    return;
+  for (const struct endpoint *endpoint = leader->endpoints->table;
+       endpoint != NULL; endpoint = endpoint->hh.next)
+    if (endpoint->deleted_ms != 0
+        && strcmp (endpoint->report.data_centre, leader->lease_name) == 0)
+      checker_suspect (&leader->checker, endpoint->id, leader->now_ms);
+}
+
 void
 leader_tick (struct leader *leader,
              const struct catalog *catalog,
@@ -214,6 +230,7 @@
   if (candidate || leader->lease.phase == LEASE_HOLDING)
     act_on_lease (leader);
   note_lease (leader);
+  check_lapsed (leader);
   if (traffic)
     leader->formation.traffic = true;
   if (knows_all)
