formation: leave a head that may yet open before it is joined

An order to open was carried out unseen, a member was lost, the order to evict did not arrive, and after 1.2 s without a report the head counted as shut and was joined while it was open.

Endpoints of a group whose head may still open (an order under way, a group of an earlier holder, or no newer report) have to report that they have left before they are joined.

--- a/packages/edge/src/checker.c
+++ b/packages/edge/src/checker.c
@@ -1,7 +1,6 @@
 #include "checker.h"
 
-#include "http-connection.h"
-#include "http-text.h"
+#include "http-call.h"
 #include "log.h"
 
 #include <stdlib.h>
@@ -16,13 +15,12 @@
 #define SILENT_PAUSE_MS 600
 /* Answers in a row that clear a suspect: a partition may come and go. */
 #define CHECK_ANSWERS 2
-#define HEADER_BYTES 65536
 
 struct check
 {
   char endpoint[CATALOG_NAME_SIZE];
   struct checker *checker;
-  struct http_connection *connection; /* NULL = no check under way */
+  struct http_call *call; /* NULL = no check under way */
   unsigned failures;
   unsigned answers;
   bool silent;
@@ -45,19 +43,19 @@
 }
 
 static void
-close_connection (struct check *check)
+end_call (struct check *check)
 {
-  if (check->connection == NULL)
+  if (check->call == NULL)
     return;
-  http_connection_finish (check->connection);
-  http_free_later (check->checker->base, check->connection);
-  check->connection = NULL;
+  http_call_finish (check->call);
+  http_free_later (check->checker->base, check->call);
+  check->call = NULL;
 }
 
 static void
 drop (struct check *check)
 {
-  close_connection (check);
+  end_call (check);
   HASH_DELETE (hh, check->checker->checks, check);
   http_free_later (check->checker->base, check);
 }
@@ -72,7 +70,7 @@
 static void
 note_failure (struct check *check)
 {
-  close_connection (check);
+  end_call (check);
   check->answers = 0;
   check->failures++;
   if (check->failures >= CHECK_FAILURES && !check->silent)
@@ -89,7 +87,7 @@
 static void
 note_answer (struct check *check)
 {
-  close_connection (check);
+  end_call (check);
   check->failures = 0;
   check->answers++;
   if (check->silent)
@@ -101,72 +99,38 @@
 }
 
 static void
-on_connected (void *context)
+on_done (void *context, bool answered, unsigned status)
 {
-  struct check *check = context;
-  struct http_text text;
-
-  http_text_init (&text);
-  http_text_format (&text, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n",
-                    check->checker->adapter->endpoint_report_target,
-                    check->endpoint);
-  if (!text.failed)
-    http_connection_write (check->connection, text.data, text.size);
-  http_text_finish (&text);
+  (void)status;
+  if (answered)
+    note_answer (context);
+  else
+    note_failure (context);
 }
 
-static void
-on_head (void *context, const struct http_head *head)
-{
-  (void)context;
-  (void)head;
-}
-
-static void
-on_body (void *context, const char *data, size_t size)
-{
-  (void)context;
-  (void)data;
-  (void)size;
-}
-
-static void
-on_complete (void *context)
-{
-  note_answer (context);
-}
-
-static void
-on_closed (void *context, enum http_end end)
-{
-  (void)end;
-  note_failure (context);
-}
-
-static const struct http_events events = {
-  .connected = on_connected,
-  .head = on_head,
-  .body = on_body,
-  .complete = on_complete,
-  .closed = on_closed,
-};
-
 static void
 start (struct check *check, const struct endpoint *endpoint)
 {
-  const struct http_limits limits = { HEADER_BYTES, HEADER_BYTES };
   struct checker *checker = check->checker;
+  struct http_text request;
 
-  check->connection = calloc (1, sizeof *check->connection);
-  if (check->connection == NULL)
+  check->call = calloc (1, sizeof *check->call);
+  if (check->call == NULL)
     return;
   checker->sent++;
   check->sent_ms = checker->now_ms;
-  if (http_connection_connect (check->connection, checker->base,
-                               endpoint->report.address, endpoint->report.port,
-                               CHECK_MS, &limits, &events, check)
+  http_text_init (&request);
+  http_text_format (&request, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n",
+                    checker->adapter->endpoint_report_target, check->endpoint);
+  if (http_call_start (check->call, checker->base, endpoint->report.address,
+                       endpoint->report.port, CHECK_MS, &request, on_done,
+                       check)
       != RESULT_OK)
-    note_failure (check);
+    {
+      free (check->call);
+      check->call = NULL;
+      note_failure (check);
+    }
 }
 
 void
@@ -213,7 +177,7 @@
 
       if (endpoint == NULL)
         drop (check);
-      else if (check->connection != NULL)
+      else if (check->call != NULL)
         {
           if (now_ms - check->sent_ms >= CHECK_MS)
             note_failure (check);
--- a/packages/edge/src/orders.c
+++ b/packages/edge/src/orders.c
@@ -1,6 +1,6 @@
 #include "orders.h"
 
-#include "http-connection.h"
+#include "http-call.h"
 #include "log.h"
 #include "timeutil.h"
 
@@ -9,19 +9,16 @@
 
 /* An order without an answer for this long counts as lost. */
 #define ORDER_MS 1500
-#define HEADER_BYTES 16384
 
 struct order_call
 {
   struct orders *orders;
-  struct http_connection connection;
+  struct http_call http;
   enum formation_op op;
   char endpoint[CATALOG_NAME_SIZE];
   char group[CATALOG_NAME_SIZE];
   uint64_t fence;
   int64_t sent_ms;
-  unsigned status;
-  struct http_text request;
   TAILQ_ENTRY (order_call) link;
 };
 
@@ -29,13 +26,12 @@
 close_call (struct order_call *call)
 {
   TAILQ_REMOVE (&call->orders->calls, call, link);
-  http_connection_finish (&call->connection);
-  http_text_finish (&call->request);
+  http_call_finish (&call->http);
   http_free_later (call->orders->base, call);
 }
 
 static void
-end_call (struct order_call *call, enum result result)
+end_call (struct order_call *call, enum result result, unsigned status)
 {
   struct orders *orders = call->orders;
 
@@ -43,7 +39,7 @@
              "order-answered", LOG_STR ("op", formation_op_name (call->op)),
              LOG_STR ("endpoint", call->endpoint),
              LOG_STR ("group", call->group), LOG_U64 ("fence", call->fence),
-             LOG_U64 ("status", call->status), LOG_INT ("code", result),
+             LOG_U64 ("status", status), LOG_INT ("code", result),
              LOG_INT ("after_ms", time_boot_ms () - call->sent_ms));
   if (result == RESULT_ORDER_FENCED && orders->fenced != NULL)
     orders->fenced (orders->context, call->endpoint);
@@ -53,53 +49,16 @@
 }
 
 static void
-on_connected (void *context)
-{
-  struct order_call *call = context;
-
-  http_connection_write (&call->connection, call->request.data,
-                         call->request.size);
-}
-
-static void
-on_head (void *context, const struct http_head *head)
-{
-  struct order_call *call = context;
-
-  call->status = head->status;
-}
-
-static void
-on_body (void *context, const char *data, size_t size)
-{
-  (void)context;
-  (void)data;
-  (void)size;
-}
-
-static void
-on_complete (void *context)
+on_done (void *context, bool answered, unsigned status)
 {
   struct order_call *call = context;
 
-  end_call (call, call->orders->adapter->decode_order_status (call->status));
-}
-
-static void
-on_closed (void *context, enum http_end end)
-{
-  (void)end;
-  end_call (context, RESULT_ORDER_LOST);
+  end_call (call,
+            answered ? call->orders->adapter->decode_order_status (status)
+                     : RESULT_ORDER_LOST,
+            status);
 }
 
-static const struct http_events events = {
-  .connected = on_connected,
-  .head = on_head,
-  .body = on_body,
-  .complete = on_complete,
-  .closed = on_closed,
-};
-
 void
 orders_init (struct orders *orders,
              struct event_base *base,
@@ -127,26 +86,28 @@
 }
 
 static void
-encode (struct order_call *call,
+encode (const struct orders *orders,
         const struct formation_order *order,
+        uint64_t fence,
         const char *address,
-        uint16_t port)
+        uint16_t port,
+        struct http_text *request)
 {
   struct http_text target;
   struct http_text body;
 
   http_text_init (&target);
   http_text_init (&body);
-  call->orders->adapter->encode_order (order, call->fence, &target, &body);
-  http_text_format (&call->request,
+  orders->adapter->encode_order (order, fence, &target, &body);
+  http_text_format (request,
                     "POST %s HTTP/1.1\r\nHost: %s:%u\r\n"
                     "Content-Type: application/json\r\n"
                     "Content-Length: %zu\r\nConnection: close\r\n\r\n",
                     target.data != NULL ? target.data : "/", address, port,
                     body.size);
-  http_text_add (&call->request, body.data, body.size);
+  http_text_add (request, body.data, body.size);
   if (target.failed || body.failed)
-    call->request.failed = true;
+    request->failed = true;
   http_text_finish (&target);
   http_text_finish (&body);
 }
@@ -159,8 +120,8 @@
              uint16_t port,
              int64_t now_ms)
 {
-  const struct http_limits limits = { HEADER_BYTES, HEADER_BYTES };
   struct order_call *call = calloc (1, sizeof *call);
+  struct http_text request;
 
   if (call == NULL)
     goto failed;
@@ -170,12 +131,11 @@
   call->sent_ms = now_ms;
   memcpy (call->endpoint, order->endpoint, strlen (order->endpoint) + 1);
   memcpy (call->group, order->group, strlen (order->group) + 1);
-  http_text_init (&call->request);
-  encode (call, order, address, port);
-  if (call->request.failed
-      || http_connection_connect (&call->connection, orders->base, address,
-                                  port, ORDER_MS, &limits, &events, call)
-             != RESULT_OK)
+  http_text_init (&request);
+  encode (orders, order, fence, address, port, &request);
+  if (http_call_start (&call->http, orders->base, address, port, ORDER_MS,
+                       &request, on_done, call)
+      != RESULT_OK)
     goto failed;
   TAILQ_INSERT_TAIL (&orders->calls, call, link);
   return;
@@ -184,8 +144,6 @@
   LOG_EVENT (LOG_LEVEL_WARNING, "order-not-sent",
              LOG_STR ("op", formation_op_name (order->op)),
              LOG_STR ("endpoint", order->endpoint));
-  if (call != NULL)
-    http_text_finish (&call->request);
   free (call);
 }
 
@@ -199,7 +157,7 @@
       struct order_call *next = TAILQ_NEXT (call, link);
 
       if (now_ms - call->sent_ms >= ORDER_MS)
-        end_call (call, RESULT_ORDER_LOST);
+        end_call (call, RESULT_ORDER_LOST, 0);
       call = next;
     }
 }
--- /dev/null
+++ b/packages/edge/tests/t0963-orders.c
@@ -0,0 +1,264 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "checker.h"
+#include "http-connection.h"
+#include "log.h"
+#include "netutil.h"
+#include "orders.h"
+#include "timeutil.h"
+
+/* Orders and checks against an endpoint that answers one status, or none. */
+
+#define WAIT_MS 10000
+
+static struct event_base *base;
+static unsigned answer_status; /* 0 = none */
+static unsigned fenced;
+static unsigned lost;
+static struct http_connection *connections[64];
+static unsigned connection_count;
+
+static void
+ignore_head (void *context, const struct http_head *head)
+{
+  (void)context;
+  (void)head;
+}
+
+static void
+ignore_body (void *context, const char *data, size_t size)
+{
+  (void)context;
+  (void)data;
+  (void)size;
+}
+
+static void
+on_complete (void *context)
+{
+  char text[64];
+
+  if (answer_status == 0)
+    return;
+  snprintf (text, sizeof text, "HTTP/1.1 %u X\r\nContent-Length: 0\r\n\r\n",
+            answer_status);
+  http_connection_write (context, text, strlen (text));
+}
+
+static void
+on_closed (void *context, enum http_end end)
+{
+  (void)end;
+  http_connection_finish (context);
+}
+
+static const struct http_events events = {
+  .head = ignore_head,
+  .body = ignore_body,
+  .complete = on_complete,
+  .closed = on_closed,
+};
+
+static void
+on_accept (struct evconnlistener *listener,
+           evutil_socket_t fd,
+           struct sockaddr *address,
+           int size,
+           void *context)
+{
+  const struct http_limits limits = { 65536, 65536 };
+  struct http_connection *connection = calloc (1, sizeof *connection);
+
+  (void)listener;
+  (void)address;
+  (void)size;
+  (void)context;
+  assert_non_null (connection);
+  assert_in_range (connection_count, 0, 63);
+  connections[connection_count++] = connection;
+  http_connection_accept (connection, base, fd, &limits, &events, connection);
+}
+
+static void
+encode_order (const struct formation_order *order,
+              uint64_t fence,
+              struct http_text *target,
+              struct http_text *body)
+{
+  (void)order;
+  (void)fence;
+  http_text_add_string (target, "/order");
+  http_text_add_string (body, "{}");
+}
+
+static enum result
+decode_order_status (unsigned status)
+{
+  return status == 412 ? RESULT_ORDER_FENCED : RESULT_OK;
+}
+
+static const struct adapter adapter = {
+  .encode_order = encode_order,
+  .decode_order_status = decode_order_status,
+  .endpoint_report_target = "/report",
+};
+
+static void
+on_fenced (void *context, const char *endpoint)
+{
+  (void)context;
+  assert_string_equal (endpoint, "e");
+  fenced++;
+}
+
+static void
+on_lost (void *context, const char *endpoint)
+{
+  (void)context;
+  assert_string_equal (endpoint, "e");
+  lost++;
+}
+
+static uint16_t
+start (struct evconnlistener **listener)
+{
+  struct sockaddr_in own = { .sin_family = AF_INET };
+
+  fenced = 0;
+  lost = 0;
+  connection_count = 0;
+  base = event_base_new ();
+  own.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  *listener
+      = evconnlistener_new_bind (base, on_accept, NULL, LEV_OPT_CLOSE_ON_FREE,
+                                 16, (struct sockaddr *)&own, sizeof own);
+  assert_non_null (*listener);
+  return net_bound_port (evconnlistener_get_fd (*listener));
+}
+
+static void
+stop (struct evconnlistener *listener)
+{
+  evconnlistener_free (listener);
+  for (unsigned i = 0; i < connection_count; i++)
+    {
+      http_connection_finish (connections[i]);
+      free (connections[i]);
+    }
+  event_base_loop (base, EVLOOP_NONBLOCK);
+  event_base_free (base);
+}
+
+static void
+step (void)
+{
+  const struct timeval time = { 0, 10000 };
+
+  event_base_loopexit (base, &time);
+  event_base_loop (base, EVLOOP_ONCE);
+}
+
+struct order_case
+{
+  const char *guards;
+  unsigned status;
+  unsigned fenced;
+  unsigned lost;
+};
+
+static const struct order_case cases[] = {
+  { "a good order counts as lost", 202, 0, 0 },
+  { "a fenced order goes unnoticed", 412, 1, 0 },
+  { "an order without an answer goes unnoticed", 0, 0, 1 },
+};
+
+static void
+test_orders (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      const struct formation_order order
+          = { .op = FORMATION_OPEN, .endpoint = "e", .group = "g" };
+      struct evconnlistener *listener;
+      uint16_t port = start (&listener);
+      struct orders orders;
+      int64_t until_ms = time_boot_ms () + WAIT_MS;
+
+      answer_status = cases[i].status;
+      orders_init (&orders, base, &adapter, on_fenced, on_lost, NULL);
+      orders_send (&orders, &order, 1, "127.0.0.1", port, time_boot_ms ());
+      while (!TAILQ_EMPTY (&orders.calls) && time_boot_ms () < until_ms)
+        {
+          step ();
+          orders_tick (&orders, time_boot_ms ());
+        }
+      if (fenced != cases[i].fenced || lost != cases[i].lost)
+        fail_msg ("%s: %u fenced, %u lost", cases[i].guards, fenced, lost);
+      orders_finish (&orders);
+      stop (listener);
+    }
+}
+
+/* Silent after two checks without an answer, cleared by an answer. */
+static void
+test_checks (void **state)
+{
+  struct endpoint_report report = { .address = "127.0.0.1" };
+  struct evconnlistener *listener;
+  struct endpoints endpoints;
+  struct checker checker;
+  int64_t until_ms;
+
+  (void)state;
+  report.port = start (&listener);
+  endpoints_init (&endpoints, NULL, NULL);
+  endpoints_report (&endpoints, "e", &report, 1, 0);
+  checker_init (&checker, base, &adapter, &endpoints);
+  answer_status = 0;
+  until_ms = time_boot_ms () + WAIT_MS;
+  checker_suspect (&checker, "e", time_boot_ms ());
+  assert_false (checker_is_silent (&checker, "e"));
+  while (!checker_is_silent (&checker, "e") && time_boot_ms () < until_ms)
+    {
+      checker_tick (&checker, time_boot_ms ());
+      step ();
+    }
+  assert_true (checker_is_silent (&checker, "e"));
+  assert_in_range (checker.sent, 2, 3);
+  answer_status = 200;
+  while (checker.checks != NULL && time_boot_ms () < until_ms)
+    {
+      checker_tick (&checker, time_boot_ms ());
+      step ();
+    }
+  assert_false (checker_is_silent (&checker, "e"));
+  assert_null (checker.checks);
+  checker_finish (&checker);
+  endpoints_finish (&endpoints);
+  stop (listener);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_orders),
+    cmocka_unit_test (test_checks),
+  };
+
+  signal (SIGPIPE, SIG_IGN);
+  log_set_level (LOG_LEVEL_ERROR);
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/packages/formation/include/formation.h
+++ b/packages/formation/include/formation.h
@@ -77,6 +77,7 @@
   unsigned tries;
   bool adopted;           /* formed by an earlier holder of the lease */
   uint64_t head_revision; /* of the head's report when the phase began */
+  unsigned opens;         /* orders to open that may not have had effect yet */
   TAILQ_ENTRY (formation_group) link;
 };
 
@@ -86,6 +87,7 @@
   char id[CATALOG_NAME_SIZE];
   struct formation_group *group;
   uint64_t given_up;   /* epoch of the last group that was given up */
+  uint64_t must_leave; /* epoch of a group whose head may still open */
   int64_t joined_ms;   /* last join order */
   unsigned tries;      /* join orders without effect */
   int64_t hold_ms;     /* not used for a new group before this moment */
--- a/packages/formation/src/member.c
+++ b/packages/formation/src/member.c
@@ -123,14 +123,21 @@
   if (report->state == ENDPOINT_GROUP_NONE)
     return true;
   head = report->rank == 0 ? endpoint : reported_head (run, endpoint);
-  if (head != NULL && !may_serve (head))
+  if (head != NULL && !may_serve (head) && report->epoch != member->must_leave)
     return true;
   if (run->now_ms - member->released_ms < RELEASE_RETRY_MS)
     return false;
   member->released_ms = run->now_ms;
-  order.op = head == endpoint ? FORMATION_EVICT : FORMATION_LEAVE;
-  order.reason = head == endpoint ? "serves in no known group"
-                                  : "its head may still serve";
+  if (head == endpoint && may_serve (endpoint))
+    {
+      order.op = FORMATION_EVICT;
+      order.reason = "serves in no known group";
+    }
+  else
+    {
+      order.op = FORMATION_LEAVE;
+      order.reason = "its head may serve";
+    }
   run->hooks->order (run->hooks->context, &order);
   return false;
 }
--- a/packages/formation/src/progress.c
+++ b/packages/formation/src/progress.c
@@ -40,6 +40,33 @@
   run->hooks->order (run->hooks->context, &order);
 }
 
+/*
+ * True if the head may yet be open, or open later: an order to do so may be
+ * under way, by this holder of the lease or an earlier one, or the head's last
+ * report is older than the phase.
+ */
+static bool
+may_still_open (const struct formation_group *group,
+                const struct endpoint *head)
+{
+  bool was_ordered = group->phase != FORMATION_JOINING || group->adopted;
+
+  return group->opens > 0 || group->adopted
+         || (was_ordered
+             && (head == NULL || head->revision <= group->head_revision));
+}
+
+/* The members are free only once they themselves report that they have left. */
+static void
+require_leave (const struct formation_run *run,
+               const struct formation_group *group)
+{
+  for (struct formation_member *member = run->formation->members;
+       member != NULL; member = member->hh.next)
+    if (member->group == group)
+      member->must_leave = group->epoch;
+}
+
 void
 formation_set_phase (const struct formation_run *run,
                      struct formation_group *group,
@@ -49,6 +76,10 @@
   const struct endpoint *head
       = endpoints_find (run->endpoints, group->members[0]);
 
+  if (phase == FORMATION_SERVING && group->opens > 0)
+    group->opens--;
+  if (phase == FORMATION_GONE && may_still_open (group, head))
+    require_leave (run, group);
   group->phase = phase;
   group->head_revision = head != NULL ? head->revision : 0;
   group->since_ms = run->now_ms;
@@ -307,7 +338,10 @@
   else if (view.pending > 0)
     formation_set_phase (run, group, FORMATION_FAILED, "a member changed");
   else if (head != NULL && order_due (run, group))
-    formation_order (run, group, FORMATION_OPEN, head->id, "all ready");
+    {
+      group->opens++;
+      formation_order (run, group, FORMATION_OPEN, head->id, "all ready");
+    }
 }
 
 static void
--- /dev/null
+++ b/packages/http/src/http-call.c
@@ -0,0 +1,87 @@
+#include "http-call.h"
+
+/* Head of an answer, and what may follow it. */
+#define HEADER_BYTES 65536
+
+static void
+on_connected (void *context)
+{
+  struct http_call *call = context;
+
+  http_connection_write (&call->connection, call->request.data,
+                         call->request.size);
+}
+
+static void
+on_head (void *context, const struct http_head *head)
+{
+  struct http_call *call = context;
+
+  call->status = head->status;
+}
+
+static void
+on_body (void *context, const char *data, size_t size)
+{
+  (void)context;
+  (void)data;
+  (void)size;
+}
+
+static void
+on_complete (void *context)
+{
+  struct http_call *call = context;
+
+  call->done (call->context, true, call->status);
+}
+
+static void
+on_closed (void *context, enum http_end end)
+{
+  struct http_call *call = context;
+
+  (void)end;
+  call->done (call->context, false, 0);
+}
+
+static const struct http_events events = {
+  .connected = on_connected,
+  .head = on_head,
+  .body = on_body,
+  .complete = on_complete,
+  .closed = on_closed,
+};
+
+enum result
+http_call_start (struct http_call *call,
+                 struct event_base *base,
+                 const char *address,
+                 uint16_t port,
+                 int silence_ms,
+                 struct http_text *request,
+                 void (*done) (void *context, bool answered, unsigned status),
+                 void *context)
+{
+  const struct http_limits limits = { HEADER_BYTES, HEADER_BYTES };
+  enum result result = RESULT_NO_MEMORY;
+
+  call->request = *request;
+  http_text_init (request);
+  call->status = 0;
+  call->done = done;
+  call->context = context;
+  if (!call->request.failed)
+    result = http_connection_connect (&call->connection, base, address, port,
+                                      silence_ms, &limits, &events, call);
+  if (result != RESULT_OK)
+    http_text_finish (&call->request);
+  return result;
+}
+
+void
+http_call_finish (struct http_call *call)
+{
+  http_connection_finish (&call->connection);
+  http_text_finish (&call->request);
+}
