edge: vouch for whole lists only, and close idle callers before the end

A list's revision counts when the last page is there, and a host that is listing vouches for nothing. Once out of rotation a host closes idle connections and refuses what still comes as not run.

Tests: t0480 (pages), t0850 (closing), both fail without the change.

--- a/packages/edge/src/peers.c
+++ b/packages/edge/src/peers.c
@@ -73,6 +73,7 @@
   knowledge->entries_ms = edge->entries.proof_ms;
   knowledge->revision = edge->entries.revision;
   return edge->direct && edge->entries.listed
+         && edge->entries.state == FOLLOWER_WATCHING
          && edge->entries.failing_since_ms == 0
          && edge->configuration.failing_since_ms == 0;
 }
--- a/packages/edge/src/stop.c
+++ b/packages/edge/src/stop.c
@@ -34,7 +34,7 @@
   if (edge->phase == EDGE_LEAVING && stopping_ms >= OUT_OF_ROTATION_MS)
     {
       edge->phase = EDGE_CLOSING;
-      relay_stop_listening (&edge->relay);
+      relay_close (&edge->relay);
     }
   if (stopping_ms >= limit_ms
       || (edge->phase == EDGE_CLOSING && relay_in_flight (&edge->relay) == 0
--- a/packages/records/include/follower.h
+++ b/packages/records/include/follower.h
@@ -37,9 +37,10 @@
   int wait_ms; /* of one watch */
   int pace_ms; /* least time between two calls; changes gather meanwhile */
   enum follower_state state;
-  char after[128]; /* last name of the page before */
-  uint64_t revision;
-  bool listed; /* a whole list was read */
+  char after[128];        /* last name of the page before */
+  uint64_t revision;      /* everything up to it is known */
+  uint64_t list_revision; /* the same once the present list is complete */
+  bool listed;            /* a whole list was read */
   bool asked;
   enum follower_state asked_in; /* state that the call was made in */
   int64_t sent_ms;
--- a/packages/records/src/follower.c
+++ b/packages/records/src/follower.c
@@ -80,7 +80,7 @@
   if (follower->after[0] == '\0')
     {
       follower->list_sent_ms = follower->sent_ms;
-      follower->revision = answer->revision;
+      follower->list_revision = answer->revision;
       follower->hooks.list_begin (follower->hooks.context);
     }
   take_records (follower, answer);
@@ -91,6 +91,7 @@
       return;
     }
   follower->after[0] = '\0';
+  follower->revision = follower->list_revision;
   follower->listed = true;
   follower->state = FOLLOWER_WATCHING;
   follower->proof_ms = follower->list_sent_ms;
--- a/packages/records/tests/t0480-follower.c
+++ b/packages/records/tests/t0480-follower.c
@@ -71,6 +71,7 @@
   answer.result = status == 200   ? RESULT_OK
                   : status == 410 ? RESULT_PLATFORM_HISTORY_GONE
                                   : RESULT_PLATFORM_OUTAGE;
+  answer.more = json_is_true (json_object_get (json, "more"));
   answer.revision = (uint64_t)json_integer_value (json_object_get (json, "at"));
   json_array_foreach (json_object_get (json, "names"), index, name)
     {
@@ -323,6 +324,29 @@
   teardown ();
 }
 
+/*
+ * A list of several pages is known only when the last one is there: until then
+ * the revision of the first page covers records that are still old.
+ */
+static void
+test_pages (void **state)
+{
+  static const char *const answers[]
+      = { "200 {\"at\":5,\"names\":[\"a\"]}", "410 {}",
+          "200 {\"at\":9,\"names\":[\"a\"],\"more\":true}", NULL, NULL };
+
+  (void)state;
+  setup (answers);
+  run_until_calls (4);
+  assert_int_equal (test.follower.state, FOLLOWER_LISTING);
+  assert_int_equal (test.follower.revision, 5);
+  answer (test.held, "200 {\"at\":10,\"names\":[\"b\"]}");
+  run_until_calls (5);
+  assert_int_equal (test.follower.revision, 9);
+  assert_string_equal (test.targets[4], "/watch/9");
+  teardown ();
+}
+
 /*
  * An answer with changes proves nothing after the moment it was asked for; one
  * without proves that nothing changed until the wait was over.
@@ -368,6 +392,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_cases),
     cmocka_unit_test (test_relist_during_watch),
+    cmocka_unit_test (test_pages),
     cmocka_unit_test (test_proof),
   };
 
--- a/packages/relay/include/relay.h
+++ b/packages/relay/include/relay.h
@@ -170,6 +170,7 @@
   void (*stalled) (void *context, struct lane *lane);
   void *stalled_context;
   bool leaving; /* shutting down: connections end with their answer */
+  bool closing; /* nothing new is taken any more */
   bool saw_request;
   int64_t now_ms; /* of the present callback */
 };
@@ -208,6 +209,12 @@
 void relay_leave (struct relay *relay);
 void relay_stop_listening (struct relay *relay);
 
+/*
+ * No new connections; idle ones are closed, and a request that still comes is
+ * refused as not run: it could not be ended before the process is.
+ */
+void relay_close (struct relay *relay);
+
 /* Requests that are not answered yet. */
 unsigned relay_in_flight (const struct relay *relay);
 
--- a/packages/relay/src/caller.c
+++ b/packages/relay/src/caller.c
@@ -192,6 +192,11 @@
       caller->reading = true;
       caller->since_ms = now_ms;
     }
+  if (caller->relay->closing && http_connection_idle (&caller->connection))
+    {
+      relay_caller_close (caller);
+      return;
+    }
   if (caller->close_after)
     {
       if (now_ms - caller->since_ms > header_ms)
--- a/packages/relay/src/relay.c
+++ b/packages/relay/src/relay.c
@@ -173,6 +173,13 @@
   relay->leaving = true;
 }
 
+void
+relay_close (struct relay *relay)
+{
+  relay->closing = true;
+  relay_stop_listening (relay);
+}
+
 unsigned
 relay_in_flight (const struct relay *relay)
 {
--- a/packages/relay/src/request.c
+++ b/packages/relay/src/request.c
@@ -18,6 +18,8 @@
 #define DEADLINE_GRACE_MS 60
 /* When to come back to a host without a current configuration. */
 #define RETRY_AFTER_MS 500
+/* The same to another host, from one that is shutting down. */
+#define DRAINING_RETRY_MS 10
 /*
  * A stream is taken to stand still when its endpoint has sent none of our
  * streams an event for this many times the pause objective.
@@ -244,6 +246,11 @@
 
   if (!head->keep_alive)
     request->caller->close_after = true;
+  if (relay->closing)
+    {
+      relay_refuse (request, RESULT_DRAINING, DRAINING_RETRY_MS);
+      return;
+    }
   if (result == RESULT_OK)
     {
       set_times (request, head);
--- a/packages/relay/tests/t0850-relay.c
+++ b/packages/relay/tests/t0850-relay.c
@@ -678,6 +678,47 @@
   teardown ();
 }
 
+/*
+ * A host that is shutting down closes idle connections once it is out of
+ * rotation: a request on one of them could be cut off by the end of the
+ * process.
+ */
+static void
+test_closing (void **state)
+{
+  int64_t until_ms = time_boot_ms () + WAIT_MS;
+
+  (void)state;
+  setup (&cases[0]);
+  run_until_answered ();
+  assert_int_equal (test.status, 200);
+  relay_leave (&test.relay);
+  relay_tick (&test.relay, time_boot_ms ());
+  assert_int_equal (test.relay.caller_count, 1);
+  relay_close (&test.relay);
+  relay_tick (&test.relay, time_boot_ms ());
+  assert_int_equal (test.relay.caller_count, 0);
+  while (!test.closed && time_boot_ms () < until_ms)
+    event_base_loop (test.base, EVLOOP_ONCE);
+  assert_true (test.closed);
+  teardown ();
+}
+
+/* A request that crosses that is refused, and it has not run. */
+static void
+test_request_while_closing (void **state)
+{
+  (void)state;
+  setup (&cases[0]);
+  while (test.relay.caller_count == 0)
+    event_base_loop (test.base, EVLOOP_ONCE);
+  test.relay.closing = true;
+  run_until_answered ();
+  assert_true (test.status == 503 || test.closed);
+  assert_int_equal (test.sends, 0);
+  teardown ();
+}
+
 int
 main (void)
 {
@@ -685,6 +726,8 @@
     cmocka_unit_test (test_cases),
     cmocka_unit_test (test_stale_configuration),
     cmocka_unit_test (test_caller_leaves),
+    cmocka_unit_test (test_closing),
+    cmocka_unit_test (test_request_while_closing),
   };
 
   signal (SIGPIPE, SIG_IGN);
