edge: tell removals at the asker's own revision, and end after the last byte

Removals are told also at the same revision, and bear the revision of the table. Answers that have not left the host count as in flight, and the process lingers 250 ms after the last.

Tests: t0961 (removal is told), t0850 (unwritten answer).

--- a/packages/edge/include/edge.h
+++ b/packages/edge/include/edge.h
@@ -58,6 +58,7 @@
   int64_t fetched_ms;  /* when the last one was sent */
   enum edge_phase phase;
   int64_t phase_ms;
+  int64_t busy_ms;   /* when there was last something in flight */
   int64_t status_ms; /* next status line */
   int64_t now_ms;
 };
--- a/packages/edge/include/vouch.h
+++ b/packages/edge/include/vouch.h
@@ -69,7 +69,10 @@
                  struct endpoints *endpoints,
                  const struct vouch_hooks *hooks);
 
-/* An endpoint was removed from the table by a change of this revision. */
+/*
+ * An endpoint was removed from the table when the entries were known up to this
+ * revision.  Others may know them up to the same revision and still have it.
+ */
 void vouch_bury (struct vouch *vouch, const char *endpoint, uint64_t revision);
 
 /* asks: this host relies on its hub. */
--- a/packages/edge/src/edge.c
+++ b/packages/edge/src/edge.c
@@ -161,7 +161,10 @@
 {
   struct edge *edge = context;
 
-  vouch_bury (&edge->vouch, endpoint->id, endpoint->deleted_revision);
+  vouch_bury (&edge->vouch, endpoint->id,
+              endpoint->deleted_revision > edge->entries.revision
+                  ? endpoint->deleted_revision
+                  : edge->entries.revision);
   relay_endpoint_removed (&edge->relay, endpoint);
 }
 
--- a/packages/edge/src/stop.c
+++ b/packages/edge/src/stop.c
@@ -6,6 +6,8 @@
  * apart without a good answer.
  */
 #define OUT_OF_ROTATION_MS 2600
+/* With nothing in flight for this long the last answers have arrived. */
+#define LINGER_MS 250
 /* The process ends this long before it would be killed. */
 #define KILL_MARGIN_MS 500
 
@@ -36,8 +38,10 @@
       edge->phase = EDGE_CLOSING;
       relay_close (&edge->relay);
     }
+  if (edge->phase != EDGE_CLOSING || relay_in_flight (&edge->relay) > 0)
+    edge->busy_ms = edge->now_ms;
   if (stopping_ms >= limit_ms
-      || (edge->phase == EDGE_CLOSING && relay_in_flight (&edge->relay) == 0
+      || (edge->now_ms - edge->busy_ms >= LINGER_MS
           && leader_is_done (&edge->leader)))
     event_base_loopbreak (edge->base);
 }
--- a/packages/edge/src/vouch.c
+++ b/packages/edge/src/vouch.c
@@ -103,7 +103,8 @@
       const struct vouch_tombstone *tombstone
           = &vouch->tombstones[i % VOUCH_TOMBSTONES];
 
-      if (tombstone->revision <= ask->revision || ask->revision == 0)
+      /* The asker's revision may be the removal's own: see vouch_bury. */
+      if (tombstone->revision < ask->revision || ask->revision == 0)
         continue;
       message->kind = GOSSIP_DELETED;
       memcpy (message->body.report.endpoint, tombstone->endpoint,
--- a/packages/edge/tests/t0961-vouch.c
+++ b/packages/edge/tests/t0961-vouch.c
@@ -26,12 +26,14 @@
   return 7;
 }
 
+static bool may_vouch;
+
 static bool
 own (void *context, struct vouch_knowledge *knowledge)
 {
   (void)context;
-  (void)knowledge;
-  return false;
+  *knowledge = (struct vouch_knowledge){ .revision = 9 };
+  return may_vouch;
 }
 
 static void
@@ -47,6 +49,7 @@
   const struct vouch_hooks hooks = { NULL, configuration, own };
 
   memset (&mesh, 0, sizeof mesh);
+  mesh.socket = -1;
   endpoints_init (&endpoints, on_removed, NULL);
   vouch_init (&vouch, &mesh, &endpoints, &hooks);
   vouch.asked_ms = ASKED_MS;
@@ -174,12 +177,38 @@
   endpoints_finish (&endpoints);
 }
 
+/*
+ * An asker that matched the hub's entries between the deletion and the removal
+ * knows them up to the removal's own revision; it has to be told all the same.
+ */
+static void
+test_removal_is_told (void **state)
+{
+  struct gossip_message message = { .kind = GOSSIP_ASK };
+  struct mesh_host from = { .boot = 1 };
+
+  (void)state;
+  setup ();
+  may_vouch = true;
+  vouch_bury (&vouch, "e", 9);
+  message.body.ask.revision = 9;
+  vouch_take (&vouch, &from, &message, 1000);
+  /* The removal and the answer. */
+  assert_int_equal (mesh.sequence, 2);
+  message.body.ask.revision = 10;
+  vouch_take (&vouch, &from, &message, 1100);
+  assert_int_equal (mesh.sequence, 3);
+  may_vouch = false;
+  endpoints_finish (&endpoints);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_answers),
     cmocka_unit_test (test_late_report),
+    cmocka_unit_test (test_removal_is_told),
   };
 
   log_set_level (LOG_LEVEL_ERROR);
--- a/packages/relay/include/relay.h
+++ b/packages/relay/include/relay.h
@@ -215,7 +215,7 @@
  */
 void relay_close (struct relay *relay);
 
-/* Requests that are not answered yet. */
+/* Requests whose answers have not left this host yet. */
 unsigned relay_in_flight (const struct relay *relay);
 
 #endif
--- a/packages/relay/tests/t0850-relay.c
+++ b/packages/relay/tests/t0850-relay.c
@@ -704,6 +704,25 @@
   teardown ();
 }
 
+/* An answer that the caller has not taken yet is still in flight. */
+static void
+test_unwritten_answer (void **state)
+{
+  static const struct relay_case silent
+      = { "an answer is lost", CATALOG_SAFE, false, 2, PLAIN, { { GOOD } } };
+  struct relay_caller *caller;
+
+  (void)state;
+  setup (&silent);
+  run_until_answered ();
+  caller = TAILQ_FIRST (&test.relay.callers);
+  assert_int_equal (relay_in_flight (&test.relay), 0);
+  caller->connection.unwritten_seen = true;
+  http_connection_write (&caller->connection, "x", 1);
+  assert_int_equal (relay_in_flight (&test.relay), 1);
+  teardown ();
+}
+
 /* A request that crosses that is refused, and it has not run. */
 static void
 test_request_while_closing (void **state)
@@ -727,6 +746,7 @@
     cmocka_unit_test (test_stale_configuration),
     cmocka_unit_test (test_caller_leaves),
     cmocka_unit_test (test_closing),
+    cmocka_unit_test (test_unwritten_answer),
     cmocka_unit_test (test_request_while_closing),
   };
 
