--- a/packages/edge/src/vouch.c
+++ b/packages/edge/src/vouch.c
@@ -2,6 +2,7 @@
 
 #include "log.h"
 
+#include <stdio.h>
 #include <string.h>
 
 /* The entries and the configuration are asked for this often. */
@@ -37,7 +38,7 @@
   struct vouch_tombstone *tombstone
       = &vouch->tombstones[vouch->buried++ % VOUCH_TOMBSTONES];
 
-  memcpy (tombstone->endpoint, endpoint, sizeof tombstone->endpoint);
+  snprintf (tombstone->endpoint, sizeof tombstone->endpoint, "%s", endpoint);
   tombstone->revision = revision;
 }
 
--- a/packages/relay/src/relay.c
+++ b/packages/relay/src/relay.c
@@ -184,9 +184,14 @@
 relay_in_flight (const struct relay *relay)
 {
   const struct relay_request *request;
+  const struct relay_caller *caller;
   unsigned count = 0;
 
   TAILQ_FOREACH (request, &relay->requests, link)
     count++;
+  TAILQ_FOREACH (caller, &relay->callers, link)
+    if (caller->request == NULL
+        && http_connection_unwritten (&caller->connection) > 0)
+      count++;
   return count;
 }
