--- a/packages/base/src/netutil.c
+++ b/packages/base/src/netutil.c
@@ -1,6 +1,7 @@
 #include "netutil.h"
 
 #include <arpa/inet.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 
@@ -18,3 +19,21 @@
   memcpy (&in, &address, sizeof in);
   return ntohs (in.sin_port);
 }
+
+bool
+net_parse_address (const char *text, char *address, size_t size, uint16_t *port)
+{
+  const char *colon = strrchr (text, ':');
+  char *end;
+  long number;
+
+  if (colon == NULL || (size_t)(colon - text) >= size)
+    return false;
+  number = strtol (colon + 1, &end, 10);
+  if (end == colon + 1 || *end != '\0' || number <= 0 || number > UINT16_MAX)
+    return false;
+  memcpy (address, text, (size_t)(colon - text));
+  address[colon - text] = '\0';
+  *port = (uint16_t)number;
+  return true;
+}
--- a/packages/base/tests/t0001-base.c
+++ b/packages/base/tests/t0001-base.c
@@ -12,6 +12,7 @@
 #include "hash.h"
 #include "histogram.h"
 #include "log.h"
+#include "netutil.h"
 #include "result.h"
 #include "rng.h"
 #include "uuid.h"
@@ -198,10 +199,38 @@
   assert_string_not_equal (one, two);
 }
 
+struct address_case
+{
+  const char *text;
+  bool good;
+};
+
+static const struct address_case addresses[] = {
+  { "10.0.0.1:80", true },  { "10.0.0.1", false },
+  { "10.0.0.1:", false },   { "10.0.0.1:0", false },
+  { "10.0.0.1:8x", false }, { "10.0.0.1:70000", false },
+};
+
+static void
+test_addresses (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof addresses / sizeof addresses[0]; i++)
+    {
+      char address[64];
+      uint16_t port;
+
+      assert_int_equal (
+          net_parse_address (addresses[i].text, address, sizeof address, &port),
+          addresses[i].good);
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_addresses),
     cmocka_unit_test (test_log_quoting),
     cmocka_unit_test (test_uuid),
     cmocka_unit_test (test_histogram_quantiles),
--- a/packages/daemon/src/daemon.c
+++ b/packages/daemon/src/daemon.c
@@ -1,6 +1,7 @@
 #include "daemon.h"
 
 #include "log.h"
+#include "netutil.h"
 #include "timeutil.h"
 #include "uuid.h"
 
@@ -172,16 +173,12 @@
   for (size_t i = 0; i < settings->peers_seeds.count; i++)
     {
       char address[MEMBER_ADDRESS_SIZE];
-      const char *text = settings->peers_seeds.items[i];
-      const char *colon = strrchr (text, ':');
-      unsigned long port = colon != NULL ? strtoul (colon + 1, NULL, 10) : 0;
+      uint16_t port;
 
-      if (port == 0 || port > UINT16_MAX
-          || (size_t)(colon - text) >= sizeof address)
+      if (!net_parse_address (settings->peers_seeds.items[i], address,
+                              sizeof address, &port))
         return RESULT_SETTINGS_BAD_VALUE;
-      memcpy (address, text, (size_t)(colon - text));
-      address[colon - text] = '\0';
-      member_add_seed (&daemon->members, address, (uint16_t)port);
+      member_add_seed (&daemon->members, address, port);
     }
   return RESULT_OK;
 }
--- a/packages/edge/include/edge.h
+++ b/packages/edge/include/edge.h
@@ -88,10 +88,4 @@
 void edge_stop (struct edge *edge);
 void edge_stop_tick (struct edge *edge);
 
-/* "IP:PORT"; false if it is not. */
-bool edge_parse_address (const char *text,
-                         char *address,
-                         size_t size,
-                         uint16_t *port);
-
 #endif
--- a/packages/edge/src/edge.c
+++ b/packages/edge/src/edge.c
@@ -2,8 +2,8 @@
 
 #include "hash.h"
 #include "log.h"
+#include "netutil.h"
 #include "timeutil.h"
-#include "uuid.h"
 
 #include <signal.h>
 #include <stdio.h>
@@ -28,27 +28,6 @@
 /* Entry hosts that share the retry slack until their number is known. */
 #define ASSUMED_HOSTS 400
 
-bool
-edge_parse_address (const char *text,
-                    char *address,
-                    size_t size,
-                    uint16_t *port)
-{
-  const char *colon = strrchr (text, ':');
-  char *end;
-  long number;
-
-  if (colon == NULL || (size_t)(colon - text) >= size)
-    return false;
-  number = strtol (colon + 1, &end, 10);
-  if (end == colon + 1 || *end != '\0' || number <= 0 || number > UINT16_MAX)
-    return false;
-  memcpy (address, text, (size_t)(colon - text));
-  address[colon - text] = '\0';
-  *port = (uint16_t)number;
-  return true;
-}
-
 bool
 edge_is_ready (const struct edge *edge)
 {
@@ -199,8 +178,8 @@
   uint16_t port;
   enum result result;
 
-  if (!edge_parse_address (settings->callers_listen, address, sizeof address,
-                           &port))
+  if (!net_parse_address (settings->callers_listen, address, sizeof address,
+                          &port))
     return RESULT_SETTINGS_BAD_VALUE;
   result = relay_init (&edge->relay, edge->base, edge->adapter->names, &limits,
                        &edge->endpoints, &edge->counters, settings->data_centre,
@@ -221,8 +200,8 @@
   char self[LEASE_NAME_SIZE];
   uint16_t port;
 
-  if (!edge_parse_address (settings->platform_store, address, sizeof address,
-                           &port))
+  if (!net_parse_address (settings->platform_store, address, sizeof address,
+                          &port))
     return RESULT_SETTINGS_BAD_VALUE;
   snprintf (formation.data_centre, sizeof formation.data_centre, "%.63s",
             settings->data_centre);
--- a/packages/edge/src/readiness.c
+++ b/packages/edge/src/readiness.c
@@ -1,5 +1,5 @@
 #include "edge.h"
-#include "log.h"
+#include "netutil.h"
 
 #include <event2/buffer.h>
 #include <stdio.h>
@@ -86,8 +86,8 @@
   char address[SETTINGS_TEXT_SIZE];
   uint16_t port;
 
-  if (!edge_parse_address (edge->settings.readiness_listen, address,
-                           sizeof address, &port))
+  if (!net_parse_address (edge->settings.readiness_listen, address,
+                          sizeof address, &port))
     return RESULT_SETTINGS_BAD_VALUE;
   edge->readiness = evhttp_new (edge->base);
   if (edge->readiness == NULL)
--- a/packages/edge/tests/t0962-edge-settings.c
+++ b/packages/edge/tests/t0962-edge-settings.c
@@ -8,7 +8,6 @@
 #include <string.h>
 
 #include "edge-settings.h"
-#include "edge.h"
 
 #define GOOD                                                                   \
   "host: edge-1\n"                                                             \
@@ -52,33 +51,6 @@
     }
 }
 
-struct address_case
-{
-  const char *text;
-  bool good;
-};
-
-static const struct address_case addresses[] = {
-  { "10.0.0.1:80", true },  { "10.0.0.1", false },
-  { "10.0.0.1:", false },   { "10.0.0.1:0", false },
-  { "10.0.0.1:8x", false }, { "10.0.0.1:70000", false },
-};
-
-static void
-test_addresses (void **state)
-{
-  (void)state;
-  for (size_t i = 0; i < sizeof addresses / sizeof addresses[0]; i++)
-    {
-      char address[64];
-      uint16_t port;
-
-      assert_int_equal (edge_parse_address (addresses[i].text, address,
-                                            sizeof address, &port),
-                        addresses[i].good);
-    }
-}
-
 /* The operators' page must not drift from the table of keys. */
 static void
 test_documentation (void **state)
@@ -109,7 +81,6 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_cases),
-    cmocka_unit_test (test_addresses),
     cmocka_unit_test (test_documentation),
   };
 
