base: keep the readers of JSON numbers with the others

Cause: a second reading of the change. platform/json.c held two readers that know nothing of the platform, in the form of json_read_bool of base/jsonutil, which the same files call.

Ruled out: read_number of cli/in-force.c, which leaves the number alone where json_read_u64 sets it to 0.

--- a/packages/base/include/jsonutil.h
+++ b/packages/base/include/jsonutil.h
@@ -25,4 +25,10 @@
 /* The fallback unless the member is a boolean. */
 bool json_read_bool (const json_t *object, const char *key, bool fallback);
 
+/* The fallback unless the member is a number; integers are cut. */
+double
+json_read_number (const json_t *object, const char *key, double fallback);
+int64_t
+json_read_integer (const json_t *object, const char *key, int64_t fallback);
+
 #endif
--- a/packages/base/src/jsonutil.c
+++ b/packages/base/src/jsonutil.c
@@ -33,3 +33,17 @@
 
   return json_is_boolean (value) ? json_is_true (value) : fallback;
 }
+
+double
+json_read_number (const json_t *object, const char *key, double fallback)
+{
+  const json_t *value = json_object_get (object, key);
+
+  return json_is_number (value) ? json_number_value (value) : fallback;
+}
+
+int64_t
+json_read_integer (const json_t *object, const char *key, int64_t fallback)
+{
+  return (int64_t)json_read_number (object, key, (double)fallback);
+}
