--- a/packages/edge/src/mesh-load.c
+++ b/packages/edge/src/mesh-load.c
@@ -49,20 +49,27 @@
 }
 
 static bool
-is_candidate (const struct mesh *mesh, const struct mesh_host *host)
+is_alive (const struct mesh *mesh, const struct mesh_host *host)
 {
-  return strcmp (host->self.data_centre, mesh->self.data_centre) == 0
-         && host->dead_ms <= mesh->now_ms;
+  return host->dead_ms <= mesh->now_ms;
 }
 
+static bool
+same_data_centre (const struct gossip_host *a, const struct gossip_host *b)
+{
+  return strcmp (a->data_centre, b->data_centre) == 0;
+}
+
+/* Live hosts of its data centre that go before it; this host is not counted. */
 static unsigned
-own_rank (const struct mesh *mesh)
+rank_of (const struct mesh *mesh, const struct gossip_host *ranked)
 {
   unsigned rank = 0;
 
   for (const struct mesh_host *host = mesh->hosts; host != NULL;
        host = host->hh.next)
-    if (is_candidate (mesh, host) && goes_before (&host->self, &mesh->self))
+    if (is_alive (mesh, host) && same_data_centre (&host->self, ranked)
+        && goes_before (&host->self, ranked))
       rank++;
   return rank;
 }
@@ -83,13 +90,13 @@
 bool
 mesh_is_hub (const struct mesh *mesh)
 {
-  return own_rank (mesh) < MESH_HUBS || is_alone (mesh);
+  return rank_of (mesh, &mesh->self) < MESH_HUBS || is_alone (mesh);
 }
 
 bool
 mesh_is_reader (const struct mesh *mesh)
 {
-  return own_rank (mesh) == 0 || is_alone (mesh);
+  return rank_of (mesh, &mesh->self) == 0 || is_alone (mesh);
 }
 
 struct mesh_host *
@@ -99,18 +106,15 @@
 
   for (struct mesh_host *host = mesh->hosts; host != NULL; host = host->hh.next)
     {
-      unsigned before = 0;
+      unsigned own;
 
-      if (!is_candidate (mesh, host))
+      if (!is_alive (mesh, host)
+          || !same_data_centre (&host->self, &mesh->self))
         continue;
-      for (struct mesh_host *other = mesh->hosts; other != NULL;
-           other = other->hh.next)
-        if (other != host && is_candidate (mesh, other)
-            && goes_before (&other->self, &host->self))
-          before++;
-      if (before == rank)
+      own = rank_of (mesh, &host->self);
+      if (own == rank)
         return host;
-      if (before == 0)
+      if (own == 0)
         best = host;
     }
   return best;
@@ -193,7 +197,7 @@
                  const struct gossip_message *message)
 {
   const struct gossip_loads *told = &message->body.loads;
-  bool own = strcmp (from->self.data_centre, mesh->self.data_centre) == 0;
+  bool own = same_data_centre (&from->self, &mesh->self);
   struct mesh_sum *sum;
 
   if (own && told->lease_version != 0)
@@ -297,7 +301,7 @@
 {
   merge_add (merge, &mesh->own);
   for (struct mesh_host *host = mesh->hosts; host != NULL; host = host->hh.next)
-    if (strcmp (host->self.data_centre, mesh->self.data_centre) == 0
+    if (same_data_centre (&host->self, &mesh->self)
         && is_fresh (mesh, host->loads))
       merge_add (merge, host->loads);
 }
@@ -346,38 +350,28 @@
 static bool
 is_own_host (const struct mesh *mesh, const struct mesh_host *host)
 {
-  return strcmp (host->self.data_centre, mesh->self.data_centre) == 0
+  return same_data_centre (&host->self, &mesh->self)
          && is_fresh (mesh, host->loads);
 }
 
-/* The first two candidates of each data centre. */
+/* The first candidates of each data centre. */
 static bool
 is_hub_host (const struct mesh *mesh, const struct mesh_host *host)
 {
-  unsigned before = 0;
-
-  if (host->dead_ms > mesh->now_ms)
-    return false;
-  for (const struct mesh_host *other = mesh->hosts; other != NULL;
-       other = other->hh.next)
-    if (other != host && other->dead_ms <= mesh->now_ms
-        && strcmp (other->self.data_centre, host->self.data_centre) == 0
-        && goes_before (&other->self, &host->self))
-      before++;
-  return before < MESH_HUBS;
+  return is_alive (mesh, host) && rank_of (mesh, &host->self) < MESH_HUBS;
 }
 
 static bool
 is_other_hub (const struct mesh *mesh, const struct mesh_host *host)
 {
-  return strcmp (host->self.data_centre, mesh->self.data_centre) != 0
+  return !same_data_centre (&host->self, &mesh->self)
          && is_hub_host (mesh, host);
 }
 
 static bool
 is_own_hub (const struct mesh *mesh, const struct mesh_host *host)
 {
-  return strcmp (host->self.data_centre, mesh->self.data_centre) == 0
+  return same_data_centre (&host->self, &mesh->self)
          && is_hub_host (mesh, host);
 }
 
@@ -431,7 +425,7 @@
   mesh->own.hosts = 1;
   send_loads (mesh, GOSSIP_LOAD, &mesh->own, is_own_hub);
   /* The second hub waits until the first one falls silent. */
-  if (own_rank (mesh) == 0 || !hears_totals (mesh))
+  if (rank_of (mesh, &mesh->self) == 0 || !hears_totals (mesh))
     act_as_hub (mesh);
   check_hub (mesh);
 }
