formation: hold an endpoint back through a function

Cause: a second reading of the change. The lease holder searched the formation's private table of members and set a field there.

Change: formation_hold.

--- a/packages/edge/src/leader.c
+++ b/packages/edge/src/leader.c
@@ -79,11 +79,8 @@
 order_fenced (void *context, const char *endpoint)
 {
   struct leader *leader = context;
-  struct formation_member *member;
 
-  HASH_FIND_STR (leader->formation.members, endpoint, member);
-  if (member != NULL)
-    member->hold_ms = leader->now_ms + LEASE_TTL_MS;
+  formation_hold (&leader->formation, endpoint, leader->now_ms + LEASE_TTL_MS);
 }
 
 void
--- a/packages/formation/include/formation.h
+++ b/packages/formation/include/formation.h
@@ -142,6 +142,11 @@
                           uint64_t fence,
                           int64_t now_ms);
 
+/* Keeps an endpoint out of new groups before this moment. */
+void formation_hold (struct formation *formation,
+                     const char *endpoint,
+                     int64_t until_ms);
+
 /* One step; orders leave through the hooks.  Does nothing without a fence. */
 void formation_tick (struct formation *formation,
                      const struct endpoints *endpoints,
--- a/packages/formation/src/member.c
+++ b/packages/formation/src/member.c
@@ -24,6 +24,18 @@
   return member;
 }
 
+void
+formation_hold (struct formation *formation,
+                const char *endpoint,
+                int64_t until_ms)
+{
+  struct formation_member *member;
+
+  HASH_FIND_STR (formation->members, endpoint, member);
+  if (member != NULL)
+    member->hold_ms = until_ms;
+}
+
 bool
 formation_usable (const struct formation_run *run,
                   const struct endpoint *endpoint)
