--- a/packages/edge/src/edge.c
+++ b/packages/edge/src/edge.c
@@ -63,9 +63,7 @@
   LOG_EVENT (LOG_LEVEL_INFO, "status",
              LOG_STR ("reads_platform", edge->direct ? "yes" : "no"),
              LOG_STR ("lease", edge->leader.acting ? "held" : "not-held"),
-             LOG_INT ("configuration", edge->relay.catalog != NULL
-                                           ? edge->relay.catalog->version
-                                           : 0),
+             LOG_INT ("configuration", relay_catalog_version (&edge->relay)),
              LOG_U64 ("endpoints", HASH_COUNT (edge->endpoints.table)),
              LOG_U64 ("live_hosts", edge->mesh.live_hosts),
              LOG_U64 ("in_flight", relay_in_flight (&edge->relay)),
--- a/packages/edge/src/follow.c
+++ b/packages/edge/src/follow.c
@@ -145,20 +145,12 @@
   endpoints_distrust (&edge->endpoints, edge->now_ms);
 }
 
-static void
-ignore_list (void *context)
-{
-  (void)context;
-}
-
 void
 edge_follow_init (struct edge *edge)
 {
   const struct follower_hooks configuration = {
     .context = edge,
     .record = on_configuration,
-    .list_begin = ignore_list,
-    .list_end = ignore_list,
   };
   const struct follower_hooks entries = {
     .context = edge,
@@ -206,12 +198,6 @@
   records_call (&edge->records, &request, FETCH_MS, on_fetched, edge);
 }
 
-static int64_t
-version_in_force (const struct edge *edge)
-{
-  return edge->relay.catalog != NULL ? edge->relay.catalog->version : 0;
-}
-
 static int64_t
 entries_proof_ms (const struct edge *edge)
 {
@@ -303,7 +289,7 @@
       follower_tick (&edge->configuration, edge->now_ms);
       follower_tick (&edge->entries, edge->now_ms);
     }
-  else if (edge->vouch.newest > version_in_force (edge))
+  else if (edge->vouch.newest > relay_catalog_version (&edge->relay))
     fetch_configuration (edge);
   vouch_tick (&edge->vouch, !edge->direct, edge->now_ms);
   edge->relay.catalog_proof_ms
--- a/packages/edge/src/mesh.c
+++ b/packages/edge/src/mesh.c
@@ -288,12 +288,6 @@
   take_hosts (mesh, &(struct gossip_hosts){ .count = 1, .list = { known } });
 }
 
-static void
-ignore_list (void *context)
-{
-  (void)context;
-}
-
 static void
 on_registered (void *context, const struct records_answer *answer)
 {
@@ -356,7 +350,7 @@
            uint64_t boot)
 {
   const struct follower_hooks follower
-      = { mesh, on_host_record, ignore_list, ignore_list, NULL };
+      = { .context = mesh, .record = on_host_record };
 
   memset (mesh, 0, sizeof *mesh);
   mesh->base = base;
--- a/packages/edge/src/peers.c
+++ b/packages/edge/src/peers.c
@@ -61,7 +61,7 @@
 {
   const struct edge *edge = context;
 
-  return edge->relay.catalog != NULL ? edge->relay.catalog->version : 0;
+  return relay_catalog_version (&edge->relay);
 }
 
 static bool
--- a/packages/edge/src/readiness.c
+++ b/packages/edge/src/readiness.c
@@ -65,9 +65,8 @@
     }
   counter_put (counters, "waxwing_platform_failures_total", NULL,
                (double)edge->records.failures);
-  counter_put (
-      counters, "waxwing_configuration_version", NULL,
-      edge->relay.catalog != NULL ? (double)edge->relay.catalog->version : 0);
+  counter_put (counters, "waxwing_configuration_version", NULL,
+               (double)relay_catalog_version (&edge->relay));
   counter_put (counters, "waxwing_configuration_proof_age_ms", NULL,
                (double)(edge->now_ms - edge->configuration.proof_ms));
   counter_put (counters, "waxwing_lease_held", NULL, edge->leader.acting);
--- a/packages/records/include/follower.h
+++ b/packages/records/include/follower.h
@@ -15,7 +15,7 @@
 {
   void *context;
   void (*record) (void *context, const struct records_record *record);
-  /* Around a list; records that it does not hold are gone. */
+  /* Around a list; records that it does not hold are gone.  NULL = not told. */
   void (*list_begin) (void *context);
   void (*list_end) (void *context);
   /* The store answers again after a failure. */
--- a/packages/records/src/follower.c
+++ b/packages/records/src/follower.c
@@ -81,7 +81,8 @@
     {
       follower->list_sent_ms = follower->sent_ms;
       follower->list_revision = answer->revision;
-      follower->hooks.list_begin (follower->hooks.context);
+      if (follower->hooks.list_begin != NULL)
+        follower->hooks.list_begin (follower->hooks.context);
     }
   take_records (follower, answer);
   if (answer->more && answer->count > 0)
@@ -95,7 +96,8 @@
   follower->listed = true;
   follower->state = FOLLOWER_WATCHING;
   follower->proof_ms = follower->list_sent_ms;
-  follower->hooks.list_end (follower->hooks.context);
+  if (follower->hooks.list_end != NULL)
+    follower->hooks.list_end (follower->hooks.context);
 }
 
 static void
--- a/packages/relay/include/relay.h
+++ b/packages/relay/include/relay.h
@@ -192,6 +192,9 @@
 /* Takes over a reference.  Older versions than the present are ignored. */
 void relay_set_catalog (struct relay *relay, struct catalog *catalog);
 
+/* Version of the catalog in force; 0 = none. */
+int64_t relay_catalog_version (const struct relay *relay);
+
 /* The endpoint is gone. */
 void relay_endpoint_removed (struct relay *relay, struct endpoint *endpoint);
 
--- a/packages/relay/src/relay.c
+++ b/packages/relay/src/relay.c
@@ -83,6 +83,12 @@
   relay->catalog = NULL;
 }
 
+int64_t
+relay_catalog_version (const struct relay *relay)
+{
+  return relay->catalog != NULL ? relay->catalog->version : 0;
+}
+
 void
 relay_set_catalog (struct relay *relay, struct catalog *catalog)
 {
@@ -93,8 +99,7 @@
     }
   LOG_EVENT (LOG_LEVEL_NOTICE, "configuration-in-force",
              LOG_INT ("version", catalog->version),
-             LOG_INT ("previous",
-                      relay->catalog != NULL ? relay->catalog->version : 0),
+             LOG_INT ("previous", relay_catalog_version (relay)),
              LOG_U64 ("routes", catalog->route_count),
              LOG_U64 ("customers", catalog->customer_count));
   catalog_unref (relay->catalog);
