relay: drop what nothing reads

Change: six fields that were set at most (bytes_in, reused, failure, answered, lease_sent_ms and an argument of balance_note_success) and http_end_name go; four functions that one file calls become static; the two constants for coming back after 500 ms become one.

Ruled out: fields of the catalog and of the names that are decoded for work that is still open (docs/platform.md). http_limits.header_bytes is set and never checked: the configured limit on a head is not enforced.

--- a/packages/balance/include/balance.h
+++ b/packages/balance/include/balance.h
@@ -66,7 +66,6 @@
 
 /* Finds or adds the lane of an endpoint; NULL without memory. */
 struct lane *lanes_get (struct lanes *lanes, struct endpoint *endpoint);
-struct lane *lanes_find (const struct lanes *lanes, const char *id);
 
 /* What the other entry hosts run is to be told anew. */
 void lanes_forget_peers (struct lanes *lanes);
@@ -125,7 +124,7 @@
 
 /* What became of an attempt. */
 void balance_note_pause (struct lane *lane, int64_t pause_ms, int64_t now_ms);
-void balance_note_success (struct lane *lane, int64_t now_ms);
+void balance_note_success (struct lane *lane);
 void balance_note_failure (struct lane *lane, int64_t now_ms);
 
 /*
--- a/packages/balance/src/choose.c
+++ b/packages/balance/src/choose.c
@@ -311,9 +311,8 @@
 }
 
 void
-balance_note_success (struct lane *lane, int64_t now_ms)
+balance_note_success (struct lane *lane)
 {
-  (void)now_ms;
   lane->failing *= 1 - SAMPLE_WEIGHT;
 }
 
--- a/packages/balance/src/lanes.c
+++ b/packages/balance/src/lanes.c
@@ -39,8 +39,8 @@
     }
 }
 
-struct lane *
-lanes_find (const struct lanes *lanes, const char *id)
+static struct lane *
+find (const struct lanes *lanes, const char *id)
 {
   struct lane *lane;
 
@@ -74,7 +74,7 @@
 
   if (lane != NULL)
     return lane;
-  lane = lanes_find (lanes, endpoint->id);
+  lane = find (lanes, endpoint->id);
   if (lane == NULL)
     {
       lane = calloc (1, sizeof *lane);
--- a/packages/edge/include/leader.h
+++ b/packages/edge/include/leader.h
@@ -29,7 +29,6 @@
   char lease_name[CATALOG_NAME_SIZE];
   bool acting;
   int64_t now_ms;
-  int64_t lease_sent_ms;
 };
 
 void leader_init (struct leader *leader,
--- a/packages/http/include/http-connection.h
+++ b/packages/http/include/http-connection.h
@@ -29,7 +29,6 @@
   HTTP_END_PROTOCOL, /* not HTTP, or a message cut short by an orderly close */
   HTTP_END_LIMIT,    /* header or message over its limit */
 };
-const char *http_end_name (enum http_end end);
 
 struct http_connection;
 
@@ -70,7 +69,6 @@
   bool ended;          /* the other side has closed */
   bool head_done;      /* fields that follow are trailers */
   bool in_value;       /* the parser is in a header value */
-  uint64_t bytes_in;
   struct http_head head;
   struct http_parser parser;
   struct event readable;
--- a/packages/http/src/http-connection.c
+++ b/packages/http/src/http-connection.c
@@ -19,19 +19,6 @@
 /* Unanswered probes before a silent connection counts as lost. */
 #define KEEPALIVE_PROBES 2
 
-const char *
-http_end_name (enum http_end end)
-{
-  static const char *const names[] = {
-    [HTTP_END_CLOSED] = "closed",
-    [HTTP_END_RESET] = "reset",
-    [HTTP_END_PROTOCOL] = "protocol",
-    [HTTP_END_LIMIT] = "limit",
-  };
-
-  return names[end];
-}
-
 static void
 free_memory (evutil_socket_t fd, short what, void *memory)
 {
@@ -265,7 +252,6 @@
 static void
 take_input (struct http_connection *connection, const char *data, size_t size)
 {
-  connection->bytes_in += size;
   if (connection->paused)
     keep (connection, data, size);
   else
--- a/packages/relay/include/relay.h
+++ b/packages/relay/include/relay.h
@@ -87,7 +87,6 @@
   struct lane *lane;
   struct relay_request *request; /* NULL = idle or connecting */
   bool established;
-  bool reused;
   bool written; /* bytes of the request have left */
   bool reading; /* its prompt counts in the lane's reading */
   bool head_seen;
@@ -135,9 +134,7 @@
   uint64_t events_sent;
   int64_t first_event_ms; /* when it was passed on; 0 = not yet */
   int64_t last_event_ms;
-  int64_t longest_pause_ms; /* between two events */
-  enum result failure;      /* of the last attempt */
-  bool answered; /* the whole answer is with the caller's connection */
+  int64_t longest_pause_ms;          /* between two events */
   TAILQ_ENTRY (relay_request) link;  /* all */
   TAILQ_ENTRY (relay_request) queue; /* waiting */
   bool queued;
@@ -210,7 +207,6 @@
 
 /* Answers go on, idle connections are closed. */
 void relay_leave (struct relay *relay);
-void relay_stop_listening (struct relay *relay);
 
 /*
  * No new connections; idle ones are closed, and a request that still comes is
--- a/packages/relay/src/attempt.c
+++ b/packages/relay/src/attempt.c
@@ -9,8 +9,7 @@
 #define REFUSED_AVOID_MS 250
 /* One that cannot be reached is left alone for this long. */
 #define UNREACHED_AVOID_MS 1000
-/* When to come back: see request.c. */
-#define RETRY_AFTER_MS 500
+/* Added at random, so that callers do not come back all at once. */
 #define RETRY_AFTER_SPREAD_MS 700
 /* A new request waits for room this part of its objective. */
 #define WAIT_PART 0.15
@@ -18,12 +17,12 @@
 static int64_t
 retry_after_ms (struct relay *relay)
 {
-  return RETRY_AFTER_MS
+  return RELAY_RETRY_AFTER_MS
          + (int64_t)rng_below (&relay->lanes.rng, RETRY_AFTER_SPREAD_MS);
 }
 
-void
-relay_attempt_start (struct relay_request *request, struct lane *lane)
+static void
+start (struct relay_request *request, struct lane *lane)
 {
   struct relay *relay = request->relay;
   struct relay_upstream *upstream;
@@ -104,7 +103,6 @@
     }
   if (may_have_run)
     request->runs++;
-  request->failure = why;
   request->phase = RELAY_WAITING;
   request->waiting_since_ms = relay->now_ms;
   if ((may_have_run && !catalog_is_repeatable (request->route))
@@ -166,7 +164,7 @@
     {
     case BALANCE_CHOSEN:
       request->expected_ms = choice.expected_ms;
-      relay_attempt_start (request, choice.lane);
+      start (request, choice.lane);
       break;
     case BALANCE_FULL:
       if (may_wait (request))
--- a/packages/relay/src/internal.h
+++ b/packages/relay/src/internal.h
@@ -3,6 +3,9 @@
 
 #include "relay.h"
 
+/* When to come back after a refusal for want of room or configuration. */
+#define RELAY_RETRY_AFTER_MS 500
+
 /* caller.c */
 void relay_caller_accept (struct evconnlistener *listener,
                           evutil_socket_t fd,
@@ -26,7 +29,6 @@
 void relay_request_tick (struct relay_request *request);
 
 /* attempt.c */
-void relay_attempt_start (struct relay_request *request, struct lane *lane);
 /*
  * The attempt ended without an answer for the caller: tries elsewhere, or ends
  * the request.  may_have_run is false only if the request certainly did not.
@@ -42,7 +44,6 @@
 /* Closes the connection; its request, if any, is on its own. */
 void relay_upstream_close (struct relay_upstream *upstream);
 void relay_upstream_tick (struct relay_upstream *upstream);
-void relay_upstream_send (struct relay_upstream *upstream);
 /* True if the connection is not established although it should be. */
 bool relay_upstream_is_overdue (const struct relay_upstream *upstream);
 
--- a/packages/relay/src/relay.c
+++ b/packages/relay/src/relay.c
@@ -56,8 +56,8 @@
   return relay->listener != NULL ? RESULT_OK : RESULT_INVALID;
 }
 
-void
-relay_stop_listening (struct relay *relay)
+static void
+stop_listening (struct relay *relay)
 {
   if (relay->listener != NULL)
     evconnlistener_free (relay->listener);
@@ -70,7 +70,7 @@
   struct relay_caller *caller;
   struct relay_upstream *upstream;
 
-  relay_stop_listening (relay);
+  stop_listening (relay);
   while ((caller = TAILQ_FIRST (&relay->callers)) != NULL)
     relay_caller_close (caller);
   while ((upstream = TAILQ_FIRST (&relay->idle)) != NULL)
@@ -182,7 +182,7 @@
 relay_close (struct relay *relay)
 {
   relay->closing = true;
-  relay_stop_listening (relay);
+  stop_listening (relay);
 }
 
 unsigned
--- a/packages/relay/src/request.c
+++ b/packages/relay/src/request.c
@@ -16,8 +16,6 @@
 #define URGENCY_FIRST 2
 /* The endpoint ends the work at the deadline itself; its answer comes then. */
 #define DEADLINE_GRACE_MS 60
-/* When to come back to a host without a current configuration. */
-#define RETRY_AFTER_MS 500
 /* The same to another host, from one that is shutting down. */
 #define DRAINING_RETRY_MS 10
 /*
@@ -62,7 +60,7 @@
   if (relay->body_bytes > BODY_BYTES_LIMIT)
     {
       caller->close_after = true;
-      relay_refuse (request, RESULT_SHED, RETRY_AFTER_MS);
+      relay_refuse (request, RESULT_SHED, RELAY_RETRY_AFTER_MS);
       return NULL;
     }
   return request;
@@ -274,9 +272,9 @@
     }
   if (result != RESULT_OK)
     {
-      relay_refuse (request, result,
-                    result_info (result)->http_status == 503 ? RETRY_AFTER_MS
-                                                             : 0);
+      relay_refuse (
+          request, result,
+          result_info (result)->http_status == 503 ? RELAY_RETRY_AFTER_MS : 0);
       return;
     }
   request->phase = RELAY_WAITING;
--- a/packages/relay/src/upstream.c
+++ b/packages/relay/src/upstream.c
@@ -83,8 +83,8 @@
   TAILQ_INSERT_TAIL (&relay->busy, upstream, link);
 }
 
-void
-relay_upstream_send (struct relay_upstream *upstream)
+static void
+send_request (struct relay_upstream *upstream)
 {
   struct relay_request *request = upstream->request;
   struct relay *relay = upstream->relay;
@@ -124,7 +124,7 @@
   upstream->established = true;
   balance_note_reached (&upstream->relay->lanes, upstream->lane);
   if (upstream->request != NULL)
-    relay_upstream_send (upstream);
+    send_request (upstream);
 }
 
 static void
@@ -247,7 +247,7 @@
       relay_attempt_failed (request, true, RESULT_STREAM_BROKEN);
       return;
     }
-  balance_note_success (upstream->lane, upstream->relay->now_ms);
+  balance_note_success (upstream->lane);
   relay_answer_stream_end (request);
   release (upstream);
   relay_request_free (request);
@@ -280,7 +280,7 @@
   if (failed)
     balance_note_failure (upstream->lane, upstream->relay->now_ms);
   else
-    balance_note_success (upstream->lane, upstream->relay->now_ms);
+    balance_note_success (upstream->lane);
   relay_answer_plain (request, upstream);
   release (upstream);
   relay_request_free (request);
@@ -387,10 +387,9 @@
   if (upstream != NULL)
     {
       TAILQ_REMOVE (&relay->idle, upstream, link);
-      upstream->reused = true;
       attach (upstream, request);
       http_connection_next (&upstream->connection, request->is_head_method);
-      relay_upstream_send (upstream);
+      send_request (upstream);
       return upstream;
     }
   upstream = open_upstream (relay, lane);
