http: keep the text of a head in an http_text

Cause: a second reading of the change. http_head had a growing buffer of its own beside http_text of the same package.

Change: the head's strings lie in an http_text; the size of a value, which nothing read, goes.

Ruled out: the buffers of gateway/sse.c and of the sheet reader.

--- a/packages/http/include/http-head.h
+++ b/packages/http/include/http-head.h
@@ -1,6 +1,7 @@
 #ifndef HTTP_HEAD_H
 #define HTTP_HEAD_H
 
+#include "http-text.h"
 #include "result.h"
 
 #include <stdbool.h>
@@ -20,14 +21,11 @@
 {
   uint32_t name; /* offset into text */
   uint32_t value;
-  uint32_t value_size;
 };
 
 struct http_head
 {
-  char *text;
-  uint32_t used;
-  uint32_t capacity;
+  struct http_text text;
   struct http_field fields[HTTP_FIELD_LIMIT];
   unsigned field_count;
   uint32_t target;    /* offset of a request's target */
--- a/packages/http/src/http-connection.c
+++ b/packages/http/src/http-connection.c
@@ -40,25 +40,19 @@
 /* Parser callbacks: the head grows as the pieces arrive. */
 
 static int
-head_add (struct http_head *head, const char *data, size_t size)
+add_piece (struct http_head *head, const char *data, size_t size)
 {
-  if (head->used + size + 1 > head->capacity)
-    {
-      size_t larger = (head->used + size + 1) * 2;
-      char *grown;
+  http_text_add (&head->text, data, size);
+  return head->text.failed ? -1 : 0;
+}
 
-      if (larger < 1024)
-        larger = 1024;
-      grown = realloc (head->text, larger);
-      if (grown == NULL)
-        return -1;
-      head->text = grown;
-      head->capacity = (uint32_t)larger;
-    }
-  memcpy (head->text + head->used, data, size);
-  head->used += (uint32_t)size;
-  head->text[head->used] = '\0';
-  return 0;
+/* Ends the last string; the offset of the next one. */
+static uint32_t
+next_string (struct http_head *head)
+{
+  if (head->text.size > 0)
+    http_text_add (&head->text, "", 1);
+  return (uint32_t)head->text.size;
 }
 
 static int
@@ -78,7 +72,7 @@
 {
   struct http_connection *connection = parser->data;
 
-  return head_add (&connection->head, data, size);
+  return add_piece (&connection->head, data, size);
 }
 
 static int
@@ -94,14 +88,12 @@
     {
       if (head->field_count == HTTP_FIELD_LIMIT)
         return -1;
-      head->used += head->used > 0 ? 1 : 0;
-      head->fields[head->field_count].name = head->used;
+      head->fields[head->field_count].name = next_string (head);
       head->fields[head->field_count].value = 0;
-      head->fields[head->field_count].value_size = 0;
       head->field_count++;
       connection->in_value = false;
     }
-  return head_add (head, data, size);
+  return add_piece (head, data, size);
 }
 
 static int
@@ -109,19 +101,15 @@
 {
   struct http_connection *connection = parser->data;
   struct http_head *head = &connection->head;
-  struct http_field *field;
 
   if (connection->head_done)
     return 0;
-  field = &head->fields[head->field_count - 1];
   if (!connection->in_value)
     {
-      head->used++;
-      field->value = head->used;
+      head->fields[head->field_count - 1].value = next_string (head);
       connection->in_value = true;
     }
-  field->value_size += (uint32_t)size;
-  return head_add (head, data, size);
+  return add_piece (head, data, size);
 }
 
 static int
--- a/packages/http/src/http-head.c
+++ b/packages/http/src/http-head.c
@@ -8,22 +8,21 @@
 void
 http_head_init (struct http_head *head)
 {
-  head->text = NULL;
-  head->capacity = 0;
+  http_text_init (&head->text);
   http_head_reset (head);
 }
 
 void
 http_head_finish (struct http_head *head)
 {
-  free (head->text);
+  http_text_finish (&head->text);
   http_head_init (head);
 }
 
 void
 http_head_reset (struct http_head *head)
 {
-  head->used = 0;
+  http_text_reset (&head->text);
   head->field_count = 0;
   head->target = 0;
   head->method = "";
@@ -35,19 +34,19 @@
 const char *
 http_field_name (const struct http_head *head, unsigned index)
 {
-  return head->text + head->fields[index].name;
+  return head->text.data + head->fields[index].name;
 }
 
 const char *
 http_field_value (const struct http_head *head, unsigned index)
 {
-  return head->text + head->fields[index].value;
+  return head->text.data + head->fields[index].value;
 }
 
 const char *
 http_head_target (const struct http_head *head)
 {
-  return head->text != NULL ? head->text + head->target : "";
+  return head->text.data != NULL ? head->text.data + head->target : "";
 }
 
 const char *
