http: decide in one place whether a connection is reusable

The relay and the client of records each spelled out when a connection may carry another message, half of it once more beside http_connection_idle, and the relay kept a copy of the head's keep_alive.

Change: http_connection_reusable serves both. The client of records now also closes a connection whose request was answered before it was all written; it kept one before and did not use it until it timed out.

--- a/packages/http/include/http-connection.h
+++ b/packages/http/include/http-connection.h
@@ -119,6 +119,12 @@
 /* Suspends or resumes reading. */
 void http_connection_hold (struct http_connection *connection, bool hold);
 
+/*
+ * True if the connection can carry another message after the present whole
+ * one: neither side ends it, and nothing is left over.
+ */
+bool http_connection_reusable (const struct http_connection *connection);
+
 /* True if nothing of a next message has arrived and nothing is unwritten. */
 bool http_connection_idle (const struct http_connection *connection);
 
--- a/packages/http/src/http-connection.c
+++ b/packages/http/src/http-connection.c
@@ -491,15 +491,27 @@
                                      : 0;
 }
 
-bool
-http_connection_idle (const struct http_connection *connection)
+static bool
+nothing_left (const struct http_connection *connection)
 {
-  return connection->fd >= 0 && !connection->ended && !connection->connecting
-         && !connection->paused && !connection->message_begun
+  return connection->fd >= 0 && !connection->ended
          && http_connection_surplus (connection) == 0
          && http_connection_unwritten (connection) == 0;
 }
 
+bool
+http_connection_reusable (const struct http_connection *connection)
+{
+  return connection->head.keep_alive && nothing_left (connection);
+}
+
+bool
+http_connection_idle (const struct http_connection *connection)
+{
+  return nothing_left (connection) && !connection->connecting
+         && !connection->paused && !connection->message_begun;
+}
+
 static void
 parse_kept (evutil_socket_t fd, short what, void *context)
 {
--- a/packages/records/src/records.c
+++ b/packages/records/src/records.c
@@ -172,8 +172,7 @@
     }
   json = json_loadb (call->body.data != NULL ? call->body.data : "",
                      call->body.size, 0, NULL);
-  if (call->connection.head.keep_alive && !call->connection.ended
-      && http_connection_surplus (&call->connection) == 0)
+  if (http_connection_reusable (&call->connection))
     {
       TAILQ_REMOVE (&records->sent, call, link);
       call->busy = false;
--- a/packages/relay/include/relay.h
+++ b/packages/relay/include/relay.h
@@ -92,7 +92,6 @@
   bool head_seen;
   bool is_stream;
   bool foreign; /* the present answer belongs to an earlier request */
-  bool keep_alive;
   unsigned status;
   int64_t started_ms;  /* of the attempt, or of being idle */
   int64_t progress_ms; /* last bytes of the answer */
--- a/packages/relay/src/upstream.c
+++ b/packages/relay/src/upstream.c
@@ -155,7 +155,6 @@
     return;
   upstream->head_seen = true;
   upstream->status = head->status;
-  upstream->keep_alive = head->keep_alive;
   upstream->idle_limit_ms = IDLE_MS;
   if (http_head_get (head, "Keep-Alive") != NULL)
     {
@@ -206,9 +205,7 @@
 release (struct relay_upstream *upstream)
 {
   struct relay *relay = upstream->relay;
-  bool clean = upstream->keep_alive && !upstream->connection.ended
-               && http_connection_surplus (&upstream->connection) == 0
-               && http_connection_unwritten (&upstream->connection) == 0
+  bool clean = http_connection_reusable (&upstream->connection)
                && upstream->lane->endpoint != NULL
                && !upstream->lane->endpoint->report.leaving
                && upstream->idle_limit_ms > 0;
