tests: share the HTTP server of the order and follower tests

Cause: a second reading of the change. t0963 and t0480 held the same server on the loopback interface, 30 lines each.

Ruled out: t0850, whose server keeps a script for each connection.

Change: packages/http/tests/http-server.h serves both; the limits of 64 and 8 connections and all assertions stay.

--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -28,7 +28,9 @@
   foreach(source ${tests})
     get_filename_component(test ${source} NAME_WE)
     add_executable(${test} ${source})
-    target_include_directories(${test} PRIVATE ${dir})
+    # Tests of other packages use the HTTP server for tests.
+    target_include_directories(${test} PRIVATE ${dir}
+                               ${CMAKE_SOURCE_DIR}/packages/http/tests)
     target_link_libraries(${test} PRIVATE ${ARGN} PkgConfig::CMOCKA)
     add_test(NAME ${name}/${test} COMMAND ${test}
              WORKING_DIRECTORY ${CMAKE_SOURCE_DIR})
--- a/packages/edge/tests/t0963-orders.c
+++ b/packages/edge/tests/t0963-orders.c
@@ -4,17 +4,14 @@
 #include <stdint.h>
 
 #include <cmocka.h>
-#include <event2/listener.h>
-#include <netinet/in.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "checker.h"
-#include "http-connection.h"
+#include "http-server.h"
 #include "log.h"
-#include "netutil.h"
 #include "orders.h"
 #include "timeutil.h"
 
@@ -22,12 +19,10 @@
 
 #define WAIT_MS 10000
 
-static struct event_base *base;
+static struct http_server server;
 static unsigned answer_status; /* 0 = none */
 static unsigned fenced;
 static unsigned lost;
-static struct http_connection *connections[64];
-static unsigned connection_count;
 
 static void
 ignore_head (void *context, const struct http_head *head)
@@ -36,14 +31,6 @@
   (void)head;
 }
 
-static void
-ignore_body (void *context, const char *data, size_t size)
-{
-  (void)context;
-  (void)data;
-  (void)size;
-}
-
 static void
 on_complete (void *context)
 {
@@ -56,40 +43,13 @@
   http_connection_write (context, text, strlen (text));
 }
 
-static void
-on_closed (void *context, enum http_end end)
-{
-  (void)end;
-  http_connection_finish (context);
-}
-
 static const struct http_events events = {
   .head = ignore_head,
-  .body = ignore_body,
+  .body = http_server_ignore_body,
   .complete = on_complete,
-  .closed = on_closed,
+  .closed = http_server_on_closed,
 };
 
-static void
-on_accept (struct evconnlistener *listener,
-           evutil_socket_t fd,
-           struct sockaddr *address,
-           int size,
-           void *context)
-{
-  const struct http_limits limits = { 65536, 65536 };
-  struct http_connection *connection = calloc (1, sizeof *connection);
-
-  (void)listener;
-  (void)address;
-  (void)size;
-  (void)context;
-  assert_non_null (connection);
-  assert_in_range (connection_count, 0, 63);
-  connections[connection_count++] = connection;
-  http_connection_accept (connection, base, fd, &limits, &events, connection);
-}
-
 static void
 encode_order (const struct formation_order *order,
               uint64_t fence,
@@ -130,34 +90,12 @@
   lost++;
 }
 
-static uint16_t
-start (struct evconnlistener **listener)
+static void
+start (void)
 {
-  struct sockaddr_in own = { .sin_family = AF_INET };
-
   fenced = 0;
   lost = 0;
-  connection_count = 0;
-  base = event_base_new ();
-  own.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  *listener
-      = evconnlistener_new_bind (base, on_accept, NULL, LEV_OPT_CLOSE_ON_FREE,
-                                 16, (struct sockaddr *)&own, sizeof own);
-  assert_non_null (*listener);
-  return net_bound_port (evconnlistener_get_fd (*listener));
-}
-
-static void
-stop (struct evconnlistener *listener)
-{
-  evconnlistener_free (listener);
-  for (unsigned i = 0; i < connection_count; i++)
-    {
-      http_connection_finish (connections[i]);
-      free (connections[i]);
-    }
-  event_base_loop (base, EVLOOP_NONBLOCK);
-  event_base_free (base);
+  http_server_start (&server, &events, 64);
 }
 
 static void
@@ -165,8 +103,8 @@
 {
   const struct timeval time = { 0, 10000 };
 
-  event_base_loopexit (base, &time);
-  event_base_loop (base, EVLOOP_ONCE);
+  event_base_loopexit (server.base, &time);
+  event_base_loop (server.base, EVLOOP_ONCE);
 }
 
 struct order_case
@@ -191,14 +129,14 @@
     {
       const struct formation_order order
           = { .op = FORMATION_OPEN, .endpoint = "e", .group = "g" };
-      struct evconnlistener *listener;
-      uint16_t port = start (&listener);
       struct orders orders;
       int64_t until_ms = time_boot_ms () + WAIT_MS;
 
+      start ();
       answer_status = cases[i].status;
-      orders_init (&orders, base, &adapter, on_fenced, on_lost, NULL);
-      orders_send (&orders, &order, 1, "127.0.0.1", port, time_boot_ms ());
+      orders_init (&orders, server.base, &adapter, on_fenced, on_lost, NULL);
+      orders_send (&orders, &order, 1, "127.0.0.1", server.port,
+                   time_boot_ms ());
       while (!TAILQ_EMPTY (&orders.calls) && time_boot_ms () < until_ms)
         {
           step ();
@@ -207,7 +145,7 @@
       if (fenced != cases[i].fenced || lost != cases[i].lost)
         fail_msg ("%s: %u fenced, %u lost", cases[i].guards, fenced, lost);
       orders_finish (&orders);
-      stop (listener);
+      http_server_stop (&server);
     }
 }
 
@@ -216,16 +154,16 @@
 test_checks (void **state)
 {
   struct endpoint_report report = { .address = "127.0.0.1" };
-  struct evconnlistener *listener;
   struct endpoints endpoints;
   struct checker checker;
   int64_t until_ms;
 
   (void)state;
-  report.port = start (&listener);
+  start ();
+  report.port = server.port;
   endpoints_init (&endpoints, NULL, NULL);
   endpoints_report (&endpoints, "e", &report, 1, 0);
-  checker_init (&checker, base, &adapter, &endpoints);
+  checker_init (&checker, server.base, &adapter, &endpoints);
   answer_status = 0;
   until_ms = time_boot_ms () + WAIT_MS;
   checker_suspect (&checker, "e", time_boot_ms ());
@@ -247,7 +185,7 @@
   assert_null (checker.checks);
   checker_finish (&checker);
   endpoints_finish (&endpoints);
-  stop (listener);
+  http_server_stop (&server);
 }
 
 int
--- a/packages/records/tests/t0480-follower.c
+++ b/packages/records/tests/t0480-follower.c
@@ -4,17 +4,14 @@
 #include <stdint.h>
 
 #include <cmocka.h>
-#include <event2/listener.h>
-#include <netinet/in.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "follower.h"
-#include "http-connection.h"
+#include "http-server.h"
 #include "log.h"
-#include "netutil.h"
 #include "timeutil.h"
 
 /*
@@ -26,12 +23,9 @@
 
 static struct
 {
-  struct event_base *base;
-  struct evconnlistener *listener;
+  struct http_server server;
   struct records records;
   struct follower follower;
-  struct http_connection *store[8];
-  unsigned store_count;
   const char *const *answers; /* one for each call; NULL = hold back */
   unsigned calls;
   char targets[8][64];
@@ -132,14 +126,6 @@
               http_head_target (head));
 }
 
-static void
-store_body (void *context, const char *data, size_t size)
-{
-  (void)context;
-  (void)data;
-  (void)size;
-}
-
 static void
 answer (struct http_connection *connection, const char *text)
 {
@@ -166,58 +152,24 @@
     answer (connection, text);
 }
 
-static void
-store_closed (void *context, enum http_end end)
-{
-  (void)end;
-  http_connection_finish (context);
-}
-
 static const struct http_events store_events = {
   .head = store_head,
-  .body = store_body,
+  .body = http_server_ignore_body,
   .complete = store_complete,
-  .closed = store_closed,
+  .closed = http_server_on_closed,
 };
 
-static void
-store_accept (struct evconnlistener *listener,
-              evutil_socket_t fd,
-              struct sockaddr *address,
-              int size,
-              void *context)
-{
-  const struct http_limits limits = { 65536, 65536 };
-  struct http_connection *connection = calloc (1, sizeof *connection);
-
-  (void)listener;
-  (void)address;
-  (void)size;
-  (void)context;
-  assert_non_null (connection);
-  assert_in_range (test.store_count, 0, 7);
-  test.store[test.store_count++] = connection;
-  http_connection_accept (connection, test.base, fd, &limits, &store_events,
-                          connection);
-}
-
 static void
 setup (const char *const *answers)
 {
   const struct follower_hooks hooks
       = { NULL, on_record, on_begin, on_end, on_regained };
-  struct sockaddr_in own = { .sin_family = AF_INET };
 
   memset (&test, 0, sizeof test);
   test.answers = answers;
-  test.base = event_base_new ();
-  own.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  test.listener = evconnlistener_new_bind (test.base, store_accept, NULL,
-                                           LEV_OPT_CLOSE_ON_FREE, 16,
-                                           (struct sockaddr *)&own, sizeof own);
-  assert_non_null (test.listener);
-  records_init (&test.records, test.base, &codec, "127.0.0.1",
-                net_bound_port (evconnlistener_get_fd (test.listener)));
+  http_server_start (&test.server, &store_events, 8);
+  records_init (&test.records, test.server.base, &codec, "127.0.0.1",
+                test.server.port);
   follower_init (&test.follower, &test.records, RECORDS_ENDPOINTS, "endpoints",
                  &hooks, 200, 1);
 }
@@ -226,14 +178,7 @@
 teardown (void)
 {
   records_finish (&test.records);
-  evconnlistener_free (test.listener);
-  for (unsigned i = 0; i < test.store_count; i++)
-    {
-      http_connection_finish (test.store[i]);
-      free (test.store[i]);
-    }
-  event_base_loop (test.base, EVLOOP_NONBLOCK);
-  event_base_free (test.base);
+  http_server_stop (&test.server);
 }
 
 static void
@@ -245,8 +190,8 @@
     {
       const struct timeval step = { 0, 2000 };
 
-      event_base_loopexit (test.base, &step);
-      event_base_loop (test.base, EVLOOP_ONCE);
+      event_base_loopexit (test.server.base, &step);
+      event_base_loop (test.server.base, EVLOOP_ONCE);
       records_tick (&test.records, time_boot_ms ());
       follower_tick (&test.follower, time_boot_ms ());
       if (time_boot_ms () > until_ms)
@@ -366,8 +311,8 @@
     {
       const struct timeval step = { 0, 2000 };
 
-      event_base_loopexit (test.base, &step);
-      event_base_loop (test.base, EVLOOP_ONCE);
+      event_base_loopexit (test.server.base, &step);
+      event_base_loop (test.server.base, EVLOOP_ONCE);
     }
   answer (test.held, "200 {\"at\":6,\"names\":[\"a\"]}");
   run_until_calls (3);
@@ -377,8 +322,8 @@
     {
       const struct timeval step = { 0, 2000 };
 
-      event_base_loopexit (test.base, &step);
-      event_base_loop (test.base, EVLOOP_ONCE);
+      event_base_loopexit (test.server.base, &step);
+      event_base_loop (test.server.base, EVLOOP_ONCE);
     }
   answer (test.held, "200 {\"at\":6,\"names\":[]}");
   run_until_calls (4);
