fuzz: give a rolling change of version the time it takes

A version reaches the groups of a spec one after the other, each with a drain, an order and a load: five ticks of 45 s in the trace (drain at 286 s, its end at 376, order at 421, ready at 511). check_converged ran after 16 ticks whatever was left to do; the fourth group got its order in that tick. Package group did what docs/design.md says. Ruled out, by a print at each tick: a lost or refused order (none in flight, no refusals), the limit on loads (four of five), a fence wait, a stale assignment, a silent member. Change: the quiet time grows by five ticks for each group of one spec that has an older version when it begins; without such groups it is what it was. New check: when all groups of a spec serve, none has an older version. With update_spec made to do nothing, the new check fails on the kept input. Conclusion: the oracle was wrong, not the package.

--- a/fuzz/placement.c
+++ b/fuzz/placement.c
@@ -37,6 +37,11 @@
 #define EVENT_LIMIT 16
 #define QUIET_TICKS 16
 #define QUIET_TICK_MS 45000
+/*
+ * A new version reaches the groups of a spec one after the other.  Each takes
+ * a tick for: its drain, the end of the drain, its order, LOAD_MS (two).
+ */
+#define ROLL_TICKS 5
 /*
  * Drain time, settling, and ticks on which an answer is lost.  A long tick
  * counts as TICK_CAP_MS, since it leaves time for one step only.
@@ -631,6 +636,28 @@
   return most;
 }
 
+/* The most groups of one spec that do not have its version yet. */
+static unsigned
+count_outdated (void)
+{
+  unsigned most = 0;
+
+  for (size_t i = 0; i < world.sheet.group_count; i++)
+    {
+      const struct sheet_group *spec = &world.sheet.groups[i];
+      const struct fleet_group *group;
+      unsigned count = 0;
+
+      for (group = world.fleet.groups; group != NULL; group = group->hh.next)
+        if (strcmp (group->spec, spec->name) == 0
+            && strcmp (group->version, spec->version) != 0)
+          count++;
+      if (count > most)
+        most = count;
+    }
+  return most;
+}
+
 /*
  * What holds once nothing has happened for a long time.  Every hold-off has
  * passed by then.
@@ -670,11 +697,20 @@
     {
       const struct sheet_group *spec = &world.sheet.groups[i];
       unsigned have = 0;
+      unsigned outdated = 0;
+      bool all_serve = true;
 
       for (group = world.fleet.groups; group != NULL; group = group->hh.next)
         if (strcmp (group->spec, spec->name) == 0)
-          have++;
+          {
+            have++;
+            outdated += strcmp (group->version, spec->version) != 0;
+            if (fleet_group_serving (&world.fleet, group, world.now_ms)
+                != FLEET_SERVING)
+              all_serve = false;
+          }
       REQUIRE (have <= parts[i]);
+      REQUIRE (!all_serve || outdated == 0);
       REQUIRE (have == parts[i] || free_hosts (spec) < spec->span);
     }
 }
@@ -729,6 +765,8 @@
 int
 LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
 {
+  unsigned quiet_ticks;
+
   memset (&world, 0, sizeof world);
   world.data = data;
   world.size = size;
@@ -744,7 +782,8 @@
   for (unsigned i = 0; i < world.host_count; i++)
     world.engines[i].says.running = 0;
   world.writes = 0;
-  for (unsigned i = 0; i < QUIET_TICKS; i++)
+  quiet_ticks = QUIET_TICKS + ROLL_TICKS * count_outdated ();
+  for (unsigned i = 0; i < quiet_ticks; i++)
     tick (QUIET_TICK_MS);
   REQUIRE (world.writes <= QUIET_WRITES);
   check_converged ();
