tests: wait until each host that is asked knows the groups

The test waits for entry-1-a only; entry-1-b hears of a group that begins to serve with the next datagram of its peer or its own probe. Ruled out: the outage of the platform. Change: t9040 and t9070 wait for an answer of the second host before the fault starts, t9080 for its view; what is asserted under the fault is unchanged. Conclusion: a missing precondition in three tests.

--- a/tests/system/t9040-platform-down.sh
+++ b/tests/system/t9040-platform-down.sh
@@ -11,6 +11,8 @@
 check "the sheet is applied" apply_sheet "$work/sheet.csv"
 check "groups serve" wait_for 30 fleet_serving entry-1-a 2
 check "entry-1-a answers" wait_for 10 answers entry-1-a
+# Hosts hear of a group that begins to serve one after the other.
+check "entry-1-b answers" wait_for 10 answers entry-1-b
 
 platform_fault '{"outage":true}'
 for i in 1 2 3; do
--- a/tests/system/t9070-data-centre-cut.sh
+++ b/tests/system/t9070-data-centre-cut.sh
@@ -12,6 +12,7 @@
 check "the sheet is applied" apply_sheet "$work/sheet.csv"
 check "casa-1 serves" wait_for 30 fleet_serving entry-1-a 2
 check "casa-2 serves" wait_for 30 fleet_serving entry-2-a 2
+check "entry-2-b answers" wait_for 10 answers entry-2-b
 
 for host in entry-2-a entry-2-b; do
   cut_entry "$host" '{"platform":true,"peers":"*"}'
--- a/tests/system/t9080-paused-holder.sh
+++ b/tests/system/t9080-paused-holder.sh
@@ -9,6 +9,7 @@
 write_sheet "$work/sheet.csv" 2 2
 check "the sheet is applied" apply_sheet "$work/sheet.csv"
 check "two groups serve" wait_for 40 fleet_serving entry-1-a 2
+check "entry-1-b sees them" wait_for 40 fleet_serving entry-1-b 2
 
 holder=
 for host in entry-1-a entry-1-b; do
