http: hold requests to the limit on their head

Cause: http_limits.header_bytes was set from the configuration and never compared; only the parser's own 80 KB held. A caller whose request was refused while its body still arrived was reset: the socket was closed with unread input, and a reset can overtake the answer. Ruled out: setting the parser's limit; it is one for the whole process. Change: start line and fields are counted as they arrive, refused with 431 (3030 HEAD_TOO_LARGE, not run) over the limit, also with too many fields; a changed limit holds from the next request of an open connection on. A connection whose request was not read whole is half-closed, and what still arrives is dropped until the caller closes or the time for a head has passed. Conclusion: both limits of the configuration hold and the refusal arrives.

--- a/packages/http/include/http-connection.h
+++ b/packages/http/include/http-connection.h
@@ -34,7 +34,8 @@
 
 /*
  * Every callback may finish the connection.  closed comes at most once, as the
- * last one, and leaves the connection to be finished by its owner.
+ * last one, and leaves the connection to be finished by its owner (but see
+ * http_connection_discard).
  */
 struct http_events
 {
@@ -48,7 +49,7 @@
 
 struct http_limits
 {
-  size_t header_bytes;
+  size_t header_bytes;  /* start line and fields of one message */
   size_t pending_bytes; /* received past the present message */
 };
 
@@ -69,6 +70,8 @@
   bool ended;          /* the other side has closed */
   bool head_done;      /* fields that follow are trailers */
   bool in_value;       /* the parser is in a header value */
+  bool over_limit;     /* the head has too many bytes or fields */
+  bool discarding;     /* what still arrives is dropped */
   struct http_head head;
   struct http_parser parser;
   struct event readable;
@@ -116,6 +119,14 @@
 /* Goes on to the next message; kept bytes are parsed from the event loop. */
 void http_connection_next (struct http_connection *connection, bool no_body);
 
+/*
+ * Ends this side of the connection once all is written, and drops what still
+ * arrives: to close with unread input would reset the connection, and the
+ * other side might lose the last answer.  closed follows, also a second time
+ * after a limit or protocol error.
+ */
+void http_connection_discard (struct http_connection *connection);
+
 /* Suspends or resumes reading. */
 void http_connection_hold (struct http_connection *connection, bool hold);
 
--- a/packages/http/src/http-connection.c
+++ b/packages/http/src/http-connection.c
@@ -19,6 +19,9 @@
 /* Unanswered probes before a silent connection counts as lost. */
 #define KEEPALIVE_PROBES 2
 
+/* ": " and the line end of a field, which its kept text does not hold. */
+#define FIELD_EXTRA_BYTES 4
+
 static void
 free_memory (evutil_socket_t fd, short what, void *memory)
 {
@@ -40,8 +43,16 @@
 /* Parser callbacks: the head grows as the pieces arrive. */
 
 static int
-add_piece (struct http_head *head, const char *data, size_t size)
+add_piece (struct http_connection *connection, const char *data, size_t size)
 {
+  struct http_head *head = &connection->head;
+
+  if (head->text.size + size + (size_t)head->field_count * FIELD_EXTRA_BYTES
+      > connection->limits.header_bytes)
+    {
+      connection->over_limit = true;
+      return -1;
+    }
   http_text_add (&head->text, data, size);
   return head->text.failed ? -1 : 0;
 }
@@ -70,9 +81,7 @@
 static int
 on_target (struct http_parser *parser, const char *data, size_t size)
 {
-  struct http_connection *connection = parser->data;
-
-  return add_piece (&connection->head, data, size);
+  return add_piece (parser->data, data, size);
 }
 
 static int
@@ -87,13 +96,16 @@
   if (connection->in_value || head->field_count == 0)
     {
       if (head->field_count == HTTP_FIELD_LIMIT)
-        return -1;
+        {
+          connection->over_limit = true;
+          return -1;
+        }
       head->fields[head->field_count].name = next_string (head);
       head->fields[head->field_count].value = 0;
       head->field_count++;
       connection->in_value = false;
     }
-  return add_piece (head, data, size);
+  return add_piece (connection, data, size);
 }
 
 static int
@@ -109,7 +121,7 @@
       head->fields[head->field_count - 1].value = next_string (head);
       connection->in_value = true;
     }
-  return add_piece (head, data, size);
+  return add_piece (connection, data, size);
 }
 
 static int
@@ -195,7 +207,7 @@
   enum http_errno error;
 
   used = http_parser_execute (&connection->parser, &callbacks, data, size);
-  if (connection->fd < 0)
+  if (connection->fd < 0 || connection->discarding)
     return;
   error = HTTP_PARSER_ERRNO (&connection->parser);
   if (connection->paused)
@@ -207,7 +219,7 @@
       connection->events->complete (connection->context);
       return;
     }
-  if (error == HPE_HEADER_OVERFLOW || error == HPE_CB_header_field)
+  if (error == HPE_HEADER_OVERFLOW || connection->over_limit)
     report_end (connection, HTTP_END_LIMIT);
   else if (error != HPE_OK || connection->parser.upgrade)
     report_end (connection, HTTP_END_PROTOCOL);
@@ -217,7 +229,8 @@
 static void
 take_end (struct http_connection *connection, bool orderly)
 {
-  if (connection->paused || !connection->message_begun || !orderly)
+  if (connection->paused || connection->discarding || !connection->message_begun
+      || !orderly)
     {
       report_end (connection, orderly ? HTTP_END_CLOSED : HTTP_END_RESET);
       return;
@@ -240,6 +253,8 @@
 static void
 take_input (struct http_connection *connection, const char *data, size_t size)
 {
+  if (connection->discarding)
+    return;
   if (connection->paused)
     keep (connection, data, size);
   else
@@ -549,6 +564,19 @@
     parse_kept (-1, 0, connection);
 }
 
+void
+http_connection_discard (struct http_connection *connection)
+{
+  if (connection->fd < 0 || connection->discarding)
+    return;
+  connection->discarding = true;
+  connection->ended = false;
+  connection->held = false;
+  if (shutdown (connection->fd, SHUT_WR) != 0)
+    LOG_EVENT (LOG_LEVEL_DEBUG, "half-close", LOG_INT ("errno", errno));
+  event_add (&connection->readable, NULL);
+}
+
 void
 http_connection_hold (struct http_connection *connection, bool hold)
 {
--- a/packages/relay/src/caller.c
+++ b/packages/relay/src/caller.c
@@ -20,6 +20,16 @@
 /* A caller that reads slowly suspends its stream above this. */
 #define UNWRITTEN_HIGH 262144
 
+static struct http_limits
+caller_limits (const struct relay *relay)
+{
+  struct http_limits limits = { DEFAULT_HEADER_BYTES, PENDING_BYTES };
+
+  if (relay->catalog != NULL)
+    limits.header_bytes = (size_t)relay->catalog->limits.header_bytes;
+  return limits;
+}
+
 static void
 on_head (void *context, const struct http_head *head)
 {
@@ -60,17 +70,32 @@
     relay_request_start (caller->request);
 }
 
+/* A request that was not read whole is still arriving. */
+static void
+end_connection (struct relay_caller *caller)
+{
+  if (caller->connection.paused)
+    relay_caller_close (caller);
+  else
+    http_connection_discard (&caller->connection);
+}
+
 static void
 on_closed (void *context, enum http_end end)
 {
   struct relay_caller *caller = context;
 
   caller->relay->now_ms = time_boot_ms ();
-  if (end == HTTP_END_LIMIT || end == HTTP_END_PROTOCOL)
+  /* What cannot be parsed gets one answer; an abort in a body none. */
+  if ((end == HTTP_END_LIMIT || end == HTTP_END_PROTOCOL)
+      && caller->request == NULL && !caller->connection.paused)
     {
-      /* What cannot be parsed gets one answer; an abort in a body none. */
-      if (caller->request == NULL && !caller->connection.paused)
-        relay_refuse_caller (caller, "", RESULT_MALFORMED_REQUEST, 0);
+      relay_refuse_caller (caller, "",
+                           end == HTTP_END_LIMIT ? RESULT_HEAD_TOO_LARGE
+                                                 : RESULT_MALFORMED_REQUEST,
+                           0);
+      relay_caller_answered (caller);
+      return;
     }
   if (caller->request != NULL)
     {
@@ -87,7 +112,7 @@
   struct relay_caller *caller = context;
 
   if (caller->close_after && caller->request == NULL)
-    relay_caller_close (caller);
+    end_connection (caller);
   else if (caller->request != NULL && caller->request->upstream != NULL)
     http_connection_hold (&caller->request->upstream->connection, false);
 }
@@ -109,7 +134,7 @@
 {
   struct relay *relay = context;
   struct relay_caller *caller = NULL;
-  struct http_limits limits = { DEFAULT_HEADER_BYTES, PENDING_BYTES };
+  struct http_limits limits;
 
   (void)listener;
   (void)address;
@@ -122,8 +147,7 @@
       close (fd);
       return;
     }
-  if (relay->catalog != NULL)
-    limits.header_bytes = (size_t)relay->catalog->limits.header_bytes;
+  limits = caller_limits (relay);
   caller->relay = relay;
   caller->since_ms = time_boot_ms ();
   if (http_connection_accept (&caller->connection, relay->base, fd, &limits,
@@ -164,9 +188,10 @@
     {
       caller->close_after = true;
       if (http_connection_unwritten (connection) == 0)
-        relay_caller_close (caller);
+        end_connection (caller);
       return;
     }
+  connection->limits = caller_limits (caller->relay);
   http_connection_next (connection, false);
 }
 
--- a/packages/relay/tests/t0850-relay.c
+++ b/packages/relay/tests/t0850-relay.c
@@ -6,6 +6,7 @@
 #include <cmocka.h>
 #include <event2/listener.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -652,6 +653,91 @@
   teardown ();
 }
 
+/* The configuration bounds start line and fields together, however split. */
+static void
+test_header_limit (void **state)
+{
+  static const struct
+  {
+    unsigned fields;
+    unsigned field_bytes; /* of each value */
+    unsigned status;
+    unsigned sends;
+  } sizes[] = {
+    { 1, 16000, 200, 1 }, { 1, 16384, 431, 0 }, { 1, 70000, 431, 0 },
+    { 50, 300, 200, 1 },  { 50, 340, 431, 0 },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < sizeof sizes / sizeof sizes[0]; i++)
+    {
+      struct relay_case c = cases[0];
+      struct http_text request;
+      char *value = calloc (1, sizes[i].field_bytes + 1);
+
+      assert_non_null (value);
+      memset (value, 'x', sizes[i].field_bytes);
+      http_text_init (&request);
+      http_text_add_string (&request, GET KEY);
+      for (unsigned j = 0; j < sizes[i].fields; j++)
+        http_text_add_field (&request, "X-Long", value);
+      http_text_add (&request, "\r\n", 3);
+      c.guards = "a head over the limit gets through";
+      c.request = request.data;
+      c.status = sizes[i].status;
+      c.body = NULL;
+      c.sends = sizes[i].sends;
+      c.sent = NULL;
+      setup (&c);
+      run_until_answered ();
+      check (&c);
+      teardown ();
+      http_text_finish (&request);
+      free (value);
+    }
+}
+
+/*
+ * The answer to a body over the limit reaches a caller that still sends: a
+ * reset would overtake an answer that the network delays.
+ */
+static void
+test_body_limit (void **state)
+{
+  const size_t body_bytes = 8 << 20;
+  struct relay_case c = cases[0];
+  struct http_text request;
+  char *body = calloc (1, body_bytes + 1);
+  struct tcp_info info;
+  socklen_t info_size = sizeof info;
+
+  (void)state;
+  assert_non_null (body);
+  memset (body, 'x', body_bytes);
+  http_text_init (&request);
+  http_text_format (&request, GET KEY "Content-Length: %zu\r\n\r\n",
+                    body_bytes);
+  http_text_add (&request, body, body_bytes + 1);
+  c.guards = "the answer to a body over the limit is lost";
+  c.request = request.data;
+  c.status = 413;
+  c.body = NULL;
+  c.sends = 0;
+  c.sent = NULL;
+  setup (&c);
+  run_until_answered ();
+  check (&c);
+  while (!test.closed)
+    event_base_loop (test.base, EVLOOP_ONCE);
+  assert_int_equal (
+      getsockopt (test.caller.fd, IPPROTO_TCP, TCP_INFO, &info, &info_size), 0);
+  /* A reset would have left TCP_CLOSE. */
+  assert_int_equal (info.tcpi_state, TCP_CLOSE_WAIT);
+  teardown ();
+  http_text_finish (&request);
+  free (body);
+}
+
 /* Work for a caller that has left is ended at the endpoint. */
 static void
 test_caller_leaves (void **state)
@@ -744,6 +830,8 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_cases),
     cmocka_unit_test (test_stale_configuration),
+    cmocka_unit_test (test_header_limit),
+    cmocka_unit_test (test_body_limit),
     cmocka_unit_test (test_caller_leaves),
     cmocka_unit_test (test_closing),
     cmocka_unit_test (test_unwritten_answer),
