--- a/packages/balance/src/lanes.c
+++ b/packages/balance/src/lanes.c
@@ -34,6 +34,9 @@
     {
       struct lane *next = lane->hh.next;
 
+      /* Endpoints may outlive the lanes. */
+      if (lane->endpoint != NULL)
+        lane->endpoint->link = NULL;
       free (lane);
       lane = next;
     }
--- a/packages/relay/tests/t0850-relay.c
+++ b/packages/relay/tests/t0850-relay.c
@@ -535,6 +535,14 @@
   endpoints_report (&test.endpoints, id, &report, 1, time_boot_ms ());
 }
 
+/* As the owner of both does it, also while it shuts down. */
+static void
+endpoint_removed (void *context, struct endpoint *endpoint)
+{
+  (void)context;
+  relay_endpoint_removed (&test.relay, endpoint);
+}
+
 static void
 setup (const struct relay_case *c)
 {
@@ -545,7 +553,7 @@
   test.c = c;
   test.base = event_base_new ();
   counter_set_init (&test.counters, 100);
-  endpoints_init (&test.endpoints, NULL, NULL);
+  endpoints_init (&test.endpoints, endpoint_removed, NULL);
   relay_init (&test.relay, test.base, &names, &limits, &test.endpoints,
               &test.counters, "casa-a", 1);
   test.relay.now_ms = time_boot_ms ();
