soak: play faults against real entry hosts

Weighed: the stand-ins of tests/standin speak the product's own interface, so they cannot serve here; separate processes for store, endpoints and callers would need a protocol to collect what they saw.

--- /dev/null
+++ b/soak/soak.c
@@ -0,0 +1,260 @@
+#include "log.h"
+#include "schedule.h"
+#include "world.h"
+
+#include <argtable2.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+/*
+ * The fault soak: real entry hosts, faults from outside, and a ledger of what
+ * callers and endpoints saw.
+ */
+
+#define EXIT_BROKEN 1
+#define EXIT_USAGE 2
+
+/* Groups are formed before traffic in this time. */
+#define START_LIMIT_MS 20000
+/* Hosts learn of each other and report themselves ready. */
+#define CALM_MS 2000
+/* Everything is served again this long after the last fault. */
+#define RECOVER_MS 12000
+#define RECOVERED_MS 1000
+/* Part of the requests of each kind that is served once all is well. */
+#define SERVED_PART 0.9
+#define FINAL_MS 3000
+/* Of one kind, for a part to mean anything. */
+#define SERVED_LEAST 5
+
+struct run
+{
+  struct world world;
+  struct schedule schedule;
+};
+
+static bool
+serves (void *context)
+{
+  struct run *run = context;
+
+  for (unsigned i = 0; i < run->world.host_count; i++)
+    if (!run->world.hosts[i].in_rotation)
+      return false;
+  return world_serves (&run->world);
+}
+
+static void
+tick (void *context)
+{
+  struct run *run = context;
+
+  schedule_tick (&run->schedule);
+}
+
+static bool
+is_idle (void *context)
+{
+  struct run *run = context;
+
+  return callers_are_idle (&run->world.callers);
+}
+
+static bool
+all_stopped (void *context)
+{
+  struct run *run = context;
+
+  for (unsigned i = 0; i < run->world.host_count; i++)
+    if (run->world.hosts[i].pid != 0)
+      return false;
+  return true;
+}
+
+static bool
+kinds_served (const struct callers *callers)
+{
+  for (unsigned i = 0; i < 3; i++)
+    if (callers->counts[i].asked < SERVED_LEAST
+        || (double)callers->counts[i].served
+               < SERVED_PART * (double)callers->counts[i].asked)
+      return false;
+  return true;
+}
+
+static void
+recover (struct run *run)
+{
+  struct world *world = &run->world;
+  int64_t until_ms = world->now_ms + RECOVER_MS;
+  bool served = false;
+
+  while (!served && world->now_ms < until_ms)
+    {
+      callers_reset_counts (&world->callers);
+      world_run (world, RECOVERED_MS, NULL, NULL, run);
+      served = kinds_served (&world->callers);
+    }
+  world_note (world, served ? "recovered" : "not recovered");
+  callers_reset_counts (&world->callers);
+  world_run (world, FINAL_MS, NULL, NULL, run);
+  for (unsigned i = 0; i < 3; i++)
+    world_note (world, "kind %u: %llu of %llu served at the end", i,
+                (unsigned long long)world->callers.counts[i].served,
+                (unsigned long long)world->callers.counts[i].asked);
+  if (!served || !kinds_served (&world->callers))
+    ledger_violate (&world->ledger, "RECOVER",
+                    "not all kinds are served after the last fault");
+}
+
+static void
+stop_hosts (struct run *run)
+{
+  struct world *world = &run->world;
+
+  world->callers.stopped = true;
+  world_run (world, RECOVER_MS, is_idle, NULL, run);
+  for (unsigned i = 0; i < world->host_count; i++)
+    host_term (&world->hosts[i], world->now_ms, world->now_ms + INT32_MAX);
+  world_run (world, HOST_GRACE_MS + 1000, all_stopped, NULL, run);
+}
+
+static void
+start_hosts (struct run *run)
+{
+  struct world *world = &run->world;
+
+  for (unsigned i = 0; i < world->host_count; i++)
+    world->hosts[i].start_ms
+        = world->now_ms + 1 + (int64_t)rng_below (&world->rng, 300);
+  world_run (world, START_LIMIT_MS, serves, NULL, run);
+  if (!serves (run))
+    ledger_violate (&world->ledger, "RECOVER", "no service after the start");
+  world->callers.stopped = false;
+  world_run (world, CALM_MS, NULL, NULL, run);
+}
+
+/* The number of broken promises. */
+static uint64_t
+play (const struct world_options *options, int faults_s, const char *only)
+{
+  struct run *run = calloc (1, sizeof *run);
+  struct world *world;
+  const struct ledger *ledger;
+  uint64_t violations = 1;
+
+  if (run == NULL)
+    return violations;
+  world = &run->world;
+  ledger = &world->ledger;
+  if (!world_init (world, options))
+    {
+      perror (options->directory);
+      goto out;
+    }
+  schedule_init (&run->schedule, world, options->seed ^ 1, only);
+  start_hosts (run);
+  world_run (world, (int64_t)faults_s * 1000, NULL, tick, run);
+  schedule_stop (&run->schedule);
+  recover (run);
+  stop_hosts (run);
+  violations = ledger->violations;
+  printf (
+      "seed %llu: %u faults, %u requests, %llu served, %llu refused, "
+      "%llu failed, %llu reads and %llu writes of the store, %llu broken\n",
+      (unsigned long long)options->seed, run->schedule.begun,
+      HASH_COUNT (ledger->attempts), (unsigned long long)ledger->served,
+      (unsigned long long)ledger->refused, (unsigned long long)ledger->failed,
+      (unsigned long long)world->store.reads,
+      (unsigned long long)world->store.writes, (unsigned long long)violations);
+  if (violations > 0)
+    printf ("seed %llu: settings, logs and events are in %s\n",
+            (unsigned long long)options->seed, options->directory);
+  fflush (stdout);
+  world_finish (world);
+
+out:
+  free (run);
+  return violations;
+}
+
+int
+main (int argc, char **argv)
+{
+  struct arg_int *seed = arg_int0 (NULL, "seed", "N", "first seed (1)");
+  struct arg_int *seeds = arg_int0 (NULL, "seeds", "N", "runs (1)");
+  struct arg_int *faults
+      = arg_int0 (NULL, "faults-s", "S", "time with faults, in s (20)");
+  struct arg_int *hosts
+      = arg_int0 (NULL, "hosts", "N", "hosts of each data centre (3)");
+  struct arg_int *callers = arg_int0 (NULL, "callers", "N", "callers (30)");
+  struct arg_str *only
+      = arg_str0 (NULL, "only", "KIND", "draw faults of this kind only");
+  struct arg_file *work = arg_file0 (NULL, "work", "DIR",
+                                     "directory for settings and logs (/tmp)");
+  struct arg_str *log_level
+      = arg_str0 (NULL, "log-level", "LEVEL", "log level of the hosts (info)");
+  struct arg_lit *kinds = arg_lit0 (NULL, "kinds", "print the kinds of faults");
+  struct arg_lit *help = arg_lit0 ("h", "help", "show this help and exit");
+  struct arg_file *binary
+      = arg_file0 (NULL, NULL, "WAXWINGLINKD", "program to be tested");
+  struct arg_end *end = arg_end (10);
+  void *table[] = { seed, seeds,     faults, hosts, callers, only,
+                    work, log_level, kinds,  help,  binary,  end };
+  int status = EXIT_USAGE;
+  uint64_t violations = 0;
+  int wrong;
+
+  if (arg_nullcheck (table) != 0)
+    goto out;
+  seed->ival[0] = 1;
+  seeds->ival[0] = 1;
+  faults->ival[0] = 20;
+  hosts->ival[0] = 3;
+  callers->ival[0] = 30;
+  work->filename[0] = "/tmp";
+  log_level->sval[0] = "info";
+  wrong = arg_parse (argc, argv, table);
+  if (help->count > 0 || wrong > 0 || (binary->count == 0 && kinds->count == 0))
+    {
+      printf ("Usage: soak");
+      arg_print_syntax (stdout, table, "\n\n");
+      arg_print_glossary (stdout, table, "  %-20s %s\n");
+      if (wrong > 0)
+        arg_print_errors (stderr, end, "soak");
+      status = help->count > 0 ? EXIT_SUCCESS : EXIT_USAGE;
+      goto out;
+    }
+  if (kinds->count > 0)
+    {
+      schedule_print_kinds ();
+      status = EXIT_SUCCESS;
+      goto out;
+    }
+  signal (SIGPIPE, SIG_IGN);
+  log_set_level (LOG_LEVEL_ERROR);
+  for (int i = 0; i < seeds->ival[0]; i++)
+    {
+      char directory[WORLD_TEXT];
+      struct world_options options = { .binary = binary->filename[0],
+                                       .directory = directory,
+                                       .log_level = log_level->sval[0],
+                                       .hosts = (unsigned)hosts->ival[0],
+                                       .callers = (unsigned)callers->ival[0],
+                                       .seed = (uint64_t)(seed->ival[0] + i) };
+
+      snprintf (directory, sizeof directory, "%s/soak-%llu-%d",
+                work->filename[0], (unsigned long long)options.seed,
+                (int)getpid ());
+      violations += play (&options, faults->ival[0],
+                          only->count > 0 ? only->sval[0] : NULL);
+    }
+  status = violations > 0 ? EXIT_BROKEN : EXIT_SUCCESS;
+
+out:
+  arg_freetable (table, sizeof table / sizeof table[0]);
+  return status;
+}
--- /dev/null
+++ b/soak/world.c
@@ -0,0 +1,282 @@
+#include "world.h"
+
+#include "timeutil.h"
+
+#include <stdarg.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#define TICK_US 5000
+#define PLAIN_ENDPOINTS 3 /* of each data centre */
+#define OTHER_ENDPOINTS 2
+/* Two fabric domains: one for each model, and a spare. */
+#define DOMAINS 2
+#define DOMAIN_ENDPOINTS 4
+#define MODEL_SLOTS 16
+#define PLAIN_SLOTS 12
+#define SEEDS 3
+
+const char *const world_data_centres[WORLD_DATA_CENTRES]
+    = { "casa-a", "casa-b" };
+
+void
+world_note (struct world *world, const char *format, ...)
+{
+  va_list args;
+
+  fprintf (world->events,
+           "%6lld ms: ", (long long)(world->now_ms - world->started_ms));
+  va_start (args, format);
+  vfprintf (world->events, format, args);
+  va_end (args);
+  fprintf (world->events, "\n");
+  fflush (world->events);
+}
+
+static void
+add_site (struct world *world,
+          const char *service,
+          const char *data_centre,
+          const char *domain,
+          unsigned slots)
+{
+  struct site *site = &world->sites[world->site_count];
+  char id[32];
+  char address[64];
+
+  if (world->site_count == WORLD_SITES)
+    return;
+  snprintf (id, sizeof id, "e%u", world->site_count);
+  site->endpoint
+      = standin_add (&world->fleet, id, service, data_centre, domain, slots);
+  if (site->endpoint == NULL
+      || !proxy_open (&site->proxy, world->base, site->endpoint->server.port))
+    {
+      fprintf (stderr, "soak: no port for an endpoint\n");
+      exit (2);
+    }
+  snprintf (address, sizeof address, "127.0.0.1:%u", site->proxy.port);
+  standin_register (site->endpoint, address);
+  world->site_count++;
+}
+
+void
+world_replace (struct world *world, struct site *site)
+{
+  const struct standin_endpoint *old = site->endpoint;
+
+  site->replaced = true;
+  add_site (world, old->service, old->data_centre, old->domain, old->slots);
+}
+
+static void
+add_sites (struct world *world, const char *data_centre)
+{
+  char domain[64];
+
+  for (unsigned i = 0; i < DOMAINS; i++)
+    {
+      snprintf (domain, sizeof domain, "%s-f%u", data_centre, i);
+      for (unsigned j = 0; j < DOMAIN_ENDPOINTS; j++)
+        add_site (world, MODEL_SERVICE, data_centre, domain, MODEL_SLOTS);
+    }
+  for (unsigned i = 0; i < PLAIN_ENDPOINTS; i++)
+    add_site (world, PLAIN_SERVICE, data_centre, "", PLAIN_SLOTS);
+  for (unsigned i = 0; i < OTHER_ENDPOINTS; i++)
+    add_site (world, OTHER_SERVICE, data_centre, "", PLAIN_SLOTS);
+}
+
+static void
+set_models (struct standin_fleet *fleet)
+{
+  fleet->models[0] = (struct standin_model){ "large", 3, 800, 200 };
+  fleet->models[1] = (struct standin_model){ "small", 2, 600, 200 };
+  fleet->model_count = 2;
+}
+
+static void
+on_died (void *context, struct host *host, int status)
+{
+  struct world *world = context;
+
+  if (status == -1)
+    ledger_violate (&world->ledger, "STOP", "%s still runs %d ms after SIGTERM",
+                    host->name, HOST_GRACE_MS);
+  else
+    ledger_violate (&world->ledger, "DIED", "%s ended with status %d",
+                    host->name, status);
+}
+
+/* A net of this process in 127.0.0.0/8, so that runs do not share ports. */
+static void
+host_address (char *text, size_t size, unsigned index)
+{
+  unsigned pid = (unsigned)getpid ();
+
+  snprintf (text, size, "127.%u.%u.%u", 1 + pid % 250, pid / 250 % 250,
+            1 + index);
+}
+
+/* At most three, of which some name no host that is there. */
+static void
+write_seeds (struct world *world, char *text, size_t size)
+{
+  size_t used = 0;
+
+  text[0] = '\0';
+  for (unsigned i = 0; i < SEEDS; i++)
+    {
+      char address[64];
+      unsigned index = (unsigned)rng_below (&world->rng, world->host_count + 1);
+
+      host_address (address, sizeof address, index);
+      used += (size_t)snprintf (text + used, size - used, "    - \"%s:%d\"\n",
+                                address, HOST_PEERS_PORT);
+    }
+}
+
+static bool
+init_host (struct world *world, unsigned index)
+{
+  struct host *host = &world->hosts[index];
+  char seeds[512];
+
+  host->base = world->base;
+  host->binary = world->options.binary;
+  host->log_level = world->options.log_level;
+  host->died = on_died;
+  host->context = world;
+  host->disturbed_ms = INT64_MIN / 2;
+  snprintf (host->name, sizeof host->name, "host-%u", index);
+  snprintf (host->data_centre, sizeof host->data_centre, "%s",
+            world_data_centres[index % WORLD_DATA_CENTRES]);
+  host_address (host->address, sizeof host->address, index);
+  snprintf (host->settings_path, sizeof host->settings_path, "%s/%s.yaml",
+            world->options.directory, host->name);
+  snprintf (host->log_path, sizeof host->log_path, "%s/%s.log",
+            world->options.directory, host->name);
+  write_seeds (world, seeds, sizeof seeds);
+  return proxy_open (&host->store, world->base, world->store.server.port)
+         && host_write_settings (host, world_data_centres, WORLD_DATA_CENTRES,
+                                 seeds);
+}
+
+static bool
+open_events (struct world *world)
+{
+  char path[WORLD_TEXT];
+
+  if (mkdir (world->options.directory, 0755) != 0)
+    return false;
+  snprintf (path, sizeof path, "%s/events", world->options.directory);
+  world->events = fopen (path, "we");
+  return world->events != NULL;
+}
+
+bool
+world_init (struct world *world, const struct world_options *options)
+{
+  struct standin_hooks hooks = ledger_hooks;
+
+  memset (world, 0, sizeof *world);
+  world->options = *options;
+  world->base = event_base_new ();
+  world->started_ms = time_boot_ms ();
+  world->now_ms = world->started_ms;
+  rng_init (&world->rng, options->seed);
+  world->host_count = options->hosts * WORLD_DATA_CENTRES;
+  world->hosts = calloc (world->host_count, sizeof *world->hosts);
+  if (world->base == NULL || world->hosts == NULL || !open_events (world)
+      || !standin_store_init (&world->store, world->base,
+                              rng_next (&world->rng)))
+    return false;
+  operator_init (&world->operator, & world->store, rng_next (&world->rng));
+  ledger_init (&world->ledger, &world->operator);
+  world->ledger.started_ms = world->started_ms;
+  world->ledger.store_disturbed_ms = INT64_MIN / 2;
+  hooks.context = &world->ledger;
+  standin_fleet_init (&world->fleet, world->base, &world->store, &hooks,
+                      rng_next (&world->rng));
+  set_models (&world->fleet);
+  for (unsigned i = 0; i < WORLD_DATA_CENTRES; i++)
+    add_sites (world, world_data_centres[i]);
+  for (unsigned i = 0; i < world->host_count; i++)
+    if (!init_host (world, i))
+      return false;
+  callers_init (&world->callers, world->base, &world->ledger, &world->operator,
+                world->hosts, world->host_count, world_data_centres,
+                WORLD_DATA_CENTRES, options->callers, rng_next (&world->rng));
+  world->callers.stopped = true;
+  return true;
+}
+
+void
+world_finish (struct world *world)
+{
+  callers_finish (&world->callers);
+  for (unsigned i = 0; i < world->host_count; i++)
+    host_finish (&world->hosts[i]);
+  for (unsigned i = 0; i < world->site_count; i++)
+    proxy_close (&world->sites[i].proxy);
+  standin_fleet_finish (&world->fleet);
+  standin_store_finish (&world->store);
+  event_base_loop (world->base, EVLOOP_NONBLOCK);
+  event_base_free (world->base);
+  ledger_finish (&world->ledger);
+  operator_finish (&world->operator);
+  free (world->hosts);
+  fclose (world->events);
+}
+
+static void
+tick_all (struct world *world)
+{
+  int64_t now_ms = time_boot_ms ();
+
+  world->now_ms = now_ms;
+  ledger_tick (&world->ledger, now_ms);
+  operator_tick (&world->operator, now_ms);
+  standin_store_tick (&world->store, now_ms);
+  standin_fleet_tick (&world->fleet, now_ms);
+  for (unsigned i = 0; i < world->site_count; i++)
+    proxy_tick (&world->sites[i].proxy, now_ms);
+  for (unsigned i = 0; i < world->host_count; i++)
+    host_tick (&world->hosts[i], now_ms);
+  callers_tick (&world->callers, now_ms);
+}
+
+void
+world_run (struct world *world,
+           int64_t for_ms,
+           bool (*done) (void *context),
+           void (*tick) (void *context),
+           void *context)
+{
+  int64_t until_ms = time_boot_ms () + for_ms;
+
+  while (time_boot_ms () < until_ms)
+    {
+      const struct timeval step = { 0, TICK_US };
+
+      event_base_loopexit (world->base, &step);
+      event_base_loop (world->base, 0);
+      tick_all (world);
+      if (tick != NULL)
+        tick (context);
+      if (done != NULL && done (context))
+        return;
+    }
+}
+
+bool
+world_serves (struct world *world)
+{
+  for (unsigned i = 0; i < WORLD_DATA_CENTRES; i++)
+    for (unsigned j = 0; j < world->fleet.model_count; j++)
+      if (!standin_serves (&world->fleet, world_data_centres[i],
+                           world->fleet.models[j].name))
+        return false;
+  return true;
+}
