--- a/packages/catalog/src/catalog.c
+++ b/packages/catalog/src/catalog.c
@@ -180,6 +180,9 @@
 bool
 catalog_is_repeatable (const struct catalog_route *route)
 {
+#ifdef BREAK_GUARD_EDGE_RETRY
+  return true;
+#endif
   return route->kind == CATALOG_SAFE
          || (route->kind == CATALOG_STREAM && route->resumable);
 }
--- a/packages/catalog/src/endpoints.c
+++ b/packages/catalog/src/endpoints.c
@@ -210,6 +210,9 @@
 bool
 endpoint_is_usable (const struct endpoint *endpoint)
 {
+#ifdef BREAK_GUARD_EDGE_LEAVING
+  return true;
+#endif
   return !endpoint->report.leaving;
 }
 
--- a/packages/edge/src/stop.c
+++ b/packages/edge/src/stop.c
@@ -22,6 +22,9 @@
              LOG_U64 ("in_flight", relay_in_flight (&edge->relay)));
   relay_leave (&edge->relay);
   leader_leave (&edge->leader);
+#ifdef BREAK_GUARD_EDGE_STOP
+  event_base_loopbreak (edge->base);
+#endif
 }
 
 void
--- a/packages/formation/src/member.c
+++ b/packages/formation/src/member.c
@@ -132,6 +132,9 @@
     .model = report->model,
   };
 
+#ifdef BREAK_GUARD_EDGE_RELEASE
+  return true;
+#endif
   if (report->state == ENDPOINT_GROUP_NONE)
     return true;
   head = report->rank == 0 ? endpoint : reported_head (run, endpoint);
--- a/packages/formation/src/progress.c
+++ b/packages/formation/src/progress.c
@@ -305,7 +305,11 @@
     formation_set_phase (run, group,
                          group->adopted ? FORMATION_FAILED : FORMATION_GONE,
                          "lost a member before it opened");
+#ifdef BREAK_GUARD_EDGE_READY
+  else if (view.ready > 0)
+#else
   else if (view.ready == group->size)
+#endif
     formation_set_phase (run, group, FORMATION_OPENING, "all members ready");
   else if (!repeat_joins (run, group))
     formation_set_phase (run, group, FORMATION_GONE, "a member ignores it");
--- a/packages/relay/src/answer.c
+++ b/packages/relay/src/answer.c
@@ -193,10 +193,12 @@
         return true;
       if (event_id (body->data + *whole, size, &id))
         {
+#ifndef BREAK_GUARD_EDGE_RESUME
           if (request->has_last_event && id != request->last_event + 1)
             return false;
           request->last_event = id;
           request->has_last_event = true;
+#endif
         }
       request->events_sent++;
       *whole += size;
--- a/packages/relay/src/relay.c
+++ b/packages/relay/src/relay.c
@@ -92,6 +92,13 @@
 void
 relay_set_catalog (struct relay *relay, struct catalog *catalog)
 {
+#ifdef BREAK_GUARD_EDGE_CONFIGURATION
+  if (relay->catalog != NULL && catalog->version % 2 == 1)
+    {
+      catalog_unref (catalog);
+      return;
+    }
+#endif
   if (relay->catalog != NULL && catalog->version <= relay->catalog->version)
     {
       catalog_unref (catalog);
--- a/packages/relay/src/request.c
+++ b/packages/relay/src/request.c
@@ -111,6 +111,10 @@
           names->expected_version, names->urgency,  names->credential,
           names->last_event_id,    "Content-Length" };
 
+#ifdef BREAK_GUARD_EDGE_CUSTOMER
+  if (strcasecmp (names->customer, field) == 0)
+    return false;
+#endif
   for (size_t i = 0; i < sizeof set / sizeof set[0]; i++)
     if (strcasecmp (set[i], field) == 0)
       return true;
@@ -182,6 +186,9 @@
         request->customer = catalog_find_key (request->catalog, key);
       if (request->customer == NULL)
         return is_current ? RESULT_UNAUTHENTICATED : RESULT_NO_CONFIGURATION;
+#ifdef BREAK_GUARD_EDGE_KEY
+      proof_age_ms = 0;
+#endif
       /* A key may have been taken away since the configuration was read. */
       if (proof_age_ms > relay->limits.key_proof_ms)
         return RESULT_NO_CONFIGURATION;
--- a/packages/relay/src/upstream.c
+++ b/packages/relay/src/upstream.c
@@ -324,6 +324,9 @@
       relay_upstream_close (upstream);
       return;
     }
+#ifdef BREAK_GUARD_EDGE_NOT_RUN
+  upstream->written = false;
+#endif
   relay_attempt_failed (request, upstream->written,
                         upstream->written ? RESULT_UPSTREAM_UNKNOWN
                                           : RESULT_ENDPOINT_CONNECT);
