edge: keep endpoints that return in the answer that deletes them

Cause: an entry that lapsed and returned while the platform was away comes as a deletion and a change in one answer of the watch. The deletion was noted with the revision of the whole answer, so the change after it counted as older and was ignored; 2.2 s later the endpoint was dropped, and its group evicted, though it was listed and served. It stayed unknown until its next change. Ruled out: endpoints that do not register again (the debug log has their entries at the new revision), the wait of 2.2 s (it ran in full). Change: a deletion is noted with the record's own last revision.

--- a/packages/catalog/include/endpoints.h
+++ b/packages/catalog/include/endpoints.h
@@ -55,7 +55,7 @@
   uint64_t revision;         /* of the entry that the report came from */
   int64_t leaving_since_ms;  /* when it was first seen leaving; 0 = never */
   int64_t deleted_ms;        /* when its entry was missed; 0 = it is there */
-  uint64_t deleted_revision; /* of the change that deleted it */
+  uint64_t deleted_revision; /* reports up to it are of before */
   uint64_t routed_revision;  /* of the last change to or from being routed */
   bool stale;                /* scratch of a relisting */
   void *link;                /* of the owner of the table */
@@ -92,7 +92,10 @@
                               uint64_t revision,
                               int64_t now_ms);
 
-/* Its entry was deleted by the change of this revision. */
+/*
+ * Its entry was deleted.  Reports up to this revision are of before: that of
+ * the deletion, or of the last report before it.
+ */
 void endpoints_delete (struct endpoints *endpoints,
                        const char *id,
                        uint64_t revision,
--- a/packages/edge/src/follow.c
+++ b/packages/edge/src/follow.c
@@ -100,8 +100,11 @@
       LOG_EVENT (LOG_LEVEL_INFO, "endpoint-deleted",
                  LOG_STR ("endpoint", record->name),
                  LOG_U64 ("revision", record->revision));
-      /* The record bears the revision of its last change before that. */
-      endpoints_delete (&edge->endpoints, record->name, edge->entries.revision,
+      /*
+       * The record bears the revision of its last change before that.  The
+       * same answer may go on with the entry's return.
+       */
+      endpoints_delete (&edge->endpoints, record->name, record->revision,
                         edge->now_ms);
       return;
     }
