edge: send callers elsewhere from a host that cannot prove its keys

Ruled out, by the hosts' logs from 28 to 34 s: slow first events (p90 133 ms, p99 304 ms among those served), pauses, lost groups. A reader that fails asks the other hubs, which also proves what it knows where only its own way is cut.

--- a/packages/edge/src/edge.c
+++ b/packages/edge/src/edge.c
@@ -16,6 +16,11 @@
  * current.  The rest covers a store that holds changes back for a second.
  */
 #define KEY_MARGIN_MS 1500
+/*
+ * A host that cannot prove its configuration says so this long before it has
+ * to refuse keys: the platform takes it out after two checks a second apart.
+ */
+#define READY_AHEAD_MS 1000
 /* Denials need a configuration proven current this recently. */
 #define DENY_PROOF_MS 2600
 /* Part of the fleet's retry slack that is given out at all. */
@@ -31,7 +36,8 @@
 bool
 edge_is_ready (const struct edge *edge)
 {
-  return edge->phase == EDGE_RUNNING && edge->relay.catalog != NULL
+  return edge->phase == EDGE_RUNNING
+         && relay_keys_hold (&edge->relay, READY_AHEAD_MS, edge->now_ms)
          && (edge->entries.listed || edge->vouch.synced);
 }
 
--- a/packages/edge/src/follow.c
+++ b/packages/edge/src/follow.c
@@ -294,7 +294,12 @@
     }
   else if (edge->vouch.newest > relay_catalog_version (&edge->relay))
     fetch_configuration (edge);
-  vouch_tick (&edge->vouch, !edge->direct, edge->now_ms);
+  /* A reader that fails may still hear from others how things stand. */
+  vouch_tick (&edge->vouch,
+              !edge->direct || edge->configuration.failing_since_ms != 0
+                  || edge->entries.failing_since_ms != 0,
+              edge->now_ms);
+  edge->relay.others_serve = !edge->vouch.hub_blind;
   edge->relay.catalog_proof_ms
       = edge->configuration.proof_ms > edge->vouch.proof_ms
             ? edge->configuration.proof_ms
--- a/packages/edge/src/vouch.c
+++ b/packages/edge/src/vouch.c
@@ -145,10 +145,12 @@
       || said->entries_age_ms > AGE_LIMIT_MS)
     {
       /* It cannot reach the platform itself. */
+      vouch->hub_blind = true;
       next_hub (vouch);
       vouch->ask_ms = vouch->now_ms + ASK_AGAIN_MS;
       return;
     }
+  vouch->hub_blind = false;
   if (said->configuration > vouch->newest)
     vouch->newest = said->configuration;
   if (said->configuration == own && own != 0 && proof_ms > vouch->proof_ms)
@@ -221,7 +223,11 @@
     vouch->choice = 0;
   hub = mesh_hub (vouch->mesh, vouch->choice % HUB_CHOICES);
   if (hub == NULL)
-    return;
+    {
+      /* This host itself may be that hub. */
+      next_hub (vouch);
+      return;
+    }
   vouch->unanswered++;
   vouch->ask_ms = now_ms + ASK_MS;
   vouch->asked_ms = now_ms;
--- a/packages/relay/include/relay.h
+++ b/packages/relay/include/relay.h
@@ -165,6 +165,11 @@
   /* Requests at an endpoint stand still. */
   void (*stalled) (void *context, struct lane *lane);
   void *stalled_context;
+  /*
+   * Other entry hosts may serve what this one cannot for want of a current
+   * configuration; set by the owner.
+   */
+  bool others_serve;
   bool leaving; /* shutting down: connections end with their answer */
   bool closing; /* nothing new is taken any more */
   bool saw_request;
@@ -191,6 +196,10 @@
 /* Version of the catalog in force; 0 = none. */
 int64_t relay_catalog_version (const struct relay *relay);
 
+/* True if the configuration vouches for keys now and for so long still. */
+bool
+relay_keys_hold (const struct relay *relay, int64_t for_ms, int64_t now_ms);
+
 /* The endpoint is gone. */
 void relay_endpoint_removed (struct relay *relay, struct endpoint *endpoint);
 
--- a/packages/relay/src/relay.c
+++ b/packages/relay/src/relay.c
@@ -113,6 +113,15 @@
   relay->catalog = catalog;
 }
 
+bool
+relay_keys_hold (const struct relay *relay, int64_t for_ms, int64_t now_ms)
+{
+  return relay->catalog != NULL
+         && (!relay->catalog->needs_keys
+             || now_ms + for_ms - relay->catalog_proof_ms
+                    <= relay->limits.key_proof_ms);
+}
+
 void
 relay_endpoint_removed (struct relay *relay, struct endpoint *endpoint)
 {
--- a/packages/relay/src/request.c
+++ b/packages/relay/src/request.c
@@ -16,8 +16,8 @@
 #define URGENCY_FIRST 2
 /* The endpoint ends the work at the deadline itself; its answer comes then. */
 #define DEADLINE_GRACE_MS 60
-/* The same to another host, from one that is shutting down. */
-#define DRAINING_RETRY_MS 10
+/* To another host, from one that is shutting down or cut off. */
+#define ELSEWHERE_RETRY_MS 10
 /*
  * A stream is taken to stand still when its endpoint has sent none of our
  * streams an event for this many times the pause objective.
@@ -240,6 +240,22 @@
     request->prompt_tokens = strtoull (text, NULL, 10);
 }
 
+static void
+refuse_start (struct relay_request *request, enum result why)
+{
+  int64_t retry_ms
+      = result_info (why)->http_status == 503 ? RELAY_RETRY_AFTER_MS : 0;
+
+  if (why == RESULT_NO_CONFIGURATION)
+    {
+      /* A caller that keeps the connection would stay with this host. */
+      request->caller->close_after = true;
+      if (request->relay->others_serve)
+        retry_ms = ELSEWHERE_RETRY_MS;
+    }
+  relay_refuse (request, why, retry_ms);
+}
+
 void
 relay_request_start (struct relay_request *request)
 {
@@ -253,7 +269,7 @@
     request->caller->close_after = true;
   if (relay->closing)
     {
-      relay_refuse (request, RESULT_DRAINING, DRAINING_RETRY_MS);
+      relay_refuse (request, RESULT_DRAINING, ELSEWHERE_RETRY_MS);
       return;
     }
   if (result == RESULT_OK)
@@ -279,9 +295,7 @@
     }
   if (result != RESULT_OK)
     {
-      relay_refuse (
-          request, result,
-          result_info (result)->http_status == 503 ? RELAY_RETRY_AFTER_MS : 0);
+      refuse_start (request, result);
       return;
     }
   request->phase = RELAY_WAITING;
--- a/packages/relay/tests/t0850-relay.c
+++ b/packages/relay/tests/t0850-relay.c
@@ -354,6 +354,8 @@
   struct http_text body;
   unsigned status;
   bool retry_after;
+  double retry_after_s;
+  bool keeps_open; /* the answer does not end the connection */
   bool complete;
   bool closed;
 } test;
@@ -450,6 +452,9 @@
   (void)context;
   test.status = head->status;
   test.retry_after = http_head_get (head, "Retry-After") != NULL;
+  if (test.retry_after)
+    test.retry_after_s = strtod (http_head_get (head, "Retry-After"), NULL);
+  test.keeps_open = head->keep_alive;
 }
 
 static void
@@ -648,17 +653,63 @@
     }
 }
 
-/* A key is refused once the configuration was not proven current for long. */
+/*
+ * A key is refused once the configuration was not proven current for long.
+ * The caller is sent to another host at once if others are better off.
+ */
 static void
 test_stale_configuration (void **state)
 {
+  static const struct
+  {
+    bool others_serve;
+    double most_s; /* until the caller may come back */
+  } hosts[] = { { true, 0.05 }, { false, 1 } };
+
   (void)state;
-  setup (&cases[0]);
-  test.relay.catalog_proof_ms -= 5100;
-  run_until_answered ();
-  assert_int_equal (test.status, 503);
-  assert_int_equal (test.sends, 0);
-  teardown ();
+  for (size_t i = 0; i < sizeof hosts / sizeof hosts[0]; i++)
+    {
+      setup (&cases[0]);
+      test.relay.catalog_proof_ms -= 5100;
+      test.relay.others_serve = hosts[i].others_serve;
+      run_until_answered ();
+      assert_int_equal (test.status, 503);
+      assert_int_equal (test.sends, 0);
+      assert_true (test.retry_after);
+      assert_true (test.retry_after_s <= hosts[i].most_s);
+      assert_true (hosts[i].others_serve || test.retry_after_s >= 0.3);
+      assert_false (test.keeps_open);
+      teardown ();
+    }
+}
+
+/* Whether requests with keys can be served, now and for some time on. */
+static void
+test_keys_hold (void **state)
+{
+  static const struct
+  {
+    bool needs_keys;
+    int64_t proof_age_ms;
+    int64_t for_ms;
+    bool holds;
+  } ages[] = {
+    { true, 0, 0, true },        { true, 4900, 0, true },
+    { true, 5100, 0, false },    { true, 3900, 1000, true },
+    { true, 4100, 1000, false }, { false, 60000, 1000, true },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < sizeof ages / sizeof ages[0]; i++)
+    {
+      setup (&cases[0]);
+      test.relay.catalog->needs_keys = ages[i].needs_keys;
+      test.relay.catalog_proof_ms = test.relay.now_ms - ages[i].proof_age_ms;
+      assert_int_equal (
+          relay_keys_hold (&test.relay, ages[i].for_ms, test.relay.now_ms),
+          ages[i].holds);
+      teardown ();
+    }
 }
 
 /* The configuration bounds start line and fields together, however split. */
@@ -838,6 +889,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_cases),
     cmocka_unit_test (test_stale_configuration),
+    cmocka_unit_test (test_keys_hold),
     cmocka_unit_test (test_header_limit),
     cmocka_unit_test (test_body_limit),
     cmocka_unit_test (test_caller_leaves),
