edge: take the bounds of a deployment from its settings

Ruled out: lengthening the limit everywhere; the standard sheets say 2 s. Change: configuration.in_force_ms and endpoints.leave_ms, filled in from the platform's bounds; the limit is 0.4 s before the earlier of each. Bounds that a sheet leaves out take the defaults instead of making the file invalid.

--- a/packages/edge/include/edge-settings.h
+++ b/packages/edge/include/edge-settings.h
@@ -24,6 +24,8 @@
   char platform_store[SETTINGS_TEXT_SIZE];
   double drain_limit_s;
   int64_t keys_revoke_ms;
+  int64_t configuration_in_force_ms;
+  int64_t endpoints_leave_ms;
   double retry_ratio;
   int64_t retry_slack;
   int64_t retry_window_s;
--- a/packages/edge/src/edge-settings.c
+++ b/packages/edge/src/edge-settings.c
@@ -17,6 +17,8 @@
   { "platform.store", SETTINGS_STRING, "", NULL, 9, 63, "IP:PORT of the platform's store.", AT (platform_store) },
   { "drain.limit_s", SETTINGS_REAL, "s", "8", 1, 3600, "Time after SIGTERM until the platform kills the process.", AT (drain_limit_s) },
   { "keys.revoke_ms", SETTINGS_INTEGER, "ms", "5000", 500, 3600000, "A key that was taken away is refused within this time.", AT (keys_revoke_ms) },
+  { "configuration.in_force_ms", SETTINGS_INTEGER, "ms", "2000", 500, 3600000, "A new configuration is in force on each host within this time.", AT (configuration_in_force_ms) },
+  { "endpoints.leave_ms", SETTINGS_INTEGER, "ms", "2000", 500, 3600000, "An endpoint gets nothing new from this time after it said that it leaves.", AT (endpoints_leave_ms) },
   { "retry.ratio", SETTINGS_REAL, "", "0.1", 0, 10, "Retries of the whole fleet, as a part of the requests for a service.", AT (retry_ratio) },
   { "retry.slack", SETTINGS_INTEGER, "", "0", 0, 1000000, "Retries of the whole fleet besides, per window.", AT (retry_slack) },
   { "retry.window_s", SETTINGS_INTEGER, "s", "10", 1, 3600, "Window of retry.slack.", AT (retry_window_s) },
--- a/packages/edge/src/edge.c
+++ b/packages/edge/src/edge.c
@@ -132,6 +132,9 @@
     {
       edge->settings.drain_limit_s = settings->drain_limit_s;
       edge->settings.keys_revoke_ms = settings->keys_revoke_ms;
+      edge->settings.configuration_in_force_ms
+          = settings->configuration_in_force_ms;
+      edge->settings.endpoints_leave_ms = settings->endpoints_leave_ms;
       log_set_level ((enum log_level)log_parse_level (settings->log_level));
     }
   LOG_EVENT (LOG_LEVEL_NOTICE, "settings-reloaded", LOG_INT ("code", result));
--- a/packages/edge/src/follow.c
+++ b/packages/edge/src/follow.c
@@ -16,10 +16,10 @@
 #define FETCH_MS 1200
 #define FETCH_PACE_MS 600
 /*
- * A host whose hub proves nothing newer than this reads the platform itself:
- * changes are to be in force within 2 s.
+ * A host whose hub proves nothing new reads the platform itself this long
+ * before changes are to be in force: a list of several pages and a watch.
  */
-#define PROOF_LIMIT_MS 1600
+#define PROOF_MARGIN_MS 400
 /* A new host waits this long for a hub to bring it up to date. */
 #define START_MS 1500
 /* Entries that differ from a hub's for this long are read anew. */
@@ -214,6 +214,7 @@
 must_be_direct (const struct edge *edge)
 {
   const struct vouch *vouch = &edge->vouch;
+  const struct edge_settings *settings = &edge->settings;
 
   if (edge->leader.acting)
     return true;
@@ -224,8 +225,10 @@
     return true;
   if (edge->now_ms - edge->mesh.started_ms < START_MS)
     return false;
-  return edge->now_ms - edge->relay.catalog_proof_ms > PROOF_LIMIT_MS
-         || edge->now_ms - entries_proof_ms (edge) > PROOF_LIMIT_MS
+  return edge->now_ms - edge->relay.catalog_proof_ms
+             > settings->configuration_in_force_ms - PROOF_MARGIN_MS
+         || edge->now_ms - entries_proof_ms (edge)
+                > settings->endpoints_leave_ms - PROOF_MARGIN_MS
          || (vouch->differs_ms != 0
              && edge->now_ms - vouch->differs_ms > DIFFERS_LIMIT_MS);
 }
--- a/packages/edge/tests/t0962-edge-settings.c
+++ b/packages/edge/tests/t0962-edge-settings.c
@@ -32,6 +32,9 @@
   { "drain: {limit_s: 7.5}\n", RESULT_OK },
   { "drain: {limit_s: 0}\n", RESULT_SETTINGS_OUT_OF_RANGE },
   { "keys: {revoke_ms: soon}\n", RESULT_SETTINGS_BAD_VALUE },
+  { "configuration: {in_force_ms: 3000}\n", RESULT_OK },
+  { "configuration: {in_force_ms: 100}\n", RESULT_SETTINGS_OUT_OF_RANGE },
+  { "endpoints: {leave_ms: 0}\n", RESULT_SETTINGS_OUT_OF_RANGE },
   { "colour: red\n", RESULT_SETTINGS_UNKNOWN_KEY },
   { "host: again\n", RESULT_SETTINGS_DUPLICATE_KEY },
 };
