soak: count killed hosts as disturbed at once

Ruled out: the product; the processes got SIGKILL. Change: a kill disturbs its host when it is sent. Conclusion: a fault of the ledger.

--- a/soak/host.c
+++ b/soak/host.c
@@ -90,6 +90,7 @@
     return;
   host->end = HOST_END_KILL;
   host->ended_ms = now_ms;
+  host->disturbed_ms = now_ms;
   host->start_ms = restart_ms;
   send_signal (host, SIGKILL);
 }
