--- a/packages/edge/include/edge.h
+++ b/packages/edge/include/edge.h
@@ -53,6 +53,7 @@
   unsigned most_hosts; /* entry hosts known at once */
   bool direct;         /* reads the platform itself, for others too */
   bool knows_all;      /* all endpoints, not only those that are routed to */
+  bool ready;          /* as last told in the log */
   bool fetching;       /* a read of the configuration is under way */
   int64_t fetch_ms;    /* next one */
   int64_t fetched_ms;  /* when the last one was sent */
--- a/packages/edge/src/edge.c
+++ b/packages/edge/src/edge.c
@@ -59,6 +59,25 @@
       = (double)edge->settings.retry_slack * SLACK_PART / hosts;
 }
 
+/* Tells when the platform begins and ceases to send callers here, and why. */
+static void
+note_ready (struct edge *edge)
+{
+  bool ready = edge_is_ready (edge);
+
+  if (ready == edge->ready)
+    return;
+  edge->ready = ready;
+  LOG_EVENT (
+      LOG_LEVEL_NOTICE, ready ? "ready" : "not-ready",
+      LOG_STR ("stopping", edge->phase != EDGE_RUNNING ? "yes" : "no"),
+      LOG_INT ("configuration", relay_catalog_version (&edge->relay)),
+      LOG_INT ("proof_age_ms", edge->now_ms - edge->relay.catalog_proof_ms),
+      LOG_STR ("knows_endpoints",
+               edge->entries.listed || edge->vouch.synced ? "yes" : "no"),
+      LOG_STR ("others_serve", edge->relay.others_serve ? "yes" : "no"));
+}
+
 /* One line now and then, so that a log alone shows how a host fared. */
 static void
 log_status (struct edge *edge)
@@ -100,6 +119,7 @@
                mesh_is_settled (&edge->mesh) && mesh_is_hub (&edge->mesh),
                edge->knows_all, edge->now_ms);
   edge_stop_tick (edge);
+  note_ready (edge);
   log_status (edge);
 }
 
--- a/soak/ledger.c
+++ b/soak/ledger.c
@@ -270,6 +270,14 @@
   snprintf (entry->body, sizeof entry->body, "%s", body);
 }
 
+static void
+on_broke_off (void *context, uint64_t run)
+{
+  struct ledger *ledger = context;
+
+  find_run (ledger, run)->broke_off = true;
+}
+
 static void
 on_stolen (void *context,
            const struct standin_endpoint *endpoint,
@@ -286,6 +294,7 @@
   .arrived = on_arrived,
   .begins = on_begins,
   .answered = on_answered,
+  .broke_off = on_broke_off,
   .stolen = on_stolen,
 };
 
@@ -419,7 +428,7 @@
       const struct ledger_run *run = find_run (ledger, attempt->runs[i]);
 
       if (run == NULL || !is_sound (ledger, run->endpoint)
-          || run->endpoint->leaving
+          || run->endpoint->leaving || run->broke_off
           || run->endpoint->group.state == STANDIN_BROKEN)
         return false;
     }
--- a/soak/ledger.h
+++ b/soak/ledger.h
@@ -62,6 +62,7 @@
   struct ledger_attempt *attempt;
   struct standin_endpoint *endpoint;
   unsigned status; /* of its answer; 0 = none yet */
+  bool broke_off;  /* the endpoint ended it without a whole answer */
   char body[512];
   UT_hash_handle hh;
 };
