--- a/packages/edge/src/edge.c
+++ b/packages/edge/src/edge.c
@@ -21,12 +21,6 @@
  * to refuse keys: the platform takes it out after two checks a second apart.
  */
 #define READY_AHEAD_MS 1000
-/*
- * Requests that arrive while a host starts are held for so long at most.  All
- * hosts may have been killed at once; a start takes 0.5 to 0.8 s on the users'
- * small hosts, and callers come back once.
- */
-#define START_HOLD_MS 1200
 /* Denials need a configuration proven current this recently. */
 #define DENY_PROOF_MS 2600
 /* Part of the fleet's retry slack that is given out at all. */
@@ -71,9 +65,6 @@
 {
   bool ready = edge_is_ready (edge);
 
-  if (ready || edge->phase != EDGE_RUNNING
-      || edge->now_ms - edge->mesh.started_ms >= START_HOLD_MS)
-    edge->relay.starting = false;
   if (ready == edge->ready)
     return;
   edge->ready = ready;
@@ -222,7 +213,6 @@
                        hash_string (edge->boot_id, 0));
   if (result != RESULT_OK)
     return result;
-  edge->relay.starting = true;
   return relay_listen (&edge->relay, address, port);
 }
 
--- a/packages/relay/include/relay.h
+++ b/packages/relay/include/relay.h
@@ -75,7 +75,6 @@
 enum relay_phase
 {
   RELAY_READING, /* the body is arriving */
-  RELAY_HELD,    /* until this entry host has started; nothing is decided yet */
   RELAY_WAITING, /* for room at an endpoint */
   RELAY_RUNNING, /* at an endpoint */
 };
@@ -172,11 +171,6 @@
    * configuration; set by the owner.
    */
   bool others_serve;
-  /*
-   * This entry host has just started and will know its configuration and the
-   * endpoints shortly: requests are held until the owner ends this.
-   */
-  bool starting;
   bool leaving; /* shutting down: connections end with their answer */
   bool closing; /* nothing new is taken any more */
   bool saw_request;
--- a/packages/relay/src/request.c
+++ b/packages/relay/src/request.c
@@ -264,14 +264,8 @@
   struct relay *relay = request->relay;
   const char *last_event;
   int64_t number;
-  enum result result;
+  enum result result = classify (request, head);
 
-  if (relay->starting)
-    {
-      request->phase = RELAY_HELD;
-      return;
-    }
-  result = classify (request, head);
   if (!head->keep_alive)
     request->caller->close_after = true;
   if (relay->closing)
@@ -405,12 +399,6 @@
 
   if (request->phase == RELAY_READING)
     return;
-  if (request->phase == RELAY_HELD)
-    {
-      if (!relay->starting)
-        relay_request_start (request);
-      return;
-    }
   if (now_ms >= request->deadline_ms + DEADLINE_GRACE_MS
       || (upstream == NULL && now_ms >= request->deadline_ms))
     {
