balance: forget the failures of a group that was formed anew

Cause: a head whose group lost a member was avoided for up to 1.5 s, and its failures counted as up to 400 ms for seconds, also for the group that it formed next, 2 s later. Ruled out: want of slots (61 in 100 taken in all), slow endpoints. Change: a new epoch clears failures, avoidance and the pace of its lane.

--- a/packages/balance/include/balance.h
+++ b/packages/balance/include/balance.h
@@ -35,6 +35,7 @@
   int64_t stalled_ms;       /* seen standing still; tell peers until then */
   double pause_ms;          /* moving mean of the time between events */
   int64_t pause_seen_ms;    /* when that was last fed */
+  uint64_t epoch;           /* of the group that the rest is known of */
   double failing;           /* moving mean of failures, 0 to 1 */
   int64_t failed_ms;        /* last failure */
   unsigned references;      /* connections and attempts that point here */
--- a/packages/balance/src/choose.c
+++ b/packages/balance/src/choose.c
@@ -97,6 +97,20 @@
   return now_ms - lane->pause_seen_ms < PAUSE_FORGET_MS ? lane->pause_ms : 0;
 }
 
+/* A group that was formed anew does not answer for the former one. */
+static void
+note_epoch (struct lane *lane)
+{
+  uint64_t epoch = lane->endpoint->report.epoch;
+
+  if (lane->epoch == epoch)
+    return;
+  lane->epoch = epoch;
+  lane->failing = 0;
+  lane->avoid_ms = 0;
+  lane->pause_seen_ms = -PAUSE_FORGET_MS;
+}
+
 /* What the candidates have in common. */
 struct survey
 {
@@ -123,7 +137,10 @@
       if (!is_candidate (request, endpoint))
         continue;
       lane = lanes_get (lanes, endpoint);
-      if (lane == NULL || is_avoided (lanes, lane, now_ms))
+      if (lane == NULL)
+        continue;
+      note_epoch (lane);
+      if (is_avoided (lanes, lane, now_ms))
         continue;
       survey.count++;
       survey.running += lane->running + lane->peer_running;
--- a/packages/balance/tests/t0470-balance.c
+++ b/packages/balance/tests/t0470-balance.c
@@ -223,6 +223,40 @@
   teardown ();
 }
 
+/*
+ * A head whose group lost a member is left alone for a while, but not the
+ * group that it forms next.
+ */
+static void
+test_formed_anew (void **state)
+{
+  struct balance_request request = { .service = &service,
+                                     .model = &service.models[0],
+                                     .prompt_tokens = 1400,
+                                     .objective_ms = 300,
+                                     .left_ms = 300 };
+  struct lane *broken;
+  struct lane *other;
+  struct balance_choice choice;
+
+  (void)state;
+  setup ();
+  broken = add_endpoint ("broken", "casa-a", service.name);
+  other = add_endpoint ("other", "casa-a", service.name);
+  other->reading = 3000;
+  balance_choose (&lanes, &endpoints, &request, 900, &choice);
+  assert_ptr_equal (choice.lane, broken);
+  for (int i = 0; i < 5; i++)
+    balance_note_failure (broken, 1000);
+  balance_avoid (broken, 2500);
+  balance_choose (&lanes, &endpoints, &request, 1100, &choice);
+  assert_ptr_equal (choice.lane, other);
+  broken->endpoint->report.epoch++;
+  balance_choose (&lanes, &endpoints, &request, 1200, &choice);
+  assert_ptr_equal (choice.lane, broken);
+  teardown ();
+}
+
 /*
  * A burst of half as much again on the users' sheet: prompts of 40 to 4,000
  * tokens at 93 a second, with four of six groups left.  Plays the engines'
@@ -370,6 +404,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_choose),
     cmocka_unit_test (test_cut),
+    cmocka_unit_test (test_formed_anew),
     cmocka_unit_test (test_heavy_load),
   };
 
