balance: try a cut data centre without a request

Cause: while a data centre is cut off each host tried it again with a caller's request every 0.8 s, which then came 0.3 s late; small hosts, with few requests a second, never saw three failures within 1.5 s and went on trying. Ruled out: sharing what was found between hosts (no message for it; probes are cheaper). Change: no request goes to a cut data centre; one of its endpoints is connected to at once and every 0.8 s, and the connection is kept if it comes about. Three failures count when none is over 4 s after the one before.

--- a/packages/balance/include/balance.h
+++ b/packages/balance/include/balance.h
@@ -49,7 +49,8 @@
   unsigned unreached;      /* endpoints there in a row that did not answer */
   const struct lane *last; /* of them */
   int64_t unreached_ms;
-  int64_t avoid_ms;
+  bool cut;         /* gets no request until one of its endpoints was reached */
+  int64_t probe_ms; /* next try to reach one */
   UT_hash_handle hh;
 };
 
@@ -131,7 +132,8 @@
 
 /*
  * The endpoint did not answer at all.  If several of another data centre do
- * not and none does, the way there is cut and all are avoided for a while.
+ * not and none does, the way there is cut, and no request goes there until one
+ * of its endpoints was reached.
  */
 void balance_note_unreached (struct lanes *lanes,
                              const struct lane *lane,
@@ -140,6 +142,14 @@
 /* An endpoint of its data centre answered. */
 void balance_note_reached (struct lanes *lanes, const struct lane *lane);
 
+/*
+ * An endpoint of a cut data centre that is to be tried now, without a request;
+ * NULL if none is due.
+ */
+struct lane *balance_probe (struct lanes *lanes,
+                            const struct endpoints *endpoints,
+                            int64_t now_ms);
+
 /* The endpoint refused, or cannot be reached: avoided for this long. */
 void balance_avoid (struct lane *lane, int64_t until_ms);
 
--- a/packages/balance/src/choose.c
+++ b/packages/balance/src/choose.c
@@ -88,7 +88,7 @@
   if (lanes->places == NULL)
     return false;
   place = balance_find_place (lanes, lane->endpoint->report.data_centre);
-  return place != NULL && place->avoid_ms > now_ms;
+  return place != NULL && place->cut;
 }
 
 static double
--- a/packages/balance/src/place.c
+++ b/packages/balance/src/place.c
@@ -6,10 +6,10 @@
 
 /* Endpoints of a data centre in a row without an answer that mean a cut. */
 #define CUT_ENDPOINTS 3
-/* They have to fail within this time. */
-#define CUT_WINDOW_MS 1500
+/* No longer apart than this; small hosts send there once a second. */
+#define CUT_WINDOW_MS 4000
 /* A cut data centre is tried again after this time. */
-#define CUT_AVOID_MS 800
+#define CUT_PROBE_MS 800
 
 struct lane_place *
 balance_find_place (const struct lanes *lanes, const char *data_centre)
@@ -54,8 +54,11 @@
     place->unreached++;
   place->last = lane;
   place->unreached_ms = now_ms;
-  if (place->unreached >= CUT_ENDPOINTS)
-    place->avoid_ms = now_ms + CUT_AVOID_MS;
+  if (place->unreached < CUT_ENDPOINTS || place->cut)
+    return;
+  place->cut = true;
+  /* Tried at once: the three may have failed for other reasons. */
+  place->probe_ms = now_ms;
 }
 
 void
@@ -69,5 +72,45 @@
   if (place == NULL)
     return;
   place->unreached = 0;
-  place->avoid_ms = 0;
+  place->cut = false;
+}
+
+/* One of the endpoints there, another one each time. */
+static struct lane *
+draw_lane (struct lanes *lanes,
+           const struct endpoints *endpoints,
+           const struct lane_place *place)
+{
+  struct endpoint *chosen = NULL;
+  uint64_t count = 0;
+
+  for (struct endpoint *endpoint = endpoints->table; endpoint != NULL;
+       endpoint = endpoint->hh.next)
+    if (endpoint_is_usable (endpoint) && endpoint_is_routed (endpoint)
+        && strcmp (endpoint->report.data_centre, place->data_centre) == 0
+        && rng_below (&lanes->rng, ++count) == 0)
+      chosen = endpoint;
+  return chosen != NULL ? lanes_get (lanes, chosen) : NULL;
+}
+
+struct lane *
+balance_probe (struct lanes *lanes,
+               const struct endpoints *endpoints,
+               int64_t now_ms)
+{
+  for (struct lane_place *place = lanes->places; place != NULL;
+       place = place->hh.next)
+    {
+      struct lane *lane;
+
+      if (!place->cut || now_ms < place->probe_ms)
+        continue;
+      place->probe_ms = now_ms + CUT_PROBE_MS;
+      lane = draw_lane (lanes, endpoints, place);
+      if (lane != NULL)
+        return lane;
+      /* Nothing there that could be reached. */
+      place->cut = false;
+    }
+  return NULL;
 }
--- a/packages/balance/tests/t0470-balance.c
+++ b/packages/balance/tests/t0470-balance.c
@@ -188,7 +188,8 @@
 
 /*
  * A cut between data centres: after three endpoints of the other one did not
- * answer, requests go to the own one at once; one answer ends that.
+ * answer, requests go to the own one at once; one answer ends that.  No request
+ * is spent on finding out: endpoints are tried without one now and then.
  */
 static void
 test_cut (void **state)
@@ -217,6 +218,16 @@
   balance_note_unreached (&lanes, far[2], 1030);
   balance_choose (&lanes, &endpoints, &request, 1040, &choice);
   assert_ptr_equal (choice.lane, near);
+  for (int64_t now_ms = 1050; now_ms < 20000; now_ms += 1000)
+    {
+      struct lane *probe = balance_probe (&lanes, &endpoints, now_ms);
+
+      assert_non_null (probe);
+      assert_ptr_not_equal (probe, near);
+      assert_null (balance_probe (&lanes, &endpoints, now_ms + 10));
+      balance_choose (&lanes, &endpoints, &request, now_ms + 20, &choice);
+      assert_ptr_equal (choice.lane, near);
+    }
   balance_note_reached (&lanes, far[3]);
   balance_choose (&lanes, &endpoints, &request, 1050, &choice);
   assert_ptr_not_equal (choice.lane, near);
--- a/packages/relay/src/relay.c
+++ b/packages/relay/src/relay.c
@@ -162,6 +162,7 @@
   struct relay_caller *caller = TAILQ_FIRST (&relay->callers);
   struct relay_request *request = TAILQ_FIRST (&relay->requests);
   struct relay_upstream *upstream = TAILQ_FIRST (&relay->idle);
+  struct lane *lane;
 
   relay->now_ms = now_ms;
   while (request != NULL)
@@ -185,6 +186,9 @@
       relay_caller_tick (caller, now_ms);
       caller = next;
     }
+  lane = balance_probe (&relay->lanes, relay->endpoints, now_ms);
+  if (lane != NULL)
+    relay_upstream_probe (relay, lane);
   relay_dispatch_waiting (relay);
 }
 
--- a/packages/relay/src/upstream.c
+++ b/packages/relay/src/upstream.c
@@ -401,6 +401,20 @@
   return upstream;
 }
 
+void
+relay_upstream_probe (struct relay *relay, struct lane *lane)
+{
+  struct relay_upstream *upstream = open_upstream (relay, lane);
+
+  if (upstream == NULL)
+    return;
+  upstream->started_ms = relay->now_ms;
+  upstream->idle_limit_ms = IDLE_MS;
+  TAILQ_INSERT_HEAD (&relay->idle, upstream, link);
+  LOG_EVENT (LOG_LEVEL_INFO, "endpoint-probed", LOG_STR ("endpoint", lane->id),
+             LOG_STR ("data_centre", lane->endpoint->report.data_centre));
+}
+
 bool
 relay_upstream_is_overdue (const struct relay_upstream *upstream)
 {
@@ -415,6 +429,7 @@
   struct relay *relay = upstream->relay;
 
   if (relay->now_ms - upstream->started_ms >= upstream->idle_limit_ms
+      || relay_upstream_is_overdue (upstream)
       || upstream->lane->endpoint == NULL
       || upstream->lane->endpoint->report.leaving)
     relay_upstream_close (upstream);
--- a/packages/relay/tests/t0850-relay.c
+++ b/packages/relay/tests/t0850-relay.c
@@ -868,6 +868,42 @@
   teardown ();
 }
 
+/*
+ * Endpoints of a data centre that could not be reached are tried without a
+ * request, and used once one of them answers.
+ */
+static void
+test_probe (void **state)
+{
+  const struct relay_case *c = &cases[0];
+  int64_t until_ms = time_boot_ms () + WAIT_MS;
+
+  (void)state;
+  setup (c);
+  for (unsigned i = 0; i < 4; i++)
+    {
+      struct endpoint *endpoint
+          = endpoints_find (&test.endpoints, i % 2 == 0 ? "e0" : "e1");
+
+      balance_note_unreached (&test.relay.lanes,
+                              lanes_get (&test.relay.lanes, endpoint),
+                              time_boot_ms ());
+    }
+  while (test.connections == NULL && time_boot_ms () < until_ms)
+    {
+      const struct timeval step = { 0, 10000 };
+
+      event_base_loopexit (test.base, &step);
+      event_base_loop (test.base, EVLOOP_ONCE);
+      relay_tick (&test.relay, time_boot_ms ());
+      assert_int_equal (test.sends, 0);
+    }
+  assert_non_null (test.connections);
+  if (test.complete)
+    assert_int_equal (test.status, 503);
+  teardown ();
+}
+
 /* A request that crosses that is refused, and it has not run. */
 static void
 test_request_while_closing (void **state)
@@ -895,6 +931,7 @@
     cmocka_unit_test (test_caller_leaves),
     cmocka_unit_test (test_closing),
     cmocka_unit_test (test_unwritten_answer),
+    cmocka_unit_test (test_probe),
     cmocka_unit_test (test_request_while_closing),
   };
 
