edge: go on from the configuration read last, and reload the key limit

Cause, found by reading: since the configuration is read at the start, a host that became a reader later watched from that first read, and would have got every version since then, or 410 and a list. And SIGHUP stored a new keys.revoke_ms without the limit that the relay compares with. Ruled out: the follower; a resumed watch is right, its revision was old. Change: each read of the configuration moves the revision on while the host is no reader; a reload sets the relay's limit.

--- a/packages/edge/src/edge.c
+++ b/packages/edge/src/edge.c
@@ -155,6 +155,8 @@
       edge->settings.configuration_in_force_ms
           = settings->configuration_in_force_ms;
       edge->settings.endpoints_leave_ms = settings->endpoints_leave_ms;
+      edge->relay.limits.key_proof_ms
+          = settings->keys_revoke_ms - KEY_MARGIN_MS;
       log_set_level ((enum log_level)log_parse_level (settings->log_level));
     }
   LOG_EVENT (LOG_LEVEL_NOTICE, "settings-reloaded", LOG_INT ("code", result));
--- a/packages/edge/src/follow.c
+++ b/packages/edge/src/follow.c
@@ -181,8 +181,8 @@
   on_configuration (edge, answer->record);
   if (edge->fetched_ms > edge->vouch.proof_ms)
     edge->vouch.proof_ms = edge->fetched_ms;
-  /* A large configuration is not read twice, should this host be a reader. */
-  if (edge->configuration.state == FOLLOWER_LISTING)
+  /* A host that becomes a reader goes on from here, without another read. */
+  if (!edge->direct || edge->configuration.state == FOLLOWER_LISTING)
     follower_resume (&edge->configuration, answer->revision, edge->fetched_ms);
 }
 
