edge: let a host vouch that its hub kept up to date

Cause: a host that a hub had kept up to date resumed the watch when the hub died, but never vouched for others, since it had listed nothing itself; all others of the data centre read the platform until the hub was back. Ruled out: entries that such a host lacks: others ask only for endpoints that are routed to, which are those a hub sends, and digests are compared. Change: having been synced counts like a list; the age of the proof is still that of the first answer of its own watch.

--- a/packages/edge/src/peers.c
+++ b/packages/edge/src/peers.c
@@ -72,7 +72,8 @@
   knowledge->configuration_ms = edge->configuration.proof_ms;
   knowledge->entries_ms = edge->entries.proof_ms;
   knowledge->revision = edge->entries.revision;
-  return edge->direct && edge->entries.listed
+  /* What its own hub kept up to date serves as well as a list of its own. */
+  return edge->direct && (edge->entries.listed || edge->vouch.synced)
          && edge->entries.state == FOLLOWER_WATCHING
          && edge->entries.failing_since_ms == 0
          && edge->configuration.failing_since_ms == 0;
