formation: keep a member that restarted before its join

An endpoint restarted under its id; a join that was sent on the report of its former life reached the new one. The next report had another start, so the member's record was dropped with its group, while the group went on from the report and opened: the endpoint counted as free, and was joined to the next group in the same tick. Change: a new life that reports the very group takes the record over. Conclusion: a rule of the users that could be broken; mended.

--- a/packages/formation/src/formation-internal.h
+++ b/packages/formation/src/formation-internal.h
@@ -56,4 +56,8 @@
 /* build.c: forms groups of free endpoints and stages weights on spares. */
 void formation_build (const struct formation_run *run);
 
+/* True if the endpoint says that it is in the group. */
+bool formation_reports (const struct endpoint *endpoint,
+                        const struct formation_group *group);
+
 #endif
--- a/packages/formation/src/member.c
+++ b/packages/formation/src/member.c
@@ -58,13 +58,31 @@
   return service != NULL && service->model_count > 0;
 }
 
+bool
+formation_reports (const struct endpoint *endpoint,
+                   const struct formation_group *group)
+{
+  return endpoint->report.epoch == group->epoch
+         && endpoint->report.state != ENDPOINT_GROUP_NONE
+         && strcmp (endpoint->report.group, group->name) == 0;
+}
+
 static bool
-is_forgotten (const struct formation_run *run,
-              const struct formation_member *member)
+is_forgotten (const struct formation_run *run, struct formation_member *member)
 {
   const struct endpoint *endpoint = endpoints_find (run->endpoints, member->id);
 
-  return endpoint == NULL || endpoint->report.started_ms != member->started_ms;
+  if (endpoint == NULL)
+    return true;
+  if (endpoint->report.started_ms == member->started_ms)
+    return false;
+  /* It restarted, and a join that was sent before this was known reached it. */
+  if (member->group != NULL && formation_reports (endpoint, member->group))
+    {
+      member->started_ms = endpoint->report.started_ms;
+      return false;
+    }
+  return true;
 }
 
 /* Forgets endpoints that are gone, and the former lives of those restarted. */
--- a/packages/formation/src/progress.c
+++ b/packages/formation/src/progress.c
@@ -182,15 +182,6 @@
   return endpoints_find (run->endpoints, group->members[rank]);
 }
 
-static bool
-reports_group (const struct endpoint *endpoint,
-               const struct formation_group *group)
-{
-  return endpoint->report.epoch == group->epoch
-         && endpoint->report.state != ENDPOINT_GROUP_NONE
-         && strcmp (endpoint->report.group, group->name) == 0;
-}
-
 enum member_view
 {
   MEMBER_READY,   /* reports the group, and is ready or serving */
@@ -210,7 +201,7 @@
     return MEMBER_LOST;
   if (!endpoint_is_usable (endpoint))
     return MEMBER_LEAVING;
-  if (!reports_group (endpoint, group)
+  if (!formation_reports (endpoint, group)
       || endpoint->report.state == ENDPOINT_GROUP_JOINING)
     return MEMBER_PENDING;
   return MEMBER_READY;
@@ -269,7 +260,7 @@
       struct endpoint *endpoint = member_endpoint (run, group, rank);
       struct formation_member *member;
 
-      if (endpoint == NULL || reports_group (endpoint, group))
+      if (endpoint == NULL || formation_reports (endpoint, group))
         continue;
       member = formation_member (run->formation, endpoint);
       if (member == NULL || run->now_ms - member->joined_ms < ORDER_RETRY_MS)
@@ -297,7 +288,7 @@
   if (group->adopted && view.lost > 0
       && run->now_ms - group->since_ms < ADOPT_MS)
     return;
-  if (head != NULL && reports_group (head, group)
+  if (head != NULL && formation_reports (head, group)
       && head->report.state == ENDPOINT_GROUP_OPEN)
     formation_set_phase (run, group, FORMATION_SERVING, "head is open");
   else if (view.lost > 0 || view.leaving > 0)
@@ -337,7 +328,7 @@
   if (view.lost > 0 || view.leaving > 0)
     progress_loss (run, group, &view);
   else if (head != NULL && head->report.state == ENDPOINT_GROUP_OPEN
-           && reports_group (head, group))
+           && formation_reports (head, group))
     formation_set_phase (run, group, FORMATION_SERVING, "head is open");
 #ifndef BREAK_GUARD_EDGE_READY
   else if (view.pending > 0)
@@ -357,7 +348,7 @@
   struct group_view view = view_group (run, group);
   const struct endpoint *head = member_endpoint (run, group, 0);
 
-  if (head != NULL && reports_group (head, group)
+  if (head != NULL && formation_reports (head, group)
       && head->report.state == ENDPOINT_GROUP_BROKEN)
     formation_set_phase (run, group, FORMATION_GONE, "broken");
   else if (view.lost > 0 || view.leaving > 0)
@@ -383,7 +374,7 @@
   if (head->revision <= group->head_revision
       && run->now_ms - group->since_ms < SHUT_WAIT_MS)
     return false;
-  return !reports_group (head, group)
+  return !formation_reports (head, group)
          || head->report.state == ENDPOINT_GROUP_READY
          || head->report.state == ENDPOINT_GROUP_JOINING
          || head->report.state == ENDPOINT_GROUP_BROKEN;
--- a/packages/formation/tests/fixture.h
+++ b/packages/formation/tests/fixture.h
@@ -32,6 +32,7 @@
   unsigned order_count;
   unsigned joined_while_open; /* orders that break the rule */
   bool deaf;                  /* endpoints ignore orders */
+  bool restarted;             /* joins reach lives not reported before */
   char silent[CATALOG_NAME_SIZE];
   uint64_t revision;
   int64_t now_ms;
@@ -79,6 +80,8 @@
   report.staged_count = 1;
   report.epoch = order->epoch;
   report.state = ENDPOINT_GROUP_READY;
+  if (fixture->restarted)
+    report.started_ms = fixture->now_ms;
   for (unsigned rank = 0; rank < order->member_count; rank++)
     if (strcmp (order->members[rank], endpoint->id) == 0)
       report.rank = rank;
--- a/packages/formation/tests/t0450-formation.c
+++ b/packages/formation/tests/t0450-formation.c
@@ -261,6 +261,25 @@
   fixture_finish (&fixture);
 }
 
+/*
+ * Endpoints that restarted before a join reached them are in that group, and
+ * in no other (found by fuzz/formation, input restart-94f29a9a).
+ */
+static void
+test_restarted_before_join (void **state)
+{
+  (void)state;
+  fixture_init (&fixture);
+  fixture.formation.traffic = true;
+  fixture.restarted = true;
+  fixture_add (&fixture, "d0", 9, "m0");
+  fixture_tick (&fixture, 9000);
+  assert_int_equal (fixture.joined_while_open, 0);
+  assert_int_equal (fixture_open_groups (&fixture, "m0"), 2);
+  assert_int_equal (fixture_count_orders (&fixture, FORMATION_JOIN), 8);
+  fixture_finish (&fixture);
+}
+
 /* Loads that begin stay within the weight store's limit in any window. */
 static void
 test_load_limit (void **state)
@@ -294,6 +313,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_cases),
     cmocka_unit_test (test_given_up_once),
+    cmocka_unit_test (test_restarted_before_join),
     cmocka_unit_test (test_load_limit),
   };
 
