edge: follow the configuration while a read of it hangs

Since the configuration is read at the start, a reader did not follow it while any such read was under way; a read whose connection is silent lasts 1.2 s, and a second one as long. Change: only the first read, before there is any configuration, holds the follower back. Figures: t0973 test_read_hangs stays at the version before without it.

--- a/packages/edge/src/follow.c
+++ b/packages/edge/src/follow.c
@@ -297,7 +297,8 @@
     fetch_configuration (edge);
   if (edge->direct)
     {
-      if (!edge->fetching)
+      /* The first read saves a list; a later one may hang, and this not. */
+      if (!edge->fetching || edge->relay.catalog != NULL)
         follower_tick (&edge->configuration, edge->now_ms);
       follower_tick (&edge->entries, edge->now_ms);
     }
