--- a/soak/host.c
+++ b/soak/host.c
@@ -10,6 +10,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -53,7 +54,9 @@
 {
   int log = open (host->log_path, O_WRONLY | O_CREAT | O_APPEND, 0644);
 
-  if (log < 0 || dup2 (log, STDOUT_FILENO) < 0 || dup2 (log, STDERR_FILENO) < 0)
+  /* Ends with the soak, however that ends. */
+  if (prctl (PR_SET_PDEATHSIG, SIGKILL) != 0 || log < 0
+      || dup2 (log, STDOUT_FILENO) < 0 || dup2 (log, STDERR_FILENO) < 0)
     _exit (126);
   execl (host->binary, host->binary, "--platform", "--settings",
          host->settings_path, (char *)NULL);
