soak: keep one list of models, promises and listeners

Ruled out: catalog_is_repeatable for the ledger. It is what the guard EDGE_RETRY breaks, and the ledger must not judge the product by it.

Change: operator_models is the only list; the stand-ins look models up in it with catalog_find_model. ledger_is_promise, ledger_is_repeatable, standin_listen and standin_reset_on_close serve both places.

--- a/soak/caller.c
+++ b/soak/caller.c
@@ -89,13 +89,6 @@
   caller->next_ms = callers->now_ms + wait_ms;
 }
 
-static bool
-is_repeatable (const struct caller *caller)
-{
-  return caller->kind == CATALOG_SAFE
-         || (caller->kind == CATALOG_STREAM && caller->resumable);
-}
-
 static void
 send_request (struct caller_connection *connection)
 {
@@ -172,8 +165,6 @@
   struct callers *callers;
   const char *id;
   unsigned status = head->status;
-  bool is_promise
-      = status == 429 || status == 503 || status == 408 || status == 421;
 
   if (caller == NULL)
     return;
@@ -195,7 +186,9 @@
                  http_head_get (head, users_platform.names->seal),
                  connection->body.data);
   after_attempt (caller, status < 300,
-                 is_promise || (is_repeatable (caller) && status >= 500),
+                 ledger_is_promise (status)
+                     || (ledger_is_repeatable (caller->kind, caller->resumable)
+                         && status >= 500),
                  retry_after_ms (head));
   if (!http_connection_reusable (&connection->http)
       || rng_below (&callers->rng, 100) < CLOSE_PART)
@@ -222,9 +215,11 @@
       else
         ledger_end (callers->ledger, attempt, LEDGER_GIVEN_UP);
       /* Without a connection nothing was sent. */
-      after_attempt (caller, false,
-                     !connection->connected || is_repeatable (caller),
-                     RETRY_MS);
+      after_attempt (
+          caller, false,
+          !connection->connected
+              || ledger_is_repeatable (caller->kind, caller->resumable),
+          RETRY_MS);
     }
   drop_connection (caller);
 }
@@ -337,7 +332,10 @@
   caller->next_event = 1;
   if (caller->kind == CATALOG_STREAM)
     {
-      caller->model = rng_below (&callers->rng, 2) == 0 ? "large" : "small";
+      caller->model
+          = operator_models
+                .models[rng_below (&callers->rng, operator_models.model_count)]
+                .name;
       caller->events = EVENTS_LEAST + rng_below (&callers->rng, EVENTS_SPREAD);
     }
   choose_key (caller);
--- a/soak/caller.h
+++ b/soak/caller.h
@@ -15,6 +15,8 @@
  * platform's callers do.
  */
 
+#define CALLER_KINDS 3 /* of enum catalog_kind */
+
 struct callers;
 struct caller_connection;
 
@@ -62,7 +64,7 @@
   bool stopped; /* no new requests */
   int64_t now_ms;
   /* Requests that ended since the last reset, by kind. */
-  struct caller_count counts[3];
+  struct caller_count counts[CALLER_KINDS];
 };
 
 void callers_init (struct callers *callers,
--- a/soak/ledger.c
+++ b/soak/ledger.c
@@ -115,11 +115,16 @@
   return run;
 }
 
-static bool
-is_repeatable (const struct ledger_attempt *attempt)
+bool
+ledger_is_repeatable (enum catalog_kind kind, bool resumable)
+{
+  return kind == CATALOG_SAFE || (kind == CATALOG_STREAM && resumable);
+}
+
+bool
+ledger_is_promise (unsigned status)
 {
-  return attempt->kind == CATALOG_SAFE
-         || (attempt->kind == CATALOG_STREAM && attempt->resumable);
+  return status == 429 || status == 503 || status == 408 || status == 421;
 }
 
 /* Hooks of the endpoints. */
@@ -209,7 +214,8 @@
   if (attempt->promised)
     ledger_violate (ledger, "REFUSED", "%s runs after status %u", attempt->id,
                     attempt->status);
-  if (!is_repeatable (attempt) && attempt->run_count > 0)
+  if (!ledger_is_repeatable (attempt->kind, attempt->resumable)
+      && attempt->run_count > 0)
     ledger_violate (ledger, "TWICE", "%s runs %u times", attempt->id,
                     attempt->run_count + 1);
   /* Endpoints that ended meanwhile do not count. */
@@ -334,12 +340,6 @@
   attempt->next_event = number + 1;
 }
 
-static bool
-is_promise (unsigned status)
-{
-  return status == 429 || status == 503 || status == 408 || status == 421;
-}
-
 /* An answer that no endpoint made. */
 static void
 check_own_answer (struct ledger *ledger, struct ledger_attempt *attempt)
@@ -353,10 +353,11 @@
   if (status < 300)
     ledger_violate (ledger, "MIXED", "%s got %u without a seal", attempt->id,
                     status);
-  if (is_promise (status))
+  if (ledger_is_promise (status))
     {
       ledger->refused++;
-      attempt->promised = !is_repeatable (attempt);
+      attempt->promised
+          = !ledger_is_repeatable (attempt->kind, attempt->resumable);
       if (attempt->promised && attempt->run_count > 0)
         ledger_violate (ledger, "REFUSED", "%s got %u and had run", attempt->id,
                         status);
--- a/soak/ledger.h
+++ b/soak/ledger.h
@@ -94,6 +94,15 @@
 /* A zeroed attempt of this id. */
 struct ledger_attempt *ledger_add (struct ledger *ledger, const char *id);
 
+/*
+ * True if a request may run more than once.  By its own reading of the sheets,
+ * so that the product is not judged by itself.
+ */
+bool ledger_is_repeatable (enum catalog_kind kind, bool resumable);
+
+/* True if an answer that no endpoint made says that the request did not run. */
+bool ledger_is_promise (unsigned status);
+
 /* The stand-ins' hooks; context is the ledger. */
 extern const struct standin_hooks ledger_hooks;
 
--- a/soak/operator.c
+++ b/soak/operator.c
@@ -9,6 +9,32 @@
 #define ROUTES 8
 #define EXTRA_ROUTES 3
 
+const struct catalog_service operator_models = {
+  .name = MODEL_SERVICE,
+  .slots = 16,
+  .loads_per_s = 10,
+  .loads_at_once = 6,
+  .staged_limit = 4,
+  .open_ms = 80,
+  .step_ms = 6,
+  .step_per_request_ms = 0.05,
+  .read_per_ms = 50,
+  .tokens_per_event = 1,
+  .models = { { .name = "large",
+                .size = 3,
+                .share = 0.5,
+                .pace = 1,
+                .load_ms = 800,
+                .warm_ms = 200 },
+              { .name = "small",
+                .size = 2,
+                .share = 0.5,
+                .pace = 1,
+                .load_ms = 600,
+                .warm_ms = 200 } },
+  .model_count = 2,
+};
+
 void
 operator_key (char *text, size_t size, unsigned customer, unsigned key)
 {
@@ -39,33 +65,6 @@
   catalog_index_route (catalog, catalog->route_count++);
 }
 
-static void
-add_models (struct catalog_service *service)
-{
-  service->slots = 16;
-  service->loads_per_s = 10;
-  service->loads_at_once = 6;
-  service->staged_limit = 4;
-  service->open_ms = 80;
-  service->step_ms = 6;
-  service->step_per_request_ms = 0.05;
-  service->read_per_ms = 50;
-  service->tokens_per_event = 1;
-  service->models[0] = (struct catalog_model){ .name = "large",
-                                               .size = 3,
-                                               .share = 0.5,
-                                               .pace = 1,
-                                               .load_ms = 800,
-                                               .warm_ms = 200 };
-  service->models[1] = (struct catalog_model){ .name = "small",
-                                               .size = 2,
-                                               .share = 0.5,
-                                               .pace = 1,
-                                               .load_ms = 600,
-                                               .warm_ms = 200 };
-  service->model_count = 2;
-}
-
 static void
 add_customers (const struct operator* operator, struct catalog * catalog)
 {
@@ -90,8 +89,6 @@
 static struct catalog *
 make_catalog (const struct operator* operator)
 {
-  static const char *const services[]
-      = { MODEL_SERVICE, PLAIN_SERVICE, OTHER_SERVICE };
   struct catalog *catalog = catalog_new (ROUTES, 3, OPERATOR_CUSTOMERS);
 
   if (catalog == NULL)
@@ -100,11 +97,10 @@
   catalog->version
       = 3 + (int64_t) operator->count * 2 + (operator->count % 3 == 0 ? 1 : 0);
   catalog->limits = (struct catalog_limits){ 16384, 1 << 20, 3000, 15000 };
-  for (unsigned i = 0; i < 3; i++)
-    snprintf (catalog->services[i].name, sizeof catalog->services[i].name, "%s",
-              services[i]);
+  catalog->services[0] = operator_models;
+  catalog->services[1] = (struct catalog_service){ .name = PLAIN_SERVICE };
+  catalog->services[2] = (struct catalog_service){ .name = OTHER_SERVICE };
   catalog->service_count = 3;
-  add_models (&catalog->services[0]);
   add_route (catalog, "/resumed/", CATALOG_STREAM, MODEL_SERVICE);
   catalog->routes[0].resumable = true;
   add_route (catalog, "/stream/", CATALOG_STREAM, MODEL_SERVICE);
--- a/soak/operator.h
+++ b/soak/operator.h
@@ -26,6 +26,9 @@
 #define CONFIGURATION_MS 2000
 #define REVOKE_MS 5000
 
+/* The service whose models run in groups, as each version names it. */
+extern const struct catalog_service operator_models;
+
 struct operator_version
 {
   struct catalog *catalog;
--- a/soak/proxy.c
+++ b/soak/proxy.c
@@ -1,6 +1,6 @@
 #include "proxy.h"
 
-#include "netutil.h"
+#include "standin-http.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -59,18 +59,14 @@
 static void
 drop (struct proxy_link *link, bool reset)
 {
-  const struct linger linger = { 1, 0 };
-
   TAILQ_REMOVE (&link->proxy->links, link, link);
   for (int way = 0; way < PROXY_WAYS; way++)
     {
       int fd = bufferevent_getfd (link->from[way]);
 
       drop_queue (link, (enum proxy_way)way);
-      if (reset && fd >= 0
-          && setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger)
-                 != 0)
-        perror ("proxy: SO_LINGER");
+      if (reset && fd >= 0)
+        standin_reset_on_close (fd);
       bufferevent_free (link->from[way]);
     }
   free (link);
@@ -196,20 +192,12 @@
 bool
 proxy_open (struct proxy *proxy, struct event_base *base, uint16_t target_port)
 {
-  struct sockaddr_in own = { .sin_family = AF_INET };
-
   memset (proxy, 0, sizeof *proxy);
   proxy->base = base;
   proxy->target_port = target_port;
   TAILQ_INIT (&proxy->links);
-  own.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  proxy->listener
-      = evconnlistener_new_bind (base, on_accept, proxy, LEV_OPT_CLOSE_ON_FREE,
-                                 128, (struct sockaddr *)&own, sizeof own);
-  if (proxy->listener == NULL)
-    return false;
-  proxy->port = net_bound_port (evconnlistener_get_fd (proxy->listener));
-  return true;
+  proxy->listener = standin_listen (base, &proxy->port, on_accept, proxy);
+  return proxy->listener != NULL;
 }
 
 void
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -76,7 +76,7 @@
 static bool
 kinds_served (const struct callers *callers)
 {
-  for (unsigned i = 0; i < 3; i++)
+  for (unsigned i = 0; i < CALLER_KINDS; i++)
     if (callers->counts[i].asked < SERVED_LEAST
         || (double)callers->counts[i].served
                < SERVED_PART * (double)callers->counts[i].asked)
@@ -96,7 +96,7 @@
       callers_reset_counts (&world->callers);
       world_run (world, FINAL_MS, NULL, NULL, run);
       served = kinds_served (&world->callers);
-      for (unsigned i = 0; i < 3; i++)
+      for (unsigned i = 0; i < CALLER_KINDS; i++)
         world_note (world, "kind %u: %llu of %llu served", i,
                     (unsigned long long)world->callers.counts[i].served,
                     (unsigned long long)world->callers.counts[i].asked);
--- a/soak/world.c
+++ b/soak/world.c
@@ -88,14 +88,6 @@
     add_site (world, OTHER_SERVICE, data_centre, "", PLAIN_SLOTS);
 }
 
-static void
-set_models (struct standin_fleet *fleet)
-{
-  fleet->models[0] = (struct standin_model){ "large", 3, 800, 200 };
-  fleet->models[1] = (struct standin_model){ "small", 2, 600, 200 };
-  fleet->model_count = 2;
-}
-
 static void
 on_died (void *context, struct host *host, int status)
 {
@@ -199,7 +191,7 @@
   hooks.context = &world->ledger;
   standin_fleet_init (&world->fleet, world->base, &world->store, &hooks,
                       rng_next (&world->rng));
-  set_models (&world->fleet);
+  world->fleet.models = &operator_models;
   for (unsigned i = 0; i < WORLD_DATA_CENTRES; i++)
     add_sites (world, world_data_centres[i]);
   for (unsigned i = 0; i < world->host_count; i++)
@@ -274,9 +266,9 @@
 world_serves (struct world *world)
 {
   for (unsigned i = 0; i < WORLD_DATA_CENTRES; i++)
-    for (unsigned j = 0; j < world->fleet.model_count; j++)
+    for (unsigned j = 0; j < operator_models.model_count; j++)
       if (!standin_serves (&world->fleet, world_data_centres[i],
-                           world->fleet.models[j].name))
+                           operator_models.models[j].name))
         return false;
   return true;
 }
