balance, edge: decide once who is let in and what is known

Change: the survey of the candidates holds the answer, and edge_knows_endpoints names the other condition. No decision changes.

--- a/packages/balance/src/choose.c
+++ b/packages/balance/src/choose.c
@@ -118,8 +118,17 @@
   unsigned count;
   unsigned running; /* at all of them */
   unsigned slots;   /* of all of them */
+  bool is_let_in;   /* the request, as full as they are */
 };
 
+static bool
+is_let_in (const struct balance_request *request, const struct survey *survey)
+{
+  double taken = (double)survey->running / survey->slots;
+
+  return request->draw < (LET_IN_NONE - taken) / (LET_IN_NONE - LET_IN_ALL);
+}
+
 static struct survey
 survey_candidates (struct lanes *lanes,
                    const struct endpoints *endpoints,
@@ -150,17 +159,10 @@
           && (survey.usual_pause_ms == 0 || pause < survey.usual_pause_ms))
         survey.usual_pause_ms = pause;
     }
+  survey.is_let_in = survey.count > 0 && is_let_in (request, &survey);
   return survey;
 }
 
-static bool
-is_let_in (const struct balance_request *request, const struct survey *survey)
-{
-  double taken = (double)survey->running / survey->slots;
-
-  return request->draw < (LET_IN_NONE - taken) / (LET_IN_NONE - LET_IN_ALL);
-}
-
 static double
 recent_failing (const struct lane *lane, int64_t now_ms)
 {
@@ -265,7 +267,7 @@
            - (is_near (lanes, lane) ? NEAR_MS : 0)
            + (DRAW_MS + DRAW_UNSEEN * unseen_ms (lanes, request, survey))
                  * rng_real (&lanes->rng);
-  return is_let_in (request, survey)
+  return survey->is_let_in
          && running < balance_slots (request->service, lane->endpoint)
          && *expected_ms <= limit_ms;
 }
--- a/packages/edge/include/edge.h
+++ b/packages/edge/include/edge.h
@@ -74,6 +74,9 @@
 /* True if this host may get new connections. */
 bool edge_is_ready (const struct edge *edge);
 
+/* True if it has read the list of endpoints, itself or through its hub. */
+bool edge_knows_endpoints (const struct edge *edge);
+
 /* follow.c */
 void edge_follow_init (struct edge *edge);
 void edge_follow_tick (struct edge *edge);
--- a/packages/edge/src/edge.c
+++ b/packages/edge/src/edge.c
@@ -33,12 +33,18 @@
 /* Entry hosts that share the retry slack until their number is known. */
 #define ASSUMED_HOSTS 400
 
+bool
+edge_knows_endpoints (const struct edge *edge)
+{
+  return edge->entries.listed || edge->vouch.synced;
+}
+
 bool
 edge_is_ready (const struct edge *edge)
 {
   return edge->phase == EDGE_RUNNING
          && relay_keys_hold (&edge->relay, READY_AHEAD_MS, edge->now_ms)
-         && (edge->entries.listed || edge->vouch.synced);
+         && edge_knows_endpoints (edge);
 }
 
 /*
@@ -73,8 +79,7 @@
       LOG_STR ("stopping", edge->phase != EDGE_RUNNING ? "yes" : "no"),
       LOG_INT ("configuration", relay_catalog_version (&edge->relay)),
       LOG_INT ("proof_age_ms", edge->now_ms - edge->relay.catalog_proof_ms),
-      LOG_STR ("knows_endpoints",
-               edge->entries.listed || edge->vouch.synced ? "yes" : "no"),
+      LOG_STR ("knows_endpoints", edge_knows_endpoints (edge) ? "yes" : "no"),
       LOG_STR ("others_serve", edge->relay.others_serve ? "yes" : "no"));
 }
 
--- a/packages/edge/src/peers.c
+++ b/packages/edge/src/peers.c
@@ -73,7 +73,7 @@
   knowledge->entries_ms = edge->entries.proof_ms;
   knowledge->revision = edge->entries.revision;
   /* What its own hub kept up to date serves as well as a list of its own. */
-  return edge->direct && (edge->entries.listed || edge->vouch.synced)
+  return edge->direct && edge_knows_endpoints (edge)
          && edge->entries.state == FOLLOWER_WATCHING
          && edge->entries.failing_since_ms == 0
          && edge->configuration.failing_since_ms == 0;
