edge: let hubs hand new configurations on as patches

A host that the platform turns away cannot follow at all: its hub proves a version that it has not got.

Ruled out: whole configurations from the hub (25 MB at once for 42 hosts); differences by route (the platform's format would leave platform/); a read less often (2 s until a change is in force).

Change: a host says which version it has when it asks its hub; the hub sends the difference of the two texts (text-patch.h), up to 30 datagrams, before its answer. A host that was told so waits 0.25 s, then reads the platform. A patch is taken only if its result has the hub's digest. Only hubs keep earlier texts.

--- a/packages/edge/include/edge.h
+++ b/packages/edge/include/edge.h
@@ -6,6 +6,7 @@
 #include "edge-settings.h"
 #include "endpoints.h"
 #include "follower.h"
+#include "handover.h"
 #include "leader.h"
 #include "mesh.h"
 #include "records.h"
@@ -50,6 +51,7 @@
   struct leader leader;
   struct mesh mesh;
   struct vouch vouch;
+  struct handover handover;
   unsigned most_hosts; /* entry hosts known at once */
   bool direct;         /* reads the platform itself, for others too */
   bool knows_all;      /* all endpoints, not only those that are routed to */
@@ -81,6 +83,9 @@
 void edge_follow_init (struct edge *edge);
 void edge_follow_tick (struct edge *edge);
 
+/* A piece of the patch to a newer configuration arrived. */
+void edge_take_patch (struct edge *edge, const struct gossip_patch *piece);
+
 /* peers.c: what the other entry hosts tell and are told. */
 enum result edge_peers_init (struct edge *edge);
 void edge_peers_tick (struct edge *edge);
--- a/packages/edge/include/gossip.h
+++ b/packages/edge/include/gossip.h
@@ -15,10 +15,11 @@
  * what to whom.
  */
 
-#define GOSSIP_VERSION 1
+#define GOSSIP_VERSION 2
 #define GOSSIP_BYTES 1400 /* one datagram without fragments on Ethernet */
 #define GOSSIP_LOADS 40   /* entries of one message */
 #define GOSSIP_HOSTS 12
+#define GOSSIP_PATCH_BYTES 1024 /* of a patch in one message */
 #define GOSSIP_NEVER_MS UINT32_MAX
 
 enum gossip_kind
@@ -32,6 +33,7 @@
   GOSSIP_VOUCH,    /* the answer */
   GOSSIP_REPORT,   /* an endpoint's entry on the platform */
   GOSSIP_DELETED,  /* such an entry is gone */
+  GOSSIP_PATCH,    /* a piece of a newer configuration, see handover.h */
 };
 
 struct gossip_load
@@ -74,8 +76,9 @@
 
 struct gossip_ask
 {
-  uint64_t nonce;    /* the asker's clock, returned with the answer */
-  uint64_t revision; /* up to which the asker knows the entries */
+  uint64_t nonce;        /* the asker's clock, returned with the answer */
+  uint64_t revision;     /* up to which the asker knows the entries */
+  int64_t configuration; /* version that the asker has; 0 = none */
 };
 
 struct gossip_vouch
@@ -86,6 +89,20 @@
   uint32_t entries_age_ms;       /* the same of the entries */
   uint64_t revision;             /* up to which the entries are known */
   uint64_t digest;               /* see endpoints.h */
+  bool patched; /* a patch to that configuration was sent before this */
+};
+
+/* Bytes of the patch from first on, of total. */
+struct gossip_patch
+{
+  int64_t from; /* versions of the configuration */
+  int64_t to;
+  uint64_t revision; /* of the newer one's record on the platform */
+  uint64_t digest;   /* hash_string of the newer one's text */
+  uint32_t total;
+  uint32_t first;
+  uint32_t count;
+  char bytes[GOSSIP_PATCH_BYTES];
 };
 
 struct gossip_report
@@ -109,6 +126,7 @@
     struct gossip_ask ask;
     struct gossip_vouch vouch;
     struct gossip_report report;
+    struct gossip_patch patch;
   } body;
 };
 
--- a/packages/edge/include/mesh.h
+++ b/packages/edge/include/mesh.h
@@ -62,7 +62,7 @@
   void *context;
   /* The loads of all other hosts have changed. */
   void (*loads) (void *context, const struct gossip_load *list, unsigned count);
-  /* ASK, VOUCH, REPORT and DELETED, for vouch.h. */
+  /* ASK, VOUCH, REPORT and DELETED for vouch.h, PATCH for handover.h. */
   void (*message) (void *context,
                    struct mesh_host *from,
                    const struct gossip_message *message);
--- a/packages/edge/include/vouch.h
+++ b/packages/edge/include/vouch.h
@@ -33,6 +33,8 @@
   int64_t (*configuration) (void *context);
   /* What this host has read itself; false if it may not vouch. */
   bool (*own) (void *context, struct vouch_knowledge *knowledge);
+  /* Sends the patch to the newest configuration; false if there is none. */
+  bool (*hand_over) (void *context, struct mesh_host *to, int64_t from);
 };
 
 struct vouch_tombstone
@@ -59,8 +61,10 @@
   int64_t proof_ms;
   int64_t entries_ms; /* the same of the endpoints */
   int64_t newest;     /* configuration that a hub has */
-  bool synced;        /* the entries were the same as a hub's once */
-  uint64_t revision;  /* of the entries then */
+  bool patched;       /* and says to have sent, as a patch */
+  int64_t behind_ms; /* since when this host has an older one; 0 = it has not */
+  bool synced;       /* the entries were the same as a hub's once */
+  uint64_t revision; /* of the entries then */
   int64_t differs_ms; /* since when they differ; 0 = they do not */
   int64_t now_ms;
 };
--- a/packages/edge/src/edge.c
+++ b/packages/edge/src/edge.c
@@ -242,6 +242,7 @@
   snprintf (self, sizeof self, "%.40s/%.20s", settings->host, edge->boot_id);
   records_init (&edge->records, edge->base, edge->adapter->records, address,
                 port);
+  handover_init (&edge->handover);
   edge_follow_init (edge);
   leader_init (&edge->leader, edge->base, edge->adapter, &edge->records,
                &edge->endpoints, &formation, self);
@@ -298,6 +299,7 @@
   mesh_finish (&edge->mesh);
   records_finish (&edge->records);
   relay_finish (&edge->relay);
+  handover_finish (&edge->handover);
   endpoints_finish (&edge->endpoints);
   if (edge->readiness != NULL)
     evhttp_free (edge->readiness);
--- a/packages/edge/src/follow.c
+++ b/packages/edge/src/follow.c
@@ -1,6 +1,7 @@
 #include "edge.h"
 #include "log.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 /*
@@ -30,30 +31,79 @@
  */
 #define READER_RETRY_MS 800
 #define OTHER_RETRY_MS 3200
+/*
+ * A patch that a hub says to have sent is waited for this long: one question
+ * more, should a datagram be lost.
+ */
+#define PATCH_WAIT_MS 250
 /* A host that others ask reads the platform for so long. */
 #define RELIED_MS 2000
 
+/*
+ * Puts a configuration in force; its text, NULL if there was no memory for it,
+ * is kept for other hosts.
+ */
 static void
-on_configuration (void *context, const struct records_record *record)
+set_configuration (struct edge *edge,
+                   const json_t *value,
+                   uint64_t revision,
+                   char *text,
+                   size_t size)
 {
-  struct edge *edge = context;
   struct catalog *catalog;
-  enum result result;
+  enum result result = edge->adapter->decode_catalog (value, &catalog);
 
-  if (record->deleted
-      || strcmp (record->name, edge->adapter->configuration) != 0)
-    return;
-  result = edge->adapter->decode_catalog (record->value, &catalog);
   if (result != RESULT_OK)
     {
       LOG_EVENT (LOG_LEVEL_ERROR, "configuration-refused",
-                 LOG_INT ("code", result),
-                 LOG_U64 ("revision", record->revision));
+                 LOG_INT ("code", result), LOG_U64 ("revision", revision));
+      free (text);
       return;
     }
+  edge->handover.serves = mesh_is_hub (&edge->mesh);
+  if (text != NULL)
+    handover_keep (&edge->handover, catalog->version, revision, text, size);
   relay_set_catalog (&edge->relay, catalog);
 }
 
+static void
+on_configuration (void *context, const struct records_record *record)
+{
+  struct edge *edge = context;
+  char *text;
+
+  if (record->deleted
+      || strcmp (record->name, edge->adapter->configuration) != 0)
+    return;
+  text = json_dumps (record->value, JSON_COMPACT);
+  if (text == NULL)
+    LOG_EVENT (LOG_LEVEL_WARNING, "configuration-not-kept",
+               LOG_U64 ("revision", record->revision));
+  set_configuration (edge, record->value, record->revision, text,
+                     text != NULL ? strlen (text) : 0);
+}
+
+void
+edge_take_patch (struct edge *edge, const struct gossip_patch *piece)
+{
+  int64_t before = relay_catalog_version (&edge->relay);
+  json_t *value;
+  char *text;
+  size_t size;
+
+  if (piece->from != before
+      || handover_take (&edge->handover, piece, &text, &size) != RESULT_OK
+      || text == NULL)
+    return;
+  value = json_loadb (text, size, 0, NULL);
+  set_configuration (edge, value, piece->revision, text, size);
+  json_decref (value);
+  /* A host that becomes a reader goes on from here. */
+  if (relay_catalog_version (&edge->relay) > before && !edge->direct)
+    follower_resume (&edge->configuration, piece->revision,
+                     edge->configuration.proof_ms);
+}
+
 static void
 log_entry (const char *id,
            const struct endpoint_report *report,
@@ -302,7 +352,9 @@
         follower_tick (&edge->configuration, edge->now_ms);
       follower_tick (&edge->entries, edge->now_ms);
     }
-  else if (edge->vouch.newest > relay_catalog_version (&edge->relay))
+  else if (edge->vouch.newest > relay_catalog_version (&edge->relay)
+           && (!edge->vouch.patched
+               || edge->now_ms - edge->vouch.behind_ms > PATCH_WAIT_MS))
     fetch_configuration (edge);
   /* A reader that fails may still hear from others how things stand. */
   vouch_tick (&edge->vouch,
--- a/packages/edge/src/gossip.c
+++ b/packages/edge/src/gossip.c
@@ -93,7 +93,8 @@
          && xdr_uint32_t (xdr, &vouch->configuration_age_ms)
          && xdr_uint32_t (xdr, &vouch->entries_age_ms)
          && xdr_uint64_t (xdr, &vouch->revision)
-         && xdr_uint64_t (xdr, &vouch->digest);
+         && xdr_uint64_t (xdr, &vouch->digest)
+         && code_flag (xdr, &vouch->patched);
 }
 
 static bool
@@ -139,6 +140,26 @@
          && (!has_report || code_endpoint (xdr, &report->report));
 }
 
+static bool
+code_ask (XDR *xdr, struct gossip_ask *ask)
+{
+  return xdr_uint64_t (xdr, &ask->nonce) && xdr_uint64_t (xdr, &ask->revision)
+         && xdr_int64_t (xdr, &ask->configuration);
+}
+
+static bool
+code_patch (XDR *xdr, struct gossip_patch *patch)
+{
+  char *bytes = patch->bytes;
+
+  return xdr_int64_t (xdr, &patch->from) && xdr_int64_t (xdr, &patch->to)
+         && xdr_uint64_t (xdr, &patch->revision)
+         && xdr_uint64_t (xdr, &patch->digest)
+         && xdr_uint32_t (xdr, &patch->total)
+         && xdr_uint32_t (xdr, &patch->first)
+         && xdr_bytes (xdr, &bytes, &patch->count, sizeof patch->bytes);
+}
+
 static bool
 code_body (XDR *xdr, struct gossip_message *message)
 {
@@ -152,14 +173,15 @@
     case GOSSIP_KNOWN:
       return code_hosts (xdr, &message->body.hosts);
     case GOSSIP_ASK:
-      return xdr_uint64_t (xdr, &message->body.ask.nonce)
-             && xdr_uint64_t (xdr, &message->body.ask.revision);
+      return code_ask (xdr, &message->body.ask);
     case GOSSIP_VOUCH:
       return code_vouch (xdr, &message->body.vouch);
     case GOSSIP_REPORT:
     case GOSSIP_DELETED:
       return code_report (xdr, &message->body.report,
                           message->kind == GOSSIP_REPORT);
+    case GOSSIP_PATCH:
+      return code_patch (xdr, &message->body.patch);
     }
   return false;
 }
@@ -175,7 +197,7 @@
       || !xdr_uint64_t (xdr, &message->boot)
       || !xdr_uint32_t (xdr, &message->sequence)
       || !code_flag (xdr, &message->traffic) || kind < GOSSIP_LOAD
-      || kind > GOSSIP_DELETED)
+      || kind > GOSSIP_PATCH)
     return false;
   message->kind = (enum gossip_kind)kind;
   return code_body (xdr, message);
--- a/packages/edge/src/mesh.c
+++ b/packages/edge/src/mesh.c
@@ -230,6 +230,7 @@
     case GOSSIP_VOUCH:
     case GOSSIP_REPORT:
     case GOSSIP_DELETED:
+    case GOSSIP_PATCH:
       mesh->hooks.message (mesh->hooks.context, host, message);
       break;
     }
--- a/packages/edge/src/peers.c
+++ b/packages/edge/src/peers.c
@@ -37,7 +37,10 @@
 {
   struct edge *edge = context;
 
-  vouch_take (&edge->vouch, from, message, edge->mesh.now_ms);
+  if (message->kind == GOSSIP_PATCH)
+    edge_take_patch (edge, &message->body.patch);
+  else
+    vouch_take (&edge->vouch, from, message, edge->mesh.now_ms);
 }
 
 static void
@@ -79,13 +82,29 @@
          && edge->configuration.failing_since_ms == 0;
 }
 
+static bool
+hand_over (void *context, struct mesh_host *to, int64_t from)
+{
+  struct edge *edge = context;
+  struct gossip_message *message = &edge->mesh.message;
+  unsigned pieces = 0;
+
+  while (handover_piece (&edge->handover, from, pieces, &message->body.patch))
+    {
+      message->kind = GOSSIP_PATCH;
+      mesh_send (&edge->mesh, to, message);
+      pieces++;
+    }
+  return pieces > 0;
+}
+
 enum result
 edge_peers_init (struct edge *edge)
 {
   const struct edge_settings *settings = &edge->settings;
   const struct mesh_hooks mesh_hooks = { edge, on_loads, on_message, on_lease };
   const struct vouch_hooks vouch_hooks
-      = { edge, own_configuration, own_knowledge };
+      = { edge, own_configuration, own_knowledge, hand_over };
   struct gossip_host self = {
     .port = (uint16_t)settings->peers_port,
     .capacity = (uint32_t)(settings->host_cores * 1000),
--- a/packages/edge/src/vouch.c
+++ b/packages/edge/src/vouch.c
@@ -88,6 +88,7 @@
       = vouch->buried > VOUCH_TOMBSTONES ? vouch->buried - VOUCH_TOMBSTONES : 0;
   uint64_t nonce = ask->nonce;
   struct vouch_knowledge own;
+  bool patched;
 
   vouch->relied_ms = vouch->now_ms;
   if (!vouch->hooks.own (vouch->hooks.context, &own))
@@ -115,9 +116,13 @@
       message->body.report.revision = tombstone->revision;
       mesh_send (vouch->mesh, to, message);
     }
+  /* Sent first, so that the answer proves what the patch makes. */
+  patched
+      = vouch->hooks.hand_over (vouch->hooks.context, to, ask->configuration);
   message->kind = GOSSIP_VOUCH;
   message->body.vouch = (struct gossip_vouch){
     .nonce = nonce,
+    .patched = patched,
     .configuration = vouch->hooks.configuration (vouch->hooks.context),
     .configuration_age_ms = (uint32_t)(vouch->now_ms - own.configuration_ms),
     .entries_age_ms = (uint32_t)(vouch->now_ms - own.entries_ms),
@@ -155,6 +160,15 @@
   vouch->hub_blind = false;
   if (said->configuration > vouch->newest)
     vouch->newest = said->configuration;
+  vouch->patched = said->patched;
+  if (vouch->newest <= own)
+    vouch->behind_ms = 0;
+  else
+    {
+      if (vouch->behind_ms == 0)
+        vouch->behind_ms = vouch->now_ms;
+      vouch->ask_ms = vouch->now_ms + ASK_AGAIN_MS;
+    }
   if (said->configuration == own && own != 0 && proof_ms > vouch->proof_ms)
     vouch->proof_ms = proof_ms;
   if (said->digest == vouch->endpoints->digest)
@@ -236,5 +250,7 @@
   message->kind = GOSSIP_ASK;
   message->body.ask.nonce = (uint64_t)now_ms;
   message->body.ask.revision = vouch->revision;
+  message->body.ask.configuration
+      = vouch->hooks.configuration (vouch->hooks.context);
   mesh_send (vouch->mesh, hub, message);
 }
--- a/packages/edge/tests/t0960-gossip.c
+++ b/packages/edge/tests/t0960-gossip.c
@@ -62,6 +62,10 @@
           report->report.state = ENDPOINT_GROUP_OPEN;
         }
       break;
+    case GOSSIP_PATCH:
+      message.body.patch.count = GOSSIP_PATCH_BYTES;
+      memset (message.body.patch.bytes, 'p', GOSSIP_PATCH_BYTES);
+      break;
     }
 }
 
@@ -69,7 +73,7 @@
 test_round_trip (void **state)
 {
   (void)state;
-  for (int kind = GOSSIP_LOAD; kind <= GOSSIP_DELETED; kind++)
+  for (int kind = GOSSIP_LOAD; kind <= GOSSIP_PATCH; kind++)
     {
       size_t size;
 
@@ -94,7 +98,7 @@
 
   (void)state;
   rng_init (&rng, 1);
-  for (int kind = GOSSIP_LOAD; kind <= GOSSIP_DELETED; kind++)
+  for (int kind = GOSSIP_LOAD; kind <= GOSSIP_PATCH; kind++)
     {
       size_t size;
 
@@ -111,9 +115,11 @@
           damaged[rng_below (&rng, size)] ^= (char)(1 + rng_below (&rng, 255));
           if (gossip_decode (&decoded, damaged, size) != RESULT_OK)
             continue;
-          assert_in_range (decoded.kind, GOSSIP_LOAD, GOSSIP_DELETED);
+          assert_in_range (decoded.kind, GOSSIP_LOAD, GOSSIP_PATCH);
           if (decoded.kind <= GOSSIP_TOTAL)
             assert_in_range (decoded.body.loads.count, 0, GOSSIP_LOADS);
+          if (decoded.kind == GOSSIP_PATCH)
+            assert_in_range (decoded.body.patch.count, 0, GOSSIP_PATCH_BYTES);
           if (decoded.kind == GOSSIP_REPORT)
             assert_in_range (decoded.body.report.report.state,
                              ENDPOINT_GROUP_NONE, ENDPOINT_GROUP_BROKEN);
--- a/packages/edge/tests/t0961-vouch.c
+++ b/packages/edge/tests/t0961-vouch.c
@@ -27,6 +27,7 @@
 }
 
 static bool may_vouch;
+static int64_t handed_from; /* configuration that an asker has */
 
 static bool
 own (void *context, struct vouch_knowledge *knowledge)
@@ -36,6 +37,15 @@
   return may_vouch;
 }
 
+static bool
+hand_over (void *context, struct mesh_host *to, int64_t from)
+{
+  (void)context;
+  (void)to;
+  handed_from = from;
+  return true;
+}
+
 static void
 on_removed (void *context, struct endpoint *endpoint)
 {
@@ -46,7 +56,7 @@
 static void
 setup (void)
 {
-  const struct vouch_hooks hooks = { NULL, configuration, own };
+  const struct vouch_hooks hooks = { NULL, configuration, own, hand_over };
 
   memset (&mesh, 0, sizeof mesh);
   mesh.socket = -1;
@@ -203,6 +213,67 @@
   endpoints_finish (&endpoints);
 }
 
+/* How a host that learns of a newer configuration goes on. */
+struct behind_case
+{
+  const char *guards;
+  int64_t configuration; /* the hub's */
+  bool patched;
+  int64_t behind_ms;
+  int64_t ask_ms; /* next question */
+};
+
+static const struct behind_case behind_cases[] = {
+  { "a host that is up to date waits for a patch", 7, false, 0, 10300 },
+  { "a lost patch is not noticed", 8, true, 10005, 10105 },
+  { "a host waits for a patch that was not sent", 8, false, 10005, 10105 },
+};
+
+static void
+test_behind (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof behind_cases / sizeof behind_cases[0]; i++)
+    {
+      const struct behind_case *c = &behind_cases[i];
+      struct gossip_message message = { .kind = GOSSIP_VOUCH };
+
+      setup ();
+      message.body.vouch = (struct gossip_vouch){
+        .nonce = ASKED_MS,
+        .configuration = c->configuration,
+        .revision = 5,
+        .patched = c->patched,
+      };
+      vouch_take (&vouch, NULL, &message, 10005);
+      if (vouch.behind_ms != c->behind_ms || vouch.ask_ms != c->ask_ms
+          || vouch.patched != c->patched)
+        fail_msg ("%s: behind %lld, ask %lld", c->guards,
+                  (long long)vouch.behind_ms, (long long)vouch.ask_ms);
+      endpoints_finish (&endpoints);
+    }
+}
+
+/* A hub that can vouch hands the asker what it lacks. */
+static void
+test_hands_over (void **state)
+{
+  struct gossip_message message = { .kind = GOSSIP_ASK };
+  struct mesh_host from = { .boot = 1 };
+
+  (void)state;
+  setup ();
+  message.body.ask.configuration = 5;
+  handed_from = 0;
+  vouch_take (&vouch, &from, &message, 1000);
+  assert_int_equal (handed_from, 0);
+  may_vouch = true;
+  vouch_take (&vouch, &from, &message, 1100);
+  assert_int_equal (handed_from, 5);
+  may_vouch = false;
+  endpoints_finish (&endpoints);
+}
+
 int
 main (void)
 {
@@ -210,6 +281,8 @@
     cmocka_unit_test (test_answers),
     cmocka_unit_test (test_late_report),
     cmocka_unit_test (test_removal_is_told),
+    cmocka_unit_test (test_behind),
+    cmocka_unit_test (test_hands_over),
   };
 
   log_set_level (LOG_LEVEL_ERROR);
