edge: let a host that reads in the place of cut off hubs hold the lease

Ruled out: all hosts as candidates (each polls the lease: 0.25 to 0.7 calls a second a host).

Change: a host that reads the platform itself, and has a whole list, is a candidate too, after the hubs.

--- a/packages/edge/include/edge.h
+++ b/packages/edge/include/edge.h
@@ -83,6 +83,12 @@
 void edge_follow_init (struct edge *edge);
 void edge_follow_tick (struct edge *edge);
 
+/*
+ * True if this host may hold the lease of its data centre: a hub, or a host
+ * that reads the platform in the place of hubs that cannot.
+ */
+bool edge_is_candidate (const struct edge *edge);
+
 /* A piece of the patch to a newer configuration arrived. */
 void edge_take_patch (struct edge *edge, const struct gossip_patch *piece);
 
--- a/packages/edge/include/leader.h
+++ b/packages/edge/include/leader.h
@@ -27,6 +27,7 @@
   struct orders orders;
   struct checker checker;
   char lease_name[CATALOG_NAME_SIZE];
+  unsigned rank; /* among the hubs that compete for the lease */
   bool acting;
   int64_t now_ms;
 };
@@ -42,12 +43,14 @@
 
 /*
  * traffic: requests have been seen.  candidate: this host may take the lease;
- * one that holds it keeps it.  knows_all: the table holds all endpoints.
+ * one that holds it keeps it.  hub: it goes before those that are none.
+ * knows_all: the table holds all endpoints.
  */
 void leader_tick (struct leader *leader,
                   const struct catalog *catalog,
                   bool traffic,
                   bool candidate,
+                  bool hub,
                   bool knows_all,
                   int64_t now_ms);
 
--- a/packages/edge/src/edge.c
+++ b/packages/edge/src/edge.c
@@ -121,7 +121,7 @@
   endpoints_tick (&edge->endpoints, edge->now_ms);
   relay_tick (&edge->relay, edge->now_ms);
   leader_tick (&edge->leader, edge->relay.catalog, edge->mesh.traffic,
-               mesh_is_settled (&edge->mesh) && mesh_is_hub (&edge->mesh),
+               edge_is_candidate (edge), mesh_is_hub (&edge->mesh),
                edge->knows_all, edge->now_ms);
   edge_stop_tick (edge);
   note_ready (edge);
--- a/packages/edge/src/follow.c
+++ b/packages/edge/src/follow.c
@@ -265,6 +265,17 @@
              : edge->vouch.entries_ms;
 }
 
+bool
+edge_is_candidate (const struct edge *edge)
+{
+  if (!mesh_is_settled (&edge->mesh))
+    return false;
+  return mesh_is_hub (&edge->mesh)
+         || (edge->direct && edge->configuration.failing_since_ms == 0
+             && edge->entries.failing_since_ms == 0
+             && edge->entries.state == FOLLOWER_WATCHING);
+}
+
 /* Whether this host has to read the platform itself. */
 static bool
 must_be_direct (const struct edge *edge)
--- a/packages/edge/src/leader.c
+++ b/packages/edge/src/leader.c
@@ -110,8 +110,8 @@
   leader->records = records;
   leader->endpoints = endpoints;
   memcpy (leader->lease_name, settings->data_centre, sizeof leader->lease_name);
-  lease_init (&leader->lease, &lease, self,
-              (unsigned)(hash_string (self, 0) % LEASE_RANKS));
+  leader->rank = (unsigned)(hash_string (self, 0) % LEASE_RANKS);
+  lease_init (&leader->lease, &lease, self, leader->rank);
   formation_init (&leader->formation, settings);
   orders_init (&leader->orders, base, adapter, order_fenced, order_lost,
                leader);
@@ -215,6 +215,7 @@
              const struct catalog *catalog,
              bool traffic,
              bool candidate,
+             bool hub,
              bool knows_all,
              int64_t now_ms)
 {
@@ -224,6 +225,8 @@
   leader->now_ms = now_ms;
   orders_tick (&leader->orders, now_ms);
   checker_tick (&leader->checker, now_ms);
+  /* Hubs go first: others follow the lease through them. */
+  lease_set_rank (&leader->lease, leader->rank + (hub ? 0 : LEASE_RANKS));
   if (candidate || leader->lease.phase == LEASE_HOLDING)
     act_on_lease (leader);
   note_lease (leader);
--- /dev/null
+++ b/packages/edge/tests/t0966-candidate.c
@@ -0,0 +1,90 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "edge.h"
+
+/* Which hosts may hold the lease, with two hubs of more processor beside. */
+
+struct candidate_case
+{
+  const char *guards;
+  uint32_t capacity;
+  bool direct;
+  bool configuration_fails;
+  bool entries_fail;
+  enum follower_state state;
+  bool is_candidate;
+};
+
+static const struct candidate_case cases[] = {
+  { "a hub needs a reason", 900, false, false, false, FOLLOWER_LISTING, true },
+  { "all hosts compete", 84, false, false, false, FOLLOWER_WATCHING, false },
+  { "a data centre whose hubs are cut off repairs nothing", 84, true, false,
+    false, FOLLOWER_WATCHING, true },
+  { "a host without the platform competes", 84, true, true, false,
+    FOLLOWER_WATCHING, false },
+  { "a host without a list competes", 84, true, false, true, FOLLOWER_WATCHING,
+    false },
+  { "a host that still lists competes", 84, true, false, false,
+    FOLLOWER_LISTING, false },
+};
+
+static void
+add_hub (struct mesh *mesh, const char *name)
+{
+  struct mesh_host *host = calloc (1, sizeof *host);
+
+  assert_non_null (host);
+  snprintf (host->self.name, sizeof host->self.name, "%s", name);
+  snprintf (host->self.data_centre, sizeof host->self.data_centre, "a");
+  host->self.capacity = 500;
+  HASH_ADD (hh, mesh->hosts, self.name, strlen (host->self.name), host);
+}
+
+static void
+test_cases (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      const struct candidate_case *c = &cases[i];
+      struct edge *edge = calloc (1, sizeof *edge);
+
+      assert_non_null (edge);
+      edge->mesh.socket = -1;
+      edge->mesh.now_ms = 10000;
+      edge->mesh.total_ms = 9950;
+      snprintf (edge->mesh.self.name, sizeof edge->mesh.self.name, "self");
+      snprintf (edge->mesh.self.data_centre, sizeof edge->mesh.self.data_centre,
+                "a");
+      edge->mesh.self.capacity = c->capacity;
+      add_hub (&edge->mesh, "hub-1");
+      add_hub (&edge->mesh, "hub-2");
+      edge->direct = c->direct;
+      edge->configuration.failing_since_ms = c->configuration_fails ? 9000 : 0;
+      edge->entries.failing_since_ms = c->entries_fail ? 9000 : 0;
+      edge->entries.state = c->state;
+      if (edge_is_candidate (edge) != c->is_candidate)
+        fail_msg ("%s", c->guards);
+      /* Nobody competes before the other hosts are known. */
+      edge->mesh.started_ms = edge->mesh.now_ms;
+      assert_false (edge_is_candidate (edge));
+      mesh_finish (&edge->mesh);
+      free (edge);
+    }
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = { cmocka_unit_test (test_cases) };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
