edge: read the settings again when their file changes

Cause: the platform may change the file without a signal, and only SIGHUP was heeded.

Ruled out: the time of its last change (the clock of these hosts jumps).

Change: every 2 s a digest of the file is compared with that of the last reading. A file that is missing or not valid changes nothing. Reading again is a file of its own, reload.c.

Before and after: t0973 test_reload waits in vain for the second change without it.

--- a/packages/edge/include/edge.h
+++ b/packages/edge/include/edge.h
@@ -61,8 +61,10 @@
   int64_t fetched_ms;  /* when the last one was sent */
   enum edge_phase phase;
   int64_t phase_ms;
-  int64_t busy_ms;   /* when there was last something in flight */
-  int64_t status_ms; /* next status line */
+  int64_t busy_ms;          /* when there was last something in flight */
+  int64_t status_ms;        /* next status line */
+  int64_t reload_ms;        /* next look at the settings file */
+  uint64_t settings_digest; /* of the file as last read; 0 = not read */
   int64_t now_ms;
 };
 
@@ -99,6 +101,14 @@
 /* readiness.c */
 enum result edge_readiness_init (struct edge *edge);
 
+/* reload.c: reads the settings again on SIGHUP, and when the file changes. */
+enum result edge_reload_init (struct edge *edge);
+void edge_reload_tick (struct edge *edge);
+void edge_reload_finish (struct edge *edge);
+
+/* How long keys are accepted after the configuration was last proven. */
+int64_t edge_key_proof_ms (const struct edge_settings *settings);
+
 /* stop.c */
 void edge_stop (struct edge *edge);
 void edge_stop_tick (struct edge *edge);
--- a/packages/edge/src/checker.c
+++ b/packages/edge/src/checker.c
@@ -7,8 +7,8 @@
 #include <string.h>
 
 /*
- * A report is answered in 7 ms, without a slot, and in 90 ms by an endpoint that
- * is 12 times slower.
+ * A report is answered in 7 ms, without a slot, and in 90 ms by an endpoint
+ * that is 12 times slower.
  */
 #define CHECK_MS 200
 /* Checks without an answer, in a row, after which an endpoint is silent. */
--- a/packages/edge/src/edge.c
+++ b/packages/edge/src/edge.c
@@ -7,15 +7,8 @@
 
 #include <signal.h>
 #include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
-/*
- * A key taken away is refused within keys.revoke_ms of that by any host, so
- * each accepts keys only this long after it last knew the configuration to be
- * current.  The rest covers a store that holds changes back for a second.
- */
-#define KEY_MARGIN_MS 1500
 /*
  * A host that cannot prove its configuration says so this long before it has
  * to refuse keys: the platform takes it out after two checks a second apart.
@@ -124,6 +117,7 @@
                edge_is_candidate (edge), mesh_is_hub (&edge->mesh),
                edge->knows_all, edge->now_ms);
   edge_stop_tick (edge);
+  edge_reload_tick (edge);
   note_ready (edge);
   log_status (edge);
 }
@@ -139,36 +133,6 @@
   edge_stop (edge);
 }
 
-static void
-on_hup (evutil_socket_t fd, short what, void *context)
-{
-  struct edge *edge = context;
-  struct edge_settings *settings = malloc (sizeof *settings);
-  struct settings_errors *errors = malloc (sizeof *errors);
-  enum result result = RESULT_NO_MEMORY;
-
-  (void)fd;
-  (void)what;
-  if (settings != NULL && errors != NULL)
-    result = settings_load_table (&edge_settings_table, settings,
-                                  edge->settings_path, errors);
-  /* Addresses and names are fixed for the life of the process. */
-  if (result == RESULT_OK)
-    {
-      edge->settings.drain_limit_s = settings->drain_limit_s;
-      edge->settings.keys_revoke_ms = settings->keys_revoke_ms;
-      edge->settings.configuration_in_force_ms
-          = settings->configuration_in_force_ms;
-      edge->settings.endpoints_leave_ms = settings->endpoints_leave_ms;
-      edge->relay.limits.key_proof_ms
-          = settings->keys_revoke_ms - KEY_MARGIN_MS;
-      log_set_level ((enum log_level)log_parse_level (settings->log_level));
-    }
-  LOG_EVENT (LOG_LEVEL_NOTICE, "settings-reloaded", LOG_INT ("code", result));
-  free (settings);
-  free (errors);
-}
-
 static void
 on_removed (void *context, struct endpoint *endpoint)
 {
@@ -188,13 +152,11 @@
 
   edge->tick = event_new (edge->base, -1, EV_PERSIST, on_tick, edge);
   edge->on_term = evsignal_new (edge->base, SIGTERM, on_term, edge);
-  edge->on_hup = evsignal_new (edge->base, SIGHUP, on_hup, edge);
-  if (edge->tick == NULL || edge->on_term == NULL || edge->on_hup == NULL)
+  if (edge->tick == NULL || edge->on_term == NULL)
     return RESULT_NO_MEMORY;
   event_add (edge->tick, &interval);
   event_add (edge->on_term, NULL);
-  event_add (edge->on_hup, NULL);
-  return RESULT_OK;
+  return edge_reload_init (edge);
 }
 
 static enum result
@@ -202,7 +164,7 @@
 {
   const struct edge_settings *settings = &edge->settings;
   const struct relay_limits limits = {
-    .key_proof_ms = settings->keys_revoke_ms - KEY_MARGIN_MS,
+    .key_proof_ms = edge_key_proof_ms (settings),
     .route_proof_ms = DENY_PROOF_MS,
     .retry_ratio = settings->retry_ratio * RATIO_PART,
     .retry_slack = (double)settings->retry_slack * SLACK_PART / ASSUMED_HOSTS,
@@ -305,7 +267,7 @@
     evhttp_free (edge->readiness);
   event_free (edge->tick);
   event_free (edge->on_term);
-  event_free (edge->on_hup);
+  edge_reload_finish (edge);
   /* Runs the pending releases of memory. */
   event_base_loop (edge->base, EVLOOP_NONBLOCK);
   event_base_free (edge->base);
--- /dev/null
+++ b/packages/edge/src/reload.c
@@ -0,0 +1,126 @@
+#include "edge.h"
+
+#include "hash.h"
+#include "log.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+/*
+ * A key taken away is refused within keys.revoke_ms of that by any host, so
+ * each accepts keys only this long after it last knew the configuration to be
+ * current.  The rest covers a store that holds changes back for a second.
+ */
+#define KEY_MARGIN_MS 1500
+/* The file may change without a signal; reading it takes three system calls. */
+#define LOOK_MS 2000
+/* Longer files are not read by the settings package either. */
+#define FILE_LIMIT 65536
+
+int64_t
+edge_key_proof_ms (const struct edge_settings *settings)
+{
+  return settings->keys_revoke_ms - KEY_MARGIN_MS;
+}
+
+/* 0 if the file cannot be read; it may be being replaced. */
+static uint64_t
+digest_file (const char *path)
+{
+  FILE *file = fopen (path, "re");
+  char *text = NULL;
+  uint64_t digest = 0;
+  size_t size;
+
+  if (file == NULL)
+    goto out;
+  text = malloc (FILE_LIMIT + 1);
+  if (text == NULL)
+    goto out;
+  size = fread (text, 1, FILE_LIMIT, file);
+  if (ferror (file) != 0)
+    goto out;
+  text[size] = '\0';
+  digest = hash_string (text, 0);
+
+out:
+  free (text);
+  if (file != NULL)
+    fclose (file);
+  return digest;
+}
+
+/* Addresses and names are fixed for the life of the process. */
+static void
+take (struct edge *edge, const struct edge_settings *settings)
+{
+  edge->settings.drain_limit_s = settings->drain_limit_s;
+  edge->settings.keys_revoke_ms = settings->keys_revoke_ms;
+  edge->settings.configuration_in_force_ms
+      = settings->configuration_in_force_ms;
+  edge->settings.endpoints_leave_ms = settings->endpoints_leave_ms;
+  edge->relay.limits.key_proof_ms = edge_key_proof_ms (settings);
+  log_set_level ((enum log_level)log_parse_level (settings->log_level));
+}
+
+static void
+reload (struct edge *edge, const char *reason)
+{
+  struct edge_settings *settings = malloc (sizeof *settings);
+  struct settings_errors *errors = malloc (sizeof *errors);
+  enum result result = RESULT_NO_MEMORY;
+
+  if (settings != NULL && errors != NULL)
+    result = settings_load_table (&edge_settings_table, settings,
+                                  edge->settings_path, errors);
+  if (result == RESULT_OK)
+    take (edge, settings);
+  LOG_EVENT (LOG_LEVEL_NOTICE, "settings-reloaded", LOG_INT ("code", result),
+             LOG_STR ("reason", reason));
+  free (settings);
+  free (errors);
+}
+
+static void
+on_hup (evutil_socket_t fd, short what, void *context)
+{
+  struct edge *edge = context;
+
+  (void)fd;
+  (void)what;
+  edge->settings_digest = digest_file (edge->settings_path);
+  reload (edge, "signal");
+}
+
+enum result
+edge_reload_init (struct edge *edge)
+{
+  edge->on_hup = evsignal_new (edge->base, SIGHUP, on_hup, edge);
+  if (edge->on_hup == NULL)
+    return RESULT_NO_MEMORY;
+  return event_add (edge->on_hup, NULL) == 0 ? RESULT_OK : RESULT_NO_MEMORY;
+}
+
+void
+edge_reload_tick (struct edge *edge)
+{
+  uint64_t digest;
+  bool first = edge->settings_digest == 0;
+
+  if (edge->now_ms < edge->reload_ms)
+    return;
+  edge->reload_ms = edge->now_ms + LOOK_MS;
+  digest = digest_file (edge->settings_path);
+  if (digest == 0 || digest == edge->settings_digest)
+    return;
+  edge->settings_digest = digest;
+  if (!first)
+    reload (edge, "file changed");
+}
+
+void
+edge_reload_finish (struct edge *edge)
+{
+  event_free (edge->on_hup);
+}
