edge: ask for one kind of record while the platform is away

Ruled out: no reads by hosts whose hubs are blind (the platform may turn away the hubs only).

Change: when both fail, only the configuration is tried; the endpoints follow at once when it answers, and by themselves a quarter as often.

--- a/packages/edge/src/follow.c
+++ b/packages/edge/src/follow.c
@@ -36,6 +36,11 @@
  * more, should a datagram be lost.
  */
 #define PATCH_WAIT_MS 250
+/*
+ * While reads of both the configuration and the endpoints fail, only the first
+ * are tried, and the others each so many times as rarely.
+ */
+#define ENTRIES_RETRY_PART 4
 /* A host that others ask reads the platform for so long. */
 #define RELIED_MS 2000
 
@@ -198,12 +203,24 @@
   endpoints_distrust (&edge->endpoints, edge->now_ms);
 }
 
+static void
+configuration_regained (void *context, int64_t away_ms)
+{
+  struct edge *edge = context;
+
+  (void)away_ms;
+  /* The platform is back, for the endpoints too. */
+  if (edge->entries.failing_since_ms != 0)
+    edge->entries.next_ms = edge->now_ms;
+}
+
 void
 edge_follow_init (struct edge *edge)
 {
   const struct follower_hooks configuration = {
     .context = edge,
     .record = on_configuration,
+    .regained = configuration_regained,
   };
   const struct follower_hooks entries = {
     .context = edge,
@@ -343,6 +360,15 @@
   follower_relist (&edge->entries);
 }
 
+static bool
+may_read_entries (const struct edge *edge, int64_t retry_ms)
+{
+  return edge->configuration.failing_since_ms == 0
+         || edge->entries.failing_since_ms == 0
+         || edge->now_ms - edge->entries.sent_ms
+                >= ENTRIES_RETRY_PART * retry_ms;
+}
+
 void
 edge_follow_tick (struct edge *edge)
 {
@@ -361,7 +387,8 @@
       /* The first read saves a list; a later one may hang, and this not. */
       if (!edge->fetching || edge->relay.catalog != NULL)
         follower_tick (&edge->configuration, edge->now_ms);
-      follower_tick (&edge->entries, edge->now_ms);
+      if (may_read_entries (edge, retry_ms))
+        follower_tick (&edge->entries, edge->now_ms);
     }
   else if (edge->vouch.newest > relay_catalog_version (&edge->relay)
            && (!edge->vouch.patched
