edge: form groups only by a list newer than the lease

A host that had been cut off from the store for 8 s acquired the lease and formed groups by the list from before: an endpoint that the former holder had joined to a group, which was open, still counted as free there, and was activated as a spare. The fault is older than the activation of spares, which makes it likely: it takes any free endpoint at once, and a new group takes several.

Ruled out: the ages of single reports (an endpoint that has not changed has an old one); the order of calls in one tick.

--- a/packages/edge/include/leader.h
+++ b/packages/edge/include/leader.h
@@ -29,6 +29,7 @@
   char lease_name[CATALOG_NAME_SIZE];
   unsigned rank; /* among the hubs that compete for the lease */
   bool acting;
+  int64_t acquired_ms; /* since when it acts */
   int64_t now_ms;
 };
 
@@ -44,16 +45,22 @@
 /*
  * traffic: requests have been seen.  candidate: this host may take the lease;
  * one that holds it keeps it.  hub: it goes before those that are none.
- * knows_all: the table holds all endpoints.
+ * known_ms: when the table was last known to hold all endpoints as they were.
  */
 void leader_tick (struct leader *leader,
                   const struct catalog *catalog,
                   bool traffic,
                   bool candidate,
                   bool hub,
-                  bool knows_all,
+                  int64_t known_ms,
                   int64_t now_ms);
 
+/*
+ * True if groups may be formed.  What was known before the lease was acquired
+ * does not show what its former holder ordered last.
+ */
+bool leader_may_form (const struct leader *leader, int64_t known_ms);
+
 /* Another host told what the lease is. */
 void leader_take_lease (struct leader *leader,
                         const struct lease_value *value,
--- a/packages/edge/src/edge.c
+++ b/packages/edge/src/edge.c
@@ -115,7 +115,8 @@
   relay_tick (&edge->relay, edge->now_ms);
   leader_tick (&edge->leader, edge->relay.catalog, edge->mesh.traffic,
                edge_is_candidate (edge), mesh_is_hub (&edge->mesh),
-               edge->knows_all, edge->now_ms);
+               edge->knows_all ? edge->entries.proof_ms : INT64_MIN,
+               edge->now_ms);
   edge_stop_tick (edge);
   edge_reload_tick (edge);
   note_ready (edge);
--- a/packages/edge/src/leader.c
+++ b/packages/edge/src/leader.c
@@ -190,10 +190,18 @@
                LOG_STR ("lease", leader->lease_name),
                LOG_U64 ("fence", leader->lease.value.fence),
                LOG_U64 ("revision", leader->lease.version));
+  if (acting && !leader->acting)
+    leader->acquired_ms = leader->now_ms;
   leader->acting = acting;
   formation_set_fence (&leader->formation, fence, leader->now_ms);
 }
 
+bool
+leader_may_form (const struct leader *leader, int64_t known_ms)
+{
+  return leader->acting && known_ms >= leader->acquired_ms;
+}
+
 /*
  * Entries that lapsed while the platform was away count as present for a
  * while.  Asking their endpoints tells sooner which of them live.
@@ -216,7 +224,7 @@
              bool traffic,
              bool candidate,
              bool hub,
-             bool knows_all,
+             int64_t known_ms,
              int64_t now_ms)
 {
   const struct formation_hooks hooks
@@ -233,7 +241,7 @@
   check_lapsed (leader);
   if (traffic)
     leader->formation.traffic = true;
-  if (knows_all)
+  if (leader_may_form (leader, known_ms))
     formation_tick (&leader->formation, leader->endpoints, catalog, &hooks,
                     now_ms);
 }
--- a/packages/edge/tests/t0966-candidate.c
+++ b/packages/edge/tests/t0966-candidate.c
@@ -81,10 +81,40 @@
     }
 }
 
+/*
+ * A new holder of the lease acts on no list older than the lease (found by
+ * soak seed 92825: an endpoint in an open group still counted as free).
+ */
+static void
+test_form (void **state)
+{
+  static const struct
+  {
+    bool acting;
+    int64_t known_ms;
+    bool may_form;
+  } form_cases[] = {
+    { true, 4999, false }, /* the former holder may have ordered since */
+    { true, INT64_MIN, false }, { true, 5000, true },
+    { true, 6000, true },       { false, 6000, false },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < sizeof form_cases / sizeof form_cases[0]; i++)
+    {
+      struct leader leader
+          = { .acting = form_cases[i].acting, .acquired_ms = 5000 };
+
+      assert_int_equal (leader_may_form (&leader, form_cases[i].known_ms),
+                        form_cases[i].may_form);
+    }
+}
+
 int
 main (void)
 {
-  const struct CMUnitTest tests[] = { cmocka_unit_test (test_cases) };
+  const struct CMUnitTest tests[]
+      = { cmocka_unit_test (test_cases), cmocka_unit_test (test_form) };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
