edge: hash a configuration once per patch

Cause: reading the change again. handover_piece hashed the whole text, up to 1 MB, for each of the up to 30 datagrams to each asker.

Change: the digest is made with the patch. What is sent is the same; the hash is deterministic and the patch is made anew with each newer text.

--- a/packages/edge/include/handover.h
+++ b/packages/edge/include/handover.h
@@ -37,6 +37,7 @@
   struct text_patch patch;
   int64_t patch_from;
   int64_t patch_to;
+  uint64_t patch_digest; /* of the newer one's text */
   /* The patch that is arriving. */
   int64_t arriving_from;
   int64_t arriving_to;
--- a/packages/edge/src/handover.c
+++ b/packages/edge/src/handover.c
@@ -71,6 +71,12 @@
   return NULL;
 }
 
+static uint64_t
+digest_of (const char *text)
+{
+  return hash_string (text, 0);
+}
+
 /* Makes the patch unless it was the last one made; false if there is none. */
 static bool
 make_patch (struct handover *handover, int64_t from)
@@ -86,6 +92,7 @@
   text_patch_finish (&handover->patch);
   handover->patch_from = from;
   handover->patch_to = newest->version;
+  handover->patch_digest = digest_of (newest->text);
   result = text_patch_make (&handover->patch, old->text, old->size,
                             newest->text, newest->size, PATCH_LIMIT);
   LOG_EVENT (LOG_LEVEL_INFO, "configuration-patch", LOG_INT ("from", from),
@@ -94,12 +101,6 @@
   return result == RESULT_OK;
 }
 
-static uint64_t
-digest_of (const char *text)
-{
-  return hash_string (text, 0);
-}
-
 bool
 handover_piece (struct handover *handover,
                 int64_t from,
@@ -113,7 +114,7 @@
   piece->from = from;
   piece->to = handover->patch_to;
   piece->revision = handover->kept[0].revision;
-  piece->digest = digest_of (handover->kept[0].text);
+  piece->digest = handover->patch_digest;
   piece->total = (uint32_t)handover->patch.size;
   piece->first = (uint32_t)first;
   piece->count = (uint32_t)(handover->patch.size - first);
