edge: refuse loads that lie outside their total

Cause: looking for one malformed message that ends a process. A datagram whose "first" is near 2^32 passed the check of first + count, which overflowed, and its entries were copied 100 GB behind the table: a crash of every host that hears it. The sender is another entry host, so it takes a fault there.

Change: the decoder checks the range without a sum, before any use.

Before and after: t0960 test_ranges fails on the code before and passes now.

--- a/packages/edge/src/gossip.c
+++ b/packages/edge/src/gossip.c
@@ -55,7 +55,9 @@
 {
   if (!xdr_uint32_t (xdr, &loads->hosts) || !xdr_uint32_t (xdr, &loads->first)
       || !xdr_uint32_t (xdr, &loads->total)
-      || !code_count (xdr, &loads->count, GOSSIP_LOADS))
+      || !code_count (xdr, &loads->count, GOSSIP_LOADS)
+      || loads->first > loads->total
+      || loads->count > loads->total - loads->first)
     return false;
   for (unsigned i = 0; i < loads->count; i++)
     if (!code_load (xdr, &loads->list[i]))
--- a/packages/edge/src/mesh-load.c
+++ b/packages/edge/src/mesh-load.c
@@ -142,7 +142,8 @@
             const struct gossip_loads *told,
             int64_t now_ms)
 {
-  if (told->total > MESH_LOAD_LIMIT || told->first + told->count > told->total)
+  /* The decoder has checked that the entries lie within the total. */
+  if (told->total > MESH_LOAD_LIMIT)
     return false;
   memcpy (&loads->list[told->first], told->list,
           told->count * sizeof told->list[0]);
--- a/packages/edge/tests/t0960-gossip.c
+++ b/packages/edge/tests/t0960-gossip.c
@@ -3,6 +3,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include <arpa/inet.h>
 #include <cmocka.h>
 #include <stdio.h>
 #include <string.h>
@@ -127,12 +128,72 @@
     }
 }
 
+/* Where "first" and "total" of loads stand in the buffer: after "hosts". */
+static void
+set_range (uint32_t first, uint32_t total)
+{
+  const uint32_t mark = htonl (0x12345678);
+  char *at;
+
+  message.body.loads.hosts = 0x12345678;
+  gossip_encode (&message, buffer, sizeof buffer);
+  at = memmem (buffer, sizeof buffer, &mark, sizeof mark);
+  assert_non_null (at);
+  first = htonl (first);
+  total = htonl (total);
+  memcpy (at + 4, &first, sizeof first);
+  memcpy (at + 8, &total, sizeof total);
+}
+
+/* A receiver copies the entries to where the message says. */
+static const struct
+{
+  const char *guards;
+  uint32_t first;
+  uint32_t count;
+  uint32_t total;
+  enum result result;
+} ranges[] = {
+  { "all entries are refused", 0, 40, 40, RESULT_OK },
+  { "the last entries are refused", 80, 20, 100, RESULT_OK },
+  { "no entries are refused", 0, 0, 0, RESULT_OK },
+  { "entries behind the end are taken", 80, 21, 100, RESULT_PEER_BAD_MESSAGE },
+  { "a start behind the end is taken", 101, 0, 100, RESULT_PEER_BAD_MESSAGE },
+  { "a sum that overflows is taken", 0xfffffff0, 40, 40,
+    RESULT_PEER_BAD_MESSAGE },
+  { "the largest start is taken", 0xffffffff, 1, 40, RESULT_PEER_BAD_MESSAGE },
+};
+
+static void
+test_ranges (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof ranges / sizeof ranges[0]; i++)
+    {
+      struct gossip_loads *loads = &message.body.loads;
+      size_t size;
+      enum result result;
+
+      fill (GOSSIP_TOTAL);
+      loads->first = 0;
+      loads->count = ranges[i].count;
+      loads->total = ranges[i].count;
+      size = gossip_encode (&message, buffer, sizeof buffer);
+      assert_true (size > 0);
+      set_range (ranges[i].first, ranges[i].total);
+      result = gossip_decode (&decoded, buffer, size);
+      if (result != ranges[i].result)
+        fail_msg ("%s: %d", ranges[i].guards, (int)result);
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_round_trip),
     cmocka_unit_test (test_damage),
+    cmocka_unit_test (test_ranges),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
