edge, http: check the lease as an order leaves; end endless answers

Cause: reading how orders go out. The lease was checked when an order was given, but its bytes leave once the connection is there, up to 1.5 s later, or after the host was suspended in between. By then the next holder may act: orders go out twice, and an endpoint that has not heard the new fencing token carries the old one out. Beside it: calls of which only the status counts read a body on without a bound, interim answers in a row had none on any connection, and a resting connection to the store took a body that nobody had asked for.

Change: http_call asks its owner just before it writes; orders are dropped unless the lease with their fencing token still holds. Bodies of such calls end at 64 KB, interim answers at 8, and a resting connection with its first byte.

--- a/packages/edge/src/leader.c
+++ b/packages/edge/src/leader.c
@@ -75,6 +75,15 @@
   checker_suspect (&leader->checker, endpoint, leader->now_ms);
 }
 
+static bool
+order_holds (void *context, uint64_t fence)
+{
+  const struct leader *leader = context;
+
+  return lease_may_act (&leader->lease, time_boot_ms ())
+         && lease_fence (&leader->lease) == fence;
+}
+
 static void
 order_fenced (void *context, const char *endpoint)
 {
@@ -103,6 +112,8 @@
     .poll_ranks = LEASE_RANKS / 2,
     .retry_ms = LEASE_RETRY_MS,
   };
+  const struct orders_hooks orders
+      = { leader, order_fenced, order_lost, order_holds };
 
   memset (leader, 0, sizeof *leader);
   leader->base = base;
@@ -113,8 +124,7 @@
   leader->rank = (unsigned)(hash_string (self, 0) % LEASE_RANKS);
   lease_init (&leader->lease, &lease, self, leader->rank);
   formation_init (&leader->formation, settings);
-  orders_init (&leader->orders, base, adapter, order_fenced, order_lost,
-               leader);
+  orders_init (&leader->orders, base, adapter, &orders);
   checker_init (&leader->checker, base, adapter, endpoints);
 }
 
--- a/packages/edge/src/orders.c
+++ b/packages/edge/src/orders.c
@@ -41,10 +41,10 @@
              LOG_STR ("group", call->group), LOG_U64 ("fence", call->fence),
              LOG_U64 ("status", status), LOG_INT ("code", result),
              LOG_INT ("after_ms", time_boot_ms () - call->sent_ms));
-  if (result == RESULT_ORDER_FENCED && orders->fenced != NULL)
-    orders->fenced (orders->context, call->endpoint);
-  if (result == RESULT_ORDER_LOST && orders->lost != NULL)
-    orders->lost (orders->context, call->endpoint);
+  if (result == RESULT_ORDER_FENCED)
+    orders->hooks.fenced (orders->hooks.context, call->endpoint);
+  if (result == RESULT_ORDER_LOST)
+    orders->hooks.lost (orders->hooks.context, call->endpoint);
   close_call (call);
 }
 
@@ -59,20 +59,29 @@
             status);
 }
 
+/*
+ * The connection may have taken long, or this host was suspended meanwhile: the
+ * order goes out only if the lease that it was decided under still holds.
+ */
+static bool
+may_send (void *context)
+{
+  const struct order_call *call = context;
+  const struct orders *orders = call->orders;
+
+  return orders->hooks.holds (orders->hooks.context, call->fence);
+}
+
 void
 orders_init (struct orders *orders,
              struct event_base *base,
              const struct adapter *adapter,
-             void (*fenced) (void *context, const char *endpoint),
-             void (*lost) (void *context, const char *endpoint),
-             void *context)
+             const struct orders_hooks *hooks)
 {
   memset (orders, 0, sizeof *orders);
   orders->base = base;
   orders->adapter = adapter;
-  orders->fenced = fenced;
-  orders->lost = lost;
-  orders->context = context;
+  orders->hooks = *hooks;
   TAILQ_INIT (&orders->calls);
 }
 
@@ -137,6 +146,7 @@
                        &request, on_done, call)
       != RESULT_OK)
     goto failed;
+  call->http.may_send = may_send;
   TAILQ_INSERT_TAIL (&orders->calls, call, link);
   return;
 
--- a/packages/edge/tests/t0963-orders.c
+++ b/packages/edge/tests/t0963-orders.c
@@ -21,6 +21,8 @@
 
 static struct http_server server;
 static unsigned answer_status; /* 0 = none */
+static unsigned answered;      /* whole requests that arrived */
+static bool lease_holds;
 static unsigned fenced;
 static unsigned lost;
 
@@ -36,6 +38,7 @@
 {
   char text[64];
 
+  answered++;
   if (answer_status == 0)
     return;
   snprintf (text, sizeof text, "HTTP/1.1 %u X\r\nContent-Length: 0\r\n\r\n",
@@ -90,11 +93,22 @@
   lost++;
 }
 
+static bool
+holds (void *context, uint64_t fence)
+{
+  (void)context;
+  assert_int_equal (fence, 1);
+  return lease_holds;
+}
+
+static const struct orders_hooks hooks = { NULL, on_fenced, on_lost, holds };
+
 static void
 start (void)
 {
   fenced = 0;
   lost = 0;
+  answered = 0;
   http_server_start (&server, &events, 64);
 }
 
@@ -111,14 +125,17 @@
 {
   const char *guards;
   unsigned status;
+  bool lease_holds; /* when the connection is there */
+  unsigned sent;
   unsigned fenced;
   unsigned lost;
 };
 
 static const struct order_case cases[] = {
-  { "a good order counts as lost", 202, 0, 0 },
-  { "a fenced order goes unnoticed", 412, 1, 0 },
-  { "an order without an answer goes unnoticed", 0, 0, 1 },
+  { "a good order counts as lost", 202, true, 1, 0, 0 },
+  { "a fenced order goes unnoticed", 412, true, 1, 1, 0 },
+  { "an order without an answer goes unnoticed", 0, true, 1, 0, 1 },
+  { "an order goes out after its lease", 202, false, 0, 0, 1 },
 };
 
 static void
@@ -134,7 +151,8 @@
 
       start ();
       answer_status = cases[i].status;
-      orders_init (&orders, server.base, &adapter, on_fenced, on_lost, NULL);
+      lease_holds = cases[i].lease_holds;
+      orders_init (&orders, server.base, &adapter, &hooks);
       orders_send (&orders, &order, 1, "127.0.0.1", server.port,
                    time_boot_ms ());
       while (!TAILQ_EMPTY (&orders.calls) && time_boot_ms () < until_ms)
@@ -144,6 +162,8 @@
         }
       if (fenced != cases[i].fenced || lost != cases[i].lost)
         fail_msg ("%s: %u fenced, %u lost", cases[i].guards, fenced, lost);
+      if (answered != cases[i].sent)
+        fail_msg ("%s: %u sent", cases[i].guards, answered);
       orders_finish (&orders);
       http_server_stop (&server);
     }
--- a/packages/http/include/http-call.h
+++ b/packages/http/include/http-call.h
@@ -20,6 +20,12 @@
   struct http_connection connection;
   struct http_text request;
   unsigned status;
+  size_t body_bytes; /* received */
+  /*
+   * Asked just before the request is written, which may be long after the call
+   * began; NULL = always.  false ends the call.  Set it after the start.
+   */
+  bool (*may_send) (void *context);
   /* answered: a whole answer came; status is 0 otherwise. */
   void (*done) (void *context, bool answered, unsigned status);
   void *context;
--- a/packages/http/include/http-connection.h
+++ b/packages/http/include/http-connection.h
@@ -61,17 +61,18 @@
   void *context;
   struct http_limits limits;
   bool connecting;
-  bool is_client;      /* parses responses */
-  bool no_body;        /* the response has no body: its request was a HEAD */
-  bool message_begun;  /* bytes of the present message have arrived */
-  bool paused;         /* a whole message was given out */
-  bool held;           /* reading is suspended by the owner */
-  bool unwritten_seen; /* a write is waiting for the socket */
-  bool ended;          /* the other side has closed */
-  bool head_done;      /* fields that follow are trailers */
-  bool in_value;       /* the parser is in a header value */
-  bool over_limit;     /* the head has too many bytes or fields */
-  bool discarding;     /* what still arrives is dropped */
+  bool is_client;         /* parses responses */
+  bool no_body;           /* the response has no body: its request was a HEAD */
+  bool message_begun;     /* bytes of the present message have arrived */
+  bool paused;            /* a whole message was given out */
+  bool held;              /* reading is suspended by the owner */
+  bool unwritten_seen;    /* a write is waiting for the socket */
+  bool ended;             /* the other side has closed */
+  bool head_done;         /* fields that follow are trailers */
+  bool in_value;          /* the parser is in a header value */
+  bool over_limit;        /* too many bytes, fields or interim responses */
+  bool discarding;        /* what still arrives is dropped */
+  unsigned interim_count; /* before the present response */
   struct http_head head;
   struct http_parser parser;
   struct event readable;
--- a/packages/http/src/http-call.c
+++ b/packages/http/src/http-call.c
@@ -2,12 +2,20 @@
 
 /* Head of an answer, and what may follow it. */
 #define HEADER_BYTES 65536
+/* Of an answer whose status alone counts; reports are below 1 KB. */
+#define BODY_BYTES 65536
 
 static void
 on_connected (void *context)
 {
   struct http_call *call = context;
 
+  if (call->may_send != NULL && !call->may_send (call->context))
+    {
+      http_connection_finish (&call->connection);
+      call->done (call->context, false, 0);
+      return;
+    }
   http_connection_write (&call->connection, call->request.data,
                          call->request.size);
 }
@@ -23,9 +31,14 @@
 static void
 on_body (void *context, const char *data, size_t size)
 {
-  (void)context;
+  struct http_call *call = context;
+
   (void)data;
-  (void)size;
+  call->body_bytes += size;
+  if (call->body_bytes <= BODY_BYTES)
+    return;
+  http_connection_finish (&call->connection);
+  call->done (call->context, false, 0);
 }
 
 static void
@@ -69,6 +82,8 @@
   call->request = *request;
   http_text_init (request);
   call->status = 0;
+  call->body_bytes = 0;
+  call->may_send = NULL;
   call->done = done;
   call->context = context;
   if (!call->request.failed)
--- a/packages/http/src/http-connection.c
+++ b/packages/http/src/http-connection.c
@@ -19,6 +19,12 @@
 /* Unanswered probes before a silent connection counts as lost. */
 #define KEEPALIVE_PROBES 2
 
+/*
+ * Interim responses before one final one.  RFC 9110 names no limit; one each
+ * of 100, 102 and 103 is usual.
+ */
+#define INTERIM_LIMIT 8
+
 /* ": " and the line end of a field, which its kept text does not hold. */
 #define FIELD_EXTRA_BYTES 4
 
@@ -160,7 +166,12 @@
 
   /* An interim response (RFC 9110, section 15.2) precedes the final one. */
   if (connection->is_client && connection->head.status < 200)
-    return 0;
+    {
+      if (++connection->interim_count <= INTERIM_LIMIT)
+        return 0;
+      connection->over_limit = true;
+      return -1;
+    }
   connection->paused = true;
   http_parser_pause (parser, 1);
   return 0;
@@ -565,6 +576,7 @@
 }
 
 void
+  connection->interim_count = 0;
 http_connection_discard (struct http_connection *connection)
 {
   if (connection->fd < 0 || connection->discarding)
--- a/packages/records/src/records.c
+++ b/packages/records/src/records.c
@@ -140,7 +140,11 @@
 {
   struct records_call *call = context;
 
-  call->status = head->status;
+  /* Nothing was asked: the connection cannot be trusted any more. */
+  if (!call->busy)
+    close_call (call);
+  else
+    call->status = head->status;
 }
 
 static void
