gateway: count tokens and not bytes as progress

Cause: looking for stalled streams that never end. Each byte of an engine's answer counted as progress, so one that sent comments now and then held its request until the deadline; an error whose body did not end was read on, and so was a service's answer over its limit. Besides, an answer was taken for the request's own on a connection that had carried another one.

Change: tokens are progress. An error or an answer over its limit ends at once. An answer that names another X-Request-Id is dropped with its connection; engines may repeat the field (docs/design.md), the stand-in does.

Before and after: t0830 test_trouble and test_stale_answer fail on the code before and pass now.

An engine that does not repeat the id can still deliver a late second answer to a request that may be repeated; others get a connection of their own.

--- a/packages/gateway/src/dispatch.c
+++ b/packages/gateway/src/dispatch.c
@@ -390,7 +390,7 @@
     attempt_failed (request, RESULT_UPSTREAM_UNKNOWN, false);
 }
 
-void
+bool
 attempt_collect (struct attempt *attempt,
                  const char *bytes,
                  size_t size,
@@ -401,6 +401,7 @@
   if (used < limit)
     evbuffer_add (attempt->answer, bytes,
                   size < limit - used ? size : limit - used);
+  return size <= limit && used <= limit - size;
 }
 
 bool
--- a/packages/gateway/src/endpoint.c
+++ b/packages/gateway/src/endpoint.c
@@ -217,13 +217,18 @@
 static void
 note_header (struct endpoint_call *call, struct evhttp_request *request)
 {
+  const struct evkeyvalq *headers;
   const char *type;
+  const char *id;
 
   if (call->status != 0)
     return;
   call->status = evhttp_request_get_response_code (request);
-  type = evhttp_find_header (evhttp_request_get_input_headers (request),
-                             "Content-Type");
+  headers = evhttp_request_get_input_headers (request);
+  type = evhttp_find_header (headers, "Content-Type");
+  id = evhttp_find_header (headers, "X-Request-Id");
+  call->foreign
+      = id != NULL && call->id[0] != '\0' && strcmp (id, call->id) != 0;
   snprintf (call->content_type, sizeof call->content_type, "%s",
             type != NULL ? type : "");
 }
@@ -246,7 +251,11 @@
   struct endpoint_call *call = context;
 
   note_header (call, request);
-  take_input (call, request);
+  /* A late answer to an earlier request: this one's may never come. */
+  if (call->foreign)
+    call_ended (call, RESULT_UPSTREAM_UNKNOWN);
+  else
+    take_input (call, request);
 }
 
 static void
@@ -277,6 +286,11 @@
   if (request != NULL && evhttp_request_get_response_code (request) != 0)
     {
       note_header (call, request);
+      if (call->foreign)
+        {
+          call_ended (call, RESULT_UPSTREAM_UNKNOWN);
+          return;
+        }
       take_input (call, request);
       call->whole = !says_close (request);
       call_ended (call, RESULT_OK);
@@ -396,6 +410,8 @@
   call->context = context;
   call->started_ms = now_ms;
   call->fresh = request->fresh;
+  if (request->id != NULL)
+    snprintf (call->id, sizeof call->id, "%s", request->id);
   LIST_INSERT_HEAD (&client->calls, call, link);
   call->connection = connection_get (client, request);
   if (call->connection == NULL)
--- a/packages/gateway/src/endpoint.h
+++ b/packages/gateway/src/endpoint.h
@@ -18,6 +18,7 @@
 
 #define ENDPOINT_IDLE_MS 2000 /* an unused connection is kept so long */
 #define ENDPOINT_IDLE_LIMIT 512
+#define ENDPOINT_ID_SIZE 160  /* a caller's id and what makes it unique */
 #define ENDPOINT_REST_MS 1000 /* wait for the end of an answer after [DONE] */
 
 struct endpoint_header
@@ -36,6 +37,8 @@
   const void *body;
   size_t size;
   bool fresh; /* a connection of its own: for calls that may not be repeated */
+  /* "" or the request's id: an answer that names another one is not its own. */
+  const char *id;
 };
 
 struct endpoint_events
@@ -79,6 +82,8 @@
   bool whole;  /* the whole answer was read and the connection stays open */
   bool fresh;
   bool paused;
+  bool foreign; /* the answer names another request */
+  char id[ENDPOINT_ID_SIZE];
   void (*release) (void *context);
   LIST_ENTRY (endpoint_call) link;
 };
--- a/packages/gateway/src/generate.c
+++ b/packages/gateway/src/generate.c
@@ -360,6 +360,7 @@
     {
     case TOKEN_NEXT:
       attempt->tokens++;
+      attempt->progress_ms = time_boot_ms ();
       result = relay (request, token.text);
       break;
     case TOKEN_DUPLICATE:
@@ -379,12 +380,12 @@
 on_data (void *context, const char *bytes, size_t size)
 {
   struct attempt *attempt = context;
-  enum result result;
+  enum result result = RESULT_OK;
 
-  attempt->progress_ms = time_boot_ms ();
   if (attempt->call->status != 200)
     {
-      attempt_collect (attempt, bytes, size, ERROR_BODY_LIMIT);
+      if (!attempt_collect (attempt, bytes, size, ERROR_BODY_LIMIT))
+        attempt_failed (attempt->request, RESULT_UPSTREAM_UNKNOWN, false);
       return;
     }
   result = sse_decode (&attempt->decoder, bytes, size, on_event, attempt);
@@ -456,6 +457,7 @@
     .method = EVHTTP_REQ_POST,
     .path = "/v1/completions",
     .headers = headers,
+    .id = attempt->id,
   };
   json_t *json = json_pack ("{s:s,s:s,s:I,s:s,s:I}", "model", request->name,
                             "prompt", request->prompt, "max_tokens",
--- a/packages/gateway/src/internal.h
+++ b/packages/gateway/src/internal.h
@@ -188,7 +188,8 @@
 void attempt_tick (struct gateway_request *request, int64_t now_ms);
 /* True if a service's or an engine's answer says that it is leaving. */
 bool answer_is_leaving (struct attempt *attempt);
-void attempt_collect (struct attempt *attempt,
+/* Keeps the bytes; false if there are more than the limit. */
+bool attempt_collect (struct attempt *attempt,
                       const char *bytes,
                       size_t size,
                       size_t limit);
--- a/packages/gateway/src/service.c
+++ b/packages/gateway/src/service.c
@@ -150,11 +150,13 @@
 on_data (void *context, const char *bytes, size_t size)
 {
   struct attempt *attempt = context;
+  struct gateway_request *request = attempt->request;
 
   attempt->progress_ms = time_boot_ms ();
-  /* One byte more than the limit shows that the answer is too large. */
-  attempt_collect (attempt, bytes, size,
-                   attempt->request->gateway->limits.answer_bytes + 1);
+  /* It may go on without an end. */
+  if (!attempt_collect (attempt, bytes, size,
+                        request->gateway->limits.answer_bytes))
+    request_refuse (request, RESULT_TOO_LARGE, 0);
 }
 
 static bool
@@ -184,9 +186,6 @@
     attempt_failed (request, result, result == RESULT_UPSTREAM_UNKNOWN);
   else if (answer_is_leaving (attempt))
     attempt_failed (request, RESULT_ENDPOINT_LEAVING, false);
-  else if (evbuffer_get_length (attempt->answer)
-           > request->gateway->limits.answer_bytes)
-    request_refuse (request, RESULT_TOO_LARGE, 0);
   else if (!take_answer (request, attempt))
     request_refuse (request, RESULT_NO_MEMORY, 0);
   else
@@ -227,6 +226,7 @@
     .body = request->body,
     .size = request->body_size,
     .fresh = !request->repeatable,
+    .id = attempt->id,
   };
 
   snprintf (deadline, sizeof deadline, "%" PRId64,
--- a/packages/gateway/tests/harness.h
+++ b/packages/gateway/tests/harness.h
@@ -52,6 +52,7 @@
   bool answered;
   bool complete; /* the connection may carry another call */
   bool closed;   /* by the gateway */
+  bool dripping;
 };
 
 /*
@@ -59,7 +60,9 @@
  * E = proper end of the body; R = reset; F = close without an end; H = hold
  * the connection; N = reset before reading the answer; 409, 429, 400, 500,
  * 503 and leaving = that answer; ok = service answer 201; bad = an event that
- * is no token; flood = tokens without end.
+ * is no token; flood = tokens without end; drip = a comment every 20 ms;
+ * endless = bytes without end; error = the start of an answer 500 of unknown
+ * length; stale = an answer to another request.
  */
 struct world
 {
@@ -206,6 +209,21 @@
     call_token (call, call->world->flooded++);
 }
 
+/* Bytes that end neither a line nor an answer. */
+static void
+on_endless (struct bufferevent *bev, void *context)
+{
+  struct call *call = context;
+  char bytes[4096];
+
+  (void)bev;
+  memset (bytes, 'x', sizeof bytes);
+  evbuffer_add_printf (bufferevent_get_output (call->bev), "%zx\r\n",
+                       sizeof bytes);
+  evbuffer_add (bufferevent_get_output (call->bev), bytes, sizeof bytes);
+  evbuffer_add (bufferevent_get_output (call->bev), "\r\n", 2);
+}
+
 static void
 on_flushed (struct bufferevent *bev, void *context)
 {
@@ -237,6 +255,8 @@
     }
 }
 
+#define STALE_BODY "data: {\"index\":0,\"text\":\"stale \"}\n\ndata: [DONE]\n\n"
+
 static void
 call_play (struct call *call, const char *script)
 {
@@ -253,7 +273,8 @@
 
       if (!started && !status && strcmp (word, "leaving") != 0
           && strcmp (word, "ok") != 0 && strcmp (word, "H") != 0
-          && strcmp (word, "N") != 0)
+          && strcmp (word, "N") != 0 && strcmp (word, "error") != 0
+          && strcmp (word, "stale") != 0)
         {
           started = true;
           call_header (call);
@@ -285,6 +306,26 @@
       else if (strcmp (word, "F") == 0)
         bufferevent_setcb (call->bev, NULL, on_flushed_close, on_call_event,
                            call);
+      else if (strcmp (word, "drip") == 0)
+        call->dripping = true;
+      else if (strcmp (word, "error") == 0)
+        {
+          started = true;
+          evbuffer_add_printf (bufferevent_get_output (call->bev),
+                               "HTTP/1.1 500 X\r\n"
+                               "Transfer-Encoding: chunked\r\n\r\n");
+        }
+      else if (strcmp (word, "stale") == 0)
+        evbuffer_add_printf (bufferevent_get_output (call->bev),
+                             "HTTP/1.1 200 X\r\nX-Request-Id: earlier\r\n"
+                             "Content-Type: text/event-stream\r\n"
+                             "Content-Length: %zu\r\n\r\n%s",
+                             strlen (STALE_BODY), STALE_BODY);
+      else if (strcmp (word, "endless") == 0)
+        {
+          bufferevent_setcb (call->bev, NULL, on_endless, on_call_event, call);
+          on_endless (call->bev, call);
+        }
       else if (strcmp (word, "flood") == 0)
         {
           bufferevent_setcb (call->bev, NULL, on_flood, on_call_event, call);
@@ -409,6 +450,10 @@
   world_attest (world);
   choose_tick (&world->chooser, &world->fleet, time_boot_ms ());
   gateway_tick (&world->gateway, time_boot_ms ());
+  for (size_t i = 0; i < world->call_count; i++)
+    if (world->calls[i].dripping && world->calls[i].bev != NULL)
+      evbuffer_add_printf (bufferevent_get_output (world->calls[i].bev),
+                           "5\r\n: c\n\n\r\n");
   evtimer_add (world->tick, &period);
 }
 
--- a/packages/gateway/tests/t0830-stream.c
+++ b/packages/gateway/tests/t0830-stream.c
@@ -187,6 +187,68 @@
   world_free (world);
 }
 
+/*
+ * An endpoint in trouble is given up in time, whatever else it sends, and the
+ * caller gets its answer from another.
+ */
+static const struct
+{
+  const char *guards;
+  const char *first;
+  const char *second;
+} troubles[] = {
+  { "comments pass for progress", "0 1 drip", "2 3 D E" },
+  { "an error without an end is read on", "error endless", "0 1 2 3 D E" },
+  { "a line without an end is held", "0 1 endless", "2 3 D E" },
+};
+
+static void
+test_trouble (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof troubles / sizeof troubles[0]; i++)
+    {
+      struct world *world = world_new ();
+      struct client client;
+
+      world->limits.stall_ms = 200;
+      start (world, troubles[i].first, troubles[i].second);
+      client_open (world, &client, 0);
+      client_send (&client, "POST", COMPLETIONS, "acme", "", WHOLE);
+      client_wait (world, &client);
+      if (client_status (&client) != 200
+          || strstr (client_text (&client), "w0 w1 w2 w3 ") == NULL)
+        fail_msg ("%s: %s", troubles[i].guards, client_text (&client));
+      assert_int_equal (world->script_calls, 2);
+      client_close (&client);
+      world_free (world);
+    }
+}
+
+/* A second answer, late, on a connection that is in use again. */
+static void
+test_stale_answer (void **state)
+{
+  struct world *world = start (world_new (), "0 D E", "stale");
+
+  (void)state;
+  world->scripts[world->script_count++] = "0 D E";
+  for (size_t i = 0; i < 2; i++)
+    {
+      struct client client;
+
+      client_open (world, &client, 0);
+      client_send (&client, "POST", COMPLETIONS, "acme", "", WHOLE);
+      client_wait (world, &client);
+      assert_int_equal (client_status (&client), 200);
+      assert_null (strstr (client_text (&client), "stale"));
+      assert_non_null (strstr (client_text (&client), "w0 "));
+      client_close (&client);
+    }
+  assert_int_equal (world->script_calls, 3);
+  world_free (world);
+}
+
 /* A cancelled call's connection still owes an answer: it must close. */
 static void
 test_no_reuse_after_cancel (void **state)
@@ -493,6 +555,8 @@
     cmocka_unit_test (test_caller_gone),
     cmocka_unit_test (test_no_delay),
     cmocka_unit_test (test_reuse),
+    cmocka_unit_test (test_trouble),
+    cmocka_unit_test (test_stale_answer),
     cmocka_unit_test (test_no_reuse_after_cancel),
     cmocka_unit_test (test_place_again),
     cmocka_unit_test (test_deadline),
--- a/tests/standin/engine.c
+++ b/tests/standin/engine.c
@@ -390,6 +390,7 @@
                  (json_int_t)job->next_index, "tokens", (json_int_t)0,
                  "cancelled", 0)));
   evhttp_add_header (headers, "Content-Type", "text/event-stream");
+  evhttp_add_header (headers, "X-Request-Id", job->request_id);
   evhttp_send_reply_start (job->request, HTTP_OK, NULL);
   if (!event_pending (host->step_timer, EV_TIMEOUT, NULL))
     start_timer (host->step_timer, host->engine->token_ms * host->slow_factor);
