relay: answer what was sent before a planned stop

Cause: looking for requests that a stop cuts off. Closing the listener resets connections that the system had accepted for it, perhaps with a whole request; idle connections were closed although a request waited unread in the socket; and a half-read head did not keep the process alive. With the platform's balancer out of the way first this takes a busy host: connections come until the last moment if all hosts of a data centre stop.

Change: the backlog is accepted before the listener closes; a connection with unread input is read first; heads that have begun to arrive count as in flight. Such requests are refused as not run.

--- a/packages/http/include/http-connection.h
+++ b/packages/http/include/http-connection.h
@@ -140,6 +140,12 @@
 /* True if nothing of a next message has arrived and nothing is unwritten. */
 bool http_connection_idle (const struct http_connection *connection);
 
+/*
+ * True if bytes wait in the socket that were not read yet: to close now would
+ * reset the connection under a request that is already there.
+ */
+bool http_connection_has_input (const struct http_connection *connection);
+
 /* Frees memory once the running callbacks have returned. */
 void http_free_later (struct event_base *base, void *memory);
 
--- a/packages/http/src/http-connection.c
+++ b/packages/http/src/http-connection.c
@@ -538,6 +538,15 @@
          && !connection->paused && !connection->message_begun;
 }
 
+bool
+http_connection_has_input (const struct http_connection *connection)
+{
+  char byte;
+
+  return connection->fd >= 0 && !connection->ended
+         && recv (connection->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 static void
 parse_kept (evutil_socket_t fd, short what, void *context)
 {
--- a/packages/relay/src/caller.c
+++ b/packages/relay/src/caller.c
@@ -195,6 +195,19 @@
   http_connection_next (connection, false);
 }
 
+bool
+relay_caller_is_reading (const struct relay_caller *caller)
+{
+  const struct http_connection *connection = &caller->connection;
+
+  return caller->request == NULL && !caller->close_after
+         && !connection->discarding
+         && (connection->message_begun
+             || http_connection_surplus (connection) > 0
+             || (caller->relay->closing
+                 && http_connection_has_input (connection)));
+}
+
 void
 relay_caller_tick (struct relay_caller *caller, int64_t now_ms)
 {
@@ -217,7 +230,8 @@
       caller->reading = true;
       caller->since_ms = now_ms;
     }
-  if (caller->relay->closing && http_connection_idle (&caller->connection))
+  if (caller->relay->closing && http_connection_idle (&caller->connection)
+      && !http_connection_has_input (&caller->connection))
     {
       relay_caller_close (caller);
       return;
--- a/packages/relay/src/internal.h
+++ b/packages/relay/src/internal.h
@@ -15,6 +15,8 @@
 void relay_caller_close (struct relay_caller *caller);
 /* The answer is complete: on to the next request, or the end. */
 void relay_caller_answered (struct relay_caller *caller);
+/* True if a request has begun to arrive, or waits to be read. */
+bool relay_caller_is_reading (const struct relay_caller *caller);
 void relay_caller_tick (struct relay_caller *caller, int64_t now_ms);
 
 /* request.c */
--- a/packages/relay/src/relay.c
+++ b/packages/relay/src/relay.c
@@ -58,6 +58,21 @@
 
 static void
 stop_listening (struct relay *relay)
+/*
+ * Connections that the system has accepted for the listener would be reset with
+ * it, perhaps with a whole request: they are taken first.
+ */
+static void
+take_backlog (struct relay *relay)
+{
+  int listener = evconnlistener_get_fd (relay->listener);
+  int fd;
+
+  while ((fd = accept4 (listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC))
+         >= 0)
+    relay_caller_accept (relay->listener, fd, NULL, 0, relay);
+}
+
 {
   if (relay->listener != NULL)
     evconnlistener_free (relay->listener);
@@ -209,6 +224,8 @@
 relay_in_flight (const struct relay *relay)
 {
   const struct relay_request *request;
+  if (relay->listener != NULL)
+    take_backlog (relay);
   const struct relay_caller *caller;
   unsigned count = 0;
 
@@ -216,7 +233,8 @@
     count++;
   TAILQ_FOREACH (caller, &relay->callers, link)
     if (caller->request == NULL
-        && http_connection_unwritten (&caller->connection) > 0)
+        && (http_connection_unwritten (&caller->connection) > 0
+            || relay_caller_is_reading (caller)))
       count++;
   return count;
 }
--- /dev/null
+++ b/packages/relay/tests/t0852-stop.c
@@ -0,0 +1,171 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <errno.h>
+#include <sys/socket.h>
+
+#include "relay-fixture.h"
+
+/*
+ * A planned stop under load: every request that was sent before the end is
+ * answered, or refused as not run; none ends with a reset.
+ */
+
+static const struct relay_case good
+    = { .guards = "a request is cut off by a planned stop",
+        .kind = CATALOG_SAFE,
+        .attempts = 2,
+        .request = PLAIN,
+        .answers = { { GOOD }, { GOOD } },
+        .status = 200,
+        .body = "ok",
+        .sends = 1 };
+
+/* A connection that the relay has not accepted yet, with these bytes on it. */
+static int
+connect_unaccepted (uint16_t port, const char *bytes)
+{
+  struct sockaddr_in to = { .sin_family = AF_INET,
+                            .sin_port = htons (port),
+                            .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  assert_true (fd >= 0);
+  assert_int_equal (connect (fd, (struct sockaddr *)&to, sizeof to), 0);
+  assert_int_equal (send (fd, bytes, strlen (bytes), 0),
+                    (ssize_t)strlen (bytes));
+  return fd;
+}
+
+/* The status of the answer; 0 if the connection ends or is reset without one */
+static unsigned
+read_status (int fd)
+{
+  int64_t until_ms = time_boot_ms () + WAIT_MS;
+  char text[4096];
+  size_t size = 0;
+  unsigned status = 0;
+
+  while (time_boot_ms () < until_ms)
+    {
+      const struct timeval step = { 0, 5000 };
+      ssize_t got;
+
+      event_base_loopexit (test.base, &step);
+      event_base_loop (test.base, EVLOOP_ONCE);
+      relay_tick (&test.relay, time_boot_ms ());
+      got = recv (fd, text + size, sizeof text - 1 - size, MSG_DONTWAIT);
+      if (got == 0 || (got < 0 && errno != EAGAIN))
+        break;
+      if (got < 0)
+        continue;
+      size += (size_t)got;
+      text[size] = '\0';
+      if (strstr (text, "\r\n\r\n") != NULL
+          && sscanf (text, "HTTP/1.1 %u", &status) == 1)
+        break;
+    }
+  return status;
+}
+
+#define HALF_HEAD "GET /r/1?q=1 HTTP/1.1\r\nHost: h\r\n"
+#define HALF_REST "X-Id: r1\r\n" KEY "X-Deadline: 2000\r\n\r\n"
+
+/* How far a request has come when the relay stops taking new ones. */
+static const struct
+{
+  const char *guards;
+  const char *before; /* sent before that */
+  const char *after;  /* and after it; NULL = nothing */
+  bool accepted;      /* the relay has seen the connection */
+} requests[] = {
+  { "a whole request in the backlog", PLAIN, NULL, false },
+  { "half a head in the backlog", HALF_HEAD, HALF_REST, false },
+  { "a whole request that is not read", PLAIN, NULL, true },
+  { "half a head that is read", HALF_HEAD, HALF_REST, true },
+};
+
+static void
+test_stop (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof requests / sizeof requests[0]; i++)
+    {
+      uint16_t port;
+      unsigned status;
+      int fd;
+
+      setup (&good);
+      run_until_answered ();
+      port = net_bound_port (evconnlistener_get_fd (test.relay.listener));
+      relay_leave (&test.relay);
+      fd = connect_unaccepted (port,
+                               requests[i].accepted ? "" : requests[i].before);
+      if (requests[i].accepted)
+        {
+          while (test.relay.caller_count < 2)
+            event_base_loop (test.base, EVLOOP_ONCE);
+          assert_true (
+              send (fd, requests[i].before, strlen (requests[i].before), 0)
+              > 0);
+        }
+      if (requests[i].accepted && requests[i].after != NULL)
+        event_base_loop (test.base, EVLOOP_ONCE);
+      relay_close (&test.relay);
+      relay_tick (&test.relay, time_boot_ms ());
+      /* The process may not end before that is answered. */
+      if (requests[i].after == NULL && relay_in_flight (&test.relay) == 0)
+        fail_msg ("%s: does not count", requests[i].guards);
+      if (requests[i].after != NULL)
+        {
+          event_base_loop (test.base, EVLOOP_NONBLOCK);
+          relay_tick (&test.relay, time_boot_ms ());
+          assert_true (relay_in_flight (&test.relay) > 0);
+          assert_true (
+              send (fd, requests[i].after, strlen (requests[i].after), 0) > 0);
+        }
+      status = read_status (fd);
+      if (status != 503 && status != 200)
+        fail_msg ("%s: status %u", requests[i].guards, status);
+      close (fd);
+      teardown ();
+    }
+}
+
+/* A request that crosses the stop on a connection that was idle. */
+static void
+test_kept_connection (void **state)
+{
+  (void)state;
+  setup (&good);
+  run_until_answered ();
+  test.complete = false;
+  test.status = 0;
+  http_connection_next (&test.caller, false);
+  http_connection_write (&test.caller, PLAIN, strlen (PLAIN));
+  relay_close (&test.relay);
+  relay_tick (&test.relay, time_boot_ms ());
+  assert_true (relay_in_flight (&test.relay) > 0);
+  run_until_answered ();
+  assert_true (test.complete);
+  assert_int_equal (test.status, 503);
+  assert_true (test.retry_after);
+  assert_int_equal (test.sends, 1);
+  teardown ();
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_stop),
+    cmocka_unit_test (test_kept_connection),
+  };
+
+  signal (SIGPIPE, SIG_IGN);
+  log_set_level (LOG_LEVEL_ERROR);
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
