relay: bound, move and tell apart the answers of endpoints in trouble

Interim answers and another request's body were read on without end until the deadline; an unfinished event grew to 8 MB per stream and was searched from its start at each read; any byte counted as progress, so a stream that sent one now and then stayed until its deadline; a stream that was only slow was cut if no retry was left, and a caller that read slowly made its stream look stalled; on a connection that had carried another request a refusal without an id was taken for this one's, so that "not run" might have been untrue.

Change: progress is a whole event with data. 256 KB without one, or of another request's answer, end the attempt; all answers held share 22 MB. The end of an event is sought from where the last search ended. A stream that stands still is moved only if another endpoint takes it now and a retry is left; one whose caller does not read is not judged. An answer without an id counts only on a connection that carried nothing before.

--- a/packages/relay/include/relay.h
+++ b/packages/relay/include/relay.h
@@ -91,13 +91,17 @@
   bool reading; /* its prompt counts in the lane's reading */
   bool head_seen;
   bool is_stream;
-  bool foreign; /* the present answer belongs to an earlier request */
+  bool foreign;       /* the present answer belongs to an earlier request */
+  bool reused;        /* carried other requests before */
+  size_t stray_bytes; /* received since the last event, or of another answer */
   unsigned status;
   int64_t started_ms;  /* of the attempt, or of being idle */
-  int64_t progress_ms; /* last bytes of the answer */
+  int64_t progress_ms; /* last head, event or, of a plain answer, bytes */
   int64_t idle_limit_ms;
   struct http_text head; /* field lines for the caller */
   struct http_text body; /* plain answer, or the unfinished event */
+  size_t line;           /* offset of its unfinished line */
+  size_t scanned;        /* bytes of it that hold no end of that line */
   TAILQ_ENTRY (relay_upstream) link;
 };
 
@@ -161,7 +165,8 @@
   TAILQ_HEAD (, relay_upstream) busy;
   struct relay_request_list requests;
   struct relay_request_list waiting;
-  size_t body_bytes; /* of all requests held */
+  size_t body_bytes;   /* of all requests held */
+  size_t answer_bytes; /* of all plain answers and unfinished events held */
   unsigned caller_count;
   /* Requests at an endpoint stand still. */
   void (*stalled) (void *context, struct lane *lane);
--- a/packages/relay/include/retry-budget.h
+++ b/packages/relay/include/retry-budget.h
@@ -39,6 +39,11 @@
                                 const char *service,
                                 int64_t now_ms);
 
+/* True if a retry is left. */
+bool retry_budget_has (struct retry_budgets *budgets,
+                       const char *service,
+                       int64_t now_ms);
+
 /* Takes a retry; false if none is left. */
 bool retry_budget_take (struct retry_budgets *budgets,
                         const char *service,
--- a/packages/relay/src/answer.c
+++ b/packages/relay/src/answer.c
@@ -127,27 +127,47 @@
   relay_log_end (request, "answered", upstream->status, RESULT_OK);
 }
 
-/* The size of the first whole event, 0 if there is none yet. */
+/*
+ * The offset after the next blank line, which ends an event; 0 if there is none
+ * yet.  Bytes that were looked at are not looked at again.
+ */
 static size_t
-event_size (const char *data, size_t size)
+next_event_end (struct relay_upstream *upstream)
 {
-  size_t at = 0;
+  const struct http_text *body = &upstream->body;
 
-  while (at < size)
+  while (upstream->scanned < body->size)
     {
-      const char *end = memchr (data + at, '\n', size - at);
-      size_t line;
+      size_t line = upstream->line;
+      const char *end = memchr (body->data + upstream->scanned, '\n',
+                                body->size - upstream->scanned);
+      size_t length;
 
       if (end == NULL)
-        return 0;
-      line = (size_t)(end - data) - at;
-      if (line == 0 || (line == 1 && data[at] == '\r'))
-        return (size_t)(end - data) + 1;
-      at = (size_t)(end - data) + 1;
+        {
+          upstream->scanned = body->size;
+          return 0;
+        }
+      length = (size_t)(end - body->data) - line;
+      upstream->line = line + length + 1;
+      upstream->scanned = upstream->line;
+      if (length == 0 || (length == 1 && body->data[line] == '\r'))
+        return upstream->line;
     }
   return 0;
 }
 
+/*
+ * True if the event says anything.  Comments and blank lines are passed on, but
+ * are no sign that the endpoint's work goes on.
+ */
+static bool
+event_has_data (const char *data, size_t size)
+{
+  return (size > 5 && memcmp (data, "data:", 5) == 0)
+         || memmem (data, size, "\ndata:", 6) != NULL;
+}
+
 /* The number in the event's id line; false without one. */
 static bool
 event_id (const char *data, size_t size, uint64_t *id)
@@ -178,20 +198,19 @@
  */
 static bool
 take_events (struct relay_request *request,
-             const struct relay_upstream *upstream,
+             struct relay_upstream *upstream,
              size_t *whole)
 {
-  const struct http_text *body = &upstream->body;
+  const char *data = upstream->body.data;
+  size_t end;
 
   *whole = 0;
-  for (;;)
+  while ((end = next_event_end (upstream)) > 0)
     {
-      size_t size = event_size (body->data + *whole, body->size - *whole);
+      size_t size = end - *whole;
       uint64_t id;
 
-      if (size == 0)
-        return true;
-      if (event_id (body->data + *whole, size, &id))
+      if (event_id (data + *whole, size, &id))
         {
 #ifndef BREAK_GUARD_EDGE_RESUME
           if (request->has_last_event && id != request->last_event + 1)
@@ -199,10 +218,13 @@
           request->last_event = id;
           request->has_last_event = true;
 #endif
+          request->events_sent++;
         }
-      request->events_sent++;
-      *whole += size;
+      else if (event_has_data (data + *whole, size))
+        request->events_sent++;
+      *whole = end;
     }
+  return true;
 }
 
 bool
@@ -237,6 +259,8 @@
   http_text_add (&text, upstream->body.data, whole);
   http_text_add (&text, "\r\n", 2);
   http_text_drop (&upstream->body, whole);
+  upstream->line -= whole;
+  upstream->scanned -= whole;
   if (text.failed)
     expected = false;
   else
--- a/packages/relay/src/attempt.c
+++ b/packages/relay/src/attempt.c
@@ -70,6 +70,18 @@
   request->tried[request->tried_count++] = lane;
 }
 
+/* True if the request may be sent once more, after so many that may have run.
+ */
+static bool
+may_send_again (const struct relay_request *request, unsigned runs)
+{
+  const struct relay *relay = request->relay;
+
+  return (runs == request->runs || catalog_is_repeatable (request->route))
+         && runs < request->route->attempts && request->sends < SEND_LIMIT
+         && relay->now_ms < request->deadline_ms;
+}
+
 void
 relay_attempt_failed (struct relay_request *request,
                       bool may_have_run,
@@ -77,6 +89,8 @@
 {
   struct relay *relay = request->relay;
   struct relay_upstream *upstream = request->upstream;
+  unsigned runs = request->runs + (may_have_run ? 1 : 0);
+  bool again = may_send_again (request, runs);
 
   if (upstream != NULL)
     {
@@ -101,13 +115,10 @@
       if (request->upstream != NULL)
         relay_upstream_close (upstream);
     }
-  if (may_have_run)
-    request->runs++;
+  request->runs = runs;
   request->phase = RELAY_WAITING;
   request->waiting_since_ms = relay->now_ms;
-  if ((may_have_run && !catalog_is_repeatable (request->route))
-      || request->runs >= request->route->attempts
-      || request->sends >= SEND_LIMIT || relay->now_ms >= request->deadline_ms
+  if (!again
       || !retry_budget_take (&relay->budgets, request->service->name,
                              relay->now_ms))
     {
@@ -142,8 +153,11 @@
   return (double)waited_ms < WAIT_PART * (double)request->route->objective_ms;
 }
 
-void
-relay_dispatch (struct relay_request *request)
+/* Asks for an endpoint other than those tried and, unless NULL, this one. */
+static enum balance_verdict
+choose (const struct relay_request *request,
+        const struct lane *present,
+        struct balance_choice *choice)
 {
   struct relay *relay = request->relay;
   struct balance_request wanted = {
@@ -156,12 +170,34 @@
                                   : request->objective_by_ms - relay->now_ms,
     .excluded_count = request->tried_count,
   };
-  struct balance_choice choice;
 
   for (unsigned i = 0; i < request->tried_count; i++)
     wanted.excluded[i] = request->tried[i];
-  switch (balance_choose (&relay->lanes, relay->endpoints, &wanted,
-                          relay->now_ms, &choice))
+  if (present != NULL && wanted.excluded_count < BALANCE_EXCLUDE_LIMIT)
+    wanted.excluded[wanted.excluded_count++] = present;
+  return balance_choose (&relay->lanes, relay->endpoints, &wanted,
+                         relay->now_ms, choice);
+}
+
+bool
+relay_may_move (const struct relay_request *request)
+{
+  struct relay *relay = request->relay;
+  struct balance_choice choice;
+
+  return may_send_again (request, request->runs + 1)
+         && retry_budget_has (&relay->budgets, request->service->name,
+                              relay->now_ms)
+         && choose (request, request->upstream->lane, &choice)
+                == BALANCE_CHOSEN;
+}
+
+void
+relay_dispatch (struct relay_request *request)
+{
+  struct balance_choice choice;
+
+  switch (choose (request, NULL, &choice))
     {
     case BALANCE_CHOSEN:
       request->expected_ms = choice.expected_ms;
--- a/packages/relay/src/caller.c
+++ b/packages/relay/src/caller.c
@@ -114,7 +114,7 @@
   if (caller->close_after && caller->request == NULL)
     end_connection (caller);
   else if (caller->request != NULL && caller->request->upstream != NULL)
-    http_connection_hold (&caller->request->upstream->connection, false);
+    relay_upstream_resume (caller->request->upstream);
 }
 
 static const struct http_events events = {
--- a/packages/relay/src/internal.h
+++ b/packages/relay/src/internal.h
@@ -39,6 +39,8 @@
                            bool may_have_run,
                            enum result why);
 void relay_dispatch (struct relay_request *request);
+/* True if the request could leave its endpoint and be sent to another now. */
+bool relay_may_move (const struct relay_request *request);
 /* When the caller of a refused request may come back; drawn anew each time. */
 int64_t relay_retry_after_ms (struct relay *relay);
 
@@ -50,6 +52,8 @@
 /* Closes the connection; its request, if any, is on its own. */
 void relay_upstream_close (struct relay_upstream *upstream);
 void relay_upstream_tick (struct relay_upstream *upstream);
+/* Reads on after the caller was slow. */
+void relay_upstream_resume (struct relay_upstream *upstream);
 /* True if the connection is not established although it should be. */
 bool relay_upstream_is_overdue (const struct relay_upstream *upstream);
 
--- a/packages/relay/src/request.c
+++ b/packages/relay/src/request.c
@@ -349,6 +349,9 @@
 
   if (!upstream->is_stream && upstream->head_seen)
     return false;
+  /* Its caller does not read; the endpoint may well have more. */
+  if (upstream->connection.held)
+    return false;
   seen_ms = upstream->progress_ms;
   if (upstream->lane->progress_ms > seen_ms)
     seen_ms = upstream->lane->progress_ms;
@@ -416,7 +419,8 @@
       && upstream->written && stands_still (request))
     {
       note_stall (request);
-      if (request->runs + 1 < request->route->attempts)
+      /* It may just be slow: it stays unless another endpoint takes it. */
+      if (relay_may_move (request))
         relay_attempt_failed (request, true, RESULT_STREAM_BROKEN);
     }
 }
--- a/packages/relay/src/retry-budget.c
+++ b/packages/relay/src/retry-budget.c
@@ -72,15 +72,23 @@
     budget->tokens += budgets->ratio;
 }
 
+bool
+retry_budget_has (struct retry_budgets *budgets,
+                  const char *service,
+                  int64_t now_ms)
+{
+  const struct retry_budget *budget = find (budgets, service, now_ms);
+
+  return budget != NULL && budget->tokens >= 1;
+}
+
 bool
 retry_budget_take (struct retry_budgets *budgets,
                    const char *service,
                    int64_t now_ms)
 {
-  struct retry_budget *budget = find (budgets, service, now_ms);
-
-  if (budget == NULL || budget->tokens < 1)
+  if (!retry_budget_has (budgets, service, now_ms))
     return false;
-  budget->tokens -= 1;
+  find (budgets, service, now_ms)->tokens -= 1;
   return true;
 }
--- a/packages/relay/src/upstream.c
+++ b/packages/relay/src/upstream.c
@@ -13,11 +13,24 @@
 #define IDLE_MS 4000
 /* Closed this long before the endpoint would. */
 #define IDLE_MARGIN_MS 600
+/* A longer stated time-out makes no difference: connections last minutes. */
+#define IDLE_STATED_LIMIT_S 86400
 /* For requests that run at most once only connections used lately are good. */
 #define FRESH_MS 700
 #define HEADER_BYTES 65536
 /* Largest plain answer. */
 #define BODY_BYTES (8U << 20)
+/*
+ * All answers held at once: a fifth of the smallest host's memory (112 MB).
+ * Over it only answers of at most ANSWER_SPARED_BYTES grow on.
+ */
+#define ANSWERS_BYTES (22U << 20)
+#define ANSWER_SPARED_BYTES (64U << 10)
+/*
+ * Bytes of a stream that end no event, and of answers that belong to no
+ * request; events are about 100 bytes, answers of tools below 1 KB.
+ */
+#define STRAY_BYTES (256U << 10)
 
 /* The endpoint has read the prompt, or never will. */
 static void
@@ -56,6 +69,7 @@
   detach (upstream);
   http_connection_finish (&upstream->connection);
   http_text_finish (&upstream->head);
+  relay->answer_bytes -= upstream->body.size;
   http_text_finish (&upstream->body);
   lanes_unref (&relay->lanes, upstream->lane);
   http_free_later (relay->base, upstream);
@@ -71,10 +85,14 @@
   upstream->head_seen = false;
   upstream->is_stream = false;
   upstream->foreign = false;
+  upstream->stray_bytes = 0;
+  upstream->line = 0;
+  upstream->scanned = 0;
   upstream->status = 0;
   upstream->started_ms = relay->now_ms;
   upstream->progress_ms = relay->now_ms;
   http_text_reset (&upstream->head);
+  relay->answer_bytes -= upstream->body.size;
   http_text_reset (&upstream->body);
   upstream->lane->running++;
   upstream->reading = true;
@@ -149,7 +167,11 @@
 
   relay->now_ms = time_boot_ms ();
   if (request == NULL)
-    return; /* closed when it is complete */
+    {
+      /* An answer that nobody waits for. */
+      relay_upstream_close (upstream);
+      return;
+    }
   upstream->foreign = id != NULL && strcmp (id, request->id) != 0;
   if (upstream->foreign)
     return;
@@ -163,10 +185,15 @@
 
       if (timeout != NULL)
         upstream->idle_limit_ms
-            = strtoll (timeout + 8, NULL, 10) * 1000 - IDLE_MARGIN_MS;
+            = strtoll (timeout + 8, NULL, 10) % IDLE_STATED_LIMIT_S * 1000
+              - IDLE_MARGIN_MS;
     }
+  /*
+   * An answer without an id may be a late one to an earlier request if the
+   * connection has carried any; a refusal must be this request's own.
+   */
   if (http_head_get (head, "Content-Encoding") != NULL
-      || (id == NULL && head->status < 300))
+      || (id == NULL && (head->status < 300 || upstream->reused)))
     {
       relay_attempt_failed (request, true, RESULT_UPSTREAM_UNKNOWN);
       return;
@@ -177,27 +204,67 @@
   relay_answer_collect_head (upstream, head);
 }
 
+/* Keeps the bytes; false if the answer holds more than any may. */
+static bool
+keep_body (struct relay_upstream *upstream, const char *data, size_t size)
+{
+  struct relay *relay = upstream->relay;
+  struct http_text *body = &upstream->body;
+  size_t before = body->size;
+
+  http_text_add (body, data, size);
+  relay->answer_bytes += body->size - before;
+  if (body->failed)
+    return false;
+  if (upstream->is_stream)
+    return true;
+  return body->size <= BODY_BYTES
+         && (relay->answer_bytes <= ANSWERS_BYTES
+             || body->size <= ANSWER_SPARED_BYTES);
+}
+
+static void
+take_stream (struct relay_upstream *upstream)
+{
+  struct relay *relay = upstream->relay;
+  struct relay_request *request = upstream->request;
+  size_t before = upstream->body.size;
+  uint64_t events = request->events_sent;
+  bool expected = relay_answer_events (request, upstream);
+
+  relay->answer_bytes -= before - upstream->body.size;
+  if (request->events_sent > events)
+    {
+      end_reading (upstream);
+      note_progress (upstream);
+      upstream->stray_bytes = 0;
+    }
+  else if (upstream->stray_bytes > STRAY_BYTES)
+    expected = false;
+  if (!expected)
+    relay_attempt_failed (request, true, RESULT_STREAM_BROKEN);
+}
+
 static void
 on_body (void *context, const char *data, size_t size)
 {
   struct relay_upstream *upstream = context;
   struct relay_request *request = upstream->request;
 
-  if (request == NULL || upstream->foreign)
+  if (request == NULL)
     return;
   upstream->relay->now_ms = time_boot_ms ();
-  http_text_add (&upstream->body, data, size);
-  if (upstream->body.failed || upstream->body.size > BODY_BYTES)
+  upstream->stray_bytes += size;
+  if (upstream->foreign)
     {
-      relay_attempt_failed (request, true, RESULT_TOO_LARGE);
+      if (upstream->stray_bytes > STRAY_BYTES)
+        relay_attempt_failed (request, true, RESULT_UPSTREAM_UNKNOWN);
       return;
     }
-  if (!upstream->is_stream)
-    return;
-  end_reading (upstream);
-  note_progress (upstream);
-  if (!relay_answer_events (request, upstream))
-    relay_attempt_failed (request, true, RESULT_STREAM_BROKEN);
+  if (!keep_body (upstream, data, size))
+    relay_attempt_failed (request, true, RESULT_TOO_LARGE);
+  else if (upstream->is_stream)
+    take_stream (upstream);
 }
 
 /* Keeps the connection for the next request if it is clean. */
@@ -217,6 +284,7 @@
     }
   TAILQ_REMOVE (&relay->busy, upstream, link);
   detach (upstream);
+  upstream->reused = true;
   upstream->started_ms = relay->now_ms;
   TAILQ_INSERT_HEAD (&relay->idle, upstream, link);
   http_connection_hold (&upstream->connection, false);
@@ -300,8 +368,12 @@
   if (upstream->foreign)
     {
       upstream->foreign = false;
-      http_connection_next (&upstream->connection,
-                            upstream->request->is_head_method);
+      /* No further answer can come on it. */
+      if (upstream->connection.ended)
+        relay_attempt_failed (upstream->request, true, RESULT_UPSTREAM_UNKNOWN);
+      else
+        http_connection_next (&upstream->connection,
+                              upstream->request->is_head_method);
       return;
     }
   if (upstream->is_stream)
@@ -415,6 +487,16 @@
              LOG_STR ("data_centre", lane->endpoint->report.data_centre));
 }
 
+void
+relay_upstream_resume (struct relay_upstream *upstream)
+{
+  if (!upstream->connection.held)
+    return;
+  /* The pause was not the endpoint's. */
+  upstream->progress_ms = upstream->relay->now_ms;
+  http_connection_hold (&upstream->connection, false);
+}
+
 bool
 relay_upstream_is_overdue (const struct relay_upstream *upstream)
 {
--- a/packages/relay/tests/relay-fixture.h
+++ b/packages/relay/tests/relay-fixture.h
@@ -414,6 +414,8 @@
       event_base_loop (test.base, EVLOOP_ONCE);
       relay_tick (&test.relay, time_boot_ms ());
       fake_tick ();
+      if (test.relay.answer_bytes > test.most_held)
+        test.most_held = test.relay.answer_bytes;
       if (time_boot_ms () > until_ms)
         fail_msg ("%s: no answer", test.c->guards);
     }
