balance, relay: follow what endpoints say of themselves

An endpoint that leaves says so in all its answers, at times before its entry on the platform does or without it; one that refuses a request with 503 may say how long it wants none. Neither was read.

Change: both are kept with the lane and checked where an endpoint is chosen, so that retries, resumed streams and waiting requests obey them too. They hold over a new entry and over an entry that is gone and returns, until the endpoint starts anew. Other hosts hear of leaving endpoints with the loads. Retry-After is read as seconds or as a date, and bounded by endpoints.back_off_limit_s. If all endpoints ask for time, callers are told the soonest of them.

--- a/packages/balance/src/choose.c
+++ b/packages/balance/src/choose.c
@@ -83,7 +83,7 @@
 {
   const struct lane_place *place;
 
-  if (lane->avoid_ms > now_ms)
+  if (lane->avoid_ms > now_ms || balance_is_withheld (lane, now_ms))
     return true;
   if (lanes->places == NULL)
     return false;
@@ -149,6 +149,7 @@
       if (lane == NULL)
         continue;
       note_epoch (lane);
+      balance_note_life (lane);
       if (is_avoided (lanes, lane, now_ms))
         continue;
       survey.count++;
@@ -289,6 +290,19 @@
   return running < slots * ALONE_PER_SLOT;
 }
 
+/* Notes how long the endpoint asked to be left alone. */
+static void
+note_back_off (struct balance_choice *choice,
+               const struct lane *lane,
+               int64_t now_ms)
+{
+  int64_t left_ms = lane->back_off_ms - now_ms;
+
+  if (left_ms > 0
+      && (choice->back_off_ms == 0 || left_ms < choice->back_off_ms))
+    choice->back_off_ms = left_ms;
+}
+
 enum balance_verdict
 balance_choose (struct lanes *lanes,
                 const struct endpoints *endpoints,
@@ -315,8 +329,11 @@
       if (!is_candidate (request, endpoint))
         continue;
       lane = lanes_get (lanes, endpoint);
-      if (lane == NULL || is_avoided (lanes, lane, now_ms)
-          || is_excluded (request, lane))
+      if (lane == NULL)
+        continue;
+      balance_note_life (lane);
+      note_back_off (choice, lane, now_ms);
+      if (is_avoided (lanes, lane, now_ms) || is_excluded (request, lane))
         continue;
       room = grouped ? rate_group (lanes, request, lane, &survey, now_ms,
                                    &expected_ms, &value)
@@ -335,6 +352,8 @@
         }
       verdict = BALANCE_CHOSEN;
     }
+  if (verdict != BALANCE_NONE)
+    choice->back_off_ms = 0;
   return verdict;
 }
 
--- a/packages/balance/src/lanes.c
+++ b/packages/balance/src/lanes.c
@@ -1,5 +1,6 @@
 #include "balance.h"
 
+#include "balance-internal.h"
 #include "hash.h"
 
 #include <stdlib.h>
@@ -92,10 +93,12 @@
   return lane;
 }
 
+/* What the endpoint said may hold on; lanes_expire frees the lane then. */
 static void
 drop (struct lanes *lanes, struct lane *lane)
 {
-  if (lane->references > 0 || lane->endpoint != NULL)
+  if (lane->references > 0 || lane->endpoint != NULL || lane->leaving_ms != 0
+      || lane->back_off_ms != 0)
     return;
   HASH_DELETE (hh, lanes->table, lane);
   free (lane);
@@ -110,6 +113,25 @@
   drop (lanes, lane);
 }
 
+void
+lanes_expire (struct lanes *lanes, int64_t now_ms)
+{
+  struct lane *lane = lanes->table;
+
+  while (lane != NULL)
+    {
+      struct lane *next = lane->hh.next;
+
+      if (lane->endpoint == NULL && !balance_is_remembered (lane, now_ms))
+        {
+          lane->leaving_ms = 0;
+          lane->back_off_ms = 0;
+          drop (lanes, lane);
+        }
+      lane = next;
+    }
+}
+
 void
 lanes_ref (struct lane *lane)
 {
--- a/packages/edge/include/edge-settings.h
+++ b/packages/edge/include/edge-settings.h
@@ -26,6 +26,7 @@
   int64_t keys_revoke_ms;
   int64_t configuration_in_force_ms;
   int64_t endpoints_leave_ms;
+  int64_t endpoints_back_off_limit_s;
   double retry_ratio;
   int64_t retry_slack;
   int64_t retry_window_s;
--- a/packages/edge/include/gossip.h
+++ b/packages/edge/include/gossip.h
@@ -43,6 +43,7 @@
   uint32_t reading;   /* prompt tokens of those that have not begun */
   uint32_t silent_ms; /* since the last sign of life of a request there */
   bool stands_still;  /* the sender avoids it for that reason */
+  bool leaves;        /* it said so to the sender */
 };
 
 /* LOAD, SUM and TOTAL: entries from first on, of total. */
--- a/packages/edge/src/edge-settings.c
+++ b/packages/edge/src/edge-settings.c
@@ -19,6 +19,7 @@
   { "keys.revoke_ms", SETTINGS_INTEGER, "ms", "5000", 500, 3600000, "A key that was taken away is refused within this time.", AT (keys_revoke_ms) },
   { "configuration.in_force_ms", SETTINGS_INTEGER, "ms", "2000", 500, 3600000, "A new configuration is in force on each host within this time.", AT (configuration_in_force_ms) },
   { "endpoints.leave_ms", SETTINGS_INTEGER, "ms", "2000", 500, 3600000, "An endpoint gets nothing new from this time after it said that it leaves.", AT (endpoints_leave_ms) },
+  { "endpoints.back_off_limit_s", SETTINGS_INTEGER, "s", "3600", 1, 86400, "An endpoint that asks for no requests for a while is left alone no longer than this.", AT (endpoints_back_off_limit_s) },
   { "retry.ratio", SETTINGS_REAL, "", "0.1", 0, 10, "Retries of the whole fleet, as a part of the requests for a service.", AT (retry_ratio) },
   { "retry.slack", SETTINGS_INTEGER, "", "0", 0, 1000000, "Retries of the whole fleet besides, per window.", AT (retry_slack) },
   { "retry.window_s", SETTINGS_INTEGER, "s", "10", 1, 3600, "Window of retry.slack.", AT (retry_window_s) },
--- a/packages/edge/src/edge.c
+++ b/packages/edge/src/edge.c
@@ -170,6 +170,7 @@
     .retry_ratio = settings->retry_ratio * RATIO_PART,
     .retry_slack = (double)settings->retry_slack * SLACK_PART / ASSUMED_HOSTS,
     .retry_window_ms = settings->retry_window_s * 1000,
+    .back_off_limit_ms = settings->endpoints_back_off_limit_s * 1000,
   };
   char address[SETTINGS_TEXT_SIZE];
   uint16_t port;
--- a/packages/edge/src/gossip.c
+++ b/packages/edge/src/gossip.c
@@ -40,14 +40,30 @@
              && xdr_uint64_t (xdr, &lease->seq));
 }
 
+/* Flags of a load; hosts of version 2 without LEAVES take either for STILL. */
+#define LOAD_STILL 1U
+#define LOAD_LEAVES 2U
+
+static bool
+code_load_flags (XDR *xdr, struct gossip_load *load)
+{
+  uint32_t flags = (load->stands_still ? LOAD_STILL : 0)
+                   | (load->leaves ? LOAD_LEAVES : 0);
+
+  if (!xdr_uint32_t (xdr, &flags) || (flags & ~(LOAD_STILL | LOAD_LEAVES)) != 0)
+    return false;
+  load->stands_still = (flags & LOAD_STILL) != 0;
+  load->leaves = (flags & LOAD_LEAVES) != 0;
+  return true;
+}
+
 static bool
 code_load (XDR *xdr, struct gossip_load *load)
 {
   return xdr_uint64_t (xdr, &load->endpoint)
          && xdr_uint32_t (xdr, &load->running)
          && xdr_uint32_t (xdr, &load->reading)
-         && xdr_uint32_t (xdr, &load->silent_ms)
-         && code_flag (xdr, &load->stands_still);
+         && xdr_uint32_t (xdr, &load->silent_ms) && code_load_flags (xdr, load);
 }
 
 static bool
--- a/packages/edge/src/mesh-load.c
+++ b/packages/edge/src/mesh-load.c
@@ -291,6 +291,7 @@
       if (load->silent_ms < last->silent_ms)
         last->silent_ms = load->silent_ms;
       last->stands_still = last->stands_still || load->stands_still;
+      last->leaves = last->leaves || load->leaves;
     }
 }
 
--- a/packages/edge/src/peers.c
+++ b/packages/edge/src/peers.c
@@ -5,6 +5,12 @@
 #include <stdio.h>
 #include <string.h>
 
+/*
+ * What another host says of a leaving endpoint holds this long; it is repeated
+ * with the loads, every 0.2 s at most.
+ */
+#define LEAVING_HEARD_MS 1000
+
 static void
 on_loads (void *context, const struct gossip_load *list, unsigned count)
 {
@@ -22,6 +28,8 @@
       lane->peer_reading = load->reading;
       if (load->silent_ms != GOSSIP_NEVER_MS)
         lane->peer_progress_ms = edge->mesh.now_ms - (int64_t)load->silent_ms;
+      if (load->leaves)
+        balance_note_peer_leaving (lane, edge->mesh.now_ms + LEAVING_HEARD_MS);
       if (load->stands_still)
         {
           relay_note_peer_stall (&edge->relay, lane);
@@ -142,7 +150,9 @@
       int64_t silent_ms = now_ms - lane->progress_ms;
       bool still = lane->stalled_ms > now_ms;
 
-      if (lane->running == 0 && !still)
+      bool leaves = balance_is_leaving (lane) && lane->endpoint != NULL;
+
+      if (lane->running == 0 && !still && !leaves)
         continue;
       own->list[own->count++] = (struct gossip_load){
         .endpoint = lane->hash,
@@ -152,6 +162,7 @@
                          ? (uint32_t)silent_ms
                          : GOSSIP_NEVER_MS,
         .stands_still = still,
+        .leaves = leaves,
       };
     }
 }
--- a/packages/http/include/http-head.h
+++ b/packages/http/include/http-head.h
@@ -54,6 +54,13 @@
  */
 bool http_field_is_hop_by_hop (const struct http_head *head, unsigned index);
 
+/*
+ * The time that a response's Retry-After names (RFC 9110, section 10.2.3), in
+ * seconds, also with a fraction, or as a date, which is taken against the
+ * response's own Date.  false without such a time.
+ */
+bool http_retry_after_ms (const struct http_head *head, int64_t *ms);
+
 /* A non-negative decimal number; false if text is anything else. */
 bool http_parse_number (const char *text, int64_t *number);
 
--- a/packages/http/src/http-connection.c
+++ b/packages/http/src/http-connection.c
@@ -576,6 +576,7 @@
     return;
   connection->no_body = no_body;
   connection->message_begun = false;
+  connection->interim_count = 0;
   if (!connection->paused)
     return;
   connection->paused = false;
@@ -585,7 +586,6 @@
 }
 
 void
-  connection->interim_count = 0;
 http_connection_discard (struct http_connection *connection)
 {
   if (connection->fd < 0 || connection->discarding)
--- a/packages/http/src/http-head.c
+++ b/packages/http/src/http-head.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <time.h>
 
 void
 http_head_init (struct http_head *head)
@@ -119,3 +120,50 @@
   *number = value;
   return true;
 }
+
+/* Seconds since 1970 of an IMF-fixdate; false if it is none. */
+static bool
+read_date (const char *text, time_t *seconds)
+{
+  struct tm parts = { .tm_sec = 0 };
+  const char *end;
+
+  if (text == NULL)
+    return false;
+  end = strptime (text, "%a, %d %b %Y %H:%M:%S GMT", &parts);
+  if (end == NULL || *end != '\0')
+    return false;
+  *seconds = timegm (&parts);
+  return true;
+}
+
+/* More seconds than this are a mistake; 2^53 ms are 285,000 years. */
+#define RETRY_AFTER_LIMIT_S 9007199254740.0
+
+bool
+http_retry_after_ms (const struct http_head *head, int64_t *ms)
+{
+  const char *text = http_head_get (head, "Retry-After");
+  double seconds = 0;
+  time_t until;
+  time_t date;
+  char *end;
+
+  if (text == NULL)
+    return false;
+  if (*text >= '0' && *text <= '9')
+    {
+      seconds = strtod (text, &end);
+      if (*end != '\0')
+        return false;
+    }
+  else if (read_date (text, &until)
+           && read_date (http_head_get (head, "Date"), &date))
+    seconds = difftime (until, date);
+  if (!(seconds > 0))
+    return false;
+  if (seconds > RETRY_AFTER_LIMIT_S)
+    seconds = RETRY_AFTER_LIMIT_S;
+  *ms = (int64_t)(seconds * 1000);
+  return true;
+}
--- a/packages/relay/include/relay.h
+++ b/packages/relay/include/relay.h
@@ -43,6 +43,7 @@
   const char *expected_version;  /* set */
   const char *urgency;           /* 0 = first; set */
   const char *not_run;           /* on an answer: the request did not run */
+  const char *leaving;           /* on an answer: "1" if the endpoint leaves */
   const char *endpoint_at_fault; /* on a refusal */
   const char *credential;        /* never passed on */
   const char *credential_scheme;
@@ -56,6 +57,7 @@
   double retry_ratio;     /* of the requests for a service */
   double retry_slack;     /* retries besides, per window, of this entry host */
   int64_t retry_window_ms;
+  int64_t back_off_limit_ms; /* an endpoint is left alone no longer */
 };
 
 struct relay;
@@ -179,7 +181,8 @@
   bool leaving; /* shutting down: connections end with their answer */
   bool closing; /* nothing new is taken any more */
   bool saw_request;
-  int64_t now_ms; /* of the present callback */
+  int64_t expired_ms; /* last look for lanes that are not needed any more */
+  int64_t now_ms;     /* of the present callback */
 };
 
 enum result relay_init (struct relay *relay,
--- a/packages/relay/src/attempt.c
+++ b/packages/relay/src/attempt.c
@@ -39,11 +39,19 @@
     }
 }
 
-/* No more attempts: the last word to the caller. */
+/*
+ * No more attempts: the last word to the caller.  back_off_ms: see
+ * balance_choice.
+ */
 static void
-give_up (struct relay_request *request, enum result why)
+give_up (struct relay_request *request, enum result why, int64_t back_off_ms)
 {
   struct relay *relay = request->relay;
+  int64_t retry_after_ms = relay_retry_after_ms (relay);
+
+  /* Spread over the time after the first endpoint may be asked again. */
+  if (back_off_ms > 0)
+    retry_after_ms += back_off_ms - RELAY_RETRY_AFTER_MS;
 
   if (request->head_sent)
     {
@@ -58,7 +66,7 @@
     relay_refuse (request,
                   result_info (why)->http_status == 503 ? why
                                                         : RESULT_NO_CAPACITY,
-                  relay_retry_after_ms (relay));
+                  retry_after_ms);
 }
 
 static void
@@ -122,7 +130,7 @@
       || !retry_budget_take (&relay->budgets, request->service->name,
                              relay->now_ms))
     {
-      give_up (request, why);
+      give_up (request, why, 0);
       return;
     }
   relay_dispatch (request);
@@ -207,14 +215,14 @@
       if (may_wait (request))
         relay_request_queue (request, true);
       else
-        give_up (request, RESULT_SHED);
+        give_up (request, RESULT_SHED, 0);
       break;
     case BALANCE_NONE:
       /* A group may come back while a broken stream can still go on. */
       if (request->head_sent && may_wait (request))
         relay_request_queue (request, true);
       else
-        give_up (request, RESULT_NO_CAPACITY);
+        give_up (request, RESULT_NO_CAPACITY, choice.back_off_ms);
       break;
     }
 }
--- a/packages/relay/src/relay.c
+++ b/packages/relay/src/relay.c
@@ -11,6 +11,8 @@
 
 /* New connections that wait to be accepted. */
 #define LISTEN_BACKLOG 1024
+/* Between two looks for lanes whose endpoint is gone for long. */
+#define EXPIRE_MS 1000
 
 enum result
 relay_init (struct relay *relay,
@@ -56,8 +58,6 @@
   return relay->listener != NULL ? RESULT_OK : RESULT_INVALID;
 }
 
-static void
-stop_listening (struct relay *relay)
 /*
  * Connections that the system has accepted for the listener would be reset with
  * it, perhaps with a whole request: they are taken first.
@@ -73,6 +73,8 @@
     relay_caller_accept (relay->listener, fd, NULL, 0, relay);
 }
 
+static void
+stop_listening (struct relay *relay)
 {
   if (relay->listener != NULL)
     evconnlistener_free (relay->listener);
@@ -201,6 +203,11 @@
       relay_caller_tick (caller, now_ms);
       caller = next;
     }
+  if (now_ms - relay->expired_ms >= EXPIRE_MS)
+    {
+      relay->expired_ms = now_ms;
+      lanes_expire (&relay->lanes, now_ms);
+    }
   lane = balance_probe (&relay->lanes, relay->endpoints, now_ms);
   if (lane != NULL)
     relay_upstream_probe (relay, lane);
@@ -217,6 +224,8 @@
 relay_close (struct relay *relay)
 {
   relay->closing = true;
+  if (relay->listener != NULL)
+    take_backlog (relay);
   stop_listening (relay);
 }
 
@@ -224,8 +233,6 @@
 relay_in_flight (const struct relay *relay)
 {
   const struct relay_request *request;
-  if (relay->listener != NULL)
-    take_backlog (relay);
   const struct relay_caller *caller;
   unsigned count = 0;
 
--- a/packages/relay/src/upstream.c
+++ b/packages/relay/src/upstream.c
@@ -157,6 +157,36 @@
   balance_note_reached (&upstream->relay->lanes, upstream->lane);
 }
 
+/* What the endpoint says of itself beside its answer. */
+static void
+note_own_word (struct relay_upstream *upstream, const struct http_head *head)
+{
+  struct relay *relay = upstream->relay;
+  struct lane *lane = upstream->lane;
+  const char *leaving = http_head_get (head, relay->names->leaving);
+  int64_t back_off_ms = 0;
+  int64_t now_ms = relay->now_ms;
+
+  if (leaving != NULL && strcmp (leaving, "1") == 0
+      && !balance_is_leaving (lane))
+    {
+      balance_note_leaving (lane, now_ms);
+      LOG_EVENT (LOG_LEVEL_NOTICE, "endpoint-says-leaving",
+                 LOG_STR ("request", upstream->request->id),
+                 LOG_STR ("endpoint", lane->id),
+                 LOG_U64 ("status", head->status));
+    }
+  if (head->status != 503 || !http_retry_after_ms (head, &back_off_ms))
+    return;
+  LOG_EVENT (LOG_LEVEL_NOTICE, "endpoint-backs-off",
+             LOG_STR ("request", upstream->request->id),
+             LOG_STR ("endpoint", lane->id), LOG_INT ("wants_ms", back_off_ms),
+             LOG_INT ("limit_ms", relay->limits.back_off_limit_ms));
+  if (back_off_ms > relay->limits.back_off_limit_ms)
+    back_off_ms = relay->limits.back_off_limit_ms;
+  balance_note_back_off (lane, now_ms + back_off_ms);
+}
+
 static void
 on_head (void *context, const struct http_head *head)
 {
@@ -175,6 +205,7 @@
   upstream->foreign = id != NULL && strcmp (id, request->id) != 0;
   if (upstream->foreign)
     return;
+  note_own_word (upstream, head);
   upstream->head_seen = true;
   upstream->status = head->status;
   upstream->idle_limit_ms = IDLE_MS;
@@ -275,6 +306,7 @@
   bool clean = http_connection_reusable (&upstream->connection)
                && upstream->lane->endpoint != NULL
                && !upstream->lane->endpoint->report.leaving
+               && !balance_is_leaving (upstream->lane)
                && upstream->idle_limit_ms > 0;
 
   if (!clean)
@@ -513,6 +545,7 @@
   if (relay->now_ms - upstream->started_ms >= upstream->idle_limit_ms
       || relay_upstream_is_overdue (upstream)
       || upstream->lane->endpoint == NULL
-      || upstream->lane->endpoint->report.leaving)
+      || upstream->lane->endpoint->report.leaving
+      || balance_is_leaving (upstream->lane))
     relay_upstream_close (upstream);
 }
--- a/packages/relay/tests/relay-fixture.h
+++ b/packages/relay/tests/relay-fixture.h
@@ -38,6 +38,7 @@
   .expected_version = "X-Version",
   .urgency = "X-Urgency",
   .not_run = "X-Not-Run",
+  .leaving = "X-Leaving",
   .endpoint_at_fault = "X-Fault",
   .credential = "Authorization",
   .credential_scheme = "Bearer",
@@ -352,7 +353,7 @@
 {
   const double retries = c->no_retries ? 0 : 100;
   const struct relay_limits limits
-      = { 5000, 5000, c->no_retries ? 0 : 1, retries, 10000 };
+      = { 5000, 5000, c->no_retries ? 0 : 1, retries, 10000, 60000 };
   const struct http_limits http = { 65536, 65536 };
 
   memset (&test, 0, sizeof test);
--- a/packages/relay/tests/t0851-endpoint-trouble.c
+++ b/packages/relay/tests/t0851-endpoint-trouble.c
@@ -9,7 +9,7 @@
 
 /*
  * Endpoints in trouble: bytes without end, streams that stand still or are only
- * slow, and late second answers.
+ * slow, late second answers, and what endpoints say of themselves.
  */
 
 /* No endpoint may make the relay hold more than this for it. */
@@ -399,6 +399,218 @@
     }
 }
 
+#define SAYS_LEAVING                                                           \
+  "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Leaving: 1\r\nContent-Length: 2\r\n\r\nok"
+#define NOT_RUN_LEAVING                                                        \
+  "HTTP/1.1 503 Busy\r\nX-Id: r1\r\nX-Not-Run: 1\r\nX-Leaving: "               \
+  "1\r\nContent-Length: 0\r\n\r\n"
+#define STREAM_LEAVING                                                         \
+  "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Leaving: 1\r\nTransfer-Encoding: "         \
+  "chunked\r\n\r\n" CHUNK ("1") "0\r\n\r\n"
+
+/* What happens to the endpoints' entries between the answer and a request. */
+enum change
+{
+  CHANGE_NONE,
+  CHANGE_REPEATED, /* its entry comes anew, of the same life */
+  CHANGE_RETURNED, /* the entry is gone and comes back */
+  CHANGE_REBORN,   /* it starts again under its id */
+};
+
+static const struct
+{
+  const char *guards;
+  enum catalog_kind kind;
+  struct answer answers[SENDS];
+  enum change change;
+  unsigned first_sends;
+  unsigned status; /* of a request after both endpoints said so */
+} leavings[] = {
+  { "an endpoint that said so gets more",
+    CATALOG_SAFE,
+    { { SAYS_LEAVING } },
+    CHANGE_NONE,
+    1,
+    503 },
+  { "a stream's head does not count",
+    CATALOG_STREAM,
+    { { STREAM_LEAVING } },
+    CHANGE_NONE,
+    1,
+    503 },
+  { "a refusal does not count",
+    CATALOG_SAFE,
+    { { NOT_RUN_LEAVING }, { SAYS_LEAVING } },
+    CHANGE_NONE,
+    2,
+    503 },
+  { "an entry goes before the endpoint's word",
+    CATALOG_SAFE,
+    { { SAYS_LEAVING } },
+    CHANGE_REPEATED,
+    1,
+    503 },
+  { "an entry that returns does",
+    CATALOG_SAFE,
+    { { SAYS_LEAVING } },
+    CHANGE_RETURNED,
+    1,
+    503 },
+  { "a new life answers for the former one",
+    CATALOG_SAFE,
+    { { SAYS_LEAVING } },
+    CHANGE_REBORN,
+    1,
+    200 },
+  { "another value counts",
+    CATALOG_SAFE,
+    { { "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Leaving: 0\r\nContent-Length: "
+        "2\r\n\r\nok" } },
+    CHANGE_NONE,
+    1,
+    200 },
+};
+
+static void
+change_entry (const char *id, enum change change)
+{
+  const struct endpoint *endpoint = endpoints_find (&test.endpoints, id);
+  struct endpoint_report report = endpoint->report;
+  int64_t now_ms = time_boot_ms ();
+
+  if (change == CHANGE_NONE)
+    return;
+  if (change == CHANGE_RETURNED)
+    {
+      endpoints_delete (&test.endpoints, id, 2, now_ms);
+      endpoints_tick (&test.endpoints, now_ms + 1);
+      relay_tick (&test.relay, now_ms + 2000);
+    }
+  if (change == CHANGE_REBORN)
+    report.started_ms++;
+  endpoints_report (&test.endpoints, id, &report, 3, now_ms);
+}
+
+static void
+test_leaving (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof leavings / sizeof leavings[0]; i++)
+    {
+      struct relay_case c = { .guards = leavings[i].guards,
+                              .kind = leavings[i].kind,
+                              .resumable = true,
+                              .attempts = 2,
+                              .request = PLAIN,
+                              .status = 200,
+                              .sends = leavings[i].first_sends };
+      unsigned sends = leavings[i].first_sends;
+
+      memcpy (c.answers, leavings[i].answers, sizeof c.answers);
+      setup (&c);
+      if (sends == 1)
+        {
+          endpoints_delete (&test.endpoints, "e1", 1, 1);
+          endpoints_tick (&test.endpoints, 1);
+        }
+      run_until_answered ();
+      check (&c);
+      change_entry ("e0", leavings[i].change);
+      c.request = PLAIN_2;
+      c.answers[sends] = (struct answer){ GOOD_2 };
+      c.status = leavings[i].status;
+      c.sends = sends + (c.status == 200);
+      ask_again (&c);
+      check (&c);
+      teardown ();
+    }
+}
+
+#define BUSY(fields)                                                           \
+  "HTTP/1.1 503 Busy\r\nX-Id: r1\r\nX-Not-Run: 1\r\n" fields                   \
+  "Content-Length: 0\r\n\r\n"
+
+/* Forms of Retry-After, and when the endpoint gets a request again. */
+static const struct
+{
+  const char *guards;
+  const char *answer;
+  enum change change;
+  int64_t least_ms; /* until it may get one; 0 = it asked for nothing */
+  int64_t most_ms;
+} back_offs[] = {
+  { "seconds", BUSY ("Retry-After: 30\r\n"), CHANGE_NONE, 29000, 30000 },
+  { "a fraction", BUSY ("Retry-After: 20.5\r\n"), CHANGE_NONE, 20000, 20500 },
+  { "the limit", BUSY ("Retry-After: 99999999999999999999\r\n"), CHANGE_NONE,
+    59000, 60000 },
+  { "a date",
+    BUSY ("Date: Fri, 04 Dec 2026 10:00:00 GMT\r\n"
+          "Retry-After: Fri, 04 Dec 2026 10:00:30 GMT\r\n"),
+    CHANGE_NONE, 29000, 30000 },
+  { "a date without the response's own",
+    BUSY ("Retry-After: Fri, 04 Dec 2026 10:00:30 GMT\r\n"), CHANGE_NONE, 0,
+    0 },
+  { "a date in the past",
+    BUSY ("Date: Fri, 04 Dec 2026 10:00:00 GMT\r\n"
+          "Retry-After: Fri, 04 Dec 2026 09:00:30 GMT\r\n"),
+    CHANGE_NONE, 0, 0 },
+  { "none", BUSY (""), CHANGE_NONE, 0, 0 },
+  { "zero", BUSY ("Retry-After: 0\r\n"), CHANGE_NONE, 0, 0 },
+  { "an empty one", BUSY ("Retry-After:\r\n"), CHANGE_NONE, 0, 0 },
+  { "a negative one", BUSY ("Retry-After: -3\r\n"), CHANGE_NONE, 0, 0 },
+  { "words", BUSY ("Retry-After: 3 soon\r\n"), CHANGE_NONE, 0, 0 },
+  { "no number", BUSY ("Retry-After: nan\r\n"), CHANGE_NONE, 0, 0 },
+  { "a new entry", BUSY ("Retry-After: 30\r\n"), CHANGE_REPEATED, 29000,
+    30000 },
+  { "an entry that returns", BUSY ("Retry-After: 30\r\n"), CHANGE_RETURNED,
+    29000, 30000 },
+  { "a new life", BUSY ("Retry-After: 30\r\n"), CHANGE_REBORN, 0, 0 },
+};
+
+static void
+test_back_off (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof back_offs / sizeof back_offs[0]; i++)
+    {
+      struct relay_case c = { .guards = back_offs[i].guards,
+                              .kind = CATALOG_UNSAFE,
+                              .attempts = 1,
+                              .request = PLAIN,
+                              .answers = { { back_offs[i].answer } },
+                              .status = 503,
+                              .sends = 1 };
+      struct lane *lane;
+
+      setup (&c);
+      endpoints_delete (&test.endpoints, "e1", 1, 1);
+      endpoints_tick (&test.endpoints, 1);
+      run_until_answered ();
+      check (&c);
+      change_entry ("e0", back_offs[i].change);
+      /* What is remembered of a refusal besides is over sooner. */
+      lane = lanes_get (&test.relay.lanes,
+                        endpoints_find (&test.endpoints, "e0"));
+      lane->avoid_ms = 0;
+      c.request = PLAIN_2;
+      c.answers[1] = (struct answer){ GOOD_2 };
+      c.status = back_offs[i].least_ms > 0 ? 503 : 200;
+      c.sends = back_offs[i].least_ms > 0 ? 1 : 2;
+      ask_again (&c);
+      check (&c);
+      /* The caller is told when the endpoint may be asked again. */
+      if (back_offs[i].least_ms > 0
+          && (test.retry_after_s * 1000 < (double)back_offs[i].least_ms
+              || test.retry_after_s * 1000
+                     > (double)back_offs[i].most_ms + 1000))
+        fail_msg ("%s: told %.3f s", c.guards, test.retry_after_s);
+      if (lane->back_off_ms - time_boot_ms () > back_offs[i].most_ms)
+        fail_msg ("%s: %d ms", c.guards,
+                  (int)(lane->back_off_ms - time_boot_ms ()));
+      teardown ();
+    }
+}
+
 int
 main (void)
 {
@@ -409,6 +621,8 @@
     cmocka_unit_test (test_slow_stream),
     cmocka_unit_test (test_second_answers),
     cmocka_unit_test (test_bytes_at_rest),
+    cmocka_unit_test (test_leaving),
+    cmocka_unit_test (test_back_off),
   };
 
   signal (SIGPIPE, SIG_IGN);
