records: read the pages of a list without a pause

A list came page by page at the pace of watches, 200 ms apart, and a page holds 50 entries there: a host that starts knew the 1,100 endpoints after 4.4 s. At 54 endpoints nobody noticed.

Change: the next page is asked for as soon as one has arrived. Pages need no pause: nothing gathers between them.

--- a/packages/records/src/follower.c
+++ b/packages/records/src/follower.c
@@ -75,7 +75,9 @@
 }
 
 static void
-take_list (struct follower *follower, const struct records_answer *answer)
+take_list (struct follower *follower,
+           const struct records_answer *answer,
+           int64_t now_ms)
 {
   if (follower->after[0] == '\0')
     {
@@ -89,6 +91,8 @@
     {
       snprintf (follower->after, sizeof follower->after, "%s",
                 answer->list[answer->count - 1].name);
+      /* Nothing gathers between two pages, and without all nothing is known. */
+      follower->next_ms = now_ms;
       return;
     }
   follower->after[0] = '\0';
@@ -130,9 +134,11 @@
     {
       note_success (follower, now_ms);
       if (follower->state == FOLLOWER_LISTING)
-        take_list (follower, answer);
+        take_list (follower, answer, now_ms);
       else
         take_changes (follower, answer, now_ms);
+      if (follower->after[0] != '\0')
+        follower_tick (follower, now_ms);
       return;
     }
   if (answer->result == RESULT_PLATFORM_HISTORY_GONE)
--- a/packages/records/tests/t0480-follower.c
+++ b/packages/records/tests/t0480-follower.c
@@ -292,6 +292,30 @@
   teardown ();
 }
 
+/*
+ * 1,100 endpoints take 22 pages.  With the pace of watches between them a host
+ * that starts would know the endpoints after 4 s.
+ */
+static void
+test_pages_are_not_paced (void **state)
+{
+  static const char *const answers[]
+      = { "200 {\"at\":5,\"names\":[\"a\"],\"more\":true}",
+          "200 {\"at\":5,\"names\":[\"b\"],\"more\":true}",
+          "200 {\"at\":6,\"names\":[\"c\"]}", NULL };
+
+  (void)state;
+  setup (answers);
+  test.follower.pace_ms = 100 * WAIT_MS;
+  run_until_calls (3);
+  while (!test.follower.listed)
+    event_base_loop (test.server.base, EVLOOP_ONCE);
+  assert_string_equal (test.log, "begin a b c end ");
+  assert_string_equal (test.targets[2], "/list/0");
+  assert_int_equal (test.follower.revision, 5);
+  teardown ();
+}
+
 /*
  * An answer with changes proves nothing after the moment it was asked for; one
  * without proves that nothing changed until the wait was over.
@@ -335,9 +359,8 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_cases),
-    cmocka_unit_test (test_relist_during_watch),
-    cmocka_unit_test (test_pages),
+    cmocka_unit_test (test_cases), cmocka_unit_test (test_relist_during_watch),
+    cmocka_unit_test (test_pages), cmocka_unit_test (test_pages_are_not_paced),
     cmocka_unit_test (test_proof),
   };
 
