edge: give a hub's successor time, and a restarted hub the loads first

Within 75 ms after the hosts had found it silent they found its successor silent too, which had never had a reason to talk to them, and so on: each host took another one for its hub, seven read the platform themselves. Then the first hub was back after 0.5 s; its totals, which held hardly any load, silenced the successor, while most hosts held it for dead and heard neither.

Change: a host that becomes the first hub has half a second of its own.

--- a/packages/edge/src/mesh-load.c
+++ b/packages/edge/src/mesh-load.c
@@ -24,6 +24,8 @@
 #define ALONE_MS 1200
 /* A hub that fell silent is not chosen again for this long. */
 #define HUB_DEAD_MS 2000
+/* Hosts greet each other more often than this. */
+#define HEARD_LATELY_MS 4000
 /* Entries of all hosts that one sum is made from. */
 #define MERGE_LIMIT 16384
 
@@ -358,12 +360,17 @@
     }
 }
 
-/* Hosts of this data centre that told their load lately. */
+/*
+ * Hosts of this data centre that were heard lately, also those that told their
+ * load to another hub: a hub that is back shows itself to them by this.
+ */
 static bool
 is_own_host (const struct mesh *mesh, const struct mesh_host *host)
 {
   return same_data_centre (&host->self, &mesh->self)
-         && is_fresh (mesh, host->loads);
+         && (is_fresh (mesh, host->loads)
+             || (host->heard_ms != 0
+                 && mesh->now_ms - host->heard_ms < HEARD_LATELY_MS));
 }
 
 /* The first candidates of each data centre. */
@@ -414,9 +421,17 @@
 {
   struct mesh_host *hub = mesh_hub (mesh, 0);
 
+  if (hub != mesh->first_hub)
+    {
+      mesh->first_hub = hub;
+      mesh->first_hub_ms = mesh->now_ms;
+    }
   if (hears_totals (mesh) || hub == NULL
       || !goes_before (&hub->self, &mesh->self))
     return;
+  /* A successor has the same time to show itself as its predecessor had. */
+  if (mesh->now_ms - mesh->first_hub_ms < HUB_SILENT_MS)
+    return;
   if (hub->heard_ms != 0 && mesh->now_ms - hub->heard_ms < HUB_SILENT_MS)
     return;
   hub->dead_ms = mesh->now_ms + HUB_DEAD_MS;
@@ -424,6 +439,18 @@
              LOG_INT ("heard_ms_ago", mesh->now_ms - hub->heard_ms));
 }
 
+/*
+ * The second hub waits until the first one falls silent.  A first hub that has
+ * just started leaves the totals to another one until the hosts have told it
+ * their loads.
+ */
+static bool
+must_act (const struct mesh *mesh)
+{
+  return !hears_totals (mesh)
+         || (rank_of (mesh, &mesh->self) == 0 && mesh_is_settled (mesh));
+}
+
 void
 mesh_exchange_loads (struct mesh *mesh,
                      void (*collect) (void *context, struct mesh_loads *own),
@@ -435,8 +462,7 @@
   collect (context, &mesh->own);
   mesh->own.hosts = 1;
   send_loads (mesh, GOSSIP_LOAD, &mesh->own, is_own_hub);
-  /* The second hub waits until the first one falls silent. */
-  if (rank_of (mesh, &mesh->self) == 0 || !hears_totals (mesh))
+  if (must_act (mesh))
     act_as_hub (mesh);
   check_hub (mesh);
 }
--- a/packages/edge/tests/t0964-load-age.c
+++ b/packages/edge/tests/t0964-load-age.c
@@ -51,10 +51,89 @@
     }
 }
 
+#define START_MS 100000
+
+static struct mesh_host *
+add_host (struct mesh *mesh, const char *name, uint32_t capacity)
+{
+  struct mesh_host *host = calloc (1, sizeof *host);
+
+  assert_non_null (host);
+  snprintf (host->self.name, sizeof host->self.name, "%s", name);
+  host->self.capacity = capacity;
+  host->heard_ms = START_MS - 20000;
+  HASH_ADD (hh, mesh->hosts, self.name, strlen (host->self.name), host);
+  return host;
+}
+
+static void
+no_loads (void *context, struct mesh_loads *own)
+{
+  (void)context;
+  own->count = 0;
+}
+
+static void
+take_loads (void *context, const struct gossip_load *list, unsigned count)
+{
+  (void)context;
+  (void)list;
+  (void)count;
+}
+
+/*
+ * The first hub dies.  The second one, which told this host nothing so far,
+ * has its own time to take over before a third one is asked: else each host of
+ * a large data centre takes another one for its hub, and all of them read the
+ * platform.
+ */
+static void
+test_succession (void **state)
+{
+  static const struct
+  {
+    int64_t silent_ms; /* since the last total */
+    const char *hub;
+  } moments[] = {
+    { 400, "a" }, { 600, "b" }, { 700, "b" }, { 900, "b" }, { 1150, "c" }
+  };
+  struct mesh *mesh = calloc (1, sizeof *mesh);
+  size_t next = 0;
+
+  (void)state;
+  assert_non_null (mesh);
+  mesh->socket = -1;
+  mesh->hooks.loads = take_loads;
+  mesh->started_ms = START_MS - 20000;
+  mesh->hello_ms = INT64_MAX;
+  snprintf (mesh->self.name, sizeof mesh->self.name, "z");
+  add_host (mesh, "a", 500)->heard_ms = START_MS;
+  add_host (mesh, "b", 500);
+  add_host (mesh, "c", 500);
+  add_host (mesh, "d", 500);
+  mesh->total_ms = START_MS;
+  for (int64_t silent_ms = 0; next < sizeof moments / sizeof moments[0];
+       silent_ms += 25)
+    {
+      mesh_tick (mesh, false, no_loads, NULL, START_MS + silent_ms);
+      if (silent_ms < moments[next].silent_ms)
+        continue;
+      if (strcmp (mesh_hub (mesh, 0)->self.name, moments[next].hub) != 0)
+        fail_msg ("after %d ms: %s", (int)silent_ms,
+                  mesh_hub (mesh, 0)->self.name);
+      next++;
+    }
+  mesh_finish (mesh);
+  free (mesh);
+}
+
 int
 main (void)
 {
-  const struct CMUnitTest tests[] = { cmocka_unit_test (test_age) };
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_age),
+    cmocka_unit_test (test_succession),
+  };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
