edge: drop heads of groups that are none any more

A hub tells what changed since a revision. One that has restarted lists the entries as they are, and cannot say which heads ceased to be heads before: hosts kept routing to them, for 1.5 s and more, and listed all endpoints then, 22 calls each; the list was given up after one tick, since the reason for it had been cleared. Besides, one change in a large data centre went out as 100 datagrams, of which a third was lost on small links: members of groups, which nobody routes to, among them.

Ruled out: telling all heads anew (79 datagrams, 52 to 60 arrived); the pace of the hub's watch.

Change: a host whose entries differ for 0.25 s asks for the list of what is routed to, hashes in one datagram, and drops what is not in it. Hosts that rely on a hub keep only what is routed to. A list that was begun is read to its end, and begun 0.5 s before a change is to be in force. An age that does not fit its field counts as never proven. Two new kinds of messages; others are unchanged.

--- a/packages/catalog/include/endpoints.h
+++ b/packages/catalog/include/endpoints.h
@@ -118,6 +118,7 @@
 
 /* True if requests go there, or went there until it began to leave. */
 bool endpoint_is_routed (const struct endpoint *endpoint);
+bool endpoint_report_is_routed (const struct endpoint_report *report);
 
 bool endpoint_has_staged (const struct endpoint *endpoint, const char *model);
 
--- a/packages/catalog/src/endpoints.c
+++ b/packages/catalog/src/endpoints.c
@@ -36,8 +36,12 @@
 bool
 endpoint_is_routed (const struct endpoint *endpoint)
 {
-  const struct endpoint_report *report = &endpoint->report;
+  return endpoint_report_is_routed (&endpoint->report);
+}
 
+bool
+endpoint_report_is_routed (const struct endpoint_report *report)
+{
   /* Endpoints that form groups have a fabric domain. */
   if (report->domain[0] == '\0')
     return true;
--- a/packages/edge/include/edge.h
+++ b/packages/edge/include/edge.h
@@ -54,6 +54,7 @@
   struct handover handover;
   unsigned most_hosts; /* entry hosts known at once */
   bool direct;         /* reads the platform itself, for others too */
+  bool relisting;      /* reads all entries, since they differ from a hub's */
   bool knows_all;      /* all endpoints, not only those that are routed to */
   bool ready;          /* as last told in the log */
   bool fetching;       /* a read of the configuration is under way */
--- a/packages/edge/include/gossip.h
+++ b/packages/edge/include/gossip.h
@@ -20,20 +20,23 @@
 #define GOSSIP_LOADS 40   /* entries of one message */
 #define GOSSIP_HOSTS 12
 #define GOSSIP_PATCH_BYTES 1024 /* of a patch in one message */
+#define GOSSIP_ROUTED_COUNT 120 /* endpoints in one message */
 #define GOSSIP_NEVER_MS UINT32_MAX
 
 enum gossip_kind
 {
-  GOSSIP_LOAD = 1, /* what the sender runs */
-  GOSSIP_SUM,      /* what the hosts of its data centre run */
-  GOSSIP_TOTAL,    /* what all hosts run */
-  GOSSIP_HELLO,    /* the sender wants to know the hosts */
-  GOSSIP_KNOWN,    /* hosts that the sender knows */
-  GOSSIP_ASK,      /* how current is what the receiver knows? */
-  GOSSIP_VOUCH,    /* the answer */
-  GOSSIP_REPORT,   /* an endpoint's entry on the platform */
-  GOSSIP_DELETED,  /* such an entry is gone */
-  GOSSIP_PATCH,    /* a piece of a newer configuration, see handover.h */
+  GOSSIP_LOAD = 1,   /* what the sender runs */
+  GOSSIP_SUM,        /* what the hosts of its data centre run */
+  GOSSIP_TOTAL,      /* what all hosts run */
+  GOSSIP_HELLO,      /* the sender wants to know the hosts */
+  GOSSIP_KNOWN,      /* hosts that the sender knows */
+  GOSSIP_ASK,        /* how current is what the receiver knows? */
+  GOSSIP_VOUCH,      /* the answer */
+  GOSSIP_REPORT,     /* an endpoint's entry on the platform */
+  GOSSIP_DELETED,    /* such an entry is gone */
+  GOSSIP_PATCH,      /* a piece of a newer configuration, see handover.h */
+  GOSSIP_ASK_ROUTED, /* an ASK for the endpoints that are routed to */
+  GOSSIP_ROUTED,     /* the answer, see routed.h */
 };
 
 struct gossip_load
@@ -106,6 +109,17 @@
   char bytes[GOSSIP_PATCH_BYTES];
 };
 
+/* Endpoints that are routed to, from first on, of total. */
+struct gossip_routed
+{
+  uint64_t nonce;    /* of the question */
+  uint64_t revision; /* up to which the sender knows the entries */
+  uint32_t total;
+  uint32_t first;
+  uint32_t count;
+  uint64_t list[GOSSIP_ROUTED_COUNT]; /* hash_string of their ids */
+};
+
 struct gossip_report
 {
   char endpoint[CATALOG_NAME_SIZE];
@@ -128,6 +142,7 @@
     struct gossip_vouch vouch;
     struct gossip_report report;
     struct gossip_patch patch;
+    struct gossip_routed routed;
   } body;
 };
 
--- a/packages/edge/include/vouch.h
+++ b/packages/edge/include/vouch.h
@@ -3,6 +3,7 @@
 
 #include "endpoints.h"
 #include "mesh.h"
+#include "routed.h"
 
 #include <stdbool.h>
 #include <stdint.h>
@@ -17,7 +18,8 @@
  * newer than that.
  */
 
-#define VOUCH_TOMBSTONES 128
+/* Endpoints that are gone at once: two lost data centres of 219. */
+#define VOUCH_TOMBSTONES 512
 
 struct vouch_knowledge
 {
@@ -63,9 +65,12 @@
   int64_t newest;     /* configuration that a hub has */
   bool patched;       /* and says to have sent, as a patch */
   int64_t behind_ms; /* since when this host has an older one; 0 = it has not */
+  bool relies;       /* lists nothing itself */
   bool synced;       /* the entries were the same as a hub's once */
   uint64_t revision; /* of the entries then */
+  int64_t compare_ms; /* the endpoints may be compared again from then on */
   int64_t differs_ms; /* since when they differ; 0 = they do not */
+  struct routed routed;
   int64_t now_ms;
 };
 
@@ -80,8 +85,11 @@
  */
 void vouch_bury (struct vouch *vouch, const char *endpoint, uint64_t revision);
 
-/* asks: this host relies on its hub. */
-void vouch_tick (struct vouch *vouch, bool asks, int64_t now_ms);
+/*
+ * asks: this host relies on its hub.  compares: it lists nothing itself, so
+ * that what its hub does not route to may be dropped.
+ */
+void vouch_tick (struct vouch *vouch, bool asks, bool compares, int64_t now_ms);
 void vouch_take (struct vouch *vouch,
                  struct mesh_host *from,
                  const struct gossip_message *message,
--- a/packages/edge/src/edge.c
+++ b/packages/edge/src/edge.c
@@ -139,10 +139,12 @@
 {
   struct edge *edge = context;
 
-  vouch_bury (&edge->vouch, endpoint->id,
-              endpoint->deleted_revision > edge->entries.revision
-                  ? endpoint->deleted_revision
-                  : edge->entries.revision);
+  /* Hosts that rely on this one know nothing else. */
+  if (endpoint->routed_revision != 0)
+    vouch_bury (&edge->vouch, endpoint->id,
+                endpoint->deleted_revision > edge->entries.revision
+                    ? endpoint->deleted_revision
+                    : edge->entries.revision);
   relay_endpoint_removed (&edge->relay, endpoint);
 }
 
@@ -261,6 +263,7 @@
              LOG_U64 ("in_flight", relay_in_flight (&edge->relay)));
   leader_finish (&edge->leader);
   mesh_finish (&edge->mesh);
+  vouch_finish (&edge->vouch);
   records_finish (&edge->records);
   relay_finish (&edge->relay);
   handover_finish (&edge->handover);
--- a/packages/edge/src/follow.c
+++ b/packages/edge/src/follow.c
@@ -23,8 +23,11 @@
 #define PROOF_MARGIN_MS 400
 /* A new host waits this long for a hub to bring it up to date. */
 #define START_MS 1500
-/* Entries that differ from a hub's for this long are read anew. */
-#define DIFFERS_LIMIT_MS 1500
+/*
+ * Entries that differ from a hub's are read anew this long before a change is
+ * to be in force; a list takes up to 0.2 s.
+ */
+#define DIFFERS_MARGIN_MS 500
 /*
  * While the platform is away readers try it this often.  The others learn of
  * its return from them, and try it themselves only now and then.
@@ -192,6 +195,7 @@
 
   endpoints_relist_end (&edge->endpoints, edge->entries.revision, edge->now_ms);
   edge->knows_all = edge->direct;
+  edge->relisting = false;
 }
 
 static void
@@ -293,6 +297,14 @@
              && edge->entries.state == FOLLOWER_WATCHING);
 }
 
+static bool
+has_to_list (const struct edge *edge)
+{
+  return edge->vouch.differs_ms != 0
+         && edge->now_ms - edge->vouch.differs_ms
+                > edge->settings.endpoints_leave_ms - DIFFERS_MARGIN_MS;
+}
+
 /* Whether this host has to read the platform itself. */
 static bool
 must_be_direct (const struct edge *edge)
@@ -304,7 +316,8 @@
     return true;
   if (!mesh_is_settled (&edge->mesh))
     return false;
-  if (mesh_is_reader (&edge->mesh)
+  /* A list that was begun since entries differ is read to its end. */
+  if (mesh_is_reader (&edge->mesh) || edge->relisting
       || edge->now_ms - vouch->relied_ms < RELIED_MS)
     return true;
   if (edge->now_ms - edge->mesh.started_ms < START_MS)
@@ -313,8 +326,7 @@
              > settings->configuration_in_force_ms - PROOF_MARGIN_MS
          || edge->now_ms - entries_proof_ms (edge)
                 > settings->endpoints_leave_ms - PROOF_MARGIN_MS
-         || (vouch->differs_ms != 0
-             && edge->now_ms - vouch->differs_ms > DIFFERS_LIMIT_MS);
+         || has_to_list (edge);
 }
 
 static void
@@ -342,10 +354,10 @@
   /* Goes on from where the hub has brought this host. */
   if (edge->vouch.synced && edge->vouch.revision > entries->revision)
     follower_resume (entries, edge->vouch.revision, edge->vouch.entries_ms);
-  if (edge->vouch.differs_ms != 0
-      && edge->now_ms - edge->vouch.differs_ms > DIFFERS_LIMIT_MS)
+  if (has_to_list (edge))
     {
       follower_relist (entries);
+      edge->relisting = true;
       edge->vouch.differs_ms = 0;
     }
 }
@@ -378,6 +390,8 @@
 
   edge->configuration.retry_limit_ms = retry_ms;
   edge->entries.retry_limit_ms = retry_ms;
+  if (edge->entries.failing_since_ms != 0)
+    edge->relisting = false;
   set_direct (edge, must_be_direct (edge));
   read_all (edge);
   if (edge->fetch_ms == 0)
@@ -398,6 +412,7 @@
   vouch_tick (&edge->vouch,
               !edge->direct || edge->configuration.failing_since_ms != 0
                   || edge->entries.failing_since_ms != 0,
+              !edge->direct || edge->entries.failing_since_ms != 0,
               edge->now_ms);
   edge->relay.others_serve = !edge->vouch.hub_blind;
   edge->relay.catalog_proof_ms
--- a/packages/edge/src/gossip.c
+++ b/packages/edge/src/gossip.c
@@ -178,6 +178,23 @@
          && xdr_bytes (xdr, &bytes, &patch->count, sizeof patch->bytes);
 }
 
+static bool
+code_routed (XDR *xdr, struct gossip_routed *routed)
+{
+  if (!xdr_uint64_t (xdr, &routed->nonce)
+      || !xdr_uint64_t (xdr, &routed->revision)
+      || !xdr_uint32_t (xdr, &routed->total)
+      || !xdr_uint32_t (xdr, &routed->first)
+      || !code_count (xdr, &routed->count, GOSSIP_ROUTED_COUNT)
+      || routed->first > routed->total
+      || routed->count > routed->total - routed->first)
+    return false;
+  for (unsigned i = 0; i < routed->count; i++)
+    if (!xdr_uint64_t (xdr, &routed->list[i]))
+      return false;
+  return true;
+}
+
 static bool
 code_body (XDR *xdr, struct gossip_message *message)
 {
@@ -191,6 +208,7 @@
     case GOSSIP_KNOWN:
       return code_hosts (xdr, &message->body.hosts);
     case GOSSIP_ASK:
+    case GOSSIP_ASK_ROUTED:
       return code_ask (xdr, &message->body.ask);
     case GOSSIP_VOUCH:
       return code_vouch (xdr, &message->body.vouch);
@@ -200,6 +218,8 @@
                           message->kind == GOSSIP_REPORT);
     case GOSSIP_PATCH:
       return code_patch (xdr, &message->body.patch);
+    case GOSSIP_ROUTED:
+      return code_routed (xdr, &message->body.routed);
     }
   return false;
 }
@@ -215,7 +235,7 @@
       || !xdr_uint64_t (xdr, &message->boot)
       || !xdr_uint32_t (xdr, &message->sequence)
       || !code_flag (xdr, &message->traffic) || kind < GOSSIP_LOAD
-      || kind > GOSSIP_PATCH)
+      || kind > GOSSIP_ROUTED)
     return false;
   message->kind = (enum gossip_kind)kind;
   return code_body (xdr, message);
--- a/packages/edge/src/mesh.c
+++ b/packages/edge/src/mesh.c
@@ -231,6 +231,8 @@
     case GOSSIP_REPORT:
     case GOSSIP_DELETED:
     case GOSSIP_PATCH:
+    case GOSSIP_ASK_ROUTED:
+    case GOSSIP_ROUTED:
       mesh->hooks.message (mesh->hooks.context, host, message);
       break;
     }
--- a/packages/edge/src/vouch.c
+++ b/packages/edge/src/vouch.c
@@ -15,6 +15,12 @@
 #define AGE_LIMIT_MS 1000
 /* The first hub is tried again after this time. */
 #define CHOICE_MS 4000
+/*
+ * If entries differ from the hub's for this long, the endpoints that are routed
+ * to are compared: a hub that restarted cannot say what changed before.
+ */
+#define COMPARE_MS 250
+#define COMPARE_PACE_MS 300
 /* Sooner after an answer that did not bring both to the same state. */
 #define ASK_AGAIN_MS 100
 
@@ -34,6 +40,12 @@
   vouch->hub_blind = true;
 }
 
+void
+vouch_finish (struct vouch *vouch)
+{
+  routed_finish (&vouch->routed);
+}
+
 void
 vouch_bury (struct vouch *vouch, const char *endpoint, uint64_t revision)
 {
@@ -79,6 +91,17 @@
   send_report (vouch, NULL, endpoint);
 }
 
+/* An age in a message; what was never proven is older than all limits. */
+static uint32_t
+age_of (int64_t proof_ms, int64_t now_ms)
+{
+  int64_t age_ms = now_ms - proof_ms;
+
+  if (age_ms < 0)
+    return 0;
+  return age_ms < GOSSIP_NEVER_MS ? (uint32_t)age_ms : GOSSIP_NEVER_MS;
+}
+
 /* What changed since the asker's revision, then how current that is. */
 static void
 answer (struct vouch *vouch, struct mesh_host *to, const struct gossip_ask *ask)
@@ -124,14 +147,37 @@
     .nonce = nonce,
     .patched = patched,
     .configuration = vouch->hooks.configuration (vouch->hooks.context),
-    .configuration_age_ms = (uint32_t)(vouch->now_ms - own.configuration_ms),
-    .entries_age_ms = (uint32_t)(vouch->now_ms - own.entries_ms),
+    .configuration_age_ms = age_of (own.configuration_ms, vouch->now_ms),
+    .entries_age_ms = age_of (own.entries_ms, vouch->now_ms),
     .revision = own.revision,
     .digest = vouch->endpoints->digest,
   };
   mesh_send (vouch->mesh, to, message);
 }
 
+/* Which endpoints are routed to, as far as this host knows them all. */
+static void
+tell_routed (struct vouch *vouch,
+             struct mesh_host *to,
+             const struct gossip_ask *ask)
+{
+  struct gossip_message *message = &vouch->mesh->message;
+  struct gossip_routed *piece = &message->body.routed;
+  uint64_t nonce = ask->nonce;
+  struct vouch_knowledge own;
+
+  if (!vouch->hooks.own (vouch->hooks.context, &own))
+    return;
+  for (uint32_t first = 0;
+       routed_piece (vouch->endpoints, first, own.revision, piece);
+       first += GOSSIP_ROUTED_COUNT)
+    {
+      message->kind = GOSSIP_ROUTED;
+      piece->nonce = nonce;
+      mesh_send (vouch->mesh, to, message);
+    }
+}
+
 static void
 next_hub (struct vouch *vouch)
 {
@@ -139,6 +185,20 @@
   vouch->chosen_ms = vouch->now_ms;
 }
 
+/* The hub has the same entries. */
+static void
+note_synced (struct vouch *vouch, const struct gossip_vouch *said)
+{
+  int64_t entries_ms = vouch->asked_ms - (int64_t)said->entries_age_ms;
+
+  vouch->synced = true;
+  if (entries_ms > vouch->entries_ms)
+    vouch->entries_ms = entries_ms;
+  vouch->differs_ms = 0;
+  if (said->revision > vouch->revision)
+    vouch->revision = said->revision;
+}
+
 static void
 take_vouch (struct vouch *vouch, const struct gossip_vouch *said)
 {
@@ -173,14 +233,7 @@
     vouch->proof_ms = proof_ms;
   if (said->digest == vouch->endpoints->digest)
     {
-      int64_t entries_ms = vouch->asked_ms - (int64_t)said->entries_age_ms;
-
-      vouch->synced = true;
-      if (entries_ms > vouch->entries_ms)
-        vouch->entries_ms = entries_ms;
-      vouch->differs_ms = 0;
-      if (said->revision > vouch->revision)
-        vouch->revision = said->revision;
+      note_synced (vouch, said);
       return;
     }
   if (vouch->differs_ms == 0)
@@ -188,6 +241,24 @@
   vouch->ask_ms = vouch->now_ms + ASK_AGAIN_MS;
 }
 
+/*
+ * A host that relies on its hub keeps only what is routed to; it lists all when
+ * it has to know the rest.
+ */
+static void
+take_report (struct vouch *vouch, const struct gossip_report *report)
+{
+  bool known = endpoints_find (vouch->endpoints, report->endpoint) != NULL;
+
+  if (vouch->relies && !endpoint_report_is_routed (&report->report))
+    endpoints_delete (vouch->endpoints, report->endpoint, report->revision,
+                      vouch->now_ms);
+  /* A report may arrive after the endpoint is gone. */
+  else if (known || !is_buried (vouch, report->endpoint, report->revision))
+    endpoints_report (vouch->endpoints, report->endpoint, &report->report,
+                      report->revision, vouch->now_ms);
+}
+
 void
 vouch_take (struct vouch *vouch,
             struct mesh_host *from,
@@ -206,11 +277,15 @@
       take_vouch (vouch, &message->body.vouch);
       break;
     case GOSSIP_REPORT:
-      /* A report may arrive after the endpoint is gone. */
-      if (endpoints_find (vouch->endpoints, report->endpoint) != NULL
-          || !is_buried (vouch, report->endpoint, report->revision))
-        endpoints_report (vouch->endpoints, report->endpoint, &report->report,
-                          report->revision, now_ms);
+      take_report (vouch, report);
+      break;
+    case GOSSIP_ASK_ROUTED:
+      tell_routed (vouch, from, &message->body.ask);
+      break;
+    case GOSSIP_ROUTED:
+      if ((int64_t)message->body.routed.nonce == vouch->asked_ms
+          && routed_take (&vouch->routed, &message->body.routed))
+        routed_prune (&vouch->routed, vouch->endpoints, now_ms);
       break;
     case GOSSIP_DELETED:
       endpoints_delete (vouch->endpoints, report->endpoint, report->revision,
@@ -221,13 +296,22 @@
     }
 }
 
+static bool
+must_compare (const struct vouch *vouch)
+{
+  return vouch->differs_ms != 0
+         && vouch->now_ms - vouch->differs_ms >= COMPARE_MS
+         && vouch->now_ms >= vouch->compare_ms;
+}
+
 void
-vouch_tick (struct vouch *vouch, bool asks, int64_t now_ms)
+vouch_tick (struct vouch *vouch, bool asks, bool compares, int64_t now_ms)
 {
   struct gossip_message *message = &vouch->mesh->message;
   struct mesh_host *hub;
 
   vouch->now_ms = now_ms;
+  vouch->relies = asks && compares;
   if (!asks || now_ms < vouch->ask_ms)
     return;
   if (vouch->unanswered >= UNANSWERED_LIMIT)
@@ -253,4 +337,10 @@
   message->body.ask.configuration
       = vouch->hooks.configuration (vouch->hooks.context);
   mesh_send (vouch->mesh, hub, message);
+  if (vouch->relies && must_compare (vouch))
+    {
+      vouch->compare_ms = now_ms + COMPARE_PACE_MS;
+      message->kind = GOSSIP_ASK_ROUTED;
+      mesh_send (vouch->mesh, hub, message);
+    }
 }
--- a/packages/edge/tests/t0960-gossip.c
+++ b/packages/edge/tests/t0960-gossip.c
@@ -46,7 +46,14 @@
     case GOSSIP_KNOWN:
       message.body.hosts.known = 40;
       break;
+    case GOSSIP_ROUTED:
+      message.body.routed.total = 1000;
+      message.body.routed.count = GOSSIP_ROUTED_COUNT;
+      for (unsigned i = 0; i < GOSSIP_ROUTED_COUNT; i++)
+        message.body.routed.list[i] = i;
+      break;
     case GOSSIP_ASK:
+    case GOSSIP_ASK_ROUTED:
       message.body.ask.revision = 9;
       break;
     case GOSSIP_VOUCH:
@@ -74,7 +81,7 @@
 test_round_trip (void **state)
 {
   (void)state;
-  for (int kind = GOSSIP_LOAD; kind <= GOSSIP_PATCH; kind++)
+  for (int kind = GOSSIP_LOAD; kind <= GOSSIP_ROUTED; kind++)
     {
       size_t size;
 
@@ -99,7 +106,7 @@
 
   (void)state;
   rng_init (&rng, 1);
-  for (int kind = GOSSIP_LOAD; kind <= GOSSIP_PATCH; kind++)
+  for (int kind = GOSSIP_LOAD; kind <= GOSSIP_ROUTED; kind++)
     {
       size_t size;
 
@@ -116,7 +123,7 @@
           damaged[rng_below (&rng, size)] ^= (char)(1 + rng_below (&rng, 255));
           if (gossip_decode (&decoded, damaged, size) != RESULT_OK)
             continue;
-          assert_in_range (decoded.kind, GOSSIP_LOAD, GOSSIP_PATCH);
+          assert_in_range (decoded.kind, GOSSIP_LOAD, GOSSIP_ROUTED);
           if (decoded.kind <= GOSSIP_TOTAL)
             assert_in_range (decoded.body.loads.count, 0, GOSSIP_LOADS);
           if (decoded.kind == GOSSIP_PATCH)
--- a/packages/edge/tests/t0961-vouch.c
+++ b/packages/edge/tests/t0961-vouch.c
@@ -5,6 +5,7 @@
 
 #include <cmocka.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "log.h"
@@ -27,13 +28,14 @@
 }
 
 static bool may_vouch;
+static int64_t own_ms;      /* when all was last known to be current */
 static int64_t handed_from; /* configuration that an asker has */
 
 static bool
 own (void *context, struct vouch_knowledge *knowledge)
 {
   (void)context;
-  *knowledge = (struct vouch_knowledge){ .revision = 9 };
+  *knowledge = (struct vouch_knowledge){ own_ms, own_ms, 9 };
   return may_vouch;
 }
 
@@ -274,6 +276,223 @@
   endpoints_finish (&endpoints);
 }
 
+/*
+ * A hub that restarted lists the entries as they are.  It cannot say which
+ * heads of groups ceased to be heads before, so an asker that still knows them
+ * so compares what is routed to.
+ */
+#define HEADS 150 /* more than one message holds */
+
+static struct endpoint_report
+head_report (void)
+{
+  struct endpoint_report report = { .state = ENDPOINT_GROUP_OPEN };
+
+  snprintf (report.domain, sizeof report.domain, "d");
+  return report;
+}
+
+static void
+add_heads (struct endpoints *table, unsigned count, uint64_t revision)
+{
+  const struct endpoint_report report = head_report ();
+  char id[16];
+
+  for (unsigned i = 0; i < count; i++)
+    {
+      snprintf (id, sizeof id, "h%u", i);
+      endpoints_report (table, id, &report, revision, 1);
+    }
+}
+
+static const struct
+{
+  const char *guards;
+  unsigned hub_heads;
+  uint64_t own_revision; /* of the asker's entries */
+  unsigned lost;         /* piece that does not arrive; 0 = none */
+  unsigned left;         /* heads that the asker knows afterwards */
+} comparisons[] = {
+  { "heads that are none any more are kept", 149, 5, 0, 149 },
+  { "all but one are kept", 1, 5, 0, 1 },
+  { "heads are dropped", HEADS, 5, 0, HEADS },
+  { "a part of the list counts as all", 149, 5, 1, HEADS },
+  { "the other part does", 149, 5, 2, HEADS },
+  { "what changed since the list is dropped", 149, 4201, 0, HEADS },
+};
+
+static void
+test_compare (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof comparisons / sizeof comparisons[0]; i++)
+    {
+      struct gossip_message piece = { .kind = GOSSIP_ROUTED };
+      struct endpoints hub;
+
+      setup ();
+      endpoints_init (&hub, NULL, NULL);
+      add_heads (&endpoints, HEADS, comparisons[i].own_revision);
+      add_heads (&hub, comparisons[i].hub_heads, 5);
+      for (uint32_t first = 0;
+           routed_piece (&hub, first, 4200, &piece.body.routed);
+           first += GOSSIP_ROUTED_COUNT)
+        {
+          piece.body.routed.nonce = ASKED_MS;
+          if (first / GOSSIP_ROUTED_COUNT + 1 != comparisons[i].lost)
+            vouch_take (&vouch, NULL, &piece, ASKED_MS + 5);
+        }
+      endpoints_tick (&endpoints, ASKED_MS + 10);
+      if (HASH_COUNT (endpoints.table) != comparisons[i].left)
+        fail_msg ("%s: %u left", comparisons[i].guards,
+                  HASH_COUNT (endpoints.table));
+      endpoints_finish (&hub);
+      vouch_finish (&vouch);
+      endpoints_finish (&endpoints);
+    }
+}
+
+/* Pieces that fit no list are left out. */
+static void
+test_bad_pieces (void **state)
+{
+  static const struct
+  {
+    uint32_t total;
+    uint32_t first;
+    uint32_t count;
+  } pieces[] = {
+    { 0, 0, 0 },     { 1, 0, 0 },       { 200, 7, 120 },
+    { 200, 0, 100 }, { 7681, 7680, 1 }, { 4000000000U, 0, 120 },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < sizeof pieces / sizeof pieces[0]; i++)
+    {
+      const struct gossip_routed piece = { .nonce = 1,
+                                           .total = pieces[i].total,
+                                           .first = pieces[i].first,
+                                           .count = pieces[i].count };
+      struct routed routed = { .nonce = 0 };
+
+      assert_false (routed_take (&routed, &piece));
+      assert_null (routed.list);
+      routed_finish (&routed);
+    }
+}
+
+/* A host that relies on its hub keeps what is routed to, and nothing else. */
+static void
+test_unrouted (void **state)
+{
+  static const struct
+  {
+    bool relies;
+    bool known;
+    unsigned left;
+  } hosts[] = { { true, false, 0 }, { true, true, 0 }, { false, true, 1 } };
+
+  (void)state;
+  for (size_t i = 0; i < sizeof hosts / sizeof hosts[0]; i++)
+    {
+      struct gossip_message message = { .kind = GOSSIP_REPORT };
+      struct gossip_report *report = &message.body.report;
+
+      setup ();
+      vouch.relies = hosts[i].relies;
+      if (hosts[i].known)
+        add_heads (&endpoints, 1, 5);
+      snprintf (report->endpoint, sizeof report->endpoint, "h0");
+      report->revision = 6;
+      report->report = head_report ();
+      report->report.rank = 1;
+      vouch_take (&vouch, NULL, &message, 1000);
+      endpoints_tick (&endpoints, 1010);
+      assert_int_equal (HASH_COUNT (endpoints.table), hosts[i].left);
+      /* It may be a head again. */
+      report->revision = 7;
+      report->report.rank = 0;
+      vouch_take (&vouch, NULL, &message, 1020);
+      assert_int_equal (HASH_COUNT (endpoints.table), 1);
+      endpoints_finish (&endpoints);
+    }
+}
+
+/* The hub is asked for its list once the entries have differed for a while. */
+static void
+test_asks_to_compare (void **state)
+{
+  static const struct
+  {
+    int64_t differs_ms;
+    bool compares;
+    enum gossip_kind kind; /* of the last message */
+  } askers[] = {
+    { 0, true, GOSSIP_ASK },
+    { ASKED_MS + 200, true, GOSSIP_ASK },
+    { ASKED_MS + 5, true, GOSSIP_ASK_ROUTED },
+    { ASKED_MS + 5, false, GOSSIP_ASK },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < sizeof askers / sizeof askers[0]; i++)
+    {
+      struct mesh_host *host = calloc (1, sizeof *host);
+
+      assert_non_null (host);
+      setup ();
+      mesh.now_ms = ASKED_MS;
+      snprintf (host->self.name, sizeof host->self.name, "hub");
+      HASH_ADD (hh, mesh.hosts, self.name, strlen (host->self.name), host);
+      vouch.differs_ms = askers[i].differs_ms;
+      vouch_tick (&vouch, true, askers[i].compares, ASKED_MS + 300);
+      assert_int_equal (mesh.message.kind, askers[i].kind);
+      HASH_CLEAR (hh, mesh.hosts);
+      free (host);
+      endpoints_finish (&endpoints);
+    }
+}
+
+/*
+ * An age that does not fit the message.  Cut off, that of a hub that has proven
+ * nothing yet would pass for a small one, and a key that was taken away
+ * for one that still holds.
+ */
+static void
+test_old_knowledge (void **state)
+{
+  static const struct
+  {
+    int64_t proof_ms;
+    int64_t now_ms;
+    uint32_t age_ms;
+  } ages[] = {
+    { 900, 1000, 100 },
+    { 1000, 900, 0 },
+    { NEVER, 500, GOSSIP_NEVER_MS },
+    { 0, (1LL << 32) + 100, GOSSIP_NEVER_MS },
+  };
+
+  (void)state;
+  may_vouch = true;
+  for (size_t i = 0; i < sizeof ages / sizeof ages[0]; i++)
+    {
+      struct gossip_message message = { .kind = GOSSIP_ASK };
+      struct mesh_host from = { .boot = 1 };
+
+      setup ();
+      own_ms = ages[i].proof_ms;
+      vouch_take (&vouch, &from, &message, ages[i].now_ms);
+      assert_int_equal (mesh.message.kind, GOSSIP_VOUCH);
+      assert_int_equal (mesh.message.body.vouch.configuration_age_ms,
+                        ages[i].age_ms);
+      assert_int_equal (mesh.message.body.vouch.entries_age_ms, ages[i].age_ms);
+      endpoints_finish (&endpoints);
+    }
+  may_vouch = false;
+  own_ms = 0;
+}
+
 int
 main (void)
 {
@@ -283,6 +502,11 @@
     cmocka_unit_test (test_removal_is_told),
     cmocka_unit_test (test_behind),
     cmocka_unit_test (test_hands_over),
+    cmocka_unit_test (test_compare),
+    cmocka_unit_test (test_bad_pieces),
+    cmocka_unit_test (test_unrouted),
+    cmocka_unit_test (test_asks_to_compare),
+    cmocka_unit_test (test_old_knowledge),
   };
 
   log_set_level (LOG_LEVEL_ERROR);
