edge: ask the platform as often as the bounds need

Each reader watched both at the pace of the tightest site. Where the second hub had won the lease, two hosts of a data centre read everything.

Change: a watch of the configuration lasts 0.6 to 1.2 s and changes of the endpoints gather for 0.2 to 0.6 s, by configuration.in_force_ms, keys.revoke_ms and endpoints.leave_ms; the holder of the lease reads every 0.2 s while it awaits the effect of orders. What a hub vouches for may be as old as that. The reader goes first for the lease.

--- a/packages/edge/include/edge-settings.h
+++ b/packages/edge/include/edge-settings.h
@@ -32,6 +32,20 @@
   int64_t retry_window_s;
 };
 
+/*
+ * How long a host that reads the platform waits in one watch of the
+ * configuration, and lets changes of the endpoints gather, ms.  Others learn
+ * through it, so both leave room within the bounds that the settings state.
+ */
+int edge_configuration_wait_ms (const struct edge_settings *settings);
+int edge_entries_pace_ms (const struct edge_settings *settings);
+
+/*
+ * Knowledge that is older than this is not vouched for: what the two above
+ * allow, and the time of the calls.
+ */
+int64_t edge_vouch_limit_ms (const struct edge_settings *settings);
+
 extern const struct settings_table edge_settings_table;
 
 #endif
--- a/packages/edge/include/leader.h
+++ b/packages/edge/include/leader.h
@@ -12,6 +12,14 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/* Who goes before whom when the lease is free. */
+enum leader_role
+{
+  LEADER_READER, /* the hub that reads the platform for its data centre */
+  LEADER_HUB,
+  LEADER_OTHER,
+};
+
 /*
  * Competes for the lease of the data centre and, while it holds it, carries
  * out the formation of groups.
@@ -44,14 +52,14 @@
 
 /*
  * traffic: requests have been seen.  candidate: this host may take the lease;
- * one that holds it keeps it.  hub: it goes before those that are none.
+ * one that holds it keeps it.
  * known_ms: when the table was last known to hold all endpoints as they were.
  */
 void leader_tick (struct leader *leader,
                   const struct catalog *catalog,
                   bool traffic,
                   bool candidate,
-                  bool hub,
+                  enum leader_role role,
                   int64_t known_ms,
                   int64_t now_ms);
 
--- a/packages/edge/include/vouch.h
+++ b/packages/edge/include/vouch.h
@@ -51,10 +51,11 @@
   struct endpoints *endpoints;
   struct vouch_hooks hooks;
   struct vouch_tombstone tombstones[VOUCH_TOMBSTONES];
-  uint64_t buried;   /* tombstones ever set */
-  int64_t relied_ms; /* when another host last asked this one */
-  unsigned choice;   /* which hub is asked */
-  int64_t chosen_ms; /* since when */
+  uint64_t buried;      /* tombstones ever set */
+  int64_t relied_ms;    /* when another host last asked this one */
+  int64_t age_limit_ms; /* a hub that knows nothing newer is no help */
+  unsigned choice;      /* which hub is asked */
+  int64_t chosen_ms;    /* since when */
   unsigned unanswered;
   bool hub_blind; /* the last hub that answered could not vouch */
   int64_t ask_ms; /* next question */
@@ -77,7 +78,10 @@
 void vouch_init (struct vouch *vouch,
                  struct mesh *mesh,
                  struct endpoints *endpoints,
-                 const struct vouch_hooks *hooks);
+                 const struct vouch_hooks *hooks,
+                 int64_t age_limit_ms);
+
+void vouch_finish (struct vouch *vouch);
 
 /*
  * An endpoint was removed from the table when the entries were known up to this
--- a/packages/edge/src/edge-settings.c
+++ b/packages/edge/src/edge-settings.c
@@ -28,3 +28,50 @@
 
 const struct settings_table edge_settings_table
     = { keys, sizeof keys / sizeof keys[0], sizeof (struct edge_settings) };
+
+/*
+ * A host knows what its hub proved, up to one watch before, through a question
+ * each 300 ms of which one may be lost.
+ */
+#define HAND_ON_MS 800
+/* Keys are refused 1.5 s before their bound; hosts are not ready 1 s earlier */
+#define KEYS_AHEAD_MS 2500
+#define WAIT_LEAST_MS 600
+#define WAIT_MOST_MS 1200
+/* Leaving endpoints are known everywhere in a fifth of their time. */
+#define LEAVE_PART 5
+#define PACE_LEAST_MS 200
+#define PACE_MOST_MS 600
+/* The answer's way, and a tick. */
+#define CALL_MS 400
+
+static int
+between (int64_t value, int least, int most)
+{
+  if (value < least)
+    return least;
+  return value > most ? most : (int)value;
+}
+
+int
+edge_configuration_wait_ms (const struct edge_settings *settings)
+{
+  int64_t force_ms = settings->configuration_in_force_ms - HAND_ON_MS;
+  int64_t keys_ms = settings->keys_revoke_ms - KEYS_AHEAD_MS - HAND_ON_MS;
+
+  return between ((force_ms < keys_ms ? force_ms : keys_ms) / 2, WAIT_LEAST_MS,
+                  WAIT_MOST_MS);
+}
+
+int
+edge_entries_pace_ms (const struct edge_settings *settings)
+{
+  return between (settings->endpoints_leave_ms / LEAVE_PART, PACE_LEAST_MS,
+                  PACE_MOST_MS);
+}
+
+int64_t
+edge_vouch_limit_ms (const struct edge_settings *settings)
+{
+  return edge_configuration_wait_ms (settings) + CALL_MS;
+}
--- a/packages/edge/src/edge.c
+++ b/packages/edge/src/edge.c
@@ -99,6 +99,14 @@
              LOG_U64 ("platform_failures", edge->records.failures));
 }
 
+static enum leader_role
+role_of (const struct edge *edge)
+{
+  if (mesh_is_reader (&edge->mesh))
+    return LEADER_READER;
+  return mesh_is_hub (&edge->mesh) ? LEADER_HUB : LEADER_OTHER;
+}
+
 static void
 on_tick (evutil_socket_t fd, short what, void *context)
 {
@@ -114,7 +122,7 @@
   endpoints_tick (&edge->endpoints, edge->now_ms);
   relay_tick (&edge->relay, edge->now_ms);
   leader_tick (&edge->leader, edge->relay.catalog, edge->mesh.traffic,
-               edge_is_candidate (edge), mesh_is_hub (&edge->mesh),
+               edge_is_candidate (edge), role_of (edge),
                edge->knows_all ? edge->entries.proof_ms : INT64_MIN,
                edge->now_ms);
   edge_stop_tick (edge);
--- a/packages/edge/src/follow.c
+++ b/packages/edge/src/follow.c
@@ -4,15 +4,10 @@
 #include <stdlib.h>
 #include <string.h>
 
-/*
- * A watch lasts this long: each answer proves that what is known is current,
- * for this host and for those that rely on it.
- */
-#define CONFIGURATION_WAIT_MS 600
 #define CONFIGURATION_PACE_MS 20
 #define ENTRIES_WAIT_MS 500
-/* Changes of the endpoints gather for this long, to save calls. */
-#define ENTRIES_PACE_MS 200
+/* Changes of the endpoints gather while orders await their effect there. */
+#define ENTRIES_BUSY_PACE_MS 200
 /* A read of the configuration alone, and the least time between two. */
 #define FETCH_MS 1200
 #define FETCH_PACE_MS 600
@@ -235,10 +230,12 @@
   };
 
   follower_init (&edge->configuration, &edge->records, RECORDS_CONFIGURATION,
-                 "configuration", &configuration, CONFIGURATION_WAIT_MS,
+                 "configuration", &configuration,
+                 edge_configuration_wait_ms (&edge->settings),
                  CONFIGURATION_PACE_MS);
   follower_init (&edge->entries, &edge->records, RECORDS_ENDPOINTS, "endpoints",
-                 &entries, ENTRIES_WAIT_MS, ENTRIES_PACE_MS);
+                 &entries, ENTRIES_WAIT_MS,
+                 edge_entries_pace_ms (&edge->settings));
 }
 
 static void
@@ -372,6 +369,18 @@
   follower_relist (&edge->entries);
 }
 
+/* Only who waits for the effect of orders has to know changes soon. */
+static void
+pace_entries (struct edge *edge)
+{
+  bool busy
+      = edge->leader.acting && !formation_is_settled (&edge->leader.formation);
+
+  follower_set_pace (&edge->entries,
+                     busy ? ENTRIES_BUSY_PACE_MS
+                          : edge_entries_pace_ms (&edge->settings));
+}
+
 static bool
 may_read_entries (const struct edge *edge, int64_t retry_ms)
 {
@@ -394,6 +403,7 @@
     edge->relisting = false;
   set_direct (edge, must_be_direct (edge));
   read_all (edge);
+  pace_entries (edge);
   if (edge->fetch_ms == 0)
     fetch_configuration (edge);
   if (edge->direct)
--- a/packages/edge/src/leader.c
+++ b/packages/edge/src/leader.c
@@ -233,7 +233,7 @@
              const struct catalog *catalog,
              bool traffic,
              bool candidate,
-             bool hub,
+             enum leader_role role,
              int64_t known_ms,
              int64_t now_ms)
 {
@@ -243,8 +243,15 @@
   leader->now_ms = now_ms;
   orders_tick (&leader->orders, now_ms);
   checker_tick (&leader->checker, now_ms);
-  /* Hubs go first: others follow the lease through them. */
-  lease_set_rank (&leader->lease, leader->rank + (hub ? 0 : LEASE_RANKS));
+  /*
+   * Hubs go first: others follow the lease through them.  The reader goes
+   * before them: it reads the platform anyway, and so does the holder.
+   */
+  if (role == LEADER_READER)
+    lease_set_rank (&leader->lease, 0);
+  else
+    lease_set_rank (&leader->lease,
+                    1 + leader->rank + (role == LEADER_HUB ? 0 : LEASE_RANKS));
   if (candidate || leader->lease.phase == LEASE_HOLDING)
     act_on_lease (leader);
   note_lease (leader);
--- a/packages/edge/src/peers.c
+++ b/packages/edge/src/peers.c
@@ -132,7 +132,8 @@
     return result;
   for (size_t i = 0; i < settings->peers_seeds.count; i++)
     mesh_add_seed (&edge->mesh, settings->peers_seeds.items[i]);
-  vouch_init (&edge->vouch, &edge->mesh, &edge->endpoints, &vouch_hooks);
+  vouch_init (&edge->vouch, &edge->mesh, &edge->endpoints, &vouch_hooks,
+              edge_vouch_limit_ms (settings));
   return RESULT_OK;
 }
 
--- a/packages/edge/src/vouch.c
+++ b/packages/edge/src/vouch.c
@@ -11,8 +11,6 @@
 #define UNANSWERED_LIMIT 2
 /* Hubs that are asked in turn until one can vouch. */
 #define HUB_CHOICES 3
-/* A hub that knows nothing newer is no better than none. */
-#define AGE_LIMIT_MS 1000
 /* The first hub is tried again after this time. */
 #define CHOICE_MS 4000
 /*
@@ -28,9 +26,11 @@
 vouch_init (struct vouch *vouch,
             struct mesh *mesh,
             struct endpoints *endpoints,
-            const struct vouch_hooks *hooks)
+            const struct vouch_hooks *hooks,
+            int64_t age_limit_ms)
 {
   memset (vouch, 0, sizeof *vouch);
+  vouch->age_limit_ms = age_limit_ms;
   vouch->mesh = mesh;
   vouch->endpoints = endpoints;
   vouch->hooks = *hooks;
@@ -208,8 +208,8 @@
   if ((int64_t)said->nonce != vouch->asked_ms)
     return;
   vouch->unanswered = 0;
-  if (said->revision == 0 || said->configuration_age_ms > AGE_LIMIT_MS
-      || said->entries_age_ms > AGE_LIMIT_MS)
+  if (said->revision == 0 || said->configuration_age_ms > vouch->age_limit_ms
+      || said->entries_age_ms > vouch->age_limit_ms)
     {
       /* It cannot reach the platform itself. */
       vouch->hub_blind = true;
--- a/packages/edge/tests/t0961-vouch.c
+++ b/packages/edge/tests/t0961-vouch.c
@@ -63,7 +63,7 @@
   memset (&mesh, 0, sizeof mesh);
   mesh.socket = -1;
   endpoints_init (&endpoints, on_removed, NULL);
-  vouch_init (&vouch, &mesh, &endpoints, &hooks);
+  vouch_init (&vouch, &mesh, &endpoints, &hooks, 1000);
   vouch.asked_ms = ASKED_MS;
   vouch.ask_ms = ASKED_MS + 300;
 }
--- a/packages/edge/tests/t0962-edge-settings.c
+++ b/packages/edge/tests/t0962-edge-settings.c
@@ -54,6 +54,48 @@
     }
 }
 
+/*
+ * Periods of the calls that read the platform, and what is left of the bounds.
+ * Both bounds count from a change to the last host that knows it.
+ */
+struct period_case
+{
+  int64_t force_ms;
+  int64_t revoke_ms;
+  int64_t leave_ms;
+  int wait_ms;
+  int pace_ms;
+};
+
+static const struct period_case periods[] = {
+  { 2000, 5000, 2000, 600, 400 },
+  { 3000, 5000, 3000, 850, 600 },
+  { 4000, 5000, 4000, 850, 600 },
+  { 4000, 60000, 4000, 1200, 600 },
+  { 500, 500, 500, 600, 200 },
+  { 60000, 60000, 60000, 1200, 600 },
+  { 3600000, 3600000, 3600000, 1200, 600 },
+};
+
+static void
+test_periods (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof periods / sizeof periods[0]; i++)
+    {
+      const struct period_case *c = &periods[i];
+      const struct edge_settings s = { .configuration_in_force_ms = c->force_ms,
+                                       .keys_revoke_ms = c->revoke_ms,
+                                       .endpoints_leave_ms = c->leave_ms };
+
+      assert_int_equal (edge_configuration_wait_ms (&s), c->wait_ms);
+      assert_int_equal (edge_entries_pace_ms (&s), c->pace_ms);
+      /* What a hub knows right after a watch ended can be vouched for. */
+      assert_true (edge_vouch_limit_ms (&s) > c->wait_ms + 100);
+      assert_true (edge_vouch_limit_ms (&s) > c->pace_ms + 100);
+    }
+}
+
 /* The operators' page must not drift from the table of keys. */
 static void
 test_documentation (void **state)
@@ -84,6 +126,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_cases),
+    cmocka_unit_test (test_periods),
     cmocka_unit_test (test_documentation),
   };
 
--- a/packages/formation/include/formation.h
+++ b/packages/formation/include/formation.h
@@ -148,6 +148,9 @@
                      const char *endpoint,
                      int64_t until_ms);
 
+/* True if every group serves: nothing is awaited from the endpoints. */
+bool formation_is_settled (const struct formation *formation);
+
 /* One step; orders leave through the hooks.  Does nothing without a fence. */
 void formation_tick (struct formation *formation,
                      const struct endpoints *endpoints,
--- a/packages/formation/src/formation.c
+++ b/packages/formation/src/formation.c
@@ -87,6 +87,17 @@
   formation->load_tokens = 0;
 }
 
+bool
+formation_is_settled (const struct formation *formation)
+{
+  const struct formation_group *group;
+
+  TAILQ_FOREACH (group, &formation->groups, link)
+    if (group->phase != FORMATION_SERVING)
+      return false;
+  return true;
+}
+
 /* Drops the records of groups whose members are free. */
 static void
 drop_gone (struct formation *formation)
--- a/packages/records/include/follower.h
+++ b/packages/records/include/follower.h
@@ -68,6 +68,9 @@
                       uint64_t revision,
                       int64_t proof_ms);
 
+/* The least time between two calls from now on, the present one included. */
+void follower_set_pace (struct follower *follower, int pace_ms);
+
 /* Lists anew, whatever call is under way. */
 void follower_relist (struct follower *follower);
 
--- a/packages/records/src/follower.c
+++ b/packages/records/src/follower.c
@@ -163,6 +163,17 @@
     follower->proof_ms = proof_ms;
 }
 
+void
+follower_set_pace (struct follower *follower, int pace_ms)
+{
+  if (pace_ms == follower->pace_ms)
+    return;
+  follower->pace_ms = pace_ms;
+  if (follower->failing_since_ms == 0
+      && follower->next_ms > follower->sent_ms + pace_ms)
+    follower->next_ms = follower->sent_ms + pace_ms;
+}
+
 void
 follower_relist (struct follower *follower)
 {
