relay: allow what a window's retries are at once

The budget was a bucket that holds 0.7 of a host's part of the slack, 1.7 retries at 95 hosts, whatever its requests had earned; a group that is lost needs all of its streams' retries in the same moment. Over the whole fleet 936 retries were made in 40 s of 9,000 that the rule allows.

Change: a host's retries are counted over the window, against the part of its requests in that window and its part of the slack.

--- a/packages/relay/include/retry-budget.h
+++ b/packages/relay/include/retry-budget.h
@@ -8,16 +8,27 @@
 #include <uthash.h>
 
 /*
- * Retry budget per service: each request earns a part of a retry, and a fixed
- * number of retries comes back per window.  Shared out over the entry hosts,
- * each holds its part without asking the others.
+ * Retry budget per service: in any window, retries are at most a part of the
+ * requests and a fixed number besides.  Shared out over the entry hosts, each
+ * holds its part without asking the others.
+ *
+ * The load that it answers is a group of endpoints that is lost at once: all of
+ * its streams are to go on elsewhere in the same moment, so that what a window
+ * allows has to be there then.
  */
 
+/*
+ * Parts of a window.  Retries count for a window and the present part, requests
+ * for a window at most, so that no span of the window's length has more.
+ */
+#define RETRY_BUDGET_PARTS 10
+
 struct retry_budget
 {
   char service[CATALOG_NAME_SIZE];
-  double tokens;
-  int64_t refilled_ms;
+  int64_t part; /* the present one, by number since the epoch of the clock */
+  unsigned requests[RETRY_BUDGET_PARTS + 1];
+  unsigned retries[RETRY_BUDGET_PARTS + 1];
   UT_hash_handle hh;
 };
 
--- a/packages/relay/src/retry-budget.c
+++ b/packages/relay/src/retry-budget.c
@@ -3,8 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Part of the slack that stands by for a sudden need, such as a lost group. */
-#define STANDBY_PART 0.7
+#define PARTS_KEPT (RETRY_BUDGET_PARTS + 1)
 
 void
 retry_budgets_init (struct retry_budgets *budgets,
@@ -33,11 +32,28 @@
     }
 }
 
+/* Empties the parts that begin between the last call and now. */
+static void
+advance (struct retry_budget *budget, int64_t part)
+{
+  int64_t steps = part - budget->part;
+
+  if (steps <= 0)
+    return;
+  if (steps > PARTS_KEPT)
+    steps = PARTS_KEPT;
+  for (int64_t i = 0; i < steps; i++)
+    {
+      budget->requests[(part - i) % PARTS_KEPT] = 0;
+      budget->retries[(part - i) % PARTS_KEPT] = 0;
+    }
+  budget->part = part;
+}
+
 static struct retry_budget *
 find (struct retry_budgets *budgets, const char *service, int64_t now_ms)
 {
   struct retry_budget *budget;
-  double limit = budgets->slack;
 
   HASH_FIND_STR (budgets->table, service, budget);
   if (budget == NULL)
@@ -48,16 +64,9 @@
       if (budget == NULL)
         return NULL;
       memcpy (budget->service, service, size);
-      budget->tokens = limit * STANDBY_PART;
-      budget->refilled_ms = now_ms;
       HASH_ADD_STR (budgets->table, service, budget);
     }
-  /* What stands by and what comes back in a window make up the slack. */
-  budget->tokens += (double)(now_ms - budget->refilled_ms)
-                    / (double)budgets->window_ms * limit * (1 - STANDBY_PART);
-  budget->refilled_ms = now_ms;
-  if (budget->tokens > limit * STANDBY_PART)
-    budget->tokens = limit * STANDBY_PART;
+  advance (budget, now_ms * RETRY_BUDGET_PARTS / budgets->window_ms);
   return budget;
 }
 
@@ -69,7 +78,25 @@
   struct retry_budget *budget = find (budgets, service, now_ms);
 
   if (budget != NULL)
-    budget->tokens += budgets->ratio;
+    budget->requests[budget->part % PARTS_KEPT]++;
+}
+
+static bool
+has_left (const struct retry_budgets *budgets,
+          const struct retry_budget *budget)
+{
+  /* The part after the present one is the oldest. */
+  size_t oldest = (size_t)((budget->part + 1) % PARTS_KEPT);
+  unsigned requests = 0;
+  unsigned retries = 0;
+
+  for (size_t i = 0; i < PARTS_KEPT; i++)
+    {
+      retries += budget->retries[i];
+      if (i != oldest)
+        requests += budget->requests[i];
+    }
+  return retries + 1 <= budgets->slack + budgets->ratio * requests;
 }
 
 bool
@@ -79,7 +106,7 @@
 {
   const struct retry_budget *budget = find (budgets, service, now_ms);
 
-  return budget != NULL && budget->tokens >= 1;
+  return budget != NULL && has_left (budgets, budget);
 }
 
 bool
@@ -87,8 +114,10 @@
                    const char *service,
                    int64_t now_ms)
 {
-  if (!retry_budget_has (budgets, service, now_ms))
+  struct retry_budget *budget = find (budgets, service, now_ms);
+
+  if (budget == NULL || !has_left (budgets, budget))
     return false;
-  find (budgets, service, now_ms)->tokens -= 1;
+  budget->retries[budget->part % PARTS_KEPT]++;
   return true;
 }
