relay: pass an endpoint's failure on if nobody else can try

A request that may be repeated got 500 from its endpoint and 502 from this host, for want of a retry: the answer that the endpoint had made was lost, and the caller told less.

Change: the answer is replaced by another attempt only if one can begin now.

Before and after: t0850 ("a failure is replaced for want of a retry") fails on the code before and passes now.

--- a/packages/relay/src/upstream.c
+++ b/packages/relay/src/upstream.c
@@ -366,10 +366,12 @@
                                 : RESULT_ENDPOINT_BUSY);
       return;
     }
-  /* A resumed stream that is refused cannot be answered any other way. */
-  if (request->head_sent
-      || (failed && catalog_is_repeatable (request->route)
-          && request->runs + 1 < request->route->attempts))
+  /*
+   * A resumed stream that is refused cannot be answered any other way.  A
+   * failure is passed on unless another endpoint can try now: one of this
+   * system's own would say less.
+   */
+  if (request->head_sent || (failed && relay_may_move (request)))
     {
       relay_attempt_failed (request, true, RESULT_UPSTREAM_UNKNOWN);
       return;
