catalog: believe single deletions also after the platform was away

The platform had turned away the three hubs of a data centre for 9.5 s and served everybody else. After its return a host distrusts deletions for 2.2 s, since entries may have lapsed with the platform. The hub did so, vouched for its table to the others meanwhile, and they heard of the deletion after that.

Ruled out: hosts whose own questions were slow (the hub's answer came 0.3 s before); the pace of watches, which was 0.4 s there and not 2 s.

Change: deletions are distrusted if more than a tenth of the endpoints are gone; those that lapse with the platform do so together, within 0.3 s.

After an outage for all, lapsed entries are still waited for.

--- a/packages/catalog/include/endpoints.h
+++ b/packages/catalog/include/endpoints.h
@@ -67,8 +67,8 @@
 {
   struct endpoint *table; /* uthash by id */
   /*
-   * Deletions seen before this moment are believed only from then on: the
-   * platform was away and entries may have lapsed meanwhile.
+   * Deletions of many endpoints seen before this moment are believed only from
+   * then on: the platform was away and entries may have lapsed meanwhile.
    */
   int64_t believe_ms;
   /* Over ids and revisions of the endpoints that are routed to. */
--- a/packages/catalog/src/endpoints.c
+++ b/packages/catalog/src/endpoints.c
@@ -10,6 +10,14 @@
  * of its return if their endpoint lives (the users' platform promises 2 s).
  */
 #define RETURN_MS 2200
+/*
+ * If the platform was away for the endpoints too, their entries lapse together.
+ * Up to this part of them is gone for reasons of its own, as it may be while
+ * the platform turned away this host alone.
+ */
+#define LAPSED_PART 0.1
+/* Entries that lapse together do so within this time. */
+#define LAPSED_TOGETHER_MS 300
 
 const char *
 endpoint_group_state_name (enum endpoint_group_state state)
@@ -188,13 +196,34 @@
   endpoints->believe_ms = now_ms + RETURN_MS;
 }
 
+/* True if deletions seen now may be the platform's absence alone. */
+static bool
+may_return (const struct endpoints *endpoints, int64_t now_ms)
+{
+  double few = LAPSED_PART * (double)HASH_COUNT (endpoints->table);
+  unsigned count = 0;
+
+  if (now_ms >= endpoints->believe_ms)
+    return false;
+  for (const struct endpoint *endpoint = endpoints->table; endpoint != NULL;
+       endpoint = endpoint->hh.next)
+    {
+      if (endpoint->deleted_ms == 0)
+        continue;
+      count++;
+      if (now_ms - endpoint->deleted_ms < LAPSED_TOGETHER_MS)
+        return true;
+    }
+  return count > few;
+}
+
 void
 endpoints_tick (struct endpoints *endpoints, int64_t now_ms)
 {
   struct endpoint *endpoint = endpoints->table;
   struct endpoint *removed = NULL;
 
-  if (now_ms < endpoints->believe_ms)
+  if (may_return (endpoints, now_ms))
     return;
   while (endpoint != NULL)
     {
--- a/packages/catalog/tests/t0460-catalog.c
+++ b/packages/catalog/tests/t0460-catalog.c
@@ -224,14 +224,69 @@
     }
 }
 
+/*
+ * Deletions after the platform was away for this host.  If it was away for the
+ * endpoints too, many lapse and are back within two seconds.  If not, one that
+ * is gone has left, and must get no request for as long again.
+ */
+static const struct
+{
+  const char *guards;
+  unsigned known;
+  unsigned deleted;
+  int64_t after_ms; /* the deletion, half a second after the return */
+  bool there;
+} lapses[] = {
+  { "an endpoint that left is used on", 51, 1, 400, false },
+  { "five of them are", 51, 5, 400, false },
+  { "the first of many to lapse is dropped", 51, 1, 200, true },
+  { "endpoints that lapsed together are dropped", 51, 6, 400, true },
+  { "all of them are", 51, 51, 1600, true },
+  { "what does not return is kept", 51, 51, 1800, false },
+  { "the only endpoint is dropped", 1, 1, 400, true },
+  { "a dark fabric domain is waited for", 1095, 73, 400, false },
+  { "a tenth of a large fleet is dropped", 1095, 110, 400, true },
+};
+
+static void
+test_lapses (void **state)
+{
+  const struct endpoint_report report = { .service = "app", .port = 1 };
+
+  (void)state;
+  for (size_t i = 0; i < sizeof lapses / sizeof lapses[0]; i++)
+    {
+      struct endpoints endpoints;
+      char id[16];
+
+      endpoints_init (&endpoints, NULL, NULL);
+      for (unsigned n = 0; n < lapses[i].known; n++)
+        {
+          snprintf (id, sizeof id, "e%u", n);
+          endpoints_report (&endpoints, id, &report, 5, 1);
+        }
+      endpoints_distrust (&endpoints, 1000);
+      for (unsigned n = 0; n < lapses[i].deleted; n++)
+        {
+          snprintf (id, sizeof id, "e%u", n);
+          endpoints_delete (&endpoints, id, 6, 1500);
+        }
+      for (int64_t now_ms = 1500; now_ms <= 1500 + lapses[i].after_ms;
+           now_ms += 25)
+        endpoints_tick (&endpoints, now_ms);
+      if ((endpoints_find (&endpoints, "e0") != NULL) != lapses[i].there)
+        fail_msg ("%s", lapses[i].guards);
+      endpoints_finish (&endpoints);
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_routes),
-    cmocka_unit_test (test_kinds),
-    cmocka_unit_test (test_split),
-    cmocka_unit_test (test_endpoints),
+    cmocka_unit_test (test_routes), cmocka_unit_test (test_kinds),
+    cmocka_unit_test (test_split),  cmocka_unit_test (test_endpoints),
+    cmocka_unit_test (test_lapses),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
