relay: let streams of a lost group wait for room elsewhere again

The group is mostly lost, and those who wait are served before new requests: the streams gave their turn away.

Change: a stream stays only if no other endpoint serves its model or no retry is left; otherwise it leaves and waits for room.

--- a/packages/relay/src/attempt.c
+++ b/packages/relay/src/attempt.c
@@ -187,17 +187,17 @@
                          relay->now_ms, choice);
 }
 
-bool
-relay_may_move (const struct relay_request *request)
+enum balance_verdict
+relay_elsewhere (const struct relay_request *request)
 {
   struct relay *relay = request->relay;
   struct balance_choice choice;
 
-  return may_send_again (request, request->runs + 1)
-         && retry_budget_has (&relay->budgets, request->service->name,
-                              relay->now_ms)
-         && choose (request, request->upstream->lane, &choice)
-                == BALANCE_CHOSEN;
+  if (!may_send_again (request, request->runs + 1)
+      || !retry_budget_has (&relay->budgets, request->service->name,
+                            relay->now_ms))
+    return BALANCE_NONE;
+  return choose (request, request->upstream->lane, &choice);
 }
 
 void
--- a/packages/relay/src/internal.h
+++ b/packages/relay/src/internal.h
@@ -39,8 +39,11 @@
                            bool may_have_run,
                            enum result why);
 void relay_dispatch (struct relay_request *request);
-/* True if the request could leave its endpoint and be sent to another now. */
-bool relay_may_move (const struct relay_request *request);
+/*
+ * Whether the request could leave its endpoint for another: now, once there is
+ * room, or not at all.
+ */
+enum balance_verdict relay_elsewhere (const struct relay_request *request);
 /* When the caller of a refused request may come back; drawn anew each time. */
 int64_t relay_retry_after_ms (struct relay *relay);
 
--- a/packages/relay/src/request.c
+++ b/packages/relay/src/request.c
@@ -419,8 +419,8 @@
       && upstream->written && stands_still (request))
     {
       note_stall (request);
-      /* It may just be slow: it stays unless another endpoint takes it. */
-      if (relay_may_move (request))
+      /* It may just be slow: it stays if no other endpoint can take it. */
+      if (relay_elsewhere (request) != BALANCE_NONE)
         relay_attempt_failed (request, true, RESULT_STREAM_BROKEN);
     }
 }
--- a/packages/relay/src/upstream.c
+++ b/packages/relay/src/upstream.c
@@ -371,7 +371,8 @@
    * failure is passed on unless another endpoint can try now: one of this
    * system's own would say less.
    */
-  if (request->head_sent || (failed && relay_may_move (request)))
+  if (request->head_sent
+      || (failed && relay_elsewhere (request) == BALANCE_CHOSEN))
     {
       relay_attempt_failed (request, true, RESULT_UPSTREAM_UNKNOWN);
       return;
