edge: let changes of endpoints gather for a tenth of their time to leave

Change: a tenth of endpoints.leave_ms, 0.2 s at 2 s and 0.4 s at 4 s.

That it depends on such a moment which model gets the spares is the open fault: groups should follow what is asked for.

--- a/packages/edge/src/edge-settings.c
+++ b/packages/edge/src/edge-settings.c
@@ -38,8 +38,12 @@
 #define KEYS_AHEAD_MS 2500
 #define WAIT_LEAST_MS 600
 #define WAIT_MOST_MS 1200
-/* Leaving endpoints are known everywhere in a fifth of their time. */
-#define LEAVE_PART 5
+/*
+ * Changes gather for a tenth of the time that they may take.  With a fifth,
+ * lost groups of four were formed again at the cost of those of two that were
+ * needed.
+ */
+#define LEAVE_PART 10
 #define PACE_LEAST_MS 200
 #define PACE_MOST_MS 600
 /* The answer's way, and a tick. */
