--- a/soak/ledger.c
+++ b/soak/ledger.c
@@ -33,6 +33,13 @@
   struct ledger_attempt *attempt = ledger->attempts;
   struct ledger_run *run = ledger->runs;
 
+  while (ledger->words != NULL)
+    {
+      struct ledger_word *next = ledger->words->next;
+
+      free (ledger->words);
+      ledger->words = next;
+    }
   HASH_CLEAR (hh, ledger->attempts);
   HASH_CLEAR (hh, ledger->runs);
   while (attempt != NULL)
@@ -129,6 +136,50 @@
 
 /* Hooks of the endpoints. */
 
+static void
+on_told_leaving (void *context,
+                 const struct standin_endpoint *endpoint,
+                 const char *request)
+{
+  struct ledger *ledger = context;
+  const struct ledger_attempt *attempt = find_attempt (ledger, request);
+  struct ledger_word *word;
+
+  if (attempt == NULL)
+    return;
+  word = calloc (1, sizeof *word);
+  if (word == NULL)
+    abort ();
+  snprintf (word->endpoint, sizeof word->endpoint, "%s", endpoint->id);
+  word->born_ms = endpoint->born_ms;
+  word->host = attempt->host;
+  word->said_ms = ledger->now_ms;
+  word->next = ledger->words;
+  ledger->words = word;
+}
+
+/*
+ * A host that was restarted or paused since, or whose way to the endpoint was
+ * harmed so that it may not have got the answer, is excused.
+ */
+static void
+check_words (struct ledger *ledger,
+             const struct ledger_attempt *attempt,
+             const struct standin_endpoint *endpoint)
+{
+  for (const struct ledger_word *word = ledger->words; word != NULL;
+       word = word->next)
+    if (word->host == attempt->host && word->born_ms == endpoint->born_ms
+        && strcmp (word->endpoint, endpoint->id) == 0
+        && attempt->sent_ms - word->said_ms > LEAVE_MS
+        && host_was_calm (attempt->host, word->said_ms)
+        && is_sound (ledger, endpoint))
+      ledger_violate (ledger, "DRAIN",
+                      "%s got %s by %s %lld ms after it had told it",
+                      endpoint->id, attempt->id, attempt->host->name,
+                      (long long)(attempt->sent_ms - word->said_ms));
+}
+
 static void
 on_arrived (void *context, const struct standin_arrival *arrival)
 {
@@ -148,6 +199,7 @@
     ledger_violate (ledger, "DRAIN", "%s got %s by %s %lld ms after it left",
                     endpoint->id, attempt->id, attempt->host->name,
                     (long long)(attempt->sent_ms - endpoint->told_leaving_ms));
+  check_words (ledger, attempt, endpoint);
   if (attempt->end != LEDGER_OPEN && ledger->now_ms - attempt->end_ms > GONE_MS
       && is_sound (ledger, endpoint)
       && ledger_was_calm (ledger, attempt->host, attempt->sent_ms))
@@ -301,6 +353,7 @@
   .begins = on_begins,
   .answered = on_answered,
   .broke_off = on_broke_off,
+  .told_leaving = on_told_leaving,
   .stolen = on_stolen,
 };
 
--- a/soak/ledger.h
+++ b/soak/ledger.h
@@ -67,11 +67,22 @@
   UT_hash_handle hh;
 };
 
+/* An endpoint told a host with an answer that it leaves. */
+struct ledger_word
+{
+  char endpoint[LEDGER_TEXT];
+  int64_t born_ms; /* of its life */
+  const struct host *host;
+  int64_t said_ms;
+  struct ledger_word *next;
+};
+
 struct ledger
 {
   const struct operator* operator;
   struct ledger_attempt *attempts; /* uthash by id */
   struct ledger_run *runs;         /* uthash by number */
+  struct ledger_word *words;
   int64_t now_ms;
   int64_t started_ms;
   int64_t store_disturbed_ms; /* a fault acted on the store until then */
