edge: count totals of hubs only, so that a newcomer silences none

Its first hub had been replaced for good. The second one tries it again every two seconds, and takes itself for the second one for half a second then; a total from the host that came in the first one's place, which had heard nothing yet and so told its own, fell into that time and silenced it. Both then waited for each other.

Change: totals count if they come from one of the first two hubs, and silence no host that goes before their sender.

--- a/packages/edge/include/mesh.h
+++ b/packages/edge/include/mesh.h
@@ -100,7 +100,8 @@
   int64_t register_ms;
   int64_t send_ms;
   int64_t hello_ms;
-  int64_t total_ms;                  /* when a total was last heard */
+  int64_t total_ms;     /* when a total was last heard */
+  int64_t any_total_ms; /* the same, of any host of the own data centre */
   const struct mesh_host *first_hub; /* as of the last exchange */
   int64_t first_hub_ms;              /* since when it is that */
   int64_t now_ms;
--- a/packages/edge/src/mesh-load.c
+++ b/packages/edge/src/mesh-load.c
@@ -200,6 +200,17 @@
   mesh->hooks.loads (mesh->hooks.context, others->list, others->count);
 }
 
+/*
+ * A host that has just started, or hears no hub, tells totals too.  They count
+ * for those only to whom it is a hub, and do not silence one that goes before.
+ */
+static bool
+may_tell_totals (const struct mesh *mesh, const struct mesh_host *from)
+{
+  return goes_before (&from->self, &mesh->self)
+         && rank_of (mesh, &from->self) < MESH_HUBS;
+}
+
 void
 mesh_take_loads (struct mesh *mesh,
                  struct mesh_host *from,
@@ -226,6 +237,12 @@
   /* A total is for the own data centre, a sum for the others. */
   if ((message->kind == GOSSIP_TOTAL) != own)
     return;
+  if (own)
+    {
+      mesh->any_total_ms = mesh->now_ms;
+      if (!may_tell_totals (mesh, from))
+        return;
+    }
   sum = sum_of (mesh, from->self.data_centre);
   if (sum == NULL || !keep_loads (&sum->loads, told, mesh->now_ms))
     return;
@@ -441,14 +458,16 @@
 
 /*
  * The second hub waits until the first one falls silent.  A first hub that has
- * just started leaves the totals to another one until the hosts have told it
- * their loads.
+ * just started leaves the totals to another that tells any until the hosts have
+ * told it their loads.
  */
 static bool
 must_act (const struct mesh *mesh)
 {
-  return !hears_totals (mesh)
-         || (rank_of (mesh, &mesh->self) == 0 && mesh_is_settled (mesh));
+  if (rank_of (mesh, &mesh->self) == 0)
+    return mesh_is_settled (mesh)
+           || mesh->now_ms - mesh->any_total_ms >= HUB_SILENT_MS;
+  return !hears_totals (mesh);
 }
 
 void
--- a/packages/edge/tests/t0967-hubs.c
+++ b/packages/edge/tests/t0967-hubs.c
@@ -19,6 +19,7 @@
  */
 
 #define HOSTS 12
+#define NEWCOMER HOSTS /* index of a host that is added later */
 #define STEP_MS 5
 #define START_MS 100000
 #define PORT 17340
@@ -45,8 +46,9 @@
 {
   struct mesh *mesh; /* NULL = it does not run */
   int64_t busy_ms;   /* with other work, until then */
+  int64_t heard_ms;  /* loads, last */
   unsigned others;   /* requests of the other hosts, as last heard */
-} hosts[HOSTS];
+} hosts[HOSTS + 1];
 
 static void
 encode (const struct records_request *request,
@@ -83,6 +85,7 @@
   unsigned index = *(unsigned *)context;
 
   hosts[index].others = 0;
+  hosts[index].heard_ms = clock_ms;
   for (unsigned i = 0; i < count; i++)
     hosts[index].others += list[i].running;
 }
@@ -113,17 +116,20 @@
   own->list[0] = (struct gossip_load){ .endpoint = 7, .running = LOAD };
 }
 
-static unsigned indexes[HOSTS];
+static unsigned indexes[HOSTS + 1];
 
 static void
 start_host (unsigned index)
 {
-  struct gossip_host self = { .port = PORT, .capacity = index < 3 ? 500 : 120 };
+  bool is_large = index < 3 || index == NEWCOMER;
+  struct gossip_host self = { .port = PORT, .capacity = is_large ? 500 : 120 };
   const struct mesh_hooks hooks
       = { &indexes[index], on_loads, on_message, on_lease };
 
   indexes[index] = index;
-  snprintf (self.name, sizeof self.name, "host-%02u", index);
+  /* The newcomer comes between the second hub and the third host. */
+  snprintf (self.name, sizeof self.name, "host-%02u%s",
+            index == NEWCOMER ? 1 : index, index == NEWCOMER ? "a" : "");
   snprintf (self.data_centre, sizeof self.data_centre, "casa-a");
   snprintf (self.address, sizeof self.address, "127.0.77.%u", index + 1);
   hosts[index].mesh = calloc (1, sizeof *hosts[index].mesh);
@@ -150,7 +156,7 @@
 {
   unsigned count = 0;
 
-  for (unsigned i = 0; i < HOSTS; i++)
+  for (unsigned i = 0; i <= NEWCOMER; i++)
     if (hosts[i].mesh != NULL && mesh_is_reader (hosts[i].mesh))
       count++;
   return count;
@@ -170,7 +176,7 @@
       /* Whatever was sent in the step before has arrived. */
       event_base_loop (base, EVLOOP_NONBLOCK);
       records_tick (&records, clock_ms);
-      for (unsigned i = 0; i < HOSTS; i++)
+      for (unsigned i = 0; i <= NEWCOMER; i++)
         if (hosts[i].mesh != NULL && clock_ms >= hosts[i].busy_ms)
           mesh_tick (hosts[i].mesh, true, collect, NULL, clock_ms);
       readers = count_readers ();
@@ -231,10 +237,55 @@
     }
 }
 
+/*
+ * The first hub is gone for good and a host of as much processor comes in its
+ * place, but after the second hub.  It knows nothing yet, and the second hub
+ * goes on, whether it takes the first one for dead just then or tries it again.
+ */
+static void
+test_replaced (void **state)
+{
+  (void)state;
+  for (int64_t later_ms = 0; later_ms < 2600; later_ms += 100)
+    {
+      unsigned silenced = 0;
+
+      clock_ms = START_MS;
+      base = event_base_new ();
+      records_init (&records, base, &codec, "127.0.77.200", 1);
+      for (unsigned n = 0; n < HOSTS; n++)
+        start_host (n);
+      run (8000);
+      stop_host (0);
+      run (4000 + later_ms);
+      start_host (NEWCOMER);
+      /* Its first totals come before the second hub's next ones. */
+      hosts[1].busy_ms = clock_ms + 150;
+      for (int i = 0; i < 60; i++)
+        {
+          run (50);
+          for (unsigned n = 1; n < HOSTS; n++)
+            silenced += clock_ms - hosts[n].heard_ms > 300;
+        }
+      if (silenced > 0)
+        fail_msg ("%d ms later: %u times a host heard no loads", (int)later_ms,
+                  silenced);
+      assert_int_equal (count_readers (), 1);
+      for (unsigned n = 1; n <= NEWCOMER; n++)
+        stop_host (n);
+      records_finish (&records);
+      event_base_loop (base, EVLOOP_NONBLOCK);
+      event_base_free (base);
+    }
+}
+
 int
 main (void)
 {
-  const struct CMUnitTest tests[] = { cmocka_unit_test (test_restart) };
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_restart),
+    cmocka_unit_test (test_replaced),
+  };
 
   log_set_level (LOG_LEVEL_ERROR);
   return cmocka_run_group_tests (tests, NULL, NULL);
