relay: let resting connections hold nothing of their last answer

Since answers held are counted together, a connection that rests went on counting its last one: six answers of 4 MB would have left no room for others.

Change: the bytes are given up, with their memory, when the connection rests.

--- a/packages/relay/src/upstream.c
+++ b/packages/relay/src/upstream.c
@@ -55,6 +55,14 @@
   upstream->request = NULL;
 }
 
+/* Gives up the bytes of the last answer, and their memory. */
+static void
+drop_body (struct relay_upstream *upstream)
+{
+  upstream->relay->answer_bytes -= upstream->body.size;
+  http_text_finish (&upstream->body);
+}
+
 void
 relay_upstream_close (struct relay_upstream *upstream)
 {
@@ -69,8 +77,7 @@
   detach (upstream);
   http_connection_finish (&upstream->connection);
   http_text_finish (&upstream->head);
-  relay->answer_bytes -= upstream->body.size;
-  http_text_finish (&upstream->body);
+  drop_body (upstream);
   lanes_unref (&relay->lanes, upstream->lane);
   http_free_later (relay->base, upstream);
 }
@@ -92,8 +99,6 @@
   upstream->started_ms = relay->now_ms;
   upstream->progress_ms = relay->now_ms;
   http_text_reset (&upstream->head);
-  relay->answer_bytes -= upstream->body.size;
-  http_text_reset (&upstream->body);
   upstream->lane->running++;
   upstream->reading = true;
   upstream->lane->reading += request->prompt_tokens;
@@ -316,6 +321,7 @@
     }
   TAILQ_REMOVE (&relay->busy, upstream, link);
   detach (upstream);
+  drop_body (upstream);
   upstream->reused = true;
   upstream->started_ms = relay->now_ms;
   TAILQ_INSERT_HEAD (&relay->idle, upstream, link);
--- a/packages/relay/tests/t0851-endpoint-trouble.c
+++ b/packages/relay/tests/t0851-endpoint-trouble.c
@@ -165,6 +165,28 @@
   teardown ();
 }
 
+/* A connection that rests holds nothing of its last answer. */
+static void
+test_resting_holds_nothing (void **state)
+{
+  static const struct relay_case c = { .guards = "a resting answer is held",
+                                       .kind = CATALOG_SAFE,
+                                       .attempts = 2,
+                                       .request = PLAIN,
+                                       .answers = { { GOOD } },
+                                       .status = 200,
+                                       .body = "ok",
+                                       .sends = 1 };
+
+  (void)state;
+  setup (&c);
+  run_until_answered ();
+  check (&c);
+  assert_false (TAILQ_EMPTY (&test.relay.idle));
+  assert_int_equal (test.relay.answer_bytes, 0);
+  teardown ();
+}
+
 /*
  * A stream stands still if no whole event comes, whatever else does.  One that
  * is only slow goes on where it is unless another endpoint takes it.
@@ -617,6 +639,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_endless),
     cmocka_unit_test (test_shared_limit),
+    cmocka_unit_test (test_resting_holds_nothing),
     cmocka_unit_test (test_pauses),
     cmocka_unit_test (test_slow_stream),
     cmocka_unit_test (test_second_answers),
