balance, edge, relay: use the field's terms in the new code

Reading the diff as a newcomer: own-word.c becomes drain.c, "withheld" unavailable, "elsewhere" failover, and comments say what the code does in the usual words (signal, drain, back-off, retention, sliding window, reconciliation).

--- a/packages/balance/include/balance.h
+++ b/packages/balance/include/balance.h
@@ -36,10 +36,10 @@
   double pause_ms;          /* moving mean of the time between events */
   int64_t pause_seen_ms;    /* when that was last fed */
   uint64_t epoch;           /* of the group that the rest is known of */
-  int64_t started_ms;       /* life of the endpoint that the next two are of */
-  int64_t leaving_ms;       /* when it said that it leaves; 0 = it has not */
-  int64_t back_off_ms;      /* it wants no request before this moment */
-  int64_t peer_leaving_ms;  /* other hosts say that it leaves, until then */
+  int64_t started_ms;       /* start of the endpoint that signalled */
+  int64_t leaving_ms;       /* when it signalled a drain; 0 = it has not */
+  int64_t back_off_ms;      /* end of the back-off that it asked for */
+  int64_t peer_leaving_ms;  /* other hosts report its drain until then */
   double failing;           /* moving mean of failures, 0 to 1 */
   int64_t failed_ms;        /* last failure */
   unsigned references;      /* connections and attempts that point here */
@@ -79,14 +79,14 @@
 struct lane *lanes_find_hash (const struct lanes *lanes, uint64_t hash);
 
 /*
- * The endpoint is gone; the lane goes with its last reference, but stays while
- * what the endpoint said of itself holds: its entry may come back.
+ * Detaches the lane from a deleted endpoint.  Frees it with its last reference,
+ * unless a drain or back-off signal must be retained.
  */
 void lanes_detach (struct lanes *lanes, struct lane *lane);
 void lanes_ref (struct lane *lane);
 void lanes_unref (struct lanes *lanes, struct lane *lane);
 
-/* Frees lanes of endpoints that are gone; call now and then. */
+/* Frees detached lanes whose signals have expired; call periodically. */
 void lanes_expire (struct lanes *lanes, int64_t now_ms);
 
 struct balance_request
@@ -113,8 +113,8 @@
   struct lane *lane;
   double expected_ms; /* to the first event; 0 if endpoints serve alone */
   /*
-   * Without an endpoint, and if all that there are asked for no requests for a
-   * while: until the first of them may be asked again.  0 otherwise.
+   * Set with BALANCE_NONE if endpoints back off: the time until the first of
+   * them accepts requests again, ms.  0 otherwise.
    */
   int64_t back_off_ms;
 };
@@ -169,17 +169,16 @@
 void balance_avoid (struct lane *lane, int64_t until_ms);
 
 /*
- * The endpoint said in an answer that it leaves, or that it wants no requests
- * for a while.  Both hold whatever its entry on the platform says, until it
- * starts anew.
+ * Records a drain or back-off signal from a response of the endpoint.  Signals
+ * hold until it restarts, whatever its entry on the platform says.
  */
 void balance_note_leaving (struct lane *lane, int64_t now_ms);
 void balance_note_back_off (struct lane *lane, int64_t until_ms);
 
-/* Another entry host says that the endpoint leaves, and repeats it till then */
+/* Records a drain that another entry host reports, valid until until_ms. */
 void balance_note_peer_leaving (struct lane *lane, int64_t until_ms);
 
-/* True if it said to this entry host that it leaves. */
+/* True if the endpoint signalled a drain to this entry host. */
 bool balance_is_leaving (const struct lane *lane);
 
 #endif
--- a/packages/balance/src/balance-internal.h
+++ b/packages/balance/src/balance-internal.h
@@ -3,13 +3,13 @@
 
 #include "balance.h"
 
-/* own-word.c */
-/* Forgets what was said in an earlier life of the endpoint. */
-void balance_note_life (struct lane *lane);
-/* True if the endpoint itself wants no requests now. */
-bool balance_is_withheld (const struct lane *lane, int64_t now_ms);
-/* True if the lane has to be kept after its endpoint is gone. */
-bool balance_is_remembered (const struct lane *lane, int64_t now_ms);
+/* drain.c */
+/* Clears the signals if the endpoint has restarted since. */
+void balance_note_restart (struct lane *lane);
+/* True while the endpoint drains or backs off. */
+bool balance_is_unavailable (const struct lane *lane, int64_t now_ms);
+/* True if the lane must outlive the endpoint's entry. */
+bool balance_is_retained (const struct lane *lane, int64_t now_ms);
 
 /* place.c; NULL if nothing is known of the data centre. */
 struct lane_place *balance_find_place (const struct lanes *lanes,
--- a/packages/balance/src/choose.c
+++ b/packages/balance/src/choose.c
@@ -83,7 +83,7 @@
 {
   const struct lane_place *place;
 
-  if (lane->avoid_ms > now_ms || balance_is_withheld (lane, now_ms))
+  if (lane->avoid_ms > now_ms || balance_is_unavailable (lane, now_ms))
     return true;
   if (lanes->places == NULL)
     return false;
@@ -149,7 +149,7 @@
       if (lane == NULL)
         continue;
       note_epoch (lane);
-      balance_note_life (lane);
+      balance_note_restart (lane);
       if (is_avoided (lanes, lane, now_ms))
         continue;
       survey.count++;
@@ -290,7 +290,7 @@
   return running < slots * ALONE_PER_SLOT;
 }
 
-/* Notes how long the endpoint asked to be left alone. */
+/* Keeps the shortest back-off of the candidates. */
 static void
 note_back_off (struct balance_choice *choice,
                const struct lane *lane,
@@ -331,7 +331,7 @@
       lane = lanes_get (lanes, endpoint);
       if (lane == NULL)
         continue;
-      balance_note_life (lane);
+      balance_note_restart (lane);
       note_back_off (choice, lane, now_ms);
       if (is_avoided (lanes, lane, now_ms) || is_excluded (request, lane))
         continue;
--- a/packages/balance/src/own-word.c
+++ b/packages/balance/src/drain.c
@@ -2,20 +2,19 @@
 #include "balance.h"
 
 /*
- * What endpoints say of themselves in their answers.  It goes before their
- * entries on the platform, which may be late or, of an endpoint that leaves
- * without a word there, never say so.
+ * Drain and back-off signals in responses of endpoints.  They take precedence
+ * over the platform's entries, which may lag or omit a drain.
  */
 
 /*
- * An endpoint that said that it leaves is remembered this long after its entry
- * is gone: it serves on for the drain time, at times for many seconds more,
- * and an entry may lapse and come back meanwhile.
+ * Retention of a drain signal after the entry of its endpoint was deleted.  A
+ * draining endpoint serves on for the drain time or longer, and its entry may
+ * expire and return meanwhile.
  */
 #define LEAVING_KEPT_MS 60000
 
 void
-balance_note_life (struct lane *lane)
+balance_note_restart (struct lane *lane)
 {
   int64_t started_ms = lane->endpoint->report.started_ms;
 
@@ -54,14 +53,14 @@
 }
 
 bool
-balance_is_withheld (const struct lane *lane, int64_t now_ms)
+balance_is_unavailable (const struct lane *lane, int64_t now_ms)
 {
   return lane->leaving_ms != 0 || lane->back_off_ms > now_ms
          || lane->peer_leaving_ms > now_ms;
 }
 
 bool
-balance_is_remembered (const struct lane *lane, int64_t now_ms)
+balance_is_retained (const struct lane *lane, int64_t now_ms)
 {
   return lane->back_off_ms > now_ms
          || (lane->leaving_ms != 0
--- a/packages/balance/src/lanes.c
+++ b/packages/balance/src/lanes.c
@@ -93,7 +93,7 @@
   return lane;
 }
 
-/* What the endpoint said may hold on; lanes_expire frees the lane then. */
+/* Lanes with signals are left to lanes_expire. */
 static void
 drop (struct lanes *lanes, struct lane *lane)
 {
@@ -122,7 +122,7 @@
     {
       struct lane *next = lane->hh.next;
 
-      if (lane->endpoint == NULL && !balance_is_remembered (lane, now_ms))
+      if (lane->endpoint == NULL && !balance_is_retained (lane, now_ms))
         {
           lane->leaving_ms = 0;
           lane->back_off_ms = 0;
--- a/packages/catalog/src/endpoints.c
+++ b/packages/catalog/src/endpoints.c
@@ -11,12 +11,12 @@
  */
 #define RETURN_MS 2200
 /*
- * If the platform was away for the endpoints too, their entries lapse together.
- * Up to this part of them is gone for reasons of its own, as it may be while
- * the platform turned away this host alone.
+ * Share of the entries above which deletions after an outage are attributed to
+ * it.  Below, the platform was down for this host only, and the endpoints have
+ * left.
  */
 #define LAPSED_PART 0.1
-/* Entries that lapse together do so within this time. */
+/* Entries that expire in an outage are deleted within this time. */
 #define LAPSED_TOGETHER_MS 300
 
 const char *
@@ -196,9 +196,9 @@
   endpoints->believe_ms = now_ms + RETURN_MS;
 }
 
-/* True if deletions seen now may be the platform's absence alone. */
+/* True if the deletions may be a mere effect of the outage. */
 static bool
-may_return (const struct endpoints *endpoints, int64_t now_ms)
+may_be_outage (const struct endpoints *endpoints, int64_t now_ms)
 {
   double few = LAPSED_PART * (double)HASH_COUNT (endpoints->table);
   unsigned count = 0;
@@ -223,7 +223,7 @@
   struct endpoint *endpoint = endpoints->table;
   struct endpoint *removed = NULL;
 
-  if (may_return (endpoints, now_ms))
+  if (may_be_outage (endpoints, now_ms))
     return;
   while (endpoint != NULL)
     {
--- a/packages/edge/include/routed.h
+++ b/packages/edge/include/routed.h
@@ -8,12 +8,10 @@
 #include <stdint.h>
 
 /*
- * Comparison of the endpoints that requests are routed to with those that a hub
- * routes to.
+ * Reconciliation of the routed endpoints with those of a hub.
  *
- * A hub tells changes since a revision.  One that has restarted lists the
- * entries as they are, and cannot tell which ceased to be routed to before; an
- * asker that still knows those would route to them on.
+ * Hubs send changes since a revision.  A restarted hub has no record of heads
+ * that were demoted before its start, so hosts would keep routing to them.
  */
 
 /* 64 messages: 7,680 endpoints. */
--- a/packages/edge/src/edge-settings.c
+++ b/packages/edge/src/edge-settings.c
@@ -29,24 +29,17 @@
 const struct settings_table edge_settings_table
     = { keys, sizeof keys / sizeof keys[0], sizeof (struct edge_settings) };
 
-/*
- * A host knows what its hub proved, up to one watch before, through a question
- * each 300 ms of which one may be lost.
- */
+/* Propagation from a hub to a host: two polls of 300 ms, one of them lost. */
 #define HAND_ON_MS 800
-/* Keys are refused 1.5 s before their bound; hosts are not ready 1 s earlier */
+/* Margin of key expiry (1.5 s), and of readiness before that (1 s). */
 #define KEYS_AHEAD_MS 2500
 #define WAIT_LEAST_MS 600
 #define WAIT_MOST_MS 1200
-/*
- * Changes gather for a tenth of the time that they may take.  With a fifth,
- * lost groups of four were formed again at the cost of those of two that were
- * needed.
- */
+/* Batching takes up a tenth of the time allowed for a drain. */
 #define LEAVE_PART 10
 #define PACE_LEAST_MS 200
 #define PACE_MOST_MS 600
-/* The answer's way, and a tick. */
+/* Round trip of a call, and a tick. */
 #define CALL_MS 400
 
 static int
--- a/packages/edge/src/mesh-load.c
+++ b/packages/edge/src/mesh-load.c
@@ -201,11 +201,11 @@
 }
 
 /*
- * A host that has just started, or hears no hub, tells totals too.  They count
- * for those only to whom it is a hub, and do not silence one that goes before.
+ * Hosts that have just started or hear no hub send totals, too.  Accepts totals
+ * of the two highest-ranked hosts only, and none from a lower-ranked host.
  */
 static bool
-may_tell_totals (const struct mesh *mesh, const struct mesh_host *from)
+accepts_totals (const struct mesh *mesh, const struct mesh_host *from)
 {
   return goes_before (&from->self, &mesh->self)
          && rank_of (mesh, &from->self) < MESH_HUBS;
@@ -240,7 +240,7 @@
   if (own)
     {
       mesh->any_total_ms = mesh->now_ms;
-      if (!may_tell_totals (mesh, from))
+      if (!accepts_totals (mesh, from))
         return;
     }
   sum = sum_of (mesh, from->self.data_centre);
@@ -378,8 +378,8 @@
 }
 
 /*
- * Hosts of this data centre that were heard lately, also those that told their
- * load to another hub: a hub that is back shows itself to them by this.
+ * Hosts of this data centre that were heard recently, including those that
+ * report to another hub: they learn of a restarted hub by its totals.
  */
 static bool
 is_own_host (const struct mesh *mesh, const struct mesh_host *host)
@@ -446,7 +446,7 @@
   if (hears_totals (mesh) || hub == NULL
       || !goes_before (&hub->self, &mesh->self))
     return;
-  /* A successor has the same time to show itself as its predecessor had. */
+  /* Grants a successor the same timeout as its predecessor. */
   if (mesh->now_ms - mesh->first_hub_ms < HUB_SILENT_MS)
     return;
   if (hub->heard_ms != 0 && mesh->now_ms - hub->heard_ms < HUB_SILENT_MS)
@@ -457,9 +457,8 @@
 }
 
 /*
- * The second hub waits until the first one falls silent.  A first hub that has
- * just started leaves the totals to another that tells any until the hosts have
- * told it their loads.
+ * The second hub stands by until the first one times out.  A restarted first
+ * hub defers to any other sender of totals until the hosts have reported to it.
  */
 static bool
 must_act (const struct mesh *mesh)
--- a/packages/edge/src/vouch.c
+++ b/packages/edge/src/vouch.c
@@ -242,8 +242,8 @@
 }
 
 /*
- * A host that relies on its hub keeps only what is routed to; it lists all when
- * it has to know the rest.
+ * Hosts that rely on a hub store routed endpoints only.  A host that needs the
+ * others lists them from the platform.
  */
 static void
 take_report (struct vouch *vouch, const struct gossip_report *report)
--- a/packages/relay/include/retry-budget.h
+++ b/packages/relay/include/retry-budget.h
@@ -8,18 +8,18 @@
 #include <uthash.h>
 
 /*
- * Retry budget per service: in any window, retries are at most a part of the
- * requests and a fixed number besides.  Shared out over the entry hosts, each
- * holds its part without asking the others.
+ * Sliding-window retry budget per service: in any window, retries are limited
+ * to a ratio of the requests plus a fixed slack.  The slack is divided among
+ * the entry hosts, so that each enforces its share locally.
  *
- * The load that it answers is a group of endpoints that is lost at once: all of
- * its streams are to go on elsewhere in the same moment, so that what a window
- * allows has to be there then.
+ * Load: the loss of a group of endpoints, when all of its streams fail over at
+ * the same moment.  A token bucket would cap that burst.
  */
 
 /*
- * Parts of a window.  Retries count for a window and the present part, requests
- * for a window at most, so that no span of the window's length has more.
+ * Buckets per window.  Retries are summed over the window and the current
+ * bucket, requests over at most one window, so that the limit holds for every
+ * span of the window's length.
  */
 #define RETRY_BUDGET_PARTS 10
 
--- a/packages/relay/src/attempt.c
+++ b/packages/relay/src/attempt.c
@@ -188,7 +188,7 @@
 }
 
 enum balance_verdict
-relay_elsewhere (const struct relay_request *request)
+relay_check_failover (const struct relay_request *request)
 {
   struct relay *relay = request->relay;
   struct balance_choice choice;
--- a/packages/relay/src/internal.h
+++ b/packages/relay/src/internal.h
@@ -40,10 +40,10 @@
                            enum result why);
 void relay_dispatch (struct relay_request *request);
 /*
- * Whether the request could leave its endpoint for another: now, once there is
- * room, or not at all.
+ * Whether the request could fail over to another endpoint: now (CHOSEN), once
+ * there is room (FULL), or not at all (NONE).
  */
-enum balance_verdict relay_elsewhere (const struct relay_request *request);
+enum balance_verdict relay_check_failover (const struct relay_request *request);
 /* When the caller of a refused request may come back; drawn anew each time. */
 int64_t relay_retry_after_ms (struct relay *relay);
 
--- a/packages/relay/src/request.c
+++ b/packages/relay/src/request.c
@@ -420,7 +420,7 @@
     {
       note_stall (request);
       /* It may just be slow: it stays if no other endpoint can take it. */
-      if (relay_elsewhere (request) != BALANCE_NONE)
+      if (relay_check_failover (request) != BALANCE_NONE)
         relay_attempt_failed (request, true, RESULT_STREAM_BROKEN);
     }
 }
--- a/packages/relay/src/upstream.c
+++ b/packages/relay/src/upstream.c
@@ -21,14 +21,14 @@
 /* Largest plain answer. */
 #define BODY_BYTES (8U << 20)
 /*
- * All answers held at once: a fifth of the smallest host's memory (112 MB).
- * Over it only answers of at most ANSWER_SPARED_BYTES grow on.
+ * Limit of buffered responses in total: a fifth of the memory of the smallest
+ * host (112 MB).  Above it, only responses up to ANSWER_SPARED_BYTES may grow.
  */
 #define ANSWERS_BYTES (22U << 20)
 #define ANSWER_SPARED_BYTES (64U << 10)
 /*
- * Bytes of a stream that end no event, and of answers that belong to no
- * request; events are about 100 bytes, answers of tools below 1 KB.
+ * Limit of bytes without a complete event, and of a response to another
+ * request.  Events are about 100 bytes, responses of tools below 1 KB.
  */
 #define STRAY_BYTES (256U << 10)
 
@@ -55,7 +55,7 @@
   upstream->request = NULL;
 }
 
-/* Gives up the bytes of the last answer, and their memory. */
+/* Releases the buffered response. */
 static void
 drop_body (struct relay_upstream *upstream)
 {
@@ -162,9 +162,10 @@
   balance_note_reached (&upstream->relay->lanes, upstream->lane);
 }
 
-/* What the endpoint says of itself beside its answer. */
+/* Records drain and back-off signals of a response. */
 static void
-note_own_word (struct relay_upstream *upstream, const struct http_head *head)
+note_endpoint_signals (struct relay_upstream *upstream,
+                       const struct http_head *head)
 {
   struct relay *relay = upstream->relay;
   struct lane *lane = upstream->lane;
@@ -203,14 +204,14 @@
   relay->now_ms = time_boot_ms ();
   if (request == NULL)
     {
-      /* An answer that nobody waits for. */
+      /* Unsolicited response on an idle connection. */
       relay_upstream_close (upstream);
       return;
     }
   upstream->foreign = id != NULL && strcmp (id, request->id) != 0;
   if (upstream->foreign)
     return;
-  note_own_word (upstream, head);
+  note_endpoint_signals (upstream, head);
   upstream->head_seen = true;
   upstream->status = head->status;
   upstream->idle_limit_ms = IDLE_MS;
@@ -240,7 +241,7 @@
   relay_answer_collect_head (upstream, head);
 }
 
-/* Keeps the bytes; false if the answer holds more than any may. */
+/* Buffers the bytes; false if the response exceeds its limit. */
 static bool
 keep_body (struct relay_upstream *upstream, const char *data, size_t size)
 {
@@ -378,7 +379,7 @@
    * system's own would say less.
    */
   if (request->head_sent
-      || (failed && relay_elsewhere (request) == BALANCE_CHOSEN))
+      || (failed && relay_check_failover (request) == BALANCE_CHOSEN))
     {
       relay_attempt_failed (request, true, RESULT_UPSTREAM_UNKNOWN);
       return;
