http: give interim responses no content

A 1xx response with a length, or one of a status below 100, was read with content, which was handed out before any head, and then counted as the start of the final response's body: a caller could get the server's seal with other bytes.

Ruled out: the relay's own buffers; the parser itself reads the content.

Change: an interim response ends with its head, what follows has to be a response; a status below 100 is no HTTP.

--- a/packages/http/src/http-connection.c
+++ b/packages/http/src/http-connection.c
@@ -142,8 +142,12 @@
     head->method = http_method_str ((enum http_method)parser->method);
   head->keep_alive = http_should_keep_alive (parser) != 0;
   head->has_length = (parser->flags & F_CONTENTLENGTH) != 0;
+  /*
+   * Interim responses have no content (RFC 9110, section 15.2); the parser
+   * would read one, and it would pass for the final response's.
+   */
   if (connection->is_client && head->status < 200)
-    return 0;
+    return head->status >= 100 ? 1 : -1;
   connection->events->head (connection->context, head);
   if (connection->fd < 0)
     return -1;
