relay: log the shared parts of the prompt with failed attempts

The platform adapter decodes the field; the last part of a prompt belongs to the request itself and is left out. No decision uses the parts yet.

--- a/packages/relay/include/relay.h
+++ b/packages/relay/include/relay.h
@@ -26,6 +26,9 @@
 
 #define RELAY_ID_SIZE 64
 
+/* Parts of a prompt that are kept; further ones are ignored. */
+#define RELAY_PART_LIMIT 32
+
 /*
  * Names of header fields on the wire, for one platform.  The system sets the
  * fields marked "set" itself and drops them from callers' requests.
@@ -37,6 +40,14 @@
   const char *model;
   /* "PROMPT,LIMIT": prompt tokens and the most response tokens. */
   const char *token_counts;
+  const char *prompt_parts;
+  /*
+   * Reads the ids of the parts that other requests may share from the value of
+   * prompt_parts.  Returns their number, at most limit.
+   */
+  unsigned (*decode_shared_parts) (const char *text,
+                                   uint64_t *ids,
+                                   unsigned limit);
   const char *last_event_id;     /* resume after this event */
   const char *seal;              /* the endpoint's signature of its response */
   const char *customer;          /* set */
@@ -129,6 +140,8 @@
   unsigned urgency;
   double admission_draw; /* see balance_request */
   uint64_t prompt_tokens;
+  uint64_t shared_parts[RELAY_PART_LIMIT]; /* ids of parts of the prompt */
+  unsigned shared_part_count;
   double expected_ms;      /* estimated time from dispatch to first event */
   struct http_text fields; /* request line and field lines to forward */
   struct http_text body;
--- a/packages/relay/src/attempt.c
+++ b/packages/relay/src/attempt.c
@@ -1,6 +1,7 @@
 #include "log.h"
 #include "relay-internal.h"
 
+#include <stdio.h>
 #include <string.h>
 
 /* Limit of sends per request, including those that certainly did not run. */
@@ -104,14 +105,19 @@
   if (upstream != NULL)
     {
       struct endpoint_load *load = upstream->load;
-
-      LOG_EVENT (LOG_LEVEL_NOTICE, "attempt-failed",
-                 LOG_STR ("request", request->id),
-                 LOG_STR ("endpoint", load->id), LOG_INT ("code", result),
-                 LOG_STR ("may_have_run", may_have_run ? "yes" : "no"),
-                 LOG_U64 ("status", upstream->status),
-                 LOG_U64 ("events", request->events_sent),
-                 LOG_INT ("after_ms", relay->now_ms - upstream->started_ms));
+      char parts[RELAY_PARTS_TEXT_SIZE];
+      char label[32];
+
+      relay_format_parts (request, parts);
+      snprintf (label, sizeof label, "code=\"%d\"", (int)result);
+      counter_add (relay->counters, "waxwing_attempts_failed_total", label, 1);
+      LOG_EVENT (
+          LOG_LEVEL_NOTICE, "attempt-failed", LOG_STR ("request", request->id),
+          LOG_STR ("endpoint", load->id), LOG_INT ("code", result),
+          LOG_STR ("may_have_run", may_have_run ? "yes" : "no"),
+          LOG_U64 ("status", upstream->status),
+          LOG_U64 ("events", request->events_sent), LOG_STR ("parts", parts),
+          LOG_INT ("after_ms", relay->now_ms - upstream->started_ms));
       exclude_endpoint (request, load);
       balance_note_failure (load, relay->now_ms);
       if (result == RESULT_ENDPOINT_CONNECT)
--- a/packages/relay/src/relay-internal.h
+++ b/packages/relay/src/relay-internal.h
@@ -89,6 +89,10 @@
 void relay_response_end_stream (struct relay_request *request);
 
 /* request-log.c */
+/* The ids of the shared parts as hexadecimal, separated by commas. */
+#define RELAY_PARTS_TEXT_SIZE 256
+void relay_format_parts (const struct relay_request *request,
+                         char text[RELAY_PARTS_TEXT_SIZE]);
 void relay_log_request_end (const struct relay_request *request,
                             const char *outcome,
                             unsigned status,
--- a/packages/relay/src/request-log.c
+++ b/packages/relay/src/request-log.c
@@ -1,8 +1,31 @@
 #include "log.h"
 #include "relay-internal.h"
 
+#include <inttypes.h>
 #include <stdio.h>
 
+void
+relay_format_parts (const struct relay_request *request,
+                    char text[RELAY_PARTS_TEXT_SIZE])
+{
+  size_t used = 0;
+
+  text[0] = '\0';
+  for (unsigned i = 0; i < request->shared_part_count; i++)
+    {
+      int size
+          = snprintf (text + used, RELAY_PARTS_TEXT_SIZE - used, "%s%" PRIx64,
+                      i > 0 ? "," : "", request->shared_parts[i]);
+
+      if (size < 0 || (size_t)size >= RELAY_PARTS_TEXT_SIZE - used)
+        {
+          text[used] = '\0';
+          return;
+        }
+      used += (size_t)size;
+    }
+}
+
 void
 relay_log_request_end (const struct relay_request *request,
                        const char *outcome,
@@ -12,8 +35,10 @@
   const struct relay *relay = request->relay;
   const struct relay_upstream *upstream = request->upstream;
   char labels[64];
+  char parts[RELAY_PARTS_TEXT_SIZE];
   bool good = status >= 200 && status < 300;
 
+  relay_format_parts (request, parts);
   LOG_EVENT (
       good ? LOG_LEVEL_INFO : LOG_LEVEL_NOTICE, "request-end",
       LOG_STR ("request", request->id), LOG_STR ("outcome", outcome),
@@ -28,6 +53,7 @@
       LOG_U64 ("sends", request->sends), LOG_U64 ("runs", request->runs),
       LOG_U64 ("events", request->events_sent),
       LOG_U64 ("prompt_tokens", request->prompt_tokens),
+      LOG_STR ("parts", parts),
       LOG_INT ("expected_ms", (int64_t)request->expected_ms),
       LOG_INT ("first_event_ms",
                request->first_event_ms > 0
--- a/packages/relay/src/request.c
+++ b/packages/relay/src/request.c
@@ -249,6 +249,17 @@
     request->prompt_tokens = strtoull (text, NULL, 10);
 }
 
+static void
+read_shared_parts (struct relay_request *request, const struct http_head *head)
+{
+  const struct relay_names *names = request->relay->names;
+  const char *text = http_head_get (head, names->prompt_parts);
+
+  if (text != NULL)
+    request->shared_part_count = names->decode_shared_parts (
+        text, request->shared_parts, RELAY_PART_LIMIT);
+}
+
 static void
 refuse_new_request (struct relay_request *request, enum result result)
 {
@@ -298,6 +309,7 @@
           request->has_last_event = true;
         }
       read_prompt_tokens (request, head);
+      read_shared_parts (request, head);
       set_urgency (request);
       build_fields (request, head);
       if (request->fields.failed || request->body.failed)
--- a/packages/relay/tests/relay-fixture.h
+++ b/packages/relay/tests/relay-fixture.h
@@ -26,11 +26,24 @@
 #define DRIP_INTERVAL_MS 20
 #define FLOOD_BYTES 262144 /* size of one write */
 
+/* Parts are "ID,ID,...": one hexadecimal digit each, the last one its own. */
+static inline unsigned
+decode_shared_parts (const char *text, uint64_t *ids, unsigned limit)
+{
+  unsigned count = 0;
+
+  for (; text[0] != '\0' && text[1] == ',' && count < limit; text += 2)
+    ids[count++] = (uint64_t)(text[0] - '0');
+  return count;
+}
+
 static const struct relay_names names = {
   .request_id = "X-Id",
   .deadline = "X-Deadline",
   .model = "X-Model",
   .token_counts = "X-Tokens",
+  .prompt_parts = "X-Parts",
+  .decode_shared_parts = decode_shared_parts,
   .last_event_id = "Last-Event-Id",
   .seal = "X-Seal",
   .customer = "X-Customer",
