--- a/packages/gateway/src/generate.c
+++ b/packages/gateway/src/generate.c
@@ -322,7 +322,7 @@
   if (strikes_count (tables->strikes, request->fingerprint, time_boot_ms ())
       == 0)
     return;
-  strikes_clear (tables->strikes, request->fingerprint);
+  strikes_clear (tables->strikes, request->fingerprint, time_boot_ms ());
   if (hooks != NULL && hooks->cleared != NULL)
     hooks->cleared (hooks->context, request->fingerprint);
 }
