relay: withhold requests that crash endpoints

Callers saw 502 and broken streams by the dozen, then 503 for want of groups: whoever sent a prompt with one harmful part, or one harmful request again and again, took down an endpoint each time.

Cause: the relay treated each crash as a failure of the endpoint and went on with the same request at the next one. Nothing connected a crash with the requests at it; the strikes of the gateway were never brought over.

When a connection ends before the response is whole, its request is a suspect, unless the stream had been writing for half a second. If nothing listens at the endpoint then (one probe tells), or it reports another start, the suspects get strikes; lost or spoiled answers alone give none. Whole answers and long streams show that their traits are sound, except answers that end with their connection, which a crash may have cut. Before each send, retry and resume the strikes are asked; a request that has not run is refused with 503 and the time of the quarantine, and one that waits at an endpoint is withdrawn.

--- a/packages/http/include/http-connection.h
+++ b/packages/http/include/http-connection.h
@@ -24,10 +24,12 @@
 
 enum http_end
 {
-  HTTP_END_CLOSED,   /* orderly, by the other side */
-  HTTP_END_RESET,    /* connection error, or the attempt to connect failed */
-  HTTP_END_PROTOCOL, /* malformed message, or orderly close within a message */
-  HTTP_END_LIMIT,    /* header or buffered bytes over their limit */
+  HTTP_END_CLOSED,    /* orderly, by the other side */
+  HTTP_END_RESET,     /* connection error, or the attempt to connect failed */
+  HTTP_END_REFUSED,   /* nothing listens at the address */
+  HTTP_END_TRUNCATED, /* orderly, by the other side, within a message */
+  HTTP_END_PROTOCOL,  /* malformed message */
+  HTTP_END_LIMIT,     /* header or buffered bytes over their limit */
 };
 
 struct http_connection;
@@ -61,6 +63,7 @@
   void *context;
   struct http_limits limits;
   bool connecting;
+  bool was_refused;   /* connecting was refused at once */
   bool is_client;     /* parses responses */
   bool no_body;       /* the response has no body, as the request was a HEAD */
   bool message_begun; /* bytes of the current message were received */
@@ -90,9 +93,10 @@
                                     void *context);
 
 /*
- * Starts to connect.  RESULT_ENDPOINT_CONNECT if connecting fails at once;
- * otherwise connected or closed is called later.  ack_timeout_ms is the time
- * limit for written bytes and keep-alive probes to be acknowledged.
+ * Starts to connect.  RESULT_ENDPOINT_CONNECT if connecting fails at once,
+ * other than by a refusal; otherwise connected or closed is called later.
+ * ack_timeout_ms is the time limit for written bytes and keep-alive probes to
+ * be acknowledged.
  */
 enum result http_connection_connect (struct http_connection *connection,
                                      struct event_base *base,
--- a/packages/http/src/http-connection.c
+++ b/packages/http/src/http-connection.c
@@ -267,7 +267,7 @@
       connection->events->complete (connection->context);
     }
   else
-    report_end (connection, HTTP_END_PROTOCOL);
+    report_end (connection, HTTP_END_TRUNCATED);
 }
 
 static void
@@ -305,10 +305,15 @@
   socklen_t size = sizeof error;
 
   connection->connecting = false;
-  if (getsockopt (connection->fd, SOL_SOCKET, SO_ERROR, &error, &size) != 0
-      || error != 0)
+  if (connection->was_refused)
+    error = ECONNREFUSED;
+  else if (getsockopt (connection->fd, SOL_SOCKET, SO_ERROR, &error, &size)
+           != 0)
+    error = errno;
+  if (error != 0)
     {
-      report_end (connection, HTTP_END_RESET);
+      report_end (connection,
+                  error == ECONNREFUSED ? HTTP_END_REFUSED : HTTP_END_RESET);
       return;
     }
   if (!connection->is_reading_suspended)
@@ -439,6 +444,7 @@
 {
   struct sockaddr_in to = { .sin_family = AF_INET, .sin_port = htons (port) };
   enum result result;
+  bool was_refused = false;
   int fd;
 
   memset (connection, 0, sizeof *connection);
@@ -454,18 +460,24 @@
   set_option (fd, IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_S);
   set_option (fd, IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_S);
   set_option (fd, IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES);
-  if (connect (fd, (struct sockaddr *)&to, sizeof to) != 0
-      && errno != EINPROGRESS)
+  if (connect (fd, (struct sockaddr *)&to, sizeof to) != 0)
     {
-      close (fd);
-      return RESULT_ENDPOINT_CONNECT;
+      was_refused = errno == ECONNREFUSED;
+      if (!was_refused && errno != EINPROGRESS)
+        {
+          close (fd);
+          return RESULT_ENDPOINT_CONNECT;
+        }
     }
   result = init_connection (connection, base, fd, limits, events, context);
   if (result != RESULT_OK)
     return result;
   init_parser (connection, HTTP_RESPONSE);
   connection->connecting = true;
+  connection->was_refused = was_refused;
   event_add (&connection->writable, NULL);
+  if (was_refused)
+    event_active (&connection->writable, EV_WRITE, 0);
   return RESULT_OK;
 }
 
--- a/packages/relay/include/relay.h
+++ b/packages/relay/include/relay.h
@@ -10,6 +10,7 @@
 #include "http-text.h"
 #include "result.h"
 #include "retry-budget.h"
+#include "strikes.h"
 
 #include <event2/event.h>
 #include <event2/listener.h>
@@ -26,9 +27,6 @@
 
 #define RELAY_ID_SIZE 64
 
-/* Parts of a prompt that are kept; further ones are ignored. */
-#define RELAY_PART_LIMIT 32
-
 /*
  * Names of header fields on the wire, for one platform.  The system sets the
  * fields marked "set" itself and drops them from callers' requests.
@@ -105,6 +103,7 @@
   bool established;
   bool has_written;    /* bytes of the request were written */
   bool counts_prefill; /* the prompt counts in the endpoint load's prefill */
+  bool is_sound;       /* it has written for long enough, see crash.c */
   bool head_seen;
   bool is_stream;
   bool is_foreign;    /* the current response belongs to an earlier request */
@@ -113,6 +112,7 @@
   unsigned status;
   int64_t started_ms;      /* start of the attempt, or of the idle time */
   int64_t progress_ms;     /* time of the send, or of the last head or event */
+  int64_t first_event_ms;  /* of this attempt; 0 = none yet */
   int64_t idle_timeout_ms; /* idle time after which it is closed */
   struct http_text head;   /* field lines for the caller */
   struct http_text body;   /* plain response, or incomplete event of a stream */
@@ -140,10 +140,12 @@
   unsigned urgency;
   double admission_draw; /* see balance_request */
   uint64_t prompt_tokens;
-  uint64_t shared_parts[RELAY_PART_LIMIT]; /* ids of parts of the prompt */
+  uint64_t prompt_hash;                      /* of the list of all parts */
+  uint64_t shared_parts[STRIKES_PART_LIMIT]; /* ids of parts of the prompt */
   unsigned shared_part_count;
-  double expected_ms;      /* estimated time from dispatch to first event */
-  struct http_text fields; /* request line and field lines to forward */
+  uint64_t checked_changes; /* strikes.changes when it was found sound */
+  double expected_ms;       /* estimated time from dispatch to first event */
+  struct http_text fields;  /* request line and field lines to forward */
   struct http_text body;
   uint64_t last_event;
   bool has_last_event;
@@ -164,6 +166,21 @@
 
 TAILQ_HEAD (relay_request_list, relay_request);
 
+/*
+ * A request that an endpoint had begun to run when its connection ended.  It
+ * gets a strike if it turns out that the endpoint has crashed.
+ */
+struct relay_suspect
+{
+  char id[RELAY_ID_SIZE];     /* of the request */
+  struct endpoint_load *load; /* referenced */
+  int64_t started_ms;         /* incarnation of the endpoint */
+  int64_t at_ms;              /* when the connection ended */
+  int64_t next_probe_ms;
+  struct strikes_traits traits;
+  TAILQ_ENTRY (relay_suspect) link;
+};
+
 struct relay
 {
   struct event_base *base;
@@ -174,6 +191,10 @@
   struct endpoints *endpoints;
   struct load_table loads;
   struct retry_budgets budgets;
+  struct strikes strikes;
+  TAILQ_HEAD (, relay_suspect) suspects;
+  unsigned suspect_count;
+  uint64_t enforced_changes; /* strikes.changes that relay_tick has seen */
   struct counter_set *counters;
   struct histogram first_event_ms; /* from arrival to a stream's first event */
   struct histogram response_ms;    /* from arrival to a complete response */
--- a/packages/relay/src/attempt.c
+++ b/packages/relay/src/attempt.c
@@ -209,11 +209,38 @@
   return choose_endpoint (request, request->upstream->load, &choice);
 }
 
+static void
+end_quarantined_request (struct relay_request *request, int64_t retry_after_ms)
+{
+  LOG_EVENT (LOG_LEVEL_NOTICE, "request-quarantined",
+             LOG_STR ("request", request->id), LOG_U64 ("runs", request->runs),
+             LOG_INT ("retry_after_ms", retry_after_ms));
+  if (request->head_sent || request->runs > 0)
+    end_failed_request (request, RESULT_QUARANTINED, 0);
+  else
+    relay_refuse (request, RESULT_WITHHELD, retry_after_ms);
+}
+
+void
+relay_withdraw (struct relay_request *request, int64_t retry_after_ms)
+{
+  if (request->upstream->has_written)
+    request->runs++;
+  relay_upstream_close (request->upstream);
+  end_quarantined_request (request, retry_after_ms);
+}
+
 void
 relay_dispatch (struct relay_request *request)
 {
   struct balance_choice choice;
+  int64_t retry_after_ms;
 
+  if (relay_check_strikes (request, &retry_after_ms) != RESULT_OK)
+    {
+      end_quarantined_request (request, retry_after_ms);
+      return;
+    }
   switch (choose_endpoint (request, NULL, &choice))
     {
     case BALANCE_CHOSEN:
--- a/packages/relay/src/caller.c
+++ b/packages/relay/src/caller.c
@@ -87,7 +87,8 @@
 
   caller->relay->now_ms = time_boot_ms ();
   /* A malformed request gets a response; an abort within a body does not. */
-  if ((end == HTTP_END_LIMIT || end == HTTP_END_PROTOCOL)
+  if ((end == HTTP_END_LIMIT || end == HTTP_END_PROTOCOL
+       || end == HTTP_END_TRUNCATED)
       && caller->request == NULL && !caller->connection.has_whole_message)
     {
       relay_refuse_caller (caller, "",
--- a/packages/relay/src/relay-internal.h
+++ b/packages/relay/src/relay-internal.h
@@ -44,6 +44,8 @@
                          bool may_have_run,
                          enum result result);
 void relay_dispatch (struct relay_request *request);
+/* Takes a quarantined request from its endpoint and ends it. */
+void relay_withdraw (struct relay_request *request, int64_t retry_after_ms);
 /*
  * Returns whether the request could fail over to another endpoint: now
  * (CHOSEN), once there is capacity (FULL), or not at all (NONE).
@@ -52,6 +54,35 @@
 /* Randomised time after which a refused caller may retry, ms. */
 int64_t relay_draw_retry_after_ms (struct relay *relay);
 
+/* crash.c */
+/* A stream that has been writing for this long does not crash its endpoint. */
+#define RELAY_SOUND_AFTER_MS 500
+/*
+ * The endpoint closed the connection before the response was whole.  probes:
+ * find out now whether it has crashed.
+ */
+void relay_suspect_crash (struct relay_request *request, bool probes);
+/* Nothing listens at the endpoint's address. */
+void relay_note_refused (struct relay *relay, const struct endpoint_load *load);
+/* An endpoint has run the request without a crash. */
+void relay_note_sound (struct relay_request *request);
+/* Checks again whether endpoints have crashed; drops old suspects. */
+void relay_crash_tick (struct relay *relay);
+void relay_crash_finish (struct relay *relay);
+/*
+ * RESULT_QUARANTINED if the request must not be sent to an endpoint, with the
+ * time until it may.
+ */
+enum result relay_check_strikes (struct relay_request *request,
+                                 int64_t *retry_after_ms);
+/* Logs which traits have been quarantined or released since the last call. */
+void relay_log_quarantines (struct relay *relay);
+/*
+ * Takes requests that have been quarantined since from their endpoints, unless
+ * they run there already.
+ */
+void relay_enforce_quarantine (struct relay *relay);
+
 /* upstream.c */
 /*
  * Attaches the request to an idle connection of the endpoint, or to a new one;
--- a/packages/relay/src/relay.c
+++ b/packages/relay/src/relay.c
@@ -11,8 +11,10 @@
 
 /* Limit of connections that wait to be accepted. */
 #define LISTEN_BACKLOG 1024
-/* Time between two calls of load_table_expire. */
+/* Time between two calls of load_table_expire and strikes_tick. */
 #define LOAD_EXPIRY_INTERVAL_MS 1000
+/* Traits of requests that were at crashes. */
+#define STRIKE_LIMIT 512
 
 enum result
 relay_init (struct relay *relay,
@@ -34,6 +36,9 @@
   load_table_init (&relay->loads, data_centre, seed);
   retry_budgets_init (&relay->budgets, limits->retry_ratio, limits->retry_slack,
                       limits->retry_window_ms);
+  strikes_init (&relay->strikes, STRIKE_LIMIT);
+  relay->strikes.request_spacing_ms = STRIKES_REQUEST_SPACING_MS;
+  TAILQ_INIT (&relay->suspects);
   histogram_init (&relay->first_event_ms);
   histogram_init (&relay->response_ms);
   TAILQ_INIT (&relay->callers);
@@ -95,6 +100,8 @@
     relay_upstream_close (upstream);
   while ((upstream = TAILQ_FIRST (&relay->busy)) != NULL)
     relay_upstream_close (upstream);
+  relay_crash_finish (relay);
+  strikes_finish (&relay->strikes);
   retry_budgets_finish (&relay->budgets);
   load_table_finish (&relay->loads);
   catalog_unref (relay->catalog);
@@ -208,7 +215,11 @@
     {
       relay->last_expiry_ms = now_ms;
       load_table_expire (&relay->loads, now_ms);
+      relay_log_quarantines (relay);
+      strikes_tick (&relay->strikes, now_ms);
     }
+  relay_crash_tick (relay);
+  relay_enforce_quarantine (relay);
   load = balance_next_probe (&relay->loads, relay->endpoints, now_ms);
   if (load != NULL)
     relay_upstream_probe (relay, load);
--- a/packages/relay/src/request.c
+++ b/packages/relay/src/request.c
@@ -1,3 +1,4 @@
+#include "hash.h"
 #include "log.h"
 #include "relay-internal.h"
 
@@ -255,9 +256,11 @@
   const struct relay_names *names = request->relay->names;
   const char *text = http_head_get (head, names->prompt_parts);
 
-  if (text != NULL)
-    request->shared_part_count = names->decode_shared_parts (
-        text, request->shared_parts, RELAY_PART_LIMIT);
+  if (text == NULL)
+    return;
+  request->prompt_hash = hash_string (text, 0);
+  request->shared_part_count = names->decode_shared_parts (
+      text, request->shared_parts, STRIKES_PART_LIMIT);
 }
 
 static void
--- a/packages/relay/src/upstream.c
+++ b/packages/relay/src/upstream.c
@@ -102,6 +102,8 @@
   upstream->status = 0;
   upstream->started_ms = relay->now_ms;
   upstream->progress_ms = relay->now_ms;
+  upstream->first_event_ms = 0;
+  upstream->is_sound = false;
   http_text_reset (&upstream->head);
   upstream->load->running++;
   upstream->counts_prefill = true;
@@ -266,6 +268,17 @@
              || body->size <= SMALL_RESPONSE_BYTES);
 }
 
+static void
+note_long_stream (struct relay_upstream *upstream)
+{
+  if (upstream->is_sound
+      || upstream->relay->now_ms - upstream->first_event_ms
+             < RELAY_SOUND_AFTER_MS)
+    return;
+  upstream->is_sound = true;
+  relay_note_sound (upstream->request);
+}
+
 static void
 forward_stream (struct relay_upstream *upstream)
 {
@@ -281,6 +294,9 @@
       end_prefill (upstream);
       note_progress (upstream);
       upstream->stray_bytes = 0;
+      if (upstream->first_event_ms == 0)
+        upstream->first_event_ms = relay->now_ms;
+      note_long_stream (upstream);
     }
   else if (upstream->stray_bytes > STRAY_BYTES_LIMIT)
     is_valid = false;
@@ -346,6 +362,19 @@
          || http_head_get (head, upstream->relay->names->not_run) != NULL;
 }
 
+/*
+ * A response that ends with its connection may have been cut off by a crash
+ * between two events.
+ */
+static void
+note_whole_response (struct relay_upstream *upstream)
+{
+  if (upstream->connection.ended)
+    relay_suspect_crash (upstream->request, false);
+  else
+    relay_note_sound (upstream->request);
+}
+
 static void
 finish_stream (struct relay_upstream *upstream)
 {
@@ -354,10 +383,13 @@
 
   if (upstream->body.size > 0 || request->events_sent == 0)
     {
+      if (upstream->connection.ended)
+        relay_suspect_crash (request, true);
       relay_fail_attempt (request, true, RESULT_STREAM_BROKEN);
       return;
     }
   balance_note_success (upstream->load);
+  note_whole_response (upstream);
   relay_response_end_stream (request);
   release_connection (upstream);
   relay_request_free (request);
@@ -392,7 +424,10 @@
   if (failed)
     balance_note_failure (upstream->load, upstream->relay->now_ms);
   else
-    balance_note_success (upstream->load);
+    {
+      balance_note_success (upstream->load);
+      note_whole_response (upstream);
+    }
   relay_response_send_plain (request, upstream);
   release_connection (upstream);
   relay_request_free (request);
@@ -436,13 +471,17 @@
   struct relay_upstream *upstream = context;
   struct relay_request *request = upstream->request;
 
-  (void)end;
   upstream->relay->now_ms = time_boot_ms ();
+  if (end == HTTP_END_REFUSED)
+    relay_note_refused (upstream->relay, upstream->load);
   if (request == NULL)
     {
       relay_upstream_close (upstream);
       return;
     }
+  if (upstream->has_written && end != HTTP_END_PROTOCOL
+      && end != HTTP_END_LIMIT)
+    relay_suspect_crash (request, true);
 #ifdef BREAK_GUARD_EDGE_NOT_RUN
   upstream->has_written = false;
 #endif
--- a/packages/strikes/include/strikes.h
+++ b/packages/strikes/include/strikes.h
@@ -44,6 +44,11 @@
  * endpoints at the same time is not caused by one request at each of them.
  */
 #define STRIKES_SPACING_MS 100
+/*
+ * The same for a fingerprint, where the owner asks for it.  A request that is
+ * sent again after a crash needs longer than this to cause the next one.
+ */
+#define STRIKES_REQUEST_SPACING_MS 25
 #define STRIKES_PART_LIMIT 32 /* parts of one prompt that are considered */
 #define STRIKES_COMPANION_LIMIT 16
 #define STRIKES_HISTORY_SIZE 1024
@@ -74,8 +79,9 @@
   bool is_quarantined;
   uint64_t companions[STRIKES_COMPANION_LIMIT]; /* hash_string of the traits */
   unsigned companion_count;
-  /* Copies that the owner has still to send to other hosts. */
+  /* For the owner: copies still to be sent to other hosts, and the log. */
   unsigned unsent;
+  bool was_quarantined; /* as last logged */
   UT_hash_handle hh;
 };
 
@@ -94,7 +100,8 @@
   /* Crashes closer together count once for a fingerprint; 0 = each counts. */
   int64_t request_spacing_ms;
   unsigned copies;  /* value of unsent for changed entries; 0 = not used */
-  bool is_outdated; /* strikes have changed since strikes_refresh */
+  uint64_t changes; /* of what counts; verdicts hold while it is the same */
+  uint64_t refreshed_changes; /* as of the last strikes_refresh */
   /* Direct-mapped cache. */
   struct strikes_answered history[STRIKES_HISTORY_SIZE];
 };
--- a/packages/strikes/src/quarantine-parts.c
+++ b/packages/strikes/src/quarantine-parts.c
@@ -139,9 +139,9 @@
   struct explained_crashes explained = { .count = 0 };
   struct strike_entry *part;
 
-  if (!strikes->is_outdated)
+  if (strikes->refreshed_changes == strikes->changes)
     return;
-  strikes->is_outdated = false;
+  strikes->refreshed_changes = strikes->changes;
   for (struct strike_entry *entry = strikes->entries; entry != NULL;
        entry = entry->hh.next)
     {
--- a/packages/strikes/src/strikes.c
+++ b/packages/strikes/src/strikes.c
@@ -125,7 +125,7 @@
 
   if (now_ms - report->at_ms >= STRIKES_EXPIRY_MS)
     return false;
-  strikes->is_outdated = true;
+  strikes->changes++;
   if (entry != NULL && strikes_is_expired (entry, now_ms))
     entry->strike_count = 0;
   known = entry != NULL ? find_strike (entry, report->crash) : NULL;
@@ -191,7 +191,7 @@
   if (at_ms <= entry->answered_ms)
     return false;
   entry->answered_ms = at_ms;
-  strikes->is_outdated = true;
+  strikes->changes++;
   if (!is_first && entry->strike_count - strikes_first_live (entry) == live)
     return false;
   entry->unsent = strikes->copies;
@@ -330,7 +330,7 @@
       if (strikes_is_expired (entry, now_ms))
         {
           strikes_remove (strikes, entry);
-          strikes->is_outdated = true;
+          strikes->changes++;
         }
       entry = next;
     }
