edge: share strikes and answers between the entry hosts

Cause: what one host learns of a crash serves callers only if the others know it too.

Hosts now send strikes, and answers that void them, where loads go: to their hubs, which pass them on to their hosts and to the other data centres. Messages carry ages, and merging keeps the earliest time of a crash, so a delayed datagram makes no strike newer than the answer after it. Parts that a host has answered before are reported as such when their first strike arrives.

Weighed: to all hosts at once (13,000 datagrams a crash at 380 hosts); with the loads (they are sums, strikes are not); only verdicts (a host cannot merge those of two sides of a cut).

Protocol version 2 stays: older hosts drop the new kind of message.

--- a/packages/edge/include/gossip.h
+++ b/packages/edge/include/gossip.h
@@ -5,6 +5,7 @@
 #include "endpoints.h"
 #include "lease.h"
 #include "result.h"
+#include "strikes.h"
 
 #include <stdbool.h>
 #include <stddef.h>
@@ -23,6 +24,7 @@
 #define GOSSIP_HOST_LIMIT 12
 #define GOSSIP_PATCH_BYTES 1024
 #define GOSSIP_ROUTED_LIMIT 120
+#define GOSSIP_STRIKE_LIMIT 18
 /* An age that has no value, or does not fit. */
 #define GOSSIP_NEVER_MS UINT32_MAX
 
@@ -43,6 +45,8 @@
   /* Requests the endpoints that the receiver routes to. */
   GOSSIP_ROUTED_REQUEST,
   GOSSIP_ROUTED_RESPONSE, /* chunk of the response, see routed-snapshot.h */
+  GOSSIP_STRIKES,         /* crashes and answers, see strike-sync.h */
+  GOSSIP_KINDS,           /* no message */
 };
 
 struct gossip_load
@@ -127,6 +131,21 @@
   uint64_t list[GOSSIP_ROUTED_LIMIT]; /* hash_string of the ids */
 };
 
+/* A crash at which the trait was, or an answer with it. */
+struct gossip_strike
+{
+  char trait[HASH_HEX_SIZE];
+  bool is_part;
+  uint64_t crash; /* 0 = an answer */
+  uint32_t age_ms;
+};
+
+struct gossip_strikes
+{
+  uint32_t count;
+  struct gossip_strike list[GOSSIP_STRIKE_LIMIT];
+};
+
 struct gossip_report
 {
   char endpoint[CATALOG_NAME_SIZE];
@@ -150,6 +169,7 @@
     struct gossip_report report;
     struct gossip_patch patch;
     struct gossip_routed routed;
+    struct gossip_strikes strikes;
   } body;
 };
 
--- a/packages/edge/include/mesh.h
+++ b/packages/edge/include/mesh.h
@@ -64,10 +64,12 @@
   void *context;
   /* The loads of all other hosts have changed. */
   void (*loads) (void *context, const struct gossip_load *list, unsigned count);
-  /* Messages for hub-sync.h, and GOSSIP_PATCH for config-distribution.h. */
+  /* Messages for hub-sync.h, config-distribution.h and strike-sync.h. */
   void (*message) (void *context,
                    struct mesh_host *from,
                    const struct gossip_message *message);
+  /* A host was heard for the first time, or has restarted.  May be NULL. */
+  void (*host_started) (void *context);
   /* Another host reported the lease of the own data centre. */
   void (*lease) (void *context,
                  const struct lease_value *value,
@@ -154,6 +156,16 @@
                 struct mesh_host *to,
                 struct gossip_message *message);
 
+/*
+ * Sends the message where loads go: to the hubs of the own data centre, and
+ * from a hub also to the hosts of its own and the hubs of the other data
+ * centres.
+ */
+void mesh_distribute (struct mesh *mesh, struct gossip_message *message);
+
+/* True if the host is a hub of the own data centre. */
+bool mesh_is_own_hub (const struct mesh *mesh, const struct mesh_host *host);
+
 /* True once other hosts have had time to respond to a newly started host. */
 bool mesh_is_settled (const struct mesh *mesh);
 
--- a/packages/edge/src/gossip.c
+++ b/packages/edge/src/gossip.c
@@ -209,6 +209,24 @@
   return true;
 }
 
+static bool
+code_strikes (XDR *xdr, struct gossip_strikes *strikes)
+{
+  if (!code_count (xdr, &strikes->count, GOSSIP_STRIKE_LIMIT))
+    return false;
+  for (unsigned i = 0; i < strikes->count; i++)
+    {
+      struct gossip_strike *strike = &strikes->list[i];
+
+      if (!code_text (xdr, strike->trait, sizeof strike->trait)
+          || !code_flag (xdr, &strike->is_part)
+          || !xdr_uint64_t (xdr, &strike->crash)
+          || !xdr_uint32_t (xdr, &strike->age_ms))
+        return false;
+    }
+  return true;
+}
+
 static bool
 code_body (XDR *xdr, struct gossip_message *message)
 {
@@ -234,6 +252,10 @@
       return code_patch (xdr, &message->body.patch);
     case GOSSIP_ROUTED_RESPONSE:
       return code_routed (xdr, &message->body.routed);
+    case GOSSIP_STRIKES:
+      return code_strikes (xdr, &message->body.strikes);
+    case GOSSIP_KINDS:
+      break;
     }
   return false;
 }
@@ -249,7 +271,7 @@
       || !xdr_uint64_t (xdr, &message->boot)
       || !xdr_uint32_t (xdr, &message->sequence)
       || !code_flag (xdr, &message->has_traffic) || kind < GOSSIP_LOAD
-      || kind > GOSSIP_ROUTED_RESPONSE)
+      || kind >= GOSSIP_KINDS)
     return false;
   message->kind = (enum gossip_kind)kind;
   return code_body (xdr, message);
--- a/packages/edge/src/mesh-load.c
+++ b/packages/edge/src/mesh-load.c
@@ -418,13 +418,26 @@
          && is_hub_host (mesh, host);
 }
 
-static bool
-is_own_hub (const struct mesh *mesh, const struct mesh_host *host)
+bool
+mesh_is_own_hub (const struct mesh *mesh, const struct mesh_host *host)
 {
   return is_same_data_centre (&host->info, &mesh->self)
          && is_hub_host (mesh, host);
 }
 
+void
+mesh_distribute (struct mesh *mesh, struct gossip_message *message)
+{
+  bool is_hub = mesh_is_hub (mesh);
+
+  for (struct mesh_host *host = mesh->hosts; host != NULL; host = host->hh.next)
+    host->is_receiver
+        = mesh_is_own_hub (mesh, host)
+          || (is_hub
+              && (is_total_receiver (mesh, host) || is_other_hub (mesh, host)));
+  mesh_send_receivers (mesh, message);
+}
+
 static void
 publish_totals (struct mesh *mesh)
 {
@@ -495,7 +508,7 @@
   mesh->next_send_ms = mesh->now_ms + compute_load_interval_ms (mesh);
   collect (context, &mesh->own_loads);
   mesh->own_loads.hosts = 1;
-  send_loads (mesh, GOSSIP_LOAD, &mesh->own_loads, is_own_hub);
+  send_loads (mesh, GOSSIP_LOAD, &mesh->own_loads, mesh_is_own_hub);
   if (has_to_publish_totals (mesh))
     publish_totals (mesh);
   detect_silent_hub (mesh);
--- a/packages/edge/src/mesh.c
+++ b/packages/edge/src/mesh.c
@@ -214,8 +214,13 @@
   if (host->boot == message->boot && message->sequence <= host->sequence)
     return;
   if (host->last_seen_ms == 0 || host->boot != message->boot)
-    LOG_EVENT (LOG_LEVEL_INFO, "host-heard", LOG_STR ("from", host->info.name),
-               LOG_U64 ("boot", message->boot));
+    {
+      LOG_EVENT (LOG_LEVEL_INFO, "host-heard",
+                 LOG_STR ("from", host->info.name),
+                 LOG_U64 ("boot", message->boot));
+      if (mesh->hooks.host_started != NULL)
+        mesh->hooks.host_started (mesh->hooks.context);
+    }
   host->boot = message->boot;
   host->sequence = message->sequence;
   host->last_seen_ms = mesh->now_ms;
@@ -241,8 +246,11 @@
     case GOSSIP_PATCH:
     case GOSSIP_ROUTED_REQUEST:
     case GOSSIP_ROUTED_RESPONSE:
+    case GOSSIP_STRIKES:
       mesh->hooks.message (mesh->hooks.context, host, message);
       break;
+    case GOSSIP_KINDS:
+      break;
     }
 }
 
--- a/packages/edge/src/peers.c
+++ b/packages/edge/src/peers.c
@@ -50,10 +50,21 @@
 
   if (message->kind == GOSSIP_PATCH)
     edge_handle_patch (edge, &message->body.patch);
+  else if (message->kind == GOSSIP_STRIKES)
+    strike_sync_handle_message (&edge->strike_sync, from,
+                                &message->body.strikes, edge->mesh.now_ms);
   else
     hub_sync_handle_message (&edge->hub_sync, from, message, edge->mesh.now_ms);
 }
 
+static void
+on_host_started (void *context)
+{
+  struct edge *edge = context;
+
+  strike_sync_host_started (&edge->strike_sync);
+}
+
 static void
 on_lease (void *context, const struct lease_value *value, uint64_t version)
 {
@@ -114,7 +125,8 @@
 edge_peers_init (struct edge *edge)
 {
   const struct edge_settings *settings = &edge->settings;
-  const struct mesh_hooks mesh_hooks = { edge, on_loads, on_message, on_lease };
+  const struct mesh_hooks mesh_hooks
+      = { edge, on_loads, on_message, on_host_started, on_lease };
   const struct hub_sync_hooks hub_sync_hooks
       = { edge, get_configuration_version, get_own_freshness, send_patch };
   struct gossip_host self = {
@@ -138,6 +150,7 @@
     mesh_add_seed (&edge->mesh, settings->peers_seeds.items[i]);
   hub_sync_init (&edge->hub_sync, &edge->mesh, &edge->endpoints,
                  &hub_sync_hooks, edge_freshness_limit_ms (settings));
+  strike_sync_init (&edge->strike_sync, &edge->mesh, &edge->relay.strikes);
   return RESULT_OK;
 }
 
@@ -181,4 +194,5 @@
   edge->relay.loads.peer_load_age_ms = mesh_load_age_ms (&edge->mesh);
   mesh_tick (&edge->mesh, edge->relay.has_received_request, collect_loads, edge,
              edge->now_ms);
+  strike_sync_tick (&edge->strike_sync, edge->now_ms);
 }
--- a/packages/edge/tests/t0960-gossip.c
+++ b/packages/edge/tests/t0960-gossip.c
@@ -70,6 +70,20 @@
           report->report.state = ENDPOINT_GROUP_OPEN;
         }
       break;
+    case GOSSIP_STRIKES:
+      message.body.strikes.count = GOSSIP_STRIKE_LIMIT;
+      for (unsigned i = 0; i < GOSSIP_STRIKE_LIMIT; i++)
+        {
+          struct gossip_strike *strike = &message.body.strikes.list[i];
+
+          memset (strike->trait, 'a', sizeof strike->trait - 1);
+          strike->is_part = i % 2 == 0;
+          strike->crash = i;
+        }
+      break;
+    case GOSSIP_KINDS:
+      fail ();
+      break;
     case GOSSIP_PATCH:
       message.body.patch.count = GOSSIP_PATCH_BYTES;
       memset (message.body.patch.bytes, 'p', GOSSIP_PATCH_BYTES);
@@ -81,7 +95,7 @@
 test_round_trip (void **state)
 {
   (void)state;
-  for (int kind = GOSSIP_LOAD; kind <= GOSSIP_ROUTED_RESPONSE; kind++)
+  for (int kind = GOSSIP_LOAD; kind < GOSSIP_KINDS; kind++)
     {
       size_t size;
 
@@ -107,7 +121,7 @@
 
   (void)state;
   rng_init (&rng, 1);
-  for (int kind = GOSSIP_LOAD; kind <= GOSSIP_ROUTED_RESPONSE; kind++)
+  for (int kind = GOSSIP_LOAD; kind < GOSSIP_KINDS; kind++)
     {
       size_t size;
 
@@ -124,11 +138,14 @@
           damaged[rng_below (&rng, size)] ^= (char)(1 + rng_below (&rng, 255));
           if (gossip_decode (&decoded, damaged, size) != RESULT_OK)
             continue;
-          assert_in_range (decoded.kind, GOSSIP_LOAD, GOSSIP_ROUTED_RESPONSE);
+          assert_in_range (decoded.kind, GOSSIP_LOAD, GOSSIP_KINDS - 1);
           if (decoded.kind <= GOSSIP_TOTAL)
             assert_in_range (decoded.body.loads.count, 0, GOSSIP_LOAD_LIMIT);
           if (decoded.kind == GOSSIP_PATCH)
             assert_in_range (decoded.body.patch.count, 0, GOSSIP_PATCH_BYTES);
+          if (decoded.kind == GOSSIP_STRIKES)
+            assert_in_range (decoded.body.strikes.count, 0,
+                             GOSSIP_STRIKE_LIMIT);
           if (decoded.kind == GOSSIP_REPORT)
             assert_in_range (decoded.body.report.report.state,
                              ENDPOINT_GROUP_NONE, ENDPOINT_GROUP_BROKEN);
--- a/packages/edge/tests/t0967-hubs.c
+++ b/packages/edge/tests/t0967-hubs.c
@@ -127,7 +127,7 @@
   bool is_large = index < 3 || index == REPLACEMENT;
   struct gossip_host self = { .port = PORT, .capacity = is_large ? 500 : 120 };
   const struct mesh_hooks hooks
-      = { &indexes[index], on_loads, on_message, on_lease };
+      = { &indexes[index], on_loads, on_message, NULL, on_lease };
 
   indexes[index] = index;
   /* The replacement ranks between the second hub and the third host. */
--- a/packages/strikes/include/strikes.h
+++ b/packages/strikes/include/strikes.h
@@ -99,7 +99,9 @@
   size_t limit; /* entries; a full table replaces its oldest entry */
   /* Crashes closer together count once for a fingerprint; 0 = each counts. */
   int64_t request_spacing_ms;
-  unsigned copies;  /* value of unsent for changed entries; 0 = not used */
+  /* Values of unsent after a change seen here, and after a report of a host. */
+  unsigned copies;
+  unsigned passed_copies;
   uint64_t changes; /* of what counts; verdicts hold while it is the same */
   uint64_t refreshed_changes; /* as of the last strikes_refresh */
   /* Direct-mapped cache. */
@@ -141,8 +143,8 @@
                   int64_t now_ms);
 
 /*
- * Records a strike of any kind.  False if it was known already, except with a
- * later time, which is then corrected.
+ * Records a strike that another host reports.  False if it was known already,
+ * except with a later time, which is then corrected.
  */
 bool strikes_add_report (struct strikes *strikes,
                          const struct strike_report *report,
@@ -156,7 +158,7 @@
                         int64_t now_ms);
 
 /*
- * A request with the trait was answered at this time, here or at another host.
+ * Another host reports that a request with the trait was answered at this time.
  * True if the entry of the trait has changed.
  */
 bool strikes_clear (struct strikes *strikes, const char *trait, int64_t at_ms);
--- a/packages/strikes/src/strikes.c
+++ b/packages/strikes/src/strikes.c
@@ -90,7 +90,7 @@
   if (at_ms >= strike->at_ms)
     return;
   if (strike->at_ms - at_ms >= CORRECTION_MS)
-    entry->unsent = strikes->copies;
+    entry->unsent = strikes->passed_copies;
   remove_strike (entry, (unsigned)(strike - entry->strikes));
   insert_strike (entry, crash, at_ms);
 }
@@ -111,14 +111,25 @@
 
   if (entry != NULL && kind == STRIKES_PART
       && get_history_slot (strikes, hash)->part == hash)
-    entry->answered_ms = get_history_slot (strikes, hash)->at_ms;
+    {
+      entry->answered_ms = get_history_slot (strikes, hash)->at_ms;
+      entry->unsent = strikes->copies;
+    }
   return entry;
 }
 
-bool
-strikes_add_report (struct strikes *strikes,
-                    const struct strike_report *report,
-                    int64_t now_ms)
+static void
+set_unsent (struct strike_entry *entry, unsigned copies)
+{
+  if (entry->unsent < copies)
+    entry->unsent = copies;
+}
+
+static bool
+add_strike (struct strikes *strikes,
+            const struct strike_report *report,
+            unsigned copies,
+            int64_t now_ms)
 {
   struct strike_entry *entry = strikes_find (strikes, report->trait);
   struct strike *known;
@@ -141,10 +152,18 @@
     return true;
   if (!insert_strike (entry, report->crash, report->at_ms))
     return false;
-  entry->unsent = strikes->copies;
+  set_unsent (entry, copies);
   return true;
 }
 
+bool
+strikes_add_report (struct strikes *strikes,
+                    const struct strike_report *report,
+                    int64_t now_ms)
+{
+  return add_strike (strikes, report, strikes->passed_copies, now_ms);
+}
+
 bool
 strikes_add (struct strikes *strikes,
              const char *fingerprint,
@@ -159,7 +178,7 @@
     .at_ms = now_ms,
   };
 
-  return strikes_add_report (strikes, &report, now_ms);
+  return add_strike (strikes, &report, strikes->copies, now_ms);
 }
 
 void
@@ -173,17 +192,20 @@
       = { STRIKES_REQUEST, traits->fingerprint, crash, at_ms };
 
   if (traits->fingerprint[0] != '\0')
-    strikes_add_report (strikes, &report, now_ms);
+    add_strike (strikes, &report, strikes->copies, now_ms);
   report.kind = STRIKES_PART;
   for (unsigned i = 0; i < traits->part_count; i++)
     {
       report.trait = traits->parts[i];
-      strikes_add_report (strikes, &report, now_ms);
+      add_strike (strikes, &report, strikes->copies, now_ms);
     }
 }
 
 static bool
-clear_entry (struct strikes *strikes, struct strike_entry *entry, int64_t at_ms)
+clear_entry (struct strikes *strikes,
+             struct strike_entry *entry,
+             int64_t at_ms,
+             unsigned copies)
 {
   unsigned live = entry->strike_count - strikes_first_live (entry);
   bool is_first = entry->answered_ms == STRIKES_NEVER;
@@ -194,7 +216,7 @@
   strikes->changes++;
   if (!is_first && entry->strike_count - strikes_first_live (entry) == live)
     return false;
-  entry->unsent = strikes->copies;
+  set_unsent (entry, copies);
   return true;
 }
 
@@ -202,12 +224,21 @@
  * The crashes stay recorded: a peer that reports them again later must not
  * restore the strikes.
  */
-bool
-strikes_clear (struct strikes *strikes, const char *trait, int64_t at_ms)
+static bool
+clear_trait (struct strikes *strikes,
+             const char *trait,
+             int64_t at_ms,
+             unsigned copies)
 {
   struct strike_entry *entry = strikes_find (strikes, trait);
 
-  return entry != NULL && clear_entry (strikes, entry, at_ms);
+  return entry != NULL && clear_entry (strikes, entry, at_ms, copies);
+}
+
+bool
+strikes_clear (struct strikes *strikes, const char *trait, int64_t at_ms)
+{
+  return clear_trait (strikes, trait, at_ms, strikes->passed_copies);
 }
 
 bool
@@ -224,11 +255,11 @@
       *get_history_slot (strikes, hash)
           = (struct strikes_answered){ hash, now_ms };
       if (strikes->entries != NULL
-          && strikes_clear (strikes, traits->parts[i], now_ms))
+          && clear_trait (strikes, traits->parts[i], now_ms, strikes->copies))
         has_changed = true;
     }
   if (strikes->entries != NULL && traits->fingerprint[0] != '\0'
-      && strikes_clear (strikes, traits->fingerprint, now_ms))
+      && clear_trait (strikes, traits->fingerprint, now_ms, strikes->copies))
     has_changed = true;
   return has_changed;
 }
@@ -241,7 +272,7 @@
   if (entry == NULL)
     return;
   entry->changed_ms = now_ms;
-  strikes_clear (strikes, trait, now_ms);
+  clear_trait (strikes, trait, now_ms, strikes->copies);
 }
 
 unsigned
--- a/packages/strikes/tests/t0207-strike-parts.c
+++ b/packages/strikes/tests/t0207-strike-parts.c
@@ -309,7 +309,7 @@
 
   (void)state;
   strikes_init (&strikes, TABLE_LIMIT);
-  strikes.copies = 3;
+  strikes.passed_copies = 3;
   strikes_add_report (&strikes, &report, 2 * S);
   entry = strikes.entries;
   assert_int_equal (entry->unsent, 3);
