edge: keep the strikes behind quarantines in the store

Cause: strikes were in the memory of the hosts only.

The hosts that read the platform write one record per data centre with the strikes behind the quarantines, when these change, and follow the records of all. A started fleet has them as soon as it reads the platform. The record holds strikes, not verdicts, so that a sound part that was at the same crashes is still told from the harmful one.

Weighed: a list by each host at its start (one call a host, 136 on the largest fleet, for a window of half a second); verdicts only.

--- a/packages/edge/include/edge.h
+++ b/packages/edge/include/edge.h
@@ -12,6 +12,7 @@
 #include "platform-adapter.h"
 #include "records.h"
 #include "relay.h"
+#include "strike-record.h"
 #include "strike-sync.h"
 
 #include <event2/event.h>
@@ -53,6 +54,7 @@
   struct mesh mesh;
   struct hub_sync hub_sync;
   struct strike_sync strike_sync;
+  struct strike_record strike_record;
   struct config_distribution distribution;
   unsigned max_hosts_seen; /* most entry hosts known at the same time */
   /* Reads the platform, also for hosts that poll this one. */
--- a/packages/edge/src/edge.c
+++ b/packages/edge/src/edge.c
@@ -98,6 +98,7 @@
              LOG_U64 ("endpoint_calls", edge->records.calls[RECORDS_ENDPOINTS]),
              LOG_U64 ("lease_calls", edge->records.calls[RECORDS_LEASES]),
              LOG_U64 ("host_calls", edge->records.calls[RECORDS_HOSTS]),
+             LOG_U64 ("strike_calls", edge->records.calls[RECORDS_STRIKES]),
              LOG_U64 ("platform_failures", edge->records.failures));
 }
 
--- a/packages/edge/src/follow.c
+++ b/packages/edge/src/follow.c
@@ -245,6 +245,8 @@
   follower_init (&edge->entries, &edge->records, RECORDS_ENDPOINTS, "endpoints",
                  &entries, ENTRIES_WAIT_MS,
                  edge_entries_interval_ms (&edge->settings));
+  strike_record_init (&edge->strike_record, &edge->records,
+                      &edge->relay.strikes, edge->settings.data_centre);
 }
 
 static void
@@ -431,6 +433,8 @@
         follower_tick (&edge->configuration, edge->now_ms);
       if (can_read_entries (edge, retry_ms))
         follower_tick (&edge->entries, edge->now_ms);
+      if (edge->configuration.failing_since_ms == 0)
+        strike_record_tick (&edge->strike_record, edge->now_ms);
     }
   else if (edge->hub_sync.newest_configuration
                > relay_catalog_version (&edge->relay)
--- a/packages/records/include/records.h
+++ b/packages/records/include/records.h
@@ -27,6 +27,7 @@
   RECORDS_ENDPOINTS,
   RECORDS_LEASES,
   RECORDS_HOSTS,
+  RECORDS_STRIKES, /* see strike-record.h of edge */
   RECORDS_KINDS,
 };
 const char *records_kind_name (enum records_kind kind);
--- a/packages/records/src/records.c
+++ b/packages/records/src/records.c
@@ -45,6 +45,7 @@
     [RECORDS_ENDPOINTS] = "endpoints",
     [RECORDS_LEASES] = "leases",
     [RECORDS_HOSTS] = "hosts",
+    [RECORDS_STRIKES] = "strikes",
   };
 
   return names[kind];
