--- a/packages/daemon/src/status.c
+++ b/packages/daemon/src/status.c
@@ -171,8 +171,8 @@
   for (const struct strike_entry *entry = daemon->strikes.entries;
        entry != NULL; entry = entry->hh.next)
     {
-      unsigned strikes = strikes_count (&daemon->strikes, entry->trait,
-                                        daemon->now_ms);
+      unsigned strikes
+          = strikes_count (&daemon->strikes, entry->trait, daemon->now_ms);
 
       if (strikes > 0)
         json_array_append_new (list, json_pack ("{s:s, s:i}", "fingerprint",
--- a/packages/gateway/src/dispatch.c
+++ b/packages/gateway/src/dispatch.c
@@ -299,6 +299,20 @@
                       attempt->boot_id);
 }
 
+void
+request_clear_strikes (struct gateway_request *request)
+{
+  const struct gateway_tables *tables = &request->gateway->tables;
+  const struct gateway_strike_hooks *hooks = tables->strike_hooks;
+  int64_t now_ms = time_boot_ms ();
+
+  if (strikes_count (tables->strikes, request->fingerprint, now_ms) == 0)
+    return;
+  strikes_clear (tables->strikes, request->fingerprint, now_ms);
+  if (hooks != NULL && hooks->cleared != NULL)
+    hooks->cleared (hooks->context, request->fingerprint);
+}
+
 static bool
 consume_retry_budget (struct gateway_request *request)
 {
--- a/packages/gateway/src/generate.c
+++ b/packages/gateway/src/generate.c
@@ -312,26 +312,11 @@
   return ok;
 }
 
-/* A completed request did not crash its endpoint, so its strikes are void. */
-static void
-clear_strikes (struct gateway_request *request)
-{
-  const struct gateway_tables *tables = &request->gateway->tables;
-  const struct gateway_strike_hooks *hooks = tables->strike_hooks;
-
-  if (strikes_count (tables->strikes, request->fingerprint, time_boot_ms ())
-      == 0)
-    return;
-  strikes_clear (tables->strikes, request->fingerprint, time_boot_ms ());
-  if (hooks != NULL && hooks->cleared != NULL)
-    hooks->cleared (hooks->context, request->fingerprint);
-}
-
 static void
 complete_generation (struct gateway_request *request)
 {
   attempt_end (request, CHOOSE_END_SUCCESS, false);
-  clear_strikes (request);
+  request_clear_strikes (request);
   if (!(request->streamed ? send_stream_end (request)
                           : send_collected_response (request)))
     {
--- a/packages/gateway/src/internal.h
+++ b/packages/gateway/src/internal.h
@@ -193,6 +193,8 @@
 void
 attempt_end (struct gateway_request *request, enum choose_end end, bool cancel);
 void attempt_tick (struct gateway_request *request, int64_t now_ms);
+/* The request was answered and so did not cause the crashes it was at. */
+void request_clear_strikes (struct gateway_request *request);
 /* True if the response is the error of an endpoint that is leaving. */
 bool attempt_has_leaving_response (struct attempt *attempt);
 /* Appends to the response body; false if it exceeds the limit. */
--- a/packages/gateway/tests/harness.h
+++ b/packages/gateway/tests/harness.h
@@ -53,6 +53,7 @@
   bool complete;       /* the response is complete: a next call may follow */
   bool closed;         /* by the gateway */
   bool sends_comments; /* sends a comment every TICK_US */
+  bool unframed;       /* the response has neither length nor chunks */
 };
 
 /*
@@ -63,7 +64,9 @@
  * of a leaving endpoint; ok sends a service response 201; bad sends an event
  * that is not a token; flood sends tokens without end; drip sends a comment
  * every TICK_US; endless sends bytes without end; error starts a 500 response
- * of unknown length; stale sends the response to another request.
+ * of unknown length; stale sends the response to another request.  U starts a
+ * stream, and open sends a service response, that have neither a length nor
+ * chunks; half sends the beginning of an event.
  */
 struct testbed
 {
@@ -168,8 +171,11 @@
   char event[256];
 
   snprintf (event, sizeof event, "data: %s\n\n", data);
-  evbuffer_add_printf (bufferevent_get_output (call->bev), "%zx\r\n%s\r\n",
-                       strlen (event), event);
+  if (call->unframed)
+    evbuffer_add_printf (bufferevent_get_output (call->bev), "%s", event);
+  else
+    evbuffer_add_printf (bufferevent_get_output (call->bev), "%zx\r\n%s\r\n",
+                         strlen (event), event);
 }
 
 static void
@@ -275,7 +281,8 @@
       if (!header_sent && !is_status && strcmp (word, "leaving") != 0
           && strcmp (word, "ok") != 0 && strcmp (word, "H") != 0
           && strcmp (word, "N") != 0 && strcmp (word, "error") != 0
-          && strcmp (word, "stale") != 0)
+          && strcmp (word, "stale") != 0 && strcmp (word, "U") != 0
+          && strcmp (word, "open") != 0)
         {
           header_sent = true;
           call_send_stream_header (call);
@@ -284,6 +291,25 @@
         call_send_token (call, strtoul (word, NULL, 10));
       else if (is_status)
         call_send_response (call, atoi (word), "{\"error\":\"x\"}");
+      else if (strcmp (word, "U") == 0)
+        {
+          header_sent = true;
+          call->unframed = true;
+          evbuffer_add_printf (bufferevent_get_output (call->bev),
+                               "HTTP/1.1 200 OK\r\n"
+                               "Content-Type: text/event-stream\r\n\r\n");
+        }
+      else if (strcmp (word, "open") == 0)
+        {
+          header_sent = true;
+          call->unframed = true;
+          evbuffer_add_printf (bufferevent_get_output (call->bev),
+                               "HTTP/1.1 201 X\r\nContent-Type: "
+                               "application/json\r\n\r\n{\"serial\":7}");
+        }
+      else if (strcmp (word, "half") == 0)
+        evbuffer_add_printf (bufferevent_get_output (call->bev),
+                             "data: {\"index\":");
       else if (strcmp (word, "leaving") == 0)
         call_send_response (call, 503, "{\"error\":\"leaving\"}");
       else if (strcmp (word, "ok") == 0)
