gateway: count a crash in a response without a length as a strike

An engine may answer with neither a length nor chunks; the response then ends with its connection. When the engine crashed in the middle, evhttp reported the end as that of a whole response, the missing [DONE] made it a failed attempt, and no strike was recorded.

A status 200 without [DONE], and without a length or chunks, now gives a strike. An answer of a service that ends with its connection clears no strikes, as a crash may have ended it.

t0815 has a crash before the first event and one within an event; both failed before (third send instead of 422) and pass.

--- a/packages/gateway/src/endpoint.c
+++ b/packages/gateway/src/endpoint.c
@@ -235,6 +235,9 @@
   headers = evhttp_request_get_input_headers (request);
   type = evhttp_find_header (headers, "Content-Type");
   id = evhttp_find_header (headers, "X-Request-Id");
+  call->ends_with_connection
+      = evhttp_find_header (headers, "Content-Length") == NULL
+        && evhttp_find_header (headers, "Transfer-Encoding") == NULL;
   call->id_mismatch
       = id != NULL && call->id[0] != '\0' && strcmp (id, call->id) != 0;
   snprintf (call->content_type, sizeof call->content_type, "%s",
--- a/packages/gateway/src/endpoint.h
+++ b/packages/gateway/src/endpoint.h
@@ -92,6 +92,9 @@
   bool own_connection;
   bool paused;      /* the response is not read at present */
   bool id_mismatch; /* the response carries the id of another request */
+  /* The response has neither a length nor chunks: it ends with its connection.
+   */
+  bool ends_with_connection;
   char id[ENDPOINT_REQUEST_ID_SIZE];
   void (*release) (void *context);
   LIST_ENTRY (endpoint_call) link;
--- a/packages/gateway/src/generate.c
+++ b/packages/gateway/src/generate.c
@@ -419,7 +419,10 @@
       result = attempt_has_leaving_response (attempt) ? RESULT_ENDPOINT_LEAVING
                                                       : RESULT_UPSTREAM_UNKNOWN;
     }
-  attempt_fail (request, result, false);
+  /* Without [DONE] the end of the connection may be that of the endpoint. */
+  attempt_fail (request, result,
+                attempt->call->status == 200
+                    && attempt->call->ends_with_connection);
 }
 
 static const char *
--- a/packages/gateway/src/service.c
+++ b/packages/gateway/src/service.c
@@ -197,7 +197,7 @@
     request_refuse (request, RESULT_NO_MEMORY, 0);
   else
     {
-      if (status < 500)
+      if (status < 500 && !attempt->call->ends_with_connection)
         request_clear_strikes (request);
       attempt_end (request,
                    status < 500 ? CHOOSE_END_SUCCESS : CHOOSE_END_FAILURE,
--- a/packages/gateway/tests/t0815-crash-requests.c
+++ b/packages/gateway/tests/t0815-crash-requests.c
@@ -22,8 +22,10 @@
   struct step steps[STEP_LIMIT];
 };
 
+#define CHAT "POST", "/v1/chat/completions"
 #define TEXT "POST", "/v1/completions"
 #define NOTES "GET", "/v1/services/app/notes"
+#define MESSAGE(text) "{\"role\":\"user\",\"content\":\"" text "\"}"
 #define MESSAGES(list)                                                         \
   "{\"model\":\"m\",\"max_tokens\":4,\"messages\":[" list "]}"
 #define PROMPT(text)                                                           \
@@ -31,6 +33,14 @@
 #define DONE "0 1 D E"
 
 static const struct crash_case cases[] = {
+  { "a crash in a stream without length or chunks is no strike",
+    { { TEXT, PROMPT ("bad"), "U F", 502 },
+      { TEXT, PROMPT ("bad"), "U F", 502 },
+      { TEXT, PROMPT ("bad"), DONE, 422 } } },
+  { "a crash within an event is no strike",
+    { { TEXT, PROMPT ("bad"), "U 0 half F", 502 },
+      { TEXT, PROMPT ("bad"), "U 0 half F", 502 },
+      { TEXT, PROMPT ("bad"), DONE, 422 } } },
   { "a call that is answered keeps the strikes of earlier crashes",
     { { NOTES, "", "N", 502 },
       { NOTES, "", "ok", 201 },
