gateway: blame parts of prompts for crashes

Cause: the gateway's strikes went by the fingerprint of the whole request.

The parts of a prompt are the messages of a chat but the last, and the paragraphs of a plain prompt but the last. A crash gives them strikes unless the stream had been writing for half a second; a completed generation, or half a second of writing, shows that they are sound.

--- a/packages/gateway/include/gateway.h
+++ b/packages/gateway/include/gateway.h
@@ -107,18 +107,21 @@
   void (*abandon) (void *context, struct gateway_claim *claim);
 };
 
-/* Reports strikes to the peers of the data centre; members may be NULL. */
+/*
+ * Reports strikes to the peers of the data centre; members may be NULL.  A
+ * trait is a fingerprint or the id of a part of a prompt, see strikes.h.
+ */
 struct gateway_strike_hooks
 {
   void *context;
   void (*broadcast) (void *context,
-                     const char *fingerprint,
+                     const char *trait,
                      const char *host,
                      const char *boot_id);
   /* True if every live peer acknowledged the strikes of the fingerprint. */
   bool (*acknowledged) (void *context, const char *fingerprint);
-  /* A request with a strike completed, so its strikes were cleared here. */
-  void (*cleared) (void *context, const char *fingerprint);
+  /* A request was answered, so the strikes of this trait were cleared here. */
+  void (*cleared) (void *context, const char *trait);
 };
 
 /* Borrowed; all must outlive the gateway.  sheet may change at any time. */
--- a/packages/gateway/src/admit.c
+++ b/packages/gateway/src/admit.c
@@ -19,8 +19,8 @@
   struct admission_entry *entry = &request->admission;
   int64_t now_ms = time_boot_ms ();
   int64_t retry_after_ms = 0;
-  enum result result = strikes_check (
-      gateway->tables.strikes, request->fingerprint, now_ms, &retry_after_ms);
+  enum result result = strikes_check_traits (
+      gateway->tables.strikes, &request->traits, now_ms, &retry_after_ms);
 
   if (result != RESULT_OK)
     {
--- a/packages/gateway/src/dispatch.c
+++ b/packages/gateway/src/dispatch.c
@@ -36,8 +36,8 @@
 static bool
 has_strike (const struct gateway_request *request, int64_t now_ms)
 {
-  return strikes_count (request->gateway->tables.strikes, request->fingerprint,
-                        now_ms)
+  return strikes_count (request->gateway->tables.strikes,
+                        request->traits.fingerprint, now_ms)
          > 0;
 }
 
@@ -53,7 +53,7 @@
     .model = is_service ? NULL : request->name,
     .service = is_service ? request->name : NULL,
     .prefix_hash = request->prefix_hash,
-    .fingerprint = request->fingerprint,
+    .fingerprint = request->traits.fingerprint,
     .has_strike = has_strike (request, now_ms),
     .may_have_run = request->may_have_run,
   };
@@ -207,7 +207,7 @@
          && hooks->acknowledged != NULL
          && now_ms < request->last_failure_ms
                          + request->gateway->limits.strike_ack_timeout_ms
-         && !hooks->acknowledged (hooks->context, request->fingerprint);
+         && !hooks->acknowledged (hooks->context, request->traits.fingerprint);
 }
 
 void
@@ -222,8 +222,8 @@
   if (result == RESULT_OK)
     result = parse_check_target (request);
   if (result == RESULT_OK)
-    result = strikes_check (request->gateway->tables.strikes,
-                            request->fingerprint, now_ms, &retry_after_ms);
+    result = strikes_check_traits (request->gateway->tables.strikes,
+                                   &request->traits, now_ms, &retry_after_ms);
   if (result != RESULT_OK)
     {
       request_refuse (request, result, retry_after_ms);
@@ -284,6 +284,29 @@
          || result == RESULT_ENDPOINT_LEAVING || result == RESULT_ENDPOINT_BUSY;
 }
 
+static void
+record_part_strikes (struct gateway_request *request,
+                     const struct attempt *attempt,
+                     int64_t now_ms)
+{
+  const struct gateway_tables *tables = &request->gateway->tables;
+  const struct gateway_strike_hooks *hooks = tables->strike_hooks;
+  struct strike_report report = {
+    .kind = STRIKES_PART,
+    .crash = strikes_crash_id (attempt->host, attempt->boot_id),
+    .at_ms = now_ms,
+  };
+
+  for (unsigned i = 0; i < request->traits.part_count; i++)
+    {
+      report.trait = request->traits.parts[i];
+      if (strikes_add_report (tables->strikes, &report, now_ms) && hooks != NULL
+          && hooks->broadcast != NULL)
+        hooks->broadcast (hooks->context, report.trait, attempt->host,
+                          attempt->boot_id);
+    }
+}
+
 static void
 record_strike (struct gateway_request *request,
                const struct attempt *attempt,
@@ -292,25 +315,47 @@
   const struct gateway_tables *tables = &request->gateway->tables;
   const struct gateway_strike_hooks *hooks = tables->strike_hooks;
 
-  strikes_add (tables->strikes, request->fingerprint, attempt->host,
+  strikes_add (tables->strikes, request->traits.fingerprint, attempt->host,
                attempt->boot_id, now_ms);
   if (hooks != NULL && hooks->broadcast != NULL)
-    hooks->broadcast (hooks->context, request->fingerprint, attempt->host,
-                      attempt->boot_id);
+    hooks->broadcast (hooks->context, request->traits.fingerprint,
+                      attempt->host, attempt->boot_id);
+  /* A part of the prompt does its harm when the endpoint begins to write. */
+  if (!attempt->is_sound)
+    record_part_strikes (request, attempt, now_ms);
 }
 
-void
-request_clear_strikes (struct gateway_request *request)
+/* Clears the trait's strikes here and at the peers, if it has any. */
+static void
+clear_trait (struct gateway *gateway, const char *trait, int64_t now_ms)
 {
-  const struct gateway_tables *tables = &request->gateway->tables;
+  const struct gateway_tables *tables = &gateway->tables;
   const struct gateway_strike_hooks *hooks = tables->strike_hooks;
+
+  if (strikes_clear (tables->strikes, trait, now_ms) && hooks != NULL
+      && hooks->cleared != NULL)
+    hooks->cleared (hooks->context, trait);
+}
+
+void
+request_note_sound_parts (struct gateway_request *request)
+{
+  struct gateway *gateway = request->gateway;
+  struct strikes_traits traits = request->traits;
   int64_t now_ms = time_boot_ms ();
 
-  if (strikes_count (tables->strikes, request->fingerprint, now_ms) == 0)
-    return;
-  strikes_clear (tables->strikes, request->fingerprint, now_ms);
-  if (hooks != NULL && hooks->cleared != NULL)
-    hooks->cleared (hooks->context, request->fingerprint);
+  for (unsigned i = 0; i < traits.part_count; i++)
+    clear_trait (gateway, traits.parts[i], now_ms);
+  /* For parts without strikes the history is kept. */
+  traits.fingerprint[0] = '\0';
+  strikes_note_answer (gateway->tables.strikes, &traits, now_ms);
+}
+
+void
+request_clear_strikes (struct gateway_request *request)
+{
+  clear_trait (request->gateway, request->traits.fingerprint, time_boot_ms ());
+  request_note_sound_parts (request);
 }
 
 static bool
--- a/packages/gateway/src/generate.c
+++ b/packages/gateway/src/generate.c
@@ -327,6 +327,21 @@
   request_complete (request);
 }
 
+static void
+note_token (struct attempt *attempt)
+{
+  attempt->tokens++;
+  attempt->progress_ms = time_boot_ms ();
+  if (attempt->first_token_ms == 0)
+    attempt->first_token_ms = attempt->progress_ms;
+  if (attempt->is_sound
+      || attempt->progress_ms - attempt->first_token_ms
+             < GATEWAY_SOUND_AFTER_MS)
+    return;
+  attempt->is_sound = true;
+  request_note_sound_parts (attempt->request);
+}
+
 /* Returns false once the attempt has ended. */
 static bool
 on_engine_event (void *context, const struct sse_event *event)
@@ -352,8 +367,7 @@
               : TOKEN_GAP)
     {
     case TOKEN_NEXT:
-      attempt->tokens++;
-      attempt->progress_ms = time_boot_ms ();
+      note_token (attempt);
       result = relay_token (request, token.text);
       break;
     case TOKEN_DUPLICATE:
--- a/packages/gateway/src/internal.h
+++ b/packages/gateway/src/internal.h
@@ -50,7 +50,10 @@
   int64_t started_ms;
   /* Last new token or service data; kept current while reading is paused. */
   int64_t progress_ms;
-  unsigned tokens;      /* received by this attempt */
+  unsigned tokens;        /* received by this attempt */
+  int64_t first_token_ms; /* of this attempt; 0 = none yet */
+  bool
+      is_sound; /* it has written for long enough, see GATEWAY_SOUND_AFTER_MS */
   bool strike_reported; /* the chooser counts it as having a strike */
   struct sse_decoder decoder;
   struct evbuffer *response; /* response body of a service, or of an error */
@@ -69,7 +72,7 @@
   char customer[SHEET_NAME_SIZE]; /* "" until identified */
   char target[ADMISSION_NAME_SIZE];
   char name[SHEET_NAME_SIZE]; /* of the model or service; "" until parsed */
-  char fingerprint[HASH_HEX_SIZE];
+  struct strikes_traits traits;
   int64_t started_ms;
   int64_t deadline_ms;
 
@@ -166,6 +169,13 @@
 const struct sheet_customer *
 identify_find_customer (const struct gateway_request *request);
 
+/* parts.c: the parts of a prompt that other requests may share. */
+/* The messages of a chat but the last. */
+void parts_read_messages (struct strikes_traits *traits,
+                          const json_t *messages);
+/* The paragraphs of a plain prompt but the last. */
+void parts_read_text (struct strikes_traits *traits, const char *prompt);
+
 /* parse.c */
 enum result parse_request (struct gateway_request *request);
 /* Checks the target's data centre and permission; run at each dispatch. */
@@ -180,6 +190,10 @@
 void admit_process_queue_later (struct gateway *gateway);
 
 /* dispatch.c */
+/* A stream that has been writing for this long does not crash its endpoint. */
+#define GATEWAY_SOUND_AFTER_MS 500
+/* The parts of the request's prompt crash no endpoints. */
+void request_note_sound_parts (struct gateway_request *request);
 /* Starts an attempt, waits for an endpoint or acknowledgements, or refuses. */
 void request_dispatch (struct gateway_request *request);
 /*
--- a/packages/gateway/src/parse.c
+++ b/packages/gateway/src/parse.c
@@ -86,7 +86,7 @@
           { body != NULL ? body : "", size },
           { NULL, 0 } };
 
-  hash_hex (parts, request->fingerprint);
+  hash_hex (parts, request->traits.fingerprint);
 }
 
 static enum result
@@ -194,9 +194,16 @@
           || request->max_tokens > request->gateway->limits.max_tokens))
     return RESULT_MALFORMED_REQUEST;
   if (request->kind == REQUEST_CHAT)
-    request->prompt = format_chat_prompt (json_object_get (json, "messages"));
+    {
+      request->prompt = format_chat_prompt (json_object_get (json, "messages"));
+      parts_read_messages (&request->traits,
+                           json_object_get (json, "messages"));
+    }
   else if (prompt != NULL)
-    request->prompt = strdup (prompt);
+    {
+      request->prompt = strdup (prompt);
+      parts_read_text (&request->traits, prompt);
+    }
   return request->prompt != NULL ? RESULT_OK : RESULT_MALFORMED_REQUEST;
 }
 
--- a/packages/gateway/src/service.c
+++ b/packages/gateway/src/service.c
@@ -127,7 +127,7 @@
     .customer = request->customer,
     .service = request->name,
     .idempotency_key = request->idempotency_key,
-    .fingerprint = request->fingerprint,
+    .fingerprint = request->traits.fingerprint,
     .deadline_ms = request->deadline_ms,
   };
   struct gateway_claim *claim;
--- a/packages/gateway/tests/t0815-crash-requests.c
+++ b/packages/gateway/tests/t0815-crash-requests.c
@@ -33,6 +33,38 @@
 #define DONE "0 1 D E"
 
 static const struct crash_case cases[] = {
+  { "requests that share only a harmful message crash endpoint after endpoint",
+    { { CHAT, MESSAGES (MESSAGE ("bad") "," MESSAGE ("1")), "N", 502 },
+      { CHAT, MESSAGES (MESSAGE ("bad") "," MESSAGE ("2")), "N", 502 },
+      { CHAT, MESSAGES (MESSAGE ("bad") "," MESSAGE ("3")), "N", 502 },
+      { CHAT, MESSAGES (MESSAGE ("bad") "," MESSAGE ("4")), DONE, 422 },
+      { CHAT, MESSAGES (MESSAGE ("x") "," MESSAGE ("bad") "," MESSAGE ("5")),
+        DONE, 422 },
+      { CHAT, MESSAGES (MESSAGE ("x") "," MESSAGE ("5")), DONE, 200 } } },
+  { "sound requests that share the other messages are refused",
+    { { CHAT, MESSAGES (MESSAGE ("s") "," MESSAGE ("bad") "," MESSAGE ("1")),
+        "N", 502 },
+      { CHAT, MESSAGES (MESSAGE ("s") "," MESSAGE ("bad") "," MESSAGE ("2")),
+        "N", 502 },
+      { CHAT, MESSAGES (MESSAGE ("s") "," MESSAGE ("bad") "," MESSAGE ("3")),
+        "N", 502 },
+      { CHAT, MESSAGES (MESSAGE ("s") "," MESSAGE ("bad") "," MESSAGE ("4")),
+        DONE, 422 },
+      { CHAT, MESSAGES (MESSAGE ("s") "," MESSAGE ("4")), DONE, 200 },
+      { CHAT, MESSAGES (MESSAGE ("bad") "," MESSAGE ("5")), DONE, 422 } } },
+  { "plain prompts that share a harmful paragraph are sent on",
+    { { TEXT, PROMPT ("bad\\n\\n1"), "N", 502 },
+      { TEXT, PROMPT ("bad\\n\\n2"), "N", 502 },
+      { TEXT, PROMPT ("bad\\n\\n3"), "N", 502 },
+      { TEXT, PROMPT ("bad\\n\\n4"), DONE, 422 },
+      { TEXT, PROMPT ("x\\n\\n4"), DONE, 200 } } },
+  { "a part that was answered between the crashes is refused",
+    { { TEXT, PROMPT ("good\\n\\n1"), "N", 502 },
+      { TEXT, PROMPT ("good\\n\\n2"), DONE, 200 },
+      { TEXT, PROMPT ("good\\n\\n3"), "N", 502 },
+      { TEXT, PROMPT ("good\\n\\n4"), DONE, 200 },
+      { TEXT, PROMPT ("good\\n\\n5"), "N", 502 },
+      { TEXT, PROMPT ("good\\n\\n6"), DONE, 200 } } },
   { "a crash in a stream without length or chunks is no strike",
     { { TEXT, PROMPT ("bad"), "U F", 502 },
       { TEXT, PROMPT ("bad"), "U F", 502 },
@@ -53,10 +85,16 @@
       { NOTES, "", "ok", 422 } } },
 };
 
-/* All endpoints restart, and no breaker is open. */
+/*
+ * All endpoints restart, and no breaker is open.  Crashes at the same time would
+ * count once.
+ */
 static void
 restart_endpoints (struct testbed *testbed, size_t step)
 {
+  int64_t until_ms = time_boot_ms () + STRIKES_SPACING_MS;
+
+  WAIT_FOR (testbed, time_boot_ms () >= until_ms);
   for (struct fleet_host *host = testbed->fleet.hosts; host != NULL;
        host = host->hh.next)
     snprintf (host->attested.boot_id, FLEET_NAME_SIZE, "boot-%zu", step);
--- a/packages/strikes/include/strikes.h
+++ b/packages/strikes/include/strikes.h
@@ -49,6 +49,8 @@
  * sent again after a crash needs longer than this to cause the next one.
  */
 #define STRIKES_REQUEST_SPACING_MS 25
+/* Digits of the id of a part, at most; a fingerprint has more. */
+#define STRIKES_PART_DIGITS 16
 #define STRIKES_PART_LIMIT 32 /* parts of one prompt that are considered */
 #define STRIKES_COMPANION_LIMIT 16
 #define STRIKES_HISTORY_SIZE 1024
