daemon: tell joining peers of quarantines, and all peers of answers

Cause: strikes reached the peers that lived at that moment. An entry host that was replaced knew none and sent a quarantined request again; an answer that clears a strike stayed on the host that gave it, so a sound part could be refused for ten minutes by the others.

A peer that joins, or comes back with another incarnation, is sent the recent strikes of traits that have two or more. Answers go to the peers by a procedure of their own (PEER_ANSWERS): older hosts drop it, where a flag in the message for strikes would have counted as a strike there. release takes the id of a part too.

--- a/packages/cli/src/cmd-release.c
+++ b/packages/cli/src/cmd-release.c
@@ -5,15 +5,17 @@
 #include <string.h>
 
 #define FINGERPRINT_DIGITS 32 /* XXH3-128 */
+#define PART_DIGITS 16        /* id of a part of a prompt */
 
 enum cli_exit
 cmd_release (struct cli *cli)
 {
   const char *given = cli->arguments[0];
   char fingerprint[FINGERPRINT_DIGITS + 1] = "";
-  bool valid = strlen (given) == FINGERPRINT_DIGITS;
+  size_t size = strlen (given);
+  bool valid = size == FINGERPRINT_DIGITS || size == PART_DIGITS;
 
-  for (size_t i = 0; i < FINGERPRINT_DIGITS && valid; i++)
+  for (size_t i = 0; valid && i < size; i++)
     {
       valid = isxdigit ((unsigned char)given[i]) != 0;
       fingerprint[i] = (char)tolower ((unsigned char)given[i]);
@@ -22,8 +24,8 @@
     {
       fprintf (stderr,
                "waxwinglink: a fingerprint has %d hexadecimal"
-               " digits\n",
-               FINGERPRINT_DIGITS);
+               " digits, the id of a part of a prompt %d\n",
+               FINGERPRINT_DIGITS, PART_DIGITS);
       return CLI_USAGE;
     }
   return control_apply_change (cli, CONTROL_RELEASE, fingerprint);
--- a/packages/daemon/include/strike-broadcast.h
+++ b/packages/daemon/include/strike-broadcast.h
@@ -11,8 +11,30 @@
  * Strikes that are being sent to the peers of the data centre.  A request that
  * has a strike is retried only after the peers acknowledged it or the peer
  * protocol gave up.
+ *
+ * A peer that joins, or has restarted, knows no strikes.  It is sent the recent
+ * strikes of traits that have several, with which it refuses what the others
+ * refuse.
  */
 
+#define STRIKE_BROADCAST_RECENT 128 /* strikes that are remembered */
+#define STRIKE_BROADCAST_PEERS 128  /* entry hosts of one data centre */
+
+/* A strike as it was sent or received. */
+struct recent_strike
+{
+  char trait[HASH_HEX_SIZE];
+  char host[MEMBER_NAME_SIZE];
+  char boot_id[MEMBER_NAME_SIZE];
+};
+
+/* A live peer that has been sent the recent strikes. */
+struct informed_peer
+{
+  char host[MEMBER_NAME_SIZE];
+  uint64_t incarnation;
+};
+
 struct strike_broadcast_entry
 {
   struct strike_broadcast *broadcast;
@@ -25,6 +47,11 @@
 {
   struct peer_node *peers;
   struct strike_broadcast_entry *entries; /* uthash by fingerprint */
+  struct recent_strike recent[STRIKE_BROADCAST_RECENT]; /* ring buffer */
+  unsigned recent_added;                                /* since the start */
+  struct informed_peer informed[STRIKE_BROADCAST_PEERS];
+  unsigned informed_count;
+  int64_t next_check_ms; /* of the peers */
 };
 
 void strike_broadcast_init (struct strike_broadcast *broadcast,
@@ -36,6 +63,17 @@
                             const char *fingerprint,
                             const char *host,
                             const char *boot_id);
+/* Hook of the gateway: tells the peers that a request was answered. */
+void strike_broadcast_send_answer (void *context, const char *trait);
+/* Keeps a strike that a peer reported, for peers that join. */
+void strike_broadcast_remember (struct strike_broadcast *broadcast,
+                                const char *trait,
+                                const char *host,
+                                const char *boot_id);
+/* Sends the recent strikes to peers that have joined. */
+void strike_broadcast_tick (struct strike_broadcast *broadcast,
+                            const struct strikes *strikes,
+                            int64_t now_ms);
 /* Returns true also after the peer protocol gave up. */
 bool strike_broadcast_is_finished (void *context, const char *fingerprint);
 
--- a/packages/daemon/src/daemon.c
+++ b/packages/daemon/src/daemon.c
@@ -43,16 +43,31 @@
 
 static void
 on_strike (void *context,
-           const char *fingerprint,
+           const char *trait,
            const char *host,
            const char *boot_id)
+{
+  struct daemon *daemon = context;
+  const struct strike_report report = {
+    .kind = strikes_get_kind (trait),
+    .trait = trait,
+    .crash = strikes_crash_id (host, boot_id),
+    .at_ms = time_boot_ms (),
+  };
+
+  if (!strikes_add_report (&daemon->strikes, &report, report.at_ms))
+    return;
+  strike_broadcast_remember (&daemon->strike_broadcast, trait, host, boot_id);
+  LOG_EVENT (LOG_LEVEL_WARNING, "strike-received",
+             LOG_STR ("fingerprint", trait), LOG_STR ("host", host));
+}
+
+static void
+on_answer (void *context, const char *trait)
 {
   struct daemon *daemon = context;
 
-  if (strikes_add (&daemon->strikes, fingerprint, host, boot_id,
-                   time_boot_ms ()))
-    LOG_EVENT (LOG_LEVEL_WARNING, "strike-received",
-               LOG_STR ("fingerprint", fingerprint), LOG_STR ("host", host));
+  strikes_clear (&daemon->strikes, trait, time_boot_ms ());
 }
 
 static const char *
@@ -193,6 +208,7 @@
                               .fresh_reported = on_fresh_entry,
                               .demand_reported = on_demand,
                               .strike_reported = on_strike,
+                              .answer_reported = on_answer,
                               .find_object_text = get_object_text };
   struct peer_keys keys = { .count = 0 };
 
@@ -259,6 +275,7 @@
   daemon->strike_hooks.context = &daemon->strike_broadcast;
   daemon->strike_hooks.broadcast = strike_broadcast_send;
   daemon->strike_hooks.acknowledged = strike_broadcast_is_finished;
+  daemon->strike_hooks.cleared = strike_broadcast_send_answer;
   gateway_limits_set_defaults (&limits);
   limits.header_bytes = (size_t)settings->callers_max_header_bytes;
   limits.header_count = (unsigned)settings->callers_max_headers;
--- a/packages/daemon/src/tick.c
+++ b/packages/daemon/src/tick.c
@@ -13,6 +13,7 @@
   prober_tick (&daemon->prober, now_ms);
   choose_tick (&daemon->chooser, &daemon->fleet, now_ms);
   strikes_tick (&daemon->strikes, now_ms);
+  strike_broadcast_tick (&daemon->strike_broadcast, &daemon->strikes, now_ms);
   if (now_ms >= daemon->next_shares_ms)
     {
       daemon->next_shares_ms = now_ms + DAEMON_SHARES_INTERVAL_MS;
--- a/packages/peer/include/peer.h
+++ b/packages/peer/include/peer.h
@@ -60,11 +60,13 @@
                            const char *from,
                            const char *name,
                            unsigned demand);
-  /* A request with this fingerprint crashed the endpoint on host. */
+  /* A request with this trait (see strikes.h) crashed the endpoint on host. */
   void (*strike_reported) (void *context,
-                           const char *fingerprint,
+                           const char *trait,
                            const char *host,
                            const char *boot_id);
+  /* A request with this trait was answered. */
+  void (*answer_reported) (void *context, const char *trait);
   /* Returns the newest copy of an object as JSON text; NULL = none. */
   const char *(*find_object_text) (void *context,
                                    enum peer_object_id id,
@@ -170,18 +172,26 @@
                        size_t count);
 
 /*
- * Sends a strike to every live member of our data centre, repeatedly until all
- * have acknowledged it or PEER_CALL_TIMEOUT_MS has passed; then calls done
- * unless it is NULL.
+ * Sends a strike to every live member of our data centre, or to receiver alone
+ * unless it is NULL, repeatedly until all have acknowledged it or
+ * PEER_CALL_TIMEOUT_MS has passed; then calls done unless it is NULL.
  */
 void peer_send_strike (struct peer_node *node,
-                       const char *fingerprint,
+                       const char *receiver,
+                       const char *trait,
                        const char *host,
                        const char *boot_id,
                        int64_t now_ms,
                        void (*done) (void *context),
                        void *context);
 
+/*
+ * Tells every live member of our data centre, in the same way, that a request
+ * with this trait was answered.
+ */
+void
+peer_send_answer (struct peer_node *node, const char *trait, int64_t now_ms);
+
 /*
  * Fetches a peer's copy of an object over TCP.  done is called exactly once;
  * text (NUL-terminated) is NULL unless the result is RESULT_OK.
--- a/packages/peer/peer.x
+++ b/packages/peer/peer.x
@@ -162,5 +162,6 @@
     void PEER_STRIKES (peer_strikes) = 5;
     peer_object PEER_FETCH (peer_fetch) = 6;
     void PEER_FRESH (peer_fresh_report) = 7;
+    void PEER_ANSWERS (peer_strikes) = 8; /* host and boot_id are empty */
   } = 1;
 } = 0x20577801;
--- a/packages/peer/src/datagram.c
+++ b/packages/peer/src/datagram.c
@@ -197,9 +197,13 @@
         {
           const struct peer_strike *strike = &strikes.entries.entries_val[i];
 
-          in->node->hooks.strike_reported (in->node->hooks.context,
-                                           strike->fingerprint, strike->host,
-                                           strike->boot_id);
+          if (in->header->procedure == PEER_ANSWERS)
+            in->node->hooks.answer_reported (in->node->hooks.context,
+                                             strike->fingerprint);
+          else
+            in->node->hooks.strike_reported (in->node->hooks.context,
+                                             strike->fingerprint, strike->host,
+                                             strike->boot_id);
         }
       peer_fill_header (in->node, &header, false, in->header->xid, 0);
       peer_udp_send (in->node, in->from, in->from_size, &header, peer_xdr_void,
@@ -229,6 +233,7 @@
       handle_shares (in);
       break;
     case PEER_STRIKES:
+    case PEER_ANSWERS:
       handle_strikes (in);
       break;
     default:
--- a/packages/peer/src/strike.c
+++ b/packages/peer/src/strike.c
@@ -6,10 +6,11 @@
 
 #define RECEIVERS_LIMIT 128 /* entry hosts of one data centre */
 
-/* One strike that is sent to the live members of our data centre. */
+/* One strike or answer that is sent to live members of our data centre. */
 struct peer_broadcast
 {
-  char fingerprint[MEMBER_NAME_SIZE];
+  uint32_t procedure; /* PEER_STRIKES or PEER_ANSWERS */
+  char trait[MEMBER_NAME_SIZE];
   char host[MEMBER_NAME_SIZE];
   char boot_id[MEMBER_NAME_SIZE];
   int64_t started_ms;
@@ -45,7 +46,7 @@
              int64_t now_ms)
 {
   const struct member *member = member_find (node->members, receiver);
-  struct peer_strike strike = { .fingerprint = broadcast->fingerprint,
+  struct peer_strike strike = { .fingerprint = broadcast->trait,
                                 .host = broadcast->host,
                                 .boot_id = broadcast->boot_id };
   peer_strikes strikes
@@ -59,7 +60,7 @@
   if (call == NULL)
     return;
   call->broadcast = broadcast;
-  peer_fill_header (node, &header, true, call->xid, PEER_STRIKES);
+  peer_fill_header (node, &header, true, call->xid, broadcast->procedure);
   peer_udp_send_member (node, member, &header, (xdrproc_t)xdr_peer_strikes,
                         &strikes);
 }
@@ -76,26 +77,30 @@
 }
 
 static void
-collect_receivers (struct peer_node *node, struct peer_broadcast *broadcast)
+collect_receivers (struct peer_node *node,
+                   struct peer_broadcast *broadcast,
+                   const char *receiver)
 {
   for (const struct member *member = node->members->members; member != NULL;
        member = member->hh.next)
     if (broadcast->receiver_count < RECEIVERS_LIMIT && member_is_live (member)
         && strcmp (member->info.data_centre, node->members->self.data_centre)
-               == 0)
+               == 0
+        && (receiver == NULL || strcmp (member->info.host, receiver) == 0))
       snprintf (broadcast->receivers[broadcast->receiver_count++].host,
                 MEMBER_NAME_SIZE, "%s", member->info.host);
   broadcast->unacknowledged_count = broadcast->receiver_count;
 }
 
-void
-peer_send_strike (struct peer_node *node,
-                  const char *fingerprint,
-                  const char *host,
-                  const char *boot_id,
-                  int64_t now_ms,
-                  void (*done) (void *context),
-                  void *context)
+/* receiver is NULL for all live members; done may be NULL. */
+static void
+start_broadcast (struct peer_node *node,
+                 uint32_t procedure,
+                 const char *receiver,
+                 const struct peer_strike *strike,
+                 int64_t now_ms,
+                 void (*done) (void *context),
+                 void *context)
 {
   struct peer_broadcast *broadcast = calloc (1, sizeof *broadcast);
 
@@ -107,19 +112,49 @@
         done (context);
       return;
     }
-  snprintf (broadcast->fingerprint, sizeof broadcast->fingerprint, "%s",
-            fingerprint);
-  snprintf (broadcast->host, sizeof broadcast->host, "%s", host);
-  snprintf (broadcast->boot_id, sizeof broadcast->boot_id, "%s", boot_id);
+  broadcast->procedure = procedure;
+  snprintf (broadcast->trait, sizeof broadcast->trait, "%s",
+            strike->fingerprint);
+  snprintf (broadcast->host, sizeof broadcast->host, "%s", strike->host);
+  snprintf (broadcast->boot_id, sizeof broadcast->boot_id, "%s",
+            strike->boot_id);
   broadcast->started_ms = now_ms;
   broadcast->done = done;
   broadcast->context = context;
-  collect_receivers (node, broadcast);
+  collect_receivers (node, broadcast, receiver);
   broadcast->next = node->broadcasts;
   node->broadcasts = broadcast;
   send_unacknowledged (node, broadcast, now_ms);
 }
 
+void
+peer_send_strike (struct peer_node *node,
+                  const char *receiver,
+                  const char *trait,
+                  const char *host,
+                  const char *boot_id,
+                  int64_t now_ms,
+                  void (*done) (void *context),
+                  void *context)
+{
+  const struct peer_strike strike = { .fingerprint = (char *)trait,
+                                      .host = (char *)host,
+                                      .boot_id = (char *)boot_id };
+
+  start_broadcast (node, PEER_STRIKES, receiver, &strike, now_ms, done,
+                   context);
+}
+
+void
+peer_send_answer (struct peer_node *node, const char *trait, int64_t now_ms)
+{
+  char none[] = "";
+  const struct peer_strike strike
+      = { .fingerprint = (char *)trait, .host = none, .boot_id = none };
+
+  start_broadcast (node, PEER_ANSWERS, NULL, &strike, now_ms, NULL, NULL);
+}
+
 /* Removes the pending calls that refer to this broadcast. */
 static void
 remove_calls (struct peer_node *node, const struct peer_broadcast *broadcast)
--- a/packages/peer/tests/t0511-peer.c
+++ b/packages/peer/tests/t0511-peer.c
@@ -26,6 +26,7 @@
   unsigned health_count[NODE_COUNT];
   unsigned fresh_count[NODE_COUNT];
   unsigned strike_count[NODE_COUNT];
+  unsigned answer_count[NODE_COUNT];
   unsigned demand_count[NODE_COUNT];
   char object[NODE_COUNT][64];
   uint64_t fetched_number;
@@ -89,6 +90,15 @@
     hook->test->strike_count[hook->index]++;
 }
 
+static void
+on_answer (void *context, const char *trait)
+{
+  struct hook_context *hook = context;
+
+  if (strcmp (trait, "f1") == 0)
+    hook->test->answer_count[hook->index]++;
+}
+
 static const char *
 on_object (void *context, enum peer_object_id id, uint64_t *number)
 {
@@ -128,6 +138,7 @@
                               .fresh_reported = on_fresh,
                               .demand_reported = on_demand,
                               .strike_reported = on_strike,
+                              .answer_reported = on_answer,
                               .find_object_text = on_object };
 
   snprintf (self.host, sizeof self.host, "e%zu%s", i, name_suffix);
@@ -227,6 +238,12 @@
   return member_count_live (&t->members[0], NULL) == 1;
 }
 
+static bool
+has_answer_arrived (const struct peer_test *t)
+{
+  return t->answer_count[1] > 0 && t->answer_count[2] > 0;
+}
+
 /* Every kind of message must reach the other nodes with its contents. */
 static void
 test_messages_reach_peers (void **state)
@@ -248,10 +265,22 @@
   peer_send_demand (&test.nodes[0], &demand, 1);
   assert_true (wait_for (&test, all_reports_received));
 
-  peer_send_strike (&test.nodes[0], "f1", "engine-1", "b1", time_boot_ms (),
-                    on_broadcast, &test);
+  peer_send_strike (&test.nodes[0], NULL, "f1", "engine-1", "b1",
+                    time_boot_ms (), on_broadcast, &test);
   assert_true (wait_for (&test, is_broadcast_done));
   assert_true (test.strike_count[1] > 0 && test.strike_count[2] > 0);
+  assert_int_equal (test.answer_count[1] + test.answer_count[2], 0);
+  peer_send_answer (&test.nodes[0], "f1", time_boot_ms ());
+  assert_true (wait_for (&test, has_answer_arrived));
+
+  /* A strike for one peer reaches no other. */
+  test.is_broadcast_done = false;
+  test.strike_count[1] = 0;
+  test.strike_count[2] = 0;
+  peer_send_strike (&test.nodes[0], "e2", "f1", "engine-1", "b2",
+                    time_boot_ms (), on_broadcast, &test);
+  assert_true (wait_for (&test, is_broadcast_done));
+  assert_true (test.strike_count[1] == 0 && test.strike_count[2] > 0);
 
   snprintf (test.object[0], sizeof test.object[0], "{\"number\":42}");
   peer_fetch_object (&test.nodes[1], "127.0.0.1", test.members[0].self.port,
--- a/packages/relay/src/relay.c
+++ b/packages/relay/src/relay.c
@@ -37,7 +37,7 @@
   retry_budgets_init (&relay->budgets, limits->retry_ratio, limits->retry_slack,
                       limits->retry_window_ms);
   strikes_init (&relay->strikes, STRIKE_LIMIT);
-  relay->strikes.request_spacing_ms = STRIKES_REQUEST_SPACING_MS;
+  relay->strikes.request_spacing_ms = STRIKES_SPACING_MS;
   TAILQ_INIT (&relay->suspects);
   histogram_init (&relay->first_event_ms);
   histogram_init (&relay->response_ms);
--- a/packages/strikes/include/strikes.h
+++ b/packages/strikes/include/strikes.h
@@ -41,14 +41,10 @@
 #define STRIKES_PART_CRASH_LIMIT 8
 /*
  * Crashes closer together than this count once for a part: a failure of many
- * endpoints at the same time is not caused by one request at each of them.
+ * endpoints at the same time is not caused by one request at each of them.  A
+ * request that is sent again after a crash needs longer to cause the next one.
  */
-#define STRIKES_SPACING_MS 100
-/*
- * The same for a fingerprint, where the owner asks for it.  A request that is
- * sent again after a crash needs longer than this to cause the next one.
- */
-#define STRIKES_REQUEST_SPACING_MS 25
+#define STRIKES_SPACING_MS 25
 /* Digits of the id of a part, at most; a fingerprint has more. */
 #define STRIKES_PART_DIGITS 16
 #define STRIKES_PART_LIMIT 32 /* parts of one prompt that are considered */
@@ -127,6 +123,9 @@
   int64_t at_ms;
 };
 
+/* The kind of a trait, by its length. */
+enum strikes_kind strikes_get_kind (const char *trait);
+
 void strikes_init (struct strikes *strikes, size_t limit);
 void strikes_finish (struct strikes *strikes);
 
--- a/packages/strikes/src/strikes.c
+++ b/packages/strikes/src/strikes.c
@@ -25,6 +25,12 @@
   return first;
 }
 
+enum strikes_kind
+strikes_get_kind (const char *trait)
+{
+  return strlen (trait) > STRIKES_PART_DIGITS ? STRIKES_REQUEST : STRIKES_PART;
+}
+
 uint64_t
 strikes_crash_id (const char *host, const char *boot_id)
 {
