--- a/packages/gateway/tests/t0815-crash-requests.c
+++ b/packages/gateway/tests/t0815-crash-requests.c
@@ -86,8 +86,8 @@
 };
 
 /*
- * All endpoints restart, and no breaker is open.  Crashes at the same time would
- * count once.
+ * All endpoints restart, and no breaker is open.  Crashes at the same time
+ * would count once.
  */
 static void
 restart_endpoints (struct testbed *testbed, size_t step)
--- a/packages/strikes/tests/t0207-strike-parts.c
+++ b/packages/strikes/tests/t0207-strike-parts.c
@@ -16,7 +16,7 @@
 
 #define STEP_LIMIT 16
 #define TABLE_LIMIT 100
-#define S 1000 /* ms */
+#define S INT64_C (1000) /* ms */
 
 enum event
 {
