strikes: count only real changes

Found by reading: each report of a strike counted as a change, also one that was known. Hosts repeat strikes every second, so while a quarantine lasted every message had all requests checked again, which hashes their bodies. t0207 checks the count; it failed before.

--- a/packages/strikes/src/strikes.c
+++ b/packages/strikes/src/strikes.c
@@ -95,6 +95,7 @@
 
   if (at_ms >= strike->at_ms)
     return;
+  strikes->changes++;
   if (strike->at_ms - at_ms >= CORRECTION_MS)
     entry->unsent = strikes->passed_copies;
   remove_strike (entry, (unsigned)(strike - entry->strikes));
@@ -142,7 +143,6 @@
 
   if (now_ms - report->at_ms >= STRIKES_EXPIRY_MS)
     return false;
-  strikes->changes++;
   if (entry != NULL && strikes_is_expired (entry, now_ms))
     entry->strike_count = 0;
   known = entry != NULL ? find_strike (entry, report->crash) : NULL;
@@ -158,6 +158,7 @@
     return true;
   if (!insert_strike (entry, report->crash, report->at_ms))
     return false;
+  strikes->changes++;
   set_unsent (entry, copies);
   return true;
 }
--- a/packages/strikes/tests/t0207-strike-parts.c
+++ b/packages/strikes/tests/t0207-strike-parts.c
@@ -310,7 +310,10 @@
     }
 }
 
-/* Changes have to be sent to other hosts, repeated reports must not be. */
+/*
+ * Changes have to be sent to other hosts.  Repeated reports must not be, and
+ * must not have all requests checked again.
+ */
 static void
 test_unsent_copies (void **state)
 {
@@ -318,6 +321,7 @@
   const struct strike_report earlier = { STRIKES_PART, "p1", 1, 1 };
   struct strikes strikes;
   struct strike_entry *entry;
+  uint64_t changes;
 
   (void)state;
   strikes_init (&strikes, TABLE_LIMIT);
@@ -326,8 +330,10 @@
   entry = strikes.entries;
   assert_int_equal (entry->unsent, 3);
   entry->unsent = 0;
+  changes = strikes.changes;
   strikes_add_report (&strikes, &report, 2 * S);
   assert_int_equal (entry->unsent, 0);
+  assert_int_equal (strikes.changes, changes);
   strikes_add_report (&strikes, &earlier, 2 * S);
   assert_int_equal (entry->unsent, 3);
   entry->unsent = 0;
