edge: share the clock and store of two tests

t0968 had copied the virtual clock and the unreachable store of t0967. They stand in mesh-fixture.h now. Both tests pass, with the same assertions.

--- a/packages/edge/tests/t0967-hubs.c
+++ b/packages/edge/tests/t0967-hubs.c
@@ -9,9 +9,8 @@
 #include <string.h>
 
 #include "log.h"
+#include "mesh-fixture.h"
 #include "mesh.h"
-#include "records.h"
-#include "timeutil.h"
 
 /*
  * Entry hosts of one data centre over loopback.  Their first hub is killed, and
@@ -26,21 +25,6 @@
 #define PORT 17340
 #define REQUESTS_PER_HOST 3
 
-/* The clock of all hosts; replaces the functions of timeutil.h. */
-static int64_t clock_ms;
-
-int64_t
-time_boot_ms (void)
-{
-  return clock_ms;
-}
-
-int64_t
-time_wall_ms (void)
-{
-  return clock_ms;
-}
-
 static struct event_base *base;
 static struct records records;
 static struct
@@ -51,36 +35,6 @@
   unsigned other_requests;   /* requests of the other hosts, as last received */
 } hosts[HOSTS + 1];
 
-static void
-encode_request (const struct records_request *request,
-                const char **method,
-                struct http_text *target,
-                struct http_text *body)
-{
-  (void)request;
-  (void)method;
-  (void)body;
-  http_text_add_string (target, "/");
-}
-
-static void
-decode_response (enum records_verb verb,
-                 unsigned status,
-                 const json_t *json,
-                 void (*handle) (void *context,
-                                 const struct records_response *response),
-                 void *context)
-{
-  struct records_response response = { .result = RESULT_PLATFORM_OUTAGE };
-
-  (void)verb;
-  (void)status;
-  (void)json;
-  handle (context, &response);
-}
-
-static const struct records_codec codec = { encode_request, decode_response };
-
 static void
 on_loads (void *context, const struct gossip_load *list, unsigned count)
 {
@@ -214,7 +168,7 @@
 
       clock_ms = START_MS;
       base = event_base_new ();
-      records_init (&records, base, &codec, "127.0.77.200", 1);
+      records_init (&records, base, &unreachable_store, "127.0.77.200", 1);
       for (unsigned n = 0; n < HOSTS; n++)
         start_host (n);
       run_hosts (30000);
@@ -256,7 +210,7 @@
 
       clock_ms = START_MS;
       base = event_base_new ();
-      records_init (&records, base, &codec, "127.0.77.200", 1);
+      records_init (&records, base, &unreachable_store, "127.0.77.200", 1);
       for (unsigned n = 0; n < HOSTS; n++)
         start_host (n);
       run_hosts (8000);
--- a/packages/edge/tests/t0968-strike-sync.c
+++ b/packages/edge/tests/t0968-strike-sync.c
@@ -9,8 +9,8 @@
 #include <string.h>
 
 #include "log.h"
+#include "mesh-fixture.h"
 #include "strike-sync.h"
-#include "timeutil.h"
 
 /*
  * Entry hosts of two data centres over loopback, on one virtual clock.  What
@@ -26,20 +26,6 @@
 /* The users' shortest time until which hosts have to know. */
 #define KNOWN_WITHIN_MS 3000
 
-static int64_t clock_ms;
-
-int64_t
-time_boot_ms (void)
-{
-  return clock_ms;
-}
-
-int64_t
-time_wall_ms (void)
-{
-  return clock_ms;
-}
-
 struct host
 {
   bool is_running;
@@ -52,36 +38,6 @@
 static struct records records;
 static struct host hosts[HOSTS];
 
-static void
-encode_request (const struct records_request *request,
-                const char **method,
-                struct http_text *target,
-                struct http_text *body)
-{
-  (void)request;
-  (void)method;
-  (void)body;
-  http_text_add_string (target, "/");
-}
-
-static void
-decode_response (enum records_verb verb,
-                 unsigned status,
-                 const json_t *json,
-                 void (*handle) (void *context,
-                                 const struct records_response *response),
-                 void *context)
-{
-  struct records_response response = { .result = RESULT_PLATFORM_OUTAGE };
-
-  (void)verb;
-  (void)status;
-  (void)json;
-  handle (context, &response);
-}
-
-static const struct records_codec codec = { encode_request, decode_response };
-
 static void
 ignore_loads (void *context, const struct gossip_load *list, unsigned count)
 {
@@ -235,7 +191,7 @@
   (void)state;
   clock_ms = START_MS;
   base = event_base_new ();
-  records_init (&records, base, &codec, "127.0.78.200", 1);
+  records_init (&records, base, &unreachable_store, "127.0.78.200", 1);
   for (unsigned i = 0; i < HOSTS; i++)
     start_host (i);
   run_hosts (5000);
