strikes: count answers that void nothing as no change

Found on a last reading: an answer counted as a change even if the trait had been answered before and had no strike since. While a part that is in most requests has an entry, each answer had all waiting requests checked again, with a hash of their bodies.

A verdict depends on an answer only if it is the trait's first, or voids a strike, so verdicts stay as they are. t0207 checks the count and failed before. A comment on the full table named the wrong entry.

--- a/packages/strikes/include/strikes.h
+++ b/packages/strikes/include/strikes.h
@@ -94,7 +94,7 @@
 {
   struct strike_entry *entries; /* uthash by trait */
   size_t count;
-  size_t limit; /* entries; a full table replaces its oldest entry */
+  size_t limit; /* entries; a full table replaces its least important */
   /* Crashes closer together count once for a fingerprint; 0 = each counts. */
   int64_t request_spacing_ms;
   /* Values of unsent after a change seen here, and after a report of a host. */
--- a/packages/strikes/src/strikes.c
+++ b/packages/strikes/src/strikes.c
@@ -220,9 +220,9 @@
   if (at_ms <= entry->answered_ms)
     return false;
   entry->answered_ms = at_ms;
-  strikes->changes++;
   if (!is_first && entry->strike_count - strikes_first_live (entry) == live)
     return false;
+  strikes->changes++;
   set_unsent (entry, copies);
   return true;
 }
--- a/packages/strikes/tests/t0207-strike-parts.c
+++ b/packages/strikes/tests/t0207-strike-parts.c
@@ -340,8 +340,10 @@
   assert_true (strikes_clear (&strikes, "p1", 3 * S));
   assert_int_equal (entry->unsent, 3);
   entry->unsent = 0;
+  changes = strikes.changes;
   assert_false (strikes_clear (&strikes, "p1", 4 * S));
   assert_int_equal (entry->unsent, 0);
+  assert_int_equal (strikes.changes, changes);
   strikes_finish (&strikes);
 }
 
