gateway: note the answer of each trait once

request_note_sound_parts copied the traits of a request, 1 KB, cleared each part, and then noted the answer of all parts, which cleared them again. The second pass was there for the history of parts only.

strikes has a function for one trait now, which strikes_note_answer is a loop over; the gateway calls it and tells the peers by its result.

--- a/packages/gateway/src/dispatch.c
+++ b/packages/gateway/src/dispatch.c
@@ -325,36 +325,32 @@
     record_part_strikes (request, attempt, now_ms);
 }
 
-/* Clears the trait's strikes here and at the peers, if it has any. */
+/* Tells the peers too, if the answer clears strikes of the trait. */
 static void
-clear_trait (struct gateway *gateway, const char *trait, int64_t now_ms)
+note_answered (struct gateway *gateway,
+               const char *trait,
+               enum strikes_kind kind)
 {
   const struct gateway_tables *tables = &gateway->tables;
   const struct gateway_strike_hooks *hooks = tables->strike_hooks;
 
-  if (strikes_clear (tables->strikes, trait, now_ms) && hooks != NULL
-      && hooks->cleared != NULL)
+  if (strikes_note_answered (tables->strikes, trait, kind, time_boot_ms ())
+      && hooks != NULL && hooks->cleared != NULL)
     hooks->cleared (hooks->context, trait);
 }
 
 void
 request_note_sound_parts (struct gateway_request *request)
 {
-  struct gateway *gateway = request->gateway;
-  struct strikes_traits traits = request->traits;
-  int64_t now_ms = time_boot_ms ();
-
-  for (unsigned i = 0; i < traits.part_count; i++)
-    clear_trait (gateway, traits.parts[i], now_ms);
-  /* For parts without strikes the history is kept. */
-  traits.fingerprint[0] = '\0';
-  strikes_note_answer (gateway->tables.strikes, &traits, now_ms);
+  for (unsigned i = 0; i < request->traits.part_count; i++)
+    note_answered (request->gateway, request->traits.parts[i], STRIKES_PART);
 }
 
 void
 request_clear_strikes (struct gateway_request *request)
 {
-  clear_trait (request->gateway, request->traits.fingerprint, time_boot_ms ());
+  note_answered (request->gateway, request->traits.fingerprint,
+                 STRIKES_REQUEST);
   request_note_sound_parts (request);
 }
 
--- a/packages/strikes/include/strikes.h
+++ b/packages/strikes/include/strikes.h
@@ -164,8 +164,14 @@
  */
 bool strikes_clear (struct strikes *strikes, const char *trait, int64_t at_ms);
 
-/* The request was answered.  True if an entry has changed. */
-bool strikes_note_answer (struct strikes *strikes,
+/* A request with the trait was answered.  True if its entry has changed. */
+bool strikes_note_answered (struct strikes *strikes,
+                            const char *trait,
+                            enum strikes_kind kind,
+                            int64_t now_ms);
+
+/* The same for all traits of a request. */
+void strikes_note_answer (struct strikes *strikes,
                           const struct strikes_traits *traits,
                           int64_t now_ms);
 
--- a/packages/strikes/src/strikes.c
+++ b/packages/strikes/src/strikes.c
@@ -249,26 +249,31 @@
 }
 
 bool
-strikes_note_answer (struct strikes *strikes,
-                     const struct strikes_traits *traits,
-                     int64_t now_ms)
+strikes_note_answered (struct strikes *strikes,
+                       const char *trait,
+                       enum strikes_kind kind,
+                       int64_t now_ms)
 {
-  bool has_changed = false;
-
-  for (unsigned i = 0; i < traits->part_count; i++)
+  if (kind == STRIKES_PART)
     {
-      uint64_t hash = hash_string (traits->parts[i], 0);
+      uint64_t hash = hash_string (trait, 0);
 
       *get_history_slot (strikes, hash)
           = (struct strikes_answered){ hash, now_ms };
-      if (strikes->entries != NULL
-          && clear_trait (strikes, traits->parts[i], now_ms, strikes->copies))
-        has_changed = true;
     }
-  if (strikes->entries != NULL && traits->fingerprint[0] != '\0'
-      && clear_trait (strikes, traits->fingerprint, now_ms, strikes->copies))
-    has_changed = true;
-  return has_changed;
+  return clear_trait (strikes, trait, now_ms, strikes->copies);
+}
+
+void
+strikes_note_answer (struct strikes *strikes,
+                     const struct strikes_traits *traits,
+                     int64_t now_ms)
+{
+  for (unsigned i = 0; i < traits->part_count; i++)
+    strikes_note_answered (strikes, traits->parts[i], STRIKES_PART, now_ms);
+  if (traits->fingerprint[0] != '\0')
+    strikes_note_answered (strikes, traits->fingerprint, STRIKES_REQUEST,
+                           now_ms);
 }
 
 void
