strikes: pass the copies of a report with the report

How often a merged strike or answer is sent on was a member of the table that strike-sync set before each message and strike-record saved, set and restored around a record; what strikes_add_report did depended on who had set it last. It is a member of the report now, and an argument of strikes_clear. Each caller passes the value that it set before.

--- a/fuzz/strikes.c
+++ b/fuzz/strikes.c
@@ -110,7 +110,7 @@
           strikes_add_report (&model->hosts[to], &report, model->now_ms);
         }
       if (entry->answered_ms != STRIKES_NEVER)
-        strikes_clear (&model->hosts[to], entry->trait, entry->answered_ms);
+        strikes_clear (&model->hosts[to], entry->trait, entry->answered_ms, 0);
     }
 }
 
--- a/packages/daemon/src/daemon.c
+++ b/packages/daemon/src/daemon.c
@@ -67,7 +67,8 @@
 {
   struct daemon *daemon = context;
 
-  strikes_clear (&daemon->strikes, trait, time_boot_ms ());
+  strikes_clear (&daemon->strikes, trait, time_boot_ms (),
+                 daemon->strikes.copies);
 }
 
 static const char *
--- a/packages/edge/src/strike-record.c
+++ b/packages/edge/src/strike-record.c
@@ -82,7 +82,9 @@
   char trait[HASH_HEX_SIZE];
   char crash[24];
   uint64_t age_ms;
-  struct strike_report report = { .trait = trait };
+  /* Other hosts of the data centre learn of the record from this one. */
+  struct strike_report report
+      = { .trait = trait, .copies = record->strikes->copies };
 
   if (!json_read_string (json, "trait", trait, sizeof trait) || trait[0] == '\0'
       || !json_read_string (json, "crash", crash, sizeof crash)
@@ -101,19 +103,15 @@
 read_record (struct strike_record *record, const struct records_record *read)
 {
   const json_t *list = json_object_get (read->value, "strikes");
-  unsigned copies = record->strikes->passed_copies;
   uint64_t digest = 0;
   size_t malformed = 0;
   const json_t *item;
   size_t index;
 
   record->now_ms = time_boot_ms ();
-  /* Other hosts of the data centre learn of the record from this one. */
-  record->strikes->passed_copies = record->strikes->copies;
   json_array_foreach (list, index, item)
     if (index >= STRIKE_RECORD_LIMIT || !read_strike (record, item, &digest))
       malformed++;
-  record->strikes->passed_copies = copies;
   if (malformed > 0)
     LOG_EVENT (LOG_LEVEL_WARNING, "strike-record-malformed",
                LOG_STR ("record", read->name), LOG_U64 ("skipped", malformed),
--- a/packages/edge/src/strike-sync.c
+++ b/packages/edge/src/strike-sync.c
@@ -27,6 +27,7 @@
 static void
 merge_strike (struct strikes *strikes,
               const struct gossip_strike *received,
+              unsigned copies,
               int64_t now_ms)
 {
   const struct strike_report report = {
@@ -34,10 +35,11 @@
     .trait = received->trait,
     .crash = received->crash,
     .at_ms = now_ms - (int64_t)received->age_ms,
+    .copies = copies,
   };
 
   if (received->crash == 0)
-    strikes_clear (strikes, received->trait, report.at_ms);
+    strikes_clear (strikes, received->trait, report.at_ms, copies);
   else
     strikes_add_report (strikes, &report, now_ms);
 }
@@ -52,9 +54,9 @@
   bool is_passed_on
       = mesh_is_hub (sync->mesh) || !mesh_is_own_hub (sync->mesh, from);
 
-  sync->strikes->passed_copies = is_passed_on ? COPIES : 0;
   for (unsigned i = 0; i < received->count; i++)
-    merge_strike (sync->strikes, &received->list[i], now_ms);
+    merge_strike (sync->strikes, &received->list[i], is_passed_on ? COPIES : 0,
+                  now_ms);
 }
 
 static void
--- a/packages/strikes/include/strikes.h
+++ b/packages/strikes/include/strikes.h
@@ -97,9 +97,7 @@
   size_t limit; /* entries; a full table replaces its least important */
   /* Crashes closer together count once for a fingerprint; 0 = each counts. */
   int64_t request_spacing_ms;
-  /* Values of unsent after a change seen here, and after a report of a host. */
-  unsigned copies;
-  unsigned passed_copies;
+  unsigned copies;  /* value of unsent after a change seen here */
   uint64_t changes; /* of what counts; verdicts hold while it is the same */
   uint64_t refreshed_changes; /* as of the last strikes_refresh */
   /* Direct-mapped cache. */
@@ -121,6 +119,7 @@
   const char *trait;
   uint64_t crash;
   int64_t at_ms;
+  unsigned copies; /* value of unsent if it changes the entry */
 };
 
 /* The kind of a trait, by its length. */
@@ -160,9 +159,12 @@
 
 /*
  * Another host reports that a request with the trait was answered at this time.
- * True if the entry of the trait has changed.
+ * True if the entry of the trait has changed; copies is its unsent then.
  */
-bool strikes_clear (struct strikes *strikes, const char *trait, int64_t at_ms);
+bool strikes_clear (struct strikes *strikes,
+                    const char *trait,
+                    int64_t at_ms,
+                    unsigned copies);
 
 /* A request with the trait was answered.  True if its entry has changed. */
 bool strikes_note_answered (struct strikes *strikes,
--- a/packages/strikes/src/strikes.c
+++ b/packages/strikes/src/strikes.c
@@ -89,17 +89,15 @@
 correct_strike (struct strikes *strikes,
                 struct strike_entry *entry,
                 struct strike *strike,
-                int64_t at_ms)
+                const struct strike_report *report)
 {
-  uint64_t crash = strike->crash;
-
-  if (at_ms >= strike->at_ms)
+  if (report->at_ms >= strike->at_ms)
     return;
   strikes->changes++;
-  if (strike->at_ms - at_ms >= CORRECTION_MS)
-    entry->unsent = strikes->passed_copies;
+  if (strike->at_ms - report->at_ms >= CORRECTION_MS)
+    entry->unsent = report->copies;
   remove_strike (entry, (unsigned)(strike - entry->strikes));
-  insert_strike (entry, crash, at_ms);
+  insert_strike (entry, report->crash, report->at_ms);
 }
 
 static struct strikes_answered *
@@ -132,11 +130,10 @@
     entry->unsent = copies;
 }
 
-static bool
-add_strike (struct strikes *strikes,
-            const struct strike_report *report,
-            unsigned copies,
-            int64_t now_ms)
+bool
+strikes_add_report (struct strikes *strikes,
+                    const struct strike_report *report,
+                    int64_t now_ms)
 {
   struct strike_entry *entry = strikes_find (strikes, report->trait);
   struct strike *known;
@@ -148,7 +145,7 @@
   known = entry != NULL ? find_strike (entry, report->crash) : NULL;
   if (known != NULL)
     {
-      correct_strike (strikes, entry, known, report->at_ms);
+      correct_strike (strikes, entry, known, report);
       return false;
     }
   if (entry == NULL)
@@ -159,18 +156,10 @@
   if (!insert_strike (entry, report->crash, report->at_ms))
     return false;
   strikes->changes++;
-  set_unsent (entry, copies);
+  set_unsent (entry, report->copies);
   return true;
 }
 
-bool
-strikes_add_report (struct strikes *strikes,
-                    const struct strike_report *report,
-                    int64_t now_ms)
-{
-  return add_strike (strikes, report, strikes->passed_copies, now_ms);
-}
-
 bool
 strikes_add (struct strikes *strikes,
              const char *fingerprint,
@@ -183,9 +172,10 @@
     .trait = fingerprint,
     .crash = strikes_crash_id (host, boot_id),
     .at_ms = now_ms,
+    .copies = strikes->copies,
   };
 
-  return add_strike (strikes, &report, strikes->copies, now_ms);
+  return strikes_add_report (strikes, &report, now_ms);
 }
 
 void
@@ -196,15 +186,15 @@
                    int64_t now_ms)
 {
   struct strike_report report
-      = { STRIKES_REQUEST, traits->fingerprint, crash, at_ms };
+      = { STRIKES_REQUEST, traits->fingerprint, crash, at_ms, strikes->copies };
 
   if (traits->fingerprint[0] != '\0')
-    add_strike (strikes, &report, strikes->copies, now_ms);
+    strikes_add_report (strikes, &report, now_ms);
   report.kind = STRIKES_PART;
   for (unsigned i = 0; i < traits->part_count; i++)
     {
       report.trait = traits->parts[i];
-      add_strike (strikes, &report, strikes->copies, now_ms);
+      strikes_add_report (strikes, &report, now_ms);
     }
 }
 
@@ -231,23 +221,17 @@
  * The crashes stay recorded: a peer that reports them again later must not
  * restore the strikes.
  */
-static bool
-clear_trait (struct strikes *strikes,
-             const char *trait,
-             int64_t at_ms,
-             unsigned copies)
+bool
+strikes_clear (struct strikes *strikes,
+               const char *trait,
+               int64_t at_ms,
+               unsigned copies)
 {
   struct strike_entry *entry = strikes_find (strikes, trait);
 
   return entry != NULL && clear_entry (strikes, entry, at_ms, copies);
 }
 
-bool
-strikes_clear (struct strikes *strikes, const char *trait, int64_t at_ms)
-{
-  return clear_trait (strikes, trait, at_ms, strikes->passed_copies);
-}
-
 bool
 strikes_note_answered (struct strikes *strikes,
                        const char *trait,
@@ -261,7 +245,7 @@
       *get_history_slot (strikes, hash)
           = (struct strikes_answered){ hash, now_ms };
     }
-  return clear_trait (strikes, trait, now_ms, strikes->copies);
+  return strikes_clear (strikes, trait, now_ms, strikes->copies);
 }
 
 void
@@ -284,7 +268,7 @@
   if (entry == NULL)
     return;
   entry->changed_ms = now_ms;
-  clear_trait (strikes, trait, now_ms, strikes->copies);
+  strikes_clear (strikes, trait, now_ms, strikes->copies);
 }
 
 unsigned
--- a/packages/strikes/tests/t0205-strikes.c
+++ b/packages/strikes/tests/t0205-strikes.c
@@ -85,7 +85,7 @@
         strikes_add (strikes, "f", "host", step->crash, step->at_ms),
         step->is_new);
   else if (step->event == 'c')
-    strikes_clear (strikes, "f", step->at_ms);
+    strikes_clear (strikes, "f", step->at_ms, 0);
   else if (step->event == 'r')
     strikes_release (strikes, "f", step->at_ms);
   else if (step->event == 't')
--- a/packages/strikes/tests/t0207-strike-parts.c
+++ b/packages/strikes/tests/t0207-strike-parts.c
@@ -300,7 +300,7 @@
                   c->reports[j].at_ms };
 
           if (report.crash == 0)
-            strikes_clear (&strikes, "p1", report.at_ms);
+            strikes_clear (&strikes, "p1", report.at_ms, 0);
           else
             strikes_add_report (&strikes, &report, 10 * S);
         }
@@ -317,15 +317,14 @@
 static void
 test_unsent_copies (void **state)
 {
-  const struct strike_report report = { STRIKES_PART, "p1", 1, 1 * S };
-  const struct strike_report earlier = { STRIKES_PART, "p1", 1, 1 };
+  const struct strike_report report = { STRIKES_PART, "p1", 1, 1 * S, 3 };
+  const struct strike_report earlier = { STRIKES_PART, "p1", 1, 1, 3 };
   struct strikes strikes;
   struct strike_entry *entry;
   uint64_t changes;
 
   (void)state;
   strikes_init (&strikes, TABLE_LIMIT);
-  strikes.passed_copies = 3;
   strikes_add_report (&strikes, &report, 2 * S);
   entry = strikes.entries;
   assert_int_equal (entry->unsent, 3);
@@ -337,11 +336,11 @@
   strikes_add_report (&strikes, &earlier, 2 * S);
   assert_int_equal (entry->unsent, 3);
   entry->unsent = 0;
-  assert_true (strikes_clear (&strikes, "p1", 3 * S));
+  assert_true (strikes_clear (&strikes, "p1", 3 * S, 3));
   assert_int_equal (entry->unsent, 3);
   entry->unsent = 0;
   changes = strikes.changes;
-  assert_false (strikes_clear (&strikes, "p1", 4 * S));
+  assert_false (strikes_clear (&strikes, "p1", 4 * S, 3));
   assert_int_equal (entry->unsent, 0);
   assert_int_equal (strikes.changes, changes);
   strikes_finish (&strikes);
