fuzz: share the CHECK macro

Cause: the fuzzers of admission, choose, claim and strikes each defined the macro that prints a failed condition and aborts; the copies differed only in the wording of claim's message.

Ruled out: GLib's g_assert_true, which stops after a message of another form and can be turned off with G_DISABLE_ASSERT.

Change: fuzz/check.h holds the macro. No condition changed.

--- a/fuzz/admission.c
+++ b/fuzz/admission.c
@@ -6,22 +6,12 @@
  */
 
 #include "admission.h"
+#include "check.h"
 
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#define CHECK(condition)                                                       \
-  do                                                                           \
-    {                                                                          \
-      if (!(condition))                                                        \
-        {                                                                      \
-          fprintf (stderr, "%s:%d: %s\n", __FILE__, __LINE__, #condition);     \
-          abort ();                                                            \
-        }                                                                      \
-    }                                                                          \
-  while (0)
-
 #define ENTRIES 48
 #define CUSTOMERS 4
 #define TARGETS 2
--- a/fuzz/choose.c
+++ b/fuzz/choose.c
@@ -7,22 +7,12 @@
 
 #include "choose.h"
 #include "budget.h"
+#include "check.h"
 
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#define CHECK(condition)                                                       \
-  do                                                                           \
-    {                                                                          \
-      if (!(condition))                                                        \
-        {                                                                      \
-          fprintf (stderr, "%s:%d: %s\n", __FILE__, __LINE__, #condition);     \
-          abort ();                                                            \
-        }                                                                      \
-    }                                                                          \
-  while (0)
-
 #define GROUPS 7
 #define SPAN 3
 #define ROWS 2
--- a/fuzz/claim.c
+++ b/fuzz/claim.c
@@ -15,6 +15,7 @@
  */
 
 #include "claim.h"
+#include "check.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -32,15 +33,6 @@
 #define LARGE_BODY_BYTES 20000
 #define COMMAND_LIMIT 500 /* per run, so that a run is short */
 
-#define CHECK(condition)                                                       \
-  do                                                                           \
-    if (!(condition))                                                          \
-      {                                                                        \
-        fprintf (stderr, "fuzz claim: line %d: %s\n", __LINE__, #condition);   \
-        abort ();                                                              \
-      }                                                                        \
-  while (0)
-
 struct attempt
 {
   struct claim_call call;
--- a/fuzz/strikes.c
+++ b/fuzz/strikes.c
@@ -8,22 +8,12 @@
  */
 
 #include "strikes.h"
+#include "check.h"
 
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#define CHECK(condition)                                                       \
-  do                                                                           \
-    {                                                                          \
-      if (!(condition))                                                        \
-        {                                                                      \
-          fprintf (stderr, "%s:%d: %s\n", __FILE__, __LINE__, #condition);     \
-          abort ();                                                            \
-        }                                                                      \
-    }                                                                          \
-  while (0)
-
 #define HOSTS 3
 #define PARTS 8
 #define HARMFUL_LIMIT 2
