formation: log the groups that a holder adopts, and what hosts know

Change: `event=status` has knows= (all, routed, none), endpoints_age_ms= and endpoints_revision=; `event=group reason=adopted` is new, and all group lines have size= and known_members=.

--- a/packages/edge/include/edge.h
+++ b/packages/edge/include/edge.h
@@ -88,6 +88,9 @@
 /* True if this host has a list of endpoints, from the platform or its hub. */
 bool edge_knows_endpoints (const struct edge *edge);
 
+/* When the routed endpoints, at least, were last known as they were (ms). */
+int64_t edge_endpoints_current_at_ms (const struct edge *edge);
+
 /* follow.c: keeps the configuration and the endpoints current. */
 void edge_follow_init (struct edge *edge);
 void edge_follow_tick (struct edge *edge);
--- a/packages/edge/src/edge.c
+++ b/packages/edge/src/edge.c
@@ -78,6 +78,15 @@
       LOG_STR ("others_serve", edge->relay.peers_can_serve ? "yes" : "no"));
 }
 
+/* Which endpoints the table holds: hosts that rely on a hub need few. */
+static const char *
+get_known_endpoints (const struct edge *edge)
+{
+  if (edge->knows_all_endpoints)
+    return "all";
+  return edge_knows_endpoints (edge) ? "routed" : "none";
+}
+
 /* Logs the state at intervals, so that the log alone shows it over time. */
 static void
 log_status (struct edge *edge)
@@ -90,6 +99,10 @@
              LOG_STR ("lease", edge->leader.acting ? "held" : "not-held"),
              LOG_INT ("configuration", relay_catalog_version (&edge->relay)),
              LOG_U64 ("endpoints", HASH_COUNT (edge->endpoints.table)),
+             LOG_STR ("knows", get_known_endpoints (edge)),
+             LOG_INT ("endpoints_age_ms",
+                      edge->now_ms - edge_endpoints_current_at_ms (edge)),
+             LOG_U64 ("endpoints_revision", edge->entries.revision),
              LOG_U64 ("live_hosts", edge->mesh.live_hosts),
              LOG_U64 ("in_flight", relay_in_flight (&edge->relay)),
              LOG_U64 ("callers", edge->relay.caller_count),
--- a/packages/edge/src/follow.c
+++ b/packages/edge/src/follow.c
@@ -287,8 +287,8 @@
   records_call (&edge->records, &request, FETCH_TIMEOUT_MS, on_fetched, edge);
 }
 
-static int64_t
-get_entries_current_at_ms (const struct edge *edge)
+int64_t
+edge_endpoints_current_at_ms (const struct edge *edge)
 {
   return edge->entries.current_at_ms > edge->hub_sync.entries_current_at_ms
              ? edge->entries.current_at_ms
@@ -333,7 +333,7 @@
     return false;
   return edge->now_ms - edge->relay.catalog_current_at_ms
              > settings->configuration_in_force_ms - FRESHNESS_MARGIN_MS
-         || edge->now_ms - get_entries_current_at_ms (edge)
+         || edge->now_ms - edge_endpoints_current_at_ms (edge)
                 > settings->endpoints_leave_ms - FRESHNESS_MARGIN_MS
          || has_to_relist (edge);
 }
@@ -350,7 +350,7 @@
              LOG_INT ("proof_age_ms",
                       edge->now_ms - edge->relay.catalog_current_at_ms),
              LOG_INT ("entries_age_ms",
-                      edge->now_ms - get_entries_current_at_ms (edge)),
+                      edge->now_ms - edge_endpoints_current_at_ms (edge)),
              LOG_INT ("differs_ms",
                       edge->hub_sync.differs_since_ms != 0
                           ? edge->now_ms - edge->hub_sync.differs_since_ms
--- a/packages/edge/src/leader.c
+++ b/packages/edge/src/leader.c
@@ -44,6 +44,17 @@
                endpoint->report.address, endpoint->report.port, leader->now_ms);
 }
 
+static unsigned
+count_known_members (const struct formation_group *group)
+{
+  unsigned count = 0;
+
+  for (unsigned rank = 0; rank < FORMATION_SIZE_LIMIT; rank++)
+    if (group->members[rank][0] != '\0')
+      count++;
+  return count;
+}
+
 static void
 log_group_change (void *context,
                   const struct formation_group *group,
@@ -51,12 +62,14 @@
 {
   const struct leader *leader = context;
 
-  LOG_EVENT (
-      LOG_LEVEL_NOTICE, "group", LOG_STR ("group", group->name),
-      LOG_U64 ("epoch", group->epoch), LOG_STR ("model", group->model),
-      LOG_STR ("domain", group->domain), LOG_STR ("head", group->members[0]),
-      LOG_STR ("phase", formation_phase_name (group->phase)),
-      LOG_U64 ("fence", leader->formation.fence), LOG_STR ("reason", reason));
+  LOG_EVENT (LOG_LEVEL_NOTICE, "group", LOG_STR ("group", group->name),
+             LOG_U64 ("epoch", group->epoch), LOG_STR ("model", group->model),
+             LOG_STR ("domain", group->domain),
+             LOG_STR ("head", group->members[0]), LOG_U64 ("size", group->size),
+             LOG_U64 ("known_members", count_known_members (group)),
+             LOG_STR ("phase", formation_phase_name (group->phase)),
+             LOG_U64 ("fence", leader->formation.fence),
+             LOG_STR ("reason", reason));
 }
 
 static bool
--- a/packages/formation/include/formation.h
+++ b/packages/formation/include/formation.h
@@ -127,7 +127,7 @@
 {
   void *context;
   void (*order) (void *context, const struct formation_order *order);
-  /* Called when a group enters another phase. */
+  /* Called when a group is formed, adopted, or enters another phase. */
   void (*phase_changed) (void *context,
                          const struct formation_group *group,
                          const char *reason);
--- a/packages/formation/src/advance-groups.c
+++ b/packages/formation/src/advance-groups.c
@@ -127,6 +127,7 @@
   memcpy (group->model, model->name, sizeof group->model);
   memcpy (group->domain, report->domain, sizeof group->domain);
   TAILQ_INSERT_TAIL (&run->formation->groups, group, link);
+  run->hooks->phase_changed (run->hooks->context, group, "adopted");
   return group;
 }
 
