soak: play large fleets and the ends of many hosts at once

The soak had 26 endpoints, so its list of them was one page, and its faults ended one host at a time or all of them.

--shape large plays 5 data centres of 3 fabric domains with 73 endpoints each (28 pages) and groups of 32 and 8.

--- a/soak/operator.c
+++ b/soak/operator.c
@@ -9,7 +9,7 @@
 #define ROUTE_LIMIT 8
 #define EXTRA_ROUTE_LIMIT 3
 
-const struct catalog_service operator_models = {
+struct catalog_service operator_models = {
   .name = MODEL_SERVICE,
   .slots = 16,
   .loads_per_s = 10,
@@ -35,6 +35,13 @@
   .model_count = 2,
 };
 
+void
+operator_set_group_sizes (unsigned large, unsigned small)
+{
+  operator_models.models[0].size = large;
+  operator_models.models[1].size = small;
+}
+
 void
 operator_format_key (char *text, size_t size, unsigned customer, unsigned key)
 {
--- a/soak/operator.h
+++ b/soak/operator.h
@@ -31,7 +31,10 @@
 #define REVOCATION_LIMIT_MS 5000
 
 /* The service whose models run in groups; all versions contain it unchanged. */
-extern const struct catalog_service operator_models;
+extern struct catalog_service operator_models;
+
+/* Endpoints in a group of each model; to be called before operator_init. */
+void operator_set_group_sizes (unsigned large, unsigned small);
 
 struct operator_version
 {
--- a/soak/schedule.c
+++ b/soak/schedule.c
@@ -8,12 +8,15 @@
 #define GAP_MAX_MS 1100
 /* Connections made silent affect a host or endpoint for at most this time. */
 #define SILENCE_EFFECT_MS 4000
+/* Kind of the store's objects that name the lease holders. */
+#define LEASE_KIND "waxwinglink-leases"
 
 enum fault_target
 {
   TARGET_NONE,
   TARGET_HOST,
   TARGET_ENDPOINT,
+  TARGET_CROWD, /* a lease holder, or many hosts or endpoints at once */
 };
 
 struct fault_kind
@@ -273,6 +276,95 @@
   fault->until_ms = schedule->world->now_ms + SILENCE_EFFECT_MS;
 }
 
+/* Faults of the lease holder of a data centre, and of many at once. */
+
+/* The host that the store names as holder; NULL if there is none. */
+static struct host *
+draw_lease_holder (struct schedule *schedule)
+{
+  struct world *world = schedule->world;
+  const char *data_centre = world_data_centres[rng_below (
+      &schedule->rng, world->options.shape->data_centres)];
+  const char *holder = standin_store_get_text (&world->store, LEASE_KIND,
+                                               data_centre, "holder");
+  size_t size = holder != NULL ? strcspn (holder, "/") : 0;
+
+  for (unsigned i = 0; i < world->host_count; i++)
+    if (strlen (world->hosts[i].name) == size
+        && strncmp (world->hosts[i].name, holder, size) == 0)
+      {
+        world_log_event (world, "%s holds the lease of %s",
+                         world->hosts[i].name, data_centre);
+        return &world->hosts[i];
+      }
+  return NULL;
+}
+
+static void
+kill_lease_holder (struct schedule *schedule, struct fault *fault)
+{
+  struct host *host = draw_lease_holder (schedule);
+
+  if (host != NULL)
+    host_kill (host, schedule->world->now_ms, fault->until_ms);
+}
+
+static void
+stop_lease_holder (struct schedule *schedule, struct fault *fault)
+{
+  struct host *host = draw_lease_holder (schedule);
+
+  if (host != NULL)
+    host_term (host, schedule->world->now_ms, fault->until_ms);
+}
+
+static void
+pause_lease_holder (struct schedule *schedule, struct fault *fault)
+{
+  struct host *host = draw_lease_holder (schedule);
+
+  if (host != NULL)
+    host_pause (host, schedule->world->now_ms, fault->until_ms);
+}
+
+/* The strength is the percentage of the hosts. */
+static void
+kill_many_hosts (struct schedule *schedule, struct fault *fault)
+{
+  struct world *world = schedule->world;
+
+  for (unsigned i = 0; i < world->host_count; i++)
+    if (rng_below (&schedule->rng, 100) < (uint64_t)fault->strength)
+      host_kill (&world->hosts[i], world->now_ms, fault->until_ms);
+}
+
+static void
+stop_many_hosts (struct schedule *schedule, struct fault *fault)
+{
+  struct world *world = schedule->world;
+
+  for (unsigned i = 0; i < world->host_count; i++)
+    if (rng_below (&schedule->rng, 100) < (uint64_t)fault->strength)
+      host_term (&world->hosts[i], world->now_ms, fault->until_ms);
+}
+
+/* Restarts endpoints under their ids; the strength is their percentage. */
+static void
+restart_many_endpoints (struct schedule *schedule, struct fault *fault)
+{
+  struct world *world = schedule->world;
+
+  for (unsigned i = 0; i < world->endpoint_count; i++)
+    if (!world->endpoints[i].replaced
+        && rng_below (&schedule->rng, 100) < (uint64_t)fault->strength)
+      {
+        struct fault single = { .endpoint = &world->endpoints[i] };
+
+        single.endpoint->standin->disturbed_until_ms = world->now_ms;
+        restart_endpoint (schedule, &single);
+      }
+}
+
 /* Changes by the operator. */
 
 static void
@@ -335,6 +427,12 @@
   { "endpoint-link-cut-one-way", TARGET_ENDPOINT, 4, 300, 4000, 0, 1, NULL, partition_endpoint_link_one_way },
   { "endpoint-link-reset", TARGET_ENDPOINT, 4, 0, 0, 0, 0, reset_endpoint_link, NULL },
   { "endpoint-link-silent", TARGET_ENDPOINT, 4, 0, 0, 0, 0, silence_endpoint_link, NULL },
+  { "holder-killed", TARGET_CROWD, 6, 200, 2500, 0, 0, kill_lease_holder, NULL },
+  { "holder-stopped", TARGET_CROWD, 6, 200, 2500, 0, 0, stop_lease_holder, NULL },
+  { "holder-paused", TARGET_CROWD, 6, 1000, 6500, 0, 0, pause_lease_holder, NULL },
+  { "hosts-killed", TARGET_CROWD, 3, 200, 2500, 10, 90, kill_many_hosts, NULL },
+  { "hosts-stopped", TARGET_CROWD, 3, 200, 2500, 10, 90, stop_many_hosts, NULL },
+  { "endpoints-reborn", TARGET_CROWD, 6, 0, 0, 1, 10, restart_many_endpoints, NULL },
   { "route-moves", TARGET_NONE, 5, 0, 0, 0, 0, move_route, NULL },
   { "routes-change", TARGET_NONE, 3, 0, 0, 0, 0, change_extra_routes, NULL },
   { "key-taken", TARGET_NONE, 8, 0, 0, 0, 0, revoke_key, NULL },
@@ -354,34 +452,89 @@
 schedule_init (struct schedule *schedule,
                struct world *world,
                uint64_t seed,
-               const char *only_kind)
+               const char *only_kinds)
 {
   memset (schedule, 0, sizeof *schedule);
   schedule->world = world;
-  schedule->only_kind = only_kind;
+  schedule->only_kinds = only_kinds;
   rng_init (&schedule->rng, seed);
 }
 
+/* True if the comma-separated list begins with the name. */
+static bool
+is_name_at (const char *list, const char *name)
+{
+  size_t size = strcspn (list, ",");
+
+  return strlen (name) == size && strncmp (list, name, size) == 0;
+}
+
+/* The part of a comma-separated list after its first name; NULL = none. */
+static const char *
+skip_name (const char *list)
+{
+  const char *comma = strchr (list, ',');
+
+  return comma != NULL ? comma + 1 : NULL;
+}
+
+static bool
+is_listed (const char *list, const char *name)
+{
+  for (; list != NULL; list = skip_name (list))
+    if (is_name_at (list, name))
+      return true;
+  return false;
+}
+
+bool
+schedule_are_kinds (const char *list)
+{
+  for (; list != NULL; list = skip_name (list))
+    {
+      size_t i = 0;
+
+      while (i < FAULT_KIND_COUNT && !is_name_at (list, fault_kinds[i].name))
+        i++;
+      if (i == FAULT_KIND_COUNT)
+        return false;
+    }
+  return true;
+}
+
+static unsigned
+get_weight (const struct schedule *schedule, const struct fault_kind *kind)
+{
+  bool is_drawn = schedule->only_kinds != NULL
+                      ? is_listed (schedule->only_kinds, kind->name)
+                      : kind->target != TARGET_CROWD
+                            || schedule->world->options.shape->has_crowds;
+
+  return is_drawn ? kind->weight : 0;
+}
+
+/* A choice of one kind takes no random number. */
 static const struct fault_kind *
 draw_kind (struct schedule *schedule)
 {
+  const struct fault_kind *kind = NULL;
   unsigned total = 0;
   unsigned draw;
 
-  for (size_t i = 0; i < FAULT_KIND_COUNT; i++)
-    if (schedule->only_kind != NULL
-        && strcmp (schedule->only_kind, fault_kinds[i].name) == 0)
-      return &fault_kinds[i];
-  for (size_t i = 0; i < FAULT_KIND_COUNT; i++)
-    total += fault_kinds[i].weight;
-  draw = (unsigned)rng_below (&schedule->rng, total);
   for (size_t i = 0; i < FAULT_KIND_COUNT; i++)
     {
-      if (draw < fault_kinds[i].weight)
-        return &fault_kinds[i];
-      draw -= fault_kinds[i].weight;
+      unsigned weight = get_weight (schedule, &fault_kinds[i]);
+
+      if (weight > 0)
+        kind = &fault_kinds[i];
+      total += weight;
     }
-  return &fault_kinds[0];
+  if (kind == NULL || total == kind->weight)
+    return kind;
+  draw = (unsigned)rng_below (&schedule->rng, total);
+  for (kind = fault_kinds; draw >= get_weight (schedule, kind); kind++)
+    draw -= get_weight (schedule, kind);
+  return kind;
 }
 
 static int
--- a/soak/schedule.h
+++ b/soak/schedule.h
@@ -29,13 +29,13 @@
   unsigned started_count; /* since the start of the run */
   int64_t next_fault_ms;  /* start of the next fault */
   bool stopped;           /* starts no new faults */
-  const char *only_kind;  /* name of the only kind to draw; NULL = any */
+  const char *only_kinds; /* names, separated by commas; NULL = any kind */
 };
 
 void schedule_init (struct schedule *schedule,
                     struct world *world,
                     uint64_t seed,
-                    const char *only_kind);
+                    const char *only_kinds);
 
 /* Starts a fault when one is due, applies active faults, ends expired ones. */
 void schedule_tick (struct schedule *schedule);
@@ -43,6 +43,9 @@
 /* Ends all faults and restores revoked keys; starts no more faults. */
 void schedule_stop (struct schedule *schedule);
 
+/* True if all names of a comma-separated list are kinds of faults. */
+bool schedule_are_kinds (const char *list);
+
 /* Prints the names of all kinds of faults, one per line. */
 void schedule_print_kinds (void);
 
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -146,7 +146,7 @@
 static uint64_t
 run_seed (const struct world_options *options,
           int faults_s,
-          const char *only_kind)
+          const char *only_kinds)
 {
   struct soak_run *run = calloc (1, sizeof *run);
   struct world *world;
@@ -162,7 +162,7 @@
       perror (options->directory);
       goto out;
     }
-  schedule_init (&run->schedule, world, options->seed ^ 1, only_kind);
+  schedule_init (&run->schedule, world, options->seed ^ 1, only_kinds);
   start_hosts (run);
   world_run (world, (int64_t)faults_s * 1000, NULL, tick_schedule, run);
   schedule_stop (&run->schedule);
@@ -198,8 +198,10 @@
   struct arg_int *hosts
       = arg_int0 (NULL, "hosts", "N", "hosts of each data centre (3)");
   struct arg_int *callers = arg_int0 (NULL, "callers", "N", "callers (30)");
+  struct arg_str *shape
+      = arg_str0 (NULL, "shape", "NAME", "small or large (small)");
   struct arg_str *only
-      = arg_str0 (NULL, "only", "KIND", "draw faults of this kind only");
+      = arg_str0 (NULL, "only", "KIND,...", "draw faults of these kinds only");
   struct arg_file *work = arg_file0 (NULL, "work", "DIR",
                                      "directory for settings and logs (/tmp)");
   struct arg_str *log_level
@@ -209,7 +211,7 @@
   struct arg_file *binary
       = arg_file0 (NULL, NULL, "WAXWINGLINKD", "program to be tested");
   struct arg_end *end = arg_end (10);
-  void *table[] = { seed, seeds,     faults, hosts, callers, only,
+  void *table[] = { seed, seeds,     faults, hosts, callers, only, shape,
                     work, log_level, kinds,  help,  binary,  end };
   int status = EXIT_USAGE;
   uint64_t violations = 0;
@@ -223,9 +225,12 @@
   hosts->ival[0] = 3;
   callers->ival[0] = 30;
   work->filename[0] = "/tmp";
+  shape->sval[0] = "small";
   log_level->sval[0] = "info";
   error_count = arg_parse (argc, argv, table);
   if (help->count > 0 || error_count > 0
+      || world_find_shape (shape->sval[0]) == NULL
+      || (only->count > 0 && !schedule_are_kinds (only->sval[0]))
       || (binary->count == 0 && kinds->count == 0))
     {
       printf ("Usage: soak");
@@ -247,12 +252,14 @@
   for (int i = 0; i < seeds->ival[0]; i++)
     {
       char directory[WORLD_PATH_SIZE];
-      struct world_options options = { .binary = binary->filename[0],
-                                       .directory = directory,
-                                       .log_level = log_level->sval[0],
-                                       .hosts = (unsigned)hosts->ival[0],
-                                       .callers = (unsigned)callers->ival[0],
-                                       .seed = (uint64_t)(seed->ival[0] + i) };
+      struct world_options options
+          = { .shape = world_find_shape (shape->sval[0]),
+              .binary = binary->filename[0],
+              .directory = directory,
+              .log_level = log_level->sval[0],
+              .hosts = (unsigned)hosts->ival[0],
+              .callers = (unsigned)callers->ival[0],
+              .seed = (uint64_t)(seed->ival[0] + i) };
 
       snprintf (directory, sizeof directory, "%s/soak-%llu-%d",
                 work->filename[0], (unsigned long long)options.seed,
--- a/soak/world.c
+++ b/soak/world.c
@@ -9,17 +9,36 @@
 #include <unistd.h>
 
 #define TICK_US 5000
-#define PLAIN_ENDPOINTS_PER_DATA_CENTRE 3
-#define OTHER_ENDPOINTS_PER_DATA_CENTRE 2
-/* Two fabric domains: one for each model, with endpoints to spare. */
-#define DOMAINS_PER_DATA_CENTRE 2
-#define ENDPOINTS_PER_DOMAIN 4
 #define SLOTS_PER_MODEL_ENDPOINT 16
 #define SLOTS_PER_PLAIN_ENDPOINT 12
 #define SEEDS_PER_HOST 3
 
-const char *const world_data_centres[WORLD_DATA_CENTRES]
-    = { "casa-a", "casa-b" };
+const char *const world_data_centres[WORLD_DATA_CENTRE_LIMIT]
+    = { "casa-a", "casa-b", "casa-c", "casa-d", "casa-e" };
+
+/*
+ * In the small shape each model has a fabric domain, with endpoints to spare.
+ * In the large one the list of endpoints takes many pages.
+ */
+/* clang-format off */
+static const struct world_shape shapes[] = {
+  { "small", .data_centres = 2, .domains = 2, .endpoints_per_domain = 4,
+    .plain_endpoints = 3, .other_endpoints = 2,
+    .large_group_size = 3, .small_group_size = 2 },
+  { "large", .data_centres = 5, .domains = 3, .endpoints_per_domain = 73,
+    .plain_endpoints = 1, .other_endpoints = 1,
+    .large_group_size = 32, .small_group_size = 8, .has_crowds = true },
+};
+/* clang-format on */
+
+const struct world_shape *
+world_find_shape (const char *name)
+{
+  for (size_t i = 0; i < sizeof shapes / sizeof shapes[0]; i++)
+    if (strcmp (shapes[i].name, name) == 0)
+      return &shapes[i];
+  return NULL;
+}
 
 void
 world_log_event (struct world *world, const char *format, ...)
@@ -75,19 +94,20 @@
 static void
 add_endpoints (struct world *world, const char *data_centre)
 {
+  const struct world_shape *shape = world->options.shape;
   char domain[64];
 
-  for (unsigned i = 0; i < DOMAINS_PER_DATA_CENTRE; i++)
+  for (unsigned i = 0; i < shape->domains; i++)
     {
       snprintf (domain, sizeof domain, "%s-f%u", data_centre, i);
-      for (unsigned j = 0; j < ENDPOINTS_PER_DOMAIN; j++)
+      for (unsigned j = 0; j < shape->endpoints_per_domain; j++)
         add_endpoint (world, MODEL_SERVICE, data_centre, domain,
                       SLOTS_PER_MODEL_ENDPOINT);
     }
-  for (unsigned i = 0; i < PLAIN_ENDPOINTS_PER_DATA_CENTRE; i++)
+  for (unsigned i = 0; i < shape->plain_endpoints; i++)
     add_endpoint (world, PLAIN_SERVICE, data_centre, "",
                   SLOTS_PER_PLAIN_ENDPOINT);
-  for (unsigned i = 0; i < OTHER_ENDPOINTS_PER_DATA_CENTRE; i++)
+  for (unsigned i = 0; i < shape->other_endpoints; i++)
     add_endpoint (world, OTHER_SERVICE, data_centre, "",
                   SLOTS_PER_PLAIN_ENDPOINT);
 }
@@ -151,7 +171,7 @@
   host->disturbed_ms = INT64_MIN / 2;
   snprintf (host->name, sizeof host->name, "host-%u", index);
   snprintf (host->data_centre, sizeof host->data_centre, "%s",
-            world_data_centres[index % WORLD_DATA_CENTRES]);
+            world_data_centres[index % world->options.shape->data_centres]);
   format_host_address (host->address, sizeof host->address, index);
   snprintf (host->settings_path, sizeof host->settings_path, "%s/%s.yaml",
             world->options.directory, host->name);
@@ -159,8 +179,8 @@
             world->options.directory, host->name);
   format_seeds (world, seeds, sizeof seeds);
   return proxy_open (&host->store_proxy, world->base, world->store.server.port)
-         && host_write_settings (host, world_data_centres, WORLD_DATA_CENTRES,
-                                 seeds);
+         && host_write_settings (host, world_data_centres,
+                                 world->options.shape->data_centres, seeds);
 }
 
 static bool
@@ -178,6 +198,7 @@
 bool
 world_init (struct world *world, const struct world_options *options)
 {
+  const struct world_shape *shape = options->shape;
   struct standin_hooks hooks = ledger_hooks;
 
   memset (world, 0, sizeof *world);
@@ -186,12 +207,13 @@
   world->started_ms = time_boot_ms ();
   world->now_ms = world->started_ms;
   rng_init (&world->rng, options->seed);
-  world->host_count = options->hosts * WORLD_DATA_CENTRES;
+  world->host_count = options->hosts * shape->data_centres;
   world->hosts = calloc (world->host_count, sizeof *world->hosts);
   if (world->base == NULL || world->hosts == NULL || !open_event_log (world)
       || !standin_store_init (&world->store, world->base,
                               rng_next (&world->rng)))
     return false;
+  operator_set_group_sizes (shape->large_group_size, shape->small_group_size);
   operator_init (&world->operator, & world->store, rng_next (&world->rng));
   ledger_init (&world->ledger, &world->operator);
   world->ledger.started_ms = world->started_ms;
@@ -200,14 +222,14 @@
   standin_fleet_init (&world->fleet, world->base, &world->store, &hooks,
                       rng_next (&world->rng));
   world->fleet.model_service = &operator_models;
-  for (unsigned i = 0; i < WORLD_DATA_CENTRES; i++)
+  for (unsigned i = 0; i < shape->data_centres; i++)
     add_endpoints (world, world_data_centres[i]);
   for (unsigned i = 0; i < world->host_count; i++)
     if (!init_host (world, i))
       return false;
   callers_init (&world->callers, world->base, &world->ledger, &world->operator,
                 world->hosts, world->host_count, world_data_centres,
-                WORLD_DATA_CENTRES, options->callers, rng_next (&world->rng));
+                shape->data_centres, options->callers, rng_next (&world->rng));
   world->callers.stopped = true;
   return true;
 }
@@ -273,7 +295,7 @@
 bool
 world_serves_all_models (struct world *world)
 {
-  for (unsigned i = 0; i < WORLD_DATA_CENTRES; i++)
+  for (unsigned i = 0; i < world->options.shape->data_centres; i++)
     for (unsigned j = 0; j < operator_models.model_count; j++)
       if (!standin_is_model_served (&world->fleet, world_data_centres[i],
                                     operator_models.models[j].name))
--- a/soak/world.h
+++ b/soak/world.h
@@ -20,8 +20,8 @@
  * the endpoints and the callers as stand-ins in this process.
  */
 
-#define WORLD_ENDPOINT_LIMIT 512
-#define WORLD_DATA_CENTRES 2
+#define WORLD_ENDPOINT_LIMIT 2048
+#define WORLD_DATA_CENTRE_LIMIT 5
 #define WORLD_PATH_SIZE 256
 
 /* An endpoint and the proxy through which hosts reach it. */
@@ -33,8 +33,27 @@
   bool replaced;
 };
 
+/* The size of the fleet; counts are per data centre unless said otherwise. */
+struct world_shape
+{
+  const char *name;
+  unsigned data_centres;
+  unsigned domains; /* fabric domains, whose endpoints form groups */
+  unsigned endpoints_per_domain;
+  unsigned plain_endpoints; /* of PLAIN_SERVICE */
+  unsigned other_endpoints; /* of OTHER_SERVICE */
+  unsigned large_group_size;
+  unsigned small_group_size;
+  /* Faults of many hosts or endpoints at once are drawn unasked. */
+  bool has_crowds;
+};
+
+/* The shape of this name; NULL if there is none. */
+const struct world_shape *world_find_shape (const char *name);
+
 struct world_options
 {
+  const struct world_shape *shape;
   const char *binary;    /* waxwinglinkd */
   const char *directory; /* for settings and logs */
   const char *log_level; /* of the hosts' processes */
@@ -62,7 +81,7 @@
   int64_t now_ms;
 };
 
-extern const char *const world_data_centres[WORLD_DATA_CENTRES];
+extern const char *const world_data_centres[WORLD_DATA_CENTRE_LIMIT];
 
 bool world_init (struct world *world, const struct world_options *options);
 void world_finish (struct world *world);
