soak: note orders and standstills, and let reports lag

events holds each order that an endpoint executed, with its answer, so that a broken rule can be traced without the hosts' logs, and each time for which the process of callers and endpoints stood still for 100 ms. Endpoints report what was so 200 ms ago, as on the platform.

--- a/soak/ledger.c
+++ b/soak/ledger.c
@@ -364,6 +364,19 @@
   find_run (ledger, run)->aborted = true;
 }
 
+static void
+on_order_executed (void *context,
+                   const struct standin_endpoint *endpoint,
+                   const char *order,
+                   unsigned status)
+{
+  struct ledger *ledger = context;
+
+  fprintf (ledger->event_log, "%6lld ms: %s answers %u to %s\n",
+           (long long)(ledger->now_ms - ledger->started_ms), endpoint->id,
+           status, order);
+}
+
 static void
 on_member_taken (void *context,
                  const struct standin_endpoint *endpoint,
@@ -383,6 +396,7 @@
   .on_response_made = on_response_made,
   .on_run_aborted = on_run_aborted,
   .on_drain_signalled = record_drain_signal,
+  .on_order_executed = on_order_executed,
   .on_member_taken = on_member_taken,
 };
 
--- a/soak/ledger.h
+++ b/soak/ledger.h
@@ -8,6 +8,7 @@
 
 #include <stdbool.h>
 #include <stdint.h>
+#include <stdio.h>
 #include <uthash.h>
 
 /*
@@ -91,6 +92,7 @@
   int64_t now_ms;
   int64_t started_ms;
   int64_t store_disturbed_ms; /* last moment of a fault of the store */
+  FILE *event_log;            /* orders are noted here */
   uint64_t violations;
   /* Numbers of ended attempts. */
   uint64_t served;
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -177,6 +177,8 @@
       (unsigned long long)ledger->refused, (unsigned long long)ledger->failed,
       (unsigned long long)world->store.reads,
       (unsigned long long)world->store.writes, (unsigned long long)violations);
+  printf ("seed %llu: %lld ms between two ticks at most\n",
+          (unsigned long long)options->seed, (long long)world->longest_gap_ms);
   if (violations > 0)
     printf ("seed %llu: settings, logs and events are in %s\n",
             (unsigned long long)options->seed, options->directory);
--- a/soak/world.c
+++ b/soak/world.c
@@ -9,6 +9,10 @@
 #include <unistd.h>
 
 #define TICK_US 5000
+/* Age of what endpoints report when they are asked, as on the platform. */
+#define REPORT_LAG_MS 200
+/* A tick that is later than this is noted. */
+#define STANDSTILL_MS 100
 #define SLOTS_PER_MODEL_ENDPOINT 16
 #define SLOTS_PER_PLAIN_ENDPOINT 12
 #define SEEDS_PER_HOST 3
@@ -217,11 +221,13 @@
   operator_init (&world->operator, & world->store, rng_next (&world->rng));
   ledger_init (&world->ledger, &world->operator);
   world->ledger.started_ms = world->started_ms;
+  world->ledger.event_log = world->event_log;
   world->ledger.store_disturbed_ms = INT64_MIN / 2;
   hooks.context = &world->ledger;
   standin_fleet_init (&world->fleet, world->base, &world->store, &hooks,
                       rng_next (&world->rng));
   world->fleet.model_service = &operator_models;
+  world->fleet.report_lag_ms = REPORT_LAG_MS;
   for (unsigned i = 0; i < shape->data_centres; i++)
     add_endpoints (world, world_data_centres[i]);
   for (unsigned i = 0; i < world->host_count; i++)
@@ -252,11 +258,28 @@
   fclose (world->event_log);
 }
 
+/*
+ * This process serves all callers and endpoints; while it does not run, none of
+ * them sends or reads anything.
+ */
+static void
+note_standstill (struct world *world, int64_t now_ms)
+{
+  int64_t gap_ms = now_ms - world->now_ms;
+
+  if (gap_ms > world->longest_gap_ms)
+    world->longest_gap_ms = gap_ms;
+  if (gap_ms >= STANDSTILL_MS)
+    world_log_event (world, "the soak stood still for %lld ms",
+                     (long long)gap_ms);
+}
+
 static void
 tick_all (struct world *world)
 {
   int64_t now_ms = time_boot_ms ();
 
+  note_standstill (world, now_ms);
   world->now_ms = now_ms;
   ledger_tick (&world->ledger, now_ms);
   operator_tick (&world->operator, now_ms);
--- a/soak/world.h
+++ b/soak/world.h
@@ -79,6 +79,7 @@
   FILE *event_log;    /* faults and progress, with times */
   int64_t started_ms; /* on the clock of time_boot_ms, as now_ms */
   int64_t now_ms;
+  int64_t longest_gap_ms; /* between two ticks */
 };
 
 extern const char *const world_data_centres[WORLD_DATA_CENTRE_LIMIT];
