soak: let SIGTERM end a host that has not answered yet

A signal in place of a clean exit still counts for each process that has answered a check of its readiness since it started; another status than 0 and any other signal always do.

--- a/soak/host.c
+++ b/soak/host.c
@@ -74,6 +74,7 @@
     exec_daemon (host);
   host->pid = pid;
   host->end_signal = HOST_NO_SIGNAL;
+  host->has_answered = false;
   host->start_at_ms = 0;
   host->paused_until_ms = 0;
   return true;
@@ -126,6 +127,16 @@
   send_signal (host, SIGHUP);
 }
 
+/* True if the status is right for a process that was told to stop. */
+static bool
+is_clean_stop (const struct host *host, int status)
+{
+  if (WIFEXITED (status))
+    return WEXITSTATUS (status) == 0;
+  /* It had not come to handle signals, nor to take requests. */
+  return !host->has_answered && WTERMSIG (status) == SIGTERM;
+}
+
 static void
 reap_process (struct host *host, int64_t now_ms)
 {
@@ -136,7 +147,7 @@
   host->pid = 0;
   if (host->end_signal == HOST_NO_SIGNAL
       || (host->end_signal == HOST_SIGNAL_TERM
-          && (!WIFEXITED (status) || WEXITSTATUS (status) != 0)))
+          && !is_clean_stop (host, status)))
     host->on_unexpected_end (host->context, host, status);
   if (host->start_at_ms == 0)
     host->start_at_ms = now_ms;
@@ -168,6 +179,7 @@
   struct host *host = context;
 
   free_check (host);
+  host->has_answered |= answered;
   record_check_result (host, answered && status == 200);
 }
 
--- a/soak/host.h
+++ b/soak/host.h
@@ -45,11 +45,13 @@
   unsigned failed_checks;       /* consecutive failed readiness checks */
   bool in_rotation;             /* the balancer sends it new connections */
   int64_t next_check_ms;        /* next readiness check */
+  bool has_answered;            /* a check, since the process started */
   struct http_call *check_call; /* running check; NULL = none */
   /*
-   * The process ended without a signal, or failed after SIGTERM: status is that
-   * of waitpid, or -1 if it still ran HOST_GRACE_MS after SIGTERM though no
-   * fault acted on the host in that time.
+   * The process ended without a signal, or failed after SIGTERM, which may end
+   * it at once before it has answered: status is that of waitpid, or -1 if it
+   * still ran HOST_GRACE_MS after SIGTERM though no fault acted on the host in
+   * that time.
    */
   void (*on_unexpected_end) (void *context, struct host *host, int status);
   void *context;
