soak: name the shape and the kinds of faults of recorded seeds

A line of soak/seeds has a column for the shape, and its kinds may be several; run.sh plays the larger shapes alone. Each shape has its own number of hosts, callers and seconds, which the options override.

--- a/soak/run.sh
+++ b/soak/run.sh
@@ -12,24 +12,31 @@
 cp build/asan/soak/soak build/asan/packages/daemon/waxwinglinkd "$work"
 
 run_seed () {
-  local kind=()
-  [ "$2" = - ] || kind=(--only "$2")
-  "$work/soak" --seed "$1" "${kind[@]}" --work "$work" "$work/waxwinglinkd"
+  local kinds=()
+  [ "$3" = - ] || kinds=(--only "$3")
+  "$work/soak" --seed "$1" --shape "$2" "${kinds[@]}" --work "$work" "$work/waxwinglinkd"
 }
 
 status=0
 pids=()
+# Waits until fewer than this number run.
+wait_for_jobs () {
+  while [ "$(jobs -rp | wc -l)" -ge "$1" ]; do sleep 0.2; done
+}
+
 run_seeds () {
-  local seed kind
-  while read -r seed kind _; do
+  local seed shape kinds
+  while read -r seed shape kinds _; do
     case $seed in ''|'#'*) continue ;; esac
-    run_seed "$seed" "$kind" &
+    # A large fleet is played alone.
+    [ "$shape" = small ] || wait_for_jobs 1
+    run_seed "$seed" "$shape" "$kinds" &
     pids+=($!)
-    while [ "$(jobs -rp | wc -l)" -ge 3 ]; do sleep 0.2; done
+    if [ "$shape" = small ]; then wait_for_jobs 3; else wait_for_jobs 1; fi
   done
 }
 run_seeds < soak/seeds
-run_seeds < <(seq -f '%.0f -' "$first" $((first + count - 1)))
+run_seeds < <(seq -f '%.0f small -' "$first" $((first + count - 1)))
 for pid in "${pids[@]}"; do
   wait "$pid" || status=1
 done
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -196,12 +196,12 @@
   struct arg_int *seed = arg_int0 (NULL, "seed", "N", "first seed (1)");
   struct arg_int *seeds = arg_int0 (NULL, "seeds", "N", "runs (1)");
   struct arg_int *faults
-      = arg_int0 (NULL, "faults-s", "S", "time with faults, in s (20)");
+      = arg_int0 (NULL, "faults-s", "S", "time with faults, in s");
   struct arg_int *hosts
-      = arg_int0 (NULL, "hosts", "N", "hosts of each data centre (3)");
-  struct arg_int *callers = arg_int0 (NULL, "callers", "N", "callers (30)");
+      = arg_int0 (NULL, "hosts", "N", "hosts of each data centre");
+  struct arg_int *callers = arg_int0 (NULL, "callers", "N", "callers");
   struct arg_str *shape
-      = arg_str0 (NULL, "shape", "NAME", "small or large (small)");
+      = arg_str0 (NULL, "shape", "NAME", "small, middle or large (small)");
   struct arg_str *only
       = arg_str0 (NULL, "only", "KIND,...", "draw faults of these kinds only");
   struct arg_file *work = arg_file0 (NULL, "work", "DIR",
@@ -215,6 +215,7 @@
   struct arg_end *end = arg_end (10);
   void *table[] = { seed, seeds,     faults, hosts, callers, only, shape,
                     work, log_level, kinds,  help,  binary,  end };
+  const struct world_shape *chosen_shape;
   int status = EXIT_USAGE;
   uint64_t violations = 0;
   int error_count;
@@ -223,9 +224,6 @@
     goto out;
   seed->ival[0] = 1;
   seeds->ival[0] = 1;
-  faults->ival[0] = 20;
-  hosts->ival[0] = 3;
-  callers->ival[0] = 30;
   work->filename[0] = "/tmp";
   shape->sval[0] = "small";
   log_level->sval[0] = "info";
@@ -251,22 +249,27 @@
     }
   signal (SIGPIPE, SIG_IGN);
   log_set_level (LOG_LEVEL_ERROR);
+  chosen_shape = world_find_shape (shape->sval[0]);
   for (int i = 0; i < seeds->ival[0]; i++)
     {
       char directory[WORLD_PATH_SIZE];
       struct world_options options
-          = { .shape = world_find_shape (shape->sval[0]),
+          = { .shape = chosen_shape,
               .binary = binary->filename[0],
               .directory = directory,
               .log_level = log_level->sval[0],
-              .hosts = (unsigned)hosts->ival[0],
-              .callers = (unsigned)callers->ival[0],
+              .hosts = hosts->count > 0 ? (unsigned)hosts->ival[0]
+                                        : chosen_shape->hosts,
+              .callers = callers->count > 0 ? (unsigned)callers->ival[0]
+                                            : chosen_shape->callers,
               .seed = (uint64_t)(seed->ival[0] + i) };
 
       snprintf (directory, sizeof directory, "%s/soak-%llu-%d",
                 work->filename[0], (unsigned long long)options.seed,
                 (int)getpid ());
-      violations += run_seed (&options, faults->ival[0],
+      violations += run_seed (&options,
+                              faults->count > 0 ? faults->ival[0]
+                                                : chosen_shape->faults_s,
                               only->count > 0 ? only->sval[0] : NULL);
     }
   status = violations > 0 ? EXIT_BROKEN : EXIT_SUCCESS;
--- a/soak/world.c
+++ b/soak/world.c
@@ -22,16 +22,22 @@
 
 /*
  * In the small shape each model has a fabric domain, with endpoints to spare.
- * In the large one the list of endpoints takes many pages.
+ * In the others the list of endpoints takes many pages.
  */
 /* clang-format off */
 static const struct world_shape shapes[] = {
   { "small", .data_centres = 2, .domains = 2, .endpoints_per_domain = 4,
     .plain_endpoints = 3, .other_endpoints = 2,
-    .large_group_size = 3, .small_group_size = 2 },
+    .large_group_size = 3, .small_group_size = 2,
+    .hosts = 3, .callers = 30, .faults_s = 20 },
+  { "middle", .data_centres = 2, .domains = 2, .endpoints_per_domain = 73,
+    .plain_endpoints = 2, .other_endpoints = 1,
+    .large_group_size = 32, .small_group_size = 8, .has_crowds = true,
+    .hosts = 5, .callers = 10, .faults_s = 40 },
   { "large", .data_centres = 5, .domains = 3, .endpoints_per_domain = 73,
     .plain_endpoints = 1, .other_endpoints = 1,
-    .large_group_size = 32, .small_group_size = 8, .has_crowds = true },
+    .large_group_size = 32, .small_group_size = 8, .has_crowds = true,
+    .hosts = 6, .callers = 10, .faults_s = 60 },
 };
 /* clang-format on */
 
--- a/soak/world.h
+++ b/soak/world.h
@@ -46,6 +46,10 @@
   unsigned small_group_size;
   /* Faults of many hosts or endpoints at once are drawn unasked. */
   bool has_crowds;
+  /* Unless they are chosen: */
+  unsigned hosts;
+  unsigned callers; /* in all data centres */
+  int faults_s;     /* time with faults */
 };
 
 /* The shape of this name; NULL if there is none. */
