--- a/soak/operator.c
+++ b/soak/operator.c
@@ -36,10 +36,15 @@
 };
 
 void
-operator_set_group_sizes (unsigned large, unsigned small)
+operator_scale_models (unsigned large_group_size,
+                       unsigned small_group_size,
+                       unsigned loads_per_s)
 {
-  operator_models.models[0].size = large;
-  operator_models.models[1].size = small;
+  operator_models.models[0].size = large_group_size;
+  operator_models.models[1].size = small_group_size;
+  operator_models.loads_per_s = loads_per_s;
+  /* About as many as run at that rate. */
+  operator_models.concurrent_loads = (loads_per_s * 3 + 4) / 5;
 }
 
 void
--- a/soak/operator.h
+++ b/soak/operator.h
@@ -33,8 +33,13 @@
 /* The service whose models run in groups; all versions contain it unchanged. */
 extern struct catalog_service operator_models;
 
-/* Endpoints in a group of each model; to be called before operator_init. */
-void operator_set_group_sizes (unsigned large, unsigned small);
+/*
+ * Sets the endpoints in a group of each model and the loads from the weight
+ * store that may begin in a second; to be called before operator_init.
+ */
+void operator_scale_models (unsigned large_group_size,
+                            unsigned small_group_size,
+                            unsigned loads_per_s);
 
 struct operator_version
 {
--- a/soak/world.h
+++ b/soak/world.h
@@ -44,6 +44,7 @@
   unsigned other_endpoints; /* of OTHER_SERVICE */
   unsigned large_group_size;
   unsigned small_group_size;
+  unsigned loads_per_s; /* from the weight store, in all data centres */
   /* Faults of many hosts or endpoints at once are drawn unasked. */
   bool has_crowds;
   /* Unless they are chosen: */
