--- a/soak/schedule.c
+++ b/soak/schedule.c
@@ -287,8 +287,11 @@
       &schedule->rng, world->options.shape->data_centres)];
   const char *holder = standin_store_get_text (&world->store, LEASE_KIND,
                                                data_centre, "holder");
-  size_t size = holder != NULL ? strcspn (holder, "/") : 0;
+  size_t size;
 
+  if (holder == NULL)
+    return NULL;
+  size = strcspn (holder, "/");
   for (unsigned i = 0; i < world->host_count; i++)
     if (strlen (world->hosts[i].name) == size
         && strncmp (world->hosts[i].name, holder, size) == 0)
