soak: do not count the soak's own standstills against hosts

BUDGET, GONE and HELD compare times at callers and endpoints, which one process serves. All other rules are as before.

--- a/soak/ledger.c
+++ b/soak/ledger.c
@@ -99,6 +99,36 @@
          && since_ms - ledger->store_disturbed_ms > HOST_STABLE_MS;
 }
 
+void
+ledger_note_standstill (struct ledger *ledger,
+                        int64_t started_ms,
+                        int64_t ended_ms)
+{
+  ledger->standstills[ledger->standstill_count++ % LEDGER_STANDSTILL_LIMIT]
+      = (struct ledger_standstill){ started_ms, ended_ms };
+}
+
+/*
+ * Time since since_ms for which this process did not run, so that bytes of a
+ * host or a caller lay unread in it.
+ */
+static int64_t
+get_standstill_ms (const struct ledger *ledger, int64_t since_ms)
+{
+  int64_t sum_ms = 0;
+
+  for (unsigned i = 0; i < LEDGER_STANDSTILL_LIMIT; i++)
+    {
+      const struct ledger_standstill *standstill = &ledger->standstills[i];
+
+      if (standstill->ended_ms > since_ms)
+        sum_ms += standstill->ended_ms
+                  - (standstill->started_ms > since_ms ? standstill->started_ms
+                                                       : since_ms);
+    }
+  return sum_ms;
+}
+
 struct ledger_attempt *
 ledger_add_attempt (struct ledger *ledger, const char *id)
 {
@@ -215,7 +245,9 @@
         (long long)(attempt->sent_ms - endpoint->leaving_reported_ms));
   check_drain_signals (ledger, attempt, endpoint);
   if (attempt->outcome != LEDGER_OPEN
-      && ledger->now_ms - attempt->ended_ms > ABANDONED_RUN_LIMIT_MS
+      && ledger->now_ms - attempt->ended_ms
+             > ABANDONED_RUN_LIMIT_MS
+                   + get_standstill_ms (ledger, attempt->ended_ms)
       && endpoint_is_undisturbed (ledger, endpoint)
       && ledger_was_undisturbed (ledger, attempt->host, attempt->sent_ms))
     ledger_report_violation (ledger, "GONE",
@@ -333,7 +365,9 @@
   remaining_ms = attempt->timeout_ms - (ledger->now_ms - attempt->sent_ms);
   /* A disturbed network path may have held the bytes back. */
   if ((arrival->remaining_ms < 0
-       || arrival->remaining_ms > remaining_ms + REMAINING_TIME_SLACK_MS)
+       || arrival->remaining_ms
+              > remaining_ms + REMAINING_TIME_SLACK_MS
+                    + get_standstill_ms (ledger, attempt->sent_ms))
       && endpoint_is_undisturbed (ledger, arrival->endpoint)
       && ledger_was_undisturbed (ledger, attempt->host, attempt->sent_ms))
     ledger_report_violation (
@@ -591,7 +625,10 @@
   for (attempt = ledger->attempts; attempt != NULL; attempt = attempt->hh.next)
     if (attempt->outcome == LEDGER_OPEN && !attempt->is_overdue
         && now_ms - attempt->sent_ms
-               > attempt->timeout_ms + RESPONSE_DELAY_LIMIT_MS)
+               > attempt->timeout_ms + RESPONSE_DELAY_LIMIT_MS
+        && now_ms - attempt->sent_ms
+               > attempt->timeout_ms + RESPONSE_DELAY_LIMIT_MS
+                     + get_standstill_ms (ledger, attempt->sent_ms))
       {
         if (ledger_was_undisturbed (ledger, attempt->host, attempt->sent_ms)
             && ledger_was_undisturbed (ledger, attempt->host, now_ms))
--- a/soak/ledger.h
+++ b/soak/ledger.h
@@ -19,6 +19,8 @@
 
 #define LEDGER_TEXT_SIZE 96
 #define LEDGER_RUN_LIMIT 8
+/* More than fit into the life of an attempt. */
+#define LEDGER_STANDSTILL_LIMIT 256
 
 /* How an attempt ended for its caller. */
 enum ledger_outcome
@@ -83,6 +85,13 @@
   struct ledger_drain_signal *next;
 };
 
+/* A time for which the process of the callers and endpoints did not run. */
+struct ledger_standstill
+{
+  int64_t started_ms;
+  int64_t ended_ms;
+};
+
 struct ledger
 {
   const struct operator* operator;
@@ -93,6 +102,9 @@
   int64_t started_ms;
   int64_t store_disturbed_ms; /* last moment of a fault of the store */
   FILE *event_log;            /* orders are noted here */
+  /* The latest standstills, in a ring. */
+  struct ledger_standstill standstills[LEDGER_STANDSTILL_LIMIT];
+  unsigned standstill_count;
   uint64_t violations;
   /* Numbers of ended attempts. */
   uint64_t served;
@@ -146,6 +158,11 @@
                          struct ledger_attempt *attempt,
                          enum ledger_outcome outcome);
 
+/* Notes that no caller or endpoint could read or send in this time. */
+void ledger_note_standstill (struct ledger *ledger,
+                             int64_t started_ms,
+                             int64_t ended_ms);
+
 /* Reports attempts that have no response some time after their deadline. */
 void ledger_tick (struct ledger *ledger, int64_t now_ms);
 
