edge: let endpoints join only out of no group, whatever is late

Cause: a decision about an endpoint and its effect can lie seconds apart. An order without an answer may be carried out later, when the endpoint has become a member of another group: by a late order of the former holder, or because the new one has given the decision up and adopted the old group. The order carried a fencing token and an epoch, but not the state that it was based on. A member was also taken out of a group that its holder believed to be closed; a holder that lost that belief (its entry lapsed, the lease changed hands) took "not known" for "free".

Change: a join is sent in steps. The endpoint is asked for its state, leaves the group that the decision knows of, and joins, each on condition that it has accepted no other order since. So it joins out of no group only, with any delay and any knowledge. Orders are dropped when their group has been given up before they are written.

--- a/packages/catalog/include/endpoints.h
+++ b/packages/catalog/include/endpoints.h
@@ -40,7 +40,8 @@
   unsigned slots;
   bool leaving;
   int64_t started_ms; /* wall clock at start; identifies the incarnation */
-  uint64_t orders;    /* orders accepted in this incarnation */
+  /* Orders accepted since the start; not known from the platform's list. */
+  uint64_t orders;
   /* Models in the endpoint's weight cache. */
   char cached_models[ENDPOINTS_CACHED_MODEL_LIMIT][CATALOG_NAME_SIZE];
   unsigned cached_model_count;
--- a/packages/edge/include/orders.h
+++ b/packages/edge/include/orders.h
@@ -10,8 +10,14 @@
 #include <sys/queue.h>
 
 /*
- * Sends orders to endpoints, one connection per order.  The responses are
+ * Sends orders to endpoints, one connection per message.  The responses are
  * logged; the effect of an order shows in the endpoints' reports.
+ *
+ * An order that gets no response may still be carried out seconds later, when
+ * the endpoint has become a member of another group.  A join is therefore sent
+ * in steps: the endpoint is asked for its state, is ordered to leave its group
+ * if the decision says so, and is then ordered to join, each on condition that
+ * it has accepted no other order since.
  */
 
 struct order_call;
@@ -28,6 +34,12 @@
    * the bytes of an order are sent, which may be long after orders_send.
    */
   bool (*is_lease_held) (void *context, uint64_t fence);
+  /* See formation_is_order_current; called at the same time. */
+  bool (*is_current) (void *context,
+                      enum formation_op op,
+                      const char *endpoint,
+                      const char *group,
+                      uint64_t epoch);
 };
 
 struct orders
--- a/packages/edge/include/platform-adapter.h
+++ b/packages/edge/include/platform-adapter.h
@@ -31,9 +31,14 @@
   enum result (*decode_endpoint) (const json_t *value,
                                   struct endpoint_report *report);
 
-  /* Writes the target and the JSON body of the POST that sends an order. */
+  /*
+   * Writes the target and the JSON body of the POST that sends an order.  The
+   * endpoint refuses it unless it has accepted *expected_orders orders since
+   * its start; NULL = any number.
+   */
   void (*encode_order) (const struct formation_order *order,
                         uint64_t fence,
+                        const uint64_t *expected_orders,
                         struct http_text *target,
                         struct http_text *body);
 
@@ -46,6 +51,14 @@
   /* Target of a GET that every running endpoint answers with its report. */
   const char *endpoint_report_target;
 
+  /*
+   * Reads the start, the group and the number of accepted orders from that
+   * report; other members of *report are zero.  RESULT_INVALID without a number
+   * of orders.
+   */
+  enum result (*decode_endpoint_state) (const json_t *value,
+                                        struct endpoint_report *report);
+
   /* Path of the platform's readiness check of this host. */
   const char *ready_path;
 };
--- a/packages/edge/src/leader.c
+++ b/packages/edge/src/leader.c
@@ -97,6 +97,19 @@
          && lease_fence (&leader->lease) == fence;
 }
 
+static bool
+is_order_current (void *context,
+                  enum formation_op op,
+                  const char *endpoint,
+                  const char *group,
+                  uint64_t epoch)
+{
+  const struct leader *leader = context;
+
+  return formation_is_order_current (&leader->formation, op, endpoint, group,
+                                     epoch);
+}
+
 static void
 on_order_fenced (void *context, const char *endpoint)
 {
@@ -126,8 +139,8 @@
     .poll_ranks = LEASE_RANKS / 2,
     .retry_delay_ms = LEASE_RETRY_MS,
   };
-  const struct orders_hooks orders
-      = { leader, on_order_fenced, on_order_lost, is_lease_held };
+  const struct orders_hooks orders = { leader, on_order_fenced, on_order_lost,
+                                       is_lease_held, is_order_current };
 
   memset (leader, 0, sizeof *leader);
   leader->base = base;
--- a/packages/edge/src/orders.c
+++ b/packages/edge/src/orders.c
@@ -9,24 +9,58 @@
 
 /* An order without a response for this long counts as lost. */
 #define ORDER_TIMEOUT_MS 1500
+/*
+ * An endpoint that does not show the expected state is asked again after this
+ * time: its report may be some hundred ms old.
+ */
+#define RECHECK_INTERVAL_MS 100
+
+/* What the message in flight, or the next one, is for. */
+enum order_step
+{
+  ORDER_READS_STATE, /* before a join: asks the endpoint for its state */
+  ORDER_LEAVES,      /* before a join: orders it to leave its group */
+  ORDER_SENDS,
+};
 
 struct order_call
 {
   struct orders *orders;
-  struct http_call http;
-  enum formation_op op;
+  struct http_call *http; /* NULL = no message in flight */
+  enum order_step step;
+  struct http_text state;   /* the endpoint's report */
+  uint64_t accepted_orders; /* by the endpoint, as far as is known */
+  struct formation_order order;
+  struct formation_basis basis;
   char endpoint[CATALOG_NAME_SIZE];
   char group[CATALOG_NAME_SIZE];
+  char model[CATALOG_NAME_SIZE];
+  char members[FORMATION_SIZE_LIMIT][CATALOG_NAME_SIZE];
+  char address[CATALOG_NAME_SIZE];
+  uint16_t port;
   uint64_t fence;
+  bool is_outdated; /* the decision no longer stood when it was to be sent */
   int64_t sent_ms;
+  int64_t next_ms; /* when the next message is due; without one in flight */
   TAILQ_ENTRY (order_call) link;
 };
 
+static void
+end_message (struct order_call *call)
+{
+  if (call->http == NULL)
+    return;
+  http_call_finish (call->http);
+  http_free_later (call->orders->base, call->http);
+  call->http = NULL;
+}
+
 static void
 close_call (struct order_call *call)
 {
   TAILQ_REMOVE (&call->orders->calls, call, link);
-  http_call_finish (&call->http);
+  end_message (call);
+  http_text_finish (&call->state);
   http_free_later (call->orders->base, call);
 }
 
@@ -37,9 +71,11 @@
   struct orders *orders = call->orders;
 
   LOG_EVENT (result == RESULT_OK ? LOG_LEVEL_INFO : LOG_LEVEL_NOTICE,
-             "order-answered", LOG_STR ("op", formation_op_name (call->op)),
+             "order-answered",
+             LOG_STR ("op", formation_op_name (call->order.op)),
              LOG_STR ("endpoint", call->endpoint),
              LOG_STR ("group", call->group), LOG_U64 ("fence", call->fence),
+             LOG_STR ("sent", call->step == ORDER_SENDS ? "yes" : "no"),
              LOG_U64 ("status", status), LOG_INT ("code", result),
              LOG_INT ("after_ms", time_boot_ms () - call->sent_ms));
   if (result == RESULT_ORDER_FENCED)
@@ -49,29 +85,191 @@
   close_call (call);
 }
 
-static void
-on_order_done (void *context, bool has_response, unsigned status)
-{
-  struct order_call *call = context;
-
-  complete_call (call,
-                 has_response
-                     ? call->orders->adapter->decode_order_status (status)
-                     : RESULT_ORDER_LOST,
-                 status);
-}
-
 /*
  * Connecting may have taken long, or this host may have been suspended, so an
- * order is sent only if the lease of its fencing token is still held.
+ * order is sent only if the lease of its fencing token is still held and the
+ * decision stands.
  */
 static bool
 can_send (void *context)
 {
-  const struct order_call *call = context;
+  struct order_call *call = context;
+  const struct orders_hooks *hooks = &call->orders->hooks;
+
+  if (!hooks->is_lease_held (hooks->context, call->fence))
+    return false;
+  call->is_outdated
+      = !hooks->is_current (hooks->context, call->order.op, call->endpoint,
+                            call->group, call->order.epoch);
+  return !call->is_outdated;
+}
+
+static void on_message_done (void *context, bool has_response, unsigned status);
+
+/* Takes ownership of the request. */
+static void
+start_message (struct order_call *call, struct http_text *request)
+{
+  struct http_call *http = calloc (1, sizeof *http);
+
+  if (http == NULL)
+    http_text_finish (request);
+  else if (http_call_start (http, call->orders->base, call->address, call->port,
+                            ORDER_TIMEOUT_MS, request, on_message_done, call)
+           != RESULT_OK)
+    {
+      free (http);
+      http = NULL;
+    }
+  call->http = http;
+  if (http == NULL)
+    {
+      complete_call (call, RESULT_ORDER_LOST, 0);
+      return;
+    }
+  http->may_send = can_send;
+  if (call->step != ORDER_READS_STATE)
+    return;
+  http_text_reset (&call->state);
+  http->body = &call->state;
+}
+
+/* Sends the order, for a join on condition of the number of orders so far. */
+static void
+send_order (struct order_call *call,
+            enum order_step step,
+            const struct formation_order *order)
+{
   const struct orders *orders = call->orders;
+  struct http_text request;
+  struct http_text target;
+  struct http_text body;
 
-  return orders->hooks.is_lease_held (orders->hooks.context, call->fence);
+  call->step = step;
+  http_text_init (&request);
+  http_text_init (&target);
+  http_text_init (&body);
+  orders->adapter->encode_order (
+      order, call->fence,
+      call->order.basis != NULL ? &call->accepted_orders : NULL, &target,
+      &body);
+  http_text_format (&request,
+                    "POST %s HTTP/1.1\r\nHost: %s:%u\r\n"
+                    "Content-Type: application/json\r\n"
+                    "Content-Length: %zu\r\nConnection: close\r\n\r\n",
+                    target.data != NULL ? target.data : "/", call->address,
+                    call->port, body.size);
+  http_text_add (&request, body.data, body.size);
+  if (target.failed || body.failed)
+    request.failed = true;
+  http_text_finish (&target);
+  http_text_finish (&body);
+  start_message (call, &request);
+}
+
+static void
+send_leave (struct order_call *call)
+{
+  const struct formation_order leave = {
+    .op = FORMATION_LEAVE,
+    .endpoint = call->endpoint,
+    .group = call->basis.group,
+    .epoch = call->basis.epoch,
+    .model = "",
+  };
+
+  send_order (call, ORDER_LEAVES, &leave);
+}
+
+static void
+read_state (struct order_call *call)
+{
+  struct http_text request;
+
+  call->step = ORDER_READS_STATE;
+  http_text_init (&request);
+  http_text_format (&request,
+                    "GET %s HTTP/1.1\r\nHost: %s:%u\r\n"
+                    "Connection: close\r\n\r\n",
+                    call->orders->adapter->endpoint_report_target,
+                    call->address, call->port);
+  start_message (call, &request);
+}
+
+/* Asks for the state again a little later; orders_tick ends the call in time.
+ */
+static void
+read_state_later (struct order_call *call)
+{
+  call->step = ORDER_READS_STATE;
+  call->next_ms = time_boot_ms () + RECHECK_INTERVAL_MS;
+}
+
+static void
+act_on_state (struct order_call *call, unsigned status)
+{
+  json_t *json = json_loadb (call->state.data != NULL ? call->state.data : "",
+                             call->state.size, 0, NULL);
+  struct endpoint_report report;
+  enum result result
+      = call->orders->adapter->decode_endpoint_state (json, &report);
+
+  json_decref (json);
+  if (result != RESULT_OK)
+    {
+      read_state_later (call);
+      return;
+    }
+  switch (formation_check_join (&call->basis, call->group, call->order.epoch,
+                                &report))
+    {
+    case FORMATION_JOIN_SEND:
+      call->accepted_orders = report.orders;
+      send_order (call, ORDER_SENDS, &call->order);
+      break;
+    case FORMATION_JOIN_LEAVE_FIRST:
+      call->accepted_orders = report.orders;
+      send_leave (call);
+      break;
+    case FORMATION_JOIN_RETRY:
+      read_state_later (call);
+      break;
+    case FORMATION_JOIN_DROP:
+      complete_call (call, RESULT_ORDER_OUTDATED, status);
+      break;
+    }
+}
+
+static void
+on_message_done (void *context, bool has_response, unsigned status)
+{
+  struct order_call *call = context;
+  enum result result;
+
+  end_message (call);
+  if (!has_response)
+    {
+      complete_call (
+          call, call->is_outdated ? RESULT_ORDER_OUTDATED : RESULT_ORDER_LOST,
+          0);
+      return;
+    }
+  if (call->step == ORDER_READS_STATE)
+    {
+      act_on_state (call, status);
+      return;
+    }
+  result = call->orders->adapter->decode_order_status (status);
+  /* The endpoint has accepted another order since it was asked. */
+  if (result == RESULT_ORDER_FAILED && call->order.basis != NULL)
+    read_state_later (call);
+  else if (result == RESULT_OK && call->step == ORDER_LEAVES)
+    {
+      call->accepted_orders++;
+      send_order (call, ORDER_SENDS, &call->order);
+    }
+  else
+    complete_call (call, result, status);
 }
 
 void
@@ -97,30 +295,25 @@
 }
 
 static void
-encode_request (const struct orders *orders,
-                const struct formation_order *order,
-                uint64_t fence,
-                const char *address,
-                uint16_t port,
-                struct http_text *request)
+copy_order (struct order_call *call, const struct formation_order *order)
 {
-  struct http_text target;
-  struct http_text body;
-
-  http_text_init (&target);
-  http_text_init (&body);
-  orders->adapter->encode_order (order, fence, &target, &body);
-  http_text_format (request,
-                    "POST %s HTTP/1.1\r\nHost: %s:%u\r\n"
-                    "Content-Type: application/json\r\n"
-                    "Content-Length: %zu\r\nConnection: close\r\n\r\n",
-                    target.data != NULL ? target.data : "/", address, port,
-                    body.size);
-  http_text_add (request, body.data, body.size);
-  if (target.failed || body.failed)
-    request->failed = true;
-  http_text_finish (&target);
-  http_text_finish (&body);
+  memcpy (call->endpoint, order->endpoint, strlen (order->endpoint) + 1);
+  memcpy (call->group, order->group, strlen (order->group) + 1);
+  if (order->model != NULL)
+    memcpy (call->model, order->model, strlen (order->model) + 1);
+  call->order = *order;
+  call->order.endpoint = call->endpoint;
+  call->order.group = call->group;
+  call->order.model = call->model;
+  call->order.members = call->members;
+  call->order.reason = NULL;
+  if (order->members != NULL)
+    memcpy (call->members, order->members,
+            order->member_count * sizeof call->members[0]);
+  if (order->basis == NULL)
+    return;
+  call->basis = *order->basis;
+  call->order.basis = &call->basis;
 }
 
 void
@@ -132,31 +325,26 @@
              int64_t now_ms)
 {
   struct order_call *call = calloc (1, sizeof *call);
-  struct http_text request;
 
   if (call == NULL)
-    goto failed;
+    {
+      LOG_EVENT (LOG_LEVEL_WARNING, "order-not-sent",
+                 LOG_STR ("op", formation_op_name (order->op)),
+                 LOG_STR ("endpoint", order->endpoint));
+      return;
+    }
   call->orders = orders;
-  call->op = order->op;
   call->fence = fence;
   call->sent_ms = now_ms;
-  memcpy (call->endpoint, order->endpoint, strlen (order->endpoint) + 1);
-  memcpy (call->group, order->group, strlen (order->group) + 1);
-  http_text_init (&request);
-  encode_request (orders, order, fence, address, port, &request);
-  if (http_call_start (&call->http, orders->base, address, port,
-                       ORDER_TIMEOUT_MS, &request, on_order_done, call)
-      != RESULT_OK)
-    goto failed;
-  call->http.may_send = can_send;
+  call->port = port;
+  memcpy (call->address, address, strlen (address) + 1);
+  copy_order (call, order);
+  http_text_init (&call->state);
   TAILQ_INSERT_TAIL (&orders->calls, call, link);
-  return;
-
-failed:
-  LOG_EVENT (LOG_LEVEL_WARNING, "order-not-sent",
-             LOG_STR ("op", formation_op_name (order->op)),
-             LOG_STR ("endpoint", order->endpoint));
-  free (call);
+  if (order->basis != NULL)
+    read_state (call);
+  else
+    send_order (call, ORDER_SENDS, &call->order);
 }
 
 void
@@ -169,7 +357,11 @@
       struct order_call *next = TAILQ_NEXT (call, link);
 
       if (now_ms - call->sent_ms >= ORDER_TIMEOUT_MS)
-        complete_call (call, RESULT_ORDER_LOST, 0);
+        complete_call (
+            call,
+            call->http != NULL ? RESULT_ORDER_LOST : RESULT_ORDER_OUTDATED, 0);
+      else if (call->http == NULL && now_ms >= call->next_ms)
+        read_state (call);
       call = next;
     }
 }
--- a/packages/edge/tests/t0963-orders.c
+++ b/packages/edge/tests/t0963-orders.c
@@ -56,11 +56,13 @@
 static void
 encode_order (const struct formation_order *order,
               uint64_t fence,
+              const uint64_t *expected_orders,
               struct http_text *target,
               struct http_text *body)
 {
   (void)order;
   (void)fence;
+  (void)expected_orders;
   http_text_add_string (target, "/order");
   http_text_add_string (body, "{}");
 }
@@ -77,6 +79,155 @@
   .endpoint_report_target = "/report",
 };
 
+/* An endpoint that is asked for its state before it is ordered to join. */
+
+#define STEP_LIMIT 8
+#define NO_RESPONSE 1
+
+struct join_step
+{
+  const char *state; /* "GROUP ORDERS", or NULL: the message is an order */
+  unsigned status;   /* of the response, or NO_RESPONSE; 0 = no such step */
+};
+
+struct join_case
+{
+  const char *guards;                 /* failure that the case guards against */
+  const char *basis;                  /* group that the decision is based on */
+  bool is_current;                    /* the decision still stands */
+  struct join_step steps[STEP_LIMIT]; /* what the endpoint responds */
+  const char *received;               /* orders, with their conditions */
+  unsigned lost_orders;
+};
+
+static const struct join_case *join_case;
+static unsigned step_count;
+static bool is_report_requested;
+static char received[256]; /* "OP GROUP ORDERS;" for each order */
+
+static void
+encode_join (const struct formation_order *order,
+             uint64_t fence,
+             const uint64_t *expected_orders,
+             struct http_text *target,
+             struct http_text *body)
+{
+  (void)fence;
+  http_text_add_string (target, "/order");
+  http_text_format (body, "%s %s %lld;", formation_op_name (order->op),
+                    order->group,
+                    expected_orders != NULL ? (long long)*expected_orders : -1);
+}
+
+static enum result
+decode_join_status (unsigned status)
+{
+  return status == 409 ? RESULT_ORDER_FAILED : RESULT_OK;
+}
+
+static enum result
+decode_state (const json_t *value, struct endpoint_report *report)
+{
+  const char *group = json_string_value (json_object_get (value, "group"));
+  json_int_t orders = json_integer_value (json_object_get (value, "orders"));
+
+  memset (report, 0, sizeof *report);
+  if (group == NULL)
+    return RESULT_INVALID;
+  report->orders = (uint64_t)orders;
+  snprintf (report->group, sizeof report->group, "%s", group);
+  if (group[0] != '\0')
+    {
+      report->state = ENDPOINT_GROUP_READY;
+      report->epoch = 3;
+    }
+  return RESULT_OK;
+}
+
+static const struct platform_adapter join_adapter = {
+  .encode_order = encode_join,
+  .decode_order_status = decode_join_status,
+  .endpoint_report_target = "/report",
+  .decode_endpoint_state = decode_state,
+};
+
+static void
+on_join_head (void *context, const struct http_head *head)
+{
+  (void)context;
+  is_report_requested = strcmp (http_head_target (head), "/report") == 0;
+}
+
+static void
+on_join_body (void *context, const char *data, size_t size)
+{
+  size_t used = strlen (received);
+
+  (void)context;
+  snprintf (received + used, sizeof received - used, "%.*s", (int)size, data);
+}
+
+static void
+on_join_complete (void *context)
+{
+  const struct join_step *step = &join_case->steps[step_count];
+  char body[128] = "";
+  char text[256];
+
+  if (step->state == NULL && step->status <= NO_RESPONSE)
+    return;
+  if (is_report_requested && step->state == NULL)
+    fail_msg ("%s: asked for its state at step %u", join_case->guards,
+              step_count);
+  if (step->state != NULL)
+    {
+      char group[32] = "";
+      unsigned orders = 0;
+
+      if (sscanf (step->state, "%31s %u", group, &orders) == 2)
+        snprintf (body, sizeof body, "{\"group\":\"%s\",\"orders\":%u}",
+                  strcmp (group, "-") == 0 ? "" : group, orders);
+      else
+        snprintf (body, sizeof body, "%s", step->state);
+    }
+  snprintf (text, sizeof text, "HTTP/1.1 %u X\r\nContent-Length: %zu\r\n\r\n%s",
+            step->state != NULL ? 200 : step->status, strlen (body), body);
+  /* Asked for its state again, it repeats the last one. */
+  if (step[1].state != NULL || step[1].status != 0 || step->state == NULL)
+    step_count++;
+  http_connection_write (context, text, strlen (text));
+}
+
+static const struct http_events join_events = {
+  .head = on_join_head,
+  .body = on_join_body,
+  .complete = on_join_complete,
+  .closed = http_server_on_closed,
+};
+
+/* clang-format off */
+static const struct join_case join_cases[] = {
+  { "an endpoint is joined without knowing its state", "", true,
+    { { "- 7", 0 }, { NULL, 202 } }, "join new 7;", 0 },
+  { "an endpoint that is elsewhere by now is joined", "", true,
+    { { "late 7", 0 } }, "", 0 },
+  { "an endpoint joins while it is in a group", "old", true,
+    { { "old 7", 0 }, { NULL, 200 }, { NULL, 202 } }, "leave old 7;join new 8;", 0 },
+  { "an endpoint leaves a group that the decision did not know", "old", true,
+    { { "late 7", 0 } }, "", 0 },
+  { "a join is given up when another order came between", "", true,
+    { { "- 7", 0 }, { NULL, 409 }, { "- 8", 0 }, { NULL, 202 } }, "join new 7;join new 8;", 0 },
+  { "an endpoint joins that another order kept from leaving", "old", true,
+    { { "old 7", 0 }, { NULL, 409 }, { "late 8", 0 } }, "leave old 7;", 0 },
+  { "a state that cannot be read counts as no group", "", true,
+    { { "{}", 0 }, { "- 7", 0 }, { NULL, 202 } }, "join new 7;", 0 },
+  { "an order is sent though its group was given up", "", false,
+    { { "- 7", 0 } }, "", 0 },
+  { "a join without a response is not reported as lost", "", true,
+    { { "- 7", 0 }, { NULL, NO_RESPONSE } }, "join new 7;", 1 },
+};
+/* clang-format on */
+
 static void
 on_fenced (void *context, const char *endpoint)
 {
@@ -101,8 +252,23 @@
   return lease_held;
 }
 
+static bool
+is_current (void *context,
+            enum formation_op op,
+            const char *endpoint,
+            const char *group,
+            uint64_t epoch)
+{
+  (void)context;
+  (void)op;
+  (void)endpoint;
+  (void)group;
+  (void)epoch;
+  return join_case == NULL || join_case->is_current;
+}
+
 static const struct orders_hooks hooks
-    = { NULL, on_fenced, on_lost, is_lease_held };
+    = { NULL, on_fenced, on_lost, is_lease_held, is_current };
 
 static void
 start_server (void)
@@ -172,6 +338,48 @@
     }
 }
 
+static void
+test_joins (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof join_cases / sizeof join_cases[0]; i++)
+    {
+      struct formation_basis basis = { .started_ms = 0 };
+      const struct formation_order order = { .op = FORMATION_JOIN,
+                                             .endpoint = "e",
+                                             .group = "new",
+                                             .epoch = 5,
+                                             .model = "m",
+                                             .basis = &basis };
+      struct orders orders;
+      int64_t until_ms = time_boot_ms () + WAIT_MS;
+
+      join_case = &join_cases[i];
+      step_count = 0;
+      received[0] = '\0';
+      lost_orders = 0;
+      lease_held = true;
+      snprintf (basis.group, sizeof basis.group, "%s", join_case->basis);
+      basis.epoch = join_case->basis[0] != '\0' ? 3 : 0;
+      http_server_start (&server, &join_events, 64);
+      orders_init (&orders, server.base, &join_adapter, &hooks);
+      orders_send (&orders, &order, 1, "127.0.0.1", server.port,
+                   time_boot_ms ());
+      while (!TAILQ_EMPTY (&orders.calls) && time_boot_ms () < until_ms)
+        {
+          run_loop ();
+          orders_tick (&orders, time_boot_ms ());
+        }
+      if (strcmp (received, join_case->received) != 0
+          || lost_orders != join_case->lost_orders)
+        fail_msg ("%s: \"%s\", %u lost", join_case->guards, received,
+                  lost_orders);
+      orders_finish (&orders);
+      http_server_stop (&server);
+    }
+  join_case = NULL;
+}
+
 /* Two checks without a response make an endpoint silent; responses clear it. */
 static void
 test_silent_endpoint (void **state)
@@ -216,6 +424,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_orders),
+    cmocka_unit_test (test_joins),
     cmocka_unit_test (test_silent_endpoint),
   };
 
--- a/packages/formation/include/formation.h
+++ b/packages/formation/include/formation.h
@@ -18,11 +18,13 @@
  * the groups it manages, the orders sent and the weight loads in progress.  A
  * new holder of the lease adopts the groups that the endpoints report.
  *
- * Safety: an endpoint is ordered into another group only when the head of its
- * present group reports that it cannot serve, or when the endpoint itself
- * reports that it has left that group.  Epochs rise with each formed group and
- * with each holder of the lease, so an endpoint refuses a late order of an
- * earlier formation.
+ * Safety: orders of this and of former holders may be carried out late, and
+ * reports may be old or missing.  An endpoint is therefore ordered into a group
+ * only if it is in no group (or in one of its own, as a spare), and the order
+ * is carried out only if that is still so: see struct formation_basis.  Members
+ * of any other group leave it first, whatever its head reports.  Epochs rise
+ * with each formed group and with each holder of the lease, so an endpoint
+ * refuses a late order of an earlier formation.
  */
 
 #define FORMATION_SIZE_LIMIT 32 /* endpoints per group */
@@ -39,6 +41,19 @@
 };
 const char *formation_op_name (enum formation_op op);
 
+/*
+ * What an order to join a group is based on: this incarnation of the endpoint
+ * is in no group, or in this one, which it leaves first.  The endpoint is asked
+ * for its state (formation_check_join), and each order is sent on condition
+ * that the endpoint has accepted no other one since.
+ */
+struct formation_basis
+{
+  int64_t started_ms;
+  char group[CATALOG_NAME_SIZE]; /* "" = none */
+  uint64_t epoch;
+};
+
 struct formation_order
 {
   enum formation_op op;
@@ -49,8 +64,42 @@
   char (*members)[CATALOG_NAME_SIZE]; /* for a join; the head first */
   unsigned member_count;
   const char *reason;
+  const struct formation_basis *basis; /* NULL unless a join */
+};
+
+/* What a holder of the lease may do with an endpoint that it wants to use. */
+enum formation_claim
+{
+  FORMATION_CLAIM_TAKE,  /* may be ordered into another group */
+  FORMATION_CLAIM_EVICT, /* an open or closing head: has to close first */
+  FORMATION_CLAIM_LEAVE, /* has to leave its group first */
+};
+
+/*
+ * abandoned_epoch is that of the group which this holder has given up last for
+ * the endpoint; 0 = none.  head is the report of the head of the endpoint's
+ * group; NULL if it is not known, or does not respond.
+ */
+enum formation_claim formation_may_take (const struct endpoint_report *report,
+                                         uint64_t abandoned_epoch,
+                                         const struct endpoint_report *head);
+
+/* What to do with an order to join a group, once the endpoint was asked. */
+enum formation_join_step
+{
+  FORMATION_JOIN_SEND,
+  FORMATION_JOIN_LEAVE_FIRST, /* order it to leave the group of the basis */
+  FORMATION_JOIN_RETRY, /* the endpoint may not show its latest state yet */
+  FORMATION_JOIN_DROP,  /* the endpoint has restarted, or is in the group */
 };
 
+/* Decides on a join to the group by the state that the endpoint reports now. */
+enum formation_join_step
+formation_check_join (const struct formation_basis *basis,
+                      const char *group,
+                      uint64_t epoch,
+                      const struct endpoint_report *report);
+
 enum formation_phase
 {
   FORMATION_JOINING, /* members join and load the weights */
@@ -72,12 +121,11 @@
   unsigned size;
   char members[FORMATION_SIZE_LIMIT][CATALOG_NAME_SIZE]; /* "" = unknown */
   enum formation_phase phase;
-  int64_t phase_since_ms;     /* start of the present phase */
-  int64_t last_order_ms;      /* last order in this phase; 0 = none */
-  unsigned order_tries;       /* orders sent in this phase */
-  bool adopted;               /* formed by an earlier holder of the lease */
-  uint64_t head_revision;     /* revision of the head's report at phase start */
-  unsigned unconfirmed_opens; /* open orders that may take effect later */
+  int64_t phase_since_ms; /* start of the present phase */
+  int64_t last_order_ms;  /* last order in this phase; 0 = none */
+  unsigned order_tries;   /* orders sent in this phase */
+  bool adopted;           /* formed by an earlier holder of the lease */
+  uint64_t head_revision; /* revision of the head's report at phase start */
   TAILQ_ENTRY (formation_group) link;
 };
 
@@ -86,13 +134,13 @@
 {
   char id[CATALOG_NAME_SIZE];
   struct formation_group *group;
-  uint64_t abandoned_epoch;      /* epoch of its last abandoned group */
-  uint64_t leave_required_epoch; /* group to leave: its head may open */
-  int64_t joined_ms;             /* last join order */
-  unsigned join_tries;           /* join orders without effect */
-  int64_t excluded_until_ms;     /* not used for a new group before this time */
-  int64_t leave_ordered_ms;      /* last order to leave or close its group */
-  int64_t prefetch_ordered_ms;   /* last prefetch order; 0 = none */
+  uint64_t abandoned_epoch;    /* epoch of its last abandoned group */
+  uint64_t joined_epoch;       /* epoch of the last join order; 0 = none */
+  int64_t joined_ms;           /* last join order */
+  unsigned join_tries;         /* join orders without effect */
+  int64_t excluded_until_ms;   /* not used for a new group before this time */
+  int64_t leave_ordered_ms;    /* last order to leave or close its group */
+  int64_t prefetch_ordered_ms; /* last prefetch order; 0 = none */
   char loading_model[CATALOG_NAME_SIZE]; /* of its last load; "" = none */
   int64_t activate_ordered_ms; /* last join order to a spare group; 0 = none */
   int64_t load_counted_until_ms; /* its load counts as running until then */
@@ -149,6 +197,17 @@
                                  const char *endpoint,
                                  int64_t until_ms);
 
+/*
+ * False if the order is no longer wanted: its group was given up or has moved
+ * on, or the endpoint was ordered into another group since.  An order waits for
+ * its connection, so this is to be asked again just before it is sent.
+ */
+bool formation_is_order_current (const struct formation *formation,
+                                 enum formation_op op,
+                                 const char *endpoint,
+                                 const char *group,
+                                 uint64_t epoch);
+
 /* True if every group serves, so that no order is outstanding. */
 bool formation_is_settled (const struct formation *formation);
 
--- a/packages/formation/src/advance-groups.c
+++ b/packages/formation/src/advance-groups.c
@@ -22,14 +22,13 @@
 /* A retiring group that still has requests after this time is evicted. */
 #define RETIRE_LIMIT_MS 8000
 
-void
-formation_send_order (const struct formation_run *run,
-                      const struct formation_group *group,
-                      enum formation_op op,
-                      const char *endpoint,
-                      const char *reason)
+static struct formation_order
+make_order (const struct formation_group *group,
+            enum formation_op op,
+            const char *endpoint,
+            const char *reason)
 {
-  struct formation_order order = {
+  return (struct formation_order){
     .op = op,
     .endpoint = endpoint,
     .group = group->name,
@@ -39,35 +38,31 @@
     .member_count = group->size,
     .reason = reason,
   };
-
-  run->hooks->order (run->hooks->context, &order);
 }
 
-/*
- * True if the head may be open or may open later: an open order of this or an
- * earlier holder of the lease may be in flight, or the head's last report is
- * older than the phase.
- */
-static bool
-can_still_open (const struct formation_group *group,
-                const struct endpoint *head)
+static void
+send_order (const struct formation_run *run,
+            const struct formation_group *group,
+            enum formation_op op,
+            const char *endpoint,
+            const char *reason)
 {
-  bool was_ordered = group->phase != FORMATION_JOINING || group->adopted;
+  struct formation_order order = make_order (group, op, endpoint, reason);
 
-  return group->unconfirmed_opens > 0 || group->adopted
-         || (was_ordered
-             && (head == NULL || head->revision <= group->head_revision));
+  run->hooks->order (run->hooks->context, &order);
 }
 
-/* The members become free only once they report that they have left. */
-static void
-require_members_to_leave (const struct formation_run *run,
-                          const struct formation_group *group)
+void
+formation_join_member (const struct formation_run *run,
+                       const struct formation_group *group,
+                       struct formation_member *member,
+                       const struct endpoint *endpoint,
+                       const char *reason)
 {
-  for (struct formation_member *member = run->formation->members;
-       member != NULL; member = member->hh.next)
-    if (member->group == group)
-      member->leave_required_epoch = group->epoch;
+  struct formation_order order
+      = make_order (group, FORMATION_JOIN, endpoint->id, reason);
+
+  formation_send_join (run, &order, member, endpoint);
 }
 
 void
@@ -79,10 +74,6 @@
   const struct endpoint *head
       = endpoints_find (run->endpoints, group->members[0]);
 
-  if (phase == FORMATION_SERVING && group->unconfirmed_opens > 0)
-    group->unconfirmed_opens--;
-  if (phase == FORMATION_DISSOLVED && can_still_open (group, head))
-    require_members_to_leave (run, group);
   group->phase = phase;
   group->head_revision = head != NULL ? head->revision : 0;
   group->phase_since_ms = run->now_ms;
@@ -283,8 +274,10 @@
         }
       member->joined_ms = run->now_ms;
       member->join_tries++;
-      formation_send_order (run, group, FORMATION_JOIN, endpoint->id,
-                            "endpoint does not report the group yet");
+      /* A late order may have taken it into another group meanwhile. */
+      if (formation_try_release (run, member, endpoint))
+        formation_join_member (run, group, member, endpoint,
+                               "endpoint does not report the group yet");
     }
   return true;
 }
@@ -346,11 +339,7 @@
                          "a member is no longer ready");
 #endif
   else if (head != NULL && begin_order_if_due (run, group))
-    {
-      group->unconfirmed_opens++;
-      formation_send_order (run, group, FORMATION_OPEN, head->id,
-                            "all members ready");
-    }
+    send_order (run, group, FORMATION_OPEN, head->id, "all members ready");
 }
 
 static void
@@ -407,8 +396,7 @@
     formation_set_phase (run, group, FORMATION_DISSOLVED,
                          "head did not close in time");
   else if (begin_order_if_due (run, group))
-    formation_send_order (run, group, FORMATION_EVICT, head->id,
-                          "a member failed");
+    send_order (run, group, FORMATION_EVICT, head->id, "a member failed");
 }
 
 static void
@@ -426,8 +414,7 @@
     formation_set_phase (run, group, FORMATION_FAILED,
                          "head did not close in time");
   else if (head != NULL && begin_order_if_due (run, group))
-    formation_send_order (run, group, FORMATION_DRAIN, head->id,
-                          "a member leaves");
+    send_order (run, group, FORMATION_DRAIN, head->id, "a member leaves");
 }
 
 void
--- a/packages/formation/src/form-groups.c
+++ b/packages/formation/src/form-groups.c
@@ -254,7 +254,8 @@
       member->group = group;
       member->joined_ms = run->now_ms;
       member->join_tries = 1;
-      formation_send_order (run, group, FORMATION_JOIN, member->id, "formed");
+      formation_join_member (run, group, member, pool->endpoints[index],
+                             "formed");
     }
 }
 
--- a/packages/formation/src/formation-internal.h
+++ b/packages/formation/src/formation-internal.h
@@ -37,9 +37,8 @@
                            const struct endpoint *endpoint);
 
 /*
- * True if the endpoint may be ordered into a group: it is in none, or the head
- * of its group cannot serve.  Otherwise orders it to leave, or to close if it
- * is an open or closing head.
+ * True if the endpoint may be ordered into a group.  Otherwise orders it to
+ * leave its group or to close it, at most once within LEAVE_RETRY_MS.
  */
 bool formation_try_release (const struct formation_run *run,
                             struct formation_member *member,
@@ -48,11 +47,12 @@
 /* advance-groups.c: adopts groups and advances them through their phases. */
 void formation_adopt_groups (const struct formation_run *run);
 void formation_advance_groups (const struct formation_run *run);
-void formation_send_order (const struct formation_run *run,
-                           const struct formation_group *group,
-                           enum formation_op op,
-                           const char *endpoint,
-                           const char *reason);
+/* Orders the endpoint to join the group. */
+void formation_join_member (const struct formation_run *run,
+                            const struct formation_group *group,
+                            struct formation_member *member,
+                            const struct endpoint *endpoint,
+                            const char *reason);
 void formation_set_phase (const struct formation_run *run,
                           struct formation_group *group,
                           enum formation_phase phase,
@@ -101,6 +101,12 @@
 /* True for the group of a single spare, which never opens. */
 bool formation_is_spare_group (const char *group);
 
+/* Sends an order to join a group, with the state that it is based on. */
+void formation_send_join (const struct formation_run *run,
+                          const struct formation_order *order,
+                          struct formation_member *member,
+                          const struct endpoint *endpoint);
+
 /* True if the endpoint reports that it is in the group. */
 bool formation_is_reported_member (const struct endpoint *endpoint,
                                    const struct formation_group *group);
--- a/packages/formation/src/formation.c
+++ b/packages/formation/src/formation.c
@@ -87,6 +87,49 @@
   formation->load_tokens = 0;
 }
 
+static const struct formation_group *
+find_group_of_epoch (const struct formation *formation, uint64_t epoch)
+{
+  const struct formation_group *group;
+
+  TAILQ_FOREACH (group, &formation->groups, link)
+    if (group->epoch == epoch)
+      return group;
+  return NULL;
+}
+
+bool
+formation_is_order_current (const struct formation *formation,
+                            enum formation_op op,
+                            const char *endpoint,
+                            const char *group,
+                            uint64_t epoch)
+{
+  const struct formation_group *found;
+  const struct formation_member *member;
+
+  switch (op)
+    {
+    case FORMATION_JOIN:
+      HASH_FIND_STR (formation->members, endpoint, member);
+      if (member == NULL || member->joined_epoch != epoch)
+        return false;
+      if (formation_is_spare_group (group))
+        return member->group == NULL;
+      return member->group != NULL && member->group->epoch == epoch
+             && member->group->phase == FORMATION_JOINING;
+    case FORMATION_OPEN:
+      found = find_group_of_epoch (formation, epoch);
+      return found != NULL && found->phase == FORMATION_OPENING;
+    case FORMATION_DRAIN:
+    case FORMATION_EVICT:
+    case FORMATION_LEAVE:
+    case FORMATION_PREFETCH:
+      return true;
+    }
+  return false;
+}
+
 bool
 formation_is_settled (const struct formation *formation)
 {
--- a/packages/formation/src/member.c
+++ b/packages/formation/src/member.c
@@ -132,11 +132,20 @@
   return NULL;
 }
 
-static bool
-can_head_serve (const struct endpoint *head)
+static enum formation_claim
+decide_claim (const struct formation_run *run,
+              const struct formation_member *member,
+              const struct endpoint *endpoint)
 {
-  return head->report.state == ENDPOINT_GROUP_OPEN
-         || head->report.state == ENDPOINT_GROUP_CLOSING;
+  const struct endpoint_report *report = &endpoint->report;
+  const struct endpoint *head = NULL;
+
+  if (report->rank == 0)
+    head = endpoint;
+  else if (member->abandoned_epoch == report->epoch)
+    head = find_reachable_head (run, endpoint);
+  return formation_may_take (report, member->abandoned_epoch,
+                             head != NULL ? &head->report : NULL);
 }
 
 bool
@@ -145,7 +154,7 @@
                        const struct endpoint *endpoint)
 {
   const struct endpoint_report *report = &endpoint->report;
-  const struct endpoint *head;
+  enum formation_claim claim = decide_claim (run, member, endpoint);
   struct formation_order order = {
     .endpoint = endpoint->id,
     .group = report->group,
@@ -156,16 +165,12 @@
 #ifdef BREAK_GUARD_EDGE_RELEASE
   return true;
 #endif
-  if (report->state == ENDPOINT_GROUP_NONE)
-    return true;
-  head = report->rank == 0 ? endpoint : find_reachable_head (run, endpoint);
-  if (head != NULL && !can_head_serve (head)
-      && report->epoch != member->leave_required_epoch)
+  if (claim == FORMATION_CLAIM_TAKE)
     return true;
   if (run->now_ms - member->leave_ordered_ms < LEAVE_RETRY_MS)
     return false;
   member->leave_ordered_ms = run->now_ms;
-  if (head == endpoint && can_head_serve (endpoint))
+  if (claim == FORMATION_CLAIM_EVICT)
     {
       order.op = FORMATION_EVICT;
       order.reason = "serves in an unknown group";
@@ -173,8 +178,28 @@
   else
     {
       order.op = FORMATION_LEAVE;
-      order.reason = "head of its group may still serve";
+      order.reason = "has to leave its group first";
     }
   run->hooks->order (run->hooks->context, &order);
   return false;
 }
+
+void
+formation_send_join (const struct formation_run *run,
+                     const struct formation_order *order,
+                     struct formation_member *member,
+                     const struct endpoint *endpoint)
+{
+  const struct endpoint_report *report = &endpoint->report;
+  struct formation_basis basis = { .started_ms = report->started_ms };
+  struct formation_order join = *order;
+
+  if (report->state != ENDPOINT_GROUP_NONE)
+    {
+      memcpy (basis.group, report->group, sizeof basis.group);
+      basis.epoch = report->epoch;
+    }
+  join.basis = &basis;
+  member->joined_epoch = order->epoch;
+  run->hooks->order (run->hooks->context, &join);
+}
--- a/packages/formation/src/spare.c
+++ b/packages/formation/src/spare.c
@@ -30,7 +30,8 @@
 static void
 activate_spare (const struct formation_run *run,
                 const struct catalog_model *model,
-                struct formation_member *member)
+                struct formation_member *member,
+                const struct endpoint *endpoint)
 {
   char members[1][CATALOG_NAME_SIZE];
   char name[FORMATION_NAME_SIZE];
@@ -48,7 +49,7 @@
   order.epoch = formation_name_next_group (run->formation, SPARE_SUFFIX, name,
                                            sizeof name);
   member->activate_ordered_ms = run->now_ms;
-  run->hooks->order (run->hooks->context, &order);
+  formation_send_join (run, &order, member, endpoint);
 }
 
 void
@@ -67,6 +68,6 @@
           || (member->activate_ordered_ms != 0
               && run->now_ms - member->activate_ordered_ms < ACTIVATE_RETRY_MS))
         continue;
-      activate_spare (run, model, member);
+      activate_spare (run, model, member, pool->endpoints[i]);
     }
 }
--- a/packages/formation/tests/fixture.h
+++ b/packages/formation/tests/fixture.h
@@ -206,7 +206,7 @@
     }
 }
 
-static unsigned
+static inline unsigned
 fixture_count_open_groups (const struct fixture *fixture, const char *model)
 {
   unsigned count = 0;
--- /dev/null
+++ b/packages/formation/tests/t0451-handover.c
@@ -0,0 +1,208 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "fixture.h"
+
+/* What a holder of the lease may order, with late orders and lost knowledge. */
+
+#define OLD_GROUP "casa-a-1-1"
+#define OLD_EPOCH ((UINT64_C (1) << 20) | 1)
+
+static struct fixture fixture;
+
+struct claim_case
+{
+  const char *guards; /* failure that the case guards against */
+  enum endpoint_group_state state;
+  unsigned rank;
+  const char *group;
+  bool is_abandoned;              /* by this holder */
+  enum endpoint_group_state head; /* NONE = not known, or it does not respond */
+  enum formation_claim claim;
+};
+
+/* clang-format off */
+static const struct claim_case claim_cases[] = {
+  { "an endpoint in no group is not used", ENDPOINT_GROUP_NONE, 0, "", false, ENDPOINT_GROUP_NONE, FORMATION_CLAIM_TAKE },
+  { "a spare is ordered to leave first", ENDPOINT_GROUP_READY, 0, "a-1-1-spare", false, ENDPOINT_GROUP_READY, FORMATION_CLAIM_TAKE },
+  { "a member of a joining group is taken", ENDPOINT_GROUP_JOINING, 2, OLD_GROUP, false, ENDPOINT_GROUP_JOINING, FORMATION_CLAIM_LEAVE },
+  { "a member is taken while its head may be ordered to open", ENDPOINT_GROUP_READY, 2, OLD_GROUP, false, ENDPOINT_GROUP_READY, FORMATION_CLAIM_LEAVE },
+  { "a member is taken from an open group", ENDPOINT_GROUP_READY, 2, OLD_GROUP, false, ENDPOINT_GROUP_OPEN, FORMATION_CLAIM_LEAVE },
+  { "a member is taken whose head is not known", ENDPOINT_GROUP_READY, 2, OLD_GROUP, false, ENDPOINT_GROUP_NONE, FORMATION_CLAIM_LEAVE },
+  { "a head that can still be ordered to open is taken", ENDPOINT_GROUP_READY, 0, OLD_GROUP, false, ENDPOINT_GROUP_READY, FORMATION_CLAIM_LEAVE },
+  { "an open head is taken", ENDPOINT_GROUP_OPEN, 0, OLD_GROUP, false, ENDPOINT_GROUP_OPEN, FORMATION_CLAIM_EVICT },
+  { "a closing head is taken", ENDPOINT_GROUP_CLOSING, 0, OLD_GROUP, true, ENDPOINT_GROUP_CLOSING, FORMATION_CLAIM_EVICT },
+  { "a member of a group that was given up is taken from an open head", ENDPOINT_GROUP_READY, 2, OLD_GROUP, true, ENDPOINT_GROUP_OPEN, FORMATION_CLAIM_LEAVE },
+  { "a member of a group that was given up is taken from a head out of reach", ENDPOINT_GROUP_READY, 2, OLD_GROUP, true, ENDPOINT_GROUP_NONE, FORMATION_CLAIM_LEAVE },
+  { "a member of a group that was given up has to leave in an order of its own", ENDPOINT_GROUP_READY, 2, OLD_GROUP, true, ENDPOINT_GROUP_READY, FORMATION_CLAIM_TAKE },
+  { "a broken group keeps its members", ENDPOINT_GROUP_READY, 2, OLD_GROUP, true, ENDPOINT_GROUP_BROKEN, FORMATION_CLAIM_TAKE },
+};
+/* clang-format on */
+
+static void
+test_claims (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof claim_cases / sizeof claim_cases[0]; i++)
+    {
+      const struct claim_case *c = &claim_cases[i];
+      const struct endpoint_report head = { .state = c->head };
+      struct endpoint_report report = { .state = c->state, .rank = c->rank };
+
+      report.epoch = c->state != ENDPOINT_GROUP_NONE ? OLD_EPOCH : 0;
+      snprintf (report.group, sizeof report.group, "%s", c->group);
+      if (formation_may_take (&report, c->is_abandoned ? OLD_EPOCH : 0,
+                              c->head != ENDPOINT_GROUP_NONE ? &head : NULL)
+          != c->claim)
+        fail_msg ("%s", c->guards);
+    }
+}
+
+struct join_case
+{
+  const char *guards;
+  const char *basis; /* group that the decision is based on; "" = none */
+  bool has_restarted;
+  enum endpoint_group_state state;
+  const char *group; /* that the endpoint reports now */
+  enum formation_join_step step;
+};
+
+/* clang-format off */
+static const struct join_case join_cases[] = {
+  { "no join is sent", "", false, ENDPOINT_GROUP_NONE, "", FORMATION_JOIN_SEND },
+  { "an endpoint that a late order took elsewhere is joined", "", false, ENDPOINT_GROUP_JOINING, OLD_GROUP, FORMATION_JOIN_RETRY },
+  { "an endpoint in an open group is joined", "", false, ENDPOINT_GROUP_OPEN, OLD_GROUP, FORMATION_JOIN_RETRY },
+  { "an endpoint joins while it is in its old group", OLD_GROUP, false, ENDPOINT_GROUP_READY, OLD_GROUP, FORMATION_JOIN_LEAVE_FIRST },
+  { "an endpoint that has left already is not joined", OLD_GROUP, false, ENDPOINT_GROUP_NONE, "", FORMATION_JOIN_SEND },
+  { "an endpoint leaves a group that the decision did not know", OLD_GROUP, false, ENDPOINT_GROUP_READY, "other", FORMATION_JOIN_RETRY },
+  { "a new incarnation is joined by a decision on the old one", "", true, ENDPOINT_GROUP_NONE, "", FORMATION_JOIN_DROP },
+  { "a join is repeated though it was carried out", "", false, ENDPOINT_GROUP_JOINING, "new", FORMATION_JOIN_DROP },
+  { "a spare has to leave first", "a-1-1-spare", false, ENDPOINT_GROUP_READY, "a-1-1-spare", FORMATION_JOIN_SEND },
+};
+/* clang-format on */
+
+static uint64_t
+find_epoch (const char *group)
+{
+  if (group[0] == '\0')
+    return 0;
+  return strcmp (group, "new") == 0 ? OLD_EPOCH + 5 : OLD_EPOCH;
+}
+
+static void
+test_joins (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof join_cases / sizeof join_cases[0]; i++)
+    {
+      const struct join_case *c = &join_cases[i];
+      struct formation_basis basis = { .started_ms = 100 };
+      struct endpoint_report report
+          = { .started_ms = c->has_restarted ? 200 : 100, .state = c->state };
+
+      snprintf (basis.group, sizeof basis.group, "%s", c->basis);
+      basis.epoch = find_epoch (c->basis);
+      snprintf (report.group, sizeof report.group, "%s", c->group);
+      report.epoch = find_epoch (c->group);
+      if (formation_check_join (&basis, "new", OLD_EPOCH + 5, &report)
+          != c->step)
+        fail_msg ("%s", c->guards);
+    }
+}
+
+/* Puts endpoint "d0-RANK" into the group of an earlier holder. */
+static void
+report_member (unsigned rank, enum endpoint_group_state state)
+{
+  struct endpoint *endpoint;
+  struct endpoint_report report;
+  char id[CATALOG_NAME_SIZE];
+
+  snprintf (id, sizeof id, "d0-%u", rank);
+  endpoint = endpoints_find (&fixture.endpoints, id);
+  report = endpoint->report;
+  report.state = state;
+  report.rank = rank;
+  report.epoch = OLD_EPOCH;
+  snprintf (report.group, sizeof report.group, OLD_GROUP);
+  report.model[0] = '\0';
+  /* Members that are joining report no model. */
+  if (state != ENDPOINT_GROUP_JOINING)
+    snprintf (report.model, sizeof report.model, "m0");
+  fixture_report (&fixture, id, &report);
+}
+
+/* A member that a late order took into a group that serves is joined again. */
+static void
+test_join_is_not_repeated_into_open_group (void **state)
+{
+  struct endpoint_report report;
+
+  (void)state;
+  fixture_init (&fixture);
+  formation_set_fence (&fixture.formation, 2, fixture.now_ms);
+  fixture.formation.has_traffic = true;
+  fixture.ignores_orders = true;
+  fixture_add_endpoints (&fixture, "d0", 4, "m0");
+  fixture_tick (&fixture, 100);
+  assert_int_equal (fixture_count_orders (&fixture, FORMATION_JOIN), 4);
+  report = endpoints_find (&fixture.endpoints, "d0-0")->report;
+  fixture_add_endpoint (&fixture, "d1", "head", "m0");
+  report.state = ENDPOINT_GROUP_OPEN;
+  report.epoch = OLD_EPOCH;
+  snprintf (report.group, sizeof report.group, OLD_GROUP);
+  snprintf (report.model, sizeof report.model, "m0");
+  fixture_report (&fixture, "head", &report);
+  report_member (2, ENDPOINT_GROUP_READY);
+  fixture_tick (&fixture, 1500);
+  assert_int_equal (fixture.joined_while_open, 0);
+  fixture_finish (&fixture);
+}
+
+/* An order that waited for its connection is sent though it is not wanted. */
+static void
+test_orders_end_with_their_group (void **state)
+{
+  const struct formation_group *group;
+  uint64_t epoch;
+
+  (void)state;
+  fixture_init (&fixture);
+  fixture.formation.has_traffic = true;
+  fixture.ignores_orders = true;
+  fixture_add_endpoints (&fixture, "d0", 4, "m0");
+  fixture_tick (&fixture, 100);
+  group = TAILQ_FIRST (&fixture.formation.groups);
+  assert_non_null (group);
+  epoch = group->epoch;
+  assert_true (formation_is_order_current (&fixture.formation, FORMATION_JOIN,
+                                           "d0-1", group->name, epoch));
+  assert_false (formation_is_order_current (&fixture.formation, FORMATION_JOIN,
+                                            "d0-1", group->name, epoch - 1));
+  assert_false (formation_is_order_current (&fixture.formation, FORMATION_OPEN,
+                                            "d0-0", group->name, epoch));
+  endpoints_delete (&fixture.endpoints, "d0-3", ++fixture.revision,
+                    fixture.now_ms);
+  fixture_tick (&fixture, 100);
+  assert_false (formation_is_order_current (&fixture.formation, FORMATION_JOIN,
+                                            "d0-1", "casa-a-1-1", epoch));
+  fixture_finish (&fixture);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_claims),
+    cmocka_unit_test (test_joins),
+    cmocka_unit_test (test_join_is_not_repeated_into_open_group),
+    cmocka_unit_test (test_orders_end_with_their_group),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/packages/http/include/http-call.h
+++ b/packages/http/include/http-call.h
@@ -10,7 +10,7 @@
 
 /*
  * Sends one request on a connection of its own and reports the status of the
- * response; its body is ignored.
+ * response.
  *
  * done is called once, from the event loop.  The caller owns the memory,
  * finishes the call in done or earlier, and frees it with http_free_later.
@@ -21,6 +21,11 @@
   struct http_text request;
   unsigned status;   /* of the response; 0 before its head has arrived */
   size_t body_bytes; /* received bytes of the response's body */
+  /*
+   * Receives the body of the response, at most 64 KB; NULL = it is ignored.
+   * Set it after http_call_start, which clears it.
+   */
+  struct http_text *body;
   /*
    * Called just before the request is written, which may be long after
    * http_call_start; false ends the call.  NULL = always send.  Set it after
--- a/packages/http/src/http-call.c
+++ b/packages/http/src/http-call.c
@@ -2,7 +2,7 @@
 
 /* Limit for the head of the response, and for bytes after the response. */
 #define HEADER_LIMIT_BYTES 65536
-/* Limit for the ignored body of the response; usual bodies are below 1 KB. */
+/* Limit for the body of the response; usual bodies are below 1 KB. */
 #define BODY_LIMIT_BYTES 65536
 
 static void
@@ -33,10 +33,13 @@
 {
   struct http_call *call = context;
 
-  (void)data;
   call->body_bytes += size;
   if (call->body_bytes <= BODY_LIMIT_BYTES)
-    return;
+    {
+      if (call->body != NULL)
+        http_text_add (call->body, data, size);
+      return;
+    }
   http_connection_finish (&call->connection);
   call->done (call->context, false, 0);
 }
@@ -85,6 +88,7 @@
   http_text_init (request);
   call->status = 0;
   call->body_bytes = 0;
+  call->body = NULL;
   call->may_send = NULL;
   call->done = done;
   call->context = context;
