formation: adopt groups that are joining, not only those that are ready

Cause: endpoints report no model until their weights are loaded. A new holder looked the size of a group up by the model, so it did not adopt a group whose members were joining, and took its members: their head could not serve. If only some were joining, it depended on the order of the table which of them were taken. The stand-ins reported the model at once, so no test of ours noticed.

Change: the size of an adopted group may be unknown until a member is ready. Until then it keeps its members; a gap in the ranks ends it as before.

Result: test_joining_groups_are_adopted fails without the change ("a group whose members are all joining is taken apart") and passes with it.

--- a/packages/formation/include/formation.h
+++ b/packages/formation/include/formation.h
@@ -118,7 +118,7 @@
   char service[CATALOG_NAME_SIZE];
   char model[CATALOG_NAME_SIZE];
   char domain[CATALOG_NAME_SIZE];
-  unsigned size;
+  unsigned size; /* 0 = unknown: no member has reported its model yet */
   char members[FORMATION_SIZE_LIMIT][CATALOG_NAME_SIZE]; /* "" = unknown */
   enum formation_phase phase;
   int64_t phase_since_ms; /* start of the present phase */
--- a/packages/formation/src/advance-groups.c
+++ b/packages/formation/src/advance-groups.c
@@ -93,29 +93,49 @@
   return NULL;
 }
 
+/*
+ * Sets the model of an adopted group from a member's report.  Members that are
+ * joining report no model yet.  False if the report does not fit the group.
+ */
+static bool
+learn_model (const struct formation_run *run,
+             struct formation_group *group,
+             const struct endpoint_report *report)
+{
+  const struct catalog_model *model;
+
+  if (report->model[0] == '\0' || report->state == ENDPOINT_GROUP_JOINING)
+    return report->rank < FORMATION_SIZE_LIMIT;
+  if (group->size == 0)
+    {
+      model = catalog_find_model (
+          catalog_find_service (run->catalog, report->service), report->model);
+      if (model == NULL || model->size > FORMATION_SIZE_LIMIT)
+        return false;
+      group->size = model->size;
+      memcpy (group->model, model->name, sizeof group->model);
+    }
+  return strcmp (group->model, report->model) == 0;
+}
+
 static struct formation_group *
 adopt_group (const struct formation_run *run, const struct endpoint *endpoint)
 {
   const struct endpoint_report *report = &endpoint->report;
-  const struct catalog_service *service
-      = catalog_find_service (run->catalog, report->service);
-  const struct catalog_model *model
-      = catalog_find_model (service, report->model);
-  struct formation_group *group;
+  struct formation_group *group = calloc (1, sizeof *group);
 
-  if (report->state == ENDPOINT_GROUP_NONE || model == NULL
-      || model->size > FORMATION_SIZE_LIMIT)
-    return NULL;
-  group = calloc (1, sizeof *group);
   if (group == NULL)
     return NULL;
+  if (!learn_model (run, group, report))
+    {
+      free (group);
+      return NULL;
+    }
   group->epoch = report->epoch;
-  group->size = model->size;
   group->adopted = true;
   group->phase_since_ms = run->now_ms;
   memcpy (group->name, report->group, sizeof group->name);
   memcpy (group->service, report->service, sizeof group->service);
-  memcpy (group->model, model->name, sizeof group->model);
   memcpy (group->domain, report->domain, sizeof group->domain);
   TAILQ_INSERT_TAIL (&run->formation->groups, group, link);
   run->hooks->phase_changed (run->hooks->context, group, "adopted");
@@ -131,6 +151,27 @@
          && run->now_ms - run->formation->held_since_ms > ADOPT_WAIT_MS;
 }
 
+/* The group that the endpoint reports, which may be new; NULL if it has none.
+ */
+static struct formation_group *
+find_or_adopt_group (const struct formation_run *run,
+                     const struct endpoint *endpoint)
+{
+  const struct endpoint_report *report = &endpoint->report;
+  struct formation_group *group
+      = find_group (run->formation, report->group, report->epoch);
+  const struct formation_member *member;
+
+  if (group != NULL)
+    return learn_model (run, group, report) ? group : NULL;
+  member = formation_get_member (run->formation, endpoint);
+  if (member == NULL || member->group != NULL
+      || was_abandoned (run, report)
+      || member->abandoned_epoch == report->epoch)
+    return NULL;
+  return adopt_group (run, endpoint);
+}
+
 /* Adopts groups that an earlier holder of the lease has formed. */
 void
 formation_adopt_groups (const struct formation_run *run)
@@ -146,17 +187,9 @@
           || formation_is_spare_group (report->group)
           || !formation_is_managed (run, endpoint))
         continue;
-      group = find_group (run->formation, report->group, report->epoch);
-      if (group == NULL)
-        {
-          member = formation_get_member (run->formation, endpoint);
-          if (member == NULL || member->group != NULL
-              || was_abandoned (run, report)
-              || member->abandoned_epoch == report->epoch)
-            continue;
-          group = adopt_group (run, endpoint);
-        }
-      if (group == NULL || !group->adopted || report->rank >= group->size)
+      group = find_or_adopt_group (run, endpoint);
+      if (group == NULL || !group->adopted
+          || (group->size != 0 && report->rank >= group->size))
         continue;
       member = formation_get_member (run->formation, endpoint);
       if (member == NULL || member->group != NULL)
@@ -203,6 +236,19 @@
   return MEMBER_READY;
 }
 
+/* The size of the group, at least: members that join have no model yet. */
+static unsigned
+get_known_size (const struct formation_group *group)
+{
+  unsigned size = FORMATION_SIZE_LIMIT;
+
+  if (group->size != 0)
+    return group->size;
+  while (size > 0 && group->members[size - 1][0] == '\0')
+    size--;
+  return size;
+}
+
 /* Members of a group by enum formation_member_state. */
 struct member_counts
 {
@@ -218,7 +264,7 @@
 {
   struct member_counts counts = { 0 };
 
-  for (unsigned rank = 0; rank < group->size; rank++)
+  for (unsigned rank = 0; rank < get_known_size (group); rank++)
     switch (classify_member (run, group, rank))
       {
       case MEMBER_READY:
@@ -302,7 +348,7 @@
 #ifdef BREAK_GUARD_EDGE_READY
   else if (counts.ready > 0)
 #else
-  else if (counts.ready == group->size)
+  else if (counts.ready == group->size && group->size != 0)
 #endif
     formation_set_phase (run, group, FORMATION_OPENING, "all members ready");
   else if (!resend_joins (run, group))
--- a/packages/formation/tests/t0451-handover.c
+++ b/packages/formation/tests/t0451-handover.c
@@ -137,6 +137,63 @@
   fixture_report (&fixture, id, &report);
 }
 
+struct joining_case
+{
+  const char *guards;
+  unsigned joined;  /* ranks that report the group; the group has four */
+  unsigned missing; /* rank that does not; 9 = none */
+  unsigned ready;   /* ranks below it are ready, the others are joining */
+  bool is_kept;     /* the group opens once all are ready */
+};
+
+static const struct joining_case joining_cases[] = {
+  { "a group whose members are all joining is taken apart", 4, 9, 0, true },
+  { "members that still join are taken from a group", 4, 9, 2, true },
+  { "a group that is ready is formed again", 4, 9, 4, true },
+  { "a group without its head waits for ever", 4, 0, 0, false },
+  { "a group with a gap waits for ever", 4, 2, 0, false },
+  { "an incomplete group is opened", 3, 9, 3, false },
+};
+
+/* A group that is joining when the lease changes hands. */
+static void
+test_joining_groups_are_adopted (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof joining_cases / sizeof joining_cases[0]; i++)
+    {
+      const struct joining_case *c = &joining_cases[i];
+      unsigned joins;
+
+      fixture_init (&fixture);
+      formation_set_fence (&fixture.formation, 2, fixture.now_ms);
+      fixture.formation.has_traffic = true;
+      fixture_add_endpoints (&fixture, "d0", 8, "m0");
+      for (unsigned rank = 0; rank < c->joined; rank++)
+        if (rank != c->missing)
+          report_member (rank, rank < c->ready ? ENDPOINT_GROUP_READY
+                                               : ENDPOINT_GROUP_JOINING);
+      fixture_tick (&fixture, 1000);
+      joins = fixture_count_orders (&fixture, FORMATION_JOIN);
+      for (unsigned j = 0; j < fixture.order_count; j++)
+        if (fixture.orders[j].op == FORMATION_JOIN && c->is_kept
+            && fixture.orders[j].endpoint[3] < '4')
+          fail_msg ("%s: %s", c->guards, fixture.orders[j].endpoint);
+      fixture_tick (&fixture, 3000);
+      for (unsigned rank = 0; rank < c->joined; rank++)
+        if (c->is_kept)
+          report_member (rank, ENDPOINT_GROUP_READY);
+      fixture_tick (&fixture, 3000);
+      if (fixture_is_head_open (&fixture, OLD_GROUP, OLD_EPOCH) != c->is_kept)
+        fail_msg ("%s", c->guards);
+      if (fixture_count_open_groups (&fixture, "m0") != 2)
+        fail_msg ("%s: %u open after %u joins", c->guards,
+                  fixture_count_open_groups (&fixture, "m0"), joins);
+      assert_int_equal (fixture.joined_while_open, 0);
+      fixture_finish (&fixture);
+    }
+}
+
 /* A member that a late order took into a group that serves is joined again. */
 static void
 test_join_is_not_repeated_into_open_group (void **state)
@@ -200,6 +257,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_claims),
     cmocka_unit_test (test_joins),
+    cmocka_unit_test (test_joining_groups_are_adopted),
     cmocka_unit_test (test_join_is_not_repeated_into_open_group),
     cmocka_unit_test (test_orders_end_with_their_group),
   };
