formation: keep a restarted member in its group until that has ended

Cause: what the holder knows of an endpoint was dropped when the endpoint started again, but its place in the member list of its group was not. While that group was still joining, the endpoint was ordered to join it again and was free for another group in the same step.

Change: a restarted member stays in its group, and has to join it again; one that is not listed any more loses its place, too.

Result: test_restarted_member_is_in_one_group fails without the change.

--- a/packages/formation/src/advance-groups.c
+++ b/packages/formation/src/advance-groups.c
@@ -311,7 +311,8 @@
       if (endpoint == NULL || formation_is_reported_member (endpoint, group))
         continue;
       member = formation_get_member (run->formation, endpoint);
-      if (member == NULL || run->now_ms - member->joined_ms < ORDER_RETRY_MS)
+      if (member == NULL || member->group != group
+          || run->now_ms - member->joined_ms < ORDER_RETRY_MS)
         continue;
       if (member->join_tries >= JOIN_TRIES)
         {
--- a/packages/formation/src/formation-internal.h
+++ b/packages/formation/src/formation-internal.h
@@ -25,7 +25,7 @@
 struct formation_member *formation_get_member (struct formation *formation,
                                                const struct endpoint *endpoint);
 
-/* Removes members that were deleted or have restarted. */
+/* Removes members that were deleted and resets those that have restarted. */
 void formation_remove_stale_members (const struct formation_run *run);
 
 /* True if the endpoint exists, may be used and responds. */
--- a/packages/formation/src/member.c
+++ b/packages/formation/src/member.c
@@ -68,36 +68,59 @@
          && strcmp (endpoint->report.group, group->name) == 0;
 }
 
-static bool
-is_stale_member (const struct formation_run *run,
-                 struct formation_member *member)
+/* Takes a member that is not listed any more out of its group. */
+static void
+remove_from_group (struct formation_member *member)
+{
+  struct formation_group *group = member->group;
+
+  for (unsigned rank = 0; group != NULL && rank < FORMATION_SIZE_LIMIT; rank++)
+    if (strcmp (group->members[rank], member->id) == 0)
+      group->members[rank][0] = '\0';
+}
+
+/*
+ * A new incarnation knows nothing of before.  It stays a member of its group,
+ * so that it is not counted on by another one, until the group has ended or it
+ * has joined again.
+ */
+static void
+reset_restarted_member (const struct formation_run *run,
+                        struct formation_member *member)
 {
   const struct endpoint *endpoint = endpoints_find (run->endpoints, member->id);
+  struct formation_member reset = { .group = member->group };
 
-  if (endpoint == NULL)
-    return true;
-  if (endpoint->report.started_ms == member->started_ms)
-    return false;
-  /* It restarted and then received a join sent before that was known. */
+  if (endpoint == NULL || endpoint->report.started_ms == member->started_ms)
+    return;
+  /* It may have received a join that was sent before the restart was known. */
   if (member->group != NULL
       && formation_is_reported_member (endpoint, member->group))
     {
       member->started_ms = endpoint->report.started_ms;
-      return false;
+      return;
     }
-  return true;
+  memcpy (reset.id, member->id, sizeof reset.id);
+  reset.started_ms = endpoint->report.started_ms;
+  reset.hh = member->hh;
+  *member = reset;
 }
 
 void
 formation_remove_stale_members (const struct formation_run *run)
 {
   struct formation *formation = run->formation;
-  struct formation_member *member = formation->members;
+  struct formation_member *member;
   struct formation_member *kept = NULL;
+  bool has_deleted = false;
 
-  while (member != NULL && !is_stale_member (run, member))
-    member = member->hh.next;
-  if (member == NULL)
+  for (member = formation->members; member != NULL; member = member->hh.next)
+    {
+      reset_restarted_member (run, member);
+      if (endpoints_find (run->endpoints, member->id) == NULL)
+        has_deleted = true;
+    }
+  if (!has_deleted)
     return;
   member = formation->members;
   /* Rebuilds the table, since entries cannot be freed during iteration. */
@@ -106,10 +129,13 @@
     {
       struct formation_member *next = member->hh.next;
 
-      if (is_stale_member (run, member))
-        free (member);
-      else
+      if (endpoints_find (run->endpoints, member->id) != NULL)
         HASH_ADD_STR (kept, id, member);
+      else
+        {
+          remove_from_group (member);
+          free (member);
+        }
       member = next;
     }
   formation->members = kept;
--- a/packages/formation/tests/t0451-handover.c
+++ b/packages/formation/tests/t0451-handover.c
@@ -194,6 +194,41 @@
     }
 }
 
+static bool
+is_in_two_groups (const char *id)
+{
+  const struct formation_group *group;
+  unsigned count = 0;
+
+  TAILQ_FOREACH (group, &fixture.formation.groups, link)
+    for (unsigned rank = 0; rank < group->size; rank++)
+      if (strcmp (group->members[rank], id) == 0)
+        count++;
+  return count > 1;
+}
+
+/* A member that restarts while its group forms counts as free for another. */
+static void
+test_restarted_member_is_in_one_group (void **state)
+{
+  struct endpoint_report report;
+
+  (void)state;
+  fixture_init (&fixture);
+  fixture.formation.has_traffic = true;
+  fixture.ignores_orders = true;
+  fixture_add_endpoints (&fixture, "d0", 4, "m0");
+  fixture_tick (&fixture, 500);
+  assert_int_equal (fixture_count_orders (&fixture, FORMATION_JOIN), 4);
+  fixture_add_endpoints (&fixture, "d0", 7, "m0");
+  report = endpoints_find (&fixture.endpoints, "d0-2")->report;
+  report.started_ms = fixture.now_ms;
+  fixture_report (&fixture, "d0-2", &report);
+  fixture_tick (&fixture, 100);
+  assert_false (is_in_two_groups ("d0-2"));
+  fixture_finish (&fixture);
+}
+
 /* A member that a late order took into a group that serves is joined again. */
 static void
 test_join_is_not_repeated_into_open_group (void **state)
@@ -258,6 +293,7 @@
     cmocka_unit_test (test_claims),
     cmocka_unit_test (test_joins),
     cmocka_unit_test (test_joining_groups_are_adopted),
+    cmocka_unit_test (test_restarted_member_is_in_one_group),
     cmocka_unit_test (test_join_is_not_repeated_into_open_group),
     cmocka_unit_test (test_orders_end_with_their_group),
   };
