formation: adopt the own groups again after a gap in the lease

Cause: a host that gets its lease again under the same token starts without knowledge of its groups and adopts them. A group of the own token that was not known 1.5 s after the lease counted as given up.

Ruled out: the ages of the entries (they were current).

Change: a group counts as given up by its number. Those formed before the gap are adopted whenever the list comes.

Result: test_own_groups_are_adopted_after_a_gap fails without the change.

--- a/packages/formation/include/formation.h
+++ b/packages/formation/include/formation.h
@@ -160,6 +160,9 @@
   uint64_t fence;        /* fencing token of the lease; 0 = not held */
   uint64_t last_fence;   /* highest fencing token held so far */
   uint64_t formed_count; /* groups formed under the fencing token */
+  /* Of those, the groups formed before the lease was lost and acquired again.
+   */
+  uint64_t formed_before;
   int64_t held_since_ms; /* when the fencing token was last set */
   /* Highest number of usable endpoints of one service so far. */
   unsigned max_usable;
--- a/packages/formation/src/advance-groups.c
+++ b/packages/formation/src/advance-groups.c
@@ -144,11 +144,14 @@
 
 /* True for a group that this holder formed and has abandoned. */
 static bool
-was_abandoned (const struct formation_run *run,
+was_abandoned (const struct formation *formation,
                const struct endpoint_report *report)
 {
-  return report->epoch >> FORMATION_EPOCH_SHIFT == run->formation->fence
-         && run->now_ms - run->formation->held_since_ms > ADOPT_WAIT_MS;
+  uint64_t number
+      = report->epoch & ((UINT64_C (1) << FORMATION_EPOCH_SHIFT) - 1);
+
+  return report->epoch >> FORMATION_EPOCH_SHIFT == formation->fence
+         && number > formation->formed_before;
 }
 
 /* The group that the endpoint reports, which may be new; NULL if it has none.
@@ -166,7 +169,7 @@
     return learn_model (run, group, report) ? group : NULL;
   member = formation_get_member (run->formation, endpoint);
   if (member == NULL || member->group != NULL
-      || was_abandoned (run, report)
+      || was_abandoned (run->formation, report)
       || member->abandoned_epoch == report->epoch)
     return NULL;
   return adopt_group (run, endpoint);
--- a/packages/formation/src/formation.c
+++ b/packages/formation/src/formation.c
@@ -79,6 +79,7 @@
   /* Restarts the count only under a new fencing token: names never repeat. */
   if (fence > formation->last_fence)
     formation->formed_count = 0;
+  formation->formed_before = formation->formed_count;
   formation->last_fence = fence;
   formation->held_since_ms = now_ms;
   formation->max_usable = 0;
--- a/packages/formation/tests/t0451-handover.c
+++ b/packages/formation/tests/t0451-handover.c
@@ -256,6 +256,33 @@
   fixture_finish (&fixture);
 }
 
+/* A host that gets its lease again after a gap ends the groups that it formed.
+ */
+static void
+test_own_groups_are_adopted_after_a_gap (void **state)
+{
+  static const int64_t gaps_ms[] = { 200, 1000, 4000 };
+
+  (void)state;
+  for (size_t i = 0; i < sizeof gaps_ms / sizeof gaps_ms[0]; i++)
+    {
+      fixture_init (&fixture);
+      fixture.formation.has_traffic = true;
+      fixture_add_endpoints (&fixture, "d0", 8, "m0");
+      fixture_tick (&fixture, 3000);
+      assert_int_equal (fixture_count_open_groups (&fixture, "m0"), 2);
+      formation_set_fence (&fixture.formation, 0, fixture.now_ms);
+      formation_set_fence (&fixture.formation, 1, fixture.now_ms);
+      /* No decision before the list of endpoints is current again. */
+      fixture.now_ms += gaps_ms[i];
+      fixture_tick (&fixture, 3000);
+      assert_int_equal (fixture_count_orders (&fixture, FORMATION_EVICT), 0);
+      assert_int_equal (fixture_count_orders (&fixture, FORMATION_LEAVE), 0);
+      assert_int_equal (fixture_count_open_groups (&fixture, "m0"), 2);
+      fixture_finish (&fixture);
+    }
+}
+
 /* An order that waited for its connection is sent though it is not wanted. */
 static void
 test_orders_end_with_their_group (void **state)
@@ -295,6 +322,7 @@
     cmocka_unit_test (test_joining_groups_are_adopted),
     cmocka_unit_test (test_restarted_member_is_in_one_group),
     cmocka_unit_test (test_join_is_not_repeated_into_open_group),
+    cmocka_unit_test (test_own_groups_are_adopted_after_a_gap),
     cmocka_unit_test (test_orders_end_with_their_group),
   };
 
