strikes: test the pause between two repeats

Known strikes are repeated once a second, in case a message was lost; without the pause each host repeats them with each message that it may send, and no test noticed. The test counts the messages from one host to another over ten intervals.

Without the pause (condition replaced by false): t0968-strike-sync fails with 200 messages, 11 allowed. With it: passes.

--- a/packages/edge/tests/t0968-strike-sync.c
+++ b/packages/edge/tests/t0968-strike-sync.c
@@ -25,6 +25,8 @@
 #define PORT 17341
 /* The users' shortest time until which hosts have to know. */
 #define KNOWN_WITHIN_MS 3000
+/* A host repeats what it knows to another host at most once in this time. */
+#define REPEAT_INTERVAL_MS 1000
 
 struct host
 {
@@ -32,6 +34,7 @@
   struct mesh mesh;
   struct strikes strikes;
   struct strike_sync sync;
+  unsigned received[HOSTS]; /* messages of strikes, by their sender */
 };
 
 static struct event_base *base;
@@ -53,9 +56,14 @@
 {
   struct host *host = context;
 
-  if (message->kind == GOSSIP_STRIKES)
-    strike_sync_handle_message (&host->sync, from, &message->body.strikes,
-                                clock_ms);
+  if (message->kind != GOSSIP_STRIKES)
+    return;
+  for (unsigned i = 0; i < HOSTS; i++)
+    if (hosts[i].is_running
+        && strcmp (hosts[i].mesh.self.name, from->info.name) == 0)
+      host->received[i]++;
+  strike_sync_handle_message (&host->sync, from, &message->body.strikes,
+                              clock_ms);
 }
 
 static void
@@ -327,6 +335,33 @@
   assert_int_equal (count_refusing_hosts ("1"), 0);
 }
 
+static unsigned
+find_most_messages (void)
+{
+  unsigned most = 0;
+
+  for (unsigned i = 0; i < HOSTS; i++)
+    for (unsigned j = 0; j < HOSTS; j++)
+      if (hosts[i].received[j] > most)
+        most = hosts[i].received[j];
+  return most;
+}
+
+/* Known strikes are repeated, but without end they must cost little. */
+static void
+test_repeats_are_rare (void **state)
+{
+  const unsigned intervals = 10;
+
+  (void)state;
+  crash_three_times ("9");
+  run_hosts (KNOWN_WITHIN_MS);
+  for (unsigned i = 0; i < HOSTS; i++)
+    memset (hosts[i].received, 0, sizeof hosts[i].received);
+  run_hosts ((int64_t)intervals * REPEAT_INTERVAL_MS);
+  assert_in_range (find_most_messages (), intervals / 2, intervals + 1);
+}
+
 /* All traits of a burst of crashes arrive, those of the burst's end included.
  */
 static void
@@ -362,6 +397,7 @@
                                      setup, teardown),
     cmocka_unit_test_setup_teardown (test_answer_before_the_crashes_counts,
                                      setup, teardown),
+    cmocka_unit_test_setup_teardown (test_repeats_are_rare, setup, teardown),
     cmocka_unit_test_setup_teardown (test_burst_of_crashes, setup, teardown),
   };
 
