plan: order no change without a load on a report that a late load can outdate

Callers could see a group serve whose members had not loaded the same: one member another version, or wired to a member that had left the group.

An order for adapters or a role gives an engine a new generation without a load, on the word of its last report. An engine that checks fencing tokens executes an order of the previous holder until it has seen a new token, and the new holder waited only for engines that ignore them. So: the former holder orders a load (version 2, or a repair with another member), no answer; the sheet goes back and its adapters change; the new holder sees all members ready under the older generation and orders adapters; the load comes first at one member. It then reports the new generation, is ready after its load, and nothing tells it apart: the serving check compares generation, rank and span only. Within one lease the same follows from a load whose answer was lost and that comes after the order timeout.

Now such an order waits, at every engine, until the order timeout has passed since the takeover and the host has reported after that; a host to which an order was lost under this lease gets a load in its place. Loads and releases do not depend on the report and are sent at once as before.

Ruled out: relying on the token in the report (an engine that restarts forgets it); loading always after a takeover (each change of adapters would then cost the group a load).

Three cases in t0402-plan. Before the change the first fails ("adapters a-0;adapters a-1;", nothing expected). Each rule is needed: without the wait the first fails the same way, without the rule for lost orders the third does. t0400, t0401, t0402, t0150 and t0700 pass.

--- a/packages/group/include/plan.h
+++ b/packages/group/include/plan.h
@@ -81,6 +81,7 @@
   char order_id[PLAN_ORDER_ID_SIZE];
   enum plan_op op;
   bool in_flight;
+  bool was_order_lost; /* one to it was lost under this lease */
   /* member of an assigned group or, from the prefetch step on, of a wanted
      group; recomputed on each tick */
   bool assigned;
--- a/packages/group/src/plan.c
+++ b/packages/group/src/plan.c
@@ -117,6 +117,7 @@
 mark_order_lost (const struct plan *plan, struct plan_host_state *host)
 {
   host->in_flight = false;
+  host->was_order_lost = true;
   host->is_fetch = false;
   host->not_before_ms = host->sent_ms + plan->settings.order_timeout_ms;
   host->attested_after_ms = host->not_before_ms;
@@ -203,6 +204,18 @@
                                    wanted->group_count, steps);
 }
 
+/* True if no order of the previous holder can take effect after the host's last
+   attestation. */
+static bool
+are_earlier_orders_over (const struct plan *plan,
+                         const struct fleet_host *host,
+                         int64_t now_ms)
+{
+  int64_t clear_ms = plan->fence_since_ms + plan->settings.order_timeout_ms;
+
+  return now_ms >= clear_ms && host->attested.seen_ms >= clear_ms;
+}
+
 /* An engine that does not check the fencing token may still execute an order of
    the previous holder for one order timeout after the takeover. */
 static bool
@@ -210,10 +223,7 @@
                     const struct fleet_host *host,
                     int64_t now_ms)
 {
-  int64_t clear_ms = plan->fence_since_ms + plan->settings.order_timeout_ms;
-
-  return host->checks_fence
-         || (now_ms >= clear_ms && host->attested.seen_ms >= clear_ms);
+  return host->checks_fence || are_earlier_orders_over (plan, host, now_ms);
 }
 
 static bool
@@ -415,6 +425,15 @@
       || !can_order (round->plan, state, host, round->now_ms)
       || !needs_order (group, rank, &host->attested, unchanged, &op, &reason))
     return RESULT_OK;
+  /*
+   * Other orders than loads rely on what the host attested.  An engine that
+   * checks the fencing token executes earlier orders until it sees a new one.
+   */
+  if (state->was_order_lost)
+    op = PLAN_LOAD;
+  if (op != PLAN_LOAD
+      && !are_earlier_orders_over (round->plan, host, round->now_ms))
+    return RESULT_OK;
   is_fetch = op == PLAN_LOAD
              && !history_has_weights (round->history, host, group->model,
                                       group->version);
