http: connect to IPv6 addresses too

http_connection_connect took IPv4 addresses only, which is all that the users' platform has; the product's own interface allows both, and its orders are to go through http_call. The conversion that peer had moves to base, and both use it.

The new case of t0845-http-call fails before (RESULT_ENDPOINT_CONNECT, 5001, at the start of the call). t0845, t0510, t0511, t0850 and t0963 pass.

--- a/packages/base/src/netutil.c
+++ b/packages/base/src/netutil.c
@@ -37,3 +37,30 @@
   *port = (uint16_t)number;
   return true;
 }
+
+bool
+net_make_sockaddr (const char *address,
+                   uint16_t port,
+                   struct sockaddr_storage *out,
+                   socklen_t *size)
+{
+  struct sockaddr_in *v4 = (struct sockaddr_in *)out;
+  struct sockaddr_in6 *v6 = (struct sockaddr_in6 *)out;
+
+  memset (out, 0, sizeof *out);
+  if (inet_pton (AF_INET, address, &v4->sin_addr) == 1)
+    {
+      v4->sin_family = AF_INET;
+      v4->sin_port = htons (port);
+      *size = sizeof *v4;
+      return true;
+    }
+  if (inet_pton (AF_INET6, address, &v6->sin6_addr) == 1)
+    {
+      v6->sin6_family = AF_INET6;
+      v6->sin6_port = htons (port);
+      *size = sizeof *v6;
+      return true;
+    }
+  return false;
+}
--- a/packages/http/src/http-connection.c
+++ b/packages/http/src/http-connection.c
@@ -1,8 +1,8 @@
 #include "http-connection.h"
 
 #include "log.h"
+#include "netutil.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
 #include <event2/buffer.h>
 #include <netinet/in.h>
@@ -442,16 +442,17 @@
                          const struct http_events *events,
                          void *context)
 {
-  struct sockaddr_in to = { .sin_family = AF_INET, .sin_port = htons (port) };
+  struct sockaddr_storage to;
+  socklen_t to_size;
   enum result result;
   bool was_refused = false;
   int fd;
 
   memset (connection, 0, sizeof *connection);
   connection->fd = -1;
-  if (inet_pton (AF_INET, address, &to.sin_addr) != 1)
+  if (!net_make_sockaddr (address, port, &to, &to_size))
     return RESULT_ENDPOINT_CONNECT;
-  fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  fd = socket (to.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (fd < 0)
     return RESULT_ENDPOINT_CONNECT;
   set_option (fd, IPPROTO_TCP, TCP_NODELAY, 1);
@@ -460,7 +461,7 @@
   set_option (fd, IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_S);
   set_option (fd, IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_S);
   set_option (fd, IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES);
-  if (connect (fd, (struct sockaddr *)&to, sizeof to) != 0)
+  if (connect (fd, (struct sockaddr *)&to, to_size) != 0)
     {
       was_refused = errno == ECONNREFUSED;
       if (!was_refused && errno != EINPROGRESS)
--- a/packages/http/tests/t0845-http-call.c
+++ b/packages/http/tests/t0845-http-call.c
@@ -23,6 +23,7 @@
 struct call_case
 {
   const char *guarded_failure;
+  const char *address; /* of the server; NULL = 127.0.0.1 */
   const char *response;
   const char *flood_text; /* repeated after response until the connection
                              closes; NULL = none */
@@ -33,18 +34,21 @@
 };
 
 static const struct call_case cases[] = {
-  { "a valid response is lost",
+  { "a valid response is lost", NULL,
     "HTTP/1.1 202 OK\r\nContent-Length: 2\r\n\r\nok", NULL, true, true, 202,
     1 },
-  { "an endless body is read", "HTTP/1.1 200 OK\r\n\r\n", X16 X16, true, false,
-    0, 1 },
-  { "an endless head is read", "HTTP/1.1 200 OK\r\n", "X: " X16 "\r\n", true,
-    false, 0, 1 },
-  { "endless interim responses are read", "", "HTTP/1.1 100 Go\r\n\r\n", true,
+  { "an IPv6 address is refused", "::ffff:127.0.0.1",
+    "HTTP/1.1 202 OK\r\nContent-Length: 2\r\n\r\nok", NULL, true, true, 202,
+    1 },
+  { "an endless body is read", NULL, "HTTP/1.1 200 OK\r\n\r\n", X16 X16, true,
     false, 0, 1 },
-  { "endless malformed bytes are read", "", X16, true, false, 0, 1 },
-  { "a call is sent although may_send forbids it", "HTTP/1.1 200 OK\r\n\r\n",
-    NULL, false, false, 0, 0 },
+  { "an endless head is read", NULL, "HTTP/1.1 200 OK\r\n", "X: " X16 "\r\n",
+    true, false, 0, 1 },
+  { "endless interim responses are read", NULL, "", "HTTP/1.1 100 Go\r\n\r\n",
+    true, false, 0, 1 },
+  { "endless malformed bytes are read", NULL, "", X16, true, false, 0, 1 },
+  { "a call is sent although may_send forbids it", NULL,
+    "HTTP/1.1 200 OK\r\n\r\n", NULL, false, false, 0, 0 },
 };
 
 static struct
@@ -130,10 +134,12 @@
       http_server_start (&test.server, &server_events, 4);
       http_text_init (&request);
       http_text_add_string (&request, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
-      assert_int_equal (http_call_start (&call, test.server.base, "127.0.0.1",
-                                         test.server.port, 2000, &request,
-                                         on_done, NULL),
-                        RESULT_OK);
+      assert_int_equal (
+          http_call_start (&call, test.server.base,
+                           test.c->address != NULL ? test.c->address
+                                                   : "127.0.0.1",
+                           test.server.port, 2000, &request, on_done, NULL),
+          RESULT_OK);
       call.may_send = may_send;
       while (!test.done && time_boot_ms () < time_limit_ms)
         {
--- a/packages/peer/src/datagram.c
+++ b/packages/peer/src/datagram.c
@@ -1,5 +1,6 @@
 #include "peer-internal.h"
 
+#include "netutil.h"
 #include "timeutil.h"
 
 #include <stdio.h>
@@ -73,7 +74,7 @@
 
   if (!peer_update_from_wire (&target, wire)
       || peer_is_partitioned (node, target.data_centre)
-      || !peer_make_sockaddr (target.address, target.port, &to, &to_size))
+      || !net_make_sockaddr (target.address, target.port, &to, &to_size))
     return;
   call = peer_call_add (node, PEER_CALL_RELAYED_PING, in->now_ms);
   if (call == NULL)
--- a/packages/peer/src/node.c
+++ b/packages/peer/src/node.c
@@ -1,41 +1,14 @@
 #include "peer-internal.h"
 
 #include "log.h"
+#include "netutil.h"
 #include "timeutil.h"
 
-#include <arpa/inet.h>
 #include <stdlib.h>
 #include <string.h>
 
 #define PORT_ATTEMPTS_LIMIT 20
 
-bool
-peer_make_sockaddr (const char *address,
-                    uint16_t port,
-                    struct sockaddr_storage *out,
-                    socklen_t *size)
-{
-  struct sockaddr_in *v4 = (struct sockaddr_in *)out;
-  struct sockaddr_in6 *v6 = (struct sockaddr_in6 *)out;
-
-  memset (out, 0, sizeof *out);
-  if (inet_pton (AF_INET, address, &v4->sin_addr) == 1)
-    {
-      v4->sin_family = AF_INET;
-      v4->sin_port = htons (port);
-      *size = sizeof *v4;
-      return true;
-    }
-  if (inet_pton (AF_INET6, address, &v6->sin6_addr) == 1)
-    {
-      v6->sin6_family = AF_INET6;
-      v6->sin6_port = htons (port);
-      *size = sizeof *v6;
-      return true;
-    }
-  return false;
-}
-
 bool
 peer_is_partitioned (const struct peer_node *node, const char *data_centre)
 {
@@ -182,7 +155,7 @@
   socklen_t to_size;
 
   if (call == NULL
-      || !peer_make_sockaddr (action->address, action->port, &to, &to_size))
+      || !net_make_sockaddr (action->address, action->port, &to, &to_size))
     return;
   call->probe_id = action->probe_id;
   peer_fill_ping (node, &ping, receiver);
--- a/packages/peer/src/peer-internal.h
+++ b/packages/peer/src/peer-internal.h
@@ -32,11 +32,6 @@
 };
 
 /* node.c */
-/* Converts a numeric IPv4 or IPv6 address; false for any other text. */
-bool peer_make_sockaddr (const char *address,
-                         uint16_t port,
-                         struct sockaddr_storage *out,
-                         socklen_t *size);
 bool peer_is_host_partitioned (const struct peer_node *node, const char *host);
 void peer_fill_header (struct peer_node *node,
                        struct peer_header *header,
--- a/packages/peer/src/ping.c
+++ b/packages/peer/src/ping.c
@@ -1,5 +1,7 @@
 #include "peer-internal.h"
 
+#include "netutil.h"
+
 #include <stdio.h>
 #include <string.h>
 
@@ -23,8 +25,8 @@
 
   if (wire->host[0] == '\0' || wire->port == 0 || wire->port > UINT16_MAX
       || wire->state > MEMBER_LEFT
-      || !peer_make_sockaddr (wire->address, (uint16_t)wire->port, &address,
-                              &size))
+      || !net_make_sockaddr (wire->address, (uint16_t)wire->port, &address,
+                             &size))
     return false;
   memset (out, 0, sizeof *out);
   snprintf (out->host, sizeof out->host, "%s", wire->host);
--- a/packages/peer/src/stream.c
+++ b/packages/peer/src/stream.c
@@ -1,5 +1,6 @@
 #include "peer-internal.h"
 
+#include "netutil.h"
 #include "timeutil.h"
 
 #include <arpa/inet.h>
@@ -262,8 +263,8 @@
   struct sockaddr_storage address;
   socklen_t size;
 
-  if (!peer_make_sockaddr (node->members->self.address,
-                           node->members->self.port, &address, &size))
+  if (!net_make_sockaddr (node->members->self.address, node->members->self.port,
+                          &address, &size))
     return RESULT_INVALID;
   node->listener = evconnlistener_new_bind (
       node->base, on_accept, node,
@@ -384,7 +385,7 @@
   struct sockaddr_storage to;
   socklen_t to_size;
 
-  if (peer_make_sockaddr (address, port, &to, &to_size))
+  if (net_make_sockaddr (address, port, &to, &to_size))
     stream = stream_new (node, -1);
   if (stream == NULL)
     {
--- a/packages/peer/src/udp.c
+++ b/packages/peer/src/udp.c
@@ -74,8 +74,8 @@
   socklen_t size = 0;
   int on = 1;
 
-  if (!peer_make_sockaddr (node->members->self.address,
-                           node->members->self.port, &address, &size))
+  if (!net_make_sockaddr (node->members->self.address, node->members->self.port,
+                          &address, &size))
     return RESULT_INVALID;
   node->socket = socket (((struct sockaddr *)&address)->sa_family,
                          SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
@@ -140,8 +140,8 @@
   socklen_t to_size;
 
   if (peer_is_partitioned (node, member->info.data_centre)
-      || !peer_make_sockaddr (member->info.address, member->info.port, &to,
-                              &to_size))
+      || !net_make_sockaddr (member->info.address, member->info.port, &to,
+                             &to_size))
     return;
   peer_udp_send (node, &to, to_size, header, body, arguments);
 }
