control: write an order only under the lease that it was decided under

What callers could see: a group that stops, as an order of a former holder comes long after the next one has waited for it.

The lease was checked before the request was handed to evhttp, which writes it once the connection is there: a process that was paused while connecting, or connected for up to 5 s, wrote the order without another look. Written bytes that are not acknowledged were resent by the kernel for as long as it likes, also after the connection had been given up. The plan and the next holder count on no order being on the way for longer than the order timeout, 5 s.

What remains: an order in the socket of an engine that is paused is executed when the engine goes on.

--- a/packages/control/include/controller.h
+++ b/packages/control/include/controller.h
@@ -12,6 +12,7 @@
 #include <event2/event.h>
 #include <stdbool.h>
 #include <stdint.h>
+#include <sys/queue.h>
 
 /*
  * Runs the group decisions of one data centre: competes for its lease and,
@@ -40,7 +41,7 @@
   struct placement placement; /* computed by the last tick as holder */
   struct plan plan;
   struct plan_steps steps;
-  struct controller_order *orders;
+  TAILQ_HEAD (, controller_order) orders; /* in flight */
   json_t *pending_assignment; /* its write is in flight; NULL = none */
   bool was_holder;
   int64_t next_tick_ms;
--- a/packages/control/src/controller.c
+++ b/packages/control/src/controller.c
@@ -49,6 +49,7 @@
   plan_settings.load_limit = settings->load_limit;
   plan_init (&controller->plan, &plan_settings, controller->data_centre, self);
   plan_steps_init (&controller->steps);
+  controller_orders_init (controller);
   return RESULT_OK;
 }
 
@@ -120,6 +121,7 @@
   if (now_ms < controller->next_tick_ms)
     return;
   controller->next_tick_ms = now_ms + CONTROLLER_INTERVAL_MS;
+  controller_orders_tick (controller, now_ms);
   rank = member_rank (controller->members, controller->data_centre, self->host,
                       controller->lease_key);
   lease_set_rank (&controller->lease, rank == SIZE_MAX ? 0 : (unsigned)rank);
