edge: list all endpoints again after a hub had some deleted

Cause: a hub tells of endpoints that it no longer routes to in the same way as of those that are gone; both are deleted from the table. A watch that goes on afterwards does not bring back what has not changed since.

Ruled out: the watch itself (it goes on at the revision of the list's first page).

Change: a deletion that came from a hub ends the knowledge of all endpoints. A holder lists them before its next decision.

Result: test_hub_deletions_end_full_knowledge fails without the change.

--- a/packages/edge/include/edge.h
+++ b/packages/edge/include/edge.h
@@ -88,6 +88,9 @@
 /* True if this host has a list of endpoints, from the platform or its hub. */
 bool edge_knows_endpoints (const struct edge *edge);
 
+/* The table lacks what a hub had deleted, though it was listed. */
+void edge_note_hub_deletions (struct edge *edge);
+
 /* When the routed endpoints, at least, were last known as they were (ms). */
 int64_t edge_endpoints_current_at_ms (const struct edge *edge);
 
--- a/packages/edge/include/hub-sync.h
+++ b/packages/edge/include/hub-sync.h
@@ -77,7 +77,12 @@
   bool is_patch_sent; /* the hub sent a patch to newest_configuration */
   /* When a hub first reported a newer version than this host has; 0 = none. */
   int64_t outdated_since_ms;
-  bool relies_on_hub;       /* this host does not list the entries itself */
+  bool relies_on_hub; /* this host does not list the entries itself */
+  /*
+   * A hub had endpoints deleted.  They may exist: a hub tells of those that it
+   * does not route to any more in the same way.  Cleared by the owner.
+   */
+  bool has_deleted;
   bool has_synced;          /* the entries have matched a hub's once */
   uint64_t synced_revision; /* of the last match */
   int64_t next_compare_ms;  /* no comparison of routed endpoints before */
--- a/packages/edge/src/follow.c
+++ b/packages/edge/src/follow.c
@@ -375,6 +375,14 @@
     }
 }
 
+void
+edge_note_hub_deletions (struct edge *edge)
+{
+  if (edge->hub_sync.has_deleted)
+    edge->knows_all_endpoints = false;
+  edge->hub_sync.has_deleted = false;
+}
+
 /* Lists all endpoints if this host holds the lease and lacks some. */
 static void
 relist_all_endpoints (struct edge *edge)
@@ -418,6 +426,7 @@
   edge->entries.retry_delay_limit_ms = retry_ms;
   if (edge->entries.failing_since_ms != 0)
     edge->relisting = false;
+  edge_note_hub_deletions (edge);
   set_reads_platform (edge, has_to_read_platform (edge));
   relist_all_endpoints (edge);
   update_entries_interval (edge);
--- a/packages/edge/src/hub-sync.c
+++ b/packages/edge/src/hub-sync.c
@@ -264,6 +264,13 @@
   sync->next_request_ms = sync->now_ms + REQUEST_RETRY_MS;
 }
 
+static void
+delete_endpoint (struct hub_sync *sync, const char *endpoint, uint64_t revision)
+{
+  sync->has_deleted = true;
+  endpoints_delete (sync->endpoints, endpoint, revision, sync->now_ms);
+}
+
 /*
  * A host that relies on its hub stores routed endpoints only.  A host that
  * needs all endpoints lists them from the platform.
@@ -274,8 +281,7 @@
   bool is_known = endpoints_find (sync->endpoints, report->endpoint) != NULL;
 
   if (sync->relies_on_hub && !endpoint_report_is_routed (&report->report))
-    endpoints_delete (sync->endpoints, report->endpoint, report->revision,
-                      sync->now_ms);
+    delete_endpoint (sync, report->endpoint, report->revision);
   /* A report may arrive after its endpoint was removed. */
   else if (is_known
            || !has_tombstone (sync, report->endpoint, report->revision))
@@ -310,12 +316,14 @@
       if ((int64_t)message->body.routed.nonce == sync->request_sent_ms
           && routed_snapshot_receive_chunk (&sync->routed_snapshot,
                                             &message->body.routed))
-        routed_snapshot_delete_missing (&sync->routed_snapshot, sync->endpoints,
-                                        now_ms);
+        {
+          sync->has_deleted = true;
+          routed_snapshot_delete_missing (&sync->routed_snapshot,
+                                          sync->endpoints, now_ms);
+        }
       break;
     case GOSSIP_DELETED:
-      endpoints_delete (sync->endpoints, report->endpoint, report->revision,
-                        now_ms);
+      delete_endpoint (sync, report->endpoint, report->revision);
       break;
     default:
       break;
--- a/packages/edge/tests/t0966-candidate.c
+++ b/packages/edge/tests/t0966-candidate.c
@@ -113,11 +113,65 @@
     }
 }
 
+/*
+ * A holder forms groups by a table that a hub has taken endpoints from.
+ */
+static void
+test_hub_deletions_end_full_knowledge (void **state)
+{
+  static const struct
+  {
+    const char *guards;
+    enum gossip_kind kind;
+    bool relies_on_hub;
+    enum endpoint_group_state reported;
+    bool knows_all;
+  } deletion_cases[] = {
+    { "a removal that a hub tells of is taken for one of the platform",
+      GOSSIP_DELETED, false, ENDPOINT_GROUP_NONE, false },
+    { "an endpoint that a hub no longer routes to counts as gone",
+      GOSSIP_REPORT, true, ENDPOINT_GROUP_READY, false },
+    { "a report that a hub passes on ends the knowledge of all endpoints",
+      GOSSIP_REPORT, true, ENDPOINT_GROUP_OPEN, true },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < sizeof deletion_cases / sizeof deletion_cases[0]; i++)
+    {
+      struct edge *edge = calloc (1, sizeof *edge);
+      struct gossip_message *message = calloc (1, sizeof *message);
+      struct endpoint_report *report;
+
+      assert_non_null (edge);
+      assert_non_null (message);
+      report = &message->body.report.report;
+      message->kind = deletion_cases[i].kind;
+      message->body.report.revision = 9;
+      snprintf (message->body.report.endpoint,
+                sizeof message->body.report.endpoint, "e");
+      snprintf (report->domain, sizeof report->domain, "d");
+      report->state = deletion_cases[i].reported;
+      endpoints_init (&edge->endpoints, NULL, NULL);
+      endpoints_report (&edge->endpoints, "e", report, 5, 1000);
+      edge->hub_sync.endpoints = &edge->endpoints;
+      edge->hub_sync.relies_on_hub = deletion_cases[i].relies_on_hub;
+      edge->knows_all_endpoints = true;
+      hub_sync_handle_message (&edge->hub_sync, NULL, message, 1000);
+      edge_note_hub_deletions (edge);
+      if (edge->knows_all_endpoints != deletion_cases[i].knows_all)
+        fail_msg ("%s", deletion_cases[i].guards);
+      endpoints_finish (&edge->endpoints);
+      free (message);
+      free (edge);
+    }
+}
+
 int
 main (void)
 {
-  const struct CMUnitTest tests[] = { cmocka_unit_test (test_candidates),
-                                      cmocka_unit_test (test_may_form) };
+  const struct CMUnitTest tests[]
+      = { cmocka_unit_test (test_candidates), cmocka_unit_test (test_may_form),
+          cmocka_unit_test (test_hub_deletions_end_full_knowledge) };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
