edge: release the lease only once the sent orders are answered

Cause: a host that stops gave its lease away at once. The next one acts within some 50 ms, while orders of the former one are on their way; it counts endpoints as free that are about to join.

Change: a host that stops sends no more orders, and keeps the lease until those that it sent are answered or count as lost (1.5 s at most).

Result: test_release_after_orders fails when the wait is taken out. A host that stops ends up to 1.5 s later only if an order is not answered.

--- a/packages/edge/include/leader.h
+++ b/packages/edge/include/leader.h
@@ -37,6 +37,7 @@
   char lease_name[CATALOG_NAME_SIZE];
   unsigned rank;       /* delays this host's attempts to acquire the lease */
   bool acting;         /* the lease is held */
+  bool is_releasing;   /* sends no more orders; see leader_release_lease */
   int64_t acquired_ms; /* when acting last became true */
   int64_t now_ms;
 };
@@ -64,8 +65,9 @@
                   int64_t now_ms);
 
 /*
- * True if groups may be formed.  A table that is older than the lease may lack
- * the effect of the last orders of the former holder.
+ * True if groups may be formed: not while the lease is released.  A table that
+ * is older than the lease may lack the effect of the last orders of the former
+ * holder.
  */
 bool leader_may_form (const struct leader *leader,
                       int64_t endpoints_current_at_ms);
@@ -79,7 +81,10 @@
 /* Checks the group that this endpoint heads: requests there are stalled. */
 void leader_suspect_group (struct leader *leader, const char *endpoint);
 
-/* Starts to release the lease; see leader_has_released_lease. */
+/*
+ * Starts to release the lease, which ends once the orders that were sent are
+ * answered; see leader_has_released_lease.
+ */
 void leader_release_lease (struct leader *leader);
 bool leader_has_released_lease (const struct leader *leader);
 
--- a/packages/edge/src/leader.c
+++ b/packages/edge/src/leader.c
@@ -106,8 +106,9 @@
 {
   const struct leader *leader = context;
 
-  return formation_is_order_current (&leader->formation, op, endpoint, group,
-                                     epoch);
+  return !leader->is_releasing
+         && formation_is_order_current (&leader->formation, op, endpoint, group,
+                                        epoch);
 }
 
 static void
@@ -238,7 +239,19 @@
 bool
 leader_may_form (const struct leader *leader, int64_t endpoints_current_at_ms)
 {
-  return leader->acting && endpoints_current_at_ms >= leader->acquired_ms;
+  return leader->acting && !leader->is_releasing
+         && endpoints_current_at_ms >= leader->acquired_ms;
+}
+
+/*
+ * The next holder may act as soon as the lease is free, so it is kept until the
+ * orders that were sent are answered or count as lost.
+ */
+static void
+release_when_answered (struct leader *leader)
+{
+  if (leader->is_releasing && TAILQ_EMPTY (&leader->orders.calls))
+    lease_release (&leader->lease);
 }
 
 /*
@@ -272,6 +285,7 @@
   leader->now_ms = now_ms;
   orders_tick (&leader->orders, now_ms);
   checker_tick (&leader->checker, now_ms);
+  release_when_answered (leader);
   /*
    * Hubs have precedence: other hosts get the lease from them.  The reader
    * comes before the other hubs: it reads the platform anyway, as a holder
@@ -324,7 +338,7 @@
 void
 leader_release_lease (struct leader *leader)
 {
-  lease_release (&leader->lease);
+  leader->is_releasing = true;
 }
 
 bool
--- a/packages/edge/tests/t0963-orders.c
+++ b/packages/edge/tests/t0963-orders.c
@@ -11,6 +11,7 @@
 
 #include "checker.h"
 #include "http-server.h"
+#include "leader.h"
 #include "log.h"
 #include "orders.h"
 #include "timeutil.h"
@@ -380,6 +381,69 @@
   join_case = NULL;
 }
 
+struct release_case
+{
+  const char *guards;
+  unsigned status; /* of the response to the order; 0 = none */
+  bool has_order;
+};
+
+static const struct release_case release_cases[] = {
+  { "a lease without orders is kept", 0, false },
+  { "a lease is kept after its order was answered", 202, true },
+  { "a lease is released while its order is not answered", 0, true },
+};
+
+/* A holder that stops hands its lease over once its orders are answered. */
+static void
+test_release_after_orders (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof release_cases / sizeof release_cases[0]; i++)
+    {
+      const struct release_case *c = &release_cases[i];
+      const struct formation_settings settings = { .data_centre = "a" };
+      const struct formation_order order
+          = { .op = FORMATION_LEAVE, .endpoint = "e", .group = "g" };
+      struct endpoints endpoints;
+      struct leader *leader = calloc (1, sizeof *leader);
+      int64_t until_ms = time_boot_ms () + WAIT_MS;
+
+      assert_non_null (leader);
+      start_server ();
+      response_status = c->status;
+      endpoints_init (&endpoints, NULL, NULL);
+      leader_init (leader, server.base, &adapter, NULL, &endpoints, &settings,
+                   "self");
+      leader->lease.phase = LEASE_HOLDING;
+      leader->lease.valid_until_ms = time_boot_ms () + WAIT_MS;
+      leader->lease.request_in_flight = LEASE_READ; /* no other request */
+      if (c->has_order)
+        orders_send (&leader->orders, &order, 0, "127.0.0.1", server.port,
+                     time_boot_ms ());
+      while (c->has_order && requests_received == 0
+             && time_boot_ms () < until_ms)
+        run_loop ();
+      leader_release_lease (leader);
+      do
+        {
+          run_loop ();
+          leader_tick (leader, NULL, false, false, LEADER_OTHER, INT64_MIN,
+                       time_boot_ms ());
+          if (leader->lease.releasing && !TAILQ_EMPTY (&leader->orders.calls))
+            fail_msg ("%s", c->guards);
+          assert_false (leader_may_form (leader, time_boot_ms ()));
+        }
+      while (!leader->lease.releasing && time_boot_ms () < until_ms);
+      if (!leader->lease.releasing)
+        fail_msg ("%s", c->guards);
+      leader_finish (leader);
+      endpoints_finish (&endpoints);
+      free (leader);
+      http_server_stop (&server);
+    }
+}
+
 /* Two checks without a response make an endpoint silent; responses clear it. */
 static void
 test_silent_endpoint (void **state)
@@ -425,6 +489,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_orders),
     cmocka_unit_test (test_joins),
+    cmocka_unit_test (test_release_after_orders),
     cmocka_unit_test (test_silent_endpoint),
   };
 
