--- a/packages/http/include/http-text.h
+++ b/packages/http/include/http-text.h
@@ -21,6 +21,8 @@
 void http_text_reset (struct http_text *text);
 void http_text_add (struct http_text *text, const void *data, size_t size);
 void http_text_add_string (struct http_text *text, const char *string);
+/* Encodes all bytes but unreserved characters (RFC 3986) as %XX. */
+void http_text_add_percent_encoded (struct http_text *text, const char *string);
 /* Adds up to 511 bytes of formatted text; a longer one sets failed. */
 void http_text_format (struct http_text *text, const char *format, ...)
     __attribute__ ((format (printf, 2, 3)));
--- a/packages/http/src/http-text.c
+++ b/packages/http/src/http-text.c
@@ -64,6 +64,19 @@
   http_text_add (text, string, strlen (string));
 }
 
+void
+http_text_add_percent_encoded (struct http_text *text, const char *string)
+{
+  static const char plain[] = "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
+                              "abcdefghijklmnopqrstuvwxyz0123456789-._~";
+
+  for (; *string != '\0'; string++)
+    if (strchr (plain, *string) != NULL)
+      http_text_add (text, string, 1);
+    else
+      http_text_format (text, "%%%02X", (unsigned char)*string);
+}
+
 void
 http_text_format (struct http_text *text, const char *format, ...)
 {
