records: lose one unreadable entry, not its page

One entry of another writer with an integer beyond 64 bits, a number out of range, a NUL, half a surrogate pair, bytes that are not UTF-8 or nesting of 2,048 levels made each list page and each watch that held it unreadable. The host took that for a failure of the store and repeated the call for ever: it never learned of the other endpoints, nor of those that left.

The JSON parser rejects a document as a whole. The codec now gets the bytes; what cannot be read as a whole is split along its brackets and strings, to a fixed depth, and each part is read on its own (json_load_parts). The value of an entry is complete or null, never part of what was written; its name, revision and deletion are still read. What the store itself says (asOf, hasMore, the ends of arrays) must be readable as before, so that a list that was cut off does not count as complete.

Ruled out: flags of the parser, which has none for depth, surrogates or UTF-8; reading large integers as reals, which would change all other numbers. The stack is safe: the parser stops at 2,048 levels and the scan does not recurse into what it skips (t0004: 2 million levels).

--- a/fuzz/users-platform.c
+++ b/fuzz/users-platform.c
@@ -84,8 +84,9 @@
   check_endpoint (json);
   check_catalog (json);
   for (int verb = RECORDS_LIST; verb <= RECORDS_REPLACE; verb++)
-    users_platform.records->decode ((enum records_verb)verb, 200, json,
-                                    check_records, NULL);
+    users_platform.records->decode ((enum records_verb)verb, 200,
+                                    (const char *)data, size, check_records,
+                                    NULL);
   json_decref (json);
   return 0;
 }
--- /dev/null
+++ b/packages/base/include/json-parts.h
@@ -0,0 +1,23 @@
+#ifndef BASE_JSON_PARTS_H
+#define BASE_JSON_PARTS_H
+
+#include <jansson.h>
+#include <stddef.h>
+
+/*
+ * Loads a JSON document of which some parts cannot be read, as when a store
+ * passes on what another program wrote: a number out of range, deep nesting,
+ * text that is not UTF-8.  Each array or object that cannot be read as a whole
+ * is split, down to depth levels, and its parts are read on their own; null
+ * stands for one that cannot be read.  A member named whole is not split, so
+ * that it is complete or null; members whose names cannot be read are left out.
+ *
+ * Returns NULL if the text is not a value, or if the strings and brackets of
+ * its outermost level do not match.
+ */
+json_t *json_load_parts (const char *data,
+                         size_t size,
+                         const char *whole,
+                         unsigned depth);
+
+#endif
--- a/packages/edge/tests/mesh-fixture.h
+++ b/packages/edge/tests/mesh-fixture.h
@@ -38,7 +38,8 @@
 static inline void
 decode_response (enum records_verb verb,
                  unsigned status,
-                 const json_t *json,
+                 const char *body,
+                 size_t size,
                  void (*handle) (void *context,
                                  const struct records_response *response),
                  void *context)
@@ -47,7 +48,8 @@
 
   (void)verb;
   (void)status;
-  (void)json;
+  (void)body;
+  (void)size;
   handle (context, &response);
 }
 
--- a/packages/records/include/records.h
+++ b/packages/records/include/records.h
@@ -80,12 +80,14 @@
                   struct http_text *target,
                   struct http_text *body);
   /*
-   * Calls done with the response; json is NULL if the body was not JSON.  The
-   * contents of the response are valid only during that call.
+   * Calls done with the response.  Records of other writers may be unreadable
+   * in a body; the others hold.  The contents of the response are valid only
+   * during that call.
    */
   void (*decode) (enum records_verb verb,
                   unsigned status,
-                  const json_t *json,
+                  const char *body,
+                  size_t size,
                   void (*done) (void *context,
                                 const struct records_response *response),
                   void *context);
--- a/packages/records/src/records.c
+++ b/packages/records/src/records.c
@@ -169,7 +169,7 @@
   void (*done) (void *context, const struct records_response *response)
       = call->done;
   void *done_context = call->context;
-  json_t *json;
+  struct http_text body;
   enum records_verb verb = call->verb;
   unsigned status = call->status;
 
@@ -178,8 +178,9 @@
       close_call (call);
       return;
     }
-  json = json_loadb (call->body.data != NULL ? call->body.data : "",
-                     call->body.size, 0, NULL);
+  /* The callback may use the connection again. */
+  body = call->body;
+  http_text_init (&call->body);
   if (http_connection_is_reusable (&call->connection))
     {
       TAILQ_REMOVE (&records->sent, call, link);
@@ -190,8 +191,9 @@
     }
   else
     close_call (call);
-  records->codec->decode (verb, status, json, done, done_context);
-  json_decref (json);
+  records->codec->decode (verb, status, body.data != NULL ? body.data : "",
+                          body.size, done, done_context);
+  http_text_finish (&body);
 }
 
 static void
--- a/packages/records/tests/t0480-follower.c
+++ b/packages/records/tests/t0480-follower.c
@@ -57,12 +57,14 @@
 static void
 decode (enum records_verb verb,
         unsigned status,
-        const json_t *json,
+        const char *body,
+        size_t size,
         void (*done) (void *context, const struct records_response *response),
         void *context)
 {
   struct records_record list[8];
   struct records_response response = { .list = list };
+  json_t *json = json_loadb (body, size, 0, NULL);
   const json_t *name;
   size_t index;
 
@@ -82,6 +84,7 @@
       };
     }
   done (context, &response);
+  json_decref (json);
 }
 
 static const struct records_codec codec = { encode, decode };
