records: go on past pages of which no record can be read

A page whose entries have no readable name or revision, with more to come, counted as the end of the list: all endpoints of later pages counted as deleted (t0480 before: "begin end b", then a watch). A name of 128 bytes or more, or an empty one, as the last of a page led the list in a circle.

A list now goes on after the last name that can be read, also one of an entry that is left out. Where there is none, or where it is the one asked with, the answer is a failure, and the list starts over: it never ends early. Entries without a name or revision are logged, one line for each page or batch (records-skipped).

A page all of whose names are unreadable still holds up the list; the protocol has no other way past it.

t0480 failed before and passes.

--- a/packages/records/include/follower.h
+++ b/packages/records/include/follower.h
@@ -12,6 +12,9 @@
  * revision.
  */
 
+/* A name after which a list goes on; it is part of a URL. */
+#define FOLLOWER_NAME_SIZE 1024
+
 struct follower_hooks
 {
   void *context;
@@ -45,7 +48,8 @@
   int wait_ms;          /* longest wait of one watch for a change */
   int call_interval_ms; /* least time between two calls, to batch changes */
   enum follower_state state;
-  char list_after[128];   /* last name of the previous page; "" = first page */
+  /* Last name of the previous page; "" = first page. */
+  char list_after[FOLLOWER_NAME_SIZE];
   uint64_t revision;      /* all changes up to it are known */
   uint64_t list_revision; /* becomes revision when the list is complete */
   bool has_full_list;     /* a complete list was read */
--- a/packages/records/include/records.h
+++ b/packages/records/include/records.h
@@ -65,7 +65,10 @@
 {
   enum result result;
   uint64_t revision; /* of the store for LIST and WATCH, else of the record */
-  bool more;         /* LIST has another page after the last record */
+  bool more;         /* LIST has another page, after last_name */
+  /* LIST: the last name that can be read, also of a record left out of list. */
+  const char *last_name;
+  unsigned skipped; /* records without a readable name or revision */
   const struct records_record *list;
   unsigned count;
   /* The record that was read or written; on a conflict, the stored one. */
--- a/packages/records/src/follower.c
+++ b/packages/records/src/follower.c
@@ -74,6 +74,25 @@
 {
   for (unsigned i = 0; i < response->count; i++)
     follower->hooks.record (follower->hooks.context, &response->list[i]);
+  if (response->skipped > 0)
+    LOG_EVENT (LOG_LEVEL_NOTICE, "records-skipped",
+               LOG_STR ("records", follower->name),
+               LOG_U64 ("count", response->skipped),
+               LOG_U64 ("revision", response->revision));
+}
+
+/*
+ * True if the response is the last page of a list, or the list can go on after
+ * it.  What is not listed counts as deleted, so a list must not end early.
+ */
+static bool
+is_page_complete (const struct follower *follower,
+                  const struct records_response *response)
+{
+  return !response->more
+         || (response->last_name != NULL
+             && strlen (response->last_name) < sizeof follower->list_after
+             && strcmp (response->last_name, follower->list_after) != 0);
 }
 
 static void
@@ -89,10 +108,10 @@
         follower->hooks.list_begin (follower->hooks.context);
     }
   report_records (follower, response);
-  if (response->more && response->count > 0)
+  if (response->more)
     {
       snprintf (follower->list_after, sizeof follower->list_after, "%s",
-                response->list[response->count - 1].name);
+                response->last_name);
       /*
        * The next page is requested at once: waiting batches no changes, and the
        * list is of no use before its last page.
@@ -130,12 +149,16 @@
 {
   struct follower *follower = context;
   int64_t now_ms = time_boot_ms ();
+  enum result result = response->result;
 
   follower->call_in_flight = false;
   /* A new list was started meanwhile; this is the response to a watch. */
   if (follower->call_state != follower->state)
     return;
-  if (response->result == RESULT_OK)
+  if (result == RESULT_OK && follower->state == FOLLOWER_LISTING
+      && !is_page_complete (follower, response))
+    result = RESULT_PLATFORM_BAD_ANSWER;
+  if (result == RESULT_OK)
     {
       record_success (follower, now_ms);
       if (follower->state == FOLLOWER_LISTING)
@@ -146,7 +169,7 @@
         follower_tick (follower, now_ms);
       return;
     }
-  if (response->result == RESULT_PLATFORM_HISTORY_GONE)
+  if (result == RESULT_PLATFORM_HISTORY_GONE)
     {
       follower_relist (follower);
       LOG_EVENT (LOG_LEVEL_NOTICE, "platform-history-gone",
@@ -156,7 +179,7 @@
     }
   /* An incomplete list starts over, since the store may have changed. */
   follower->list_after[0] = '\0';
-  record_failure (follower, response->result, now_ms);
+  record_failure (follower, result, now_ms);
 }
 
 void
--- a/packages/records/tests/t0480-follower.c
+++ b/packages/records/tests/t0480-follower.c
@@ -48,11 +48,14 @@
   (void)body;
   http_text_format (target, "/%s/%d", verbs[request->verb],
                     (int)request->revision);
+  if (request->after != NULL)
+    http_text_format (target, "/%s", request->after);
 }
 
 /*
  * Decodes {"at":REVISION,"names":[NAME,...]}; a name in capitals is a deleted
- * record.
+ * record, one that starts with "-" has no readable revision, and null no
+ * readable name.
  */
 static void
 decode (enum records_verb verb,
@@ -79,9 +82,16 @@
     {
       const char *text = json_string_value (name);
 
+      if (text == NULL || text[0] == '-')
+        {
+          response.skipped++;
+          response.last_name = text != NULL ? text : response.last_name;
+          continue;
+        }
       list[response.count++] = (struct records_record){
         .name = text, .deleted = text[0] >= 'A' && text[0] <= 'Z'
       };
+      response.last_name = text;
     }
   done (context, &response);
   json_decref (json);
@@ -138,7 +148,7 @@
 static void
 send_response (struct http_connection *connection, const char *text)
 {
-  char bytes[256];
+  char bytes[2048];
   unsigned status = (unsigned)strtoul (text, NULL, 10);
 
   snprintf (bytes, sizeof bytes,
@@ -236,6 +246,29 @@
     4,
     "begin a end regained b ",
     "/watch/6" },
+  { "a page of unreadable records counts as the end of a list",
+    { "200 {\"at\":5,\"names\":[\"-a\"],\"more\":true}",
+      "200 {\"at\":5,\"names\":[\"b\"]}", NULL },
+    3,
+    "begin b end ",
+    "/watch/5" },
+  { "a list goes on after another than its last name",
+    { "200 {\"at\":5,\"names\":[\"a\",\"-b\"],\"more\":true}", NULL },
+    2,
+    "begin a ",
+    "/list/0/-b" },
+  { "a list that cannot go on counts as complete",
+    { "200 {\"at\":5,\"names\":[null],\"more\":true}",
+      "200 {\"at\":6,\"names\":[\"b\"]}", NULL },
+    3,
+    "regained begin b end ",
+    "/watch/6" },
+  { "a list goes round in a circle",
+    { "200 {\"at\":5,\"names\":[\"a\"],\"more\":true}",
+      "200 {\"at\":5,\"names\":[\"a\"],\"more\":true}", NULL },
+    3,
+    "begin a ",
+    "/list/0" },
 };
 
 static void
@@ -256,6 +289,25 @@
     }
 }
 
+/* A name that is cut would stand for another place in the list. */
+static void
+test_list_after_long_name (void **state)
+{
+  char text[FOLLOWER_NAME_SIZE + 64];
+  const char *const responses[]
+      = { text, "200 {\"at\":6,\"names\":[\"b\"]}", NULL };
+
+  (void)state;
+  snprintf (text, sizeof text,
+            "200 {\"at\":5,\"names\":[\"-%0*d\"],\"more\":true}",
+            FOLLOWER_NAME_SIZE, 0);
+  setup (responses);
+  run_until_calls (3);
+  assert_string_equal (test.log, "regained begin b end ");
+  assert_string_equal (test.targets[1], "/list/0");
+  teardown ();
+}
+
 /*
  * When a list is started while a watch is in flight, the response to the watch
  * must not be handled as the list: all other records would count as deleted.
@@ -322,7 +374,7 @@
   while (!test.follower.has_full_list)
     event_base_loop (test.server.base, EVLOOP_ONCE);
   assert_string_equal (test.log, "begin a b c end ");
-  assert_string_equal (test.targets[2], "/list/0");
+  assert_string_equal (test.targets[2], "/list/0/b");
   assert_int_equal (test.follower.revision, 5);
   teardown ();
 }
@@ -371,6 +423,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_list_and_watch),
+    cmocka_unit_test (test_list_after_long_name),
     cmocka_unit_test (test_watch_response_after_relist),
     cmocka_unit_test (test_revision_after_last_page),
     cmocka_unit_test (test_pages_without_interval),
