catalog: take no endpoint whose id does not fit a header field

The id of an endpoint is the name of its entry and is sent as a header field with each request. An otherwise sound entry of another writer whose name has a line end added fields, or a whole request, to what callers had sent; one whose name is too long was reported as a lack of memory and not logged.

endpoints_report, which also takes what other hosts send, now refuses ids that are empty, too long or have other than visible ASCII bytes, and the entry is logged as skipped. Escaping was ruled out: an endpoint compares the field with its own id.

t0460 test_endpoint_ids failed before (the empty id and those with spaces and line ends were taken) and passes.

--- a/packages/catalog/include/endpoints.h
+++ b/packages/catalog/include/endpoints.h
@@ -90,7 +90,10 @@
 struct endpoint *endpoints_find (const struct endpoints *endpoints,
                                  const char *id);
 
-/* Stores a report; one with an older revision than the stored is ignored. */
+/*
+ * Stores a report; one with an older revision than the stored is ignored.
+ * RESULT_INVALID if the id is too long or has other than visible ASCII bytes.
+ */
 enum result endpoints_report (struct endpoints *endpoints,
                               const char *id,
                               const struct endpoint_report *report,
--- a/packages/catalog/src/endpoints.c
+++ b/packages/catalog/src/endpoints.c
@@ -108,14 +108,24 @@
   return endpoint;
 }
 
+/* Ids stand in header fields; other programs may write any name as an id. */
+static bool
+is_valid_id (const char *id)
+{
+  size_t size = strlen (id);
+
+  for (size_t i = 0; i < size; i++)
+    if (id[i] <= ' ' || id[i] > '~')
+      return false;
+  return size > 0 && size < CATALOG_NAME_SIZE;
+}
+
 static struct endpoint *
 add_endpoint (struct endpoints *endpoints, const char *id)
 {
   struct endpoint *endpoint;
   size_t size = strlen (id);
 
-  if (size >= sizeof endpoint->id)
-    return NULL;
   endpoint = calloc (1, sizeof *endpoint);
   if (endpoint == NULL)
     return NULL;
@@ -135,6 +145,8 @@
   struct endpoint *endpoint = endpoints_find (endpoints, id);
   bool was_routed;
 
+  if (endpoint == NULL && !is_valid_id (id))
+    return RESULT_INVALID;
   if (endpoint == NULL)
     endpoint = add_endpoint (endpoints, id);
   if (endpoint == NULL)
--- a/packages/catalog/tests/t0460-catalog.c
+++ b/packages/catalog/tests/t0460-catalog.c
@@ -296,6 +296,48 @@
     }
 }
 
+/*
+ * Ids are sent in header fields: one with a line end would add fields, or a
+ * request, to a caller's.
+ */
+static void
+test_endpoint_ids (void **state)
+{
+  static const struct
+  {
+    const char *id;
+    enum result result;
+  } id_cases[] = { { "i-7f3a91c2", RESULT_OK },
+                   { "~", RESULT_OK },
+                   { "", RESULT_INVALID },
+                   { "a b", RESULT_INVALID },
+                   { "a\r\nx-tenant: b", RESULT_INVALID },
+                   { "a\x7f", RESULT_INVALID },
+                   { "caf\xc3\xa9", RESULT_INVALID } };
+  char long_id[CATALOG_NAME_SIZE + 1];
+  struct endpoint_report report = { .port = 80 };
+  struct endpoints endpoints;
+
+  (void)state;
+  endpoints_init (&endpoints, NULL, NULL);
+  for (size_t i = 0; i < sizeof id_cases / sizeof id_cases[0]; i++)
+    {
+      const char *id = id_cases[i].id;
+      enum result result = endpoints_report (&endpoints, id, &report, 1, 1);
+
+      if (result != id_cases[i].result
+          || (endpoints_find (&endpoints, id) != NULL) != (result == RESULT_OK))
+        fail_msg ("\"%s\": result %d", id, (int)result);
+    }
+  snprintf (long_id, sizeof long_id, "%0*d", CATALOG_NAME_SIZE, 0);
+  assert_int_equal (endpoints_report (&endpoints, long_id, &report, 1, 1),
+                    RESULT_INVALID);
+  long_id[CATALOG_NAME_SIZE - 1] = '\0';
+  assert_int_equal (endpoints_report (&endpoints, long_id, &report, 1, 1),
+                    RESULT_OK);
+  endpoints_finish (&endpoints);
+}
+
 int
 main (void)
 {
@@ -303,6 +345,7 @@
     cmocka_unit_test (test_route_lookup),
     cmocka_unit_test (test_repeatable_kinds),
     cmocka_unit_test (test_targets_by_weight),
+    cmocka_unit_test (test_endpoint_ids),
     cmocka_unit_test (test_endpoint_deletions),
     cmocka_unit_test (test_deletions_after_outage),
   };
--- a/packages/edge/src/follow.c
+++ b/packages/edge/src/follow.c
@@ -171,6 +171,9 @@
       return;
     }
   result = edge->adapter->decode_endpoint (record->value, &report);
+  if (result == RESULT_OK)
+    result = endpoints_report (&edge->endpoints, record->name, &report,
+                               record->revision, edge->now_ms);
   if (result != RESULT_OK)
     {
       LOG_EVENT (LOG_LEVEL_NOTICE, "endpoint-entry-skipped",
@@ -182,8 +185,6 @@
       return;
     }
   log_entry (record->name, &report, record->revision);
-  endpoints_report (&edge->endpoints, record->name, &report, record->revision,
-                    edge->now_ms);
   announce_entry (edge, record->name, &report);
 }
 
