--- a/packages/base/src/netutil.c
+++ b/packages/base/src/netutil.c
@@ -29,6 +29,9 @@
 
   if (colon == NULL || (size_t)(colon - text) >= size)
     return false;
+  /* strtol would skip white space and a sign. */
+  if (colon[1] < '0' || colon[1] > '9')
+    return false;
   number = strtol (colon + 1, &end, 10);
   if (end == colon + 1 || *end != '\0' || number <= 0 || number > UINT16_MAX)
     return false;
--- a/packages/base/tests/t0001-base.c
+++ b/packages/base/tests/t0001-base.c
@@ -208,9 +208,12 @@
 };
 
 static const struct address_case address_cases[] = {
-  { "10.0.0.1:80", true },  { "10.0.0.1", false },
-  { "10.0.0.1:", false },   { "10.0.0.1:0", false },
-  { "10.0.0.1:8x", false }, { "10.0.0.1:70000", false },
+  { "10.0.0.1:80", true },     { "10.0.0.1", false },
+  { "10.0.0.1:", false },      { "10.0.0.1:0", false },
+  { "10.0.0.1:8x", false },    { "10.0.0.1:70000", false },
+  { "10.0.0.1:+80", false },   { "10.0.0.1: 80", false },
+  { "10.0.0.1:-80", false },   { "10.0.0.1:65535", true },
+  { "10.0.0.1:65536", false }, { "10.0.0.1:99999999999999999999", false },
 };
 
 static void
