--- a/fuzz/users-platform.c
+++ b/fuzz/users-platform.c
@@ -35,6 +35,8 @@
   require (report.port != 0);
   require (report.cached_model_count <= ENDPOINTS_CACHED_MODEL_LIMIT);
   require (report.state <= ENDPOINT_GROUP_BROKEN);
+  require ((report.group[0] == '\0') == (report.state == ENDPOINT_GROUP_NONE));
+  require (report.started_ms >= 0);
 }
 
 static void
