edge: do not take an unreadable configuration for the current one

Since unreadable records no longer fail a whole response, a configuration that cannot be read was refused and logged, and the one before it counted as current from then on: a key that the new one takes away could be used without end. Before, the watch failed, so that hosts stopped in time.

A follower whose owner needs every value (needs_values) takes a response with an unreadable one for a failure, and so does the read at the start. Where the same response holds a later value of that record, it goes on: a watch repeats the unreadable change as long as the store keeps its history, so that without this it would never have recovered.

--- a/packages/edge/src/follow.c
+++ b/packages/edge/src/follow.c
@@ -246,6 +246,8 @@
                  "configuration", &configuration,
                  edge_configuration_wait_ms (&edge->settings),
                  CONFIGURATION_INTERVAL_MS);
+  /* What cannot be read may take keys away. */
+  edge->configuration.needs_values = true;
   follower_init (&edge->entries, &edge->records, RECORDS_ENDPOINTS, "endpoints",
                  &entries, ENTRIES_WAIT_MS,
                  edge_entries_interval_ms (&edge->settings));
@@ -259,7 +261,8 @@
   struct edge *edge = context;
 
   edge->fetching = false;
-  if (response->result != RESULT_OK || response->record == NULL)
+  if (response->result != RESULT_OK || response->record == NULL
+      || json_is_null (response->record->value))
     return;
   on_configuration (edge, response->record);
   if (edge->fetch_sent_ms > edge->hub_sync.configuration_current_at_ms)
--- a/packages/records/include/follower.h
+++ b/packages/records/include/follower.h
@@ -47,6 +47,8 @@
   struct follower_hooks hooks;
   int wait_ms;          /* longest wait of one watch for a change */
   int call_interval_ms; /* least time between two calls, to batch changes */
+  /* A response with a record whose value cannot be read is a failure. */
+  bool needs_values;
   enum follower_state state;
   /* Last name of the previous page; "" = first page. */
   char list_after[FOLLOWER_NAME_SIZE];
--- a/packages/records/include/records.h
+++ b/packages/records/include/records.h
@@ -57,7 +57,8 @@
   const char *name;
   uint64_t revision;
   bool deleted;
-  const json_t *value; /* borrowed; NULL if it has none */
+  /* Borrowed; NULL if it has none, a JSON null if it cannot be read. */
+  const json_t *value;
 };
 
 /* A page of a list, a batch of changes, or the response to another call. */
--- a/packages/records/src/follower.c
+++ b/packages/records/src/follower.c
@@ -95,6 +95,33 @@
              && strcmp (response->last_name, follower->list_after) != 0);
 }
 
+/* True if the record has a value that cannot be read, and no later one. */
+static bool
+lacks_value (const struct records_response *response, unsigned index)
+{
+  const struct records_record *record = &response->list[index];
+
+  if (record->deleted || !json_is_null (record->value))
+    return false;
+  for (unsigned i = index + 1; i < response->count; i++)
+    if (strcmp (response->list[i].name, record->name) == 0)
+      return false;
+  return true;
+}
+
+/* True if the owner gets what it needs from the response. */
+static bool
+is_sufficient (const struct follower *follower,
+               const struct records_response *response)
+{
+  if (follower->needs_values)
+    for (unsigned i = 0; i < response->count; i++)
+      if (lacks_value (response, i))
+        return false;
+  return follower->state != FOLLOWER_LISTING
+         || is_page_complete (follower, response);
+}
+
 static void
 handle_list (struct follower *follower,
              const struct records_response *response,
@@ -155,8 +182,7 @@
   /* A new list was started meanwhile; this is the response to a watch. */
   if (follower->call_state != follower->state)
     return;
-  if (result == RESULT_OK && follower->state == FOLLOWER_LISTING
-      && !is_page_complete (follower, response))
+  if (result == RESULT_OK && !is_sufficient (follower, response))
     result = RESULT_PLATFORM_BAD_ANSWER;
   if (result == RESULT_OK)
     {
