platform: lose one unreadable entry of the host list, not the list

The client of the product's own object service had the same fault as that of the users' platform: one number out of range in one entry made the host list unreadable, and hosts that joined or left were not seen for as long as it stood there.

The list is split like a page of the users' store; fleet_apply_host_list skips null as any other entry without an id. Objects, watches and keys stay whole: the project writes them itself, and one of them is one document.

--- a/packages/platform/src/response.c
+++ b/packages/platform/src/response.c
@@ -1,5 +1,6 @@
 #include "platform-internal.h"
 
+#include "json-parts.h"
 #include "jsonutil.h"
 #include "timeutil.h"
 
@@ -27,15 +28,22 @@
   return true;
 }
 
+/*
+ * In the host list an entry that cannot be read is null, and the others hold;
+ * what is split is the response and its list.
+ */
+#define HOSTS_SPLIT_DEPTH 2
+
 static json_t *
-read_body (struct evhttp_request *request)
+read_body (struct evhttp_request *request, enum platform_call_kind kind)
 {
   struct evbuffer *input = evhttp_request_get_input_buffer (request);
   size_t size = evbuffer_get_length (input);
 
   if (size == 0)
     return NULL;
-  return json_loadb ((const char *)evbuffer_pullup (input, -1), size, 0, NULL);
+  return json_load_parts ((const char *)evbuffer_pullup (input, -1), size, "",
+                          kind == PLATFORM_CALL_HOSTS ? HOSTS_SPLIT_DEPTH : 0);
 }
 
 /* Name of the member that a successful response to a read call must have. */
@@ -112,7 +120,7 @@
 {
   struct platform *platform = call->platform;
   int64_t skew_ms;
-  json_t *body = read_body (request);
+  json_t *body = read_body (request, call->kind);
 
   if (read_clock_skew (request, &skew_ms))
     platform->clock_skew_ms = skew_ms;
