Merge the handling of odd entries

A report of another operator: one odd entry among those of the servers ended the processes that read the list, or stopped them following it.

--- a/fuzz/users-platform.c
+++ b/fuzz/users-platform.c
@@ -35,6 +35,8 @@
   require (report.port != 0);
   require (report.cached_model_count <= ENDPOINTS_CACHED_MODEL_LIMIT);
   require (report.state <= ENDPOINT_GROUP_BROKEN);
+  require ((report.group[0] == '\0') == (report.state == ENDPOINT_GROUP_NONE));
+  require (report.started_ms >= 0);
 }
 
 static void
@@ -84,8 +86,9 @@
   check_endpoint (json);
   check_catalog (json);
   for (int verb = RECORDS_LIST; verb <= RECORDS_REPLACE; verb++)
-    users_platform.records->decode ((enum records_verb)verb, 200, json,
-                                    check_records, NULL);
+    users_platform.records->decode ((enum records_verb)verb, 200,
+                                    (const char *)data, size, check_records,
+                                    NULL);
   json_decref (json);
   return 0;
 }
--- a/packages/edge/src/follow.c
+++ b/packages/edge/src/follow.c
@@ -171,16 +171,20 @@
       return;
     }
   result = edge->adapter->decode_endpoint (record->value, &report);
+  if (result == RESULT_OK)
+    result = endpoints_report (&edge->endpoints, record->name, &report,
+                               record->revision, edge->now_ms);
   if (result != RESULT_OK)
     {
       LOG_EVENT (LOG_LEVEL_NOTICE, "endpoint-entry-skipped",
                  LOG_STR ("endpoint", record->name), LOG_INT ("code", result),
                  LOG_U64 ("revision", record->revision));
+      /* It names no endpoint to use, whatever it said before. */
+      endpoints_delete (&edge->endpoints, record->name, record->revision,
+                        edge->now_ms);
       return;
     }
   log_entry (record->name, &report, record->revision);
-  endpoints_report (&edge->endpoints, record->name, &report, record->revision,
-                    edge->now_ms);
   announce_entry (edge, record->name, &report);
 }
 
@@ -242,6 +246,8 @@
                  "configuration", &configuration,
                  edge_configuration_wait_ms (&edge->settings),
                  CONFIGURATION_INTERVAL_MS);
+  /* What cannot be read may take keys away. */
+  edge->configuration.needs_values = true;
   follower_init (&edge->entries, &edge->records, RECORDS_ENDPOINTS, "endpoints",
                  &entries, ENTRIES_WAIT_MS,
                  edge_entries_interval_ms (&edge->settings));
@@ -255,7 +261,8 @@
   struct edge *edge = context;
 
   edge->fetching = false;
-  if (response->result != RESULT_OK || response->record == NULL)
+  if (response->result != RESULT_OK || response->record == NULL
+      || json_is_null (response->record->value))
     return;
   on_configuration (edge, response->record);
   if (edge->fetch_sent_ms > edge->hub_sync.configuration_current_at_ms)
--- a/packages/records/include/records.h
+++ b/packages/records/include/records.h
@@ -57,7 +57,8 @@
   const char *name;
   uint64_t revision;
   bool deleted;
-  const json_t *value; /* borrowed; NULL if it has none */
+  /* Borrowed; NULL if it has none, a JSON null if it cannot be read. */
+  const json_t *value;
 };
 
 /* A page of a list, a batch of changes, or the response to another call. */
@@ -65,7 +66,10 @@
 {
   enum result result;
   uint64_t revision; /* of the store for LIST and WATCH, else of the record */
-  bool more;         /* LIST has another page after the last record */
+  bool more;         /* LIST has another page, after last_name */
+  /* LIST: the last name that can be read, also of a record left out of list. */
+  const char *last_name;
+  unsigned skipped; /* records without a readable name or revision */
   const struct records_record *list;
   unsigned count;
   /* The record that was read or written; on a conflict, the stored one. */
@@ -80,12 +84,14 @@
                   struct http_text *target,
                   struct http_text *body);
   /*
-   * Calls done with the response; json is NULL if the body was not JSON.  The
-   * contents of the response are valid only during that call.
+   * Calls done with the response.  Records of other writers may be unreadable
+   * in a body; the others hold.  The contents of the response are valid only
+   * during that call.
    */
   void (*decode) (enum records_verb verb,
                   unsigned status,
-                  const json_t *json,
+                  const char *body,
+                  size_t size,
                   void (*done) (void *context,
                                 const struct records_response *response),
                   void *context);
