--- a/packages/base/include/result-table.h
+++ b/packages/base/include/result-table.h
@@ -86,10 +86,10 @@
 RESULT_ENTRY (5004, ORDER_FENCED, 0, OUTCOME_NONE, "The endpoint refused an order with an old fencing token.")
 RESULT_ENTRY (5005, ORDER_FAILED, 0, OUTCOME_NONE, "The endpoint refused an order.")
 RESULT_ENTRY (5006, ORDER_LOST, 0, OUTCOME_NONE, "The order's answer was lost.")
-RESULT_ENTRY (5007, ORDER_OUTDATED, 0, OUTCOME_NONE, "The endpoint is in another state than the order is based on; nothing was sent.")
 RESULT_ENTRY (5007, LEASE_NOT_HELD, 0, OUTCOME_NONE, "This entry host does not hold the lease.")
 RESULT_ENTRY (5008, ASSIGNMENT_INVALID, 0, OUTCOME_NONE, "The assignment breaks a rule.")
 RESULT_ENTRY (5009, ENDPOINT_BUSY, 0, OUTCOME_NOT_RUN, "The endpoint refused the request for its load.")
+RESULT_ENTRY (5010, ORDER_OUTDATED, 0, OUTCOME_NONE, "The endpoint is in another state than the order is based on; nothing was sent.")
 
 RESULT_ENTRY (6001, PEER_BAD_MESSAGE, 0, OUTCOME_NONE, "A peer message is malformed.")
 RESULT_ENTRY (6002, PEER_BAD_MAC, 0, OUTCOME_NONE, "A peer message has a wrong authentication code or unknown key.")
