relay: let an empty id identify no request

A caller whose request has no id could be told "not run, try again" for a request that its endpoint was running.

Cause: a response whose id field is empty equals the empty id of a request without one, so an earlier refusal that was written once more on a kept connection counted as its answer. An empty id now says as much as none: it counts on a fresh connection only.

Ruled out, each by a case of t0851: copies of refusals with status 503, 429, 421 and 400, with and without a time to retry, with the earlier id, an empty id or none, after an interim response, in one segment with the earlier response, on the idle connection, where the answer is due, in pieces, and while the next request's body is sent.

--- a/packages/relay/src/upstream.c
+++ b/packages/relay/src/upstream.c
@@ -215,6 +215,9 @@
       relay_upstream_close (upstream);
       return;
     }
+  /* An empty id identifies no request, not even one without an id. */
+  if (id != NULL && id[0] == '\0')
+    id = NULL;
   upstream->is_foreign = id != NULL && strcmp (id, request->id) != 0;
   if (upstream->is_foreign)
     return;
--- a/packages/relay/tests/relay-fixture.h
+++ b/packages/relay/tests/relay-fixture.h
@@ -17,14 +17,18 @@
 #include "timeutil.h"
 
 /*
- * Runs the relay over loopback between a caller and two endpoints that respond
- * to each request by a script.  Each case names the failure it guards against.
+ * Runs the relay over loopback between a caller and ENDPOINTS endpoints that
+ * respond to each request by a script.  Each case names the failure it guards
+ * against.
  */
 
+#ifndef ENDPOINTS
 #define ENDPOINTS 2
+#endif
 #define SENDS 4
 #define WAIT_MS 5000
 #define DRIP_INTERVAL_MS 20
+#define PIECE_BYTES 16
 #define FLOOD_BYTES 262144 /* size of one write */
 
 /* Parts are "ID,ID,...": one hexadecimal digit each, the last one its own. */
@@ -74,6 +78,8 @@
   bool reset;        /* close it by a reset */
   const char *flood; /* then written repeatedly until the connection ends */
   const char *drip;  /* then written every DRIP_INTERVAL_MS */
+  const char *early; /* written as soon as the request's head has arrived */
+  bool in_pieces;    /* the bytes are written in pieces of PIECE_BYTES */
 };
 
 struct relay_case
@@ -114,6 +120,7 @@
   struct http_text request;
   const struct response *response;
   int64_t next_drip_ms;
+  size_t pieces_sent; /* bytes of a response that is written in pieces */
   struct fake_connection *next;
 };
 
@@ -143,7 +150,11 @@
 fake_head (void *context, const struct http_head *head)
 {
   struct fake_connection *fake = context;
+  const char *early
+      = test.sends < SENDS ? test.c->responses[test.sends].early : NULL;
 
+  if (early != NULL)
+    http_connection_write (&fake->connection, early, strlen (early));
   http_text_reset (&fake->request);
   http_text_format (&fake->request, "%s %s HTTP/1.1\r\n", head->method,
                     http_head_target (head));
@@ -176,6 +187,16 @@
   http_text_finish (&text);
 }
 
+static inline void
+fake_write_piece (struct fake_connection *fake)
+{
+  const char *bytes = fake->response->bytes + fake->pieces_sent;
+  size_t size = strnlen (bytes, PIECE_BYTES);
+
+  http_connection_write (&fake->connection, bytes, size);
+  fake->pieces_sent += size;
+}
+
 /* Writes what the endpoints send after their responses. */
 static inline void
 fake_write_more (void)
@@ -187,6 +208,8 @@
     {
       if (fake->response == NULL || fake->connection.fd < 0)
         continue;
+      if (fake->response->in_pieces)
+        fake_write_piece (fake);
       if (http_connection_unwritten_bytes (&fake->connection) == 0)
         fake_write_flood (fake);
       if (fake->response->drip == NULL || now_ms < fake->next_drip_ms)
@@ -209,7 +232,8 @@
   http_text_add (&test.sent_requests[index], fake->request.data,
                  fake->request.size);
   response = &test.c->responses[index];
-  if (response->bytes != NULL)
+  fake->pieces_sent = 0;
+  if (response->bytes != NULL && !response->in_pieces)
     http_connection_write (&fake->connection, response->bytes,
                            strlen (response->bytes));
   fake->response = response;
--- a/packages/relay/tests/t0851-endpoint-trouble.c
+++ b/packages/relay/tests/t0851-endpoint-trouble.c
@@ -356,6 +356,11 @@
     2 },
   { "a failure without an id is forwarded", PLAIN_2,
     "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n" GOOD_2, 502, NULL, 2 },
+  { "a refusal with an empty id is forwarded to a request without an id",
+    "GET /r/1?q=1 HTTP/1.1\r\nHost: h\r\n" KEY "\r\n",
+    "HTTP/1.1 503 Busy\r\nX-Id:\r\nX-Not-Run: 1\r\nContent-Length: "
+    "0\r\n\r\n" GOOD_2,
+    502, NULL, 2 },
   { "a duplicate response is forwarded to a HEAD request",
     "HEAD /r/1?q=1 HTTP/1.1\r\nHost: h\r\nX-Id: r2\r\n" KEY "\r\n", GOOD GOOD_2,
     502, NULL, 2 },
@@ -397,6 +402,168 @@
     }
 }
 
+/*
+ * Guards against an earlier refusal, written once more, that counts as the
+ * answer to the next request of its connection: that request was sent and may
+ * have run.
+ */
+#define REFUSAL(status, fields)                                                \
+  "HTTP/1.1 " status " No\r\nX-Not-Run: 1\r\n" fields                          \
+  "Content-Length: 4\r\n\r\nbusy"
+#define BODY_2                                                                 \
+  "POST /r/1?q=1 HTTP/1.1\r\nHost: h\r\nX-Id: r2\r\n" KEY                      \
+  "X-Deadline: 2000\r\nContent-Length: 262144\r\n\r\n"
+#define BODY_2_BYTES 262144
+
+static const struct
+{
+  const char *name;
+  const char *bytes;
+  bool has_id; /* the id shows that it belongs to an earlier request */
+} repeated_refusals[] = {
+  { "503 without an id", REFUSAL ("503", ""), false },
+  { "503 with an empty id", REFUSAL ("503", "X-Id:\r\n"), false },
+  { "503 with a time to retry", REFUSAL ("503", "Retry-After: 0.1\r\n"),
+    false },
+  { "429 without an id", REFUSAL ("429", ""), false },
+  { "421 without an id", REFUSAL ("421", ""), false },
+  { "421 that has no mark", "HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n",
+    false },
+  { "400 without an id", REFUSAL ("400", ""), false },
+  { "503 after an interim response",
+    "HTTP/1.1 100 Continue\r\n\r\n" REFUSAL ("503", ""), false },
+  { "503 with the earlier id", REFUSAL ("503", "X-Id: r1\r\n"), true },
+  { "429 with the earlier id", REFUSAL ("429", "X-Id: r1\r\n"), true },
+  { "421 with the earlier id", REFUSAL ("421", "X-Id: r1\r\n"), true },
+};
+
+/* Moment at which the refusal is written once more. */
+enum repeat_moment
+{
+  REPEAT_WITH_RESPONSE, /* in one segment with the earlier response */
+  REPEAT_WHILE_IDLE,
+  REPEAT_IN_ANSWER,
+  REPEAT_IN_PIECES,
+  REPEAT_IN_BODY, /* while the body of the next request is being sent */
+  REPEAT_MOMENTS,
+};
+
+static void
+run_repeated_refusal (const char *name,
+                      const char *refusal,
+                      bool has_id,
+                      enum repeat_moment moment)
+{
+  char guards[128];
+  char first[512];
+  char second[512];
+  char *request = NULL;
+  struct relay_case c = { .guards = guards,
+                          .kind = CATALOG_UNSAFE,
+                          .attempts = 2,
+                          .request = PLAIN,
+                          .responses = { { first }, { second }, { GOOD_2 } },
+                          .status = 200,
+                          .body = "ok",
+                          .sends = 1 };
+
+  snprintf (guards, sizeof guards, "%s is taken for an answer, moment %d", name,
+            (int)moment);
+  snprintf (first, sizeof first, "%s%s", GOOD,
+            moment == REPEAT_WITH_RESPONSE ? refusal : "");
+  snprintf (second, sizeof second, "%s%s",
+            moment == REPEAT_IN_ANSWER || moment == REPEAT_IN_PIECES ? refusal
+                                                                     : "",
+            GOOD_2);
+  c.responses[1].in_pieces = moment == REPEAT_IN_PIECES;
+  c.responses[1].early = moment == REPEAT_IN_BODY ? refusal : NULL;
+  setup (&c);
+  endpoints_delete (&test.endpoints, "e1", 1, 1);
+  endpoints_tick (&test.endpoints, 1);
+  run_until_response ();
+  assert_case_result (&c);
+  if (moment == REPEAT_WHILE_IDLE)
+    {
+      http_connection_write (&test.connections->connection, refusal,
+                             strlen (refusal));
+      for (unsigned n = 0; n < 20; n++)
+        event_base_loop (test.base, EVLOOP_NONBLOCK);
+    }
+  c.request = PLAIN_2;
+  if (moment == REPEAT_IN_BODY)
+    {
+      request = calloc (1, strlen (BODY_2) + BODY_2_BYTES + 1);
+      assert_non_null (request);
+      memcpy (request, BODY_2, strlen (BODY_2));
+      memset (request + strlen (BODY_2), 'x', BODY_2_BYTES);
+      c.request = request;
+    }
+  c.status = moment >= REPEAT_IN_ANSWER && !has_id ? 502 : 200;
+  c.body = c.status == 200 ? "two" : NULL;
+  c.sends = 2;
+  send_second_request (&c);
+  /* The endpoint may not have read the body of a request that has failed. */
+  if (moment == REPEAT_IN_BODY && test.status == 502 && test.sends == 1)
+    c.sends = 1;
+  assert_case_result (&c);
+  teardown ();
+  free (request);
+}
+
+static void
+test_repeated_refusals (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof repeated_refusals / sizeof repeated_refusals[0];
+       i++)
+    for (int moment = 0; moment < REPEAT_MOMENTS; moment++)
+      run_repeated_refusal (repeated_refusals[i].name,
+                            repeated_refusals[i].bytes,
+                            repeated_refusals[i].has_id, moment);
+}
+
+/*
+ * Guards against a copy of a refusal with the id of a request that comes again:
+ * a connection that carried a refusal carries no other request.
+ */
+static void
+test_refused_connection (void **state)
+{
+  static const char *const refusals[]
+      = { REFUSAL ("503", "X-Id: r1\r\n"), REFUSAL ("429", "X-Id: r1\r\n"),
+          REFUSAL ("421", "X-Id: r1\r\n") };
+
+  (void)state;
+  for (size_t i = 0; i < sizeof refusals / sizeof refusals[0]; i++)
+    {
+      struct relay_case c
+          = { .guards = "a refusal counts twice for the same id",
+              .kind = CATALOG_UNSAFE,
+              .attempts = 2,
+              .request = PLAIN,
+              .responses = { { refusals[i] }, { GOOD } },
+              .status = 503,
+              .sends = 1 };
+      struct endpoint_load *load;
+
+      setup (&c);
+      endpoints_delete (&test.endpoints, "e1", 1, 1);
+      endpoints_tick (&test.endpoints, 1);
+      run_until_response ();
+      assert_case_result (&c);
+      load = load_table_get (&test.relay.loads,
+                             endpoints_find (&test.endpoints, "e0"));
+      load->avoid_until_ms = 0;
+      c.status = 200;
+      c.body = "ok";
+      c.sends = 2;
+      send_second_request (&c);
+      assert_case_result (&c);
+      assert_non_null (test.connections->next);
+      teardown ();
+    }
+}
+
 /*
  * Guards against unsolicited bytes on an idle connection.  They end it, and the
  * next request gets a new connection.
@@ -662,6 +829,8 @@
     cmocka_unit_test (test_stalled_streams),
     cmocka_unit_test (test_slow_stream),
     cmocka_unit_test (test_late_duplicates),
+    cmocka_unit_test (test_repeated_refusals),
+    cmocka_unit_test (test_refused_connection),
     cmocka_unit_test (test_bytes_on_idle_connection),
     cmocka_unit_test (test_leaving),
     cmocka_unit_test (test_back_off),
