relay: promise "not run" only if the endpoint did

Callers of requests that run at most once could be told "not run, try again" for a request that had run: an endpoint's 503, 429 or 408 was passed on unchanged also if it did not say that the request had not run.

Cause: callers take these statuses as a promise, endpoints make it with a field of its own only. Such a response to a request that may not be repeated is now a 502. Repeatable requests get the endpoint's response as before; so do 421, which is a statement in itself, and responses that carry the field.

--- a/packages/relay/src/upstream.c
+++ b/packages/relay/src/upstream.c
@@ -365,6 +365,16 @@
          || http_head_get (head, upstream->relay->names->not_run) != NULL;
 }
 
+/*
+ * True if callers take the status as a promise that the request did not run.
+ * Without the field that says so, the endpoint has not made it.
+ */
+static bool
+is_promise_of_not_run (unsigned status)
+{
+  return status == 408 || status == 429 || status == 503;
+}
+
 /*
  * A response that ends with its connection may have been cut off by a crash
  * between two events.
@@ -413,6 +423,12 @@
                                                   : RESULT_ENDPOINT_BUSY);
       return;
     }
+  if (is_promise_of_not_run (upstream->status)
+      && !catalog_is_repeatable (request->route))
+    {
+      relay_fail_attempt (request, true, RESULT_UPSTREAM_UNKNOWN);
+      return;
+    }
   /*
    * The caller of a resumed stream cannot get another response head.  A failure
    * is forwarded unless another endpoint can be tried now: a refusal of the
--- a/packages/relay/tests/t0850-relay.c
+++ b/packages/relay/tests/t0850-relay.c
@@ -10,6 +10,10 @@
 
 /* Guards how requests and responses are forwarded, and what is refused. */
 
+#define UNMARKED(status)                                                       \
+  "HTTP/1.1 " status " No\r\nX-Id: r1\r\nX-Seal: s\r\nContent-Length: "        \
+  "3\r\n\r\nbad"
+
 static const struct relay_case cases[] = {
   { "a good response is changed",
     CATALOG_SAFE,
@@ -152,6 +156,38 @@
     .body = "bad",
     .sends = 1,
     .no_retries = true },
+  { .guards = "an unsafe request with a 503 that does not say not run is "
+              "reported as not run",
+    .kind = CATALOG_UNSAFE,
+    .attempts = 2,
+    .request = PLAIN,
+    .responses = { { UNMARKED ("503") }, { GOOD } },
+    .status = 502,
+    .sends = 1 },
+  { .guards = "an unsafe request with a 429 that does not say not run is "
+              "reported as not run",
+    .kind = CATALOG_UNSAFE,
+    .attempts = 2,
+    .request = PLAIN,
+    .responses = { { UNMARKED ("429") }, { GOOD } },
+    .status = 502,
+    .sends = 1 },
+  { .guards = "an unsafe request with a 408 that does not say not run is "
+              "reported as not run",
+    .kind = CATALOG_UNSAFE,
+    .attempts = 2,
+    .request = PLAIN,
+    .responses = { { UNMARKED ("408") }, { GOOD } },
+    .status = 502,
+    .sends = 1 },
+  { .guards = "a safe request with a 429 that does not say not run loses it",
+    .kind = CATALOG_SAFE,
+    .attempts = 2,
+    .request = PLAIN,
+    .responses = { { UNMARKED ("429") } },
+    .status = 429,
+    .body = "bad",
+    .sends = 1 },
   { .guards = "the content of an interim response is taken for the final one",
     .kind = CATALOG_UNSAFE,
     .attempts = 1,
