relay: let only the next event continue a broken stream

Callers could find an error's text in the middle of their stream, at times as its end: a stream had begun and broken off, and the next endpoint's answer had status 200 but was not the rest of the stream.

Cause: a resumed stream took any 200 for an event stream and checked the ids of events that have one only. An error without an end was read up to the deadline, because its status was looked at after its body.

Change: after the first endpoint, the head has to be that of an event stream, or the attempt ends with the head; its first event has to be the next one, and comments before that are dropped; without an event, the end of a connection is not that of the stream. A stream of events without ids is not continued. An empty rest in chunks still ends the stream: the endpoint says that nothing is left.

Ruled out (passed before too): 500, 503, 404, 421 and 429 with a length, in chunks and up to the end, 204, 206, events repeated or left out, an encoding, another request's answer, heads and fields without an end, breaking off again, each with and without another attempt, on kept and closing connections.

Without each of the seven guards (head, first event, end of connection, both ends of the number, streams without ids, dropped comments) one case or more fails.

--- a/packages/relay/include/relay.h
+++ b/packages/relay/include/relay.h
@@ -106,6 +106,7 @@
   bool is_sound;       /* it has written for long enough, see crash.c */
   bool head_seen;
   bool is_stream;
+  bool must_continue; /* the next event has to be the caller's next one */
   bool is_foreign;    /* the current response belongs to an earlier request */
   bool was_reused;    /* the connection has carried other requests */
   size_t stray_bytes; /* bytes since the last event, or of another response */
--- a/packages/relay/src/relay-internal.h
+++ b/packages/relay/src/relay-internal.h
@@ -114,7 +114,10 @@
                                   const struct http_head *head);
 void relay_response_send_plain (struct relay_request *request,
                                 struct relay_upstream *upstream);
-/* Forwards the whole events of a stream; false if their ids are unexpected. */
+/*
+ * Forwards the whole events of a stream; false if they do not continue what the
+ * caller has.
+ */
 bool relay_response_send_events (struct relay_request *request,
                                  struct relay_upstream *upstream);
 void relay_response_end_stream (struct relay_request *request);
--- a/packages/relay/src/response.c
+++ b/packages/relay/src/response.c
@@ -169,6 +169,26 @@
          || memmem (data, size, "\ndata:", 6) != NULL;
 }
 
+/* True if the event has comments and blank lines only. */
+static bool
+is_comment (const char *data, size_t size)
+{
+  size_t line_start = 0;
+
+  while (line_start < size)
+    {
+      const char *end = memchr (data + line_start, '\n', size - line_start);
+
+      if (data[line_start] != ':' && data[line_start] != '\r'
+          && data[line_start] != '\n')
+        return false;
+      if (end == NULL)
+        return true;
+      line_start = (size_t)(end - data) + 1;
+    }
+  return true;
+}
+
 /* Parses the number in the event's id line; false if it has none. */
 static bool
 parse_event_id (const char *data, size_t size, uint64_t *id)
@@ -181,10 +201,14 @@
 
       if (strncmp (data + line_start, "id:", 3) == 0)
         {
+          const char *number = data + line_start + 3;
           char *stop;
 
-          *id = strtoull (data + line_start + 3, &stop, 10);
-          return stop != data + line_start + 3;
+          number += strspn (number, " ");
+          if (*number < '0' || *number > '9')
+            return false;
+          *id = strtoull (number, &stop, 10);
+          return *stop == '\n' || *stop == '\r';
         }
       if (end == NULL)
         return false;
@@ -193,41 +217,73 @@
   return false;
 }
 
+/* Counts the event; false if it does not continue the caller's stream. */
+static bool
+count_event (struct relay_request *request,
+             struct relay_upstream *upstream,
+             const char *data,
+             size_t size)
+{
+  uint64_t id;
+
+  if (parse_event_id (data, size, &id))
+    {
+#ifndef BREAK_GUARD_EDGE_RESUME
+      if (request->has_last_event
+              ? id != request->last_event + 1
+              : upstream->must_continue && request->events_sent > 0)
+        return false;
+      request->last_event = id;
+      request->has_last_event = true;
+#endif
+      upstream->must_continue = false;
+      request->events_sent++;
+      return true;
+    }
+  if (upstream->must_continue)
+    return is_comment (data, size);
+  if (event_has_data (data, size))
+    request->events_sent++;
+  return true;
+}
+
 /*
- * Counts the whole events at the start of the buffer, and checks that their ids
- * are consecutive.
+ * Counts the whole events at the start of the buffer.  skipped_bytes: comments
+ * at its start that are dropped, because what they come before may not continue
+ * the caller's stream.
  */
 static bool
 count_events (struct relay_request *request,
               struct relay_upstream *upstream,
+              size_t *skipped_bytes,
               size_t *whole_bytes)
 {
   const char *data = upstream->body.data;
   size_t end;
 
+  *skipped_bytes = 0;
   *whole_bytes = 0;
   while ((end = find_event_end (upstream)) > 0)
     {
-      size_t size = end - *whole_bytes;
-      uint64_t id;
-
-      if (parse_event_id (data + *whole_bytes, size, &id))
-        {
-#ifndef BREAK_GUARD_EDGE_RESUME
-          if (request->has_last_event && id != request->last_event + 1)
-            return false;
-          request->last_event = id;
-          request->has_last_event = true;
-#endif
-          request->events_sent++;
-        }
-      else if (event_has_data (data + *whole_bytes, size))
-        request->events_sent++;
+      if (!count_event (request, upstream, data + *whole_bytes,
+                        end - *whole_bytes))
+        return false;
       *whole_bytes = end;
+      if (upstream->must_continue)
+        *skipped_bytes = end;
     }
   return true;
 }
 
+/* Removes forwarded events from the start of the buffer. */
+static void
+remove_events (struct relay_upstream *upstream, size_t size)
+{
+  http_text_remove_prefix (&upstream->body, size);
+  upstream->line_start -= size;
+  upstream->scanned_to -= size;
+}
+
 bool
 relay_response_send_events (struct relay_request *request,
                             struct relay_upstream *upstream)
@@ -236,9 +292,15 @@
   struct http_connection *caller_connection = &request->caller->connection;
   struct http_text text;
   bool is_valid;
+  size_t skipped_bytes;
   size_t whole_bytes;
 
-  is_valid = count_events (request, upstream, &whole_bytes);
+  is_valid = count_events (request, upstream, &skipped_bytes, &whole_bytes);
+  if (skipped_bytes > 0)
+    {
+      remove_events (upstream, skipped_bytes);
+      whole_bytes -= skipped_bytes;
+    }
   if (whole_bytes == 0)
     return is_valid;
   http_text_init (&text);
@@ -260,9 +322,7 @@
   http_text_format (&text, "%zx\r\n", whole_bytes);
   http_text_add (&text, upstream->body.data, whole_bytes);
   http_text_add (&text, "\r\n", 2);
-  http_text_remove_prefix (&upstream->body, whole_bytes);
-  upstream->line_start -= whole_bytes;
-  upstream->scanned_to -= whole_bytes;
+  remove_events (upstream, whole_bytes);
   if (text.failed)
     is_valid = false;
   else
--- a/packages/relay/src/upstream.c
+++ b/packages/relay/src/upstream.c
@@ -4,6 +4,7 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
 /* Time in which a connection must be established. */
 #define CONNECT_TIMEOUT_MS 300
@@ -95,6 +96,7 @@
   upstream->has_written = false;
   upstream->head_seen = false;
   upstream->is_stream = false;
+  upstream->must_continue = request->head_sent;
   upstream->is_foreign = false;
   upstream->stray_bytes = 0;
   upstream->line_start = 0;
@@ -200,6 +202,41 @@
   balance_note_back_off (load, now_ms + back_off_ms);
 }
 
+/* True if the endpoint reports that the request did not run. */
+static bool
+reports_not_run (const struct relay_upstream *upstream)
+{
+  const struct http_head *head = &upstream->connection.head;
+
+  return upstream->status == 421
+         || http_head_get (head, upstream->relay->names->not_run) != NULL;
+}
+
+/* Ends an attempt whose response is not for the caller. */
+static void
+fail_response (struct relay_upstream *upstream)
+{
+  if (!reports_not_run (upstream))
+    relay_fail_attempt (upstream->request, true, RESULT_UPSTREAM_UNKNOWN);
+  else
+    relay_fail_attempt (upstream->request, false,
+                        upstream->status == 421 ? RESULT_ENDPOINT_WRONG_GROUP
+                                                : RESULT_ENDPOINT_BUSY);
+}
+
+/* True if the head is that of an event stream. */
+static bool
+is_event_stream (const struct relay_upstream *upstream,
+                 const struct http_head *head)
+{
+  static const char event_stream[] = "text/event-stream";
+  const char *type = http_head_get (head, "Content-Type");
+
+  return upstream->is_stream
+         && (type == NULL
+             || strncasecmp (type, event_stream, strlen (event_stream)) == 0);
+}
+
 static void
 on_head (void *context, const struct http_head *head)
 {
@@ -248,6 +285,12 @@
     }
   upstream->is_stream
       = request->route->kind == CATALOG_STREAM && head->status == 200;
+  /* The caller of a resumed stream cannot get another response. */
+  if (request->head_sent && !is_event_stream (upstream, head))
+    {
+      fail_response (upstream);
+      return;
+    }
   note_progress (upstream);
   relay_response_collect_head (upstream, head);
 }
@@ -355,16 +398,6 @@
   http_connection_next_message (&upstream->connection, false);
 }
 
-/* True if the endpoint reports that the request did not run. */
-static bool
-reports_not_run (const struct relay_upstream *upstream)
-{
-  const struct http_head *head = &upstream->connection.head;
-
-  return upstream->status == 421
-         || http_head_get (head, upstream->relay->names->not_run) != NULL;
-}
-
 /*
  * True if callers take the status as a promise that the request did not run.
  * Without the field that says so, the endpoint has not made it.
@@ -394,7 +427,9 @@
   struct relay_request *request = upstream->request;
   struct relay_caller *caller = request->caller;
 
-  if (upstream->body.size > 0 || request->events_sent == 0)
+  /* Without an event the end of the connection is not that of the stream. */
+  if (upstream->body.size > 0 || request->events_sent == 0
+      || (upstream->must_continue && upstream->connection.ended))
     {
       if (upstream->connection.ended)
         relay_suspect_crash (request, true);
@@ -416,28 +451,16 @@
   struct relay_caller *caller = request->caller;
   bool failed = upstream->status >= 500;
 
-  if (reports_not_run (upstream))
-    {
-      relay_fail_attempt (request, false,
-                          upstream->status == 421 ? RESULT_ENDPOINT_WRONG_GROUP
-                                                  : RESULT_ENDPOINT_BUSY);
-      return;
-    }
-  if (is_promise_of_not_run (upstream->status)
-      && !catalog_is_repeatable (request->route))
-    {
-      relay_fail_attempt (request, true, RESULT_UPSTREAM_UNKNOWN);
-      return;
-    }
   /*
-   * The caller of a resumed stream cannot get another response head.  A failure
-   * is forwarded unless another endpoint can be tried now: a refusal of the
-   * relay would say less than the endpoint's response.
+   * A failure is forwarded unless another endpoint can be tried now: a refusal
+   * of the relay would say less than the endpoint's response.
    */
-  if (request->head_sent
+  if (reports_not_run (upstream)
+      || (is_promise_of_not_run (upstream->status)
+          && !catalog_is_repeatable (request->route))
       || (failed && relay_check_failover (request) == BALANCE_CHOSEN))
     {
-      relay_fail_attempt (request, true, RESULT_UPSTREAM_UNKNOWN);
+      fail_response (upstream);
       return;
     }
   if (failed)
