gateway: keep no connection that carried a refusal

A caller could be told "not run" for a generation that an endpoint was running, and the request ran at a second endpoint: an endpoint wrote an earlier refusal (429, 409, or 503 of a leaving one) once more on a kept connection, where the answer to the next request was due.

Cause: engines need not repeat X-Request-Id, and a refusal without it counted whatever had been on the connection. evhttp also keeps bytes that follow a response in one segment, and parses them as the next answer.

Change: a connection that carried a refusal, or that has bytes left over after its response, is closed.

Ruled out: refusals with another request's id (compared before), calls that may not be repeated (each has a connection of its own), bytes that arrive on an idle connection (evhttp resets it).

Result: t0830 test_repeated_refusal failed before (503 "not-run") and passes; it fails without either guard. Remains: an extra refusal without an id that follows a sound answer late, when the next request has been written, counts as that request's; generations may be repeated, so that nothing runs twice that must not.

--- a/packages/gateway/src/endpoint.c
+++ b/packages/gateway/src/endpoint.c
@@ -23,6 +23,16 @@
   free (connection);
 }
 
+/* True if bytes have arrived after the response; they belong to no call. */
+static bool
+has_input (const struct endpoint_connection *connection)
+{
+  struct bufferevent *bev
+      = evhttp_connection_get_bufferevent (connection->http);
+
+  return evbuffer_get_length (bufferevent_get_input (bev)) > 0;
+}
+
 static void
 call_free (struct endpoint_call *call)
 {
@@ -31,6 +41,7 @@
 
   LIST_REMOVE (call, link);
   if (connection != NULL && call->connection_reusable && !call->own_connection
+      && !has_input (connection)
       && client->idle_count < ENDPOINT_IDLE_CONNECTION_LIMIT)
     {
       connection->call = NULL;
@@ -292,6 +303,16 @@
   return value != NULL && evutil_ascii_strcasecmp (value, "close") == 0;
 }
 
+/*
+ * True if the response may say that the call did not run.  Written once more,
+ * it would say so of the next call on its connection.
+ */
+static bool
+is_refusal (int status)
+{
+  return status == 409 || status == 429 || status == 503;
+}
+
 static void
 on_response_done (struct evhttp_request *request, void *context)
 {
@@ -307,7 +328,8 @@
           return;
         }
       deliver_response_body (call, request);
-      call->connection_reusable = !has_connection_close (request);
+      call->connection_reusable
+          = !has_connection_close (request) && !is_refusal (call->status);
       report_call_end (call, RESULT_OK);
       return;
     }
--- a/packages/gateway/src/endpoint.h
+++ b/packages/gateway/src/endpoint.h
@@ -12,8 +12,9 @@
 
 /*
  * HTTP/1.1 client for endpoints.  A connection carries one call at a time.  It
- * is reused only if the response of the last call was read completely, and is
- * closed otherwise, so that a late response can never reach another call.
+ * is reused only if the response of the last call was read completely, was no
+ * refusal and no bytes follow it, and is closed otherwise, so that a late
+ * response can never reach another call.
  */
 
 /* An idle connection is closed after this time. */
--- a/packages/gateway/tests/harness.h
+++ b/packages/gateway/tests/harness.h
@@ -54,6 +54,7 @@
   bool closed;         /* by the gateway */
   bool sends_comments; /* sends a comment every TICK_US */
   bool unframed;       /* the response has neither length nor chunks */
+  bool reused;         /* its connection has carried another call */
 };
 
 /*
@@ -66,7 +67,8 @@
  * every TICK_US; endless sends bytes without end; error starts a 500 response
  * of unknown length; stale sends the response to another request.  U starts a
  * stream, and open sends a service response, that have neither a length nor
- * chunks; half sends the beginning of an event.
+ * chunks; half sends the beginning of an event; again sends a refusal if the
+ * connection has carried another call; extra sends one after the response.
  */
 struct testbed
 {
@@ -262,6 +264,7 @@
     }
 }
 
+#define REFUSAL "HTTP/1.1 429 X\r\nContent-Length: 0\r\n\r\n"
 #define STALE_BODY "data: {\"index\":0,\"text\":\"stale \"}\n\ndata: [DONE]\n\n"
 
 static void
@@ -282,7 +285,7 @@
           && strcmp (word, "ok") != 0 && strcmp (word, "H") != 0
           && strcmp (word, "N") != 0 && strcmp (word, "error") != 0
           && strcmp (word, "stale") != 0 && strcmp (word, "U") != 0
-          && strcmp (word, "open") != 0)
+          && strcmp (word, "open") != 0 && strcmp (word, "again") != 0)
         {
           header_sent = true;
           call_send_stream_header (call);
@@ -349,6 +352,11 @@
                              "Content-Type: text/event-stream\r\n"
                              "Content-Length: %zu\r\n\r\n%s",
                              strlen (STALE_BODY), STALE_BODY);
+      else if (strcmp (word, "extra") == 0
+               || (strcmp (word, "again") == 0 && call->reused))
+        evbuffer_add_printf (bufferevent_get_output (call->bev), REFUSAL);
+      else if (strcmp (word, "again") == 0)
+        continue;
       else if (strcmp (word, "endless") == 0)
         {
           bufferevent_setcb (call->bev, NULL, send_endless_bytes, on_call_event,
@@ -385,6 +393,7 @@
       next->testbed = testbed;
       next->endpoint = call->endpoint;
       next->bev = bev;
+      next->reused = true;
       call->bev = NULL;
       call = next;
       bufferevent_setcb (bev, on_call_data, NULL, on_call_event, call);
--- a/packages/gateway/tests/t0830-stream.c
+++ b/packages/gateway/tests/t0830-stream.c
@@ -258,6 +258,55 @@
   testbed_free (testbed);
 }
 
+/*
+ * Guards against an earlier refusal, written once more on a kept connection,
+ * that counts as the answer to the next request: "not run" would be untrue.
+ */
+static const struct
+{
+  const char *name;
+  const char *first;  /* script of the first call */
+  int first_status;   /* at its caller */
+  const char *second; /* script of the second call */
+} repeated_refusals[] = {
+  { "429", "429", 503, "again 0 1 2 3 D E" },
+  { "409", "409", 503, "again 0 1 2 3 D E" },
+  { "503 of a leaving endpoint", "leaving", 503, "again 0 1 2 3 D E" },
+  { "after the response", "0 1 2 3 D E extra", 200, "0 1 2 3 D E" },
+};
+
+static void
+test_repeated_refusal (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof repeated_refusals / sizeof repeated_refusals[0];
+       i++)
+    {
+      struct testbed *testbed = testbed_new ();
+
+      testbed->limits.attempts = 1;
+      start_testbed (testbed, repeated_refusals[i].first,
+                     repeated_refusals[i].second);
+      for (size_t n = 0; n < 2; n++)
+        {
+          int status = n == 0 ? repeated_refusals[i].first_status : 200;
+          struct client client;
+
+          client_open (testbed, &client, 0);
+          client_send (&client, "POST", COMPLETIONS, "acme", "",
+                       UNSTREAMED_BODY);
+          client_wait (testbed, &client);
+          if (client_status (&client) != status)
+            fail_msg ("%s, request %zu: %s", repeated_refusals[i].name, n,
+                      client_text (&client));
+          client_close (&client);
+        }
+      assert_int_equal (testbed->script_calls, 2);
+      assert_int_equal (testbed->accepted, 2);
+      testbed_free (testbed);
+    }
+}
+
 /*
  * The response of a cancelled call may still arrive, so its connection must be
  * closed, not reused.
@@ -585,6 +634,7 @@
     cmocka_unit_test (test_connection_reuse),
     cmocka_unit_test (test_faulty_endpoint),
     cmocka_unit_test (test_stale_response),
+    cmocka_unit_test (test_repeated_refusal),
     cmocka_unit_test (test_no_reuse_after_cancel),
     cmocka_unit_test (test_place_checked_on_retry),
     cmocka_unit_test (test_deadline),
