gateway: test wrong answers after a stream has begun

Whether callers can find the next endpoint's error in a stream that has begun and broken off, or an end that is none: not in the gateway. t0830 test_wrong_answers plays 23 answers of the next endpoint (statuses with a length, in chunks, up to the end and cut; 200 of another type or request, encoded, with error events, text, half events, no event, a token left out), with and without another attempt: the stream goes on with the next token or ends with an error event and without [DONE].

--- a/packages/gateway/tests/harness.h
+++ b/packages/gateway/tests/harness.h
@@ -68,7 +68,9 @@
  * of unknown length; stale sends the response to another request.  U starts a
  * stream, and open sends a service response, that have neither a length nor
  * chunks; half sends the beginning of an event; again sends a refusal if the
- * connection has carried another call; extra sends one after the response.
+ * connection has carried another call; extra sends one after the response; html
+ * sends a response 200 that is no stream; event sends an error event; text
+ * sends a line that is no event; zip sends the header of an encoded stream.
  */
 struct testbed
 {
@@ -264,6 +266,7 @@
     }
 }
 
+#define OOPS_LINES "oops\n\n"
 #define REFUSAL "HTTP/1.1 429 X\r\nContent-Length: 0\r\n\r\n"
 #define STALE_BODY "data: {\"index\":0,\"text\":\"stale \"}\n\ndata: [DONE]\n\n"
 
@@ -285,7 +288,8 @@
           && strcmp (word, "ok") != 0 && strcmp (word, "H") != 0
           && strcmp (word, "N") != 0 && strcmp (word, "error") != 0
           && strcmp (word, "stale") != 0 && strcmp (word, "U") != 0
-          && strcmp (word, "open") != 0 && strcmp (word, "again") != 0)
+          && strcmp (word, "open") != 0 && strcmp (word, "again") != 0
+          && strcmp (word, "html") != 0 && strcmp (word, "zip") != 0)
         {
           header_sent = true;
           call_send_stream_header (call);
@@ -357,6 +361,24 @@
         evbuffer_add_printf (bufferevent_get_output (call->bev), REFUSAL);
       else if (strcmp (word, "again") == 0)
         continue;
+      else if (strcmp (word, "html") == 0)
+        evbuffer_add_printf (bufferevent_get_output (call->bev),
+                             "HTTP/1.1 200 X\r\nContent-Type: text/html\r\n"
+                             "Content-Length: %zu\r\n\r\n%s",
+                             strlen (OOPS_LINES), OOPS_LINES);
+      else if (strcmp (word, "event") == 0)
+        evbuffer_add_printf (bufferevent_get_output (call->bev),
+                             "1a\r\nevent: error\ndata: oops\n\n\n\r\n");
+      else if (strcmp (word, "text") == 0)
+        evbuffer_add_printf (bufferevent_get_output (call->bev), "6\r\n%s\r\n",
+                             OOPS_LINES);
+      else if (strcmp (word, "zip") == 0)
+        {
+          header_sent = true;
+          evbuffer_add_printf (bufferevent_get_output (call->bev),
+                               "HTTP/1.1 200 X\r\nContent-Encoding: gzip\r\n"
+                               "Transfer-Encoding: chunked\r\n\r\n");
+        }
       else if (strcmp (word, "endless") == 0)
         {
           bufferevent_setcb (call->bev, NULL, send_endless_bytes, on_call_event,
--- a/packages/gateway/tests/t0830-stream.c
+++ b/packages/gateway/tests/t0830-stream.c
@@ -231,6 +231,87 @@
     }
 }
 
+/*
+ * Guards against the next endpoint's answer in the middle of a stream that has
+ * begun and broken off, and against an end of the stream that is none.
+ */
+static const struct
+{
+  const char *name;
+  const char *script; /* of the next endpoint */
+  bool is_final;      /* the stream ends with an error, whatever is left */
+} wrong_answers[] = {
+  { "500", "500", false },
+  { "500 in chunks", "error E", false },
+  { "500 that breaks off", "error R", false },
+  { "503", "503", false },
+  { "503 of a leaving endpoint", "leaving", false },
+  { "429", "429", false },
+  { "409", "409", false },
+  { "404", "404", false },
+  { "201", "ok", false },
+  { "201 up to the end", "open F", false },
+  { "200 of another type", "html", false },
+  { "200 of another request", "stale", false },
+  { "200 that is encoded", "zip text E", false },
+  { "200 with an error event", "event E", false },
+  { "200 with a token after an error event", "event 2 3 D E", false },
+  { "200 with a text", "text E", false },
+  { "200 with no event", "E", false },
+  { "200 with no event up to the end", "U F", false },
+  { "200 with half an event up to the end", "U half F", false },
+  { "200 with an event that is no token", "bad E", false },
+  { "200 that breaks off", "2 R", false },
+  { "200 that leaves out a token", "3 D E", true },
+  { "no answer", "N", false },
+};
+
+static void
+run_wrong_answer (size_t index, bool can_resume_again)
+{
+  const char *name = wrong_answers[index].name;
+  const char *rest
+      = strcmp (wrong_answers[index].script, "2 R") == 0 ? "3 D E" : "2 3 D E";
+  bool is_whole = can_resume_again && !wrong_answers[index].is_final;
+  struct testbed *testbed = testbed_new ();
+  struct client client;
+  const char *text;
+  size_t tokens = 0;
+
+  testbed->limits.attempts = can_resume_again ? 3 : 2;
+  testbed->limits.first_retry_delay_ms = 1;
+  /* A second reset would quarantine the request, which ends the stream. */
+  testbed->scripts[testbed->script_count++]
+      = can_resume_again ? "0 1 E" : "0 1 R";
+  start_testbed (testbed, wrong_answers[index].script, rest);
+  client_open (testbed, &client, 0);
+  client_send (&client, "POST", COMPLETIONS, "acme", "", STREAMED_BODY);
+  text = client_wait (testbed, &client);
+  if ((strstr (text, "data: [DONE]") != NULL) != is_whole
+      || (strstr (text, "event: error") != NULL) == is_whole)
+    fail_msg ("%s, %d: %s", name, can_resume_again, text);
+  if (strstr (text, "oops") != NULL || strstr (text, "stale") != NULL
+      || strstr (text, "serial") != NULL || strstr (text, "\"x\"") != NULL)
+    fail_msg ("%s is in the stream: %s", name, text);
+  for (const char *at = text; (at = strstr (at, "\"w")) != NULL; at += 2)
+    if (strtoul (at + 2, NULL, 10) != tokens++)
+      fail_msg ("%s: %s", name, text);
+  assert_true (is_whole ? tokens == 4 : tokens >= 2);
+  client_close (&client);
+  testbed_free (testbed);
+}
+
+static void
+test_wrong_answers (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof wrong_answers / sizeof wrong_answers[0]; i++)
+    {
+      run_wrong_answer (i, true);
+      run_wrong_answer (i, false);
+    }
+}
+
 /*
  * A late response to an earlier request arrives on a reused connection: it must
  * not reach the caller, and the request is retried.
@@ -633,6 +714,7 @@
     cmocka_unit_test (test_tcp_nodelay),
     cmocka_unit_test (test_connection_reuse),
     cmocka_unit_test (test_faulty_endpoint),
+    cmocka_unit_test (test_wrong_answers),
     cmocka_unit_test (test_stale_response),
     cmocka_unit_test (test_repeated_refusal),
     cmocka_unit_test (test_no_reuse_after_cancel),
