strikes: keep answers to whole requests before their crashes are known

A caller's repeated request was refused for ten minutes although it had been answered after each of its crashes: host A saw it crash an endpoint, host B, which had not heard of that yet, answered it, and so once more.

Cause: an answer voids the strikes of an entry, and B had none. For parts of prompts there is a cache of answers that an entry starts with, for whole requests there was not, and the relay computed no fingerprint while its host had no strikes at all. Both kinds have such a cache now, one each, so that fingerprints do not displace parts.

Ruled out: the order in which strikes and answers are told (the merge is commutative; the answer was lost where it was given). The gateway's peers tell no ages: what they report is as old as its arrival, so an answer given before a report still does not void it there.

--- a/packages/relay/src/crash.c
+++ b/packages/relay/src/crash.c
@@ -47,22 +47,15 @@
 }
 
 static void
-get_parts (const struct relay_request *request, struct strikes_traits *traits)
+get_traits (const struct relay_request *request, struct strikes_traits *traits)
 {
-  traits->fingerprint[0] = '\0';
+  compute_fingerprint (request, traits->fingerprint);
   traits->part_count = request->shared_part_count;
   for (unsigned i = 0; i < request->shared_part_count; i++)
     snprintf (traits->parts[i], sizeof traits->parts[i], "%" PRIx64,
               request->shared_parts[i]);
 }
 
-static void
-get_traits (const struct relay_request *request, struct strikes_traits *traits)
-{
-  get_parts (request, traits);
-  compute_fingerprint (request, traits->fingerprint);
-}
-
 static int64_t
 get_incarnation (const struct endpoint_load *load)
 {
@@ -173,11 +166,7 @@
   struct relay *relay = request->relay;
   struct strikes_traits traits;
 
-  /* Without strikes only the history of parts matters. */
-  if (relay->strikes.entries != NULL)
-    get_traits (request, &traits);
-  else
-    get_parts (request, &traits);
+  get_traits (request, &traits);
   strikes_note_answer (&relay->strikes, &traits, relay->now_ms);
 }
 
--- a/packages/strikes/include/strikes.h
+++ b/packages/strikes/include/strikes.h
@@ -56,6 +56,7 @@
 {
   STRIKES_REQUEST, /* the trait is a fingerprint */
   STRIKES_PART,
+  STRIKES_KINDS,
 };
 
 struct strike
@@ -83,10 +84,13 @@
   UT_hash_handle hh;
 };
 
-/* When a part was last in an answer, for parts without an entry. */
+/*
+ * When a request with the trait was last answered, for traits without an entry:
+ * the crash before may become known later.
+ */
 struct strikes_answered
 {
-  uint64_t part; /* hash_string of the trait */
+  uint64_t trait; /* hash_string of the trait */
   int64_t at_ms;
 };
 
@@ -100,8 +104,8 @@
   unsigned copies;  /* value of unsent after a change seen here */
   uint64_t changes; /* of what counts; verdicts hold while it is the same */
   uint64_t refreshed_changes; /* as of the last strikes_refresh */
-  /* Direct-mapped cache. */
-  struct strikes_answered history[STRIKES_HISTORY_SIZE];
+  /* Direct-mapped caches. */
+  struct strikes_answered history[STRIKES_KINDS][STRIKES_HISTORY_SIZE];
 };
 
 /* The traits of one request. */
--- a/packages/strikes/src/strikes.c
+++ b/packages/strikes/src/strikes.c
@@ -101,9 +101,11 @@
 }
 
 static struct strikes_answered *
-get_history_slot (struct strikes *strikes, uint64_t part)
+get_history_slot (struct strikes *strikes,
+                  enum strikes_kind kind,
+                  uint64_t trait)
 {
-  return &strikes->history[part % STRIKES_HISTORY_SIZE];
+  return &strikes->history[kind][trait % STRIKES_HISTORY_SIZE];
 }
 
 static struct strike_entry *
@@ -113,11 +115,12 @@
 {
   struct strike_entry *entry = strikes_create (strikes, trait, kind);
   uint64_t hash = hash_string (trait, 0);
+  const struct strikes_answered *answered
+      = get_history_slot (strikes, kind, hash);
 
-  if (entry != NULL && kind == STRIKES_PART
-      && get_history_slot (strikes, hash)->part == hash)
+  if (entry != NULL && answered->trait == hash)
     {
-      entry->answered_ms = get_history_slot (strikes, hash)->at_ms;
+      entry->answered_ms = answered->at_ms;
       entry->unsent = strikes->copies;
     }
   return entry;
@@ -238,13 +241,10 @@
                        enum strikes_kind kind,
                        int64_t now_ms)
 {
-  if (kind == STRIKES_PART)
-    {
-      uint64_t hash = hash_string (trait, 0);
+  uint64_t hash = hash_string (trait, 0);
 
-      *get_history_slot (strikes, hash)
-          = (struct strikes_answered){ hash, now_ms };
-    }
+  *get_history_slot (strikes, kind, hash)
+      = (struct strikes_answered){ hash, now_ms };
   return strikes_clear (strikes, trait, now_ms, strikes->copies);
 }
 
--- a/packages/strikes/tests/t0205-strikes.c
+++ b/packages/strikes/tests/t0205-strikes.c
@@ -10,7 +10,7 @@
 
 struct strike_step
 {
-  char event; /* a add, c clear, r release, t tick, ' ' nothing */
+  char event; /* a add, c clear, n answer, r release, t tick, ' ' none */
   const char *crash;
   int64_t at_ms;
   bool is_new;      /* result of strikes_add */
@@ -70,6 +70,19 @@
     { { 'a', "b1", 0, true, 1, 0 },
       { ' ', NULL, EXPIRY_MS, false, 0, 0 },
       { 'a', "b2", EXPIRY_MS, true, 1, 0 } } },
+  { "an answer is forgotten, because the crash was not known yet",
+    { { 'n', NULL, 10, false, 0, 0 },
+      { 'a', "b1", 5, true, 0, 0 },
+      { 'a', "b2", 20, true, 1, 0 },
+      { 'a', "b3", 30, true, 2, EXPIRY_MS } } },
+  { "an earlier answer clears a later crash",
+    { { 'n', NULL, 10, false, 0, 0 },
+      { 'a', "b1", 11, true, 1, 0 },
+      { 'a', "b2", 12, true, 2, EXPIRY_MS } } },
+  { "an answer after the first is forgotten",
+    { { 'n', NULL, 10, false, 0, 0 },
+      { 'n', NULL, 20, false, 0, 0 },
+      { 'a', "b1", 15, true, 0, 0 } } },
   { "release or clear of an unknown request fails",
     { { 'r', NULL, 0, false, 0, 0 }, { 'c', NULL, 0, false, 0, 0 } } },
 };
@@ -86,6 +99,8 @@
         step->is_new);
   else if (step->event == 'c')
     strikes_clear (strikes, "f", step->at_ms, 0);
+  else if (step->event == 'n')
+    strikes_note_answered (strikes, "f", STRIKES_REQUEST, step->at_ms);
   else if (step->event == 'r')
     strikes_release (strikes, "f", step->at_ms);
   else if (step->event == 't')
