--- a/packages/gateway/tests/harness.h
+++ b/packages/gateway/tests/harness.h
@@ -54,6 +54,7 @@
   bool closed;         /* by the gateway */
   bool sends_comments; /* sends a comment every TICK_US */
   bool unframed;       /* the response has neither length nor chunks */
+  bool reused;         /* its connection has carried another call */
 };
 
 /*
@@ -66,7 +67,10 @@
  * every TICK_US; endless sends bytes without end; error starts a 500 response
  * of unknown length; stale sends the response to another request.  U starts a
  * stream, and open sends a service response, that have neither a length nor
- * chunks; half sends the beginning of an event.
+ * chunks; half sends the beginning of an event; again sends a refusal if the
+ * connection has carried another call; extra sends one after the response; html
+ * sends a response 200 that is no stream; event sends an error event; text
+ * sends a line that is no event; zip sends the header of an encoded stream.
  */
 struct testbed
 {
@@ -262,6 +266,8 @@
     }
 }
 
+#define OOPS_LINES "oops\n\n"
+#define REFUSAL "HTTP/1.1 429 X\r\nContent-Length: 0\r\n\r\n"
 #define STALE_BODY "data: {\"index\":0,\"text\":\"stale \"}\n\ndata: [DONE]\n\n"
 
 static void
@@ -282,7 +288,8 @@
           && strcmp (word, "ok") != 0 && strcmp (word, "H") != 0
           && strcmp (word, "N") != 0 && strcmp (word, "error") != 0
           && strcmp (word, "stale") != 0 && strcmp (word, "U") != 0
-          && strcmp (word, "open") != 0)
+          && strcmp (word, "open") != 0 && strcmp (word, "again") != 0
+          && strcmp (word, "html") != 0 && strcmp (word, "zip") != 0)
         {
           header_sent = true;
           call_send_stream_header (call);
@@ -349,6 +356,29 @@
                              "Content-Type: text/event-stream\r\n"
                              "Content-Length: %zu\r\n\r\n%s",
                              strlen (STALE_BODY), STALE_BODY);
+      else if (strcmp (word, "extra") == 0
+               || (strcmp (word, "again") == 0 && call->reused))
+        evbuffer_add_printf (bufferevent_get_output (call->bev), REFUSAL);
+      else if (strcmp (word, "again") == 0)
+        continue;
+      else if (strcmp (word, "html") == 0)
+        evbuffer_add_printf (bufferevent_get_output (call->bev),
+                             "HTTP/1.1 200 X\r\nContent-Type: text/html\r\n"
+                             "Content-Length: %zu\r\n\r\n%s",
+                             strlen (OOPS_LINES), OOPS_LINES);
+      else if (strcmp (word, "event") == 0)
+        evbuffer_add_printf (bufferevent_get_output (call->bev),
+                             "1a\r\nevent: error\ndata: oops\n\n\n\r\n");
+      else if (strcmp (word, "text") == 0)
+        evbuffer_add_printf (bufferevent_get_output (call->bev), "6\r\n%s\r\n",
+                             OOPS_LINES);
+      else if (strcmp (word, "zip") == 0)
+        {
+          header_sent = true;
+          evbuffer_add_printf (bufferevent_get_output (call->bev),
+                               "HTTP/1.1 200 X\r\nContent-Encoding: gzip\r\n"
+                               "Transfer-Encoding: chunked\r\n\r\n");
+        }
       else if (strcmp (word, "endless") == 0)
         {
           bufferevent_setcb (call->bev, NULL, send_endless_bytes, on_call_event,
@@ -385,6 +415,7 @@
       next->testbed = testbed;
       next->endpoint = call->endpoint;
       next->bev = bev;
+      next->reused = true;
       call->bev = NULL;
       call = next;
       bufferevent_setcb (bev, on_call_data, NULL, on_call_event, call);
