--- a/soak/schedule.c
+++ b/soak/schedule.c
@@ -436,6 +436,7 @@
   { "hosts-killed", TARGET_CROWD, 3, 200, 2500, 10, 90, kill_many_hosts, NULL },
   { "hosts-stopped", TARGET_CROWD, 3, 200, 2500, 10, 90, stop_many_hosts, NULL },
   { "endpoints-reborn", TARGET_CROWD, 6, 0, 0, 1, 10, restart_many_endpoints, NULL },
+  { "all-orders-late", TARGET_CROWD, 6, 1000, 4000, 80, 100, NULL, delay_orders },
   { "route-moves", TARGET_NONE, 5, 0, 0, 0, 0, move_route, NULL },
   { "routes-change", TARGET_NONE, 3, 0, 0, 0, 0, change_extra_routes, NULL },
   { "key-taken", TARGET_NONE, 8, 0, 0, 0, 0, revoke_key, NULL },
