--- a/soak/world.c
+++ b/soak/world.c
@@ -244,6 +244,7 @@
                 world->hosts, world->host_count, world_data_centres,
                 shape->data_centres, options->callers, rng_next (&world->rng));
   world->callers.stopped = true;
+  world->now_ms = time_boot_ms ();
   return true;
 }
 
