soak: leave no port of a proxy in TIME_WAIT

Two large soaks at once left 25,000 of 28,000 ports in TIME_WAIT (half of them at the proxies), so that opening listening ports took seconds or failed, also for tests that ran beside: t0972, t0973 and t0974 failed once together, and passed alone. The proxy resets the side of the endpoint or store after the host has closed its own; both take either end alike.

--- a/soak/proxy.c
+++ b/soak/proxy.c
@@ -128,6 +128,10 @@
                get_sink (connection, (enum proxy_direction)direction)))
                == 0)
       {
+        /* Leaves no port in TIME_WAIT; an endpoint takes both ends alike. */
+        if (direction == PROXY_UP)
+          standin_reset_on_close (
+              bufferevent_getfd (connection->source[PROXY_DOWN]));
         close_connection (connection, false);
         return true;
       }
