--- a/soak/operator.c
+++ b/soak/operator.c
@@ -12,39 +12,30 @@
 struct catalog_service operator_models = {
   .name = MODEL_SERVICE,
   .slots = 16,
-  .loads_per_s = 10,
-  .concurrent_loads = 6,
   .cached_model_limit = 4,
-  .open_ms = 80,
   .step_ms = 6,
   .step_per_request_ms = 0.05,
   .prefill_tokens_per_ms = 50,
   .tokens_per_event = 1,
-  .models = { { .name = "large",
-                .size = 3,
-                .share = 0.5,
-                .time_factor = 1,
-                .load_ms = 800,
-                .cached_load_ms = 200 },
-              { .name = "small",
-                .size = 2,
-                .share = 0.5,
-                .time_factor = 1,
-                .load_ms = 600,
-                .cached_load_ms = 200 } },
+  .models = { { .name = "large", .share = 0.5, .time_factor = 1 },
+              { .name = "small", .share = 0.5, .time_factor = 1 } },
   .model_count = 2,
 };
 
 void
-operator_scale_models (unsigned large_group_size,
-                       unsigned small_group_size,
-                       unsigned loads_per_s)
-{
-  operator_models.models[0].size = large_group_size;
-  operator_models.models[1].size = small_group_size;
-  operator_models.loads_per_s = loads_per_s;
-  /* About as many as run at that rate. */
-  operator_models.concurrent_loads = (loads_per_s * 3 + 4) / 5;
+operator_scale_models (const struct operator_scale *scale)
+{
+  operator_models.loads_per_s = scale->loads_per_s;
+  operator_models.concurrent_loads = scale->concurrent_loads;
+  operator_models.open_ms = scale->open_ms;
+  operator_models.models[0].size = scale->large_group_size;
+  operator_models.models[1].size = scale->small_group_size;
+  for (unsigned i = 0; i < operator_models.model_count; i++)
+    {
+      /* The second model is smaller. */
+      operator_models.models[i].load_ms = scale->load_ms * (4 - i) / 4;
+      operator_models.models[i].cached_load_ms = scale->cached_load_ms;
+    }
 }
 
 void
--- a/soak/operator.h
+++ b/soak/operator.h
@@ -33,13 +33,21 @@
 /* The service whose models run in groups; all versions contain it unchanged. */
 extern struct catalog_service operator_models;
 
-/*
- * Sets the endpoints in a group of each model and the loads from the weight
- * store that may begin in a second; to be called before operator_init.
- */
-void operator_scale_models (unsigned large_group_size,
-                            unsigned small_group_size,
-                            unsigned loads_per_s);
+/* What the service of the models needs in a fleet of some size. */
+struct operator_scale
+{
+  unsigned large_group_size;
+  unsigned small_group_size;
+  /* Loads from the weight store, in all data centres. */
+  unsigned loads_per_s;
+  unsigned concurrent_loads;
+  int64_t load_ms;
+  int64_t cached_load_ms;
+  int64_t open_ms;
+};
+
+/* To be called before operator_init. */
+void operator_scale_models (const struct operator_scale *scale);
 
 struct operator_version
 {
--- a/soak/schedule.c
+++ b/soak/schedule.c
@@ -236,7 +236,7 @@
           = &world->endpoints[i].standin->faults;
 
       faults->late_percent = (unsigned)fault->strength;
-      faults->late_delay_limit_ms = 2 * (1000 + 60 * fault->strength);
+      faults->late_delay_limit_ms = 2000 + 60 * fault->strength;
     }
 }
 
--- a/soak/world.c
+++ b/soak/world.c
@@ -28,15 +28,15 @@
 static const struct world_shape shapes[] = {
   { "small", .data_centres = 2, .domains = 2, .endpoints_per_domain = 4,
     .plain_endpoints = 3, .other_endpoints = 2,
-    .large_group_size = 3, .small_group_size = 2, .loads_per_s = 10,
+    .scale = { 3, 2, 10, 6, 800, 200, 80 },
     .hosts = 3, .callers = 30, .faults_s = 20 },
   { "middle", .data_centres = 2, .domains = 2, .endpoints_per_domain = 73,
     .plain_endpoints = 2, .other_endpoints = 1,
-    .large_group_size = 32, .small_group_size = 8, .loads_per_s = 30,
+    .scale = { 32, 8, 30, 120, 4000, 1500, 400 },
     .has_crowds = true, .hosts = 5, .callers = 10, .faults_s = 40 },
   { "large", .data_centres = 5, .domains = 3, .endpoints_per_domain = 73,
     .plain_endpoints = 1, .other_endpoints = 1,
-    .large_group_size = 32, .small_group_size = 8, .loads_per_s = 75,
+    .scale = { 32, 8, 75, 300, 4000, 1500, 400 },
     .has_crowds = true, .hosts = 6, .callers = 10, .faults_s = 60 },
 };
 /* clang-format on */
@@ -223,8 +223,7 @@
       || !standin_store_init (&world->store, world->base,
                               rng_next (&world->rng)))
     return false;
-  operator_scale_models (shape->large_group_size, shape->small_group_size,
-                         shape->loads_per_s);
+  operator_scale_models (&shape->scale);
   operator_init (&world->operator, & world->store, rng_next (&world->rng));
   ledger_init (&world->ledger, &world->operator);
   world->ledger.started_ms = world->started_ms;
--- a/soak/world.h
+++ b/soak/world.h
@@ -42,9 +42,7 @@
   unsigned endpoints_per_domain;
   unsigned plain_endpoints; /* of PLAIN_SERVICE */
   unsigned other_endpoints; /* of OTHER_SERVICE */
-  unsigned large_group_size;
-  unsigned small_group_size;
-  unsigned loads_per_s; /* from the weight store, in all data centres */
+  struct operator_scale scale;
   /* Faults of many hosts or endpoints at once are drawn unasked. */
   bool has_crowds;
   /* Unless they are chosen: */
