--- a/soak/host.c
+++ b/soak/host.c
@@ -71,6 +71,10 @@
   if (error == 0)
     error = posix_spawn_file_actions_adddup2 (&files, STDOUT_FILENO,
                                               STDERR_FILENO);
+  /* An open copy would keep a port listening, or a connection from its end. */
+  if (error == 0)
+    error
+        = posix_spawn_file_actions_addclosefrom_np (&files, STDERR_FILENO + 1);
   if (error == 0)
     error = posix_spawnp (pid, arguments[0], &files, NULL,
                           (char *const *)arguments, environ);
--- a/soak/schedule.c
+++ b/soak/schedule.c
@@ -1,6 +1,7 @@
 #include "schedule.h"
 
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 /* Range of the time between the starts of two faults. */
@@ -184,7 +185,11 @@
     return;
   standin_crash (fault->endpoint->standin);
   if (!standin_restart (fault->endpoint->standin))
-    fault->endpoint->replaced = true;
+    {
+      fprintf (stderr, "soak: cannot open the port of %s again\n",
+               fault->endpoint->standin->id);
+      exit (2);
+    }
 }
 
 static void
--- a/soak/world.h
+++ b/soak/world.h
@@ -29,7 +29,7 @@
 {
   struct standin_endpoint *standin;
   struct proxy proxy;
-  /* Not drawn for faults any more: it was replaced, or its restart failed. */
+  /* Another one took its place: it is not drawn for faults any more. */
   bool replaced;
 };
 
