--- a/soak/schedule.c
+++ b/soak/schedule.c
@@ -1,6 +1,7 @@
 #include "schedule.h"
 
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 /* Range of the time between the starts of two faults. */
@@ -184,7 +185,11 @@
     return;
   standin_crash (fault->endpoint->standin);
   if (!standin_restart (fault->endpoint->standin))
-    fault->endpoint->replaced = true;
+    {
+      fprintf (stderr, "soak: cannot open the port of %s again\n",
+               fault->endpoint->standin->id);
+      exit (2);
+    }
 }
 
 static void
@@ -236,7 +241,7 @@
           = &world->endpoints[i].standin->faults;
 
       faults->late_percent = (unsigned)fault->strength;
-      faults->late_delay_limit_ms = 2 * (1000 + 60 * fault->strength);
+      faults->late_delay_limit_ms = 2000 + 60 * fault->strength;
     }
 }
 
@@ -436,6 +441,7 @@
   { "hosts-killed", TARGET_CROWD, 3, 200, 2500, 10, 90, kill_many_hosts, NULL },
   { "hosts-stopped", TARGET_CROWD, 3, 200, 2500, 10, 90, stop_many_hosts, NULL },
   { "endpoints-reborn", TARGET_CROWD, 6, 0, 0, 1, 10, restart_many_endpoints, NULL },
+  { "all-orders-late", TARGET_CROWD, 6, 1000, 4000, 80, 100, NULL, delay_orders },
   { "route-moves", TARGET_NONE, 5, 0, 0, 0, 0, move_route, NULL },
   { "routes-change", TARGET_NONE, 3, 0, 0, 0, 0, change_extra_routes, NULL },
   { "key-taken", TARGET_NONE, 8, 0, 0, 0, 0, revoke_key, NULL },
