records: ignore a late page of a list that was given up

What could be seen: a host that reads the platform knows a part of the endpoints, and counts it as all of them; endpoints of earlier pages count as deleted, their groups as broken.

Cause: a response counted if it came in the state that it was asked in. A list that was given up for a watch and started anew while one of its pages was on its way was in the same state again, so that page counted as the first one of the new list.

Change: each list, and giving one up, begins a new generation of calls; a response counts only in its own.

Result: test_late_page_after_relist fails with the comparison of states.

--- a/packages/records/include/follower.h
+++ b/packages/records/include/follower.h
@@ -56,11 +56,13 @@
   uint64_t list_revision; /* becomes revision when the list is complete */
   bool has_full_list;     /* a complete list was read */
   bool call_in_flight;
-  enum follower_state call_state; /* state in which the call was sent */
-  int64_t sent_ms;                /* time of the last call */
-  int64_t list_sent_ms;           /* time of the call for the first page */
-  int64_t next_call_ms;           /* no call before this time */
-  int64_t retry_delay_ms;         /* delay after the next failure */
+  /* Rises with each new list, and when a list is given up. */
+  unsigned generation;
+  unsigned call_generation; /* in which the call was sent */
+  int64_t sent_ms;          /* time of the last call */
+  int64_t list_sent_ms;     /* time of the call for the first page */
+  int64_t next_call_ms;     /* no call before this time */
+  int64_t retry_delay_ms;   /* delay after the next failure */
   int64_t
       retry_delay_limit_ms; /* limit of that delay; may be set at any time */
   int64_t failing_since_ms; /* 0 = not failing */
--- a/packages/records/src/follower.c
+++ b/packages/records/src/follower.c
@@ -179,8 +179,8 @@
   enum result result = response->result;
 
   follower->call_in_flight = false;
-  /* A new list was started meanwhile; this is the response to a watch. */
-  if (follower->call_state != follower->state)
+  /* The response to a watch, or to a page of a list that was given up. */
+  if (follower->call_generation != follower->generation)
     return;
   if (result == RESULT_OK && !is_sufficient (follower, response))
     result = RESULT_PLATFORM_BAD_ANSWER;
@@ -213,8 +213,11 @@
                  uint64_t revision,
                  int64_t current_at_ms)
 {
+  if (follower->state == FOLLOWER_LISTING)
+    follower->generation++;
   follower->revision = revision;
   follower->state = FOLLOWER_WATCHING;
+  follower->list_after[0] = '\0';
   if (current_at_ms > follower->current_at_ms)
     follower->current_at_ms = current_at_ms;
 }
@@ -233,6 +236,7 @@
 void
 follower_relist (struct follower *follower)
 {
+  follower->generation++;
   follower->state = FOLLOWER_LISTING;
   follower->list_after[0] = '\0';
 }
@@ -258,7 +262,7 @@
   else if (follower->list_after[0] != '\0')
     request.after = follower->list_after;
   follower->call_in_flight = true;
-  follower->call_state = follower->state;
+  follower->call_generation = follower->generation;
   follower->sent_ms = now_ms;
   follower->next_call_ms = now_ms + follower->call_interval_ms;
   records_call (follower->records, &request, timeout_ms, on_response, follower);
--- a/packages/records/tests/t0480-follower.c
+++ b/packages/records/tests/t0480-follower.c
@@ -330,6 +330,29 @@
   teardown ();
 }
 
+/*
+ * A late page of a list that was given up must not be handled as the first page
+ * of a new list: the records of the pages before it would count as deleted.
+ */
+static void
+test_late_page_after_relist (void **state)
+{
+  static const char *const responses[]
+      = { "200 {\"at\":5,\"names\":[\"a\"],\"more\":true}", NULL,
+          "200 {\"at\":7,\"names\":[\"a\",\"b\"]}", NULL };
+
+  (void)state;
+  setup (responses);
+  run_until_calls (2);
+  follower_resume (&test.follower, 6, 0);
+  follower_relist (&test.follower);
+  send_response (test.held, "200 {\"at\":6,\"names\":[\"b\"]}");
+  run_until_calls (4);
+  assert_string_equal (test.log, "begin a begin a b end ");
+  assert_string_equal (test.targets[3], "/watch/7");
+  teardown ();
+}
+
 /*
  * A list of several pages is complete only with its last page.  The revision of
  * the first page must not apply before, since records of later pages are still
@@ -425,6 +448,7 @@
     cmocka_unit_test (test_list_and_watch),
     cmocka_unit_test (test_list_after_long_name),
     cmocka_unit_test (test_watch_response_after_relist),
+    cmocka_unit_test (test_late_page_after_relist),
     cmocka_unit_test (test_revision_after_last_page),
     cmocka_unit_test (test_pages_without_interval),
     cmocka_unit_test (test_current_time_of_watch),
