edge: name the endpoint in orders and in questions for its state

Cause: orders went to an address. After an endpoint has ended, its address may belong to another one, which took the order for its own, if it could.

Change: orders, and the question before a join, carry the header that names the endpoint which is meant; another one refuses them (421).

Result: the join cases of t0963 fail without the header.

--- a/packages/edge/src/orders.c
+++ b/packages/edge/src/orders.c
@@ -134,6 +134,20 @@
   http->body = &call->state;
 }
 
+/*
+ * Names the endpoint that is meant: another one may have its address by now,
+ * and refuses what is not for it.
+ */
+static void
+add_expected_endpoint (const struct order_call *call, struct http_text *request)
+{
+  const struct relay_names *names = call->orders->adapter->header_names;
+
+  if (names != NULL)
+    http_text_format (request, "%s: %s\r\n", names->expected_endpoint,
+                      call->endpoint);
+}
+
 /* Sends the order, for a join on condition of the number of orders so far. */
 static void
 send_order (struct order_call *call,
@@ -156,9 +170,11 @@
   http_text_format (&request,
                     "POST %s HTTP/1.1\r\nHost: %s:%u\r\n"
                     "Content-Type: application/json\r\n"
-                    "Content-Length: %zu\r\nConnection: close\r\n\r\n",
+                    "Content-Length: %zu\r\nConnection: close\r\n",
                     target.data != NULL ? target.data : "/", call->address,
                     call->port, body.size);
+  add_expected_endpoint (call, &request);
+  http_text_add_string (&request, "\r\n");
   http_text_add (&request, body.data, body.size);
   if (target.failed || body.failed)
     request.failed = true;
@@ -190,9 +206,11 @@
   http_text_init (&request);
   http_text_format (&request,
                     "GET %s HTTP/1.1\r\nHost: %s:%u\r\n"
-                    "Connection: close\r\n\r\n",
+                    "Connection: close\r\n",
                     call->orders->adapter->endpoint_report_target,
                     call->address, call->port);
+  add_expected_endpoint (call, &request);
+  http_text_add_string (&request, "\r\n");
   start_message (call, &request);
 }
 
--- a/packages/edge/tests/t0963-orders.c
+++ b/packages/edge/tests/t0963-orders.c
@@ -145,7 +145,10 @@
   return RESULT_OK;
 }
 
+static const struct relay_names join_names = { .expected_endpoint = "For" };
+
 static const struct platform_adapter join_adapter = {
+  .header_names = &join_names,
   .encode_order = encode_join,
   .decode_order_status = decode_join_status,
   .endpoint_report_target = "/report",
@@ -155,8 +158,12 @@
 static void
 on_join_head (void *context, const struct http_head *head)
 {
+  const char *endpoint = http_head_get (head, "For");
+
   (void)context;
   is_report_requested = strcmp (http_head_target (head), "/report") == 0;
+  if (endpoint == NULL || strcmp (endpoint, "e") != 0)
+    fail_msg ("an order reaches another endpoint at the same address");
 }
 
 static void
