formation: join endpoints that do not tell when they started

Cause: a join was dropped if the start that the endpoint tells differs from that of the decision. An endpoint that tells it in its entry only, or in its state only, would never be joined. On the users' platform both have it.

Change: a start that is not known is not compared; the order count still is.

Result: the new case of t0451 fails without the change (dropped).

--- a/packages/formation/include/formation.h
+++ b/packages/formation/include/formation.h
@@ -49,7 +49,7 @@
  */
 struct formation_basis
 {
-  int64_t started_ms;
+  int64_t started_ms;            /* 0 = not known */
   char group[CATALOG_NAME_SIZE]; /* "" = none */
   uint64_t epoch;
 };
--- a/packages/formation/src/may-take.c
+++ b/packages/formation/src/may-take.c
@@ -33,7 +33,8 @@
                       uint64_t epoch,
                       const struct endpoint_report *report)
 {
-  if (report->started_ms != basis->started_ms)
+  if (report->started_ms != basis->started_ms && report->started_ms != 0
+      && basis->started_ms != 0)
     return FORMATION_JOIN_DROP;
   if (report->state == ENDPOINT_GROUP_NONE)
     return FORMATION_JOIN_SEND;
--- a/packages/formation/tests/t0451-handover.c
+++ b/packages/formation/tests/t0451-handover.c
@@ -65,8 +65,8 @@
 struct join_case
 {
   const char *guards;
-  const char *basis; /* group that the decision is based on; "" = none */
-  bool has_restarted;
+  const char *basis;  /* group that the decision is based on; "" = none */
+  int64_t started_ms; /* the decision is based on a start at 100 ms */
   enum endpoint_group_state state;
   const char *group; /* that the endpoint reports now */
   enum formation_join_step step;
@@ -74,15 +74,16 @@
 
 /* clang-format off */
 static const struct join_case join_cases[] = {
-  { "no join is sent", "", false, ENDPOINT_GROUP_NONE, "", FORMATION_JOIN_SEND },
-  { "an endpoint that a late order took elsewhere is joined", "", false, ENDPOINT_GROUP_JOINING, OLD_GROUP, FORMATION_JOIN_RETRY },
-  { "an endpoint in an open group is joined", "", false, ENDPOINT_GROUP_OPEN, OLD_GROUP, FORMATION_JOIN_RETRY },
-  { "an endpoint joins while it is in its old group", OLD_GROUP, false, ENDPOINT_GROUP_READY, OLD_GROUP, FORMATION_JOIN_LEAVE_FIRST },
-  { "an endpoint that has left already is not joined", OLD_GROUP, false, ENDPOINT_GROUP_NONE, "", FORMATION_JOIN_SEND },
-  { "an endpoint leaves a group that the decision did not know", OLD_GROUP, false, ENDPOINT_GROUP_READY, "other", FORMATION_JOIN_RETRY },
-  { "a new incarnation is joined by a decision on the old one", "", true, ENDPOINT_GROUP_NONE, "", FORMATION_JOIN_DROP },
-  { "a join is repeated though it was carried out", "", false, ENDPOINT_GROUP_JOINING, "new", FORMATION_JOIN_DROP },
-  { "a spare has to leave first", "a-1-1-spare", false, ENDPOINT_GROUP_READY, "a-1-1-spare", FORMATION_JOIN_SEND },
+  { "no join is sent", "", 100, ENDPOINT_GROUP_NONE, "", FORMATION_JOIN_SEND },
+  { "an endpoint that a late order took elsewhere is joined", "", 100, ENDPOINT_GROUP_JOINING, OLD_GROUP, FORMATION_JOIN_RETRY },
+  { "an endpoint in an open group is joined", "", 100, ENDPOINT_GROUP_OPEN, OLD_GROUP, FORMATION_JOIN_RETRY },
+  { "an endpoint joins while it is in its old group", OLD_GROUP, 100, ENDPOINT_GROUP_READY, OLD_GROUP, FORMATION_JOIN_LEAVE_FIRST },
+  { "an endpoint that has left already is not joined", OLD_GROUP, 100, ENDPOINT_GROUP_NONE, "", FORMATION_JOIN_SEND },
+  { "an endpoint leaves a group that the decision did not know", OLD_GROUP, 100, ENDPOINT_GROUP_READY, "other", FORMATION_JOIN_RETRY },
+  { "a new incarnation is joined by a decision on the old one", "", 200, ENDPOINT_GROUP_NONE, "", FORMATION_JOIN_DROP },
+  { "an endpoint that does not tell its start is never joined", "", 0, ENDPOINT_GROUP_NONE, "", FORMATION_JOIN_SEND },
+  { "a join is repeated though it was carried out", "", 100, ENDPOINT_GROUP_JOINING, "new", FORMATION_JOIN_DROP },
+  { "a spare has to leave first", "a-1-1-spare", 100, ENDPOINT_GROUP_READY, "a-1-1-spare", FORMATION_JOIN_SEND },
 };
 /* clang-format on */
 
@@ -103,7 +104,7 @@
       const struct join_case *c = &join_cases[i];
       struct formation_basis basis = { .started_ms = 100 };
       struct endpoint_report report
-          = { .started_ms = c->has_restarted ? 200 : 100, .state = c->state };
+          = { .started_ms = c->started_ms, .state = c->state };
 
       snprintf (basis.group, sizeof basis.group, "%s", c->basis);
       basis.epoch = find_epoch (c->basis);
