formation: end groups that can never serve instead of waiting for ever

What callers could see: endpoints that serve nothing until the lease changes hands.

Change: such a group ends when no member is joining any more, or one is ready and the model is still not known; a broken head ends its group in each phase.

Result: test_groups_without_a_future_end has the four cases; the first fails without the change.

--- a/packages/formation/src/advance-groups.c
+++ b/packages/formation/src/advance-groups.c
@@ -332,6 +332,40 @@
   return true;
 }
 
+static bool
+is_head_broken (const struct formation_group *group,
+                const struct endpoint *head)
+{
+  return head != NULL && formation_is_reported_member (head, group)
+         && head->report.state == ENDPOINT_GROUP_BROKEN;
+}
+
+static bool
+has_joining_member (const struct formation_run *run,
+                    const struct formation_group *group)
+{
+  for (unsigned rank = 0; rank < FORMATION_SIZE_LIMIT; rank++)
+    {
+      const struct endpoint *endpoint = find_member_endpoint (run, group, rank);
+
+      if (endpoint != NULL && formation_is_reported_member (endpoint, group)
+          && endpoint->report.state == ENDPOINT_GROUP_JOINING)
+        return true;
+    }
+  return false;
+}
+
+/* True if the size of an adopted group will not become known. */
+static bool
+is_size_lost (const struct formation_run *run,
+              const struct formation_group *group,
+              const struct member_counts *counts)
+{
+  return group->size == 0
+         && run->now_ms - group->phase_since_ms >= ADOPT_WAIT_MS
+         && (counts->ready > 0 || !has_joining_member (run, group));
+}
+
 static void
 advance_joining (const struct formation_run *run, struct formation_group *group)
 {
@@ -344,6 +378,11 @@
   if (head != NULL && formation_is_reported_member (head, group)
       && head->report.state == ENDPOINT_GROUP_OPEN)
     formation_set_phase (run, group, FORMATION_SERVING, "head is open");
+  else if (is_head_broken (group, head))
+    formation_set_phase (run, group, FORMATION_DISSOLVED, "broken");
+  else if (is_size_lost (run, group, &counts))
+    formation_set_phase (run, group, FORMATION_FAILED,
+                         "its size cannot be learned");
   else if (counts.failed > 0 || counts.leaving > 0)
     /* An earlier holder of the lease may have ordered the head to open. */
     formation_set_phase (
@@ -378,7 +417,9 @@
   struct member_counts counts = count_member_states (run, group);
   const struct endpoint *head = find_member_endpoint (run, group, 0);
 
-  if (counts.failed > 0 || counts.leaving > 0)
+  if (is_head_broken (group, head))
+    formation_set_phase (run, group, FORMATION_DISSOLVED, "broken");
+  else if (counts.failed > 0 || counts.leaving > 0)
     fail_or_retire_group (run, group, &counts);
   else if (head != NULL && head->report.state == ENDPOINT_GROUP_OPEN
            && formation_is_reported_member (head, group))
@@ -398,8 +439,7 @@
   struct member_counts counts = count_member_states (run, group);
   const struct endpoint *head = find_member_endpoint (run, group, 0);
 
-  if (head != NULL && formation_is_reported_member (head, group)
-      && head->report.state == ENDPOINT_GROUP_BROKEN)
+  if (is_head_broken (group, head))
     formation_set_phase (run, group, FORMATION_DISSOLVED, "broken");
   else if (counts.failed > 0 || counts.leaving > 0)
     fail_or_retire_group (run, group, &counts);
--- a/packages/formation/tests/t0451-handover.c
+++ b/packages/formation/tests/t0451-handover.c
@@ -195,6 +195,89 @@
     }
 }
 
+/* Endpoint "d0-RANK" starts again, in no group. */
+static void
+restart_member (unsigned rank)
+{
+  struct endpoint_report report;
+  char id[CATALOG_NAME_SIZE];
+
+  snprintf (id, sizeof id, "d0-%u", rank);
+  report = endpoints_find (&fixture.endpoints, id)->report;
+  report.state = ENDPOINT_GROUP_NONE;
+  report.group[0] = '\0';
+  report.epoch = 0;
+  report.rank = 0;
+  report.started_ms = fixture.now_ms;
+  fixture_report (&fixture, id, &report);
+}
+
+enum late_event
+{
+  MEMBERS_RESTART,
+  MODEL_IS_UNKNOWN,
+  HEAD_BREAKS,
+};
+
+struct stuck_case
+{
+  const char *guards;
+  unsigned joined; /* ranks that report the group */
+  enum endpoint_group_state state;
+  enum late_event event;
+};
+
+static const struct stuck_case stuck_cases[] = {
+  { "a group whose only known member restarts is never ended", 1,
+    ENDPOINT_GROUP_JOINING, MEMBERS_RESTART },
+  { "a group that all members have left is never ended", 4,
+    ENDPOINT_GROUP_JOINING, MEMBERS_RESTART },
+  { "a group of a model that is not configured is never ended", 4,
+    ENDPOINT_GROUP_JOINING, MODEL_IS_UNKNOWN },
+  { "a broken head is ordered to open for ever", 4, ENDPOINT_GROUP_READY,
+    HEAD_BREAKS },
+};
+
+/* Groups of an earlier holder that can never serve. */
+static void
+test_groups_without_a_future_end (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof stuck_cases / sizeof stuck_cases[0]; i++)
+    {
+      const struct stuck_case *c = &stuck_cases[i];
+
+      fixture_init (&fixture);
+      formation_set_fence (&fixture.formation, 2, fixture.now_ms);
+      fixture.formation.has_traffic = true;
+      fixture_add_endpoints (&fixture, "d0", 4, "m0");
+      for (unsigned rank = 0; rank < c->joined; rank++)
+        report_member (rank, c->state);
+      if (c->event == HEAD_BREAKS)
+        report_member (0, ENDPOINT_GROUP_BROKEN);
+      fixture_tick (&fixture, 200);
+      for (unsigned rank = 0; rank < c->joined; rank++)
+        if (c->event == MEMBERS_RESTART)
+          restart_member (rank);
+        else if (c->event == MODEL_IS_UNKNOWN)
+          {
+            struct endpoint_report report;
+            char id[CATALOG_NAME_SIZE];
+
+            report_member (rank, ENDPOINT_GROUP_READY);
+            snprintf (id, sizeof id, "d0-%u", rank);
+            report = endpoints_find (&fixture.endpoints, id)->report;
+            snprintf (report.model, sizeof report.model, "withdrawn");
+            fixture_report (&fixture, id, &report);
+          }
+      fixture_tick (&fixture, 12000);
+      if (fixture_count_open_groups (&fixture, "m0") != 1
+          || fixture_is_head_open (&fixture, OLD_GROUP, OLD_EPOCH))
+        fail_msg ("%s", c->guards);
+      fixture_finish (&fixture);
+    }
+}
+
 static bool
 is_in_two_groups (const char *id)
 {
@@ -321,6 +404,7 @@
     cmocka_unit_test (test_claims),
     cmocka_unit_test (test_joins),
     cmocka_unit_test (test_joining_groups_are_adopted),
+    cmocka_unit_test (test_groups_without_a_future_end),
     cmocka_unit_test (test_restarted_member_is_in_one_group),
     cmocka_unit_test (test_join_is_not_repeated_into_open_group),
     cmocka_unit_test (test_own_groups_are_adopted_after_a_gap),
