formation: keep a serving group while a member's entry may come back

What callers could see: groups that serve are evicted at a change of holder after an outage of the platform.

Entries that expired in an outage are back within 2 s; hosts that knew them keep them so long, a holder that has just started cannot.

Change: members of an adopted group that were never seen count as present for 2.2 s after it was adopted. Nothing is opened on their behalf.

Result: test_missing_entry_of_serving_group fails without the change; a group that lacks its member for longer ends as before.

--- a/packages/formation/include/formation.h
+++ b/packages/formation/include/formation.h
@@ -125,6 +125,7 @@
   int64_t last_order_ms;  /* last order in this phase; 0 = none */
   unsigned order_tries;   /* orders sent in this phase */
   bool adopted;           /* formed by an earlier holder of the lease */
+  int64_t adopted_ms;
   uint64_t head_revision; /* revision of the head's report at phase start */
   TAILQ_ENTRY (formation_group) link;
 };
--- a/packages/formation/src/advance-groups.c
+++ b/packages/formation/src/advance-groups.c
@@ -19,6 +19,11 @@
 #define OPEN_REPORT_MS 1200
 /* A new holder of the lease waits this long for the members of a group. */
 #define ADOPT_WAIT_MS 1500
+/*
+ * Members that a new holder has never seen count as present for this long:
+ * entries that expired during a platform outage are back within 2 s of its end.
+ */
+#define UNKNOWN_MEMBER_WAIT_MS 2200
 /* A retiring group that still has requests after this time is evicted. */
 #define RETIRE_LIMIT_MS 8000
 
@@ -133,6 +138,7 @@
     }
   group->epoch = report->epoch;
   group->adopted = true;
+  group->adopted_ms = run->now_ms;
   group->phase_since_ms = run->now_ms;
   memcpy (group->name, report->group, sizeof group->name);
   memcpy (group->service, report->service, sizeof group->service);
@@ -216,6 +222,7 @@
 
 enum formation_member_state
 {
+  MEMBER_UNKNOWN, /* has not been seen yet by this holder */
   MEMBER_READY,   /* reports the group, and is ready or serving */
   MEMBER_PENDING, /* is joining, or does not report the group */
   MEMBER_LEAVING, /* is draining or leaving */
@@ -229,6 +236,9 @@
 {
   const struct endpoint *endpoint = find_member_endpoint (run, group, rank);
 
+  if (group->members[rank][0] == '\0' && group->adopted
+      && run->now_ms - group->adopted_ms < UNKNOWN_MEMBER_WAIT_MS)
+    return MEMBER_UNKNOWN;
   if (endpoint == NULL || run->hooks->is_silent (run->hooks->context, endpoint))
     return MEMBER_FAILED;
   if (!endpoint_is_usable (endpoint))
@@ -255,6 +265,7 @@
 /* Members of a group by enum formation_member_state. */
 struct member_counts
 {
+  unsigned unknown;
   unsigned ready;
   unsigned pending;
   unsigned leaving;
@@ -270,6 +281,9 @@
   for (unsigned rank = 0; rank < get_known_size (group); rank++)
     switch (classify_member (run, group, rank))
       {
+      case MEMBER_UNKNOWN:
+        counts.unknown++;
+        break;
       case MEMBER_READY:
         counts.ready++;
         break;
@@ -372,8 +386,9 @@
   struct member_counts counts = count_member_states (run, group);
   const struct endpoint *head = find_member_endpoint (run, group, 0);
 
-  if (group->adopted && counts.failed > 0
-      && run->now_ms - group->phase_since_ms < ADOPT_WAIT_MS)
+  if (counts.unknown > 0
+      || (group->adopted && counts.failed > 0
+          && run->now_ms - group->phase_since_ms < ADOPT_WAIT_MS))
     return;
   if (head != NULL && formation_is_reported_member (head, group)
       && head->report.state == ENDPOINT_GROUP_OPEN)
--- a/packages/formation/tests/t0451-handover.c
+++ b/packages/formation/tests/t0451-handover.c
@@ -278,6 +278,47 @@
     }
 }
 
+struct missing_case
+{
+  const char *guards;
+  int64_t missing_ms; /* since the new holder began to act */
+  bool is_kept;
+};
+
+static const struct missing_case missing_cases[] = {
+  { "a group is evicted for an entry that is back at once", 100, true },
+  { "a group is evicted for an entry that the platform's outage ended", 2000,
+    true },
+  { "a group without one of its members is kept", 9000, false },
+};
+
+/* A new holder does not find the entry of a member of a group that serves. */
+static void
+test_missing_entry_of_serving_group (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof missing_cases / sizeof missing_cases[0]; i++)
+    {
+      const struct missing_case *c = &missing_cases[i];
+
+      fixture_init (&fixture);
+      formation_set_fence (&fixture.formation, 2, fixture.now_ms);
+      fixture.formation.has_traffic = true;
+      fixture_add_endpoints (&fixture, "d0", 3, "m0");
+      report_member (0, ENDPOINT_GROUP_OPEN);
+      report_member (1, ENDPOINT_GROUP_READY);
+      report_member (2, ENDPOINT_GROUP_READY);
+      fixture_tick (&fixture, c->missing_ms);
+      fixture_add_endpoint (&fixture, "d0", "d0-3", "m0");
+      report_member (3, ENDPOINT_GROUP_READY);
+      fixture_tick (&fixture, 3000);
+      if ((fixture_count_orders (&fixture, FORMATION_EVICT) == 0) != c->is_kept)
+        fail_msg ("%s", c->guards);
+      assert_int_equal (fixture.joined_while_open, 0);
+      fixture_finish (&fixture);
+    }
+}
+
 static bool
 is_in_two_groups (const char *id)
 {
@@ -405,6 +446,7 @@
     cmocka_unit_test (test_joins),
     cmocka_unit_test (test_joining_groups_are_adopted),
     cmocka_unit_test (test_groups_without_a_future_end),
+    cmocka_unit_test (test_missing_entry_of_serving_group),
     cmocka_unit_test (test_restarted_member_is_in_one_group),
     cmocka_unit_test (test_join_is_not_repeated_into_open_group),
     cmocka_unit_test (test_own_groups_are_adopted_after_a_gap),
