edge: count a list as complete only if nothing was taken from it meanwhile

What could be seen: a holder of the lease that counts a part of the endpoints as all of them, and ends groups for members that it does not know.

Change: the list itself is marked; a mark lost before its end leaves the host without full knowledge, and a holder lists again.

Result: two cases of test_list_of_two_pages fail without the mark.

--- a/packages/edge/include/edge.h
+++ b/packages/edge/include/edge.h
@@ -61,8 +61,10 @@
   bool reads_platform;
   bool relisting;           /* lists all entries, as they differ from a hub's */
   bool knows_all_endpoints; /* not only the endpoints that are routed to */
-  bool ready;               /* as last logged */
-  bool fetching;            /* a read of the configuration is in progress */
+  /* The list that is being read holds all endpoints of the pages so far. */
+  bool list_is_whole;
+  bool ready;    /* as last logged */
+  bool fetching; /* a read of the configuration is in progress */
   int64_t next_fetch_ms;
   int64_t fetch_sent_ms; /* when the last read was sent */
   enum edge_phase phase;
@@ -91,6 +93,9 @@
 /* The table lacks what a hub had deleted, though it was listed. */
 void edge_note_hub_deletions (struct edge *edge);
 
+/* Starts or stops to read the platform. */
+void edge_set_reads_platform (struct edge *edge, bool must_read);
+
 /* When the routed endpoints, at least, were last known as they were (ms). */
 int64_t edge_endpoints_current_at_ms (const struct edge *edge);
 
--- a/packages/edge/src/follow.c
+++ b/packages/edge/src/follow.c
@@ -188,11 +188,24 @@
   announce_entry (edge, record->name, &report);
 }
 
+void
+edge_note_hub_deletions (struct edge *edge)
+{
+  if (edge->hub_sync.has_deleted)
+    {
+      edge->knows_all_endpoints = false;
+      edge->list_is_whole = false;
+    }
+  edge->hub_sync.has_deleted = false;
+}
+
 static void
 on_entries_list_begin (void *context)
 {
   struct edge *edge = context;
 
+  edge->hub_sync.has_deleted = false;
+  edge->list_is_whole = edge->reads_platform;
   endpoints_relist_begin (&edge->endpoints);
 }
 
@@ -202,7 +215,8 @@
   struct edge *edge = context;
 
   endpoints_relist_end (&edge->endpoints, edge->entries.revision, edge->now_ms);
-  edge->knows_all_endpoints = edge->reads_platform;
+  edge_note_hub_deletions (edge);
+  edge->knows_all_endpoints = edge->reads_platform && edge->list_is_whole;
   edge->relisting = false;
 }
 
@@ -345,8 +359,8 @@
          || has_to_relist (edge);
 }
 
-static void
-set_reads_platform (struct edge *edge, bool must_read)
+void
+edge_set_reads_platform (struct edge *edge, bool must_read)
 {
   struct follower *entries = &edge->entries;
 
@@ -367,6 +381,7 @@
     {
       /* From now on only routed endpoints are kept up to date. */
       edge->knows_all_endpoints = false;
+      edge->list_is_whole = false;
       return;
     }
   /* Continues from the revision that this host has synced from its hub. */
@@ -382,14 +397,6 @@
     }
 }
 
-void
-edge_note_hub_deletions (struct edge *edge)
-{
-  if (edge->hub_sync.has_deleted)
-    edge->knows_all_endpoints = false;
-  edge->hub_sync.has_deleted = false;
-}
-
 /* Lists all endpoints if this host holds the lease and lacks some. */
 static void
 relist_all_endpoints (struct edge *edge)
@@ -434,7 +441,7 @@
   if (edge->entries.failing_since_ms != 0)
     edge->relisting = false;
   edge_note_hub_deletions (edge);
-  set_reads_platform (edge, has_to_read_platform (edge));
+  edge_set_reads_platform (edge, has_to_read_platform (edge));
   relist_all_endpoints (edge);
   update_entries_interval (edge);
   if (edge->next_fetch_ms == 0)
--- a/packages/edge/tests/t0966-candidate.c
+++ b/packages/edge/tests/t0966-candidate.c
@@ -166,11 +166,59 @@
     }
 }
 
+struct list_case
+{
+  const char *guards;
+  bool hub_deletes;   /* between two pages */
+  bool stops_reading; /* between two pages, for a moment */
+  bool knows_all;
+};
+
+static const struct list_case list_cases[] = {
+  { "a list is never complete", false, false, true },
+  { "a list counts as complete that a hub has taken an endpoint from", true,
+    false, false },
+  { "a list counts as complete that went on while a hub was followed", false,
+    true, false },
+};
+
+/* Knowledge of all endpoints after a list of two pages. */
+static void
+test_list_of_two_pages (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof list_cases / sizeof list_cases[0]; i++)
+    {
+      struct edge *edge = calloc (1, sizeof *edge);
+      struct follower_hooks *hooks;
+
+      assert_non_null (edge);
+      endpoints_init (&edge->endpoints, NULL, NULL);
+      edge_follow_init (edge);
+      hooks = &edge->entries.hooks;
+      edge->reads_platform = true;
+      hooks->list_begin (hooks->context);
+      edge->hub_sync.has_deleted = list_cases[i].hub_deletes;
+      edge_note_hub_deletions (edge);
+      if (list_cases[i].stops_reading)
+        {
+          edge_set_reads_platform (edge, false);
+          edge_set_reads_platform (edge, true);
+        }
+      hooks->list_end (hooks->context);
+      if (edge->knows_all_endpoints != list_cases[i].knows_all)
+        fail_msg ("%s", list_cases[i].guards);
+      endpoints_finish (&edge->endpoints);
+      free (edge);
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[]
       = { cmocka_unit_test (test_candidates), cmocka_unit_test (test_may_form),
+          cmocka_unit_test (test_list_of_two_pages),
           cmocka_unit_test (test_hub_deletions_end_full_knowledge) };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
