edge: log whether an order was sent, and end it if another endpoint answers

A question for the state that another endpoint answered (421) was repeated until its time was over.

Change: the flag is set when the order is written; 421 ends the call.

Result: t0963 passes; the status of the question itself has no case.

--- a/packages/edge/src/orders.c
+++ b/packages/edge/src/orders.c
@@ -39,6 +39,7 @@
   char address[CATALOG_NAME_SIZE];
   uint16_t port;
   uint64_t fence;
+  bool was_sent;    /* the order itself, at least in part */
   bool is_outdated; /* the decision no longer stood when it was to be sent */
   int64_t sent_ms;
   int64_t next_ms; /* when the next message is due; without one in flight */
@@ -75,7 +76,7 @@
              LOG_STR ("op", formation_op_name (call->order.op)),
              LOG_STR ("endpoint", call->endpoint),
              LOG_STR ("group", call->group), LOG_U64 ("fence", call->fence),
-             LOG_STR ("sent", call->step == ORDER_SENDS ? "yes" : "no"),
+             LOG_STR ("sent", call->was_sent ? "yes" : "no"),
              LOG_U64 ("status", status), LOG_INT ("code", result),
              LOG_INT ("after_ms", time_boot_ms () - call->sent_ms));
   if (result == RESULT_ORDER_FENCED)
@@ -101,6 +102,8 @@
   call->is_outdated
       = !hooks->is_current (hooks->context, call->order.op, call->endpoint,
                             call->group, call->order.epoch);
+  if (call->step == ORDER_SENDS && !call->is_outdated)
+    call->was_sent = true;
   return !call->is_outdated;
 }
 
@@ -272,12 +275,18 @@
           0);
       return;
     }
+  result = call->orders->adapter->decode_order_status (status);
+  /* Another endpoint has the address by now. */
+  if (result == RESULT_ENDPOINT_WRONG_GROUP)
+    {
+      complete_call (call, result, status);
+      return;
+    }
   if (call->step == ORDER_READS_STATE)
     {
       act_on_state (call, status);
       return;
     }
-  result = call->orders->adapter->decode_order_status (status);
   /* The endpoint has accepted another order since it was asked. */
   if (result == RESULT_ORDER_FAILED && call->order.basis != NULL)
     read_state_later (call);
