tests: wait in t9050 until each entry host takes bookings

Cause: the test waited for one of its three hosts. Since a host that has just started refuses with 503 (3032, not run) until its peers have told it of strikes, 2 s at most.

Change: the test waits for each host; all its checks are as they were, and two more hosts have to serve. Ruled out: a request that ran twice or a refusal that was untrue (the log has 3032 for all five requests at that host).

--- a/tests/system/t9050-at-most-once.sh
+++ b/tests/system/t9050-at-most-once.sh
@@ -18,9 +18,12 @@
   fetch_journal "$1" | grep -o '"path": *"/bookings"' | wc -l
 }
 can_book () {
-  send_booking entry-1-a "$(new_idempotency_key)" '{"warm":"up"}' | grep -q '^HTTP/1.1 201'
+  send_booking "$1" "$(new_idempotency_key)" '{"warm":"up"}' | grep -q '^HTTP/1.1 201'
 }
-check "bookings work" wait_for 20 can_book
+# A host that has just started refuses until its peers have told it of strikes.
+for host in entry-1-a entry-1-b entry-1-c; do
+  check "bookings work at $host" wait_for 20 can_book "$host"
+done
 start=$(count_bookings booking-1)
 
 # Ten requests with one key at the same time through three entry hosts.
