relay: log the request limit that an endpoint names

The logs could not tell whether the field is not read or read and kept by each host: event=endpoint-names-limit says when a host heard of a limit or of its end. The value is recorded, and nothing acts on it yet.

--- a/packages/balance/include/balance.h
+++ b/packages/balance/include/balance.h
@@ -45,6 +45,7 @@
   int64_t leaving_since_ms;      /* time of its drain signal; 0 = none */
   int64_t back_off_until_ms;     /* end of the back-off that it requested */
   int64_t peer_leaving_until_ms; /* other hosts report its drain until then */
+  double request_limit;          /* per second, that it named; 0 = none */
   double failure_rate;           /* moving mean of failures, 0 to 1 */
   int64_t last_failure_ms;
   unsigned references; /* connections and requests that point here */
--- a/packages/http/include/http-head.h
+++ b/packages/http/include/http-head.h
@@ -64,4 +64,7 @@
 /* Parses a non-negative decimal number; false if text is anything else. */
 bool http_parse_number (const char *text, int64_t *number);
 
+/* Parses a decimal number without sign or exponent, such as "5.25". */
+bool http_parse_decimal (const char *text, double *number);
+
 #endif
--- a/packages/http/src/http-head.c
+++ b/packages/http/src/http-head.c
@@ -1,6 +1,7 @@
 #include "http-head.h"
 
 #include <errno.h>
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -121,6 +122,17 @@
   return true;
 }
 
+bool
+http_parse_decimal (const char *text, double *number)
+{
+  if (text == NULL || *text < '0' || *text > '9'
+      || text[strspn (text, "0123456789.")] != '\0'
+      || strchr (text, '.') != strrchr (text, '.'))
+    return false;
+  *number = strtod (text, NULL);
+  return isfinite (*number);
+}
+
 /* Parses an IMF-fixdate into seconds since 1970; false if it is malformed. */
 static bool
 parse_http_date (const char *text, time_t *seconds)
--- a/packages/relay/include/relay.h
+++ b/packages/relay/include/relay.h
@@ -54,6 +54,8 @@
   const char *urgency;           /* 0 = first; set */
   const char *not_run;           /* on a response: the request did not run */
   const char *leaving;           /* on a response: "1" if the endpoint drains */
+  /* On a response: requests a second that it accepts from all hosts. */
+  const char *request_limit;
   const char *endpoint_at_fault; /* on a refusal */
   const char *credential;        /* never forwarded */
   const char *credential_scheme;
--- a/packages/relay/src/upstream.c
+++ b/packages/relay/src/upstream.c
@@ -171,6 +171,32 @@
   balance_note_reached (&upstream->relay->loads, upstream->load);
 }
 
+/*
+ * Records the request limit that a response names; a response without one ends
+ * it.
+ */
+static void
+note_request_limit (struct relay_upstream *upstream,
+                    const struct http_head *head)
+{
+  struct relay *relay = upstream->relay;
+  struct endpoint_load *load = upstream->load;
+  double per_s = 0;
+
+  if (head->status == HTTP_STATUS_MISDIRECTED_REQUEST
+      || (http_head_get (head, relay->names->request_limit) != NULL
+          && !http_parse_decimal (
+              http_head_get (head, relay->names->request_limit), &per_s)))
+    return;
+  if (per_s != load->request_limit)
+    LOG_EVENT (LOG_LEVEL_NOTICE, "endpoint-names-limit",
+               LOG_STR ("request", upstream->request->id),
+               LOG_STR ("endpoint", load->id), LOG_U64 ("status", head->status),
+               LOG_INT ("limit_per_1000_s", (int64_t)(per_s * 1000)),
+               LOG_INT ("previous", (int64_t)(load->request_limit * 1000)));
+  load->request_limit = per_s;
+}
+
 /* Records drain and back-off signals of a response. */
 static void
 note_endpoint_signals (struct relay_upstream *upstream,
@@ -191,6 +217,7 @@
                  LOG_STR ("endpoint", load->id),
                  LOG_U64 ("status", head->status));
     }
+  note_request_limit (upstream, head);
   if (head->status != 503 || !http_retry_after_ms (head, &back_off_ms))
     return;
   LOG_EVENT (LOG_LEVEL_NOTICE, "endpoint-backs-off",
--- a/packages/relay/tests/relay-fixture.h
+++ b/packages/relay/tests/relay-fixture.h
@@ -57,6 +57,7 @@
   .urgency = "X-Urgency",
   .not_run = "X-Not-Run",
   .leaving = "X-Leaving",
+  .request_limit = "X-Limit",
   .endpoint_at_fault = "X-Fault",
   .credential = "Authorization",
   .credential_scheme = "Bearer",
