balance: share the request limits that endpoints name among all hosts

Seen: an endpoint that names a limit (requests a second, from all hosts together) went on getting twice as many (rule LIMIT).

Cause: the field was not read, and hosts shared nothing that a sum over all of them could be kept with: loads count what runs, not what was sent. Ruled out: a limit that each host keeps for itself, or that is known too late; the rates did not change when the limits began.

Now each host reports, with the loads, how many requests it sent to such an endpoint and would have sent, as counts that decay in a second. A request is admitted while the sum is below what the limit sustains, and at random if others may have sent unreported. A sum falls no faster than it decays, so requests of hosts that ended go on counting; hosts that lost touch use their share only. balance_choose passes over an endpoint at its limit and leaves its slots out of the occupancy.

--- a/packages/balance/include/balance.h
+++ b/packages/balance/include/balance.h
@@ -3,6 +3,7 @@
 
 #include "catalog.h"
 #include "endpoints.h"
+#include "request-limit.h"
 #include "result.h"
 #include "rng.h"
 
@@ -45,10 +46,12 @@
   int64_t leaving_since_ms;      /* time of its drain signal; 0 = none */
   int64_t back_off_until_ms;     /* end of the back-off that it requested */
   int64_t peer_leaving_until_ms; /* other hosts report its drain until then */
-  double request_limit;          /* per second, that it named; 0 = none */
   double failure_rate;           /* moving mean of failures, 0 to 1 */
   int64_t last_failure_ms;
-  unsigned references; /* connections and requests that point here */
+  struct request_limit request_limit;
+  int64_t limit_logged_ms; /* when a request was last logged as over it */
+  uint64_t passed_over;    /* choice in which its limit excluded it */
+  unsigned references;     /* connections and requests that point here */
   UT_hash_handle hh;
 };
 
@@ -72,6 +75,8 @@
   struct rng rng;
   /* Expected age of the loads that the other entry hosts reported. */
   int64_t peer_load_age_ms;
+  struct request_limit_fleet fleet;
+  uint64_t choices;                    /* number of calls of balance_choose */
   char data_centre[CATALOG_NAME_SIZE]; /* data centre of this entry host */
 };
 
@@ -128,6 +133,8 @@
 {
   struct endpoint_load *load;
   double expected_ms; /* to the first event; 0 if endpoints serve alone */
+  /* The last endpoint that its request limit excluded; NULL = none. */
+  struct endpoint_load *at_limit;
   /*
    * Set with BALANCE_NONE if endpoints back off: the time until the first
    * endpoint accepts requests again, ms.  0 otherwise.
--- a/packages/balance/src/balance-internal.h
+++ b/packages/balance/src/balance-internal.h
@@ -4,8 +4,8 @@
 #include "balance.h"
 
 /* drain.c */
-/* Clears the drain and back-off signals if the endpoint has restarted. */
-void balance_note_restart (struct endpoint_load *load);
+/* Clears the signals of the endpoint if it has restarted. */
+void balance_note_restart (struct endpoint_load *load, int64_t now_ms);
 /* True while the endpoint drains or backs off. */
 bool balance_is_unavailable (const struct endpoint_load *load, int64_t now_ms);
 /* True if the load must outlive the endpoint's entry. */
--- a/packages/balance/src/choose.c
+++ b/packages/balance/src/choose.c
@@ -123,7 +123,10 @@
   load->event_gap_sampled_ms = -EVENT_GAP_VALID_MS;
 }
 
-/* Totals of all available candidates for a request. */
+/*
+ * Totals of all available candidates for a request.  Slots of endpoints with a
+ * request limit are not counted: most of them cannot be used.
+ */
 struct candidate_summary
 {
   double shortest_gap_ms; /* shortest recent event gap; 0 = unknown */
@@ -163,8 +166,8 @@
       if (load == NULL)
         continue;
       reset_reformed_group (load);
-      balance_note_restart (load);
-      if (is_avoided (loads, load, now_ms))
+      balance_note_restart (load, now_ms);
+      if (is_avoided (loads, load, now_ms) || load->request_limit.per_s > 0)
         continue;
       summary.count++;
       summary.running += load->running + load->peer_running;
@@ -264,9 +267,12 @@
                                 const struct balance_request *request,
                                 const struct candidate_summary *summary)
 {
-  double unreported = (double)summary->running * (double)loads->peer_load_age_ms
-                      / TYPICAL_REQUEST_MS / summary->count;
+  double unreported;
 
+  if (summary->count == 0)
+    return 0;
+  unreported = (double)summary->running * (double)loads->peer_load_age_ms
+               / TYPICAL_REQUEST_MS / summary->count;
   return unreported * estimate_prefill_ms (request, request->prompt_tokens);
 }
 
@@ -296,7 +302,7 @@
              + JITTER_PER_UNREPORTED_MS
                    * estimate_unreported_prefill_ms (loads, request, summary))
                 * rng_real (&loads->rng);
-  return summary->is_admitted
+  return (summary->is_admitted || load->request_limit.per_s > 0)
          && running < balance_slots (request->service, load->endpoint)
          && *expected_ms <= limit_ms;
 }
@@ -331,21 +337,20 @@
     choice->back_off_ms = left_ms;
 }
 
-enum balance_verdict
-balance_choose (struct load_table *loads,
+/* Chooses among the endpoints that were not passed over in this choice. */
+static enum balance_verdict
+choose_by_cost (struct load_table *loads,
                 const struct endpoints *endpoints,
                 const struct balance_request *request,
+                const struct candidate_summary *summary,
                 int64_t now_ms,
                 struct balance_choice *choice)
 {
   enum balance_verdict verdict = BALANCE_NONE;
   bool is_grouped = request->service->model_count > 0;
-  struct candidate_summary summary = { .count = 0 };
   double lowest_cost = 0;
 
   *choice = (struct balance_choice){ .load = NULL };
-  if (is_grouped)
-    summary = summarise_candidates (loads, endpoints, request, now_ms);
   for (struct endpoint *endpoint = endpoints->table; endpoint != NULL;
        endpoint = endpoint->hh.next)
     {
@@ -359,14 +364,15 @@
       load = load_table_get (loads, endpoint);
       if (load == NULL)
         continue;
-      balance_note_restart (load);
+      balance_note_restart (load, now_ms);
       note_shortest_back_off (choice, load, now_ms);
       if (is_avoided (loads, load, now_ms) || is_excluded (request, load))
         continue;
       has_capacity
-          = is_grouped ? score_group (loads, request, load, &summary, now_ms,
+          = is_grouped ? score_group (loads, request, load, summary, now_ms,
                                       &expected_ms, &cost)
                        : score_standalone (loads, request, load, now_ms, &cost);
+      has_capacity = has_capacity && load->passed_over != loads->choices;
       if (!has_capacity)
         {
           if (verdict == BALANCE_NONE)
@@ -386,6 +392,36 @@
   return verdict;
 }
 
+enum balance_verdict
+balance_choose (struct load_table *loads,
+                const struct endpoints *endpoints,
+                const struct balance_request *request,
+                int64_t now_ms,
+                struct balance_choice *choice)
+{
+  struct candidate_summary summary = { .count = 0 };
+  struct endpoint_load *at_limit = NULL;
+  enum balance_verdict verdict;
+
+  if (request->service->model_count > 0)
+    summary = summarise_candidates (loads, endpoints, request, now_ms);
+  loads->choices++;
+  loads->fleet.report_age_ms = loads->peer_load_age_ms;
+  /* Each round but the last one passes over one more endpoint. */
+  for (;;)
+    {
+      verdict = choose_by_cost (loads, endpoints, request, &summary, now_ms,
+                                choice);
+      choice->at_limit = at_limit;
+      if (choice->load == NULL || choice->load->request_limit.per_s == 0
+          || request_limit_admit (&choice->load->request_limit, &loads->fleet,
+                                  rng_real (&loads->rng), now_ms))
+        return verdict;
+      at_limit = choice->load;
+      at_limit->passed_over = loads->choices;
+    }
+}
+
 void
 balance_note_event_gap (struct endpoint_load *load,
                         int64_t event_gap_ms,
--- a/packages/balance/src/load-table.c
+++ b/packages/balance/src/load-table.c
@@ -97,12 +97,13 @@
   return load;
 }
 
-/* Loads with a drain or back-off signal are freed by load_table_expire. */
+/* Loads with signals of their endpoints are freed by load_table_expire. */
 static void
 free_load_if_unused (struct load_table *loads, struct endpoint_load *load)
 {
   if (load->references > 0 || load->endpoint != NULL
-      || load->leaving_since_ms != 0 || load->back_off_until_ms != 0)
+      || load->leaving_since_ms != 0 || load->back_off_until_ms != 0
+      || load->request_limit.per_s > 0)
     return;
   HASH_DELETE (hh, loads->table, load);
   free (load);
@@ -130,6 +131,7 @@
         {
           load->leaving_since_ms = 0;
           load->back_off_until_ms = 0;
+          load->request_limit.per_s = 0;
           free_load_if_unused (loads, load);
         }
       load = next;
--- a/packages/edge/include/gossip.h
+++ b/packages/edge/include/gossip.h
@@ -20,7 +20,7 @@
 #define GOSSIP_DATAGRAM_LIMIT_BYTES                                            \
   1400 /* one datagram without fragments on Ethernet */
 /* Limits of one message. */
-#define GOSSIP_LOAD_LIMIT 40
+#define GOSSIP_LOAD_LIMIT 40 /* fewer if some have a request limit */
 #define GOSSIP_HOST_LIMIT 12
 #define GOSSIP_PATCH_BYTES 1024
 #define GOSSIP_ROUTED_LIMIT 120
@@ -57,6 +57,12 @@
   uint32_t inactive_ms;    /* since the last activity of its requests */
   bool is_stalled;         /* its requests are stalled: the sender avoids it */
   bool is_leaving;         /* it reported to the sender that it leaves */
+  /* The rest counts only if set; see request-limit.h. */
+  bool has_limit;
+  uint32_t limit_per_1000_s; /* 0 = its limit has ended */
+  uint32_t limit_age_ms;     /* since the endpoint stated that */
+  uint32_t sent_millionths;  /* requests, decaying */
+  uint32_t wanted_millionths;
 };
 
 /* LOAD, SUM and TOTAL: entries from first on, of total. */
@@ -173,6 +179,10 @@
   } body;
 };
 
+/* Number of the loads, from the first one on, that fit one message. */
+unsigned gossip_count_fitting_loads (const struct gossip_load *loads,
+                                     unsigned count);
+
 /* Returns the encoded size in bytes, or 0 if the message does not fit. */
 size_t
 gossip_encode (struct gossip_message *message, void *buffer, size_t size);
--- a/packages/edge/include/mesh.h
+++ b/packages/edge/include/mesh.h
@@ -93,6 +93,8 @@
   unsigned seed_count;
   bool has_traffic;            /* some host has seen requests */
   unsigned live_hosts;         /* in all data centres, as far as known */
+  unsigned peak_hosts;         /* highest live_hosts recently */
+  int64_t peak_hosts_ms;       /* when live_hosts was last that high */
   struct mesh_loads own_loads; /* as last sent */
   struct mesh_loads merge_buffer;
   uint64_t lease_version;
@@ -139,6 +141,9 @@
 /* True if this host is a hub, or receives no totals from one. */
 bool mesh_is_hub (const struct mesh *mesh);
 
+/* Live hosts and those that were lost recently, this one included. */
+unsigned mesh_known_hosts (const struct mesh *mesh);
+
 /* Expected age of the loads of other hosts when they are used, ms. */
 int64_t mesh_load_age_ms (const struct mesh *mesh);
 
--- a/packages/edge/src/gossip.c
+++ b/packages/edge/src/gossip.c
@@ -47,25 +47,59 @@
 
 /*
  * Flags of a load.  Hosts of protocol version 2 that do not know
- * LOAD_FLAG_LEAVING read either flag as LOAD_FLAG_STALLED.
+ * LOAD_FLAG_LEAVING read either flag as LOAD_FLAG_STALLED; those that do not
+ * know LOAD_FLAG_LIMIT reject the message.
  */
 #define LOAD_FLAG_STALLED 1U
 #define LOAD_FLAG_LEAVING 2U
+#define LOAD_FLAG_LIMIT 4U
+/* Encoded sizes of a load, and of its request limit. */
+#define LOAD_BYTES 24
+#define LOAD_LIMIT_BYTES 16
 
 static bool
 code_load_flags (XDR *xdr, struct gossip_load *load)
 {
   uint32_t flags = (load->is_stalled ? LOAD_FLAG_STALLED : 0)
-                   | (load->is_leaving ? LOAD_FLAG_LEAVING : 0);
+                   | (load->is_leaving ? LOAD_FLAG_LEAVING : 0)
+                   | (load->has_limit ? LOAD_FLAG_LIMIT : 0);
+  const uint32_t known
+      = LOAD_FLAG_STALLED | LOAD_FLAG_LEAVING | LOAD_FLAG_LIMIT;
 
-  if (!xdr_uint32_t (xdr, &flags)
-      || (flags & ~(LOAD_FLAG_STALLED | LOAD_FLAG_LEAVING)) != 0)
+  if (!xdr_uint32_t (xdr, &flags) || (flags & ~known) != 0)
     return false;
   load->is_stalled = (flags & LOAD_FLAG_STALLED) != 0;
   load->is_leaving = (flags & LOAD_FLAG_LEAVING) != 0;
+  load->has_limit = (flags & LOAD_FLAG_LIMIT) != 0;
   return true;
 }
 
+static bool
+code_load_limit (XDR *xdr, struct gossip_load *load)
+{
+  return !load->has_limit
+         || (xdr_uint32_t (xdr, &load->limit_per_1000_s)
+             && xdr_uint32_t (xdr, &load->limit_age_ms)
+             && xdr_uint32_t (xdr, &load->sent_millionths)
+             && xdr_uint32_t (xdr, &load->wanted_millionths));
+}
+
+unsigned
+gossip_count_fitting_loads (const struct gossip_load *loads, unsigned count)
+{
+  unsigned bytes = 0;
+  unsigned fitting = 0;
+
+  while (fitting < count)
+    {
+      bytes += LOAD_BYTES + (loads[fitting].has_limit ? LOAD_LIMIT_BYTES : 0);
+      if (bytes > GOSSIP_LOAD_LIMIT * LOAD_BYTES)
+        break;
+      fitting++;
+    }
+  return fitting;
+}
+
 static bool
 code_load (XDR *xdr, struct gossip_load *load)
 {
@@ -73,7 +107,7 @@
          && xdr_uint32_t (xdr, &load->running)
          && xdr_uint32_t (xdr, &load->prefill_tokens)
          && xdr_uint32_t (xdr, &load->inactive_ms)
-         && code_load_flags (xdr, load);
+         && code_load_flags (xdr, load) && code_load_limit (xdr, load);
 }
 
 static bool
--- a/packages/edge/src/mesh-load.c
+++ b/packages/edge/src/mesh-load.c
@@ -30,6 +30,10 @@
  * hellos.
  */
 #define RECENTLY_SEEN_MS 4000
+/* Hosts that are missing in totals count as lost, not gone, for this long. */
+#define LOST_HOST_RETENTION_MS 30000
+/* Hosts that are assumed to exist while a newly started host knows none. */
+#define INITIAL_HOST_COUNT 400
 /* Limit of the entries that are merged into one sum. */
 #define MERGE_LIMIT 16384
 
@@ -138,6 +142,15 @@
   return first;
 }
 
+unsigned
+mesh_known_hosts (const struct mesh *mesh)
+{
+  if (mesh->peak_hosts > 1)
+    return mesh->peak_hosts;
+  return mesh_is_settled (mesh) ? HASH_COUNT (mesh->hosts) + 1
+                                : INITIAL_HOST_COUNT;
+}
+
 void
 mesh_set_lease (struct mesh *mesh,
                 const struct lease_value *value,
@@ -182,6 +195,43 @@
   return sum;
 }
 
+static uint32_t
+add_count (uint32_t count, uint32_t added)
+{
+  return added < UINT32_MAX - count ? count + added : UINT32_MAX;
+}
+
+static uint32_t
+subtract_count (uint32_t count, uint32_t subtracted)
+{
+  return subtracted < count ? count - subtracted : 0;
+}
+
+static void
+subtract_limit_counts (struct gossip_load *load, const struct gossip_load *own)
+{
+  load->sent_millionths
+      = subtract_count (load->sent_millionths, own->sent_millionths);
+  load->wanted_millionths
+      = subtract_count (load->wanted_millionths, own->wanted_millionths);
+}
+
+/*
+ * Counts the hosts that the total is from.  Hosts that it lacks may be cut off
+ * and serve on; they are remembered for a while.
+ */
+static void
+note_live_hosts (struct mesh *mesh, unsigned hosts)
+{
+  mesh->live_hosts = hosts > 0 ? hosts : 1;
+  if (mesh->live_hosts >= mesh->peak_hosts
+      || mesh->now_ms - mesh->peak_hosts_ms >= LOST_HOST_RETENTION_MS)
+    {
+      mesh->peak_hosts = mesh->live_hosts;
+      mesh->peak_hosts_ms = mesh->now_ms;
+    }
+}
+
 /* Reports the total without the loads that this host itself has sent. */
 static void
 report_other_loads (struct mesh *mesh, const struct mesh_loads *total)
@@ -205,9 +255,11 @@
           load->prefill_tokens -= own->prefill_tokens < load->prefill_tokens
                                       ? own->prefill_tokens
                                       : load->prefill_tokens;
+          if (own->has_limit && load->has_limit)
+            subtract_limit_counts (load, own);
         }
     }
-  mesh->live_hosts = total->hosts > 0 ? total->hosts : 1;
+  note_live_hosts (mesh, total->hosts);
   mesh->hooks.loads (mesh->hooks.context, others->list, others->count);
 }
 
@@ -285,8 +337,11 @@
   unsigned hosts; /* number of hosts that the loads are from */
 };
 
+/* Copies loads that were received some time ago, so that their ages hold. */
 static void
-add_to_merge (struct merge *merge, const struct mesh_loads *loads)
+add_to_merge (struct merge *merge,
+              const struct mesh_loads *loads,
+              int64_t held_ms)
 {
   unsigned count = loads->count;
 
@@ -294,10 +349,31 @@
     count = MERGE_LIMIT - merge->count;
   memcpy (&merge->list[merge->count], loads->list,
           count * sizeof loads->list[0]);
+  for (unsigned i = 0; i < count; i++)
+    merge->list[merge->count + i].limit_age_ms
+        = add_count (loads->list[i].limit_age_ms, (uint32_t)held_ms);
   merge->count += count;
   merge->hosts += loads->hosts;
 }
 
+/* Adds a host's counts, and takes over what was stated last. */
+static void
+merge_limit (struct gossip_load *sum, const struct gossip_load *load)
+{
+  if (!load->has_limit)
+    return;
+  if (!sum->has_limit || load->limit_age_ms < sum->limit_age_ms)
+    {
+      sum->limit_per_1000_s = load->limit_per_1000_s;
+      sum->limit_age_ms = load->limit_age_ms;
+    }
+  sum->has_limit = true;
+  sum->sent_millionths
+      = add_count (sum->sent_millionths, load->sent_millionths);
+  sum->wanted_millionths
+      = add_count (sum->wanted_millionths, load->wanted_millionths);
+}
+
 /* Adds up the entries of each endpoint. */
 static void
 write_merged_sum (struct merge *merge, struct mesh_loads *sum)
@@ -324,6 +400,7 @@
         last->inactive_ms = load->inactive_ms;
       last->is_stalled = last->is_stalled || load->is_stalled;
       last->is_leaving = last->is_leaving || load->is_leaving;
+      merge_limit (last, load);
     }
 }
 
@@ -338,11 +415,12 @@
 static void
 add_own_data_centre (struct mesh *mesh, struct merge *merge)
 {
-  add_to_merge (merge, &mesh->own_loads);
+  add_to_merge (merge, &mesh->own_loads, 0);
   for (struct mesh_host *host = mesh->hosts; host != NULL; host = host->hh.next)
     if (is_same_data_centre (&host->info, &mesh->self)
         && is_fresh (mesh, host->loads))
-      add_to_merge (merge, host->loads);
+      add_to_merge (merge, host->loads,
+                    mesh->now_ms - host->loads->received_ms);
 }
 
 static void
@@ -351,7 +429,7 @@
   for (struct mesh_sum *sum = mesh->sums; sum != NULL; sum = sum->hh.next)
     if (strcmp (sum->data_centre, mesh->self.data_centre) != 0
         && is_fresh (mesh, &sum->loads))
-      add_to_merge (merge, &sum->loads);
+      add_to_merge (merge, &sum->loads, mesh->now_ms - sum->loads.received_ms);
 }
 
 static void
@@ -364,6 +442,7 @@
   struct gossip_message *message = &mesh->message;
   struct gossip_loads *body = &message->body.loads;
   bool has_receivers = false;
+  unsigned first = 0;
 
   for (struct mesh_host *host = mesh->hosts; host != NULL; host = host->hh.next)
     {
@@ -372,22 +451,22 @@
     }
   if (!has_receivers)
     return;
-  for (unsigned first = 0; first == 0 || first < loads->count;
-       first += GOSSIP_LOAD_LIMIT)
+  do
     {
       message->kind = kind;
       body->hosts = loads->hosts;
       body->first = first;
       body->total = loads->count;
-      body->count = loads->count - first;
-      if (body->count > GOSSIP_LOAD_LIMIT)
-        body->count = GOSSIP_LOAD_LIMIT;
+      body->count = gossip_count_fitting_loads (&loads->list[first],
+                                                loads->count - first);
       memcpy (body->list, &loads->list[first],
               body->count * sizeof body->list[0]);
       body->lease_version = mesh->lease_version;
       body->lease = mesh->lease;
       mesh_send_receivers (mesh, message);
+      first += body->count;
     }
+  while (first < loads->count);
 }
 
 /*
@@ -451,7 +530,7 @@
   send_loads (mesh, GOSSIP_SUM, &mesh->merge_buffer, is_other_hub);
   merge.count = 0;
   merge.hosts = 0;
-  add_to_merge (&merge, &mesh->merge_buffer);
+  add_to_merge (&merge, &mesh->merge_buffer, 0);
   add_other_sums (mesh, &merge);
   write_merged_sum (&merge, &mesh->merge_buffer);
   send_loads (mesh, GOSSIP_TOTAL, &mesh->merge_buffer, is_total_receiver);
--- a/packages/edge/src/peers.c
+++ b/packages/edge/src/peers.c
@@ -11,12 +11,35 @@
  */
 #define PEER_LEAVING_HOLD_MS 1000
 
+/* Takes over the request limit that other hosts report. */
+static void
+note_peer_limit (struct edge *edge,
+                 struct endpoint_load *load,
+                 const struct gossip_load *peer_load)
+{
+  int64_t now_ms = edge->mesh.now_ms;
+  const struct request_limit_report report = {
+    .per_s = peer_load->limit_per_1000_s / 1000.0,
+    .stated_ms = now_ms - (int64_t)peer_load->limit_age_ms,
+    .sent = peer_load->sent_millionths / 1e6,
+    .wanted = peer_load->wanted_millionths / 1e6,
+  };
+
+  if (request_limit_note_peers (&load->request_limit, &report, now_ms))
+    LOG_EVENT (LOG_LEVEL_NOTICE, "endpoint-limit-heard",
+               LOG_STR ("endpoint", load->id),
+               LOG_U64 ("limit_per_1000_s", peer_load->limit_per_1000_s),
+               LOG_U64 ("age_ms", peer_load->limit_age_ms));
+}
+
 static void
 on_loads (void *context, const struct gossip_load *list, unsigned count)
 {
   struct edge *edge = context;
 
   load_table_clear_peers (&edge->relay.loads);
+  edge->relay.loads.fleet.live_hosts = edge->mesh.live_hosts;
+  edge->relay.loads.fleet.reported_ms = edge->mesh.now_ms;
   for (unsigned i = 0; i < count; i++)
     {
       const struct gossip_load *peer_load = &list[i];
@@ -33,6 +56,8 @@
       if (peer_load->is_leaving)
         balance_note_peer_leaving (load,
                                    edge->mesh.now_ms + PEER_LEAVING_HOLD_MS);
+      if (peer_load->has_limit)
+        note_peer_limit (edge, load, peer_load);
       if (peer_load->is_stalled)
         {
           relay_note_peer_stall (&edge->relay, load);
@@ -154,6 +179,28 @@
   return RESULT_OK;
 }
 
+/* Converts a count to millionths. */
+static uint32_t
+to_millionths (double count)
+{
+  return count < UINT32_MAX / 1e6 ? (uint32_t)(count * 1e6) : UINT32_MAX;
+}
+
+static void
+add_request_limit (struct gossip_load *entry,
+                   const struct request_limit_report *report,
+                   int64_t now_ms)
+{
+  double per_1000_s = report->per_s * 1000;
+
+  entry->has_limit = true;
+  entry->limit_per_1000_s
+      = per_1000_s < UINT32_MAX ? (uint32_t)per_1000_s : UINT32_MAX;
+  entry->limit_age_ms = (uint32_t)(now_ms - report->stated_ms);
+  entry->sent_millionths = to_millionths (report->sent);
+  entry->wanted_millionths = to_millionths (report->wanted);
+}
+
 /* Fills in the loads of this host, for its hub. */
 static void
 collect_loads (void *context, struct mesh_loads *own)
@@ -169,10 +216,15 @@
       bool is_stalled = load->stall_reported_until_ms > now_ms;
 
       bool is_leaving = balance_is_leaving (load) && load->endpoint != NULL;
+      struct request_limit_report limit;
+      bool has_limit
+          = request_limit_get_report (&load->request_limit, &limit, now_ms);
+      struct gossip_load *entry;
 
-      if (load->running == 0 && !is_stalled && !is_leaving)
+      if (load->running == 0 && !is_stalled && !is_leaving && !has_limit)
         continue;
-      own->list[own->count++] = (struct gossip_load){
+      entry = &own->list[own->count++];
+      *entry = (struct gossip_load){
         .endpoint = load->hash,
         .running = load->running,
         .prefill_tokens = (uint32_t)load->prefill_tokens,
@@ -182,6 +234,8 @@
         .is_stalled = is_stalled,
         .is_leaving = is_leaving,
       };
+      if (has_limit)
+        add_request_limit (entry, &limit, now_ms);
     }
 }
 
@@ -192,6 +246,7 @@
     mesh_set_lease (&edge->mesh, &edge->leader.lease.value,
                     edge->leader.lease.version);
   edge->relay.loads.peer_load_age_ms = mesh_load_age_ms (&edge->mesh);
+  edge->relay.loads.fleet.known_hosts = mesh_known_hosts (&edge->mesh);
   mesh_tick (&edge->mesh, edge->relay.has_received_request, collect_loads, edge,
              edge->now_ms);
   strike_sync_tick (&edge->strike_sync, edge->now_ms);
--- a/packages/edge/tests/t0960-gossip.c
+++ b/packages/edge/tests/t0960-gossip.c
@@ -16,6 +16,8 @@
 static char buffer[GOSSIP_DATAGRAM_LIMIT_BYTES];
 static char encoded_again[GOSSIP_DATAGRAM_LIMIT_BYTES];
 
+static bool all_have_limits; /* the loads have request limits */
+
 static void
 fill_message (enum gossip_kind kind)
 {
@@ -38,7 +40,12 @@
       loads->count = GOSSIP_LOAD_LIMIT;
       loads->total = GOSSIP_LOAD_LIMIT;
       for (unsigned i = 0; i < GOSSIP_LOAD_LIMIT; i++)
-        loads->list[i].endpoint = i;
+        {
+          loads->list[i].endpoint = i;
+          loads->list[i].has_limit = all_have_limits;
+          loads->list[i].sent_millionths = all_have_limits ? i : 0;
+        }
+      loads->count = gossip_count_fitting_loads (loads->list, loads->count);
       loads->lease_version = 3;
       memset (loads->lease.holder, 'l', sizeof loads->lease.holder - 1);
       break;
@@ -92,9 +99,8 @@
 }
 
 static void
-test_round_trip (void **state)
+check_round_trips (void)
 {
-  (void)state;
   for (int kind = GOSSIP_LOAD; kind < GOSSIP_KINDS; kind++)
     {
       size_t size;
@@ -113,6 +119,16 @@
     }
 }
 
+static void
+test_round_trip (void **state)
+{
+  (void)state;
+  check_round_trips ();
+  all_have_limits = true;
+  check_round_trips ();
+  all_have_limits = false;
+}
+
 /* A damaged datagram is rejected, or decoded as another valid message. */
 static void
 test_damaged_datagrams (void **state)
--- a/packages/edge/tests/t0967-hubs.c
+++ b/packages/edge/tests/t0967-hubs.c
@@ -24,6 +24,9 @@
 #define START_MS 100000
 #define PORT 17340
 #define REQUESTS_PER_HOST 3
+/* Each host counts one request to the endpoint, which states a limit. */
+#define SENT_PER_HOST_MILLIONTHS 1000000U
+#define LIMIT_PER_1000_S 5600
 
 static struct event_base *base;
 static struct records records;
@@ -33,8 +36,13 @@
   int64_t busy_until_ms;     /* does other work */
   int64_t loads_received_ms; /* last time */
   unsigned other_requests;   /* requests of the other hosts, as last received */
+  uint32_t others_sent; /* the count of the other hosts, as last received */
+  uint32_t limit_per_1000_s; /* as last received */
+  uint32_t limit_age_ms;
 } hosts[HOSTS + 1];
 
+static unsigned indexes[HOSTS + 1];
+
 static void
 on_loads (void *context, const struct gossip_load *list, unsigned count)
 {
@@ -42,8 +50,14 @@
 
   hosts[index].other_requests = 0;
   hosts[index].loads_received_ms = clock_ms;
+  hosts[index].others_sent = 0;
   for (unsigned i = 0; i < count; i++)
-    hosts[index].other_requests += list[i].running;
+    {
+      hosts[index].other_requests += list[i].running;
+      hosts[index].others_sent += list[i].sent_millionths;
+      hosts[index].limit_per_1000_s = list[i].limit_per_1000_s;
+      hosts[index].limit_age_ms = list[i].limit_age_ms;
+    }
 }
 
 static void
@@ -67,14 +81,20 @@
 static void
 collect_loads (void *context, struct mesh_loads *own)
 {
-  (void)context;
+  const unsigned *index = context;
+
   own->count = 1;
-  own->list[0]
-      = (struct gossip_load){ .endpoint = 7, .running = REQUESTS_PER_HOST };
+  own->list[0] = (struct gossip_load){
+    .endpoint = 7,
+    .running = REQUESTS_PER_HOST,
+    .has_limit = true,
+    /* All hosts but the last one have heard an older limit. */
+    .limit_per_1000_s = *index == HOSTS - 1 ? LIMIT_PER_1000_S : 9000,
+    .limit_age_ms = *index == HOSTS - 1 ? 100 : 2000,
+    .sent_millionths = SENT_PER_HOST_MILLIONTHS,
+  };
 }
 
-static unsigned indexes[HOSTS + 1];
-
 static void
 start_host (unsigned index)
 {
@@ -135,7 +155,7 @@
       records_tick (&records, clock_ms);
       for (unsigned i = 0; i <= REPLACEMENT; i++)
         if (hosts[i].mesh != NULL && clock_ms >= hosts[i].busy_until_ms)
-          mesh_tick (hosts[i].mesh, true, collect_loads, NULL, clock_ms);
+          mesh_tick (hosts[i].mesh, true, collect_loads, &indexes[i], clock_ms);
       readers = count_readers ();
       if (readers > max_readers)
         max_readers = readers;
@@ -143,6 +163,23 @@
   return max_readers;
 }
 
+/* Checks what the hosts were told about the endpoint's request limit. */
+static void
+check_limit_sums (unsigned first, unsigned live_hosts)
+{
+  for (unsigned i = first; i < HOSTS; i++)
+    {
+      assert_int_equal (hosts[i].others_sent,
+                        (live_hosts - 1) * SENT_PER_HOST_MILLIONTHS);
+      assert_int_equal (hosts[i].limit_per_1000_s, LIMIT_PER_1000_S);
+      /* Ages grow while reports wait at a hub. */
+      assert_in_range (hosts[i].limit_age_ms, 100, 400);
+      assert_int_equal (hosts[i].mesh->live_hosts, live_hosts);
+      /* Lost hosts are remembered. */
+      assert_int_equal (mesh_known_hosts (hosts[i].mesh), HOSTS);
+    }
+}
+
 static unsigned
 count_hosts_with_totals (void)
 {
@@ -174,6 +211,7 @@
       run_hosts (30000);
       assert_int_equal (count_readers (), 1);
       assert_int_equal (count_hosts_with_totals (), HOSTS);
+      check_limit_sums (0, HOSTS);
       stop_host (0);
       /* The second hub notices a little later than the other hosts. */
       hosts[1].busy_until_ms = clock_ms + 620;
@@ -216,6 +254,7 @@
       run_hosts (8000);
       stop_host (0);
       run_hosts (4000 + delay_ms);
+      check_limit_sums (1, HOSTS - 1);
       start_host (REPLACEMENT);
       /* The replacement sends its first totals before the second hub's next. */
       hosts[1].busy_until_ms = clock_ms + 150;
--- a/packages/relay/src/attempt.c
+++ b/packages/relay/src/attempt.c
@@ -14,6 +14,8 @@
 #define RETRY_AFTER_SPREAD_MS 700
 /* Share of its objective that a new request waits for capacity. */
 #define WAIT_OBJECTIVE_SHARE 0.15
+/* Interval between log lines on requests over the limit of one endpoint. */
+#define LIMIT_LOG_INTERVAL_MS 1000
 
 int64_t
 relay_draw_retry_after_ms (struct relay *relay)
@@ -169,6 +171,30 @@
          < WAIT_OBJECTIVE_SHARE * (double)request->route->objective_ms;
 }
 
+static void
+log_at_limit (const struct relay_request *request, struct endpoint_load *load)
+{
+  const struct relay *relay = request->relay;
+  const struct request_limit *limit = &load->request_limit;
+  int64_t now_ms = relay->now_ms;
+  double sent = decaying_count_get (&limit->sent, now_ms);
+  double peer_sent = decaying_count_get (&limit->peer_sent, now_ms);
+
+  counter_add (relay->counters, "waxwing_endpoint_at_limit_total", NULL, 1);
+  if (load->limit_logged_ms != 0
+      && now_ms - load->limit_logged_ms < LIMIT_LOG_INTERVAL_MS)
+    return;
+  load->limit_logged_ms = now_ms;
+  LOG_EVENT (LOG_LEVEL_INFO, "endpoint-at-limit",
+             LOG_STR ("request", request->id), LOG_STR ("endpoint", load->id),
+             LOG_INT ("limit_per_1000_s", (int64_t)(limit->per_s * 1000)),
+             LOG_INT ("stated_ms_ago", now_ms - limit->stated_ms),
+             LOG_INT ("sent_thousandths", (int64_t)(sent * 1000)),
+             LOG_INT ("peer_sent_thousandths", (int64_t)(peer_sent * 1000)),
+             LOG_U64 ("live_hosts", relay->loads.fleet.live_hosts),
+             LOG_U64 ("known_hosts", relay->loads.fleet.known_hosts));
+}
+
 /* Chooses an endpoint other than those tried and, if not NULL, current. */
 static enum balance_verdict
 choose_endpoint (const struct relay_request *request,
@@ -176,6 +202,7 @@
                  struct balance_choice *choice)
 {
   struct relay *relay = request->relay;
+  enum balance_verdict verdict;
   struct balance_request wanted = {
     .service = request->service,
     .model = request->model,
@@ -192,8 +219,11 @@
     wanted.excluded[i] = request->tried[i];
   if (current != NULL && wanted.excluded_count < BALANCE_EXCLUDE_LIMIT)
     wanted.excluded[wanted.excluded_count++] = current;
-  return balance_choose (&relay->loads, relay->endpoints, &wanted,
-                         relay->now_ms, choice);
+  verdict = balance_choose (&relay->loads, relay->endpoints, &wanted,
+                            relay->now_ms, choice);
+  if (choice->at_limit != NULL)
+    log_at_limit (request, choice->at_limit);
+  return verdict;
 }
 
 enum balance_verdict
--- a/packages/relay/src/upstream.c
+++ b/packages/relay/src/upstream.c
@@ -108,6 +108,7 @@
   upstream->is_sound = false;
   http_text_reset (&upstream->head);
   upstream->load->running++;
+  request_limit_note_sent (&upstream->load->request_limit, relay->now_ms);
   upstream->counts_prefill = true;
   upstream->load->prefill_tokens += request->prompt_tokens;
   request->upstream = upstream;
@@ -171,30 +172,32 @@
   balance_note_reached (&upstream->relay->loads, upstream->load);
 }
 
-/*
- * Records the request limit that a response names; a response without one ends
- * it.
- */
+/* Records the request limit that a response names, or the end of one. */
 static void
 note_request_limit (struct relay_upstream *upstream,
                     const struct http_head *head)
 {
   struct relay *relay = upstream->relay;
   struct endpoint_load *load = upstream->load;
-  double per_s = 0;
+  const char *text = http_head_get (head, relay->names->request_limit);
+  double previous = load->request_limit.per_s;
+  double per_s;
 
-  if (head->status == HTTP_STATUS_MISDIRECTED_REQUEST
-      || (http_head_get (head, relay->names->request_limit) != NULL
-          && !http_parse_decimal (
-              http_head_get (head, relay->names->request_limit), &per_s)))
+  /* A refusal as misdirected may come from another endpoint. */
+  if (head->status == HTTP_STATUS_MISDIRECTED_REQUEST)
     return;
-  if (per_s != load->request_limit)
+  if (text == NULL)
+    request_limit_end (&load->request_limit, upstream->started_ms,
+                       relay->now_ms);
+  else if (http_parse_decimal (text, &per_s))
+    request_limit_state (&load->request_limit, per_s, relay->now_ms);
+  if (load->request_limit.per_s != previous)
     LOG_EVENT (LOG_LEVEL_NOTICE, "endpoint-names-limit",
                LOG_STR ("request", upstream->request->id),
                LOG_STR ("endpoint", load->id), LOG_U64 ("status", head->status),
-               LOG_INT ("limit_per_1000_s", (int64_t)(per_s * 1000)),
-               LOG_INT ("previous", (int64_t)(load->request_limit * 1000)));
-  load->request_limit = per_s;
+               LOG_INT ("limit_per_1000_s",
+                        (int64_t)(load->request_limit.per_s * 1000)),
+               LOG_INT ("previous", (int64_t)(previous * 1000)));
 }
 
 /* Records drain and back-off signals of a response. */
--- a/soak/ledger.c
+++ b/soak/ledger.c
@@ -5,6 +5,17 @@
 #include <stdlib.h>
 #include <string.h>
 
+/*
+ * An endpoint that has stated a limit for LIMIT_STABLE_MS gets, in a span of
+ * LIMIT_SPAN_MS, at most one and a half times what the limit allows and
+ * LIMIT_SLACK requests, from hosts that were told LIMIT_TOLD_MS ago.
+ */
+#define LIMIT_STABLE_MS 3000
+#define LIMIT_SPAN_MS 4000
+#define LIMIT_SLACK 5
+#define LIMIT_TOLD_MS 500
+/* An endpoint that is silent about its limit for this long has none. */
+#define LIMIT_END_MS 2000
 /* An endpoint gets no new requests from this long after its drain signal on. */
 #define DRAIN_LIMIT_MS 2000
 /* No request arrives at an endpoint later than this after its attempt ended. */
@@ -43,6 +54,13 @@
       free (ledger->drain_signals);
       ledger->drain_signals = next;
     }
+  while (ledger->limits != NULL)
+    {
+      struct ledger_limit *next = ledger->limits->next;
+
+      free (ledger->limits);
+      ledger->limits = next;
+    }
   HASH_CLEAR (hh, ledger->attempts);
   HASH_CLEAR (hh, ledger->runs);
   while (attempt != NULL)
@@ -220,6 +238,93 @@
           (long long)(attempt->sent_ms - signal->signalled_ms));
 }
 
+static struct ledger_limit *
+find_limit (struct ledger *ledger, const struct standin_endpoint *endpoint)
+{
+  struct ledger_limit *limit = ledger->limits;
+
+  while (limit != NULL
+         && (limit->incarnation_start_ms != endpoint->start_wall_ms
+             || strcmp (limit->endpoint, endpoint->id) != 0))
+    limit = limit->next;
+  return limit;
+}
+
+static void
+record_limit (void *context,
+              const struct standin_endpoint *endpoint,
+              const char *request)
+{
+  struct ledger *ledger = context;
+  const struct ledger_attempt *attempt = find_attempt (ledger, request);
+  struct ledger_limit *limit = find_limit (ledger, endpoint);
+
+  if (attempt == NULL)
+    return;
+  if (limit == NULL)
+    {
+      limit = calloc (1, sizeof *limit);
+      if (limit == NULL)
+        abort ();
+      snprintf (limit->endpoint, sizeof limit->endpoint, "%s", endpoint->id);
+      limit->incarnation_start_ms = endpoint->start_wall_ms;
+      limit->next = ledger->limits;
+      ledger->limits = limit;
+    }
+  if (limit->per_10_s != endpoint->faults.limit_per_10_s
+      || ledger->now_ms - limit->stated_ms > LIMIT_END_MS)
+    {
+      limit->per_10_s = endpoint->faults.limit_per_10_s;
+      limit->since_ms = ledger->now_ms;
+      limit->told_count = 0;
+      limit->received_count = 0;
+    }
+  limit->stated_ms = ledger->now_ms;
+  for (unsigned i = 0; i < limit->told_count; i++)
+    if (limit->told[i].host == attempt->host)
+      return;
+  if (limit->told_count == LEDGER_TOLD_HOST_LIMIT)
+    return;
+  limit->told[limit->told_count].host = attempt->host;
+  limit->told[limit->told_count++].told_ms = ledger->now_ms;
+}
+
+static bool
+was_told (const struct ledger_limit *limit,
+          const struct host *host,
+          int64_t now_ms)
+{
+  for (unsigned i = 0; i < limit->told_count; i++)
+    if (limit->told[i].host == host)
+      return now_ms - limit->told[i].told_ms >= LIMIT_TOLD_MS
+             && host_was_undisturbed (host, limit->told[i].told_ms);
+  return false;
+}
+
+/* Checks that the hosts together send no more than the endpoint accepts. */
+static void
+check_request_limit (struct ledger *ledger,
+                     const struct ledger_attempt *attempt,
+                     const struct standin_endpoint *endpoint)
+{
+  struct ledger_limit *limit = find_limit (ledger, endpoint);
+  unsigned count = 0;
+
+  if (limit == NULL || limit->per_10_s != endpoint->faults.limit_per_10_s
+      || !was_told (limit, attempt->host, ledger->now_ms))
+    return;
+  limit->received_ms[limit->received_count++ % LEDGER_LIMITED_REQUEST_LIMIT]
+      = ledger->now_ms;
+  for (unsigned i = 0; i < LEDGER_LIMITED_REQUEST_LIMIT; i++)
+    count += limit->received_ms[i] >= limit->since_ms + LIMIT_STABLE_MS
+             && ledger->now_ms - limit->received_ms[i] < LIMIT_SPAN_MS;
+  if ((double)count
+      > 1.5 * limit->per_10_s * LIMIT_SPAN_MS / 10000 + LIMIT_SLACK)
+    ledger_report_violation (ledger, "LIMIT",
+                             "%s states %u requests in 10 s and got %u in 4 s",
+                             endpoint->id, limit->per_10_s, count);
+}
+
 static void
 on_request_received (void *context, const struct standin_arrival *arrival)
 {
@@ -244,6 +349,7 @@
         endpoint->id, attempt->id, attempt->host->name,
         (long long)(attempt->sent_ms - endpoint->leaving_reported_ms));
   check_drain_signals (ledger, attempt, endpoint);
+  check_request_limit (ledger, attempt, endpoint);
   if (attempt->outcome != LEDGER_OPEN
       && ledger->now_ms - attempt->ended_ms
              > ABANDONED_RUN_LIMIT_MS
@@ -430,6 +536,7 @@
   .on_response_made = on_response_made,
   .on_run_aborted = on_run_aborted,
   .on_drain_signalled = record_drain_signal,
+  .on_limit_stated = record_limit,
   .on_order_executed = on_order_executed,
   .on_member_taken = on_member_taken,
 };
--- a/soak/ledger.h
+++ b/soak/ledger.h
@@ -85,6 +85,28 @@
   struct ledger_drain_signal *next;
 };
 
+/* An endpoint states a request limit; what it got since then. */
+#define LEDGER_TOLD_HOST_LIMIT 64
+#define LEDGER_LIMITED_REQUEST_LIMIT 256
+struct ledger_limit
+{
+  char endpoint[LEDGER_TEXT_SIZE];
+  int64_t incarnation_start_ms;
+  unsigned per_10_s;
+  int64_t since_ms;  /* first stated as it is now */
+  int64_t stated_ms; /* last stated */
+  struct
+  {
+    const struct host *host;
+    int64_t told_ms;
+  } told[LEDGER_TOLD_HOST_LIMIT];
+  unsigned told_count;
+  /* Times of requests by hosts that had been told, in a ring. */
+  int64_t received_ms[LEDGER_LIMITED_REQUEST_LIMIT];
+  unsigned received_count;
+  struct ledger_limit *next;
+};
+
 /* A time for which the process of the callers and endpoints did not run. */
 struct ledger_standstill
 {
@@ -98,6 +120,7 @@
   struct ledger_attempt *attempts; /* uthash by id */
   struct ledger_run *runs;         /* uthash by number */
   struct ledger_drain_signal *drain_signals;
+  struct ledger_limit *limits;
   int64_t now_ms;
   int64_t started_ms;
   int64_t store_disturbed_ms; /* last moment of a fault of the store */
--- a/soak/schedule.c
+++ b/soak/schedule.c
@@ -281,6 +281,17 @@
   fault->until_ms = schedule->world->now_ms + SILENCE_EFFECT_MS;
 }
 
+/* Every endpoint states a limit; the strength is requests in 10 s. */
+static void
+limit_endpoints (struct schedule *schedule, struct fault *fault)
+{
+  struct world *world = schedule->world;
+
+  for (unsigned i = 0; i < world->endpoint_count; i++)
+    world->endpoints[i].standin->faults.limit_per_10_s
+        = (unsigned)fault->strength;
+}
+
 /* Faults of the lease holder of a data centre, and of many at once. */
 
 /* The host that the store names as holder; NULL if there is none. */
@@ -442,6 +453,7 @@
   { "hosts-stopped", TARGET_CROWD, 3, 200, 2500, 10, 90, stop_many_hosts, NULL },
   { "endpoints-reborn", TARGET_CROWD, 6, 0, 0, 1, 10, restart_many_endpoints, NULL },
   { "all-orders-late", TARGET_CROWD, 6, 1000, 4000, 80, 100, NULL, delay_orders },
+  { "limits-stated", TARGET_CROWD, 6, 5000, 12000, 2, 60, NULL, limit_endpoints },
   { "route-moves", TARGET_NONE, 5, 0, 0, 0, 0, move_route, NULL },
   { "routes-change", TARGET_NONE, 3, 0, 0, 0, 0, change_extra_routes, NULL },
   { "key-taken", TARGET_NONE, 8, 0, 0, 0, 0, revoke_key, NULL },
