records: log when the store was restored from a copy

A host could not tell a restoration from an outage: event=platform-restored says which era the store is in now.

--- a/packages/records/include/records.h
+++ b/packages/records/include/records.h
@@ -78,6 +78,11 @@
 
 struct records_codec
 {
+  /*
+   * Field of every response that counts how often the store was restored from a
+   * copy; NULL = it has none.
+   */
+  const char *era_field;
   /* Appends the target, "/path?query", and the body if there is one. */
   void (*encode) (const struct records_request *request,
                   const char **method,
@@ -105,6 +110,7 @@
   const struct records_codec *codec;
   char address[64];
   uint16_t port;
+  uint64_t era; /* highest that a response named; 0 = none did */
   uint64_t calls[RECORDS_KINDS];    /* calls sent, by kind */
   uint64_t failures;                /* calls without a complete response */
   TAILQ_HEAD (, records_call) sent; /* calls in flight */
--- a/packages/records/src/records.c
+++ b/packages/records/src/records.c
@@ -30,6 +30,7 @@
   enum records_verb verb;
   int64_t expires_at_ms; /* when the call fails or the idle connection closes */
   unsigned status;
+  uint64_t era; /* that the response names; 0 = none */
   struct http_text request;
   struct http_text body;
   void (*done) (void *context, const struct records_response *response);
@@ -139,11 +140,32 @@
   send_request (call);
 }
 
+/* Records the era that a response names; logs when it rises. */
+static void
+note_era (struct records_call *call, const struct http_head *head)
+{
+  struct records *records = call->records;
+  const char *field = records->codec->era_field;
+  int64_t era;
+
+  call->era = 0;
+  if (field == NULL || !http_parse_number (http_head_get (head, field), &era))
+    return;
+  call->era = (uint64_t)era;
+  if (call->era <= records->era)
+    return;
+  if (records->era != 0)
+    LOG_EVENT (LOG_LEVEL_WARNING, "platform-restored",
+               LOG_U64 ("era", call->era), LOG_U64 ("previous", records->era));
+  records->era = call->era;
+}
+
 static void
 on_head (void *context, const struct http_head *head)
 {
   struct records_call *call = context;
 
+  note_era (call, head);
   /* A response without a request: the connection is in an unknown state. */
   if (!call->busy)
     close_call (call);
