records: tell revisions of different eras apart

Cause: revisions go back and are given out again, and everything that keeps one compares it with what the store says now: reads of the lease were ignored as older than what a watch had told. The class: a number that identifies a state is used beyond the epoch in which it does so.

Now the client of the store adds the era that responses name to every revision. Lists, watches, leases, strikes, tables and messages between hosts compare pairs of era and number without knowing it. A watch from an earlier era ends as if its history was gone, a write as a conflict; neither is sent. A response of an earlier era counts as lost, and the pages of a list must be of one era. The protocol between hosts has version 3, since older builds compare numbers.

--- a/packages/edge/include/gossip.h
+++ b/packages/edge/include/gossip.h
@@ -16,7 +16,7 @@
  * host sends which message.
  */
 
-#define GOSSIP_VERSION 2
+#define GOSSIP_VERSION 3
 #define GOSSIP_DATAGRAM_LIMIT_BYTES                                            \
   1400 /* one datagram without fragments on Ethernet */
 /* Limits of one message. */
--- a/packages/edge/src/gossip.c
+++ b/packages/edge/src/gossip.c
@@ -45,11 +45,7 @@
              && xdr_uint64_t (xdr, &lease->seq));
 }
 
-/*
- * Flags of a load.  Hosts of protocol version 2 that do not know
- * LOAD_FLAG_LEAVING read either flag as LOAD_FLAG_STALLED; those that do not
- * know LOAD_FLAG_LIMIT reject the message.
- */
+/* Flags of a load. */
 #define LOAD_FLAG_STALLED 1U
 #define LOAD_FLAG_LEAVING 2U
 #define LOAD_FLAG_LIMIT 4U
--- a/packages/records/include/records.h
+++ b/packages/records/include/records.h
@@ -19,6 +19,12 @@
  * is short, from records_call.  A write that may have taken effect ends with
  * RESULT_PLATFORM_LOST_ANSWER, and one that certainly did not with any other
  * error.
+ *
+ * A store that was restored from a copy gives out the same revisions again.  To
+ * its users a revision also holds the era, in its high digits: revisions always
+ * rise, and one of an earlier era equals none of the present.  A watch from
+ * such a revision ends with RESULT_PLATFORM_HISTORY_GONE, a write on condition
+ * of one with RESULT_PLATFORM_CONFLICT and no record.
  */
 
 enum records_kind
@@ -70,10 +76,10 @@
   /* LIST: the last name that can be read, also of a record left out of list. */
   const char *last_name;
   unsigned skipped; /* records without a readable name or revision */
-  const struct records_record *list;
+  struct records_record *list;
   unsigned count;
   /* The record that was read or written; on a conflict, the stored one. */
-  const struct records_record *record;
+  struct records_record *record;
 };
 
 struct records_codec
@@ -126,7 +132,11 @@
 /* Cancels all calls without running their callbacks. */
 void records_finish (struct records *records);
 
-/* Sends a request; the call fails if no response arrives in timeout_ms. */
+/*
+ * Sends a request; the call fails if no response arrives in timeout_ms.  A
+ * request that depends on a revision of an earlier era is not sent: its
+ * callback runs at once.
+ */
 void records_call (struct records *records,
                    const struct records_request *request,
                    int timeout_ms,
@@ -137,6 +147,9 @@
 /* Ends calls that timed out and closes idle connections; call every tick. */
 void records_tick (struct records *records, int64_t now_ms);
 
+/* The era of a revision; 0 = the store names none. */
+uint64_t records_get_era (uint64_t revision);
+
 /* True if the store failed or is unreachable, not if it rejected the call. */
 bool records_is_store_failure (enum result result);
 
--- a/packages/records/src/follower.c
+++ b/packages/records/src/follower.c
@@ -182,6 +182,11 @@
   /* The response to a watch, or to a page of a list that was given up. */
   if (follower->call_generation != follower->generation)
     return;
+  /* The pages of a list must be of one era. */
+  if (result == RESULT_OK && follower->list_after[0] != '\0'
+      && records_get_era (response->revision)
+             != records_get_era (follower->list_revision))
+    result = RESULT_PLATFORM_HISTORY_GONE;
   if (result == RESULT_OK && !is_sufficient (follower, response))
     result = RESULT_PLATFORM_BAD_ANSWER;
   if (result == RESULT_OK)
--- a/packages/records/src/records.c
+++ b/packages/records/src/records.c
@@ -15,6 +15,8 @@
  * call also has its own timeout.
  */
 #define UNACKNOWLEDGED_LIMIT_MS 2000
+/* An era times this is added to its revisions; decimal, for readers of logs. */
+#define ERA_UNIT UINT64_C (1000000000000000)
 /* Idle connections are closed after this time, before the store closes them. */
 #define IDLE_LIMIT_MS 8000
 
@@ -31,6 +33,8 @@
   int64_t expires_at_ms; /* when the call fails or the idle connection closes */
   unsigned status;
   uint64_t era; /* that the response names; 0 = none */
+  /* Of the revision that the request depends on; 0 = it depends on none. */
+  uint64_t request_era;
   struct http_text request;
   struct http_text body;
   void (*done) (void *context, const struct records_response *response);
@@ -140,7 +144,24 @@
   send_request (call);
 }
 
-/* Records the era that a response names; logs when it rises. */
+uint64_t
+records_get_era (uint64_t revision)
+{
+  return revision / ERA_UNIT;
+}
+
+static void
+raise_era (struct records *records, uint64_t era)
+{
+  if (era <= records->era)
+    return;
+  if (records->era != 0)
+    LOG_EVENT (LOG_LEVEL_WARNING, "platform-restored", LOG_U64 ("era", era),
+               LOG_U64 ("previous", records->era));
+  records->era = era;
+}
+
+/* Records the era that a response names. */
 static void
 note_era (struct records_call *call, const struct http_head *head)
 {
@@ -152,12 +173,7 @@
   if (field == NULL || !http_parse_number (http_head_get (head, field), &era))
     return;
   call->era = (uint64_t)era;
-  if (call->era <= records->era)
-    return;
-  if (records->era != 0)
-    LOG_EVENT (LOG_LEVEL_WARNING, "platform-restored",
-               LOG_U64 ("era", call->era), LOG_U64 ("previous", records->era));
-  records->era = call->era;
+  raise_era (records, call->era);
 }
 
 static void
@@ -183,17 +199,77 @@
     abort_connection (call);
 }
 
+/* The owner of a call whose response is being decoded. */
+struct decoding
+{
+  uint64_t era;
+  void (*done) (void *context, const struct records_response *response);
+  void *context;
+};
+
+static bool
+add_era (uint64_t *revision, uint64_t era)
+{
+  if (*revision >= ERA_UNIT)
+    return false;
+  if (*revision != 0)
+    *revision += era * ERA_UNIT;
+  return true;
+}
+
+/* Adds the era to the revisions of a response before its owner gets it. */
+static void
+on_decoded (void *context, const struct records_response *response)
+{
+  const struct decoding *decoding = context;
+  struct records_response with_eras = *response;
+  bool is_valid = add_era (&with_eras.revision, decoding->era);
+
+  for (unsigned i = 0; i < response->count; i++)
+    is_valid = add_era (&response->list[i].revision, decoding->era) && is_valid;
+  if (response->record != NULL)
+    is_valid = add_era (&response->record->revision, decoding->era) && is_valid;
+  if (!is_valid)
+    with_eras
+        = (struct records_response){ .result = RESULT_PLATFORM_BAD_ANSWER };
+  decoding->done (decoding->context, &with_eras);
+}
+
+/* The result of a call whose revision is of an earlier era. */
+static enum result
+get_outdated_result (enum records_verb verb)
+{
+  return verb == RECORDS_WATCH ? RESULT_PLATFORM_HISTORY_GONE
+                               : RESULT_PLATFORM_CONFLICT;
+}
+
+/*
+ * RESULT_OK if the response is of the present era, and so is the revision that
+ * the call depends on.
+ */
+static enum result
+check_era (const struct records_call *call)
+{
+  if (call->era == 0)
+    return RESULT_OK;
+  if (call->era < call->records->era)
+    return call->is_write ? RESULT_PLATFORM_LOST_ANSWER
+                          : RESULT_PLATFORM_UNREACHABLE;
+  return call->request_era != 0 && call->request_era != call->era
+             ? get_outdated_result (call->verb)
+             : RESULT_OK;
+}
+
 static void
 on_complete (void *context)
 {
   struct records_call *call = context;
   struct records *records = call->records;
-  void (*done) (void *context, const struct records_response *response)
-      = call->done;
-  void *done_context = call->context;
+  struct decoding decoding = { records->era, call->done, call->context };
   struct http_text body;
   enum records_verb verb = call->verb;
   unsigned status = call->status;
+  enum result result = check_era (call);
 
   if (!call->busy)
     {
@@ -213,8 +289,12 @@
     }
   else
     close_call (call);
-  records->codec->decode (verb, status, body.data != NULL ? body.data : "",
-                          body.size, done, done_context);
+  if (result == RESULT_OK)
+    records->codec->decode (verb, status, body.data != NULL ? body.data : "",
+                            body.size, on_decoded, &decoding);
+  else
+    decoding.done (decoding.context,
+                   &(struct records_response){ .result = result });
   http_text_finish (&body);
 }
 
@@ -238,13 +318,15 @@
                 const struct records_request *request)
 {
   struct records *records = call->records;
+  struct records_request sent = *request;
   struct http_text target;
   struct http_text body;
   const char *method = "GET";
 
   http_text_init (&target);
   http_text_init (&body);
-  records->codec->encode (request, &method, &target, &body);
+  sent.revision %= ERA_UNIT;
+  records->codec->encode (&sent, &method, &target, &body);
   http_text_reset (&call->request);
   http_text_add_string (&call->request, method);
   http_text_add (&call->request, " ", 1);
@@ -308,9 +390,23 @@
                             const struct records_response *response),
               void *context)
 {
-  struct records_call *call = acquire_idle_connection (records);
-  bool reused = call != NULL;
+  bool depends_on_revision
+      = request->verb == RECORDS_WATCH || request->verb == RECORDS_REPLACE;
+  uint64_t request_era
+      = depends_on_revision ? records_get_era (request->revision) : 0;
+  struct records_call *call;
+  bool reused;
 
+  /* The owner may know a later era from another host. */
+  raise_era (records, request_era);
+  if (request_era != 0 && request_era < records->era)
+    {
+      done (context, &(struct records_response){
+                         .result = get_outdated_result (request->verb) });
+      return;
+    }
+  call = acquire_idle_connection (records);
+  reused = call != NULL;
   records->calls[request->kind]++;
   if (call == NULL)
     call = open_connection (records);
@@ -325,6 +421,7 @@
   call->busy = true;
   call->sent = false;
   call->verb = request->verb;
+  call->request_era = request_era;
   call->is_write
       = request->verb == RECORDS_CREATE || request->verb == RECORDS_REPLACE;
   call->expires_at_ms = time_boot_ms () + timeout_ms;
--- a/packages/records/tests/t0480-follower.c
+++ b/packages/records/tests/t0480-follower.c
@@ -149,11 +149,16 @@
 send_response (struct http_connection *connection, const char *text)
 {
   char bytes[2048];
-  unsigned status = (unsigned)strtoul (text, NULL, 10);
+  char *body;
+  unsigned status = (unsigned)strtoul (text, &body, 10);
+  unsigned era = *body == '/' ? (unsigned)strtoul (body + 1, &body, 10) : 0;
+  char field[32] = "";
 
+  if (era != 0)
+    snprintf (field, sizeof field, "X-Era: %u\r\n", era);
   snprintf (bytes, sizeof bytes,
-            "HTTP/1.1 %u X\r\nContent-Length: %zu\r\n\r\n%s", status,
-            strlen (text + 4), text + 4);
+            "HTTP/1.1 %u X\r\n%sContent-Length: %zu\r\n\r\n%s", status, field,
+            strlen (body + 1), body + 1);
   http_connection_write (connection, bytes, strlen (bytes));
   http_connection_next_message (connection, false);
 }
@@ -221,7 +226,7 @@
 struct follower_case
 {
   const char *guards;       /* failure that the case guards against */
-  const char *responses[6]; /* "STATUS BODY" */
+  const char *responses[6]; /* "STATUS BODY" or "STATUS/ERA BODY" */
   unsigned calls;
   const char *log;
   const char *target; /* of the last call */
@@ -271,13 +276,56 @@
     "/list/0" },
 };
 
+/* The store is restored from a copy, and its era rises. */
+static const struct follower_case restored_cases[] = {
+  { "a watch goes on from a revision that was given out again",
+    { "200/1 {\"at\":5,\"names\":[\"a\",\"b\"]}",
+      "200/2 {\"at\":7,\"names\":[\"c\"]}",
+      "200/2 {\"at\":7,\"names\":[\"b\",\"c\"]}", NULL },
+    4,
+    "begin a b end begin b c end ",
+    "/watch/7" },
+  { "a list goes on with pages of another era",
+    { "200/1 {\"at\":5,\"names\":[\"a\"],\"more\":true}",
+      "200/2 {\"at\":3,\"names\":[\"b\"]}",
+      "200/2 {\"at\":3,\"names\":[\"b\"]}", NULL },
+    4,
+    "begin a begin b end ",
+    "/watch/3" },
+  { "a watch is sent again after a failure that named another era",
+    { "200/1 {\"at\":5,\"names\":[\"a\"]}", "503/2 {}",
+      "200/2 {\"at\":3,\"names\":[\"b\"]}", NULL },
+    4,
+    "begin a end begin b end ",
+    "/watch/3" },
+  { "a response of an earlier era is believed",
+    { "200/2 {\"at\":5,\"names\":[\"a\"]}",
+      "200/1 {\"at\":9,\"names\":[\"b\"]}",
+      "200/2 {\"at\":6,\"names\":[\"c\"]}", NULL },
+    4,
+    "begin a end regained c ",
+    "/watch/6" },
+  { "a response without an era ends a watch",
+    { "200/2 {\"at\":5,\"names\":[\"a\"]}", "200 {\"at\":6,\"names\":[\"b\"]}",
+      NULL },
+    3,
+    "begin a end b ",
+    "/watch/6" },
+  { "a revision that does not fit is cut",
+    { "200/1 {\"at\":5,\"names\":[\"a\"]}",
+      "200/1 {\"at\":1000000000000000,\"names\":[\"b\"]}",
+      "200/1 {\"at\":6,\"names\":[\"c\"]}", NULL },
+    4,
+    "begin a end regained c ",
+    "/watch/6" },
+};
+
 static void
-test_list_and_watch (void **state)
+play_cases (const struct follower_case *list, size_t count)
 {
-  (void)state;
-  for (size_t i = 0; i < sizeof follower_cases / sizeof follower_cases[0]; i++)
+  for (size_t i = 0; i < count; i++)
     {
-      const struct follower_case *c = &follower_cases[i];
+      const struct follower_case *c = &list[i];
 
       setup (c->responses);
       run_until_calls (c->calls);
@@ -289,6 +337,20 @@
     }
 }
 
+static void
+test_restored_store (void **state)
+{
+  (void)state;
+  play_cases (restored_cases, sizeof restored_cases / sizeof restored_cases[0]);
+}
+
+static void
+test_list_and_watch (void **state)
+{
+  (void)state;
+  play_cases (follower_cases, sizeof follower_cases / sizeof follower_cases[0]);
+}
+
 /* A name that is cut would stand for another place in the list. */
 static void
 test_list_after_long_name (void **state)
@@ -446,6 +508,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_list_and_watch),
+    cmocka_unit_test (test_restored_store),
     cmocka_unit_test (test_list_after_long_name),
     cmocka_unit_test (test_watch_response_after_relist),
     cmocka_unit_test (test_late_page_after_relist),
