group: do not believe a lease that was restored from a copy

What could follow from the copy, by reading and by the cases below: the lease may be missing, name a holder from before, or hold a fencing token that was used since. A candidate would create a missing lease while its holder still acts; a former holder would go on under a token that endpoints have seen exceeded; the next token, and with it the names of groups, would be used twice.

Cause: the record of the lease says who may act only because conditional writes order it; a restoration breaks that order.

Now a restoration ends the lease. Its last holder writes it again at once, under its token, if nobody else can have acquired it meanwhile: that is so until the time to live and the wait of candidates have passed since its last renewal. All others wait as for a lease that was just renewed, also for a missing one, and use a token above all that they have seen; the groups that endpoints report tell tokens too. A read with an older version than was known when it was requested counts as a restoration, so the product's own store is covered without an era.

--- a/packages/edge/include/leader.h
+++ b/packages/edge/include/leader.h
@@ -39,6 +39,8 @@
   bool acting;         /* the lease is held */
   bool is_releasing;   /* sends no more orders; see leader_release_lease */
   int64_t acquired_ms; /* when acting last became true */
+  uint64_t era;        /* of the store, as far as the lease knows it */
+  int64_t next_fence_scan_ms;
   int64_t now_ms;
 };
 
--- a/packages/edge/src/leader.c
+++ b/packages/edge/src/leader.c
@@ -23,6 +23,8 @@
 #define LEASE_RANKS 4
 /* A call without a response for this long counts as failed. */
 #define LEASE_CALL_TIMEOUT_MS 1000
+/* Interval of looks for the tokens of groups. */
+#define FENCE_SCAN_INTERVAL_MS 1000
 
 static void
 send_order (void *context, const struct formation_order *order)
@@ -164,6 +166,47 @@
   formation_finish (&leader->formation);
 }
 
+/* Tells the lease that the store was restored, before it sees the copy. */
+static void
+note_era (struct leader *leader)
+{
+  uint64_t era = leader->records->era;
+
+  if (era == leader->era)
+    return;
+  if (leader->era != 0 && leader->lease.was_read
+      && records_get_era (leader->lease.version) < era)
+    {
+      lease_on_restore (&leader->lease);
+      LOG_EVENT (LOG_LEVEL_NOTICE, "lease-restored",
+                 LOG_STR ("lease", leader->lease_name), LOG_U64 ("era", era),
+                 LOG_U64 ("fence_floor", leader->lease.fence_floor),
+                 LOG_INT ("reclaimable_ms",
+                          leader->lease.reclaim_until_ms > leader->now_ms
+                              ? leader->lease.reclaim_until_ms - leader->now_ms
+                              : 0));
+    }
+  leader->era = era;
+}
+
+/*
+ * Groups that exist tell the tokens under which they were formed.  A lease that
+ * was restored from a copy may hold an older one.
+ */
+static void
+observe_fences (struct leader *leader)
+{
+  if (leader->lease.phase == LEASE_HOLDING
+      || leader->now_ms < leader->next_fence_scan_ms)
+    return;
+  leader->next_fence_scan_ms = leader->now_ms + FENCE_SCAN_INTERVAL_MS;
+  for (const struct endpoint *endpoint = leader->endpoints->table;
+       endpoint != NULL; endpoint = endpoint->hh.next)
+    if (strcmp (endpoint->report.data_centre, leader->lease_name) == 0)
+      lease_observe_fence (&leader->lease,
+                           formation_get_fence (endpoint->report.epoch));
+}
+
 static void
 on_lease_read (void *context, const struct records_response *response)
 {
@@ -171,6 +214,7 @@
   struct lease_value value = { .fence = 0 };
   enum result result = response->result;
 
+  note_era (leader);
   if (result == RESULT_OK)
     result = response->record != NULL && response->record->value != NULL
                  ? lease_value_from_json (&value, response->record->value)
@@ -184,6 +228,7 @@
 {
   struct leader *leader = context;
 
+  note_era (leader);
   lease_on_write (&leader->lease, response->result, response->revision,
                   time_boot_ms ());
 }
@@ -296,6 +341,9 @@
   else
     lease_set_rank (&leader->lease,
                     1 + leader->rank + (role == LEADER_HUB ? 0 : LEASE_RANKS));
+  note_era (leader);
+  if (is_candidate)
+    observe_fences (leader);
   if (is_candidate || leader->lease.phase == LEASE_HOLDING)
     act_on_lease (leader);
   update_lease_state (leader);
--- a/packages/edge/tests/t0963-orders.c
+++ b/packages/edge/tests/t0963-orders.c
@@ -402,6 +402,9 @@
 };
 
 /* A holder that stops hands its lease over once its orders are answered. */
+/* Not called: the lease has a request in flight. */
+static struct records records;
+
 static void
 test_release_after_orders (void **state)
 {
@@ -420,8 +423,8 @@
       start_server ();
       response_status = c->status;
       endpoints_init (&endpoints, NULL, NULL);
-      leader_init (leader, server.base, &adapter, NULL, &endpoints, &settings,
-                   "self");
+      leader_init (leader, server.base, &adapter, &records, &endpoints,
+                   &settings, "self");
       leader->lease.phase = LEASE_HOLDING;
       leader->lease.valid_until_ms = time_boot_ms () + WAIT_MS;
       leader->lease.request_in_flight = LEASE_READ; /* no other request */
--- a/packages/formation/include/formation.h
+++ b/packages/formation/include/formation.h
@@ -111,6 +111,9 @@
 };
 const char *formation_phase_name (enum formation_phase phase);
 
+/* The fencing token under which a group of this epoch was formed. */
+uint64_t formation_get_fence (uint64_t epoch);
+
 struct formation_group
 {
   char name[FORMATION_NAME_SIZE];
--- a/packages/formation/src/formation.c
+++ b/packages/formation/src/formation.c
@@ -65,6 +65,12 @@
   clear_state (formation);
 }
 
+uint64_t
+formation_get_fence (uint64_t epoch)
+{
+  return epoch >> FORMATION_EPOCH_SHIFT;
+}
+
 void
 formation_set_fence (struct formation *formation,
                      uint64_t fence,
--- a/packages/group/include/lease.h
+++ b/packages/group/include/lease.h
@@ -99,6 +99,15 @@
   int64_t last_sent_ms;
   /* the last write had a conflict, or its response was lost */
   bool needs_read_back;
+  uint64_t known_at_read; /* version known when the last read was requested */
+  /*
+   * The platform was restored from a copy, and nobody is known to have written
+   * the lease since.  A holder of before may still act.
+   */
+  bool is_copy;
+  /* Until this time only this candidate can have held the lease before. */
+  int64_t reclaim_until_ms;
+  uint64_t reclaim_fence;
   int64_t next_request_ms; /* time of the next renewal or read */
   int64_t not_before_ms;   /* no request before this moment */
 };
@@ -130,6 +139,16 @@
  */
 void lease_observe_fence (struct lease *lease, uint64_t fence);
 
+/*
+ * The platform was restored from a copy: versions have gone back, and the lease
+ * may be an older one or missing.  The last holder writes it again under its
+ * token, if nobody else can have acquired the lease meanwhile; all others wait
+ * as for a lease that was just renewed, and use a higher token.  A read that
+ * shows an older version than was known when it was requested has the same
+ * effect.
+ */
+void lease_on_restore (struct lease *lease);
+
 /* Returns the next action.  LEASE_NO_ACTION while a request is in flight. */
 struct lease_action lease_tick (struct lease *lease, int64_t now_ms);
 
--- a/packages/group/src/lease.c
+++ b/packages/group/src/lease.c
@@ -54,6 +54,7 @@
   lease->next_request_ms = INT64_MIN;
   lease->not_before_ms = INT64_MIN;
   lease->valid_until_ms = INT64_MIN;
+  lease->reclaim_until_ms = INT64_MIN;
 }
 
 void
@@ -94,7 +95,7 @@
 {
   int64_t wait = (int64_t)lease->rank * lease->settings.stagger_ms;
 
-  if (lease->version != 0 && lease->value.holder[0] != '\0')
+  if (lease->is_copy || (lease->version != 0 && lease->value.holder[0] != '\0'))
     {
       int64_t ttl = (int64_t)lease->value.ttl_ms;
 
@@ -111,6 +112,7 @@
   struct lease_action action = { .kind = LEASE_READ };
 
   lease->request_in_flight = LEASE_READ;
+  lease->known_at_read = lease->version;
   lease->next_request_ms = now_ms
                            + (lease->rank < lease->settings.poll_ranks
                                   ? lease->settings.poll_interval_ms
@@ -148,6 +150,24 @@
   return action;
 }
 
+/* True if this candidate may write its lease again after a restoration. */
+static bool
+can_reclaim (const struct lease *lease, int64_t now_ms)
+{
+  return lease->is_copy && !lease->releasing && now_ms < lease->reclaim_until_ms
+         && lease->fence_floor <= lease->reclaim_fence;
+}
+
+static struct lease_action
+request_reclaim (struct lease *lease, int64_t now_ms)
+{
+  struct lease_action action = request_write (lease, lease->self, now_ms);
+
+  action.value.fence = lease->reclaim_fence;
+  lease->last_sent = action.value;
+  return action;
+}
+
 struct lease_action
 lease_tick (struct lease *lease, int64_t now_ms)
 {
@@ -174,6 +194,8 @@
         return request_write (lease, lease->self, now_ms);
       return nothing;
     }
+  if (can_reclaim (lease, now_ms))
+    return request_reclaim (lease, now_ms);
   if (now_ms >= compute_takeover_ms (lease))
     return request_write (lease, lease->self, now_ms);
   if (now_ms >= lease->next_request_ms)
@@ -190,6 +212,9 @@
 {
   bool newer = version != lease->version;
 
+  /* What is read first may be the copy; what changes then was written since. */
+  if (newer && lease->was_read)
+    lease->is_copy = false;
   lease->value = *value;
   lease->version = version;
   if (!lease->was_read || newer)
@@ -197,6 +222,11 @@
   lease->was_read = true;
   if (lease->phase == LEASE_RELEASED)
     return;
+  if (lease->is_copy)
+    {
+      lease->phase = LEASE_FOLLOWING;
+      return;
+    }
   if (version == 0 || strcmp (value->holder, lease->self) != 0)
     {
       lease->phase = LEASE_FOLLOWING;
@@ -220,6 +250,25 @@
     }
 }
 
+void
+lease_on_restore (struct lease *lease)
+{
+  lease_observe_fence (lease, lease->value.fence);
+  if (lease->phase == LEASE_HOLDING && lease->valid_until_ms != INT64_MIN)
+    {
+      /* Others could take over this long after the last renewal was sent. */
+      lease->reclaim_until_ms = lease->valid_until_ms
+                                + lease->settings.margin_ms
+                                + lease->settings.takeover_wait_ms;
+      lease->reclaim_fence = lease->value.fence;
+    }
+  if (lease->phase == LEASE_HOLDING)
+    lease->phase = LEASE_FOLLOWING;
+  lease->is_copy = true;
+  lease->was_read = false;
+  lease->version = 0;
+}
+
 void
 lease_on_read (struct lease *lease,
                enum result result,
@@ -241,6 +290,8 @@
       return;
     }
   lease->needs_read_back = false;
+  if (version < lease->known_at_read && lease->was_read)
+    lease_on_restore (lease);
   if (version != 0 && version < lease->version)
     return; /* a watch has already delivered a later version */
   apply_value (lease, value, version, now_ms);
