edge: register hubs again after the store was restored from a copy

Hubs write their record once. If the copy is older than the record, nobody wrote it again, and hosts that start alone or after a cut could not find the hubs by the store. Cause: "registered" was a fact about the process, not about the store.

--- a/packages/edge/include/mesh.h
+++ b/packages/edge/include/mesh.h
@@ -99,9 +99,10 @@
   struct mesh_loads merge_buffer;
   uint64_t lease_version;
   struct lease_value lease;
-  bool registered;       /* the platform has this host's record */
-  bool registering;      /* a write of the record is in progress */
-  uint64_t own_revision; /* of this host's record; 0 = there is none */
+  bool registered;         /* the platform has this host's record */
+  bool registering;        /* a write of the record is in progress */
+  uint64_t own_revision;   /* of this host's record; 0 = there is none */
+  uint64_t registered_era; /* of the store, when the record was written */
   int64_t started_ms;
   int64_t next_register_ms;
   int64_t next_send_ms;
--- a/packages/edge/src/mesh.c
+++ b/packages/edge/src/mesh.c
@@ -315,7 +315,13 @@
 
   mesh->registering = false;
   mesh->registered = response->result == RESULT_OK;
-  if (response->record != NULL)
+  mesh->registered_era = records_get_era (response->revision);
+  /* A record of an earlier era may be missing now. */
+  if (response->result == RESULT_PLATFORM_NOT_FOUND
+      || (response->result == RESULT_PLATFORM_CONFLICT
+          && response->record == NULL))
+    mesh->own_revision = 0;
+  else if (response->record != NULL)
     mesh->own_revision = response->revision;
 }
 
@@ -331,6 +337,9 @@
   };
   json_t *value;
 
+  /* The store was restored from a copy, which may lack the record. */
+  if (mesh->registered && mesh->registered_era != mesh->records->era)
+    mesh->registered = false;
   if (mesh->registered || mesh->registering
       || mesh->now_ms < mesh->next_register_ms)
     return;
