edge: write strikes again after the store was restored from a copy

Seen in a test: strikes that led to quarantines and were written after the copy are gone, the next write is conditional on a record of an earlier era and is refused for ever, so a loss of all hosts would end the quarantines.

Cause: the digest of what was last written is compared with the strikes, though the record that it describes was lost. With a new era nothing is known of the record, and it is written again once it was listed.

t0974: quarantines outlast a restoration (failed before); strikes that the copy holds and that answers have ended since are not believed (passed before).

--- a/packages/edge/src/strike-record.c
+++ b/packages/edge/src/strike-record.c
@@ -123,6 +123,14 @@
   record->written_digest = digest;
 }
 
+/* Nothing is known of the record any more, not even that it exists. */
+static void
+forget_record (struct strike_record *record)
+{
+  record->revision = 0;
+  record->written_digest = 0;
+}
+
 static void
 on_record (void *context, const struct records_record *read)
 {
@@ -131,10 +139,7 @@
   if (!read->deleted)
     read_record (record, read);
   else if (strcmp (read->name, record->name) == 0)
-    {
-      record->revision = 0;
-      record->written_digest = 0;
-    }
+    forget_record (record);
 }
 
 static void
@@ -151,6 +156,10 @@
   else if (response->result == RESULT_PLATFORM_CONFLICT
            && response->record != NULL)
     read_record (record, response->record);
+  /* The record known was lost with an earlier era of the store. */
+  else if (response->result == RESULT_PLATFORM_CONFLICT
+           || response->result == RESULT_PLATFORM_NOT_FOUND)
+    forget_record (record);
   LOG_EVENT (LOG_LEVEL_NOTICE, "strike-record-written",
              LOG_STR ("record", record->name),
              LOG_INT ("code", response->result),
@@ -204,9 +213,12 @@
 strike_record_tick (struct strike_record *record, int64_t now_ms)
 {
   record->now_ms = now_ms;
+  /* The store was restored from a copy, which may lack the record. */
+  if (records_get_era (record->revision) < record->records->era)
+    forget_record (record);
   follower_tick (&record->follower, now_ms);
   /* Without a list it is not known whether there is a record. */
-  if (!record->follower.has_full_list || record->is_writing
+  if (record->follower.state != FOLLOWER_WATCHING || record->is_writing
       || now_ms < record->next_write_ms)
     return;
   record->next_write_ms = now_ms + WRITE_INTERVAL_MS;
