--- a/packages/records/include/records.h
+++ b/packages/records/include/records.h
@@ -149,6 +149,8 @@
 
 /* The era of a revision; 0 = the store names none. */
 uint64_t records_get_era (uint64_t revision);
+/* The revision as the store gave it out. */
+uint64_t records_get_number (uint64_t revision);
 
 /* True if the store failed or is unreachable, not if it rejected the call. */
 bool records_is_store_failure (enum result result);
--- a/packages/records/src/records.c
+++ b/packages/records/src/records.c
@@ -150,6 +150,12 @@
   return revision / ERA_UNIT;
 }
 
+uint64_t
+records_get_number (uint64_t revision)
+{
+  return revision % ERA_UNIT;
+}
+
 static void
 raise_era (struct records *records, uint64_t era)
 {
@@ -325,7 +331,7 @@
 
   http_text_init (&target);
   http_text_init (&body);
-  sent.revision %= ERA_UNIT;
+  sent.revision = records_get_number (request->revision);
   records->codec->encode (&sent, &method, &target, &body);
   http_text_reset (&call->request);
   http_text_add_string (&call->request, method);
