catalog: keep endpoints and their leaving over a restored store

The copy lacks entries that are younger than it, and holds older ones: endpoints of a group would be dropped for up to a heartbeat, with their group, and an endpoint that had said that it leaves would be used again.

Cause: a list is taken for the present state of the fleet. After a restoration it is a state of before until those that wrote it have done so again.

No deletion counts for the 2.2 s in which endpoints that run write their entries again, however few are missing. An endpoint that leaves does so until it starts again, whatever a later entry says; endpoints that leave do not come back.

t0460: six cases, of which "used after its older entry was restored" and "the copy lacks" fail without the two guards.

--- a/packages/catalog/include/endpoints.h
+++ b/packages/catalog/include/endpoints.h
@@ -76,6 +76,8 @@
    * platform was unreachable, and entries may have expired meanwhile.
    */
   int64_t hold_deletions_until_ms;
+  /* Until this time, the same holds for every deletion: see below. */
+  int64_t restored_until_ms;
   /* Hash over the ids and revisions of all routed endpoints. */
   uint64_t digest;
   /* Called for each endpoint before it is freed; may be NULL. */
@@ -92,7 +94,8 @@
                                  const char *id);
 
 /*
- * Stores a report; one with an older revision than the stored is ignored.
+ * Stores a report; one with an older revision than the stored is ignored.  An
+ * endpoint that leaves does so until it restarts, whatever later reports say.
  * RESULT_INVALID if the id is too long or has other than visible ASCII bytes.
  */
 enum result endpoints_report (struct endpoints *endpoints,
@@ -123,6 +126,12 @@
 /* The platform was unreachable until now_ms; see hold_deletions_until_ms. */
 void endpoints_hold_deletions (struct endpoints *endpoints, int64_t now_ms);
 
+/*
+ * The entries come from a copy of the platform's store that may be older than
+ * some of them; endpoints that run write theirs again.
+ */
+void endpoints_note_restore (struct endpoints *endpoints, int64_t now_ms);
+
 /*
  * Removes deleted endpoints unless their deletions may be the effect of an
  * outage.  Calls removed for each.
--- a/packages/catalog/src/endpoints.c
+++ b/packages/catalog/src/endpoints.c
@@ -144,6 +144,7 @@
 {
   struct endpoint *endpoint = endpoints_find (endpoints, id);
   bool was_routed;
+  bool keeps_leaving;
 
   if (endpoint == NULL && !is_valid_id (id))
     return RESULT_INVALID;
@@ -160,7 +161,11 @@
   was_routed = endpoint->revision != 0 && endpoint_is_routed (endpoint);
   if (endpoint->report.started_ms != report->started_ms)
     endpoint->leaving_since_ms = 0;
+  /* An entry of a restored store may be older than the one that said so. */
+  keeps_leaving = endpoint->report.leaving && report->started_ms != 0
+                  && endpoint->report.started_ms == report->started_ms;
   endpoint->report = *report;
+  endpoint->report.leaving = report->leaving || keeps_leaving;
   endpoint->revision = revision;
   if (was_routed || endpoint_is_routed (endpoint))
     endpoint->routed_revision = revision;
@@ -210,6 +215,12 @@
   endpoints->hold_deletions_until_ms = now_ms + REREGISTRATION_LIMIT_MS;
 }
 
+void
+endpoints_note_restore (struct endpoints *endpoints, int64_t now_ms)
+{
+  endpoints->restored_until_ms = now_ms + REREGISTRATION_LIMIT_MS;
+}
+
 /* True if entries may have expired in an outage while their endpoints run. */
 static bool
 can_be_outage_effect (const struct endpoints *endpoints, int64_t now_ms)
@@ -218,6 +229,8 @@
       = OUTAGE_DELETED_SHARE * (double)HASH_COUNT (endpoints->table);
   unsigned deleted = 0;
 
+  if (now_ms < endpoints->restored_until_ms)
+    return true;
   if (now_ms >= endpoints->hold_deletions_until_ms)
     return false;
   for (const struct endpoint *endpoint = endpoints->table; endpoint != NULL;
--- a/packages/catalog/tests/t0460-catalog.c
+++ b/packages/catalog/tests/t0460-catalog.c
@@ -134,9 +134,12 @@
 enum step_kind
 {
   STEP_END,
-  STEP_REPORT,     /* revision */
-  STEP_DELETE,     /* revision */
-  STEP_OUTAGE_END, /* the platform was unreachable until now */
+  STEP_REPORT, /* revision */
+  STEP_DELETE, /* revision */
+  STEP_OUTAGE_END,
+  STEP_RESTORE,
+  /* the store comes back from a copy */ /* the platform was unreachable until
+                                            now */
   STEP_TICK,
   STEP_RELIST, /* a complete listing without the endpoint */
 };
@@ -185,6 +188,18 @@
       { STEP_REPORT, 150, 8 },
       { STEP_TICK, 2400 } },
     false },
+  { "an entry that the copy of a restored store lacks is dropped at once",
+    { { STEP_REPORT, 0, 5 },
+      { STEP_RESTORE, 100 },
+      { STEP_RELIST, 110, 9 },
+      { STEP_TICK, 2200 } },
+    true },
+  { "an entry that is not written again after a restoration is kept",
+    { { STEP_REPORT, 0, 5 },
+      { STEP_RESTORE, 100 },
+      { STEP_RELIST, 110, 9 },
+      { STEP_TICK, 2400 } },
+    false },
   { "a late deletion undoes a newer report",
     { { STEP_REPORT, 0, 5 },
       { STEP_REPORT, 50, 9 },
@@ -220,6 +235,9 @@
           case STEP_OUTAGE_END:
             endpoints_hold_deletions (&endpoints, step->time_ms);
             break;
+          case STEP_RESTORE:
+            endpoints_note_restore (&endpoints, step->time_ms);
+            break;
           case STEP_TICK:
             endpoints_tick (&endpoints, step->time_ms);
             break;
@@ -237,6 +255,58 @@
     }
 }
 
+/* An endpoint that leaves must get no request, whatever entry comes back. */
+static void
+test_leaving_is_kept (void **state)
+{
+  static const struct
+  {
+    const char *guards;
+    bool leaves[2];
+    int64_t started_ms[2];
+    bool expected;
+  } leaving_cases[] = {
+    { "an endpoint that leaves is used after its older entry was restored",
+      { true, false },
+      { 7, 7 },
+      true },
+    { "an endpoint that started again is taken to leave",
+      { true, false },
+      { 7, 8 },
+      false },
+    { "an endpoint that begins to leave is used",
+      { false, true },
+      { 7, 7 },
+      true },
+    { "an endpoint of unknown start is taken to leave for ever",
+      { true, false },
+      { 0, 0 },
+      false },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < sizeof leaving_cases / sizeof leaving_cases[0]; i++)
+    {
+      struct endpoints endpoints;
+
+      endpoints_init (&endpoints, NULL, NULL);
+      for (unsigned n = 0; n < 2; n++)
+        {
+          const struct endpoint_report report
+              = { .service = "app",
+                  .port = 1,
+                  .leaving = leaving_cases[i].leaves[n],
+                  .started_ms = leaving_cases[i].started_ms[n] };
+
+          endpoints_report (&endpoints, "e", &report, n + 1, n);
+        }
+      if (endpoint_is_usable (endpoints_find (&endpoints, "e"))
+          == leaving_cases[i].expected)
+        fail_msg ("%s", leaving_cases[i].guards);
+      endpoints_finish (&endpoints);
+    }
+}
+
 /*
  * Deletions after the platform was unreachable from this host.  If it was
  * unreachable from the endpoints too, many entries expire and are registered
@@ -346,6 +416,7 @@
     cmocka_unit_test (test_repeatable_kinds),
     cmocka_unit_test (test_targets_by_weight),
     cmocka_unit_test (test_endpoint_ids),
+    cmocka_unit_test (test_leaving_is_kept),
     cmocka_unit_test (test_endpoint_deletions),
     cmocka_unit_test (test_deletions_after_outage),
   };
--- a/packages/edge/src/follow.c
+++ b/packages/edge/src/follow.c
@@ -204,6 +204,9 @@
 {
   struct edge *edge = context;
 
+  if (edge->entries_era != 0 && edge->entries_era != edge->records.era)
+    endpoints_note_restore (&edge->endpoints, edge->now_ms);
+  edge->entries_era = edge->records.era;
   edge->hub_sync.has_deleted = false;
   edge->list_is_whole = edge->reads_platform;
   endpoints_relist_begin (&edge->endpoints);
