relay: share the retry slack by what may retry, not by who is known

Cause, found by reading and shown in virtual time: the slack of the fleet was divided among the hosts that a host knew 0.4 s after its start. A process that knew no other by then took all of it (208 repeats in 10 s), one that was cut off with its data centre the share of that alone, and each start of a process brought the share of its host once more in the same window. The class: a limit of all is divided by a count that each takes from its own view. Ruled out: hosts that lose touch while they run (the count never falls), and retries that bypass the budget (all sends after the first go through relay_fail_attempt).

retry_share_compute decides from a table: a process has no slack until it has run for a window, in which an earlier one may have used it; a host that has heard of no other counts on 400, unless the platform lists none; a data centre counts as one of those that the settings name. The ratio, which rests on a host's own requests, is as before. event=retry-share logs the share and what it follows from.

Not reproduced on real processes: the soak has the rule now and a smaller slack on demand (--retry-slack).

--- a/packages/edge/include/mesh.h
+++ b/packages/edge/include/mesh.h
@@ -145,6 +145,9 @@
 /* Live hosts and those that were lost recently, this one included. */
 unsigned mesh_known_hosts (const struct mesh *mesh);
 
+/* Hosts of the own data centre that were ever heard of, this one included. */
+unsigned mesh_count_local_hosts (const struct mesh *mesh);
+
 /* Expected age of the loads of other hosts when they are used, ms. */
 int64_t mesh_load_age_ms (const struct mesh *mesh);
 
--- a/packages/edge/src/edge.c
+++ b/packages/edge/src/edge.c
@@ -3,6 +3,7 @@
 #include "hash.h"
 #include "log.h"
 #include "netutil.h"
+#include "retry-share.h"
 #include "timeutil.h"
 
 #include <signal.h>
@@ -17,15 +18,11 @@
 #define READY_MARGIN_MS 1000
 /* A request is denied only if the configuration was current this recently. */
 #define DENY_FRESHNESS_LIMIT_MS 2600
-/* Share of the fleet's retry slack that is given to hosts. */
-#define RETRY_SLACK_SHARE 0.8
 /* Share of the retry ratio that is used: windows differ between hosts. */
 #define RETRY_RATIO_SHARE 0.8
 #define MAX_COUNTERS 2000
 /* Interval of status lines. */
 #define STATUS_INTERVAL_MS 10000
-/* Entry hosts that share the retry slack until their number is known. */
-#define INITIAL_HOST_COUNT 400
 
 bool
 edge_knows_endpoints (const struct edge *edge)
@@ -41,22 +38,37 @@
          && edge_knows_endpoints (edge);
 }
 
-/*
- * Sets this host's share of the fleet's retry slack.  Partitioned hosts keep
- * their share, so the number of hosts never falls while the process runs.
- */
+/* Sets this host's share of the fleet's retry slack, and logs changes. */
 static void
 update_retry_slack (struct edge *edge)
 {
-  unsigned hosts = edge->mesh.live_hosts;
+  unsigned known = HASH_COUNT (edge->mesh.hosts) + 1;
+  struct retry_share_view view = {
+    .slack = (double)edge->settings.retry_slack,
+    .window_ms = edge->settings.retry_window_s * 1000,
+    .uptime_ms = edge->now_ms - edge->mesh.started_ms,
+    .local_hosts = mesh_count_local_hosts (&edge->mesh),
+    .data_centres = (unsigned)edge->settings.data_centres.count,
+    .is_alone = known == 1 && edge->mesh.follower.has_full_list,
+  };
+  double share;
 
-  if (HASH_COUNT (edge->mesh.hosts) + 1 > hosts)
-    hosts = HASH_COUNT (edge->mesh.hosts) + 1;
-  if (!mesh_is_settled (&edge->mesh) || hosts <= edge->max_hosts_seen)
+  /* Hosts that are cut off keep their shares, so the number never falls. */
+  if (edge->mesh.live_hosts > edge->max_hosts_seen)
+    edge->max_hosts_seen = edge->mesh.live_hosts;
+  view.most_hosts = edge->max_hosts_seen;
+  if (view.most_hosts > 1 && known > view.most_hosts)
+    view.most_hosts = known;
+  share = retry_share_compute (&view);
+  if (share == edge->relay.budgets.slack)
     return;
-  edge->max_hosts_seen = hosts;
-  edge->relay.budgets.slack
-      = (double)edge->settings.retry_slack * RETRY_SLACK_SHARE / hosts;
+  edge->relay.budgets.slack = share;
+  LOG_EVENT (LOG_LEVEL_INFO, "retry-share",
+             LOG_INT ("thousandths", (int64_t)(share * 1000)),
+             LOG_U64 ("most_hosts", view.most_hosts),
+             LOG_U64 ("local_hosts", view.local_hosts),
+             LOG_INT ("uptime_ms", view.uptime_ms),
+             LOG_STR ("alone", view.is_alone ? "yes" : "no"));
 }
 
 /* Logs when the platform starts or stops sending callers here, and why. */
@@ -195,8 +207,8 @@
     .key_freshness_limit_ms = edge_key_freshness_limit_ms (settings),
     .route_freshness_limit_ms = DENY_FRESHNESS_LIMIT_MS,
     .retry_ratio = settings->retry_ratio * RETRY_RATIO_SHARE,
-    .retry_slack
-    = (double)settings->retry_slack * RETRY_SLACK_SHARE / INITIAL_HOST_COUNT,
+    /* Set by update_retry_slack. */
+    .retry_slack = 0,
     .retry_window_ms = settings->retry_window_s * 1000,
     .back_off_limit_ms = settings->endpoints_back_off_limit_s * 1000,
   };
--- a/packages/edge/src/mesh-load.c
+++ b/packages/edge/src/mesh-load.c
@@ -151,6 +151,18 @@
                                 : INITIAL_HOST_COUNT;
 }
 
+unsigned
+mesh_count_local_hosts (const struct mesh *mesh)
+{
+  unsigned count = 1;
+
+  for (const struct mesh_host *host = mesh->hosts; host != NULL;
+       host = host->hh.next)
+    if (is_same_data_centre (&host->info, &mesh->self))
+      count++;
+  return count;
+}
+
 void
 mesh_set_lease (struct mesh *mesh,
                 const struct lease_value *value,
--- a/soak/caller.c
+++ b/soak/caller.c
@@ -440,6 +440,7 @@
             (unsigned long long)rng_next (&callers->rng));
   caller->attempt = ledger_add_attempt (callers->ledger, id);
   fill_attempt (caller, caller->attempt);
+  ledger_note_sent (callers->ledger, caller->attempt);
   write_request (caller, caller->attempt, &connection->request);
   if (rng_below (&callers->rng, 100) < DISCONNECT_PERCENT)
     caller->disconnect_at_ms
--- a/soak/host.c
+++ b/soak/host.c
@@ -22,7 +22,8 @@
 host_write_settings (const struct host *host,
                      const char *const *data_centres,
                      unsigned data_centre_count,
-                     const char *seeds)
+                     const char *seeds,
+                     unsigned retry_slack)
 {
   FILE *file = fopen (host->settings_path, "we");
 
@@ -42,10 +43,11 @@
            "platform:\n  store: \"127.0.0.1:%u\"\n"
            "drain:\n  limit_s: %d\n"
            "keys:\n  revoke_ms: 5000\n"
-           "retry:\n  ratio: 0.2\n  slack: 260\n  window_s: 10\n",
+           "retry:\n  ratio: %.2f\n  slack: %u\n  window_s: %d\n",
            host->address, HOST_CALLERS_PORT, host->address, HOST_READY_PORT,
            host->address, HOST_PEERS_PORT, seeds, host->store_proxy.port,
-           HOST_GRACE_MS / 1000);
+           HOST_GRACE_MS / 1000, HOST_RETRY_RATIO, retry_slack,
+           HOST_RETRY_WINDOW_MS / 1000);
   return fclose (file) == 0;
 }
 
--- a/soak/host.h
+++ b/soak/host.h
@@ -64,11 +64,15 @@
 
 /* SIGKILL follows SIGTERM after this time, as on the platform. */
 #define HOST_GRACE_MS 8000
+/* Budget of the fleet's retries for each service, with its slack. */
+#define HOST_RETRY_RATIO 0.2
+#define HOST_RETRY_WINDOW_MS 10000
 
 bool host_write_settings (const struct host *host,
                           const char *const *data_centres,
                           unsigned data_centre_count,
-                          const char *seeds);
+                          const char *seeds,
+                          unsigned retry_slack);
 bool host_start (struct host *host);
 void host_tick (struct host *host, int64_t now_ms);
 
--- a/soak/ledger.c
+++ b/soak/ledger.c
@@ -325,6 +325,69 @@
                              endpoint->id, limit->per_10_s, count);
 }
 
+static struct ledger_budget *
+get_budget (struct ledger *ledger, const struct ledger_attempt *attempt)
+{
+  return &ledger->budgets[attempt->kind == CATALOG_STREAM ? 0 : 1];
+}
+
+static unsigned
+get_budget_step (const struct ledger *ledger, int64_t time_ms)
+{
+  return (unsigned)((time_ms - ledger->started_ms) / LEDGER_BUDGET_STEP_MS)
+         % LEDGER_BUDGET_STEPS;
+}
+
+void
+ledger_note_sent (struct ledger *ledger, const struct ledger_attempt *attempt)
+{
+  get_budget (ledger, attempt)
+      ->requests[get_budget_step (ledger, attempt->sent_ms)]++;
+}
+
+/* Sum over the window that ends with the step. */
+static unsigned
+sum_window (const unsigned *counts, unsigned step)
+{
+  const unsigned steps = HOST_RETRY_WINDOW_MS / LEDGER_BUDGET_STEP_MS;
+  unsigned sum = 0;
+
+  for (unsigned i = 0; i < steps && i <= step; i++)
+    sum += counts[step - i];
+  return sum;
+}
+
+/*
+ * Checks that the fleet does not repeat more than it may.  The requests count
+ * in the same window, the one before it, or half a window before.
+ */
+static void
+check_budget (struct ledger *ledger, struct ledger_attempt *attempt)
+{
+  const unsigned half = HOST_RETRY_WINDOW_MS / LEDGER_BUDGET_STEP_MS / 2;
+  struct ledger_budget *budget = get_budget (ledger, attempt);
+  unsigned step = get_budget_step (ledger, ledger->now_ms);
+  unsigned requests = 0;
+  unsigned repeats;
+
+  if (++attempt->arrival_count == 1)
+    return;
+  budget->repeats[step]++;
+  for (unsigned i = 0; i <= 2; i++)
+    if (step >= i * half
+        && sum_window (budget->requests, step - i * half) > requests)
+      requests = sum_window (budget->requests, step - i * half);
+  repeats = sum_window (budget->repeats, step);
+  if (repeats <= HOST_RETRY_RATIO * requests + ledger->retry_slack
+      || ledger->now_ms - budget->reported_ms < HOST_RETRY_WINDOW_MS)
+    return;
+  budget->reported_ms = ledger->now_ms;
+  ledger_report_violation (
+      ledger, "BUDGET", "%u repeats of %u %s in 10 s, slack %u", repeats,
+      requests, attempt->kind == CATALOG_STREAM ? "streams" : "plain requests",
+      ledger->retry_slack);
+}
+
 static void
 on_request_received (void *context, const struct standin_arrival *arrival)
 {
@@ -350,6 +413,7 @@
         (long long)(attempt->sent_ms - endpoint->leaving_reported_ms));
   check_drain_signals (ledger, attempt, endpoint);
   check_request_limit (ledger, attempt, endpoint);
+  check_budget (ledger, attempt);
   if (attempt->outcome != LEDGER_OPEN
       && ledger->now_ms - attempt->ended_ms
              > ABANDONED_RUN_LIMIT_MS
--- a/soak/ledger.h
+++ b/soak/ledger.h
@@ -54,7 +54,8 @@
   unsigned status; /* of the response; 0 = none */
   /* The response says that it did not run; not set for repeatable requests. */
   bool reported_not_run;
-  bool is_overdue; /* no response in time; rule HELD was applied */
+  bool is_overdue;        /* no response in time; rule HELD was applied */
+  unsigned arrival_count; /* at endpoints */
   unsigned run_count;
   uint64_t runs[LEDGER_RUN_LIMIT];
   uint64_t next_event;     /* next event that the caller expects */
@@ -107,6 +108,16 @@
   struct ledger_limit *next;
 };
 
+/* Requests for a service, and arrivals beyond the first of each, by time. */
+#define LEDGER_BUDGET_STEP_MS 500
+#define LEDGER_BUDGET_STEPS 1024
+struct ledger_budget
+{
+  unsigned requests[LEDGER_BUDGET_STEPS];
+  unsigned repeats[LEDGER_BUDGET_STEPS];
+  int64_t reported_ms; /* when a violation was last reported; 0 = never */
+};
+
 /* A time for which the process of the callers and endpoints did not run. */
 struct ledger_standstill
 {
@@ -121,6 +132,9 @@
   struct ledger_run *runs;         /* uthash by number */
   struct ledger_drain_signal *drain_signals;
   struct ledger_limit *limits;
+  /* Of the service of the models, and of all plain ones. */
+  struct ledger_budget budgets[2];
+  unsigned retry_slack; /* of the fleet, per service */
   int64_t now_ms;
   int64_t started_ms;
   int64_t store_disturbed_ms; /* last moment of a fault of the store */
@@ -161,6 +175,10 @@
  */
 bool ledger_is_not_run_status (unsigned status);
 
+/* Counts a request that was sent to a host for its service's budget. */
+void ledger_note_sent (struct ledger *ledger,
+                       const struct ledger_attempt *attempt);
+
 /* Hooks of the stand-in endpoints; context is the ledger. */
 extern const struct standin_hooks ledger_hooks;
 
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -200,6 +200,8 @@
   struct arg_int *hosts
       = arg_int0 (NULL, "hosts", "N", "hosts of each data centre");
   struct arg_int *callers = arg_int0 (NULL, "callers", "N", "callers");
+  struct arg_int *retry_slack = arg_int0 (
+      NULL, "retry-slack", "N", "retries of the fleet beyond its ratio (260)");
   struct arg_str *shape
       = arg_str0 (NULL, "shape", "NAME", "small, middle or large (small)");
   struct arg_str *only
@@ -213,8 +215,8 @@
   struct arg_file *binary
       = arg_file0 (NULL, NULL, "WAXWINGLINKD", "program to be tested");
   struct arg_end *end = arg_end (10);
-  void *table[] = { seed, seeds,     faults, hosts, callers, only, shape,
-                    work, log_level, kinds,  help,  binary,  end };
+  void *table[] = { seed,  seeds, faults,    hosts, callers, retry_slack, only,
+                    shape, work,  log_level, kinds, help,    binary,      end };
   const struct world_shape *chosen_shape;
   int status = EXIT_USAGE;
   uint64_t violations = 0;
@@ -224,6 +226,7 @@
     goto out;
   seed->ival[0] = 1;
   seeds->ival[0] = 1;
+  retry_slack->ival[0] = 260;
   work->filename[0] = "/tmp";
   shape->sval[0] = "small";
   log_level->sval[0] = "info";
@@ -262,6 +265,7 @@
                                         : chosen_shape->hosts,
               .callers = callers->count > 0 ? (unsigned)callers->ival[0]
                                             : chosen_shape->callers,
+              .retry_slack = (unsigned)retry_slack->ival[0],
               .seed = (uint64_t)(seed->ival[0] + i) };
 
       snprintf (directory, sizeof directory, "%s/soak-%llu-%d",
--- a/soak/world.c
+++ b/soak/world.c
@@ -190,7 +190,8 @@
   format_seeds (world, seeds, sizeof seeds);
   return proxy_open (&host->store_proxy, world->base, world->store.server.port)
          && host_write_settings (host, world_data_centres,
-                                 world->options.shape->data_centres, seeds);
+                                 world->options.shape->data_centres, seeds,
+                                 world->options.retry_slack);
 }
 
 static bool
@@ -226,6 +227,7 @@
   operator_scale_models (&shape->scale);
   operator_init (&world->operator, & world->store, rng_next (&world->rng));
   ledger_init (&world->ledger, &world->operator);
+  world->ledger.retry_slack = options->retry_slack;
   world->ledger.started_ms = world->started_ms;
   world->ledger.event_log = world->event_log;
   world->ledger.store_disturbed_ms = INT64_MIN / 2;
--- a/soak/world.h
+++ b/soak/world.h
@@ -62,6 +62,7 @@
   const char *log_level; /* of the hosts' processes */
   unsigned hosts;        /* per data centre */
   unsigned callers;
+  unsigned retry_slack;
   uint64_t seed;
 };
 
