relay: refuse late in a stop what the end of the process could cut off

And a booking whose deadline is after the end of the process was passed on all the same; nothing could be said of it then.

--- a/packages/relay/include/relay.h
+++ b/packages/relay/include/relay.h
@@ -218,8 +218,9 @@
    * configuration is stale; set by the owner.
    */
   bool peers_can_serve;
-  bool leaving; /* shutting down: connections end after their response */
-  bool closing; /* new requests are refused */
+  bool leaving;       /* shutting down: connections end after their response */
+  int64_t ends_at_ms; /* when the process ends at the latest, if leaving */
+  bool closing;       /* new requests are refused */
   bool has_received_request;
   int64_t last_expiry_ms; /* time of the last call of load_table_expire */
   int64_t now_ms;         /* time of the current callback */
@@ -263,8 +264,12 @@
 #define RELAY_TICK_INTERVAL_MS 25
 void relay_tick (struct relay *relay, int64_t now_ms);
 
-/* Starts a shutdown: each connection ends after its next response. */
-void relay_leave (struct relay *relay);
+/*
+ * Starts a shutdown: each connection ends after its next response.  A new
+ * request that must not be repeated is refused as not run if its deadline is
+ * after ends_at_ms, when the process ends.
+ */
+void relay_leave (struct relay *relay, int64_t ends_at_ms);
 
 /*
  * Accepts no new connections and closes idle ones.  A request that still
--- a/packages/relay/src/relay.c
+++ b/packages/relay/src/relay.c
@@ -227,9 +227,10 @@
 }
 
 void
-relay_leave (struct relay *relay)
+relay_leave (struct relay *relay, int64_t ends_at_ms)
 {
   relay->leaving = true;
+  relay->ends_at_ms = ends_at_ms;
 }
 
 void
--- a/packages/relay/src/request.c
+++ b/packages/relay/src/request.c
@@ -280,6 +280,19 @@
   relay_refuse (request, result, retry_ms);
 }
 
+/*
+ * True if the process may end before the request, whose caller could not repeat
+ * it then.
+ */
+static bool
+may_outlast_process (const struct relay_request *request)
+{
+  const struct relay *relay = request->relay;
+
+  return relay->leaving && !catalog_is_repeatable (request->route)
+         && request->deadline_ms > relay->ends_at_ms;
+}
+
 void
 relay_request_start (struct relay_request *request)
 {
@@ -299,6 +312,11 @@
   if (result == RESULT_OK)
     {
       set_deadlines (request, head);
+      if (may_outlast_process (request))
+        {
+          relay_refuse (request, RESULT_DRAINING, OTHER_HOST_RETRY_MS);
+          return;
+        }
       retry_budget_note_request (
           &relay->budgets, request->route->targets[0].service, relay->now_ms);
       result = resolve_service (request, head);
--- a/packages/relay/tests/t0852-stop.c
+++ b/packages/relay/tests/t0852-stop.c
@@ -102,7 +102,7 @@
       setup (&good);
       run_until_response ();
       port = net_bound_port (evconnlistener_get_fd (test.relay.listener));
-      relay_leave (&test.relay);
+      relay_leave (&test.relay, time_boot_ms () + 60000);
       fd = connect_unaccepted (port, requests_at_stop[i].is_accepted
                                          ? ""
                                          : requests_at_stop[i].sent_before);
@@ -162,12 +162,49 @@
   teardown ();
 }
 
+/* What is accepted late in a stop must not be cut off by its end. */
+static void
+test_late_request (void **state)
+{
+  static const struct
+  {
+    const char *guards;
+    enum catalog_kind kind;
+    int64_t left_ms; /* of the process; the deadline is in 2,000 ms */
+    unsigned status;
+  } late_cases[] = {
+    { "a booking that the end of the process may cut off is sent",
+      CATALOG_UNSAFE, 1900, 503 },
+    { "a booking that ends before the process is refused", CATALOG_UNSAFE, 3000,
+      200 },
+    { "a read that its caller can repeat is refused", CATALOG_SAFE, 1900, 200 },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < sizeof late_cases / sizeof late_cases[0]; i++)
+    {
+      struct relay_case c = good;
+
+      c.guards = late_cases[i].guards;
+      c.kind = late_cases[i].kind;
+      c.body = NULL;
+      c.status = late_cases[i].status;
+      c.sends = c.status == 200;
+      setup (&c);
+      relay_leave (&test.relay, time_boot_ms () + late_cases[i].left_ms);
+      run_until_response ();
+      assert_case_result (&c);
+      teardown ();
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_stop),
     cmocka_unit_test (test_kept_connection),
+    cmocka_unit_test (test_late_request),
   };
 
   signal (SIGPIPE, SIG_IGN);
