soak: restore the store from copies that are some seconds old

Faults store-restored: a copy is taken, and 2 to 9 s later the store is away for 0.6 s and comes back from it; operator and endpoints write again.

--- a/soak/operator.c
+++ b/soak/operator.c
@@ -161,6 +161,15 @@
                      standin_encode_configuration (version->catalog));
 }
 
+void operator_rewrite (struct operator* operator)
+{
+  if (operator->version_count> 0)
+    standin_store_put (operator->store, STANDIN_CONFIGURATION_KIND,
+                       STANDIN_CONFIGURATION_NAME,
+                       standin_encode_configuration (operator->versions[
+                           operator->version_count - 1].catalog));
+}
+
 void operator_move_route (struct operator* operator)
 {
   operator->route_moved = !operator->route_moved;
--- a/soak/operator.h
+++ b/soak/operator.h
@@ -78,6 +78,8 @@
 
 /* Each makes one change, which the next operator_tick writes. */
 void operator_move_route (struct operator* operator);
+/* Writes the newest configuration again, after the store was restored. */
+void operator_rewrite (struct operator* operator);
 void operator_change_extra_routes (struct operator* operator);
 void operator_revoke_key (struct operator* operator);
 void operator_restore_keys (struct operator* operator);
--- a/soak/schedule.c
+++ b/soak/schedule.c
@@ -9,6 +9,10 @@
 #define GAP_MAX_MS 1100
 /* Connections made silent affect a host or endpoint for at most this time. */
 #define SILENCE_EFFECT_MS 4000
+/* A store that is restored from a copy is away for this long before. */
+#define RESTORE_AWAY_MS 600
+/* Strength of a fault whose single effect has happened. */
+#define STRENGTH_SPENT (-1)
 /* Kind of the store's objects that name the lease holders. */
 #define LEASE_KIND "waxwinglink-leases"
 
@@ -281,6 +285,34 @@
   fault->until_ms = schedule->world->now_ms + SILENCE_EFFECT_MS;
 }
 
+static void
+copy_store (struct schedule *schedule, struct fault *fault)
+{
+  (void)fault;
+  standin_store_take_copy (&schedule->world->store);
+}
+
+/* Restores the store after a while without it, at the end of the fault. */
+static void
+restore_store (struct schedule *schedule, struct fault *fault)
+{
+  struct world *world = schedule->world;
+
+  if (fault->strength == STRENGTH_SPENT
+      || fault->until_ms - world->now_ms > 2 * RESTORE_AWAY_MS)
+    return;
+  if (fault->until_ms - world->now_ms > RESTORE_AWAY_MS)
+    {
+      world->store.faults.rejects_calls = true;
+      return;
+    }
+  fault->strength = STRENGTH_SPENT;
+  world_log_event (world, "the store is restored from a copy");
+  standin_store_restore (&world->store);
+  operator_rewrite (&world->operator);
+  standin_rewrite_entries (&world->fleet);
+}
+
 /* Every endpoint states a limit; the strength is requests in 10 s. */
 static void
 limit_endpoints (struct schedule *schedule, struct fault *fault)
@@ -453,6 +485,7 @@
   { "hosts-stopped", TARGET_CROWD, 3, 200, 2500, 10, 90, stop_many_hosts, NULL },
   { "endpoints-reborn", TARGET_CROWD, 6, 0, 0, 1, 10, restart_many_endpoints, NULL },
   { "all-orders-late", TARGET_CROWD, 6, 1000, 4000, 80, 100, NULL, delay_orders },
+  { "store-restored", TARGET_CROWD, 6, 2000, 9000, 0, 0, copy_store, restore_store },
   { "limits-stated", TARGET_CROWD, 6, 5000, 12000, 2, 60, NULL, limit_endpoints },
   { "route-moves", TARGET_NONE, 5, 0, 0, 0, 0, move_route, NULL },
   { "routes-change", TARGET_NONE, 3, 0, 0, 0, 0, change_extra_routes, NULL },
@@ -586,7 +619,8 @@
 {
   struct world *world = schedule->world;
   bool is_store = strncmp (fault->kind->name, "store-", 6) == 0
-                  && fault->kind->target == TARGET_NONE;
+                  && (fault->kind->target == TARGET_NONE
+                      || fault->kind->target == TARGET_CROWD);
   /* Planned work must not harm requests, so it does not count as a fault. */
   bool is_planned = strcmp (fault->kind->name, "host-stopped") == 0
                     || strcmp (fault->kind->name, "host-reloaded") == 0
