--- a/soak/schedule.c
+++ b/soak/schedule.c
@@ -13,8 +13,6 @@
 #define RESTORE_AWAY_MS 600
 /* Strength of a fault whose single effect has happened. */
 #define STRENGTH_SPENT (-1)
-/* Kind of the store's objects that name the lease holders. */
-#define LEASE_KIND "waxwinglink-leases"
 
 enum fault_target
 {
@@ -333,7 +331,7 @@
   struct world *world = schedule->world;
   const char *data_centre = world_data_centres[rng_below (
       &schedule->rng, world->options.shape->data_centres)];
-  const char *holder = standin_store_get_text (&world->store, LEASE_KIND,
+  const char *holder = standin_store_get_text (&world->store, WORLD_LEASE_KIND,
                                                data_centre, "holder");
   size_t size;
 
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -90,24 +90,52 @@
   return true;
 }
 
+static void
+get_lease_revisions (struct world *world, uint64_t *revisions)
+{
+  for (unsigned i = 0; i < world->options.shape->data_centres; i++)
+    revisions[i] = standin_store_get_revision (&world->store, WORLD_LEASE_KIND,
+                                               world_data_centres[i]);
+}
+
+/* True if each data centre's lease was written since; holders renew them. */
+static bool
+are_leases_renewed (struct world *world, const uint64_t *since)
+{
+  uint64_t revisions[WORLD_DATA_CENTRE_LIMIT];
+
+  get_lease_revisions (world, revisions);
+  for (unsigned i = 0; i < world->options.shape->data_centres; i++)
+    if (revisions[i] == since[i])
+      return false;
+  return true;
+}
+
 static void
 check_recovery (struct soak_run *run)
 {
   struct world *world = &run->world;
   int64_t until_ms = world->now_ms + RECOVERY_LIMIT_MS;
+  uint64_t revisions[WORLD_DATA_CENTRE_LIMIT];
   bool served;
+  bool renewed;
 
   do
     {
       callers_reset_counts (&world->callers);
+      get_lease_revisions (world, revisions);
       world_run (world, RECOVERY_WINDOW_MS, NULL, NULL, run);
       served = are_all_kinds_served (&world->callers);
+      renewed = are_leases_renewed (world, revisions);
       for (unsigned i = 0; i < CALLER_KIND_COUNT; i++)
         world_log_event (world, "kind %u: %llu of %llu served", i,
                          (unsigned long long)world->callers.counts[i].served,
                          (unsigned long long)world->callers.counts[i].ended);
     }
-  while (!served && world->now_ms < until_ms);
+  while ((!served || !renewed) && world->now_ms < until_ms);
+  if (!renewed)
+    ledger_report_violation (&world->ledger, "RECOVER",
+                             "a lease is not renewed after the last fault");
   if (!served)
     ledger_report_violation (
         &world->ledger, "RECOVER",
--- a/soak/world.h
+++ b/soak/world.h
@@ -23,6 +23,8 @@
 #define WORLD_ENDPOINT_LIMIT 2048
 #define WORLD_DATA_CENTRE_LIMIT 5
 #define WORLD_PATH_SIZE 256
+/* Kind of the store's objects that name the lease holders. */
+#define WORLD_LEASE_KIND "waxwinglink-leases"
 
 /* An endpoint and the proxy through which hosts reach it. */
 struct proxied_endpoint
