--- a/packages/gateway/tests/harness.h
+++ b/packages/gateway/tests/harness.h
@@ -289,7 +289,8 @@
           && strcmp (word, "N") != 0 && strcmp (word, "error") != 0
           && strcmp (word, "stale") != 0 && strcmp (word, "U") != 0
           && strcmp (word, "open") != 0 && strcmp (word, "again") != 0
-          && strcmp (word, "html") != 0 && strcmp (word, "zip") != 0)
+          && strcmp (word, "html") != 0 && strcmp (word, "zip") != 0
+          && strncmp (word, "cut-", 4) != 0)
         {
           header_sent = true;
           call_send_stream_header (call);
@@ -379,6 +380,14 @@
                                "HTTP/1.1 200 X\r\nContent-Encoding: gzip\r\n"
                                "Transfer-Encoding: chunked\r\n\r\n");
         }
+      /* Heads that end with the connection. */
+      else if (strncmp (word, "cut-", 4) == 0)
+        evbuffer_add_printf (
+            bufferevent_get_output (call->bev), "%s%s", "HTTP/1.1 200 OK\r\n",
+            strcmp (word, "cut-name") == 0    ? "Content-Ty"
+            : strcmp (word, "cut-value") == 0 ? "Content-Length: 0"
+            : strcmp (word, "cut-line") == 0  ? "Content-Length: 0\r\n"
+                                              : "Content-Length: 0\r\n\r");
       else if (strcmp (word, "endless") == 0)
         {
           bufferevent_setcb (call->bev, NULL, send_endless_bytes, on_call_event,
