--- a/packages/edge/include/edge.h
+++ b/packages/edge/include/edge.h
@@ -49,7 +49,7 @@
   struct records records;
   struct follower configuration;
   struct follower entries; /* records of the endpoints on the platform */
-  uint64_t entries_era; /* of the store, when the entries were last listed */
+  uint64_t entries_era;    /* of the store, when the entries were last listed */
   struct relay relay;
   struct leader leader;
   struct mesh mesh;
--- a/soak/schedule.c
+++ b/soak/schedule.c
@@ -10,7 +10,7 @@
 /* Connections made silent affect a host or endpoint for at most this time. */
 #define SILENCE_EFFECT_MS 4000
 /* A store that is restored from a copy is away for this long before. */
-#define RESTORE_AWAY_MS 600
+#define RESTORE_AWAY_MS 600L
 /* Strength of a fault whose single effect has happened. */
 #define STRENGTH_SPENT (-1)
 
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -102,7 +102,7 @@
 static bool
 are_leases_renewed (struct world *world, const uint64_t *since)
 {
-  uint64_t revisions[WORLD_DATA_CENTRE_LIMIT];
+  uint64_t revisions[WORLD_DATA_CENTRE_LIMIT] = { 0 };
 
   get_lease_revisions (world, revisions);
   for (unsigned i = 0; i < world->options.shape->data_centres; i++)
@@ -116,7 +116,7 @@
 {
   struct world *world = &run->world;
   int64_t until_ms = world->now_ms + RECOVERY_LIMIT_MS;
-  uint64_t revisions[WORLD_DATA_CENTRE_LIMIT];
+  uint64_t revisions[WORLD_DATA_CENTRE_LIMIT] = { 0 };
   bool served;
   bool renewed;
 
