group: bound the fencing tokens that endpoints' entries may tell

Entries may come from other writers; an epoch of all ones would raise the token until epochs overflow, and no group of the data centre could be formed again.

A reported token counts only up to 1,000 above all known ones, which is more takeovers than a restoration can have lost. t0400: two cases, one for each side.

--- a/packages/edge/src/leader.c
+++ b/packages/edge/src/leader.c
@@ -203,8 +203,8 @@
   for (const struct endpoint *endpoint = leader->endpoints->table;
        endpoint != NULL; endpoint = endpoint->hh.next)
     if (strcmp (endpoint->report.data_centre, leader->lease_name) == 0)
-      lease_observe_fence (&leader->lease,
-                           formation_get_fence (endpoint->report.epoch));
+      lease_observe_reported_fence (
+          &leader->lease, formation_get_fence (endpoint->report.epoch));
 }
 
 static void
--- a/packages/group/include/lease.h
+++ b/packages/group/include/lease.h
@@ -139,6 +139,12 @@
  */
 void lease_observe_fence (struct lease *lease, uint64_t fence);
 
+/*
+ * Reports a fencing token under which a group was formed, as an endpoint tells.
+ * One far above all known ones is ignored: entries may be malformed.
+ */
+void lease_observe_reported_fence (struct lease *lease, uint64_t fence);
+
 /*
  * The platform was restored from a copy: versions have gone back, and the lease
  * may be an older one or missing.  The last holder writes it again under its
--- a/packages/group/src/lease.c
+++ b/packages/group/src/lease.c
@@ -4,6 +4,9 @@
 
 #include <string.h>
 
+/* More takeovers than can have been lost with a restored store. */
+#define FENCE_JUMP_LIMIT 1000
+
 void
 lease_settings_init (struct lease_settings *settings)
 {
@@ -89,6 +92,16 @@
     lease->fence_floor = fence;
 }
 
+void
+lease_observe_reported_fence (struct lease *lease, uint64_t fence)
+{
+  uint64_t known = lease->fence_floor > lease->value.fence ? lease->fence_floor
+                                                           : lease->value.fence;
+
+  if (fence <= known || fence - known <= FENCE_JUMP_LIMIT)
+    lease_observe_fence (lease, fence);
+}
+
 /* Earliest time at which this candidate may overwrite the known version. */
 static int64_t
 compute_takeover_ms (const struct lease *lease)
--- a/packages/group/tests/t0400-lease.c
+++ b/packages/group/tests/t0400-lease.c
@@ -23,9 +23,10 @@
   CAN_ACT,    /* expects lease_may_act to be true */
   CANNOT_ACT, /* expects lease_may_act to be false */
   RELEASE,
-  FENCE,   /* reports a fencing token seen in the assignment */
-  RANK,    /* sets the rank of the candidate */
-  RESTORE, /* the platform was restored from a copy */
+  FENCE,       /* reports a fencing token seen in the assignment */
+  RANK,        /* sets the rank of the candidate */
+  GROUP_FENCE, /* reports a fencing token of a group */
+  RESTORE,     /* the platform was restored from a copy */
 };
 
 struct step
@@ -201,6 +202,16 @@
       { READ, 1000, OK, 5, 1, "self", 1 },
       { TICK, 1000, LEASE_NO_ACTION },
       { TICK, 11000, LEASE_WRITE, 5, 3, "self" } } },
+  { "a token is used again that only groups tell",
+    { { GROUP_FENCE, 0, 0, 0, 6 },
+      { TICK, 0, LEASE_READ },
+      { READ, 0, MISSING },
+      { TICK, 0, LEASE_WRITE, 0, 7, "self" } } },
+  { "a malformed entry of an endpoint raises the token beyond all bounds",
+    { { GROUP_FENCE, 0, 0, 0, UINT64_MAX >> 20 },
+      { TICK, 0, LEASE_READ },
+      { READ, 0, MISSING },
+      { TICK, 0, LEASE_WRITE, 0, 1, "self" } } },
   { "a read that shows an older version is ignored for ever",
     { { TICK, 0, LEASE_READ },
       { READ, 0, OK, 9, 5, "other", 8 },
@@ -380,6 +391,9 @@
         case RANK:
           lease_set_rank (&lease, (unsigned)step->code);
           break;
+        case GROUP_FENCE:
+          lease_observe_reported_fence (&lease, step->fence);
+          break;
         case RESTORE:
           lease_on_restore (&lease);
           break;
