--- a/packages/relay/tests/relay-fixture.h
+++ b/packages/relay/tests/relay-fixture.h
@@ -264,6 +264,9 @@
   .closed = fake_closed,
 };
 
+/* Of the connections that the scripted endpoints accept. */
+static const struct http_events *endpoint_events = &fake_events;
+
 static inline void
 fake_accept (struct evconnlistener *listener,
              evutil_socket_t fd,
@@ -282,7 +285,7 @@
   fake->next = test.connections;
   test.connections = fake;
   http_connection_accept (&fake->connection, test.base, fd, &limits,
-                          &fake_events, fake);
+                          endpoint_events, fake);
 }
 
 static inline void
--- a/packages/relay/tests/t0856-request-limit.c
+++ b/packages/relay/tests/t0856-request-limit.c
@@ -44,34 +44,13 @@
   http_connection_next_message (&fake->connection, false);
 }
 
-static const struct http_events endpoint_events = {
+static const struct http_events limited_events = {
   .head = fake_head,
   .body = fake_body,
   .complete = on_request_complete,
   .closed = fake_closed,
 };
 
-static void
-on_accept (struct evconnlistener *listener,
-           evutil_socket_t fd,
-           struct sockaddr *address,
-           int size,
-           void *context)
-{
-  const struct http_limits limits = { 65536, 65536 };
-  struct fake_connection *fake = calloc (1, sizeof *fake);
-
-  (void)listener;
-  (void)address;
-  (void)size;
-  (void)context;
-  assert_non_null (fake);
-  fake->next = test.connections;
-  test.connections = fake;
-  http_connection_accept (&fake->connection, test.base, fd, &limits,
-                          &endpoint_events, fake);
-}
-
 static void
 on_caller_connected (void *context)
 {
@@ -185,6 +164,7 @@
 test_request_limit (void **state)
 {
   (void)state;
+  endpoint_events = &limited_events;
   for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
     {
       const struct relay_case c = { .guards = cases[i].guards,
@@ -193,7 +173,6 @@
                                     .request = "" };
 
       setup (&c);
-      evconnlistener_set_cb (test.fake_endpoints[0].listener, on_accept, NULL);
       limit_field = cases[i].field;
       press (1, LEARN_MS);
       received = 0;
