--- a/packages/catalog/include/endpoints.h
+++ b/packages/catalog/include/endpoints.h
@@ -76,7 +76,7 @@
    * platform was unreachable, and entries may have expired meanwhile.
    */
   int64_t hold_deletions_until_ms;
-  /* Until this time, the same holds for every deletion: see below. */
+  /* Until this time, no deletion removes one; see endpoints_note_restore. */
   int64_t restored_until_ms;
   /* Hash over the ids and revisions of all routed endpoints. */
   uint64_t digest;
@@ -127,8 +127,9 @@
 void endpoints_hold_deletions (struct endpoints *endpoints, int64_t now_ms);
 
 /*
- * The entries come from a copy of the platform's store that may be older than
- * some of them; endpoints that run write theirs again.
+ * The platform's store was restored from a copy, which may lack entries or hold
+ * older ones.  Endpoints that run write theirs again; until they had time to,
+ * none is removed.
  */
 void endpoints_note_restore (struct endpoints *endpoints, int64_t now_ms);
 
