records: let only the store raise the era

Found by reading: the era was also raised by the revision of a request, which may come from another host's datagram, and by any number in the field. One malformed revision would have made the host take every response of the store for one of an earlier era until it started again.

A request that rests on a later era is sent, and the response decides; an era that no revision can hold is ignored. t0480: one case for each; both fail with the code before.

--- a/packages/records/src/records.c
+++ b/packages/records/src/records.c
@@ -17,6 +17,8 @@
 #define UNACKNOWLEDGED_LIMIT_MS 2000
 /* An era times this is added to its revisions; decimal, for readers of logs. */
 #define ERA_UNIT UINT64_C (1000000000000000)
+/* Highest era that a revision can hold; higher ones are malformed. */
+#define ERA_LIMIT ((int64_t)(UINT64_MAX / ERA_UNIT) - 1)
 /* Idle connections are closed after this time, before the store closes them. */
 #define IDLE_LIMIT_MS 8000
 
@@ -156,18 +158,7 @@
   return revision % ERA_UNIT;
 }
 
-static void
-raise_era (struct records *records, uint64_t era)
-{
-  if (era <= records->era)
-    return;
-  if (records->era != 0)
-    LOG_EVENT (LOG_LEVEL_WARNING, "platform-restored", LOG_U64 ("era", era),
-               LOG_U64 ("previous", records->era));
-  records->era = era;
-}
-
-/* Records the era that a response names. */
+/* Records the era that a response names; logs when it rises. */
 static void
 note_era (struct records_call *call, const struct http_head *head)
 {
@@ -176,10 +167,16 @@
   int64_t era;
 
   call->era = 0;
-  if (field == NULL || !http_parse_number (http_head_get (head, field), &era))
+  if (field == NULL || !http_parse_number (http_head_get (head, field), &era)
+      || era > ERA_LIMIT)
     return;
   call->era = (uint64_t)era;
-  raise_era (records, call->era);
+  if (call->era <= records->era)
+    return;
+  if (records->era != 0)
+    LOG_EVENT (LOG_LEVEL_WARNING, "platform-restored",
+               LOG_U64 ("era", call->era), LOG_U64 ("previous", records->era));
+  records->era = call->era;
 }
 
 static void
@@ -403,8 +400,10 @@
   struct records_call *call;
   bool reused;
 
-  /* The owner may know a later era from another host. */
-  raise_era (records, request_era);
+  /*
+   * The owner may know a later era from another host, or a malformed one: only
+   * a response of the store raises the era.
+   */
   if (request_era != 0 && request_era < records->era)
     {
       done (context, &(struct records_response){
--- a/packages/records/tests/t0480-follower.c
+++ b/packages/records/tests/t0480-follower.c
@@ -311,6 +311,13 @@
     3,
     "begin a end b ",
     "/watch/6" },
+  { "an era that does not fit is believed",
+    { "200/1 {\"at\":5,\"names\":[\"a\"]}",
+      "200/4000000000 {\"at\":6,\"names\":[\"b\"]}",
+      "200/1 {\"at\":7,\"names\":[\"c\"]}", NULL },
+    4,
+    "begin a end b c ",
+    "/watch/7" },
   { "a revision that does not fit is cut",
     { "200/1 {\"at\":5,\"names\":[\"a\"]}",
       "200/1 {\"at\":1000000000000000,\"names\":[\"b\"]}",
@@ -344,6 +351,28 @@
   play_cases (restored_cases, sizeof restored_cases / sizeof restored_cases[0]);
 }
 
+/* Another host told a revision of an era that the store is not in. */
+static void
+test_era_of_another_host (void **state)
+{
+  static const char *const responses[]
+      = { "200/2 {\"at\":5,\"names\":[\"a\"]}",
+          "200/2 {\"at\":7,\"names\":[\"b\"]}",
+          "200/2 {\"at\":7,\"names\":[\"c\"]}", NULL };
+
+  (void)state;
+  setup (responses);
+  run_until_calls (1);
+  while (!test.follower.has_full_list)
+    event_base_loop (test.server.base, EVLOOP_ONCE);
+  follower_resume (&test.follower, UINT64_MAX, 0);
+  run_until_calls (4);
+  assert_int_equal (test.records.era, 2);
+  assert_string_equal (test.log, "begin a end begin c end ");
+  assert_string_equal (test.targets[3], "/watch/7");
+  teardown ();
+}
+
 static void
 test_list_and_watch (void **state)
 {
@@ -509,6 +538,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_list_and_watch),
     cmocka_unit_test (test_restored_store),
+    cmocka_unit_test (test_era_of_another_host),
     cmocka_unit_test (test_list_after_long_name),
     cmocka_unit_test (test_watch_response_after_relist),
     cmocka_unit_test (test_late_page_after_relist),
