--- a/soak/operator.c
+++ b/soak/operator.c
@@ -156,18 +156,18 @@
   version->catalog = make_catalog (operator);
   version->written_ms = now_ms;
   operator->version_count++;
-  standin_store_put (operator->store, STANDIN_CONFIGURATION_KIND,
-                     STANDIN_CONFIGURATION_NAME,
-                     standin_encode_configuration (version->catalog));
+  operator_rewrite (operator);
 }
 
 void operator_rewrite (struct operator* operator)
 {
-  if (operator->version_count> 0)
-    standin_store_put (operator->store, STANDIN_CONFIGURATION_KIND,
-                       STANDIN_CONFIGURATION_NAME,
-                       standin_encode_configuration (operator->versions[
-                           operator->version_count - 1].catalog));
+  unsigned count = operator->version_count;
+
+  if (count == 0)
+    return;
+  standin_store_put (
+      operator->store, STANDIN_CONFIGURATION_KIND, STANDIN_CONFIGURATION_NAME,
+      standin_encode_configuration (operator->versions[count - 1].catalog));
 }
 
 void operator_move_route (struct operator* operator)
--- a/soak/operator.h
+++ b/soak/operator.h
@@ -78,7 +78,7 @@
 
 /* Each makes one change, which the next operator_tick writes. */
 void operator_move_route (struct operator* operator);
-/* Writes the newest configuration again, after the store was restored. */
+/* Writes the newest configuration, also after the store was restored. */
 void operator_rewrite (struct operator* operator);
 void operator_change_extra_routes (struct operator* operator);
 void operator_revoke_key (struct operator* operator);
--- a/soak/schedule.c
+++ b/soak/schedule.c
@@ -617,8 +617,7 @@
 {
   struct world *world = schedule->world;
   bool is_store = strncmp (fault->kind->name, "store-", 6) == 0
-                  && (fault->kind->target == TARGET_NONE
-                      || fault->kind->target == TARGET_CROWD);
+                  && fault->kind->target != TARGET_HOST;
   /* Planned work must not harm requests, so it does not count as a fault. */
   bool is_planned = strcmp (fault->kind->name, "host-stopped") == 0
                     || strcmp (fault->kind->name, "host-reloaded") == 0
