balance: keep the age of the loads once

The age is in the fleet's view alone, set with the number of known hosts; the end of a limit returns nothing; a record is forgotten only if there is one. No behaviour changes; t0471 sets the field under its new name, with the same assertions. The 32 tests of balance, edge, group, records, relay and the stand-ins pass.

--- a/packages/balance/include/balance.h
+++ b/packages/balance/include/balance.h
@@ -73,9 +73,7 @@
   struct endpoint_load *table;        /* uthash by id */
   struct remote_data_centre *remotes; /* uthash by data centre */
   struct rng rng;
-  /* Expected age of the loads that the other entry hosts reported. */
-  int64_t peer_load_age_ms;
-  struct request_limit_fleet fleet;
+  struct request_limit_fleet fleet;    /* as of the reported loads */
   uint64_t choices;                    /* number of calls of balance_choose */
   char data_centre[CATALOG_NAME_SIZE]; /* data centre of this entry host */
 };
--- a/packages/balance/include/request-limit.h
+++ b/packages/balance/include/request-limit.h
@@ -41,7 +41,7 @@
   unsigned live_hosts;   /* hosts that report, this one included */
   unsigned known_hosts;  /* those and the ones that were lost recently */
   int64_t reported_ms;   /* time of the last report */
-  int64_t report_age_ms; /* age of the counts in a report, expected */
+  int64_t report_age_ms; /* age of loads and counts in a report, expected */
 };
 
 /* What hosts report to each other about one endpoint. */
@@ -62,10 +62,10 @@
 request_limit_state (struct request_limit *limit, double per_s, int64_t now_ms);
 
 /*
- * A response to a request sent at sent_ms names no limit.  Returns true if that
- * ends a limit: the request was sent after the limit was last stated.
+ * A response to a request sent at sent_ms names no limit.  That ends a limit
+ * which was last stated before the request was sent.
  */
-bool request_limit_end (struct request_limit *limit,
+void request_limit_end (struct request_limit *limit,
                         int64_t sent_ms,
                         int64_t now_ms);
 
--- a/packages/balance/src/choose.c
+++ b/packages/balance/src/choose.c
@@ -271,7 +271,7 @@
 
   if (summary->count == 0)
     return 0;
-  unreported = (double)summary->running * (double)loads->peer_load_age_ms
+  unreported = (double)summary->running * (double)loads->fleet.report_age_ms
                / TYPICAL_REQUEST_MS / summary->count;
   return unreported * estimate_prefill_ms (request, request->prompt_tokens);
 }
@@ -406,7 +406,6 @@
   if (request->service->model_count > 0)
     summary = summarise_candidates (loads, endpoints, request, now_ms);
   loads->choices++;
-  loads->fleet.report_age_ms = loads->peer_load_age_ms;
   /* Each round but the last one passes over one more endpoint. */
   for (;;)
     {
--- a/packages/balance/src/request-limit.c
+++ b/packages/balance/src/request-limit.c
@@ -46,13 +46,11 @@
   limit->stated_ms = now_ms;
 }
 
-bool
+void
 request_limit_end (struct request_limit *limit, int64_t sent_ms, int64_t now_ms)
 {
-  if (limit->per_s == 0 || sent_ms <= limit->stated_ms)
-    return false;
-  request_limit_reset (limit, now_ms);
-  return true;
+  if (limit->per_s > 0 && sent_ms > limit->stated_ms)
+    request_limit_reset (limit, now_ms);
 }
 
 void
--- a/packages/balance/tests/t0471-slots.c
+++ b/packages/balance/tests/t0471-slots.c
@@ -108,7 +108,7 @@
       endpoints_init (&world.endpoints[h], NULL, NULL);
       load_table_init (&world.load_tables[h], "casa-a",
                        seed * 1000 + (uint64_t)h);
-      world.load_tables[h].peer_load_age_ms = PEER_LOAD_AGE_MS;
+      world.load_tables[h].fleet.report_age_ms = PEER_LOAD_AGE_MS;
       for (int g = 0; g < world.scenario->groups; g++)
         {
           struct endpoint_report report = { .port = 1,
--- a/packages/edge/src/peers.c
+++ b/packages/edge/src/peers.c
@@ -245,7 +245,7 @@
   if (edge->leader.lease.version != 0)
     mesh_set_lease (&edge->mesh, &edge->leader.lease.value,
                     edge->leader.lease.version);
-  edge->relay.loads.peer_load_age_ms = mesh_load_age_ms (&edge->mesh);
+  edge->relay.loads.fleet.report_age_ms = mesh_load_age_ms (&edge->mesh);
   edge->relay.loads.fleet.known_hosts = mesh_known_hosts (&edge->mesh);
   mesh_tick (&edge->mesh, edge->relay.has_received_request, collect_loads, edge,
              edge->now_ms);
--- a/packages/edge/src/strike-record.c
+++ b/packages/edge/src/strike-record.c
@@ -214,7 +214,8 @@
 {
   record->now_ms = now_ms;
   /* The store was restored from a copy, which may lack the record. */
-  if (records_get_era (record->revision) < record->records->era)
+  if (record->revision != 0
+      && records_get_era (record->revision) < record->records->era)
     forget_record (record);
   follower_tick (&record->follower, now_ms);
   /* Without a list it is not known whether there is a record. */
