review: show that one entry cut off midway ends all service

Another writer puts one entry with bytes that cannot be read (text that was cut off) among those of the servers; then all processes are killed and start again. The whole list counts as unreadable, although "the others hold", and no request is served any more.

--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -58,6 +58,11 @@
 /* store.c: the platform's store, with 20 s of history. */
 uint16_t store_start (void);
 void store_put (const char *kind, const char *name, json_t *spec);
+/*
+ * Puts an object of another writer, whose spec is given out as these bytes.
+ * All such objects have the same bytes.
+ */
+void store_put_raw (const char *kind, const char *name, const char *bytes);
 
 /* server.c: a server of a service without groups. */
 struct server
--- a/review/rig/store.c
+++ b/review/rig/store.c
@@ -8,6 +8,8 @@
 /* The store's history, as historyS in the settings of the sites. */
 #define HISTORY_MS 20000
 #define NAME_SIZE 96
+/* Stands for raw_bytes in the objects. */
+#define RAW_MARK "(raw)"
 
 struct object
 {
@@ -35,6 +37,7 @@
 static struct change **newest = &oldest;
 static uint64_t last_revision = 10;
 static uint64_t discarded_revision = 10;
+static const char *raw_bytes;
 
 static struct object *
 find_object (const char *kind, const char *name)
@@ -118,6 +121,39 @@
   pthread_mutex_unlock (&mutex);
 }
 
+void
+store_put_raw (const char *kind, const char *name, const char *bytes)
+{
+  pthread_mutex_lock (&mutex);
+  raw_bytes = bytes;
+  put_object (kind, name, json_string (RAW_MARK));
+  pthread_mutex_unlock (&mutex);
+}
+
+/* Puts the raw bytes in the place of their marks. */
+static char *
+insert_raw_bytes (char *text)
+{
+  static const char mark[] = "\"" RAW_MARK "\"";
+  char *found = text != NULL ? strstr (text, mark) : NULL;
+
+  while (raw_bytes != NULL && found != NULL)
+    {
+      size_t before = (size_t)(found - text);
+      size_t size = strlen (text) + strlen (raw_bytes) + 1;
+      char *longer = malloc (size);
+
+      if (longer == NULL)
+        abort ();
+      snprintf (longer, size, "%.*s%s%s", (int)before, text, raw_bytes,
+                found + strlen (mark));
+      free (text);
+      text = longer;
+      found = strstr (text + before + strlen (raw_bytes), mark);
+    }
+  return text;
+}
+
 static json_t *
 list_objects (const char *kind)
 {
@@ -274,7 +310,7 @@
   free (body);
   pthread_mutex_lock (&mutex);
   response = execute (method, target, request, &status);
-  text = json_dumps (response, JSON_COMPACT);
+  text = insert_raw_bytes (json_dumps (response, JSON_COMPACT));
   json_decref (response);
   json_decref (request);
   pthread_mutex_unlock (&mutex);
