--- a/review/rig/host.c
+++ b/review/rig/host.c
@@ -10,7 +10,7 @@
 
 /* The program and arguments of the deploy file. */
 #define PROGRAM "target/packages/daemon/waxwinglinkd"
-#define HOST_LIMIT 8
+#define HOST_LIMIT 12
 #define SAMPLE_INTERVAL_MS 5
 /* A process that ended is started again after a short delay. */
 #define RESTART_DELAY_MS 500
