base: read the items of a list around one that was cut off

The objects of an array begin with the same member, as one program writes them. An item now ends where the next one begins if its strings and brackets do not match in the way of JSON; its value ("whole") is null, and its name and revision are kept from what surrounds the value. A torn record read alone has a null value too. What a list says of itself (asOf, hasMore) and its own end still have to be readable: a list that was cut off is refused.

Ruled out: looking for the end by nesting alone, as a second torn entry closes the strings of the first one and hides the sound ones between; and an item's first comma and brace, which valid values contain. Text of another format that looks like the begin of an item is left to the old rule (found by the fuzz target). Reading is bounded by a multiple of the text's size.

--- a/fuzz/unreadable-entries.c
+++ b/fuzz/unreadable-entries.c
@@ -8,11 +8,14 @@
 /*
  * fuzz-runs: 60000
  *
- * Each line of the input is what a writer left as its entry.  Whatever it is,
- * as long as its strings and brackets match, every other entry of a list or a
- * watch is delivered, in order, with the value that it has on its own; the
- * entry itself is delivered with its name, and without a value if it is not
- * JSON.
+ * Each line of the input is what a writer left as its entry.  As long as the
+ * strings and brackets of all lines match, every entry of a list or a watch is
+ * delivered, in order, with the value that it has on its own, or without one if
+ * it is not JSON.
+ *
+ * One line may be anything that does not name the members of the store.  Sound
+ * entries around it are delivered in order with their values, and the entry
+ * itself has no value unless it is JSON.
  */
 
 #define ENTRY_LIMIT 32
@@ -142,6 +145,118 @@
   http_text_finish (&body);
 }
 
+/* Entries around one that may be cut off anywhere. */
+struct torn_entry
+{
+  struct line line;
+  unsigned before;
+  unsigned after;
+};
+
+static void
+add_sound_entries (struct http_text *body,
+                   unsigned first,
+                   unsigned count,
+                   const char *before,
+                   const char *after)
+{
+  for (unsigned i = 0; i < count; i++)
+    http_text_format (body,
+                      "%s%s{\"meta\":{\"name\":\"n%u\",\"rev\":%u},\"spec\":"
+                      "{\"of\":[%u,\"}\"]},\"status\":null}%s",
+                      first + i > 0 ? "," : "", before, first + i,
+                      first + i + 1, first + i, after);
+}
+
+static void
+check_around_torn (void *context, const struct records_response *response)
+{
+  const struct torn_entry *torn = context;
+  json_t *alone
+      = json_loadb (torn->line.data, torn->line.size, JSON_DECODE_ANY, NULL);
+  unsigned next = 0;
+
+  CHECK (response->result == RESULT_OK);
+  CHECK (response->revision == 77);
+  CHECK (response->more);
+  for (unsigned i = 0; i < response->count; i++)
+    {
+      const struct records_record *record = &response->list[i];
+      char name[16];
+
+      snprintf (name, sizeof name, "n%u", next);
+      if (next == torn->before)
+        {
+          next++;
+          if (strcmp (record->name, name) == 0)
+            {
+              CHECK (alone != NULL ? json_equal (alone, record->value)
+                                   : json_is_null (record->value));
+              continue;
+            }
+          snprintf (name, sizeof name, "n%u", next);
+        }
+      CHECK (strcmp (record->name, name) == 0);
+      CHECK (record->revision == next + 1);
+      CHECK (json_integer_value (
+                 json_array_get (json_object_get (record->value, "of"), 0))
+             == (json_int_t)next);
+      next++;
+    }
+  CHECK (next >= torn->before + torn->after);
+  CHECK (torn->after == 0 || next == torn->before + 1 + torn->after);
+  json_decref (alone);
+}
+
+static bool
+is_part_of_line (const struct line *line, const char *text)
+{
+  return memmem (line->data, line->size, text, strlen (text)) != NULL;
+}
+
+static void
+check_torn (const uint8_t *data, size_t size)
+{
+  static const char *const names[] = { "meta", "spec", "object", "deleted" };
+  struct torn_entry torn = { { (const char *)data, size }, 0, 0 };
+  const char *end = memchr (data, '\n', size);
+
+  if (end != NULL)
+    torn.line.size = (size_t)(end - torn.line.data);
+  if (torn.line.size == 0)
+    return;
+  /* Text that imitates what the store writes cannot be told from it. */
+  for (size_t i = 0; i < sizeof names / sizeof names[0]; i++)
+    if (is_part_of_line (&torn.line, names[i]))
+      return;
+  torn.before = data[0] % 3;
+  torn.after = data[torn.line.size - 1] % 3;
+  for (unsigned is_watch = 0; is_watch < 2; is_watch++)
+    {
+      const char *before = is_watch ? "{\"object\":" : "";
+      const char *after = is_watch ? ",\"deleted\":false}" : "";
+      struct http_text body;
+
+      http_text_init (&body);
+      http_text_add_string (&body,
+                            is_watch ? "{\"events\":[" : "{\"entries\":[");
+      add_sound_entries (&body, 0, torn.before, before, after);
+      http_text_format (&body,
+                        "%s%s{\"meta\":{\"name\":\"n%u\",\"rev\":%u},"
+                        "\"spec\":",
+                        torn.before > 0 ? "," : "", before, torn.before,
+                        torn.before + 1);
+      http_text_add (&body, torn.line.data, torn.line.size);
+      http_text_format (&body, ",\"status\":null}%s", after);
+      add_sound_entries (&body, torn.before + 1, torn.after, before, after);
+      http_text_add_string (&body, "],\"hasMore\":true,\"asOf\":77}");
+      users_platform.records->decode (is_watch ? RECORDS_WATCH : RECORDS_LIST,
+                                      200, body.data, body.size,
+                                      check_around_torn, &torn);
+      http_text_finish (&body);
+    }
+}
+
 /* What can be read as a whole is read as it is. */
 static void
 check_readable (const uint8_t *data, size_t size)
@@ -160,6 +275,7 @@
   struct entries entries;
 
   check_readable (data, size);
+  check_torn (data, size);
   split_lines (&entries, data, size);
   check_list (&entries);
   check_watch (&entries);
--- a/packages/base/include/json-parts.h
+++ b/packages/base/include/json-parts.h
@@ -12,8 +12,14 @@
  * stands for one that cannot be read.  A member named whole is not split, so
  * that it is complete or null; members whose names cannot be read are left out.
  *
- * Returns NULL if the text is not a value, or if the strings and brackets of
- * its outermost level do not match.
+ * The strings and brackets of a part may not match, as in text that was cut
+ * off.  In an array of objects that begin with the same member, such an object
+ * ends where the next one begins: its member named whole is null, the members
+ * around it are kept, and it is null if it has none.  So is an outermost object
+ * that has the member whole itself.
+ *
+ * Returns NULL if the text is not a value, or if strings and brackets do not
+ * match anywhere else.
  */
 json_t *json_load_parts (const char *data,
                          size_t size,
--- a/packages/base/tests/t0004-json-parts.c
+++ b/packages/base/tests/t0004-json-parts.c
@@ -6,6 +6,7 @@
 #include <cmocka.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 
 #include "json-parts.h"
 
@@ -65,6 +66,96 @@
   { "the wrong bracket", "[1,1e999}", 5, NULL },
   { "text after the end", "[1e999] 1", 5, NULL },
   { "an inner array without its end", "{\"a\":[1,\"b\":2}", 5, NULL },
+/* Objects of a list that were written in part. */
+#define LIST(items) "{\"list\":[" items "],\"at\":9}"
+#define ITEM(name, value)                                                      \
+  "{\"id\":{\"n\":\"" name "\"},\"whole\":" value ",\"z\":null}"
+#define LATE_ITEM(name, value)                                                 \
+  "{\"whole\":" value ",\"id\":{\"n\":\"" name "\"}}"
+#define READ_ITEM(name, value)                                                 \
+  "{\"id\":{\"n\":\"" name "\"},\"whole\":" value ",\"z\":null}"
+#define READ_LATE(name, value)                                                 \
+  "{\"id\":{\"n\":\"" name "\"},\"whole\":" value "}"
+#define READ_LIST(items) "{\"at\":9,\"list\":[" items "]}"
+#define TORN_CASE(what, torn)                                                  \
+  { what,                                                                      \
+    LIST (ITEM ("a", "1") "," ITEM ("b", torn) "," ITEM (                      \
+        "c", "{\"x\":[2]}") "," ITEM ("d", torn) "," ITEM ("e", "5")),         \
+    9,                                                                         \
+    READ_LIST (                                                                \
+        READ_ITEM ("a", "1") "," READ_ITEM ("b", "null") "," READ_ITEM (       \
+            "c", "{\"x\":[2]}") "," READ_ITEM ("d",                            \
+                                               "null") "," READ_ITEM ("e",     \
+                                                                      "5")) }, \
+      { what ", in the last item",                                             \
+        LIST (ITEM ("a", "1") "," ITEM ("b", torn)), 9,                        \
+        READ_LIST (READ_ITEM ("a", "1") "," READ_ITEM ("b", "null")) },        \
+      { what ", the only item", LIST (ITEM ("b", torn)), 9,                    \
+        READ_LIST (READ_ITEM ("b", "null")) },                                 \
+      { what ", before the name",                                              \
+        LIST (LATE_ITEM ("a", "1") "," LATE_ITEM ("b", torn) "," LATE_ITEM (   \
+            "c", "3") "," LATE_ITEM ("d", torn)),                              \
+        9,                                                                     \
+        READ_LIST (                                                            \
+            READ_LATE ("a", "1") "," READ_LATE ("b", "null") "," READ_LATE (   \
+                "c", "3") "," READ_LATE ("d", "null")) },                      \
+  {                                                                            \
+    what ", in a document alone", ITEM ("b", torn), 9, READ_ITEM ("b", "null") \
+  }
+  TORN_CASE ("a string cut off", "{\"x\":\"zo"),
+  TORN_CASE ("an escape cut off", "{\"x\":\"zo\\"),
+  TORN_CASE ("a name cut off", "{\"x\":1,\"y"),
+  TORN_CASE ("a member cut off", "{\"x\":1"),
+  TORN_CASE ("a value cut off", "{\"x\":"),
+  TORN_CASE ("a member cut off after its comma", "{\"x\":1,"),
+  TORN_CASE ("an array cut off", "{\"x\":[1,2"),
+  TORN_CASE ("an array cut off after its comma", "[1,"),
+  TORN_CASE ("a quotation mark", "\""),
+  TORN_CASE ("an opening brace", "{"),
+  TORN_CASE ("an opening bracket", "["),
+  TORN_CASE ("a closing brace", "}"),
+  TORN_CASE ("a closing bracket", "]"),
+  TORN_CASE ("a value and a closing brace", "1}"),
+  TORN_CASE ("a value and closing brackets", "1}]"),
+  TORN_CASE ("the wrong bracket", "{\"x\":[1}"),
+  TORN_CASE ("text that is no JSON", "x=\"a\", {y,z} 'q"),
+  TORN_CASE ("a comma", "1,2"),
+  TORN_CASE ("a name of the frame", "{\"id\":{\"n\":\"f\"},\"x\":\""),
+  TORN_CASE ("names of the frame, closed", "{\"id\":{\"n\":\"f\"},\"whole\":1"),
+  TORN_CASE ("nothing", ""),
+  { "an item without its end",
+    LIST ("{\"id\":{\"n\":\"a\"},\"whole\":{\"x\":\"zo," ITEM ("b", "2")), 9,
+    READ_LIST ("{\"id\":{\"n\":\"a\"},\"whole\":null}," READ_ITEM ("b", "2")) },
+  { "an item cut off in its name", LIST ("{\"id\":{\"n\":\"," ITEM ("b", "2")),
+    9, READ_LIST ("null," READ_ITEM ("b", "2")) },
+  { "items of other kinds after a torn one, which takes them with it",
+    LIST (ITEM ("a", "{") ",7,\"x\",[],null,{\"q\":1},1e999," ITEM ("b", "2")),
+    9,
+    READ_LIST ("{\"id\":{\"n\":\"a\"},\"whole\":null}"
+               "," READ_ITEM ("b", "2")) },
+  { "items of other kinds before a torn one",
+    LIST (ITEM ("a", "1") ",7,\"x\",{\"q\":1},1e999," ITEM ("b", "{") "," ITEM (
+        "c", "3")),
+    9,
+    READ_LIST (READ_ITEM ("a", "1") ",7,\"x\",{\"q\":1},null," READ_ITEM (
+        "b", "null") "," READ_ITEM ("c", "3")) },
+  { "an item twice", LIST (ITEM ("a", "{") "," ITEM ("a", "2")), 9,
+    READ_LIST (READ_ITEM ("a", "null") "," READ_ITEM ("a", "2")) },
+  { "an item inside of one that is no JSON",
+    LIST (ITEM ("a", "[" ITEM ("x", "1e999") "," ITEM ("y", "1") "]") "," ITEM (
+        "b", "2")),
+    9, READ_LIST (READ_ITEM ("a", "null") "," READ_ITEM ("b", "2")) },
+  { "white space around a torn item",
+    "{ \"list\" : [ { \"id\" : 1 , \"whole\" : { \"x } , { \"id\" : 2 ,"
+    " \"whole\" : 3 } ] , \"at\" : 9 }",
+    9, READ_LIST ("{\"id\":1,\"whole\":null},{\"id\":2,\"whole\":3}") },
+  /* A list that was cut off itself must not count as complete. */
+  { "a list cut off after an item", "{\"list\":[" ITEM ("a", "1e999") ",", 9,
+    NULL },
+  { "a list cut off in an item", "{\"at\":9,\"list\":[{\"id\":1,\"whole\":{\"x",
+    9, NULL },
+  { "a list cut off before its bracket", "{\"list\":[" ITEM ("a", "{"), 9,
+    NULL },
 };
 
 static void
@@ -128,12 +219,44 @@
   free (text);
 }
 
+/* A list of torn items must not take a time that grows with its square. */
+static void
+test_many_torn_items (void **state)
+{
+  static const char *const torn[] = { "{\"x\":\"", "[[[[", "{\"x\":1", "1}]" };
+  const size_t count = 20000;
+
+  (void)state;
+  for (size_t i = 0; i < sizeof torn / sizeof torn[0]; i++)
+    {
+      size_t size = 0;
+      char *text = malloc (count * 64);
+      json_t *json;
+      clock_t start = clock ();
+
+      assert_non_null (text);
+      size += (size_t)sprintf (text, "{\"list\":[");
+      for (size_t j = 0; j < count; j++)
+        size += (size_t)sprintf (text + size, "%s{\"id\":%zu,\"whole\":%s}",
+                                 j > 0 ? "," : "", j, torn[i]);
+      size += (size_t)sprintf (text + size, "]}");
+      json = json_load_parts (text, size, "whole", 3);
+      assert_int_equal (json_array_size (json_object_get (json, "list")),
+                        count);
+      /* Processor time; a square would take minutes. */
+      assert_true (clock () - start < 10 * CLOCKS_PER_SEC);
+      json_decref (json);
+      free (text);
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_parts),
     cmocka_unit_test (test_deep_nesting),
+    cmocka_unit_test (test_many_torn_items),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
