records: list again when the response to a watch cannot be used

The response to a watch holds all changes since a revision, and can be longer than the 8 MB that one response may have: a host that stood still for 3.5 s missed eleven configurations of 0.95 MB. A reader got the configuration from nobody else.

A response over the limit now has a result of its own (4010). The follower lists anew after one such response to a watch, or after two in a row that cannot be read; a failure without a response is an outage as before and costs no list. A host whose hub reports a newer version for the whole time in which a change has to be in force, or that knows of changes it could not read for that time, refuses requests with 3025 (not run) and is not ready; one that hears nothing of a newer version goes on, as in an outage. The decision is a module, configuration-state.h.

Ruled out: a higher limit, which a longer storm exceeds; and refusing whenever the store fails, since open routes are served in an outage.

--- a/packages/base/include/result-table.h
+++ b/packages/base/include/result-table.h
@@ -80,6 +80,7 @@
 RESULT_ENTRY (4007, PLATFORM_UNCHANGED, 0, OUTCOME_NONE, "The watch ended without a change.")
 RESULT_ENTRY (4008, PLATFORM_OUTAGE, 0, OUTCOME_NONE, "The platform says that it is not available.")
 RESULT_ENTRY (4009, PLATFORM_HISTORY_GONE, 0, OUTCOME_NONE, "The platform no longer has the changes since that revision.")
+RESULT_ENTRY (4010, PLATFORM_OVER_LIMIT, 0, OUTCOME_NONE, "The platform's answer is over the limit for one answer.")
 
 RESULT_ENTRY (5001, ENDPOINT_CONNECT, 0, OUTCOME_NOT_RUN, "The endpoint refused the connection.")
 RESULT_ENTRY (5002, ENDPOINT_WRONG_GROUP, 0, OUTCOME_NOT_RUN, "The endpoint runs another group or generation.")
--- a/packages/edge/include/hub-sync.h
+++ b/packages/edge/include/hub-sync.h
@@ -77,7 +77,10 @@
   bool is_patch_sent; /* the hub sent a patch to newest_configuration */
   /* When a hub first reported a newer version than this host has; 0 = none. */
   int64_t outdated_since_ms;
-  bool relies_on_hub; /* this host does not list the entries itself */
+  /* Since when all responses report a newer version; 0 = the last did not. */
+  int64_t newer_since_ms;
+  int64_t newer_at_ms; /* time of the last such response */
+  bool relies_on_hub;  /* this host does not list the entries itself */
   /*
    * A hub had endpoints deleted.  They may exist: a hub tells of those that it
    * does not route to any more in the same way.  Cleared by the owner.
--- a/packages/edge/src/edge.c
+++ b/packages/edge/src/edge.c
@@ -33,7 +33,7 @@
 bool
 edge_is_ready (const struct edge *edge)
 {
-  return edge->phase == EDGE_RUNNING
+  return edge->phase == EDGE_RUNNING && !edge->relay.is_catalog_outdated
          && relay_has_fresh_keys (&edge->relay, READY_MARGIN_MS, edge->now_ms)
          && edge_knows_endpoints (edge);
 }
--- a/packages/edge/src/follow.c
+++ b/packages/edge/src/follow.c
@@ -1,3 +1,4 @@
+#include "configuration-state.h"
 #include "edge.h"
 #include "log.h"
 
@@ -285,14 +286,16 @@
   if (edge->fetch_sent_ms > edge->hub_sync.configuration_current_at_ms)
     edge->hub_sync.configuration_current_at_ms = edge->fetch_sent_ms;
   /* If this host becomes a reader, it continues here without another read. */
-  if (!edge->reads_platform || edge->configuration.state == FOLLOWER_LISTING)
+  if (!edge->reads_platform || edge->configuration.state == FOLLOWER_LISTING
+      || edge->configuration.unusable_responses > 0)
     follower_resume (&edge->configuration, response->revision,
                      edge->fetch_sent_ms);
 }
 
 /*
- * Reads the configuration once: at the start, when no hub is known yet, and
- * after a hub reported a newer version.
+ * Reads the configuration once: at the start, when no hub is known yet, after a
+ * hub reported a newer version, and while responses with more than this record
+ * cannot be used.
  */
 static void
 fetch_configuration (struct edge *edge)
@@ -432,6 +435,47 @@
                 >= ENTRIES_RETRY_FACTOR * retry_ms;
 }
 
+/* Logs when requests begin, or cease, to be refused for the configuration. */
+static void
+set_outdated (struct edge *edge, bool is_outdated)
+{
+  if (is_outdated == edge->relay.is_catalog_outdated)
+    return;
+  edge->relay.is_catalog_outdated = is_outdated;
+  LOG_EVENT (is_outdated ? LOG_LEVEL_WARNING : LOG_LEVEL_NOTICE,
+             is_outdated ? "configuration-outdated" : "configuration-regained",
+             LOG_INT ("version", relay_catalog_version (&edge->relay)),
+             LOG_INT ("newest", edge->hub_sync.newest_configuration),
+             LOG_INT ("proof_age_ms",
+                      edge->now_ms - edge->relay.catalog_current_at_ms));
+}
+
+/* Acts on a configuration that may not be the newest. */
+static void
+update_configuration_state (struct edge *edge)
+{
+  const struct hub_sync *sync = &edge->hub_sync;
+  const struct configuration_facts facts = {
+    .now_ms = edge->now_ms,
+    .in_force_ms = edge->settings.configuration_in_force_ms,
+    .reads_platform = edge->reads_platform,
+    .own_version = relay_catalog_version (&edge->relay),
+    .newest_version = sync->newest_configuration,
+    .is_patch_awaited
+    = sync->is_patch_sent
+      && edge->now_ms - sync->outdated_since_ms <= PATCH_WAIT_MS,
+    .newer_since_ms = sync->newer_since_ms,
+    .newer_at_ms = sync->newer_at_ms,
+    .unusable_since_ms = edge->configuration.unusable_since_ms,
+    .missed_since_ms = edge->configuration.missed_since_ms,
+  };
+  const struct configuration_action action = configuration_decide (&facts);
+
+  set_outdated (edge, action.is_outdated);
+  if (action.reads_record)
+    fetch_configuration (edge);
+}
+
 void
 edge_follow_tick (struct edge *edge)
 {
@@ -462,12 +506,7 @@
       if (edge->configuration.failing_since_ms == 0)
         strike_record_tick (&edge->strike_record, edge->now_ms);
     }
-  else if (edge->hub_sync.newest_configuration
-               > relay_catalog_version (&edge->relay)
-           && (!edge->hub_sync.is_patch_sent
-               || edge->now_ms - edge->hub_sync.outdated_since_ms
-                      > PATCH_WAIT_MS))
-    fetch_configuration (edge);
+  update_configuration_state (edge);
   /* A host that fails to read the platform still polls other hosts. */
   hub_sync_tick (&edge->hub_sync,
                  !edge->reads_platform
--- a/packages/edge/src/hub-sync.c
+++ b/packages/edge/src/hub-sync.c
@@ -251,6 +251,14 @@
         sync->outdated_since_ms = sync->now_ms;
       sync->next_request_ms = sync->now_ms + REQUEST_RETRY_MS;
     }
+  if (response->configuration_version <= own_version)
+    sync->newer_since_ms = 0;
+  else
+    {
+      if (sync->newer_since_ms == 0)
+        sync->newer_since_ms = sync->now_ms;
+      sync->newer_at_ms = sync->now_ms;
+    }
   if (response->configuration_version == own_version && own_version != 0
       && current_at_ms > sync->configuration_current_at_ms)
     sync->configuration_current_at_ms = current_at_ms;
--- a/packages/records/include/follower.h
+++ b/packages/records/include/follower.h
@@ -7,9 +7,11 @@
 #include <stdint.h>
 
 /*
- * Follows all records of one kind: lists them, then watches for changes, and
+ * Follows all records of one kind: lists them, then watches for changes.  It
  * lists them again when the store has dropped the history after the last known
- * revision.
+ * revision, and when the response to the watch cannot be used: since a watch
+ * returns all changes since that revision, the same response, or a longer one,
+ * would come again.
  */
 
 /* A name after which a list goes on; it is part of a URL. */
@@ -58,6 +60,14 @@
   bool call_in_flight;
   /* Rises with each new list, and when a list is given up. */
   unsigned generation;
+  /*
+   * Responses in a row that arrived but could not be used; the present calls
+   * make no progress.
+   */
+  unsigned unusable_responses;
+  int64_t unusable_since_ms; /* 0 = the last response could be used */
+  /* When a watch over the limit hid changes; 0 = no change is missing. */
+  int64_t missed_since_ms;
   unsigned call_generation; /* in which the call was sent */
   int64_t sent_ms;          /* time of the last call */
   int64_t list_sent_ms;     /* time of the call for the first page */
--- a/packages/records/include/records.h
+++ b/packages/records/include/records.h
@@ -18,7 +18,8 @@
  * Each call ends with exactly one callback, from the event loop or, if memory
  * is short, from records_call.  A write that may have taken effect ends with
  * RESULT_PLATFORM_LOST_ANSWER, and one that certainly did not with any other
- * error.
+ * error.  A read whose response is over the limit for one response ends with
+ * RESULT_PLATFORM_OVER_LIMIT: sent again, it would end in the same way.
  *
  * A store that was restored from a copy gives out the same revisions again.  To
  * its users a revision also holds the era, in its high digits: revisions always
@@ -116,7 +117,8 @@
   const struct records_codec *codec;
   char address[64];
   uint16_t port;
-  uint64_t era; /* highest that a response named; 0 = none did */
+  size_t body_limit_bytes; /* of one response; a longer one fails the call */
+  uint64_t era;            /* highest that a response named; 0 = none did */
   uint64_t calls[RECORDS_KINDS];    /* calls sent, by kind */
   uint64_t failures;                /* calls without a complete response */
   TAILQ_HEAD (, records_call) sent; /* calls in flight */
--- a/packages/records/src/follower.c
+++ b/packages/records/src/follower.c
@@ -13,6 +13,11 @@
 /* Delay after a failed call; doubles up to the follower's limit. */
 #define FIRST_RETRY_MS 200
 #define DEFAULT_RETRY_LIMIT_MS 800
+/*
+ * Unreadable responses to a watch in a row before the records are listed again.
+ * One may be damaged on the way; the call after it costs less than a list.
+ */
+#define UNREADABLE_WATCH_LIMIT 2
 
 void
 follower_init (struct follower *follower,
@@ -51,11 +56,39 @@
              LOG_INT ("proof_age_ms", now_ms - follower->current_at_ms));
 }
 
+/*
+ * Notes a response that arrived and cannot be used.  True if the call must not
+ * be sent again as it is, but the records are listed instead.
+ */
+static bool
+has_to_relist (struct follower *follower, enum result result, int64_t now_ms)
+{
+  if (result != RESULT_PLATFORM_OVER_LIMIT
+      && result != RESULT_PLATFORM_BAD_ANSWER)
+    return false;
+  if (follower->unusable_responses == 0)
+    follower->unusable_since_ms = now_ms;
+  follower->unusable_responses++;
+  if (follower->state == FOLLOWER_WATCHING
+      && result == RESULT_PLATFORM_OVER_LIMIT && follower->missed_since_ms == 0)
+    follower->missed_since_ms = now_ms;
+  return follower->state == FOLLOWER_WATCHING
+         && (result == RESULT_PLATFORM_OVER_LIMIT
+             || follower->unusable_responses >= UNREADABLE_WATCH_LIMIT);
+}
+
 static void
 record_success (struct follower *follower, int64_t now_ms)
 {
   int64_t outage_ms;
 
+  if (follower->unusable_responses > 0)
+    LOG_EVENT (LOG_LEVEL_NOTICE, "platform-readable",
+               LOG_STR ("records", follower->name),
+               LOG_U64 ("unusable", follower->unusable_responses),
+               LOG_INT ("for_ms", now_ms - follower->unusable_since_ms));
+  follower->unusable_responses = 0;
+  follower->unusable_since_ms = 0;
   follower->retry_delay_ms = FIRST_RETRY_MS;
   if (follower->failing_since_ms == 0)
     return;
@@ -149,6 +182,7 @@
   follower->list_after[0] = '\0';
   follower->revision = follower->list_revision;
   follower->has_full_list = true;
+  follower->missed_since_ms = 0;
   follower->state = FOLLOWER_WATCHING;
   follower->current_at_ms = follower->list_sent_ms;
   if (follower->hooks.list_end != NULL)
@@ -208,6 +242,16 @@
                  LOG_U64 ("revision", follower->revision));
       return;
     }
+  if (has_to_relist (follower, result, now_ms))
+    {
+      LOG_EVENT (LOG_LEVEL_WARNING, "platform-watch-unusable",
+                 LOG_STR ("records", follower->name), LOG_INT ("code", result),
+                 LOG_U64 ("revision", follower->revision),
+                 LOG_U64 ("responses", follower->unusable_responses),
+                 LOG_INT ("proof_age_ms", now_ms - follower->current_at_ms));
+      follower_relist (follower);
+      return;
+    }
   /* An incomplete list starts over, since the store may have changed. */
   follower->list_after[0] = '\0';
   record_failure (follower, result, now_ms);
@@ -225,6 +269,10 @@
   follower->list_after[0] = '\0';
   if (current_at_ms > follower->current_at_ms)
     follower->current_at_ms = current_at_ms;
+  follower->missed_since_ms = 0;
+  /* Unusable responses were those to calls from another revision. */
+  follower->unusable_responses = 0;
+  follower->unusable_since_ms = 0;
 }
 
 void
--- a/packages/records/src/records.c
+++ b/packages/records/src/records.c
@@ -8,7 +8,10 @@
 #include <string.h>
 
 #define HEADER_LIMIT_BYTES 65536
-/* Largest body: a page of 500 records, or one record of 1 MB with overhead. */
+/*
+ * Largest body: a page of 500 records, or one record of 1 MB with overhead. The
+ * response to a watch holds all changes since a revision and can be longer.
+ */
 #define BODY_LIMIT_BYTES (8U << 20)
 /*
  * A connection fails when sent bytes are not acknowledged for this time.  Each
@@ -72,6 +75,7 @@
   records->codec = codec;
   memcpy (records->address, address, size);
   records->port = port;
+  records->body_limit_bytes = BODY_LIMIT_BYTES;
   TAILQ_INIT (&records->sent);
   TAILQ_INIT (&records->idle);
 }
@@ -198,8 +202,11 @@
   struct records_call *call = context;
 
   http_text_add (&call->body, data, size);
-  if (call->body.failed || call->body.size > BODY_LIMIT_BYTES)
+  if (call->body.failed || !call->busy)
     abort_connection (call);
+  else if (call->body.size > call->records->body_limit_bytes)
+    fail_call (call, call->is_write ? RESULT_PLATFORM_LOST_ANSWER
+                                    : RESULT_PLATFORM_OVER_LIMIT);
 }
 
 /* The owner of a call whose response is being decoded. */
@@ -473,5 +480,6 @@
          || result == RESULT_PLATFORM_LOST_ANSWER
          || result == RESULT_PLATFORM_OVERLOADED
          || result == RESULT_PLATFORM_OUTAGE
+         || result == RESULT_PLATFORM_OVER_LIMIT
          || result == RESULT_PLATFORM_BAD_ANSWER;
 }
--- a/packages/records/tests/t0480-follower.c
+++ b/packages/records/tests/t0480-follower.c
@@ -72,7 +72,8 @@
   size_t index;
 
   (void)verb;
-  response.result = status == 200   ? RESULT_OK
+  response.result = status == 200
+                        ? json != NULL ? RESULT_OK : RESULT_PLATFORM_BAD_ANSWER
                     : status == 410 ? RESULT_PLATFORM_HISTORY_GONE
                                     : RESULT_PLATFORM_OUTAGE;
   response.more = json_is_true (json_object_get (json, "more"));
@@ -226,7 +227,7 @@
 struct follower_case
 {
   const char *guards;       /* failure that the case guards against */
-  const char *responses[6]; /* "STATUS BODY" or "STATUS/ERA BODY" */
+  const char *responses[8]; /* "STATUS BODY" or "STATUS/ERA BODY" */
   unsigned calls;
   const char *log;
   const char *target; /* of the last call */
@@ -276,6 +277,56 @@
     "/list/0" },
 };
 
+#define BODY_LIMIT_BYTES 120
+#define LONG_NAME                                                              \
+  "a2345678901234567890123456789012345678901234567890123456789012345678901234" \
+  "56789012345678901234567890123456789012345678901234567890"
+
+/*
+ * Responses that arrive and cannot be used.  The first call after the list is a
+ * watch that gets the same response, or a longer one, each time.
+ */
+static const struct follower_case unusable_cases[] = {
+  { "a watch over the limit is sent again for ever",
+    { "200 {\"at\":5,\"names\":[\"a\"]}",
+      "200 {\"at\":7,\"names\":[\"" LONG_NAME "\"]}",
+      "200 {\"at\":9,\"names\":[\"b\"]}", NULL },
+    4,
+    "begin a end begin b end ",
+    "/watch/9" },
+  { "an unreadable watch is sent again for ever",
+    { "200 {\"at\":5,\"names\":[\"a\"]}", "200 {", "200 {",
+      "200 {\"at\":9,\"names\":[\"b\"]}", NULL },
+    5,
+    "begin a end regained begin b end ",
+    "/watch/9" },
+  { "one unreadable response to a watch costs a list",
+    { "200 {\"at\":5,\"names\":[\"a\"]}", "200 {",
+      "200 {\"at\":6,\"names\":[\"b\"]}", NULL },
+    4,
+    "begin a end regained b ",
+    "/watch/6" },
+  { "outages between unreadable responses are lost count of",
+    { "200 {\"at\":5,\"names\":[\"a\"]}", "200 {", "503 {}", "200 {",
+      "200 {\"at\":9,\"names\":[\"b\"]}", NULL },
+    6,
+    "begin a end regained begin b end ",
+    "/watch/9" },
+  { "an outage costs a list",
+    { "200 {\"at\":5,\"names\":[\"a\"]}", "503 {}", "503 {}",
+      "200 {\"at\":6,\"names\":[\"b\"]}", NULL },
+    5,
+    "begin a end regained b ",
+    "/watch/6" },
+  { "a page over the limit counts as the end of a list",
+    { "200 {\"at\":5,\"names\":[\"a\"],\"more\":true}",
+      "200 {\"at\":5,\"names\":[\"" LONG_NAME "\"]}",
+      "200 {\"at\":6,\"names\":[\"b\"]}", NULL },
+    4,
+    "begin a regained begin b end ",
+    "/watch/6" },
+};
+
 /* The store is restored from a copy, and its era rises. */
 static const struct follower_case restored_cases[] = {
   { "a watch goes on from a revision that was given out again",
@@ -335,6 +386,7 @@
       const struct follower_case *c = &list[i];
 
       setup (c->responses);
+      test.records.body_limit_bytes = BODY_LIMIT_BYTES;
       run_until_calls (c->calls);
       if (strcmp (test.log, c->log) != 0
           || strcmp (test.targets[c->calls - 1], c->target) != 0)
@@ -380,6 +432,13 @@
   play_cases (follower_cases, sizeof follower_cases / sizeof follower_cases[0]);
 }
 
+static void
+test_unusable_responses (void **state)
+{
+  (void)state;
+  play_cases (unusable_cases, sizeof unusable_cases / sizeof unusable_cases[0]);
+}
+
 /* A name that is cut would stand for another place in the list. */
 static void
 test_list_after_long_name (void **state)
@@ -539,6 +598,7 @@
     cmocka_unit_test (test_list_and_watch),
     cmocka_unit_test (test_restored_store),
     cmocka_unit_test (test_era_of_another_host),
+    cmocka_unit_test (test_unusable_responses),
     cmocka_unit_test (test_list_after_long_name),
     cmocka_unit_test (test_watch_response_after_relist),
     cmocka_unit_test (test_late_page_after_relist),
--- a/packages/relay/include/relay.h
+++ b/packages/relay/include/relay.h
@@ -191,6 +191,8 @@
   struct relay_limits limits;
   struct catalog *catalog; /* newest; NULL before the first */
   int64_t catalog_current_at_ms;
+  /* A newer one had to be in force already: requests are not handled by it. */
+  bool is_catalog_outdated;
   struct endpoints *endpoints;
   struct load_table loads;
   struct retry_budgets budgets;
--- a/packages/relay/src/request.c
+++ b/packages/relay/src/request.c
@@ -180,7 +180,7 @@
   bool is_current = staleness_ms <= relay->limits.route_freshness_limit_ms;
   const char *key;
 
-  if (relay->catalog == NULL)
+  if (relay->catalog == NULL || relay->is_catalog_outdated)
     return RESULT_NO_CONFIGURATION;
   request->catalog = catalog_ref (relay->catalog);
   if (host == NULL)
--- a/packages/relay/tests/t0850-relay.c
+++ b/packages/relay/tests/t0850-relay.c
@@ -448,6 +448,38 @@
     }
 }
 
+/*
+ * Guards against requests that are handled as an old configuration says, though
+ * a newer one had to be in force already.  An open route has no key whose age
+ * would be checked.
+ */
+static void
+test_outdated_configuration (void **state)
+{
+  static const struct
+  {
+    bool is_outdated;
+    bool is_open;
+    unsigned status;
+    unsigned sends;
+  } routes[] = { { false, false, 200, 1 },
+                 { false, true, 200, 1 },
+                 { true, false, 503, 0 },
+                 { true, true, 503, 0 } };
+
+  (void)state;
+  for (size_t i = 0; i < sizeof routes / sizeof routes[0]; i++)
+    {
+      setup (&cases[0]);
+      test.relay.catalog->routes[0].open = routes[i].is_open;
+      test.relay.is_catalog_outdated = routes[i].is_outdated;
+      run_until_response ();
+      assert_int_equal (test.status, routes[i].status);
+      assert_int_equal (test.sends, routes[i].sends);
+      teardown ();
+    }
+}
+
 /* Guards the check whether keys are valid now and for some time to come. */
 static void
 test_key_freshness (void **state)
@@ -691,6 +723,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_forwarding),
     cmocka_unit_test (test_stale_configuration),
+    cmocka_unit_test (test_outdated_configuration),
     cmocka_unit_test (test_key_freshness),
     cmocka_unit_test (test_header_limit),
     cmocka_unit_test (test_body_limit),
