relay: give each phase of a caller's connection a timer of its own

One start time served all phases of the connection, and close_after alone chose the limit of a head.

The phases and their timers are a table now (caller-phase.c, docs/design/caller-connection.md): a timer starts with its phase, and while a response is written it starts again with each byte that the caller acknowledges (SIOCOUTQ; the kernel takes some MB at a time). A caller that reads nothing is closed after idle_timeout_ms. A refusal of a slow head (408) is also written out now; the connection was closed at the next tick.

Ruled out: the stop's own limits, which wait for bytes in flight; and the write of the response, which queues all of it.

--- a/packages/http/include/http-connection.h
+++ b/packages/http/include/http-connection.h
@@ -119,6 +119,12 @@
 size_t
 http_connection_unwritten_bytes (const struct http_connection *connection);
 
+/*
+ * As http_connection_unwritten_bytes, and the bytes that the other side has not
+ * acknowledged to the socket.  It falls while a slow link is read.
+ */
+size_t http_connection_unsent_bytes (const struct http_connection *connection);
+
 /* Number of bytes received after the current whole message. */
 size_t http_connection_pending_bytes (const struct http_connection *connection);
 
--- a/packages/http/src/http-connection.c
+++ b/packages/http/src/http-connection.c
@@ -5,10 +5,12 @@
 
 #include <errno.h>
 #include <event2/buffer.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -534,6 +536,17 @@
                                     : 0;
 }
 
+size_t
+http_connection_unsent_bytes (const struct http_connection *connection)
+{
+  int queued = 0;
+
+  if (connection->fd < 0 || ioctl (connection->fd, SIOCOUTQ, &queued) != 0
+      || queued < 0)
+    queued = 0;
+  return http_connection_unwritten_bytes (connection) + (size_t)queued;
+}
+
 size_t
 http_connection_pending_bytes (const struct http_connection *connection)
 {
--- a/packages/relay/include/relay.h
+++ b/packages/relay/include/relay.h
@@ -2,6 +2,7 @@
 #define RELAY_RELAY_H
 
 #include "balance.h"
+#include "caller-phase.h"
 #include "catalog.h"
 #include "counter.h"
 #include "endpoints.h"
@@ -82,9 +83,8 @@
   struct relay *relay;
   struct http_connection connection;
   struct relay_request *request; /* being served; NULL between requests */
-  int64_t since_ms;  /* time of connect, last response or start of a request */
-  bool is_receiving; /* a request has begun to arrive */
-  bool close_after;  /* the connection ends with the current response */
+  struct caller_timer timer;
+  bool close_after; /* the connection ends with the current response */
   TAILQ_ENTRY (relay_caller) link;
 };
 
--- a/packages/relay/src/caller.c
+++ b/packages/relay/src/caller.c
@@ -151,7 +151,7 @@
     }
   limits = get_caller_limits (relay);
   caller->relay = relay;
-  caller->since_ms = time_boot_ms ();
+  caller_timer_init (&caller->timer, time_boot_ms ());
   if (http_connection_accept (&caller->connection, relay->base, fd, &limits,
                               &events, caller)
       != RESULT_OK)
@@ -184,8 +184,7 @@
   struct http_connection *connection = &caller->connection;
   bool is_request_whole = connection->has_whole_message;
 
-  caller->since_ms = caller->relay->now_ms;
-  caller->is_receiving = false;
+  caller_timer_init (&caller->timer, caller->relay->now_ms);
   if (caller->close_after || !is_request_whole || connection->ended)
     {
       caller->close_after = true;
@@ -210,49 +209,63 @@
                  && http_connection_has_input (connection)));
 }
 
+/* Suspends a stream while too much of it waits for a slow caller. */
+static void
+limit_unwritten (struct relay_caller *caller)
+{
+  if (caller->request != NULL && caller->request->upstream != NULL
+      && http_connection_unwritten_bytes (&caller->connection)
+             > UNWRITTEN_LIMIT_BYTES)
+    http_connection_set_reading_suspended (
+        &caller->request->upstream->connection, true);
+}
+
+static struct caller_view
+get_view (const struct relay_caller *caller)
+{
+  const struct http_connection *connection = &caller->connection;
+  struct caller_view view = {
+    .has_request = caller->request != NULL,
+    .is_body_whole = connection->has_whole_message,
+    .message_begun = connection->message_begun,
+    .head_done = connection->head_done,
+    .close_after = caller->close_after,
+    .unwritten_bytes = http_connection_unwritten_bytes (connection),
+  };
+
+  view.has_input = caller->relay->closing
+                   && (!http_connection_is_idle (connection)
+                       || http_connection_has_input (connection));
+  if (!view.has_request && (view.unwritten_bytes > 0 || view.close_after))
+    view.sent_bytes_left = http_connection_unsent_bytes (connection);
+  return view;
+}
+
 void
 relay_caller_tick (struct relay_caller *caller, int64_t now_ms)
 {
   const struct catalog *catalog = caller->relay->catalog;
-  int64_t header_ms = catalog != NULL ? catalog->limits.header_timeout_ms
-                                      : DEFAULT_HEADER_TIMEOUT_MS;
-  int64_t idle_ms = catalog != NULL ? catalog->limits.idle_timeout_ms
-                                    : DEFAULT_IDLE_TIMEOUT_MS;
-  bool is_receiving = caller->connection.message_begun;
+  const struct caller_limits limits = {
+    .header_ms = catalog != NULL ? catalog->limits.header_timeout_ms
+                                 : DEFAULT_HEADER_TIMEOUT_MS,
+    .idle_ms = catalog != NULL ? catalog->limits.idle_timeout_ms
+                               : DEFAULT_IDLE_TIMEOUT_MS,
+    .stopping = caller->relay->closing,
+  };
+  const struct caller_view view = get_view (caller);
 
-  if (caller->request != NULL && (caller->request->phase != RELAY_READING))
-    {
-      if (caller->request->upstream != NULL
-          && http_connection_unwritten_bytes (&caller->connection)
-                 > UNWRITTEN_LIMIT_BYTES)
-        http_connection_set_reading_suspended (
-            &caller->request->upstream->connection, true);
-      return;
-    }
-  if (is_receiving && !caller->is_receiving)
-    {
-      caller->is_receiving = true;
-      caller->since_ms = now_ms;
-    }
-  if (caller->relay->closing && http_connection_is_idle (&caller->connection)
-      && !http_connection_has_input (&caller->connection))
+  limit_unwritten (caller);
+  switch (caller_timer_tick (&caller->timer, &view, &limits, now_ms))
     {
+    case CALLER_KEEP:
+      break;
+    case CALLER_REFUSE:
+      caller->close_after = true;
+      relay_refuse_caller (caller, "", RESULT_SLOW_CALLER, 0);
+      relay_caller_finish_response (caller);
+      break;
+    case CALLER_CLOSE:
       relay_caller_close (caller);
-      return;
+      break;
     }
-  if (caller->close_after)
-    {
-      if (now_ms - caller->since_ms > header_ms)
-        relay_caller_close (caller);
-    }
-  else if (is_receiving && !caller->connection.head_done)
-    {
-      if (now_ms - caller->since_ms > header_ms)
-        {
-          caller->close_after = true;
-          relay_refuse_caller (caller, "", RESULT_SLOW_CALLER, 0);
-        }
-    }
-  else if (now_ms - caller->since_ms > idle_ms)
-    relay_caller_close (caller);
 }
--- a/packages/relay/tests/t0852-stop.c
+++ b/packages/relay/tests/t0852-stop.c
@@ -198,10 +198,132 @@
     }
 }
 
+/* More than the kernel keeps for a connection, and under the relay's limit. */
+#define LONG_BYTES 7500000
+/* The caller's link, in the relay's time: the response takes 15 steps. */
+#define STEP_MS 1000
+#define STEP_BYTES 500000
+
+/* Connects a caller with a short receive buffer, and sends the request. */
+static int
+connect_reader (const char *request)
+{
+  uint16_t port = net_bound_port (evconnlistener_get_fd (test.relay.listener));
+  struct sockaddr_in to = { .sin_family = AF_INET,
+                            .sin_port = htons (port),
+                            .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  int buffer_bytes = 65536;
+
+  assert_true (fd >= 0);
+  assert_int_equal (setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &buffer_bytes,
+                                sizeof buffer_bytes),
+                    0);
+  assert_int_equal (connect (fd, (struct sockaddr *)&to, sizeof to), 0);
+  assert_int_equal (send (fd, request, strlen (request), 0),
+                    (ssize_t)strlen (request));
+  return fd;
+}
+
+/* Reads up to a number of bytes; false once the connection has ended. */
+static bool
+read_step (int fd, size_t limit, size_t *total)
+{
+  static char bytes[65536];
+  int64_t until_ms = time_boot_ms () + 200;
+  size_t done = 0;
+
+  while (done < limit && time_boot_ms () < until_ms)
+    {
+      size_t size = limit - done < sizeof bytes ? limit - done : sizeof bytes;
+      ssize_t got = recv (fd, bytes, size, MSG_DONTWAIT);
+
+      event_base_loop (test.base, EVLOOP_NONBLOCK);
+      if (got == 0 || (got < 0 && errno != EAGAIN))
+        return false;
+      if (got > 0)
+        done += (size_t)got;
+    }
+  *total += done;
+  return true;
+}
+
+/*
+ * A timer of another phase must not cut a response that is still being read,
+ * nor must a caller that reads nothing be waited for.
+ */
+static void
+test_slow_reader (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    const char *request;
+    bool stops;
+    bool reads;
+  } readers[] = {
+    { "a slow link at a stop", PLAIN, true, true },
+    { "a slow link", PLAIN, false, true },
+    { "a slow link of a caller that asks to close",
+      GET KEY "X-Deadline: 2000\r\nConnection: close\r\n\r\n", false, true },
+    { "a caller that reads nothing", PLAIN, false, false },
+    { "a caller that asks to close and reads nothing",
+      GET KEY "X-Deadline: 2000\r\nConnection: close\r\n\r\n", false, false },
+  };
+  char *long_response = malloc (LONG_BYTES + 256);
+  size_t head_bytes;
+
+  (void)state;
+  assert_non_null (long_response);
+  head_bytes = (size_t)sprintf (long_response,
+                                HEAD "Content-Length: %d\r\n\r\n", LONG_BYTES);
+  memset (long_response + head_bytes, 'x', LONG_BYTES);
+  long_response[head_bytes + LONG_BYTES] = '\0';
+  for (size_t i = 0; i < sizeof readers / sizeof readers[0]; i++)
+    {
+      struct relay_case c = good;
+      size_t total = 0;
+      int64_t until_ms;
+      int64_t now_ms;
+      int fd;
+
+      c.guards = readers[i].name;
+      c.responses[1].bytes = long_response;
+      setup (&c);
+      run_until_response ();
+      fd = connect_reader (readers[i].request);
+      until_ms = time_boot_ms () + WAIT_MS;
+      while (test.sends < 2 || !TAILQ_EMPTY (&test.relay.requests))
+        {
+          event_base_loop (test.base, EVLOOP_NONBLOCK);
+          relay_tick (&test.relay, time_boot_ms ());
+          if (readers[i].stops && test.sends == 2)
+            relay_leave (&test.relay, time_boot_ms () + 60000);
+          if (time_boot_ms () > until_ms)
+            fail_msg ("%s: no response", readers[i].name);
+        }
+      now_ms = time_boot_ms ();
+      for (unsigned step = 0; step < 32 && total < LONG_BYTES; step++)
+        {
+          relay_tick (&test.relay, now_ms + (int64_t)step * STEP_MS);
+          if (readers[i].reads && !read_step (fd, STEP_BYTES, &total))
+            break;
+        }
+      if (readers[i].reads && total < LONG_BYTES)
+        fail_msg ("%s: %zu bytes", readers[i].name, total);
+      if (!readers[i].reads && test.relay.caller_count > 0)
+        fail_msg ("%s: is kept", readers[i].name);
+      close (fd);
+      teardown ();
+    }
+  free (long_response);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_slow_reader),
     cmocka_unit_test (test_stop),
     cmocka_unit_test (test_kept_connection),
     cmocka_unit_test (test_late_request),
