http: take as many header fields as the head's limit has room for

A request with over 96 fields was refused with 431 though its head was far below the limit: the table of fields had a fixed size. It grows now. Its size is bounded by the limit for the head's bytes, since a field has 4 bytes or more: at 16,384 bytes at most 4,096 fields, 32 KB; a table of over 96 fields is freed with its head. The bytes are counted as they were received: two of each field were counted twice.

The options of all Connection fields are stored as one list. Looking through all fields for each one of some thousand would take the square of them.

t0850 test_header_limit: 97 and 1,300 fields within the limit got 431 before, and are forwarded now; 1,700 over it still get 431.

--- a/packages/http/include/http-head.h
+++ b/packages/http/include/http-head.h
@@ -15,8 +15,6 @@
  * NUL-terminated strings that are valid until the head changes.
  */
 
-#define HTTP_FIELD_LIMIT 96
-
 struct http_field
 {
   uint32_t name;  /* offset into the head's text */
@@ -26,8 +24,15 @@
 struct http_head
 {
   struct http_text text;
-  struct http_field fields[HTTP_FIELD_LIMIT];
+  /*
+   * Grows with the fields, whose number is bounded by the limit for the bytes
+   * of the head: each has 4 bytes or more.
+   */
+  struct http_field *fields;
   unsigned field_count;
+  unsigned field_capacity;
+  /* Offset of the options of all Connection fields in text; 0 = none. */
+  uint32_t connection_options;
   uint32_t target;    /* offset of a request's target in text */
   const char *method; /* of a request; static text */
   unsigned status;    /* of a response */
@@ -38,9 +43,15 @@
 void http_head_init (struct http_head *head);
 void http_head_finish (struct http_head *head);
 
-/* Empties the head and keeps its buffer. */
+/* Empties the head and keeps its buffers. */
 void http_head_reset (struct http_head *head);
 
+/* Adds a field whose name starts at an offset; false if memory is short. */
+bool http_head_add_field (struct http_head *head, uint32_t name);
+
+/* All fields were added; false if memory is short. */
+bool http_head_complete (struct http_head *head);
+
 /* Value of the first field with this name; NULL if there is none. */
 const char *http_head_get (const struct http_head *head, const char *name);
 
--- a/packages/http/src/http-connection.c
+++ b/packages/http/src/http-connection.c
@@ -28,8 +28,11 @@
  */
 #define INTERIM_LIMIT 8
 
-/* ": " and CRLF of a field, which are not stored in the head. */
-#define FIELD_EXTRA_BYTES 4
+/*
+ * Bytes of a field that are not stored in the head: its colon and CRLF, less
+ * the two NULs of its strings.
+ */
+#define FIELD_EXTRA_BYTES 1
 
 static void
 free_memory (evutil_socket_t fd, short what, void *memory)
@@ -106,14 +109,8 @@
     return 0;
   if (connection->in_value || head->field_count == 0)
     {
-      if (head->field_count == HTTP_FIELD_LIMIT)
-        {
-          connection->over_limit = true;
-          return -1;
-        }
-      head->fields[head->field_count].name = start_next_string (head);
-      head->fields[head->field_count].value = 0;
-      head->field_count++;
+      if (!http_head_add_field (head, start_next_string (head)))
+        return -1;
       connection->in_value = false;
     }
   return append_head_text (connection, data, size);
@@ -142,6 +139,8 @@
   struct http_head *head = &connection->head;
 
   connection->head_done = true;
+  if (!http_head_complete (head))
+    return -1;
   head->status = parser->status_code;
   if (!connection->is_client)
     head->method = http_method_str ((enum http_method)parser->method);
--- a/packages/http/src/http-head.c
+++ b/packages/http/src/http-head.c
@@ -7,10 +7,17 @@
 #include <strings.h>
 #include <time.h>
 
+/* Usual heads have fewer fields. */
+#define FIRST_FIELD_CAPACITY 24
+/* More than this is freed with the head, not kept for the next one. */
+#define KEPT_FIELD_CAPACITY 96
+
 void
 http_head_init (struct http_head *head)
 {
   http_text_init (&head->text);
+  head->fields = NULL;
+  head->field_capacity = 0;
   http_head_reset (head);
 }
 
@@ -18,6 +25,7 @@
 http_head_finish (struct http_head *head)
 {
   http_text_finish (&head->text);
+  free (head->fields);
   http_head_init (head);
 }
 
@@ -25,7 +33,14 @@
 http_head_reset (struct http_head *head)
 {
   http_text_reset (&head->text);
+  if (head->field_capacity > KEPT_FIELD_CAPACITY)
+    {
+      free (head->fields);
+      head->fields = NULL;
+      head->field_capacity = 0;
+    }
   head->field_count = 0;
+  head->connection_options = 0;
   head->target = 0;
   head->method = "";
   head->status = 0;
@@ -33,6 +48,52 @@
   head->has_length = false;
 }
 
+bool
+http_head_add_field (struct http_head *head, uint32_t name)
+{
+  if (head->field_count == head->field_capacity)
+    {
+      unsigned capacity = head->field_capacity > 0 ? 2 * head->field_capacity
+                                                   : FIRST_FIELD_CAPACITY;
+      struct http_field *fields
+          = realloc (head->fields, capacity * sizeof *fields);
+
+      if (fields == NULL)
+        return false;
+      head->fields = fields;
+      head->field_capacity = capacity;
+    }
+  head->fields[head->field_count++] = (struct http_field){ .name = name };
+  return true;
+}
+
+bool
+http_head_complete (struct http_head *head)
+{
+  for (unsigned i = 0; i < head->field_count; i++)
+    {
+      size_t value = head->fields[i].value;
+
+      if (strcasecmp (http_field_name (head, i), "Connection") != 0)
+        continue;
+      if (head->connection_options == 0)
+        {
+          http_text_add (&head->text, "", 1);
+          head->connection_options = (uint32_t)head->text.size;
+        }
+      /* Not by pointer, since the text may move as it grows. */
+      for (size_t j = value; !head->text.failed && head->text.data[j] != '\0';
+           j++)
+        {
+          char byte = head->text.data[j];
+
+          http_text_add (&head->text, &byte, 1);
+        }
+      http_text_add (&head->text, ",", 1);
+    }
+  return !head->text.failed;
+}
+
 const char *
 http_field_name (const struct http_head *head, unsigned index)
 {
@@ -99,11 +160,9 @@
   for (size_t i = 0; i < sizeof names / sizeof names[0]; i++)
     if (strcasecmp (name, names[i]) == 0)
       return true;
-  for (unsigned i = 0; i < head->field_count; i++)
-    if (strcasecmp (http_field_name (head, i), "Connection") == 0
-        && has_list_token (http_field_value (head, i), name))
-      return true;
-  return false;
+  /* One list for all fields: many of both would take the product of them. */
+  return head->connection_options != 0
+         && has_list_token (head->text.data + head->connection_options, name);
 }
 
 bool
