http: refuse field names with a blank before the colon

"X-Tenant : other" passed the check for the host's own fields, whose names it does not equal, and was forwarded before the host's X-Tenant; an endpoint that takes the blank for nothing would take the caller's word for the customer. The parser takes blanks anywhere in names.

A request with a name that is no token (RFC 9110, 5.6.2) is answered 400 and not forwarded, as RFC 9112, 5.1 asks of servers. In a response the blanks before the colon are removed, as it asks of proxies; any other such name makes the response malformed.

t0850 test_field_names has 13 fields, test_response_field_names a response; without check_field_name both fail ("X-Customer : other" is forwarded, and the seal of the response is not found). The own interface parses with evhttp and is not changed by this.

--- a/fuzz/http-answer.c
+++ b/fuzz/http-answer.c
@@ -54,6 +54,7 @@
   for (unsigned i = 0; i < head->field_count; i++)
     {
       require (strlen (http_field_name (head, i)) <= HEADER_BYTES);
+      require (http_is_field_name (http_field_name (head, i)));
       require (strlen (http_field_value (head, i)) <= HEADER_BYTES);
       http_field_is_hop_by_hop (head, i);
     }
--- a/packages/http/include/http-head.h
+++ b/packages/http/include/http-head.h
@@ -52,6 +52,9 @@
 /* All fields were added; false if memory is short. */
 bool http_head_complete (struct http_head *head);
 
+/* True if the text is the name of a field (RFC 9110, section 5.6.2). */
+bool http_is_field_name (const char *text);
+
 /* Value of the first field with this name; NULL if there is none. */
 const char *http_head_get (const struct http_head *head, const char *name);
 
--- a/packages/http/src/http-connection.c
+++ b/packages/http/src/http-connection.c
@@ -116,6 +116,24 @@
   return append_head_text (connection, data, size);
 }
 
+/*
+ * Checks the name of the last field.  The parser takes blanks in names, and
+ * readers differ in what "Name : value" means: it is refused in a request, and
+ * the blanks are removed from a response (RFC 9112, section 5.1).
+ */
+static bool
+check_field_name (struct http_connection *connection)
+{
+  struct http_head *head = &connection->head;
+  uint32_t name = head->fields[head->field_count - 1].name;
+
+  while (connection->is_client && head->text.size > name
+         && (head->text.data[head->text.size - 1] == ' '
+             || head->text.data[head->text.size - 1] == '\t'))
+    head->text.data[--head->text.size] = '\0';
+  return head->text.size > name && http_is_field_name (head->text.data + name);
+}
+
 static int
 on_field_value (struct http_parser *parser, const char *data, size_t size)
 {
@@ -126,6 +144,8 @@
     return 0;
   if (!connection->in_value)
     {
+      if (!check_field_name (connection))
+        return -1;
       head->fields[head->field_count - 1].value = start_next_string (head);
       connection->in_value = true;
     }
--- a/packages/http/src/http-head.c
+++ b/packages/http/src/http-head.c
@@ -94,6 +94,20 @@
   return !head->text.failed;
 }
 
+bool
+http_is_field_name (const char *text)
+{
+  static const char others[] = "!#$%&'*+-.^_`|~";
+
+  if (*text == '\0')
+    return false;
+  for (; *text != '\0'; text++)
+    if (!(*text >= '0' && *text <= '9') && !(*text >= 'a' && *text <= 'z')
+        && !(*text >= 'A' && *text <= 'Z') && strchr (others, *text) == NULL)
+      return false;
+  return true;
+}
+
 const char *
 http_field_name (const struct http_head *head, unsigned index)
 {
--- a/packages/relay/tests/t0850-relay.c
+++ b/packages/relay/tests/t0850-relay.c
@@ -510,6 +510,72 @@
     }
 }
 
+/*
+ * Guards against fields that this host and an endpoint read differently.  What
+ * the host takes for another name passes its check for fields of its own, such
+ * as X-Customer, and comes first at the endpoint.
+ */
+static void
+test_field_names (void **state)
+{
+  static const struct
+  {
+    const char *field;
+    unsigned status;
+  } fields[] = {
+    { "X-Customer : other\r\n", 400 },
+    { "X-Customer\t: other\r\n", 400 },
+    { "X-Customer  : other\r\n", 400 },
+    { "X Customer: other\r\n", 400 },
+    { "X-Other : a\r\n", 400 },
+    { "X-Other :\r\n", 400 },
+    { ": a\r\n", 400 },
+    { "X-Other(a): b\r\n", 400 },
+    { "Content-Length : 2\r\n", 400 },
+    { "X-Other: a : b\r\n", 200 },
+    { "X-Other:  a \r\n", 200 },
+    { "x_!#$%&'*+.^`|~0: a\r\n", 200 },
+    { "X-Customer: other\r\n", 200 },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < sizeof fields / sizeof fields[0]; i++)
+    {
+      struct relay_case c = cases[0];
+      char request[512];
+
+      snprintf (request, sizeof request, GET KEY "%s\r\n", fields[i].field);
+      c.guards = fields[i].field;
+      c.request = request;
+      c.status = fields[i].status;
+      c.body = NULL;
+      c.sends = fields[i].status == 200;
+      c.last_send_contains = NULL;
+      c.no_send_contains = "other";
+      setup (&c);
+      run_until_response ();
+      assert_case_result (&c);
+      teardown ();
+    }
+}
+
+/* An endpoint's "Name : value" is read, and passed on without the blank. */
+static void
+test_response_field_names (void **state)
+{
+  struct relay_case c = cases[0];
+
+  (void)state;
+  c.guards = "the seal of a response is not found";
+  c.responses[0].bytes = "HTTP/1.1 200 OK\r\nX-Id : r1\r\nX-Seal  : s\r\n"
+                         "X-Other : 1\r\nContent-Length: 2\r\n\r\nok";
+  setup (&c);
+  run_until_response ();
+  assert_case_result (&c);
+  assert_non_null (http_head_get (&test.caller.head, "X-Other"));
+  teardown ();
+}
+
 /* Guards against heads over the configured limit, however split into fields. */
 static void
 test_header_limit (void **state)
@@ -726,6 +792,8 @@
     cmocka_unit_test (test_stale_configuration),
     cmocka_unit_test (test_outdated_configuration),
     cmocka_unit_test (test_key_freshness),
+    cmocka_unit_test (test_field_names),
+    cmocka_unit_test (test_response_field_names),
     cmocka_unit_test (test_header_limit),
     cmocka_unit_test (test_body_limit),
     cmocka_unit_test (test_caller_disconnects),
