relay: end a stream that is resumed after its last event

A caller that lost its connection after the last event of a stream, and resumed it with the id of that event, was refused: a stream without an event counted as broken, and the attempts were used up on the same answer.

A stream without an event is complete if the caller has named its last event and the response ends by its own framing and is an event stream. The end of the connection, a part of an event, a response of another type, and a new stream without an event count as broken as before.

t0855 test_resumed_by_caller has four answers that are complete and four that are not; without the change the first one is refused.

--- a/packages/relay/src/response.c
+++ b/packages/relay/src/response.c
@@ -284,6 +284,20 @@
   upstream->scanned_to -= size;
 }
 
+/* Adds the head of a stream, unless the caller has it. */
+static void
+add_stream_head (struct http_text *text,
+                 struct relay_request *request,
+                 const struct relay_upstream *upstream)
+{
+  if (request->head_sent)
+    return;
+  add_response_head (text, request, upstream);
+  http_text_add_field (text, "Transfer-Encoding", "chunked");
+  http_text_add (text, "\r\n", 2);
+  request->head_sent = true;
+}
+
 bool
 relay_response_send_events (struct relay_request *request,
                             struct relay_upstream *upstream)
@@ -305,14 +319,9 @@
     return is_valid;
   http_text_init (&text);
   if (!request->head_sent)
-    {
-      add_response_head (&text, request, upstream);
-      http_text_add_field (&text, "Transfer-Encoding", "chunked");
-      http_text_add (&text, "\r\n", 2);
-      request->head_sent = true;
-      histogram_add (&relay->first_event_ms,
-                     (uint64_t)(relay->now_ms - request->arrived_ms));
-    }
+    histogram_add (&relay->first_event_ms,
+                   (uint64_t)(relay->now_ms - request->arrived_ms));
+  add_stream_head (&text, request, upstream);
   if (request->first_event_ms == 0)
     request->first_event_ms = relay->now_ms;
   else if (relay->now_ms - request->last_event_ms
@@ -335,8 +344,16 @@
 relay_response_end_stream (struct relay_request *request)
 {
   struct relay *relay = request->relay;
+  struct http_text text;
 
-  http_connection_write (&request->caller->connection, "0\r\n\r\n", 5);
+  http_text_init (&text);
+  add_stream_head (&text, request, request->upstream);
+  http_text_add_string (&text, "0\r\n\r\n");
+  if (text.failed)
+    request->caller->close_after = true;
+  else
+    http_connection_write (&request->caller->connection, text.data, text.size);
+  http_text_finish (&text);
   histogram_add (&relay->response_ms,
                  (uint64_t)(relay->now_ms - request->arrived_ms));
   relay_log_request_end (request, "answered", 200, RESULT_OK);
--- a/packages/relay/src/upstream.c
+++ b/packages/relay/src/upstream.c
@@ -451,6 +451,18 @@
     relay_note_sound (upstream->request);
 }
 
+/*
+ * True if a stream without events is complete: the caller has named the last
+ * event that it has, and the response says by its own framing that none
+ * follows.
+ */
+static bool
+ends_after_last_event (const struct relay_upstream *upstream)
+{
+  return upstream->request->has_last_event && !upstream->connection.ended
+         && is_event_stream (upstream, &upstream->connection.head);
+}
+
 static void
 finish_stream (struct relay_upstream *upstream)
 {
@@ -458,7 +470,8 @@
   struct relay_caller *caller = request->caller;
 
   /* Without an event the end of the connection is not that of the stream. */
-  if (upstream->body.size > 0 || request->events_sent == 0
+  if (upstream->body.size > 0
+      || (request->events_sent == 0 && !ends_after_last_event (upstream))
       || (upstream->must_continue && upstream->connection.ended))
     {
       if (upstream->connection.ended)
--- a/packages/relay/tests/t0855-continued-stream.c
+++ b/packages/relay/tests/t0855-continued-stream.c
@@ -201,6 +201,82 @@
     }
 }
 
+#define RESUMED GET KEY "X-Deadline: 2000\r\nLast-Event-Id: 1\r\n\r\n"
+#define EMPTY_CHUNKED "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+#define EMPTY_LENGTH "Content-Length: 0\r\n\r\n"
+
+/* A caller resumes a stream itself; the first answer has no event. */
+static const struct relay_case resumed_cases[] = {
+  { .guards = "a stream resumed after its last event is refused",
+    .request = RESUMED,
+    .responses = { { STATUS ("200", SSE EMPTY_CHUNKED) } },
+    .status = 200,
+    .sends = 1 },
+  { .guards = "a stream with a length resumed after its last event is refused",
+    .request = RESUMED,
+    .responses = { { STATUS ("200", SSE EMPTY_LENGTH) } },
+    .status = 200,
+    .sends = 1 },
+  { .guards = "a stream without a type resumed after its last event is refused",
+    .request = RESUMED,
+    .responses = { { STATUS ("200", EMPTY_CHUNKED) } },
+    .status = 200,
+    .sends = 1 },
+  { .guards = "a comment after the last event ends the stream as broken",
+    .request = RESUMED,
+    .responses = { { STATUS ("200", SSE ONE_CHUNK ("6", ": hm\n\n")) } },
+    .status = 200,
+    .body = ": hm\n\n",
+    .sends = 1 },
+  { .guards = "the end of the connection counts as the end of the stream",
+    .request = RESUMED,
+    .responses = { { STATUS ("200", SSE "\r\n"), .close = true }, { REST } },
+    .status = 200,
+    .body = EVENT ("2"),
+    .sends = 2 },
+  { .guards = "a part of an event counts as the end of the stream",
+    .request = RESUMED,
+    .responses
+    = { { STATUS ("200", SSE ONE_CHUNK ("6", "id: 2\n")) }, { REST } },
+    .status = 200,
+    .body = EVENT ("2"),
+    .sends = 2 },
+  { .guards = "an empty page counts as the end of the stream",
+    .request = RESUMED,
+    .responses
+    = { { STATUS ("200", "Content-Type: text/html\r\n" EMPTY_LENGTH) },
+        { REST } },
+    .status = 200,
+    .body = EVENT ("2"),
+    .sends = 2 },
+  { .guards = "a new stream without an event counts as complete",
+    .request = PLAIN,
+    .responses = { { STATUS ("200", SSE EMPTY_CHUNKED) },
+                   { CHUNKED CHUNK ("1") "0\r\n\r\n" } },
+    .status = 200,
+    .body = EVENT ("1"),
+    .sends = 2 },
+};
+
+static void
+test_resumed_by_caller (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof resumed_cases / sizeof resumed_cases[0]; i++)
+    {
+      struct relay_case c = resumed_cases[i];
+
+      c.kind = CATALOG_STREAM;
+      c.resumable = true;
+      c.attempts = 2;
+      c.body = c.body != NULL ? c.body : "";
+      setup (&c);
+      run_until_response ();
+      assert_case_result (&c);
+      teardown ();
+    }
+}
+
 int
 main (void)
 {
@@ -208,8 +284,9 @@
   {
     COUNT = sizeof wrong_answers / sizeof wrong_answers[0]
   };
-  struct CMUnitTest tests[COUNT + 1] = {
+  struct CMUnitTest tests[COUNT + 2] = {
     [COUNT] = cmocka_unit_test (test_right_answers),
+    [COUNT + 1] = cmocka_unit_test (test_resumed_by_caller),
   };
 
   for (size_t i = 0; i < COUNT; i++)
