edge: let the sequence numbers of datagrams wrap

Datagrams between hosts carry a number of 32 bits, and one that was not higher than the newest was ignored: after 2^32 messages of a process, 50 days at 1,000 a second, or after one number damaged on the way, other hosts heard nothing of it until it was started anew.

Numbers are compared as in RFC 1982. Only what is late by up to 65,536 messages is ignored, so that a damaged number ahead of the true one does not mute the process. The wire stays as it is; a number of 64 bits would have split hosts of two versions during an update.

t0960 has the comparison as a table, t0967 a data centre whose hosts pass the wrap; with the old comparison both fail.

--- a/packages/edge/include/gossip.h
+++ b/packages/edge/include/gossip.h
@@ -164,7 +164,7 @@
   enum gossip_kind kind;
   struct gossip_host sender; /* without address */
   uint64_t boot;             /* identifies the sender's process */
-  uint32_t sequence;         /* grows with each message of a process */
+  uint32_t sequence;         /* grows with each message of a process, wraps */
   bool has_traffic;          /* some host has seen requests */
   union
   {
@@ -191,4 +191,11 @@
 enum result
 gossip_decode (struct gossip_message *message, const void *buffer, size_t size);
 
+/*
+ * True if a message repeats another of the same process, or comes late, after
+ * the newest one.  Sequence numbers wrap (RFC 1982): at 1,000 messages a
+ * second, after 50 days.
+ */
+bool gossip_is_late (uint32_t newest, uint32_t sequence);
+
 #endif
--- a/packages/edge/src/gossip.c
+++ b/packages/edge/src/gossip.c
@@ -3,6 +3,20 @@
 #include <rpc/rpc.h>
 #include <string.h>
 
+/*
+ * A datagram is late by so many others at most, about a minute at 1,000 a
+ * second.  One that seems to be later follows a newer number that was damaged
+ * on the way, and its process must not be ignored until it comes to that
+ * number.
+ */
+#define LATE_LIMIT 65536
+
+bool
+gossip_is_late (uint32_t newest, uint32_t sequence)
+{
+  return newest - sequence < LATE_LIMIT;
+}
+
 /*
  * The code_ functions encode or decode, according to the direction of the XDR
  * stream.  They return false if the data does not fit or is invalid.
--- a/packages/edge/src/mesh.c
+++ b/packages/edge/src/mesh.c
@@ -211,7 +211,8 @@
   if (host == NULL)
     return;
   /* Ignores repeated and late datagrams of the same process. */
-  if (host->boot == message->boot && message->sequence <= host->sequence)
+  if (host->boot == message->boot
+      && gossip_is_late (host->sequence, message->sequence))
     return;
   if (host->last_seen_ms == 0 || host->boot != message->boot)
     {
--- a/packages/edge/tests/t0960-gossip.c
+++ b/packages/edge/tests/t0960-gossip.c
@@ -232,11 +232,44 @@
     }
 }
 
+static const struct
+{
+  const char *guards; /* failure that the case guards against */
+  uint32_t newest;
+  uint32_t sequence;
+  bool is_late;
+} sequence_cases[] = {
+  { "a repeated message is handled", 7, 7, true },
+  { "a late message is handled", 7, 6, true },
+  { "a late message is handled after many", 70000, 5000, true },
+  { "the next message is ignored", 7, 8, false },
+  { "a message after lost ones is ignored", 7, 100000, false },
+  { "the first message after the wrap is ignored", UINT32_MAX, 0, false },
+  { "a message soon after the wrap is ignored", UINT32_MAX - 5, 3, false },
+  { "a repeated message is handled at the wrap", 0, 0, true },
+  { "a late message is handled after the wrap", 3, UINT32_MAX - 5, true },
+  { "a process is ignored after a damaged number", UINT32_MAX, 9, false },
+  { "a process is ignored after a damaged number of half the range",
+    UINT32_C (0x7fffffff), 9, false },
+  { "a process is ignored after a damaged number ahead", 90000, 9, false },
+};
+
+static void
+test_sequence (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof sequence_cases / sizeof sequence_cases[0]; i++)
+    if (gossip_is_late (sequence_cases[i].newest, sequence_cases[i].sequence)
+        != sequence_cases[i].is_late)
+      fail_msg ("%s", sequence_cases[i].guards);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_round_trip),
+    cmocka_unit_test (test_sequence),
     cmocka_unit_test (test_damaged_datagrams),
     cmocka_unit_test (test_load_ranges),
   };
--- a/packages/edge/tests/t0967-hubs.c
+++ b/packages/edge/tests/t0967-hubs.c
@@ -276,12 +276,45 @@
     }
 }
 
+/* Numbers of the hosts' messages, before which they were heard. */
+static const uint32_t old_sequences[] = { UINT32_MAX - 20, UINT32_MAX };
+
+/* A process that has sent 2^32 messages must still be heard. */
+static void
+test_sequence_wrap (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof old_sequences / sizeof old_sequences[0]; i++)
+    {
+      clock_ms = START_MS;
+      base = event_base_new ();
+      records_init (&records, base, &unreachable_store, "127.0.77.200", 1);
+      for (unsigned n = 0; n < HOSTS; n++)
+        {
+          start_host (n);
+          hosts[n].mesh->sequence = old_sequences[i] - 1;
+        }
+      run_hosts (30000);
+      for (unsigned n = 0; n < HOSTS; n++)
+        assert_true (hosts[n].mesh->sequence < 1U << 31);
+      assert_int_equal (count_readers (), 1);
+      assert_int_equal (count_hosts_with_totals (), HOSTS);
+      check_limit_sums (0, HOSTS);
+      for (unsigned n = 0; n < HOSTS; n++)
+        stop_host (n);
+      records_finish (&records);
+      event_base_loop (base, EVLOOP_NONBLOCK);
+      event_base_free (base);
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_hub_restart),
     cmocka_unit_test (test_hub_replacement),
+    cmocka_unit_test (test_sequence_wrap),
   };
 
   log_set_level (LOG_LEVEL_ERROR);
