edge: wait for the lease on a store that was restored before the start

The same held for a copy that shows the lease as free. A host that runs on knows of the restoration; one that starts does not know how old the copy is.

A host whose first response names a later era than the first one takes what it reads first of the lease for the copy: it waits as for a lease that was just renewed, 3.4 s, unless the lease changes meanwhile, and reads the tokens of the groups in that time. On a store that was never restored nothing changes.

t0977 test_start_on_copy: the lease is not taken before 3.4 s, and with a token above that of a group; without starts_on_copy it is taken at once. t0400 has the wait as three cases of the lease itself.

--- a/packages/edge/src/leader.c
+++ b/packages/edge/src/leader.c
@@ -166,6 +166,17 @@
   formation_finish (&leader->formation);
 }
 
+/*
+ * A host that starts on a store that was restored cannot tell how old the copy
+ * is: it may be older than the lease of a holder that still acts, or than the
+ * first lease.  What it reads first counts as the copy.
+ */
+static bool
+starts_on_copy (const struct leader *leader, uint64_t era)
+{
+  return leader->era == 0 && era > RECORDS_FIRST_ERA && !leader->lease.was_read;
+}
+
 /* Tells the lease that the store was restored, before it sees the copy. */
 static void
 note_era (struct leader *leader)
@@ -174,8 +185,9 @@
 
   if (era == leader->era)
     return;
-  if (leader->era != 0 && leader->lease.was_read
-      && records_get_era (leader->lease.version) < era)
+  if (starts_on_copy (leader, era)
+      || (leader->era != 0 && leader->lease.was_read
+          && records_get_era (leader->lease.version) < era))
     {
       lease_on_restore (&leader->lease);
       LOG_EVENT (LOG_LEVEL_NOTICE, "lease-restored",
--- a/packages/records/include/records.h
+++ b/packages/records/include/records.h
@@ -109,6 +109,9 @@
                   void *context);
 };
 
+/* The era of a store that was never restored. */
+#define RECORDS_FIRST_ERA 1
+
 struct records_call;
 
 struct records
