edge: take the configuration of a copy only once it is known to be current

After a restoration a host that started read the configuration of the copy and acted on it until the operator had written again: a key that had been taken away worked for that time. Hosts that ran on keep the newest version they knew.

A host whose first configuration comes from a store that was restored before refuses requests (3025, not run) and is not ready until a hub has no newer version, a newer one comes, or 2,500 ms have passed; the operator writes again within about 2 s. It polls the hubs meanwhile, and answers other hosts as one that cannot reach the platform.

--- a/packages/edge/include/configuration-state.h
+++ b/packages/edge/include/configuration-state.h
@@ -25,6 +25,13 @@
   int64_t newer_at_ms; /* time of the last such report */
   /* Since when the store's responses cannot be used; 0 = they can. */
   int64_t unusable_since_ms;
+  /*
+   * When this host first had a configuration, if it came from a store that was
+   * restored before; else 0.
+   */
+  int64_t copy_read_ms;
+  /* A newer one came since, or a hub has no newer one than this host. */
+  bool is_confirmed;
   /* Since when this host lacks changes that it could not read; 0 = none. */
   int64_t missed_since_ms;
 };
@@ -33,9 +40,11 @@
 {
   bool reads_record; /* read the one record, apart from lists and watches */
   /*
-   * A newer configuration exists, and time has passed in which it had to be in
-   * force: no request may be handled as the present one says.  A host that
-   * hears nothing of a newer one, as in an outage, goes on.
+   * No request may be handled as the present configuration says.  Either a
+   * newer one exists, and time has passed in which it had to be in force; a
+   * host that hears nothing of a newer one, as in an outage, goes on.  Or it
+   * comes from a copy, to which the operator may still add, and names keys and
+   * routes that were taken away.
    */
   bool is_outdated;
 };
--- a/packages/edge/include/edge.h
+++ b/packages/edge/include/edge.h
@@ -68,6 +68,8 @@
   bool fetching; /* a read of the configuration is in progress */
   int64_t next_fetch_ms;
   int64_t fetch_sent_ms; /* when the last read was sent */
+  int64_t first_version; /* of the configuration, since the start */
+  int64_t copy_read_ms;  /* see configuration-state.h */
   enum edge_phase phase;
   int64_t phase_started_ms;
   /* Last time with requests in flight, or in a phase before EDGE_CLOSING. */
--- a/packages/edge/include/hub-sync.h
+++ b/packages/edge/include/hub-sync.h
@@ -80,6 +80,7 @@
   /* Since when all responses report a newer version; 0 = the last did not. */
   int64_t newer_since_ms;
   int64_t newer_at_ms; /* time of the last such response */
+  bool is_confirmed;   /* a hub has had no newer version than this host */
   bool relies_on_hub;  /* this host does not list the entries itself */
   /*
    * A hub had endpoints deleted.  They may exist: a hub tells of those that it
--- a/packages/edge/src/configuration-state.c
+++ b/packages/edge/src/configuration-state.c
@@ -6,6 +6,20 @@
  */
 #define REPORT_VALID_MS 1200
 
+/*
+ * The operator writes again within about 2 s what a restored store lacks; the
+ * rest is for a watch to return.
+ */
+#define COPY_SETTLES_MS 2500
+
+/* True if the configuration may be one that the operator has replaced. */
+static bool
+is_copy (const struct configuration_facts *facts)
+{
+  return facts->copy_read_ms != 0 && !facts->is_confirmed
+         && facts->now_ms - facts->copy_read_ms < COPY_SETTLES_MS;
+}
+
 static bool
 is_overdue (int64_t since_ms, const struct configuration_facts *facts)
 {
@@ -24,6 +38,7 @@
                         ? facts->unusable_since_ms != 0
                         : is_behind && !facts->is_patch_awaited,
     .is_outdated = (has_report && is_overdue (facts->newer_since_ms, facts))
-                   || is_overdue (facts->missed_since_ms, facts),
+                   || is_overdue (facts->missed_since_ms, facts)
+                   || is_copy (facts),
   };
 }
--- a/packages/edge/src/follow.c
+++ b/packages/edge/src/follow.c
@@ -46,6 +46,35 @@
 /* A host reads the platform for this long after a request of another host. */
 #define SERVE_AFTER_REQUEST_MS 2000
 
+/* Logs when requests begin, or cease, to be refused for the configuration. */
+static void
+set_outdated (struct edge *edge, bool is_outdated)
+{
+  if (is_outdated == edge->relay.is_catalog_outdated)
+    return;
+  edge->relay.is_catalog_outdated = is_outdated;
+  LOG_EVENT (is_outdated ? LOG_LEVEL_WARNING : LOG_LEVEL_NOTICE,
+             is_outdated ? "configuration-outdated" : "configuration-regained",
+             LOG_INT ("version", relay_catalog_version (&edge->relay)),
+             LOG_INT ("newest", edge->hub_sync.newest_configuration),
+             LOG_INT ("proof_age_ms",
+                      edge->now_ms - edge->relay.catalog_current_at_ms));
+}
+
+/*
+ * Notes the first configuration.  It may be that of a copy from which the store
+ * was restored, and is not in force before that is known.
+ */
+static void
+note_first (struct edge *edge, const struct catalog *catalog)
+{
+  edge->first_version = catalog->version;
+  if (edge->records.era <= RECORDS_FIRST_ERA)
+    return;
+  edge->copy_read_ms = edge->now_ms;
+  set_outdated (edge, true);
+}
+
 /*
  * Puts a configuration in force and keeps its text for other hosts; text is
  * NULL if memory is short.
@@ -67,6 +96,8 @@
       free (text);
       return;
     }
+  if (edge->relay.catalog == NULL)
+    note_first (edge, catalog);
   edge->distribution.serves_other_hosts = mesh_is_hub (&edge->mesh);
   if (text != NULL)
     config_distribution_add (&edge->distribution, catalog->version, revision,
@@ -435,19 +466,12 @@
                 >= ENTRIES_RETRY_FACTOR * retry_ms;
 }
 
-/* Logs when requests begin, or cease, to be refused for the configuration. */
-static void
-set_outdated (struct edge *edge, bool is_outdated)
+/* True if the first configuration was not that of an old copy. */
+static bool
+is_confirmed (const struct edge *edge)
 {
-  if (is_outdated == edge->relay.is_catalog_outdated)
-    return;
-  edge->relay.is_catalog_outdated = is_outdated;
-  LOG_EVENT (is_outdated ? LOG_LEVEL_WARNING : LOG_LEVEL_NOTICE,
-             is_outdated ? "configuration-outdated" : "configuration-regained",
-             LOG_INT ("version", relay_catalog_version (&edge->relay)),
-             LOG_INT ("newest", edge->hub_sync.newest_configuration),
-             LOG_INT ("proof_age_ms",
-                      edge->now_ms - edge->relay.catalog_current_at_ms));
+  return edge->hub_sync.is_confirmed
+         || relay_catalog_version (&edge->relay) > edge->first_version;
 }
 
 /* Acts on a configuration that may not be the newest. */
@@ -467,6 +491,8 @@
     .newer_since_ms = sync->newer_since_ms,
     .newer_at_ms = sync->newer_at_ms,
     .unusable_since_ms = edge->configuration.unusable_since_ms,
+    .copy_read_ms = edge->copy_read_ms,
+    .is_confirmed = is_confirmed (edge),
     .missed_since_ms = edge->configuration.missed_since_ms,
   };
   const struct configuration_action action = configuration_decide (&facts);
@@ -507,9 +533,12 @@
         strike_record_tick (&edge->strike_record, edge->now_ms);
     }
   update_configuration_state (edge);
-  /* A host that fails to read the platform still polls other hosts. */
+  /*
+   * A host that fails to read the platform still polls other hosts, and so does
+   * one that started on a copy.
+   */
   hub_sync_tick (&edge->hub_sync,
-                 !edge->reads_platform
+                 !edge->reads_platform || edge->relay.is_catalog_outdated
                      || edge->configuration.failing_since_ms != 0
                      || edge->entries.failing_since_ms != 0,
                  !edge->reads_platform || edge->entries.failing_since_ms != 0,
--- a/packages/edge/src/hub-sync.c
+++ b/packages/edge/src/hub-sync.c
@@ -252,7 +252,10 @@
       sync->next_request_ms = sync->now_ms + REQUEST_RETRY_MS;
     }
   if (response->configuration_version <= own_version)
-    sync->newer_since_ms = 0;
+    {
+      sync->newer_since_ms = 0;
+      sync->is_confirmed = sync->is_confirmed || own_version != 0;
+    }
   else
     {
       if (sync->newer_since_ms == 0)
--- a/packages/edge/src/peers.c
+++ b/packages/edge/src/peers.c
@@ -124,6 +124,7 @@
   freshness->revision = edge->entries.revision;
   /* Entries kept current by this host's hub are as good as its own list. */
   return edge->reads_platform && edge_knows_endpoints (edge)
+         && !edge->relay.is_catalog_outdated
          && edge->entries.state == FOLLOWER_WATCHING
          && edge->entries.failing_since_ms == 0
          && edge->configuration.failing_since_ms == 0;
--- a/packages/edge/tests/t0961-hub-sync.c
+++ b/packages/edge/tests/t0961-hub-sync.c
@@ -254,7 +254,9 @@
       hub_sync_handle_message (&sync, NULL, &message, 10005);
       if (sync.outdated_since_ms != c->outdated_since_ms
           || sync.next_request_ms != c->next_request_ms
-          || sync.is_patch_sent != c->is_patch_sent)
+          || sync.is_patch_sent != c->is_patch_sent
+          || sync.newer_since_ms != c->outdated_since_ms
+          || sync.is_confirmed != (c->outdated_since_ms == 0))
         fail_msg ("%s: outdated since %lld, next request %lld", c->guards,
                   (long long)sync.outdated_since_ms,
                   (long long)sync.next_request_ms);
