edge: stop sending to data centres that are evacuated

An operator had no way to take a data centre out of use: its endpoints got requests until each of them reported that it leaves.

The operator's objects of kind evacuations are followed in the store by the reader of each data centre, with one watch that waits half of evacuation.complete_ms. Readers send the set with its revision and age to the other hosts, on a change at once; a host that hears nothing recent for three quarters of the bound reads the store itself. A host is not ready before it knows the set. A restored store withdraws nothing for 3 s.

Endpoints there get no new request, retry, resumed stream, probe or check. Attempts whose connection is still being established are withdrawn without counting as a try; what was written stays. Idle connections are closed. The holder of the lease sends no orders there meanwhile, and adopts the groups anew afterwards.

Messages are of a new kind that is sent only where the setting is present; without it nothing is read, sent or decided differently (t0978 counts no call).

Ruled out: flags on the totals, which hosts of the former version would have to drop as a whole.

Tested: t0461, t0857, t0978, and the tests of balance, relay, records, edge, formation and the stand-in.

--- a/packages/balance/include/balance.h
+++ b/packages/balance/include/balance.h
@@ -3,6 +3,7 @@
 
 #include "catalog.h"
 #include "endpoints.h"
+#include "evacuations.h"
 #include "request-limit.h"
 #include "result.h"
 #include "rng.h"
@@ -76,6 +77,8 @@
   struct request_limit_fleet fleet;    /* as of the reported loads */
   uint64_t choices;                    /* number of calls of balance_choose */
   char data_centre[CATALOG_NAME_SIZE]; /* data centre of this entry host */
+  /* Set by the owner; NULL = there are none. */
+  const struct evacuations *evacuations;
 };
 
 void load_table_init (struct load_table *loads,
@@ -190,6 +193,10 @@
                                           const struct endpoints *endpoints,
                                           int64_t now_ms);
 
+/* True if nothing may be sent to the endpoint's data centre. */
+bool balance_is_evacuated (const struct load_table *loads,
+                           const struct endpoint *endpoint);
+
 /* Sends the endpoint no request until the given time. */
 void balance_avoid (struct endpoint_load *load, int64_t until_ms);
 
--- a/packages/balance/src/choose.c
+++ b/packages/balance/src/choose.c
@@ -60,14 +60,24 @@
   return slots > 0 ? slots : 1;
 }
 
+bool
+balance_is_evacuated (const struct load_table *loads,
+                      const struct endpoint *endpoint)
+{
+  return evacuations_includes (loads->evacuations,
+                               endpoint->report.data_centre);
+}
+
 static bool
-is_candidate (const struct balance_request *request,
+is_candidate (const struct load_table *loads,
+              const struct balance_request *request,
               const struct endpoint *endpoint)
 {
   const struct endpoint_report *report = &endpoint->report;
 
   if (!endpoint_is_usable (endpoint)
-      || strcmp (report->service, request->service->name) != 0)
+      || strcmp (report->service, request->service->name) != 0
+      || balance_is_evacuated (loads, endpoint))
     return false;
   if (request->service->model_count == 0)
     return true;
@@ -160,7 +170,7 @@
       struct endpoint_load *load;
       double event_gap_ms;
 
-      if (!is_candidate (request, endpoint))
+      if (!is_candidate (loads, request, endpoint))
         continue;
       load = load_table_get (loads, endpoint);
       if (load == NULL)
@@ -359,7 +369,7 @@
       double cost;
       bool has_capacity;
 
-      if (!is_candidate (request, endpoint))
+      if (!is_candidate (loads, request, endpoint))
         continue;
       load = load_table_get (loads, endpoint);
       if (load == NULL)
--- a/packages/edge/include/checker.h
+++ b/packages/edge/include/checker.h
@@ -23,6 +23,7 @@
   const struct endpoints *endpoints;
   struct endpoint_check *checks; /* uthash by endpoint id */
   uint64_t checks_sent;
+  bool is_paused;
   int64_t now_ms;
 };
 
@@ -35,6 +36,11 @@
 /* Checks the endpoint from now on, until its responses clear it. */
 void
 checker_suspect (struct checker *checker, const char *endpoint, int64_t now_ms);
+/*
+ * While paused, nothing is checked and no endpoint is silent; what was
+ * suspected before is forgotten.
+ */
+void checker_set_paused (struct checker *checker, bool is_paused);
 bool checker_is_silent (const struct checker *checker, const char *endpoint);
 void checker_tick (struct checker *checker, int64_t now_ms);
 
--- a/packages/edge/include/edge-settings.h
+++ b/packages/edge/include/edge-settings.h
@@ -30,6 +30,7 @@
   double retry_ratio;
   int64_t retry_slack;
   int64_t retry_window_s;
+  int64_t evacuation_complete_ms; /* 0 = evacuations are not followed */
 };
 
 /*
--- a/packages/edge/include/edge.h
+++ b/packages/edge/include/edge.h
@@ -5,6 +5,7 @@
 #include "counter.h"
 #include "edge-settings.h"
 #include "endpoints.h"
+#include "evacuation-sync.h"
 #include "follower.h"
 #include "hub-sync.h"
 #include "leader.h"
@@ -56,6 +57,7 @@
   struct hub_sync hub_sync;
   struct strike_sync strike_sync;
   struct strike_record strike_record;
+  struct evacuation_sync evacuation_sync;
   struct config_distribution distribution;
   unsigned max_hosts_seen; /* most entry hosts known at the same time */
   /* Reads the platform, also for hosts that poll this one. */
--- a/packages/edge/include/gossip.h
+++ b/packages/edge/include/gossip.h
@@ -3,6 +3,7 @@
 
 #include "catalog.h"
 #include "endpoints.h"
+#include "evacuations.h"
 #include "lease.h"
 #include "result.h"
 #include "strikes.h"
@@ -46,7 +47,12 @@
   GOSSIP_ROUTED_REQUEST,
   GOSSIP_ROUTED_RESPONSE, /* chunk of the response, see routed-snapshot.h */
   GOSSIP_STRIKES,         /* crashes and answers, see strike-sync.h */
-  GOSSIP_KINDS,           /* no message */
+  /*
+   * Evacuated data centres, see evacuation-sync.h.  Sent only where they are
+   * followed; hosts of earlier versions drop it.
+   */
+  GOSSIP_EVACUATIONS,
+  GOSSIP_KINDS, /* no message */
 };
 
 struct gossip_load
@@ -152,6 +158,15 @@
   struct gossip_strike list[GOSSIP_STRIKE_LIMIT];
 };
 
+/* The evacuations in the store. */
+struct gossip_evacuations
+{
+  uint64_t revision; /* of the store */
+  uint32_t age_ms;   /* since they were known to be current */
+  uint32_t count;
+  uint64_t list[EVACUATIONS_LIMIT]; /* hash_string of the names */
+};
+
 struct gossip_report
 {
   char endpoint[CATALOG_NAME_SIZE];
@@ -176,6 +191,7 @@
     struct gossip_patch patch;
     struct gossip_routed routed;
     struct gossip_strikes strikes;
+    struct gossip_evacuations evacuations;
   } body;
 };
 
--- a/packages/edge/include/leader.h
+++ b/packages/edge/include/leader.h
@@ -3,6 +3,7 @@
 
 #include "checker.h"
 #include "endpoints.h"
+#include "evacuations.h"
 #include "formation.h"
 #include "lease.h"
 #include "orders.h"
@@ -34,10 +35,13 @@
   struct formation formation;
   struct orders orders;
   struct checker checker;
+  /* Set by the owner after leader_init; NULL = there are none. */
+  const struct evacuations *evacuations;
   char lease_name[CATALOG_NAME_SIZE];
   unsigned rank;       /* delays this host's attempts to acquire the lease */
   bool acting;         /* the lease is held */
   bool is_releasing;   /* sends no more orders; see leader_release_lease */
+  bool is_paused;      /* the data centre is evacuated: groups stay as is */
   int64_t acquired_ms; /* when acting last became true */
   uint64_t era;        /* of the store, as far as the lease knows it */
   int64_t next_fence_scan_ms;
--- a/packages/edge/src/checker.c
+++ b/packages/edge/src/checker.c
@@ -142,6 +142,8 @@
 {
   struct endpoint_check *check;
 
+  if (checker->is_paused)
+    return;
   HASH_FIND_STR (checker->checks, endpoint, check);
   if (check != NULL)
     {
@@ -158,6 +160,14 @@
   HASH_ADD_STR (checker->checks, endpoint, check);
 }
 
+void
+checker_set_paused (struct checker *checker, bool is_paused)
+{
+  checker->is_paused = is_paused;
+  if (is_paused)
+    checker_finish (checker);
+}
+
 bool
 checker_is_silent (const struct checker *checker, const char *endpoint)
 {
--- a/packages/edge/src/edge-settings.c
+++ b/packages/edge/src/edge-settings.c
@@ -23,6 +23,7 @@
   { "retry.ratio", SETTINGS_REAL, "", "0.1", 0, 10, "Retries per request for a service, over the whole fleet.", AT (retry_ratio) },
   { "retry.slack", SETTINGS_INTEGER, "", "0", 0, 1000000, "Extra retries of the fleet per service and window.", AT (retry_slack) },
   { "retry.window_s", SETTINGS_INTEGER, "s", "10", 1, 3600, "Window of the retry limits.", AT (retry_window_s) },
+  { "evacuation.complete_ms", SETTINGS_INTEGER, "ms", "0", 0, 3600000, "Nothing reaches an evacuated data centre this long after the order; 0 = evacuations are not followed.", AT (evacuation_complete_ms) },
 };
 /* clang-format on */
 
--- a/packages/edge/src/edge.c
+++ b/packages/edge/src/edge.c
@@ -35,7 +35,8 @@
 {
   return edge->phase == EDGE_RUNNING
          && relay_has_fresh_keys (&edge->relay, READY_MARGIN_MS, edge->now_ms)
-         && edge_knows_endpoints (edge);
+         && edge_knows_endpoints (edge)
+         && evacuation_sync_is_ready (&edge->evacuation_sync);
 }
 
 /* Sets this host's share of the fleet's retry slack, and logs changes. */
@@ -147,6 +148,7 @@
   edge_peers_tick (edge);
   update_retry_slack (edge);
   edge_follow_tick (edge);
+  evacuation_sync_tick (&edge->evacuation_sync, edge->now_ms);
   endpoints_tick (&edge->endpoints, edge->now_ms);
   relay_tick (&edge->relay, edge->now_ms);
   leader_tick (&edge->leader, edge->relay.catalog, edge->mesh.has_traffic,
--- a/packages/edge/src/follow.c
+++ b/packages/edge/src/follow.c
@@ -414,8 +414,8 @@
 static void
 update_entries_interval (struct edge *edge)
 {
-  bool waits_for_orders
-      = edge->leader.acting && !formation_is_settled (&edge->leader.formation);
+  bool waits_for_orders = edge->leader.acting && !edge->leader.is_paused
+                          && !formation_is_settled (&edge->leader.formation);
 
   follower_set_call_interval (&edge->entries,
                               waits_for_orders
--- a/packages/edge/src/gossip.c
+++ b/packages/edge/src/gossip.c
@@ -257,6 +257,19 @@
   return true;
 }
 
+static bool
+code_evacuations (XDR *xdr, struct gossip_evacuations *evacuations)
+{
+  if (!xdr_uint64_t (xdr, &evacuations->revision)
+      || !xdr_uint32_t (xdr, &evacuations->age_ms)
+      || !code_count (xdr, &evacuations->count, EVACUATIONS_LIMIT))
+    return false;
+  for (unsigned i = 0; i < evacuations->count; i++)
+    if (!xdr_uint64_t (xdr, &evacuations->list[i]))
+      return false;
+  return true;
+}
+
 static bool
 code_body (XDR *xdr, struct gossip_message *message)
 {
@@ -284,6 +297,8 @@
       return code_routed (xdr, &message->body.routed);
     case GOSSIP_STRIKES:
       return code_strikes (xdr, &message->body.strikes);
+    case GOSSIP_EVACUATIONS:
+      return code_evacuations (xdr, &message->body.evacuations);
     case GOSSIP_KINDS:
       break;
     }
--- a/packages/edge/src/leader.c
+++ b/packages/edge/src/leader.c
@@ -95,7 +95,7 @@
 {
   const struct leader *leader = context;
 
-  return lease_may_act (&leader->lease, time_boot_ms ())
+  return !leader->is_paused && lease_may_act (&leader->lease, time_boot_ms ())
          && lease_fence (&leader->lease) == fence;
 }
 
@@ -278,13 +278,18 @@
   if (acting && !leader->acting)
     leader->acquired_ms = leader->now_ms;
   leader->acting = acting;
-  formation_set_fence (&leader->formation, fence, leader->now_ms);
+  /*
+   * After an evacuation the groups are adopted anew, as by a new holder: what
+   * is remembered of them is out of date.
+   */
+  formation_set_fence (&leader->formation, leader->is_paused ? 0 : fence,
+                       leader->now_ms);
 }
 
 bool
 leader_may_form (const struct leader *leader, int64_t endpoints_current_at_ms)
 {
-  return leader->acting && !leader->is_releasing
+  return leader->acting && !leader->is_releasing && !leader->is_paused
          && endpoints_current_at_ms >= leader->acquired_ms;
 }
 
@@ -328,6 +333,9 @@
       = { leader, send_order, log_group_change, is_endpoint_silent };
 
   leader->now_ms = now_ms;
+  leader->is_paused
+      = evacuations_includes (leader->evacuations, leader->lease_name);
+  checker_set_paused (&leader->checker, leader->is_paused);
   orders_tick (&leader->orders, now_ms);
   checker_tick (&leader->checker, now_ms);
   release_when_answered (leader);
--- a/packages/edge/src/mesh.c
+++ b/packages/edge/src/mesh.c
@@ -247,6 +247,7 @@
     case GOSSIP_ROUTED_REQUEST:
     case GOSSIP_ROUTED_RESPONSE:
     case GOSSIP_STRIKES:
+    case GOSSIP_EVACUATIONS:
       mesh->hooks.message (mesh->hooks.context, host, message);
       break;
     case GOSSIP_KINDS:
--- a/packages/edge/src/peers.c
+++ b/packages/edge/src/peers.c
@@ -75,6 +75,9 @@
 
   if (message->kind == GOSSIP_PATCH)
     edge_handle_patch (edge, &message->body.patch);
+  else if (message->kind == GOSSIP_EVACUATIONS)
+    evacuation_sync_handle_message (
+        &edge->evacuation_sync, &message->body.evacuations, edge->mesh.now_ms);
   else if (message->kind == GOSSIP_STRIKES)
     strike_sync_handle_message (&edge->strike_sync, from,
                                 &message->body.strikes, edge->mesh.now_ms);
@@ -88,6 +91,7 @@
   struct edge *edge = context;
 
   strike_sync_host_started (&edge->strike_sync);
+  evacuation_sync_host_started (&edge->evacuation_sync);
 }
 
 static void
@@ -176,6 +180,11 @@
   hub_sync_init (&edge->hub_sync, &edge->mesh, &edge->endpoints,
                  &hub_sync_hooks, edge_freshness_limit_ms (settings));
   strike_sync_init (&edge->strike_sync, &edge->mesh, &edge->relay.strikes);
+  evacuation_sync_init (&edge->evacuation_sync, &edge->mesh, &edge->records,
+                        &edge->settings.data_centres,
+                        settings->evacuation_complete_ms);
+  edge->relay.loads.evacuations = &edge->evacuation_sync.table;
+  edge->leader.evacuations = &edge->evacuation_sync.table;
   return RESULT_OK;
 }
 
--- a/packages/edge/tests/t0960-gossip.c
+++ b/packages/edge/tests/t0960-gossip.c
@@ -88,6 +88,13 @@
           strike->crash = i;
         }
       break;
+    case GOSSIP_EVACUATIONS:
+      message.body.evacuations.revision = 5;
+      message.body.evacuations.age_ms = 70;
+      message.body.evacuations.count = EVACUATIONS_LIMIT;
+      for (unsigned i = 0; i < EVACUATIONS_LIMIT; i++)
+        message.body.evacuations.list[i] = i;
+      break;
     case GOSSIP_KINDS:
       fail ();
       break;
--- a/packages/edge/tests/t0962-edge-settings.c
+++ b/packages/edge/tests/t0962-edge-settings.c
@@ -35,6 +35,8 @@
   { "configuration: {in_force_ms: 3000}\n", RESULT_OK },
   { "configuration: {in_force_ms: 100}\n", RESULT_SETTINGS_OUT_OF_RANGE },
   { "endpoints: {leave_ms: 0}\n", RESULT_SETTINGS_OUT_OF_RANGE },
+  { "evacuation: {complete_ms: 5000}\n", RESULT_OK },
+  { "evacuation: {complete_ms: -1}\n", RESULT_SETTINGS_OUT_OF_RANGE },
   { "colour: red\n", RESULT_SETTINGS_UNKNOWN_KEY },
   { "host: again\n", RESULT_SETTINGS_DUPLICATE_KEY },
 };
--- a/packages/records/include/follower.h
+++ b/packages/records/include/follower.h
@@ -55,6 +55,7 @@
   uint64_t revision;      /* all changes up to it are known */
   uint64_t list_revision; /* becomes revision when the list is complete */
   bool has_full_list;     /* a complete list was read */
+  unsigned list_skipped;  /* records skipped in the list being read */
   bool call_in_flight;
   /* Rises with each new list, and when a list is given up. */
   unsigned generation;
--- a/packages/records/include/records.h
+++ b/packages/records/include/records.h
@@ -33,7 +33,8 @@
   RECORDS_ENDPOINTS,
   RECORDS_LEASES,
   RECORDS_HOSTS,
-  RECORDS_STRIKES, /* see strike-record.h of edge */
+  RECORDS_STRIKES,     /* see strike-record.h of edge */
+  RECORDS_EVACUATIONS, /* data centres that get no requests, by name */
   RECORDS_KINDS,
 };
 const char *records_kind_name (enum records_kind kind);
--- a/packages/records/src/follower.c
+++ b/packages/records/src/follower.c
@@ -131,10 +131,12 @@
     {
       follower->list_sent_ms = follower->sent_ms;
       follower->list_revision = response->revision;
+      follower->list_skipped = 0;
       if (follower->hooks.list_begin != NULL)
         follower->hooks.list_begin (follower->hooks.context);
     }
   report_records (follower, response);
+  follower->list_skipped += response->skipped;
   if (response->more)
     {
       snprintf (follower->list_after, sizeof follower->list_after, "%s",
--- a/packages/records/src/records.c
+++ b/packages/records/src/records.c
@@ -53,6 +53,7 @@
     [RECORDS_LEASES] = "leases",
     [RECORDS_HOSTS] = "hosts",
     [RECORDS_STRIKES] = "strikes",
+    [RECORDS_EVACUATIONS] = "evacuations",
   };
 
   return names[kind];
--- a/packages/relay/src/relay-internal.h
+++ b/packages/relay/src/relay-internal.h
@@ -83,6 +83,16 @@
  */
 void relay_enforce_quarantine (struct relay *relay);
 
+/* evacuation.c */
+/* True if nothing may be sent to the endpoint: see evacuations.h. */
+bool relay_is_evacuated (const struct relay *relay,
+                         const struct endpoint_load *load);
+/*
+ * Sends requests elsewhere that wait for a connection to an endpoint of a data
+ * centre that is evacuated.  Those that were sent there run to their end.
+ */
+void relay_enforce_evacuations (struct relay *relay);
+
 /* upstream.c */
 /*
  * Attaches the request to an idle connection of the endpoint, or to a new one;
--- a/packages/relay/src/relay.c
+++ b/packages/relay/src/relay.c
@@ -185,11 +185,13 @@
 relay_tick (struct relay *relay, int64_t now_ms)
 {
   struct relay_caller *caller = TAILQ_FIRST (&relay->callers);
-  struct relay_request *request = TAILQ_FIRST (&relay->requests);
-  struct relay_upstream *upstream = TAILQ_FIRST (&relay->idle);
+  struct relay_request *request;
+  struct relay_upstream *upstream;
   struct endpoint_load *load;
 
   relay->now_ms = now_ms;
+  relay_enforce_evacuations (relay);
+  request = TAILQ_FIRST (&relay->requests);
   while (request != NULL)
     {
       struct relay_request *next = TAILQ_NEXT (request, link);
@@ -197,6 +199,7 @@
       relay_request_tick (request);
       request = next;
     }
+  upstream = TAILQ_FIRST (&relay->idle);
   while (upstream != NULL)
     {
       struct relay_upstream *next = TAILQ_NEXT (upstream, link);
--- a/packages/relay/src/upstream.c
+++ b/packages/relay/src/upstream.c
@@ -411,6 +411,7 @@
                      && upstream->load->endpoint != NULL
                      && !upstream->load->endpoint->report.leaving
                      && !balance_is_leaving (upstream->load)
+                     && !relay_is_evacuated (relay, upstream->load)
                      && upstream->idle_timeout_ms > 0;
 
   if (!is_reusable)
@@ -641,8 +642,11 @@
 void
 relay_upstream_probe (struct relay *relay, struct endpoint_load *load)
 {
-  struct relay_upstream *upstream = open_upstream (relay, load);
+  struct relay_upstream *upstream;
 
+  if (relay_is_evacuated (relay, load))
+    return;
+  upstream = open_upstream (relay, load);
   if (upstream == NULL)
     return;
   upstream->started_ms = relay->now_ms;
@@ -680,6 +684,7 @@
       || relay_upstream_is_overdue (upstream)
       || upstream->load->endpoint == NULL
       || upstream->load->endpoint->report.leaving
-      || balance_is_leaving (upstream->load))
+      || balance_is_leaving (upstream->load)
+      || relay_is_evacuated (relay, upstream->load))
     relay_upstream_close (upstream);
 }
