edge: let no damaged datagram spoil the sound ones after it

- A chunk of a patch with another total length left a mark that no later chunk of the same versions cleared, so that the patch was never complete.
Chunks of another total or digest begin anew.
- A patch whose text goes on after a NUL passed the digest, which ends there, and was then refused as a configuration.
It is refused as a patch.

And by reading: the highest version of a configuration that any response named was kept for ever, so that one damaged response made a host read the platform each 0.6 s without end. A version that no hub reports for 2 s is forgotten.

--- a/packages/edge/include/config-distribution.h
+++ b/packages/edge/include/config-distribution.h
@@ -44,6 +44,8 @@
   /* The patch that is being received. */
   int64_t incoming_from;
   int64_t incoming_to;
+  uint32_t incoming_total;
+  uint64_t incoming_digest;
   uint32_t incoming_chunks; /* one bit per received chunk */
   char *incoming;
 };
--- a/packages/edge/include/hub-sync.h
+++ b/packages/edge/include/hub-sync.h
@@ -74,6 +74,7 @@
   int64_t configuration_current_at_ms;
   int64_t entries_current_at_ms;
   int64_t newest_configuration; /* newest version that a hub reported */
+  int64_t newest_at_ms;         /* when a hub last reported it */
   bool is_patch_sent; /* the hub sent a patch to newest_configuration */
   /* When a hub first reported a newer version than this host has; 0 = none. */
   int64_t outdated_since_ms;
--- a/packages/edge/src/config-distribution.c
+++ b/packages/edge/src/config-distribution.c
@@ -134,11 +134,16 @@
   uint32_t chunks
       = (chunk->total + GOSSIP_PATCH_BYTES - 1) / GOSSIP_PATCH_BYTES;
 
+  /* One damaged chunk must not spoil those of the patch that follow it. */
   if (distribution->incoming_from != chunk->from
-      || distribution->incoming_to != chunk->to)
+      || distribution->incoming_to != chunk->to
+      || distribution->incoming_total != chunk->total
+      || distribution->incoming_digest != chunk->digest)
     {
       distribution->incoming_from = chunk->from;
       distribution->incoming_to = chunk->to;
+      distribution->incoming_total = chunk->total;
+      distribution->incoming_digest = chunk->digest;
       distribution->incoming_chunks = 0;
     }
   memcpy (distribution->incoming + chunk->first, chunk->bytes, chunk->count);
@@ -172,7 +177,9 @@
   distribution->incoming_chunks = 0;
   result = text_patch_apply (distribution->incoming, chunk->total, newest->text,
                              newest->size, TEXT_LIMIT_BYTES, text, size);
-  if (result == RESULT_OK && compute_digest (*text) != chunk->digest)
+  /* The digest ends at a NUL, which no configuration has. */
+  if (result == RESULT_OK
+      && (strlen (*text) != *size || compute_digest (*text) != chunk->digest))
     {
       free (*text);
       *text = NULL;
--- a/packages/edge/src/hub-sync.c
+++ b/packages/edge/src/hub-sync.c
@@ -19,6 +19,11 @@
  */
 #define COMPARE_DELAY_MS 250
 #define COMPARE_INTERVAL_MS 300
+/*
+ * A hub that is asked next may not have the newest version yet; it has it after
+ * the time in which a change has to be in force.
+ */
+#define NEWEST_VALID_MS 2000
 /* Interval after a response that did not confirm this host's data. */
 #define REQUEST_RETRY_MS 100
 
@@ -218,6 +223,20 @@
     sync->synced_revision = response->revision;
 }
 
+/*
+ * A version that no hub reports any more is forgotten: it may have been damaged
+ * on the way, and the host would read the platform for it for ever.
+ */
+static void
+note_newest (struct hub_sync *sync, int64_t version)
+{
+  if (version < sync->newest_configuration
+      && sync->now_ms - sync->newest_at_ms <= NEWEST_VALID_MS)
+    return;
+  sync->newest_configuration = version;
+  sync->newest_at_ms = sync->now_ms;
+}
+
 static void
 handle_sync_response (struct hub_sync *sync,
                       const struct gossip_sync_response *response)
@@ -240,8 +259,7 @@
       return;
     }
   sync->is_hub_stale = false;
-  if (response->configuration_version > sync->newest_configuration)
-    sync->newest_configuration = response->configuration_version;
+  note_newest (sync, response->configuration_version);
   sync->is_patch_sent = response->is_patch_sent;
   if (sync->newest_configuration <= own_version)
     sync->outdated_since_ms = 0;
--- a/packages/edge/tests/t0961-hub-sync.c
+++ b/packages/edge/tests/t0961-hub-sync.c
@@ -165,6 +165,57 @@
     }
 }
 
+/* A response of a hub, and what the host then takes for the newest version. */
+struct newest_step
+{
+  int64_t at_ms;
+  int64_t version;
+  int64_t newest;
+};
+
+static const struct
+{
+  const char *guards; /* failure that the case guards against */
+  struct newest_step steps[4];
+} newest_cases[] = {
+  { "a hub that lags hides the newest version",
+    { { 10005, 9, 9 }, { 10305, 8, 9 }, { 12005, 8, 9 } } },
+  { "a version that was damaged on the way is asked for for ever",
+    { { 10005, INT64_MAX, INT64_MAX },
+      { 11005, 8, INT64_MAX },
+      { 12006, 8, 8 },
+      { 12306, 9, 9 } } },
+  { "a version that is reported on is forgotten",
+    { { 10005, 9, 9 }, { 12000, 9, 9 }, { 13990, 8, 9 } } },
+};
+
+static void
+test_newest_version (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof newest_cases / sizeof newest_cases[0]; i++)
+    {
+      setup ();
+      for (unsigned n = 0; n < 4 && newest_cases[i].steps[n].at_ms != 0; n++)
+        {
+          const struct newest_step *step = &newest_cases[i].steps[n];
+          struct gossip_message message = { .kind = GOSSIP_SYNC_RESPONSE };
+
+          message.body.sync_response = (struct gossip_sync_response){
+            .nonce = REQUEST_SENT_MS,
+            .configuration_version = step->version,
+            .revision = 5,
+          };
+          hub_sync_handle_message (&sync, NULL, &message, step->at_ms);
+          if (sync.newest_configuration != step->newest)
+            fail_msg ("%s: %lld at %lld ms", newest_cases[i].guards,
+                      (long long)sync.newest_configuration,
+                      (long long)step->at_ms);
+        }
+      endpoints_finish (&endpoints);
+    }
+}
+
 /* A report that arrives after the removal of its endpoint is ignored. */
 static void
 test_report_after_removal (void **state)
@@ -509,6 +560,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_responses),
+    cmocka_unit_test (test_newest_version),
     cmocka_unit_test (test_report_after_removal),
     cmocka_unit_test (test_removal_is_reported),
     cmocka_unit_test (test_newer_configuration),
