edge: take a lease again that another program has overwritten

A lease that cannot be read was read again each 250 ms for ever, and its data centre had no holder: groups were not repaired. The same happened to a holder whose lease was overwritten, as its renewals conflicted from then on.

After three reads of the same revision, since one response may be damaged, the lease counts as that of an unknown holder: it is waited for as for one that was just renewed, 3.4 s, and taken under a token above the one known and those of the groups. event=lease-unreadable says so.

--- a/packages/edge/include/leader.h
+++ b/packages/edge/include/leader.h
@@ -45,6 +45,8 @@
   int64_t acquired_ms; /* when acting last became true */
   uint64_t era;        /* of the store, as far as the lease knows it */
   int64_t next_fence_scan_ms;
+  uint64_t unreadable_revision; /* of the lease, when last read as such */
+  unsigned unreadable_reads;    /* of that revision */
   int64_t now_ms;
 };
 
--- a/packages/edge/src/leader.c
+++ b/packages/edge/src/leader.c
@@ -23,6 +23,8 @@
 #define LEASE_RANKS 4
 /* A call without a response for this long counts as failed. */
 #define LEASE_CALL_TIMEOUT_MS 1000
+/* Reads of an unreadable lease, 250 ms apart, before it is given up. */
+#define UNREADABLE_READS 3
 /* Interval of looks for the tokens of groups. */
 #define FENCE_SCAN_INTERVAL_MS 1000
 
@@ -219,6 +221,37 @@
           &leader->lease, formation_get_fence (endpoint->report.epoch));
 }
 
+/*
+ * Another program has overwritten the lease: true once several reads of the
+ * same revision say so, since one response may be damaged on the way.  The
+ * lease then counts as that of an unknown holder, which may act until it ends.
+ * Reading it again would show the same for ever, and the data centre would have
+ * no holder.
+ */
+static bool
+is_lease_overwritten (struct leader *leader,
+                      const struct records_response *response,
+                      struct lease_value *value)
+{
+  if (response->record == NULL)
+    return false;
+  if (response->revision != leader->unreadable_revision)
+    leader->unreadable_reads = 0;
+  leader->unreadable_revision = response->revision;
+  if (++leader->unreadable_reads < UNREADABLE_READS)
+    return false;
+  lease_observe_fence (&leader->lease, leader->lease.value.fence);
+  *value = (struct lease_value){ .holder = "?",
+                                 .fence = leader->lease.value.fence,
+                                 .ttl_ms = LEASE_TTL_MS };
+  if (leader->unreadable_reads == UNREADABLE_READS)
+    LOG_EVENT (LOG_LEVEL_WARNING, "lease-unreadable",
+               LOG_STR ("lease", leader->lease_name),
+               LOG_U64 ("revision", response->revision),
+               LOG_U64 ("fence_floor", leader->lease.fence_floor));
+  return true;
+}
+
 static void
 on_lease_read (void *context, const struct records_response *response)
 {
@@ -231,6 +264,9 @@
     result = response->record != NULL && response->record->value != NULL
                  ? lease_value_from_json (&value, response->record->value)
                  : RESULT_PLATFORM_BAD_ANSWER;
+  if (response->result == RESULT_OK && result != RESULT_OK
+      && is_lease_overwritten (leader, response, &value))
+    result = RESULT_OK;
   lease_on_read (&leader->lease, result, &value, response->revision,
                  time_boot_ms ());
 }
