balance: limit the requests that reach a cold endpoint

An endpoint that has just started fails above a rate of requests. All hosts want it as soon as they hear of it, since it is idle.

Cause for a mechanism beside request-limit.c: that one admits every request until the other hosts' counts arrive, and its bound is one over 4 s.

Each host now has a fixed share of what may reach a cold endpoint. Requests of a share become due one by one, at a random moment that differs between hosts, and expire. The rate follows from cold.over and cold.slack, with three standard deviations of margin. Lost hosts keep their shares, and a host that knows no other assumes 400. Requests that a host sent in the second before it heard are counted. After an evacuation ends, endpoints are cold for the service's cold time from when the host hears of it, unless they say otherwise. The smaller of this limit and the one that an endpoint names holds.

The cold time is read from entries (coldLeftMs) and passed on in reports and, for groups whose members only readers know, in a new message to the hosts of the data centre, repeated every 200 ms while an endpoint is cold. Both are sent only if some service has a cold time (coldS and coldPerS).

The exclusion in balance_next_probe was redundant and is gone.

--- a/packages/balance/include/balance.h
+++ b/packages/balance/include/balance.h
@@ -2,6 +2,7 @@
 #define BALANCE_BALANCE_H
 
 #include "catalog.h"
+#include "cold-limit.h"
 #include "endpoints.h"
 #include "evacuations.h"
 #include "request-limit.h"
@@ -50,6 +51,7 @@
   double failure_rate;           /* moving mean of failures, 0 to 1 */
   int64_t last_failure_ms;
   struct request_limit request_limit;
+  struct cold_limit cold_limit;
   int64_t limit_logged_ms; /* when a request was last logged as over it */
   uint64_t passed_over;    /* choice in which its limit excluded it */
   unsigned references;     /* connections and requests that point here */
@@ -68,6 +70,15 @@
   UT_hash_handle hh;
 };
 
+/* The interval of cold-limit.h for the bound and the rate it was computed for.
+ */
+struct cold_interval
+{
+  struct cold_bound bound;
+  double per_s;
+  double interval_ms;
+};
+
 /* Loads of all endpoints and the reachability of other data centres. */
 struct load_table
 {
@@ -75,6 +86,8 @@
   struct remote_data_centre *remotes; /* uthash by data centre */
   struct rng rng;
   struct request_limit_fleet fleet;    /* as of the reported loads */
+  struct cold_bound cold_bound;        /* set by the owner */
+  struct cold_interval cold_interval;  /* private to cold.c */
   uint64_t choices;                    /* number of calls of balance_choose */
   char data_centre[CATALOG_NAME_SIZE]; /* data centre of this entry host */
   /* Set by the owner; NULL = there are none. */
@@ -197,6 +210,15 @@
 bool balance_is_evacuated (const struct load_table *loads,
                            const struct endpoint *endpoint);
 
+/*
+ * How long the endpoint is still cold, ms; 0 = it is not, or the service has no
+ * cold time.  After an evacuation it counts as cold unless it says otherwise.
+ */
+int64_t balance_cold_left_ms (const struct load_table *loads,
+                              const struct catalog_service *service,
+                              const struct endpoint *endpoint,
+                              int64_t now_ms);
+
 /* Sends the endpoint no request until the given time. */
 void balance_avoid (struct endpoint_load *load, int64_t until_ms);
 
--- a/packages/balance/src/choose.c
+++ b/packages/balance/src/choose.c
@@ -33,6 +33,12 @@
 #define SLOWDOWN_MIN 2.0
 /* Upper bound of the slowdown that is counted. */
 #define SLOWDOWN_MAX 8.0
+/*
+ * Cost of an endpoint that is cold, in ms or in requests per slot: it is
+ * slower, so a request goes to a warm one while that has room.
+ */
+#define COLD_PENALTY_MS 40.0
+#define COLD_PENALTY_SLOTS 0.5
 /* Random part of a cost, which spreads choices between similar endpoints. */
 #define JITTER_MS 6.0
 #define JITTER_SLOTS 0.02
@@ -68,6 +74,15 @@
                                endpoint->report.data_centre);
 }
 
+static bool
+is_cold (const struct load_table *loads,
+         const struct balance_request *request,
+         const struct endpoint *endpoint,
+         int64_t now_ms)
+{
+  return balance_cold_left_ms (loads, request->service, endpoint, now_ms) > 0;
+}
+
 static bool
 is_candidate (const struct load_table *loads,
               const struct balance_request *request,
@@ -135,7 +150,8 @@
 
 /*
  * Totals of all available candidates for a request.  Slots of endpoints with a
- * request limit are not counted: most of them cannot be used.
+ * request limit, and of cold ones, are not counted: most of them cannot be
+ * used.
  */
 struct candidate_summary
 {
@@ -177,7 +193,8 @@
         continue;
       reset_reformed_group (load);
       balance_note_restart (load, now_ms);
-      if (is_avoided (loads, load, now_ms) || load->request_limit.per_s > 0)
+      if (is_avoided (loads, load, now_ms) || load->request_limit.per_s > 0
+          || is_cold (loads, request, endpoint, now_ms))
         continue;
       summary.count++;
       summary.running += load->running + load->peer_running;
@@ -292,12 +309,14 @@
              const struct balance_request *request,
              const struct endpoint_load *load,
              const struct candidate_summary *summary,
+             bool is_cold_endpoint,
              int64_t now_ms,
              double *expected_ms,
              double *cost)
 {
   unsigned running = load->running + load->peer_running;
   double limit_ms = OBJECTIVE_SHARE * (double)request->remaining_ms;
+  bool is_limited = is_cold_endpoint || load->request_limit.per_s > 0;
 
   *expected_ms
       = estimate_first_event_ms (
@@ -308,11 +327,12 @@
   *cost = *expected_ms
           + FAILURE_PENALTY_MS * compute_recent_failure_rate (load, now_ms)
           - (is_local (loads, load) ? LOCAL_ADVANTAGE_MS : 0)
+          + (is_cold_endpoint ? COLD_PENALTY_MS : 0)
           + (JITTER_MS
              + JITTER_PER_UNREPORTED_MS
                    * estimate_unreported_prefill_ms (loads, request, summary))
                 * rng_real (&loads->rng);
-  return (summary->is_admitted || load->request_limit.per_s > 0)
+  return (summary->is_admitted || is_limited)
          && running < balance_slots (request->service, load->endpoint)
          && *expected_ms <= limit_ms;
 }
@@ -321,6 +341,7 @@
 score_standalone (struct load_table *loads,
                   const struct balance_request *request,
                   const struct endpoint_load *load,
+                  bool is_cold_endpoint,
                   int64_t now_ms,
                   double *cost)
 {
@@ -330,6 +351,7 @@
   *cost = (double)(running + 1) / slots
           + FAILURE_PENALTY_SLOTS * compute_recent_failure_rate (load, now_ms)
           - (is_local (loads, load) ? LOCAL_ADVANTAGE_SLOTS : 0)
+          + (is_cold_endpoint ? COLD_PENALTY_SLOTS : 0)
           + JITTER_SLOTS * rng_real (&loads->rng);
   return running < slots * STANDALONE_REQUESTS_PER_SLOT;
 }
@@ -367,6 +389,7 @@
       struct endpoint_load *load;
       double expected_ms = 0;
       double cost;
+      bool is_cold_endpoint;
       bool has_capacity;
 
       if (!is_candidate (loads, request, endpoint))
@@ -378,11 +401,17 @@
       note_shortest_back_off (choice, load, now_ms);
       if (is_avoided (loads, load, now_ms) || is_excluded (request, load))
         continue;
+      is_cold_endpoint = is_cold (loads, request, endpoint, now_ms);
       has_capacity
-          = is_grouped ? score_group (loads, request, load, summary, now_ms,
-                                      &expected_ms, &cost)
-                       : score_standalone (loads, request, load, now_ms, &cost);
-      has_capacity = has_capacity && load->passed_over != loads->choices;
+          = is_grouped
+                ? score_group (loads, request, load, summary, is_cold_endpoint,
+                               now_ms, &expected_ms, &cost)
+                : score_standalone (loads, request, load, is_cold_endpoint,
+                                    now_ms, &cost);
+      has_capacity
+          = has_capacity && load->passed_over != loads->choices
+            && (!is_cold_endpoint
+                || balance_is_cold_due (loads, request->service, load, now_ms));
       if (!has_capacity)
         {
           if (verdict == BALANCE_NONE)
@@ -402,6 +431,26 @@
   return verdict;
 }
 
+/*
+ * True if the limits of the endpoint leave room for the request.  The smaller
+ * of the one that it names and that of a cold endpoint holds; choose_by_cost
+ * has found a request due at a cold one.
+ */
+static bool
+is_within_limits (struct load_table *loads,
+                  const struct balance_request *request,
+                  struct endpoint_load *load,
+                  int64_t now_ms)
+{
+  if (load->request_limit.per_s > 0
+      && !request_limit_admit (&load->request_limit, &loads->fleet,
+                               rng_real (&loads->rng), now_ms))
+    return false;
+  if (is_cold (loads, request, load->endpoint, now_ms))
+    cold_limit_take (&load->cold_limit);
+  return true;
+}
+
 enum balance_verdict
 balance_choose (struct load_table *loads,
                 const struct endpoints *endpoints,
@@ -422,9 +471,8 @@
       verdict = choose_by_cost (loads, endpoints, request, &summary, now_ms,
                                 choice);
       choice->at_limit = at_limit;
-      if (choice->load == NULL || choice->load->request_limit.per_s == 0
-          || request_limit_admit (&choice->load->request_limit, &loads->fleet,
-                                  rng_real (&loads->rng), now_ms))
+      if (choice->load == NULL
+          || is_within_limits (loads, request, choice->load, now_ms))
         return verdict;
       at_limit = choice->load;
       at_limit->passed_over = loads->choices;
--- a/packages/balance/src/remote.c
+++ b/packages/balance/src/remote.c
@@ -92,7 +92,6 @@
   for (struct endpoint *endpoint = endpoints->table; endpoint != NULL;
        endpoint = endpoint->hh.next)
     if (endpoint_is_usable (endpoint) && endpoint_is_routed (endpoint)
-        && !balance_is_evacuated (loads, endpoint)
         && strcmp (endpoint->report.data_centre, remote->data_centre) == 0
         && rng_below (&loads->rng, ++count) == 0)
       chosen = endpoint;
--- a/packages/catalog/include/catalog.h
+++ b/packages/catalog/include/catalog.h
@@ -80,6 +80,9 @@
   double step_per_request_ms;  /* added by each request that generates tokens */
   double prefill_tokens_per_ms; /* prefill rate in prompt tokens per ms */
   unsigned tokens_per_event;
+  /* How long an endpoint is cold after a start; 0 = never. */
+  int64_t cold_ms;
+  double cold_requests_per_s; /* that a cold endpoint can take */
 };
 
 struct catalog_customer
@@ -154,6 +157,9 @@
 const struct catalog_service *
 catalog_find_service (const struct catalog *catalog, const char *name);
 
+/* True if endpoints of some service are cold after a start. */
+bool catalog_has_cold_times (const struct catalog *catalog);
+
 /* Picks a target by weight; draw is a uniform random number of 64 bits. */
 const char *catalog_pick_target (const struct catalog_route *route,
                                  uint64_t draw);
--- a/packages/catalog/include/endpoints.h
+++ b/packages/catalog/include/endpoints.h
@@ -50,6 +50,8 @@
   uint64_t epoch;
   unsigned rank; /* 0 = head */
   enum endpoint_group_state state;
+  bool has_cold;   /* it states whether it is cold */
+  int64_t cold_ms; /* for how much longer it is; 0 = it is not */
 };
 
 struct endpoint
@@ -60,6 +62,9 @@
   int64_t leaving_since_ms; /* when it was first seen leaving; 0 = never */
   int64_t deleted_ms; /* when the entry was found deleted; 0 = it exists */
   uint64_t deleted_revision; /* reports up to it predate the deletion */
+  int64_t cold_since_ms;     /* when this host heard that it is cold */
+  int64_t cold_until_ms;     /* the endpoint, or its group, is cold; 0 = not */
+  int64_t cold_stated_ms;    /* when it last stated that; 0 = never */
   /* Revision of the last report that began, kept or ended its routing. */
   uint64_t routed_revision;
   bool not_relisted;             /* not reported since endpoints_relist_begin */
@@ -78,6 +83,9 @@
   int64_t hold_deletions_until_ms;
   /* Until this time, no deletion removes one; see endpoints_note_restore. */
   int64_t restored_until_ms;
+  /* Set by the owner: some service has a cold time, so hosts tell each other.
+   */
+  bool tracks_cold;
   /* Hash over the ids and revisions of all routed endpoints. */
   uint64_t digest;
   /* Called for each endpoint before it is freed; may be NULL. */
@@ -139,6 +147,16 @@
  */
 void endpoints_tick (struct endpoints *endpoints, int64_t now_ms);
 
+/* The endpoint is cold for at least this much longer. */
+void
+endpoint_note_cold (struct endpoint *endpoint, int64_t left_ms, int64_t now_ms);
+
+/*
+ * A group is as cold as its coldest member: passes the cold times of members on
+ * to the heads of their groups.  True if any endpoint is cold.
+ */
+bool endpoints_spread_cold (struct endpoints *endpoints, int64_t now_ms);
+
 /* True if the endpoint may get new requests, that is, it is not leaving. */
 bool endpoint_is_usable (const struct endpoint *endpoint);
 
--- a/packages/catalog/src/catalog.c
+++ b/packages/catalog/src/catalog.c
@@ -155,6 +155,15 @@
   return NULL;
 }
 
+bool
+catalog_has_cold_times (const struct catalog *catalog)
+{
+  for (unsigned i = 0; i < catalog->service_count; i++)
+    if (catalog->services[i].cold_ms > 0)
+      return true;
+  return false;
+}
+
 const char *
 catalog_pick_target (const struct catalog_route *route, uint64_t draw)
 {
--- a/packages/catalog/src/endpoints.c
+++ b/packages/catalog/src/endpoints.c
@@ -156,6 +156,15 @@
   if (revision < endpoint->revision
       || (endpoint->deleted_ms != 0 && revision <= endpoint->deleted_revision))
     return RESULT_OK;
+  /* A list may repeat an entry that stated a time long ago. */
+  if (report->has_cold && revision > endpoint->revision)
+    {
+      if (report->cold_ms > 0)
+        endpoint_note_cold (endpoint, report->cold_ms, now_ms);
+      endpoint->cold_until_ms
+          = report->cold_ms > 0 ? now_ms + report->cold_ms : 0;
+      endpoint->cold_stated_ms = now_ms;
+    }
   endpoint->deleted_ms = 0;
   endpoints->digest ^= compute_endpoint_digest (endpoint);
   was_routed = endpoint->revision != 0 && endpoint_is_routed (endpoint);
@@ -175,6 +184,47 @@
   return RESULT_OK;
 }
 
+void
+endpoint_note_cold (struct endpoint *endpoint, int64_t left_ms, int64_t now_ms)
+{
+  if (endpoint->cold_until_ms <= now_ms)
+    endpoint->cold_since_ms = now_ms;
+  if (now_ms + left_ms > endpoint->cold_until_ms)
+    endpoint->cold_until_ms = now_ms + left_ms;
+}
+
+/* Passes the cold time of a member on to the head of its group. */
+static void
+spread_to_head (struct endpoints *endpoints,
+                const struct endpoint *member,
+                int64_t now_ms)
+{
+  const struct endpoint_report *report = &member->report;
+
+  for (struct endpoint *head = endpoints->table; head != NULL;
+       head = head->hh.next)
+    if (head->report.rank == 0 && head->report.epoch == report->epoch
+        && strcmp (head->report.group, report->group) == 0)
+      endpoint_note_cold (head, member->cold_until_ms - now_ms, now_ms);
+}
+
+bool
+endpoints_spread_cold (struct endpoints *endpoints, int64_t now_ms)
+{
+  bool has_cold = false;
+
+  for (struct endpoint *endpoint = endpoints->table; endpoint != NULL;
+       endpoint = endpoint->hh.next)
+    {
+      if (endpoint->cold_until_ms <= now_ms)
+        continue;
+      has_cold = true;
+      if (endpoint->report.group[0] != '\0' && endpoint->report.rank > 0)
+        spread_to_head (endpoints, endpoint, now_ms);
+    }
+  return has_cold;
+}
+
 void
 endpoints_delete (struct endpoints *endpoints,
                   const char *id,
--- a/packages/catalog/tests/t0460-catalog.c
+++ b/packages/catalog/tests/t0460-catalog.c
@@ -408,6 +408,54 @@
   endpoints_finish (&endpoints);
 }
 
+/* A group is cold if its head or any member is, and no other group is. */
+static void
+test_cold_groups (void **state)
+{
+  static const struct
+  {
+    const char *id;
+    const char *group;
+    uint64_t epoch;
+    unsigned rank;
+    int64_t cold_ms;
+    int64_t spread_ms; /* expected cold time left */
+  } members[] = {
+    { "a0", "a", 1, 0, 0, 700 },   { "a1", "a", 1, 1, 300, 300 },
+    { "a2", "a", 1, 2, 700, 700 }, { "b0", "b", 1, 0, 500, 500 },
+    { "b1", "b", 1, 1, 400, 400 }, { "a-old", "a", 0, 0, 0, 0 },
+    { "lone", "", 0, 0, 0, 0 },    { "lone-2", "", 0, 0, 900, 900 },
+  };
+  struct endpoints endpoints;
+
+  (void)state;
+  endpoints_init (&endpoints, NULL, NULL);
+  for (size_t i = 0; i < sizeof members / sizeof members[0]; i++)
+    {
+      struct endpoint_report report = { .service = "app",
+                                        .port = 1,
+                                        .epoch = members[i].epoch,
+                                        .rank = members[i].rank,
+                                        .has_cold = true,
+                                        .cold_ms = members[i].cold_ms };
+
+      snprintf (report.group, sizeof report.group, "%s", members[i].group);
+      endpoints_report (&endpoints, members[i].id, &report, 1, 1000);
+    }
+  assert_true (endpoints_spread_cold (&endpoints, 1000));
+  for (size_t i = 0; i < sizeof members / sizeof members[0]; i++)
+    {
+      int64_t until_ms
+          = endpoints_find (&endpoints, members[i].id)->cold_until_ms;
+
+      if (until_ms
+          != (members[i].spread_ms > 0 ? 1000 + members[i].spread_ms : 0))
+        fail_msg ("%s: %d", members[i].id, (int)until_ms);
+    }
+  assert_false (endpoints_spread_cold (&endpoints, 1900));
+  endpoints_finish (&endpoints);
+}
+
 int
 main (void)
 {
@@ -416,6 +464,7 @@
     cmocka_unit_test (test_repeatable_kinds),
     cmocka_unit_test (test_targets_by_weight),
     cmocka_unit_test (test_endpoint_ids),
+    cmocka_unit_test (test_cold_groups),
     cmocka_unit_test (test_leaving_is_kept),
     cmocka_unit_test (test_endpoint_deletions),
     cmocka_unit_test (test_deletions_after_outage),
--- a/packages/edge/include/edge-settings.h
+++ b/packages/edge/include/edge-settings.h
@@ -31,6 +31,8 @@
   int64_t retry_slack;
   int64_t retry_window_s;
   int64_t evacuation_complete_ms; /* 0 = evacuations are not followed */
+  double cold_over;
+  double cold_slack;
 };
 
 /*
--- a/packages/edge/include/edge.h
+++ b/packages/edge/include/edge.h
@@ -1,6 +1,7 @@
 #ifndef EDGE_EDGE_H
 #define EDGE_EDGE_H
 
+#include "cold-sync.h"
 #include "config-distribution.h"
 #include "counter.h"
 #include "edge-settings.h"
@@ -58,6 +59,7 @@
   struct strike_sync strike_sync;
   struct strike_record strike_record;
   struct evacuation_sync evacuation_sync;
+  struct cold_sync cold_sync;
   struct config_distribution distribution;
   unsigned max_hosts_seen; /* most entry hosts known at the same time */
   /* Reads the platform, also for hosts that poll this one. */
@@ -90,6 +92,12 @@
 /* True if the platform may send new connections to this host. */
 bool edge_is_ready (const struct edge *edge);
 
+/*
+ * Hosts that may send requests, as far as this one can tell: lost ones may be
+ * cut off and still serve, so the number does not fall.
+ */
+unsigned edge_count_possible_hosts (const struct edge *edge);
+
 /* True if this host has a list of endpoints, from the platform or its hub. */
 bool edge_knows_endpoints (const struct edge *edge);
 
--- a/packages/edge/include/gossip.h
+++ b/packages/edge/include/gossip.h
@@ -26,6 +26,7 @@
 #define GOSSIP_PATCH_BYTES 1024
 #define GOSSIP_ROUTED_LIMIT 120
 #define GOSSIP_STRIKE_LIMIT 18
+#define GOSSIP_COLD_LIMIT 90
 /* An age that has no value, or does not fit. */
 #define GOSSIP_NEVER_MS UINT32_MAX
 
@@ -52,6 +53,8 @@
    * followed; hosts of earlier versions drop it.
    */
   GOSSIP_EVACUATIONS,
+  /* Routed endpoints that are cold, see cold-sync.h; dropped likewise. */
+  GOSSIP_COLD,
   GOSSIP_KINDS, /* no message */
 };
 
@@ -167,6 +170,16 @@
   uint64_t list[EVACUATIONS_LIMIT]; /* hash_string of the names */
 };
 
+struct gossip_cold
+{
+  uint32_t count;
+  struct
+  {
+    uint64_t endpoint; /* hash_string of its id */
+    uint32_t left_ms;  /* when the message was sent */
+  } list[GOSSIP_COLD_LIMIT];
+};
+
 struct gossip_report
 {
   char endpoint[CATALOG_NAME_SIZE];
@@ -192,6 +205,7 @@
     struct gossip_routed routed;
     struct gossip_strikes strikes;
     struct gossip_evacuations evacuations;
+    struct gossip_cold cold;
   } body;
 };
 
--- a/packages/edge/src/edge.c
+++ b/packages/edge/src/edge.c
@@ -21,6 +21,10 @@
 /* Share of the retry ratio that is used: windows differ between hosts. */
 #define RETRY_RATIO_SHARE 0.8
 #define MAX_COUNTERS 2000
+/* Hosts that are assumed to exist while a host knows no other one. */
+#define INITIAL_HOST_COUNT 400
+/* A new host knows the hosts of the other data centres after this time. */
+#define HOSTS_SETTLED_MS 5000
 /* Interval of status lines. */
 #define STATUS_INTERVAL_MS 10000
 
@@ -39,6 +43,29 @@
          && evacuation_sync_is_ready (&edge->evacuation_sync);
 }
 
+unsigned
+edge_count_possible_hosts (const struct edge *edge)
+{
+  const struct mesh *mesh = &edge->mesh;
+  unsigned known = HASH_COUNT (mesh->hosts) + 1;
+  unsigned count = mesh_known_hosts (mesh);
+  unsigned estimate = mesh_count_local_hosts (mesh)
+                      * (unsigned)edge->settings.data_centres.count;
+
+  /* One that knows no other may be cut off, unless the store has no other. */
+  if (known == 1 && !mesh->follower.has_full_list)
+    return INITIAL_HOST_COUNT;
+  if (known > count)
+    count = known;
+  if (edge->max_hosts_seen > count)
+    count = edge->max_hosts_seen;
+  /* A new host may have heard only of those in its own data centre. */
+  if (known > 1 && estimate > count
+      && edge->now_ms - mesh->started_ms < HOSTS_SETTLED_MS)
+    count = estimate;
+  return count;
+}
+
 /* Sets this host's share of the fleet's retry slack, and logs changes. */
 static void
 update_retry_slack (struct edge *edge)
@@ -149,6 +176,9 @@
   update_retry_slack (edge);
   edge_follow_tick (edge);
   evacuation_sync_tick (&edge->evacuation_sync, edge->now_ms);
+  edge->endpoints.tracks_cold = edge->relay.catalog != NULL
+                                && catalog_has_cold_times (edge->relay.catalog);
+  cold_sync_tick (&edge->cold_sync, edge->reads_platform, edge->now_ms);
   endpoints_tick (&edge->endpoints, edge->now_ms);
   relay_tick (&edge->relay, edge->now_ms);
   leader_tick (&edge->leader, edge->relay.catalog, edge->mesh.has_traffic,
--- a/packages/edge/src/follow.c
+++ b/packages/edge/src/follow.c
@@ -185,6 +185,12 @@
       return;
     }
   log_entry (record->name, &report, record->revision);
+  /* Other hosts learn first that it is cold, then that it serves. */
+  if (report.cold_ms > 0)
+    {
+      cold_sync_note (&edge->cold_sync);
+      cold_sync_tick (&edge->cold_sync, edge->reads_platform, edge->now_ms);
+    }
   announce_entry (edge, record->name, &report);
 }
 
--- a/packages/edge/src/gossip.c
+++ b/packages/edge/src/gossip.c
@@ -193,12 +193,32 @@
   return true;
 }
 
+/*
+ * The cold time stands at the end of a report, only if there is one, so that
+ * all others are as before.
+ */
+static bool
+code_cold_time (XDR *xdr, struct endpoint_report *report)
+{
+  uint32_t cold_ms = (uint32_t)report->cold_ms;
+
+  if (xdr->x_op == XDR_ENCODE ? report->cold_ms == 0 : xdr->x_handy == 0)
+    return true;
+  if (!xdr_uint32_t (xdr, &cold_ms) || cold_ms == 0)
+    return false;
+  report->has_cold = true;
+  report->cold_ms = cold_ms;
+  return true;
+}
+
 static bool
 code_report (XDR *xdr, struct gossip_report *report, bool has_report)
 {
   return code_text (xdr, report->endpoint, sizeof report->endpoint)
          && xdr_uint64_t (xdr, &report->revision)
-         && (!has_report || code_endpoint (xdr, &report->report));
+         && (!has_report
+             || (code_endpoint (xdr, &report->report)
+                 && code_cold_time (xdr, &report->report)));
 }
 
 static bool
@@ -270,6 +290,18 @@
   return true;
 }
 
+static bool
+code_cold (XDR *xdr, struct gossip_cold *cold)
+{
+  if (!code_count (xdr, &cold->count, GOSSIP_COLD_LIMIT))
+    return false;
+  for (unsigned i = 0; i < cold->count; i++)
+    if (!xdr_uint64_t (xdr, &cold->list[i].endpoint)
+        || !xdr_uint32_t (xdr, &cold->list[i].left_ms))
+      return false;
+  return true;
+}
+
 static bool
 code_body (XDR *xdr, struct gossip_message *message)
 {
@@ -299,6 +331,8 @@
       return code_strikes (xdr, &message->body.strikes);
     case GOSSIP_EVACUATIONS:
       return code_evacuations (xdr, &message->body.evacuations);
+    case GOSSIP_COLD:
+      return code_cold (xdr, &message->body.cold);
     case GOSSIP_KINDS:
       break;
     }
--- a/packages/edge/src/hub-sync.c
+++ b/packages/edge/src/hub-sync.c
@@ -87,6 +87,10 @@
   memcpy (report->endpoint, endpoint->id, sizeof report->endpoint);
   report->revision = endpoint->revision;
   report->report = endpoint->report;
+  report->report.cold_ms
+      = sync->endpoints->tracks_cold && endpoint->cold_until_ms > sync->now_ms
+            ? endpoint->cold_until_ms - sync->now_ms
+            : 0;
   mesh_send (sync->mesh, to, message);
 }
 
--- a/packages/edge/src/mesh.c
+++ b/packages/edge/src/mesh.c
@@ -248,6 +248,7 @@
     case GOSSIP_ROUTED_RESPONSE:
     case GOSSIP_STRIKES:
     case GOSSIP_EVACUATIONS:
+    case GOSSIP_COLD:
       mesh->hooks.message (mesh->hooks.context, host, message);
       break;
     case GOSSIP_KINDS:
--- a/packages/edge/src/peers.c
+++ b/packages/edge/src/peers.c
@@ -78,6 +78,9 @@
   else if (message->kind == GOSSIP_EVACUATIONS)
     evacuation_sync_handle_message (
         &edge->evacuation_sync, &message->body.evacuations, edge->mesh.now_ms);
+  else if (message->kind == GOSSIP_COLD)
+    cold_sync_handle_message (&edge->cold_sync, &message->body.cold,
+                              edge->mesh.now_ms);
   else if (message->kind == GOSSIP_STRIKES)
     strike_sync_handle_message (&edge->strike_sync, from,
                                 &message->body.strikes, edge->mesh.now_ms);
@@ -183,6 +186,9 @@
   evacuation_sync_init (&edge->evacuation_sync, &edge->mesh, &edge->records,
                         &edge->settings.data_centres,
                         settings->evacuation_complete_ms);
+  cold_sync_init (&edge->cold_sync, &edge->mesh, &edge->endpoints);
+  edge->relay.loads.cold_bound
+      = (struct cold_bound){ settings->cold_over, settings->cold_slack, 0 };
   edge->relay.loads.evacuations = &edge->evacuation_sync.table;
   edge->leader.evacuations = &edge->evacuation_sync.table;
   return RESULT_OK;
@@ -256,6 +262,7 @@
                     edge->leader.lease.version);
   edge->relay.loads.fleet.report_age_ms = mesh_load_age_ms (&edge->mesh);
   edge->relay.loads.fleet.known_hosts = mesh_known_hosts (&edge->mesh);
+  edge->relay.loads.cold_bound.hosts = edge_count_possible_hosts (edge);
   mesh_tick (&edge->mesh, edge->relay.has_received_request, collect_loads, edge,
              edge->now_ms);
   strike_sync_tick (&edge->strike_sync, edge->now_ms);
--- a/packages/edge/tests/t0960-gossip.c
+++ b/packages/edge/tests/t0960-gossip.c
@@ -95,6 +95,14 @@
       for (unsigned i = 0; i < EVACUATIONS_LIMIT; i++)
         message.body.evacuations.list[i] = i;
       break;
+    case GOSSIP_COLD:
+      message.body.cold.count = GOSSIP_COLD_LIMIT;
+      for (unsigned i = 0; i < GOSSIP_COLD_LIMIT; i++)
+        {
+          message.body.cold.list[i].endpoint = i;
+          message.body.cold.list[i].left_ms = 3000;
+        }
+      break;
     case GOSSIP_KINDS:
       fail ();
       break;
--- a/packages/edge/tests/t0962-edge-settings.c
+++ b/packages/edge/tests/t0962-edge-settings.c
@@ -37,6 +37,8 @@
   { "endpoints: {leave_ms: 0}\n", RESULT_SETTINGS_OUT_OF_RANGE },
   { "evacuation: {complete_ms: 5000}\n", RESULT_OK },
   { "evacuation: {complete_ms: -1}\n", RESULT_SETTINGS_OUT_OF_RANGE },
+  { "cold: {over: 1.5, slack: 5}\n", RESULT_OK },
+  { "cold: {over: 0}\n", RESULT_SETTINGS_OUT_OF_RANGE },
   { "colour: red\n", RESULT_SETTINGS_UNKNOWN_KEY },
   { "host: again\n", RESULT_SETTINGS_DUPLICATE_KEY },
 };
--- a/packages/relay/src/upstream.c
+++ b/packages/relay/src/upstream.c
@@ -411,7 +411,6 @@
                      && upstream->load->endpoint != NULL
                      && !upstream->load->endpoint->report.leaving
                      && !balance_is_leaving (upstream->load)
-                     && !relay_is_evacuated (relay, upstream->load)
                      && upstream->idle_timeout_ms > 0;
 
   if (!is_reusable)
