--- a/packages/edge/include/evacuation-sync.h
+++ b/packages/edge/include/evacuation-sync.h
@@ -29,8 +29,10 @@
   struct follower follower;
   struct evacuation_set read;   /* by the follower, as of its revision */
   struct evacuation_set listed; /* by the list that is being read */
-  bool reads;                   /* this host reads them itself */
-  uint64_t sent_changes;        /* table.changes when it was last sent */
+  /* The last list had entries without a readable name; it is read again. */
+  bool is_list_partial;
+  bool reads;            /* this host reads them itself */
+  uint64_t sent_changes; /* table.changes when it was last sent */
   int64_t next_send_ms;
 };
 
--- a/packages/edge/src/evacuation-sync.c
+++ b/packages/edge/src/evacuation-sync.c
@@ -11,6 +11,8 @@
 /* Shortest wait of a watch, and interval of messages. */
 #define MIN_WAIT_MS 200
 #define MIN_SEND_INTERVAL_MS 50
+/* Interval of lists while some entry has no readable name. */
+#define RELIST_INTERVAL_MS 10000
 /* A newly started host waits this long for the message of a reader. */
 #define READER_WAIT_AT_START_MS 1000
 /* Data centres that the deployment does not name and that are taken over. */
@@ -110,7 +112,8 @@
   struct evacuation_set known;
 
   /* The entries without a readable name may be those that are not listed. */
-  if (sync->follower.list_skipped > 0)
+  sync->is_list_partial = sync->follower.list_skipped > 0;
+  if (sync->is_list_partial)
     {
       evacuations_get_set (&sync->table, &known);
       for (unsigned i = 0; i < known.count; i++)
@@ -277,6 +280,9 @@
   if (reads && !sync->reads)
     resume_from_table (sync);
   sync->reads = reads;
+  if (reads && sync->is_list_partial && follower->state == FOLLOWER_WATCHING
+      && now_ms - follower->list_sent_ms >= RELIST_INTERVAL_MS)
+    follower_relist (&sync->follower);
   if (reads)
     follower_tick (&sync->follower, now_ms);
   if (follower->state == FOLLOWER_WATCHING)
