soak: evacuate data centres, and crash cold endpoints that get too much

relay: an endpoint that refuses a connection is down, so its next process counts as cold; a host without the store would not hear of it (t0858).

edge: status lines and metrics name the evacuated data centres, since when, the requests that still run there, and the number of cold endpoints. A request that a cold endpoint's limit keeps away is counted and logged.

--- a/packages/balance/include/balance.h
+++ b/packages/balance/include/balance.h
@@ -53,6 +53,7 @@
   struct request_limit request_limit;
   struct cold_limit cold_limit;
   int64_t limit_logged_ms; /* when a request was last logged as over it */
+  int64_t cold_logged_ms;  /* the same for the limit of a cold endpoint */
   uint64_t passed_over;    /* choice in which its limit excluded it */
   unsigned references;     /* connections and requests that point here */
   UT_hash_handle hh;
@@ -149,6 +150,8 @@
   double expected_ms; /* to the first event; 0 if endpoints serve alone */
   /* The last endpoint that its request limit excluded; NULL = none. */
   struct endpoint_load *at_limit;
+  /* The last cold endpoint at which no request was due; NULL = none. */
+  struct endpoint_load *cold;
   /*
    * Set with BALANCE_NONE if endpoints back off: the time until the first
    * endpoint accepts requests again, ms.  0 otherwise.
--- a/packages/balance/src/choose.c
+++ b/packages/balance/src/choose.c
@@ -408,10 +408,13 @@
                                now_ms, &expected_ms, &cost)
                 : score_standalone (loads, request, load, is_cold_endpoint,
                                     now_ms, &cost);
-      has_capacity
-          = has_capacity && load->passed_over != loads->choices
-            && (!is_cold_endpoint
-                || balance_is_cold_due (loads, request->service, load, now_ms));
+      has_capacity = has_capacity && load->passed_over != loads->choices;
+      if (has_capacity && is_cold_endpoint
+          && !balance_is_cold_due (loads, request->service, load, now_ms))
+        {
+          has_capacity = false;
+          choice->cold = load;
+        }
       if (!has_capacity)
         {
           if (verdict == BALANCE_NONE)
--- a/packages/edge/include/edge.h
+++ b/packages/edge/include/edge.h
@@ -98,6 +98,12 @@
  */
 unsigned edge_count_possible_hosts (const struct edge *edge);
 
+/* Requests of this host at endpoints of an evacuated data centre. */
+unsigned edge_count_running (const struct edge *edge, uint64_t data_centre);
+
+/* Endpoints that are cold, as far as this host knows. */
+unsigned edge_count_cold (const struct edge *edge);
+
 /* True if this host has a list of endpoints, from the platform or its hub. */
 bool edge_knows_endpoints (const struct edge *edge);
 
--- a/packages/edge/include/evacuation-sync.h
+++ b/packages/edge/include/evacuation-sync.h
@@ -51,6 +51,12 @@
 /* Another host has started; it gets the evacuations soon. */
 void evacuation_sync_host_started (struct evacuation_sync *sync);
 
+/* Writes the name of a data centre, or its hash if the name is not known. */
+#define EVACUATION_NAME_SIZE 64
+void evacuation_sync_format_name (const struct evacuation_sync *sync,
+                                  uint64_t data_centre,
+                                  char name[EVACUATION_NAME_SIZE]);
+
 /* True if the evacuations are known, or not followed. */
 bool evacuation_sync_is_ready (const struct evacuation_sync *sync);
 
--- a/packages/edge/src/edge.c
+++ b/packages/edge/src/edge.c
@@ -127,6 +127,54 @@
   return edge_knows_endpoints (edge) ? "routed" : "none";
 }
 
+unsigned
+edge_count_running (const struct edge *edge, uint64_t data_centre)
+{
+  unsigned running = 0;
+
+  for (const struct endpoint_load *load = edge->relay.loads.table; load != NULL;
+       load = load->hh.next)
+    if (load->endpoint != NULL
+        && hash_string (load->endpoint->report.data_centre, 0) == data_centre)
+      running += load->running;
+  return running;
+}
+
+unsigned
+edge_count_cold (const struct edge *edge)
+{
+  unsigned count = 0;
+
+  for (const struct endpoint *endpoint = edge->endpoints.table;
+       endpoint != NULL; endpoint = endpoint->hh.next)
+    if (endpoint->cold_until_ms > edge->now_ms)
+      count++;
+  return count;
+}
+
+/* One line for each data centre that is evacuated. */
+static void
+log_evacuations (const struct edge *edge)
+{
+  const struct evacuation_sync *sync = &edge->evacuation_sync;
+
+  for (unsigned i = 0; i < sync->table.count; i++)
+    {
+      const struct evacuation *entry = &sync->table.list[i];
+      char name[EVACUATION_NAME_SIZE];
+
+      if (entry->ended_ms != 0)
+        continue;
+      evacuation_sync_format_name (sync, entry->data_centre, name);
+      LOG_EVENT (
+          LOG_LEVEL_INFO, "status-evacuation", LOG_STR ("data_centre", name),
+          LOG_INT ("since_ms", edge->now_ms - entry->since_ms),
+          LOG_STR ("stored", entry->is_stored ? "yes" : "no"),
+          LOG_U64 ("running", edge_count_running (edge, entry->data_centre)),
+          LOG_INT ("age_ms", edge->now_ms - sync->table.current_at_ms));
+    }
+}
+
 /* Logs the state at intervals, so that the log alone shows it over time. */
 static void
 log_status (struct edge *edge)
@@ -134,25 +182,29 @@
   if (edge->now_ms < edge->next_status_ms)
     return;
   edge->next_status_ms = edge->now_ms + STATUS_INTERVAL_MS;
-  LOG_EVENT (LOG_LEVEL_INFO, "status",
-             LOG_STR ("reads_platform", edge->reads_platform ? "yes" : "no"),
-             LOG_STR ("lease", edge->leader.acting ? "held" : "not-held"),
-             LOG_INT ("configuration", relay_catalog_version (&edge->relay)),
-             LOG_U64 ("endpoints", HASH_COUNT (edge->endpoints.table)),
-             LOG_STR ("knows", get_known_endpoints (edge)),
-             LOG_INT ("endpoints_age_ms",
-                      edge->now_ms - edge_endpoints_current_at_ms (edge)),
-             LOG_U64 ("endpoints_revision", edge->entries.revision),
-             LOG_U64 ("live_hosts", edge->mesh.live_hosts),
-             LOG_U64 ("in_flight", relay_in_flight (&edge->relay)),
-             LOG_U64 ("callers", edge->relay.caller_count),
-             LOG_U64 ("configuration_calls",
-                      edge->records.calls[RECORDS_CONFIGURATION]),
-             LOG_U64 ("endpoint_calls", edge->records.calls[RECORDS_ENDPOINTS]),
-             LOG_U64 ("lease_calls", edge->records.calls[RECORDS_LEASES]),
-             LOG_U64 ("host_calls", edge->records.calls[RECORDS_HOSTS]),
-             LOG_U64 ("strike_calls", edge->records.calls[RECORDS_STRIKES]),
-             LOG_U64 ("platform_failures", edge->records.failures));
+  log_evacuations (edge);
+  LOG_EVENT (
+      LOG_LEVEL_INFO, "status",
+      LOG_STR ("reads_platform", edge->reads_platform ? "yes" : "no"),
+      LOG_STR ("lease", edge->leader.acting ? "held" : "not-held"),
+      LOG_INT ("configuration", relay_catalog_version (&edge->relay)),
+      LOG_U64 ("endpoints", HASH_COUNT (edge->endpoints.table)),
+      LOG_STR ("knows", get_known_endpoints (edge)),
+      LOG_INT ("endpoints_age_ms",
+               edge->now_ms - edge_endpoints_current_at_ms (edge)),
+      LOG_U64 ("endpoints_revision", edge->entries.revision),
+      LOG_U64 ("live_hosts", edge->mesh.live_hosts),
+      LOG_U64 ("in_flight", relay_in_flight (&edge->relay)),
+      LOG_U64 ("callers", edge->relay.caller_count),
+      LOG_U64 ("cold_endpoints", edge_count_cold (edge)),
+      LOG_U64 ("configuration_calls",
+               edge->records.calls[RECORDS_CONFIGURATION]),
+      LOG_U64 ("endpoint_calls", edge->records.calls[RECORDS_ENDPOINTS]),
+      LOG_U64 ("lease_calls", edge->records.calls[RECORDS_LEASES]),
+      LOG_U64 ("host_calls", edge->records.calls[RECORDS_HOSTS]),
+      LOG_U64 ("strike_calls", edge->records.calls[RECORDS_STRIKES]),
+      LOG_U64 ("evacuation_calls", edge->records.calls[RECORDS_EVACUATIONS]),
+      LOG_U64 ("platform_failures", edge->records.failures));
 }
 
 static enum leader_role
--- a/packages/edge/src/evacuation-sync.c
+++ b/packages/edge/src/evacuation-sync.c
@@ -50,6 +50,20 @@
   return NULL;
 }
 
+void
+evacuation_sync_format_name (const struct evacuation_sync *sync,
+                             uint64_t data_centre,
+                             char name[EVACUATION_NAME_SIZE])
+{
+  const char *known = find_name (sync, data_centre);
+
+  if (known != NULL)
+    snprintf (name, EVACUATION_NAME_SIZE, "%.63s", known);
+  else
+    snprintf (name, EVACUATION_NAME_SIZE, "%016llx",
+              (unsigned long long)data_centre);
+}
+
 static unsigned
 count_unknown (const struct evacuation_sync *sync,
                const struct evacuation_set *set)
@@ -157,21 +171,18 @@
   for (unsigned i = 0; i < table->count; i++)
     {
       const struct evacuation *entry = &table->list[i];
-      const char *name = find_name (sync, entry->data_centre);
+      char name[EVACUATION_NAME_SIZE];
       bool was_active = false;
-      char text[24];
 
       for (unsigned j = 0; j < before->count; j++)
         if (before->list[j].data_centre == entry->data_centre)
           was_active = before->list[j].ended_ms == 0;
       if (was_active == (entry->ended_ms == 0))
         continue;
-      snprintf (text, sizeof text, "%016llx",
-                (unsigned long long)entry->data_centre);
+      evacuation_sync_format_name (sync, entry->data_centre, name);
       LOG_EVENT (LOG_LEVEL_NOTICE,
                  was_active ? "evacuation-ended" : "evacuation-begun",
-                 LOG_STR ("data_centre", name != NULL ? name : text),
-                 LOG_STR ("source", source),
+                 LOG_STR ("data_centre", name), LOG_STR ("source", source),
                  LOG_U64 ("revision", table->revision));
     }
 }
--- a/packages/edge/src/readiness.c
+++ b/packages/edge/src/readiness.c
@@ -43,6 +43,36 @@
   counter_put (&edge->counters, count, NULL, (double)histogram->count);
 }
 
+/*
+ * Data centres that are evacuated, or were recently: the time since then, and
+ * the requests that still run there.
+ */
+static void
+put_evacuations (struct edge *edge)
+{
+  const struct evacuation_sync *sync = &edge->evacuation_sync;
+
+  if (sync->complete_ms == 0)
+    return;
+  counter_put (&edge->counters, "waxwing_evacuations_age_ms", NULL,
+               (double)(edge->now_ms - sync->table.current_at_ms));
+  for (unsigned i = 0; i < sync->table.count; i++)
+    {
+      const struct evacuation *entry = &sync->table.list[i];
+      bool is_active = entry->ended_ms == 0;
+      char name[EVACUATION_NAME_SIZE];
+      char label[128];
+
+      evacuation_sync_format_name (sync, entry->data_centre, name);
+      snprintf (label, sizeof label, "data_centre=\"%s\"", name);
+      counter_put (&edge->counters, "waxwing_evacuated", label, is_active);
+      counter_put (&edge->counters, "waxwing_evacuated_ms", label,
+                   is_active ? (double)(edge->now_ms - entry->since_ms) : 0);
+      counter_put (&edge->counters, "waxwing_evacuated_running", label,
+                   edge_count_running (edge, entry->data_centre));
+    }
+}
+
 static void
 on_metrics_request (struct evhttp_request *request, void *context)
 {
@@ -69,6 +99,9 @@
                (double)relay_catalog_version (&edge->relay));
   counter_put (counters, "waxwing_configuration_proof_age_ms", NULL,
                (double)(edge->now_ms - edge->configuration.current_at_ms));
+  counter_put (counters, "waxwing_cold_endpoints", NULL,
+               edge_count_cold (edge));
+  put_evacuations (edge);
   counter_put (counters, "waxwing_lease_held", NULL, edge->leader.acting);
   put_histogram (edge, "waxwing_first_event_ms", &edge->relay.first_event_ms);
   put_histogram (edge, "waxwing_answer_ms", &edge->relay.response_ms);
--- a/packages/edge/tests/t0969-evacuation-sync.c
+++ b/packages/edge/tests/t0969-evacuation-sync.c
@@ -659,7 +659,7 @@
 
         setup (NULL);
         /* At different times of the watches. */
-        run_for (phase * 530);
+        run_for (phase * 530L);
         cause (failures[i].failure);
         order ("dc-1");
         heard_ms = run_until_all ("dc-1", true, HEARD_WITHIN_MS);
--- a/packages/relay/src/attempt.c
+++ b/packages/relay/src/attempt.c
@@ -223,6 +223,8 @@
                             relay->now_ms, choice);
   if (choice->at_limit != NULL)
     log_at_limit (request, choice->at_limit);
+  if (choice->cold != NULL)
+    relay_log_cold (request, choice->cold);
   return verdict;
 }
 
--- a/packages/relay/src/crash.c
+++ b/packages/relay/src/crash.c
@@ -20,6 +20,8 @@
 #define SUSPECT_TIMEOUT_MS 5000
 /* An endpoint is probed when it is suspected, and once more after this. */
 #define PROBE_INTERVAL_MS 200
+/* An endpoint that refused a connection is tried again after this time. */
+#define RETRY_AFTER_REFUSAL_MS 1000
 /* Limit of suspects, about 1 KB each. */
 #define SUSPECT_LIMIT 64
 
@@ -154,9 +156,26 @@
     }
 }
 
+/* Whoever comes up at the address has just started, so it is cold. */
+static void
+note_cold_after_refusal (struct relay *relay, const struct endpoint_load *load)
+{
+  const struct catalog_service *service;
+
+  if (load->endpoint == NULL || relay->catalog == NULL)
+    return;
+  service
+      = catalog_find_service (relay->catalog, load->endpoint->report.service);
+  if (service != NULL && service->cold_ms > 0)
+    endpoint_note_cold (load->endpoint,
+                        service->cold_ms + RETRY_AFTER_REFUSAL_MS,
+                        relay->now_ms);
+}
+
 void
 relay_note_refused (struct relay *relay, const struct endpoint_load *load)
 {
+  note_cold_after_refusal (relay, load);
   confirm_crash (relay, load, get_incarnation (load));
 }
 
--- a/packages/relay/src/relay-internal.h
+++ b/packages/relay/src/relay-internal.h
@@ -93,6 +93,11 @@
  */
 void relay_enforce_evacuations (struct relay *relay);
 
+/* cold.c */
+/* Counts and logs that the limit of a cold endpoint kept a request away. */
+void relay_log_cold (const struct relay_request *request,
+                     struct endpoint_load *load);
+
 /* upstream.c */
 /*
  * Attaches the request to an idle connection of the endpoint, or to a new one;
--- a/soak/host.c
+++ b/soak/host.c
@@ -23,7 +23,8 @@
                      const char *const *data_centres,
                      unsigned data_centre_count,
                      const char *seeds,
-                     unsigned retry_slack)
+                     unsigned retry_slack,
+                     int evacuation_ms)
 {
   FILE *file = fopen (host->settings_path, "we");
 
@@ -48,6 +49,8 @@
            host->address, HOST_PEERS_PORT, seeds, host->store_proxy.port,
            HOST_GRACE_MS / 1000, HOST_RETRY_RATIO, retry_slack,
            HOST_RETRY_WINDOW_MS / 1000);
+  if (evacuation_ms > 0)
+    fprintf (file, "evacuation:\n  complete_ms: %d\n", evacuation_ms);
   return fclose (file) == 0;
 }
 
--- a/soak/host.h
+++ b/soak/host.h
@@ -72,7 +72,8 @@
                           const char *const *data_centres,
                           unsigned data_centre_count,
                           const char *seeds,
-                          unsigned retry_slack);
+                          unsigned retry_slack,
+                          int evacuation_ms); /* 0 = not followed */
 bool host_start (struct host *host);
 void host_tick (struct host *host, int64_t now_ms);
 
--- a/soak/ledger.c
+++ b/soak/ledger.c
@@ -18,6 +18,8 @@
 #define LIMIT_END_MS 2000
 /* An endpoint gets no new requests from this long after its drain signal on. */
 #define DRAIN_LIMIT_MS 2000
+/* A host whose path to the store has worked for this long is in touch. */
+#define IN_TOUCH_MS 4000
 /* No request arrives at an endpoint later than this after its attempt ended. */
 #define ABANDONED_RUN_LIMIT_MS 500
 /* The deadline passed to an endpoint may exceed the remaining time by this. */
@@ -325,6 +327,43 @@
                              endpoint->id, limit->per_10_s, count);
 }
 
+/* Checks that nothing reaches a data centre that is evacuated. */
+static void
+check_evacuation (struct ledger *ledger,
+                  const struct ledger_attempt *attempt,
+                  const struct standin_endpoint *endpoint)
+{
+  const struct operator* operator= ledger->operator;
+  int64_t age_ms = ledger->now_ms - operator->evacuated_ms;
+
+  if (operator->evacuated == NULL || strcmp (operator->evacuated,
+                                             endpoint->data_centre)
+          != 0
+      || age_ms <= EVACUATION_LIMIT_MS
+                       + get_standstill_ms (ledger, operator->evacuated_ms))
+    return;
+  /* The host is in touch: no fault for 4 s, of which HOST_STABLE_MS before. */
+  if (!endpoint_is_undisturbed (ledger, endpoint)
+      || !ledger_was_undisturbed (
+          ledger, attempt->host, ledger->now_ms - IN_TOUCH_MS + HOST_STABLE_MS))
+    return;
+  ledger_report_violation (ledger, "EVAC",
+                           "%s of %s got %s from %s %lld ms after the order",
+                           endpoint->id, endpoint->data_centre, attempt->id,
+                           attempt->host->name, (long long)age_ms);
+}
+
+static void
+on_cold_overload (void *context,
+                  const struct standin_endpoint *endpoint,
+                  unsigned requests)
+{
+  ledger_report_violation (context, "FAILBACK",
+                           "%s is cold and got %u requests in a second, bound "
+                           "%d",
+                           endpoint->id, requests, COLD_BOUND);
+}
+
 static struct ledger_budget *
 get_budget (struct ledger *ledger, const struct ledger_attempt *attempt)
 {
@@ -413,6 +452,7 @@
         (long long)(attempt->sent_ms - endpoint->leaving_reported_ms));
   check_drain_signals (ledger, attempt, endpoint);
   check_request_limit (ledger, attempt, endpoint);
+  check_evacuation (ledger, attempt, endpoint);
   check_budget (ledger, attempt);
   if (attempt->outcome != LEDGER_OPEN
       && ledger->now_ms - attempt->ended_ms
@@ -601,6 +641,7 @@
   .on_run_aborted = on_run_aborted,
   .on_drain_signalled = record_drain_signal,
   .on_limit_stated = record_limit,
+  .on_cold_overload = on_cold_overload,
   .on_order_executed = on_order_executed,
   .on_member_taken = on_member_taken,
 };
--- a/soak/operator.c
+++ b/soak/operator.c
@@ -8,6 +8,7 @@
 
 #define ROUTE_LIMIT 8
 #define EXTRA_ROUTE_LIMIT 3
+#define EVACUATION_KIND "evacuations"
 
 struct catalog_service operator_models = {
   .name = MODEL_SERVICE,
@@ -105,6 +106,11 @@
   catalog->services[1] = (struct catalog_service){ .name = PLAIN_SERVICE };
   catalog->services[2] = (struct catalog_service){ .name = OTHER_SERVICE };
   catalog->service_count = 3;
+  for (unsigned i = 0; operator->has_cold_times && i<3; i++)
+    {
+      catalog->services[i].cold_ms = COLD_MS;
+      catalog->services[i].cold_requests_per_s = COLD_PER_S;
+    }
   add_route (catalog, "/resumed/", CATALOG_STREAM, MODEL_SERVICE);
   catalog->routes[0].resumable = true;
   add_route (catalog, "/stream/", CATALOG_STREAM, MODEL_SERVICE);
@@ -147,6 +153,8 @@
   struct operator_version *version
       = &operator->versions[operator->version_count];
 
+  if (operator->evacuated != NULL && now_ms >= operator->withdraw_ms)
+    operator_end_evacuation (operator);
   if (!operator->write_pending ||
        operator->version_count == OPERATOR_VERSION_LIMIT ||
        operator->store->faults.silent ||
@@ -163,6 +171,9 @@
 {
   unsigned count = operator->version_count;
 
+  if (operator->evacuated != NULL)
+    standin_store_put (operator->store, EVACUATION_KIND, operator->evacuated,
+                       json_object ());
   if (count == 0)
     return;
   standin_store_put (
@@ -170,6 +181,29 @@
       standin_encode_configuration (operator->versions[count - 1].catalog));
 }
 
+void
+operator_evacuate (struct operator* operator,
+                   const char * data_centre,
+                   int64_t now_ms,
+                   int64_t until_ms)
+{
+  if (operator->evacuated != NULL)
+    return;
+  operator->evacuated = data_centre;
+  operator->evacuated_ms = now_ms;
+  operator->withdraw_ms = until_ms;
+  standin_store_put (operator->store, EVACUATION_KIND, data_centre,
+                     json_object ());
+}
+
+void operator_end_evacuation (struct operator* operator)
+{
+  if (operator->evacuated == NULL)
+    return;
+  standin_store_delete (operator->store, EVACUATION_KIND, operator->evacuated);
+  operator->evacuated = NULL;
+}
+
 void operator_move_route (struct operator* operator)
 {
   operator->route_moved = !operator->route_moved;
--- a/soak/operator.h
+++ b/soak/operator.h
@@ -58,6 +58,7 @@
 struct operator
 {
   struct standin_store *store;
+  bool has_cold_times; /* in all versions */
   struct rng rng;
   struct operator_version versions[OPERATOR_VERSION_LIMIT];
   unsigned version_count;
@@ -66,8 +67,20 @@
   bool route_moved;           /* "/moved/" goes to OTHER_SERVICE */
   unsigned extra_route_count; /* number of additional routes */
   bool write_pending;         /* a change is not written yet */
+  /* The data centre that is evacuated; NULL = none. */
+  const char *evacuated;
+  int64_t evacuated_ms; /* when the store accepted that */
+  int64_t withdraw_ms;  /* when it ends */
 };
 
+/* Nothing reaches an evacuated data centre this long after the order. */
+#define EVACUATION_LIMIT_MS 5000
+/* Cold times of all services, and what may reach a cold endpoint in a second.
+ */
+#define COLD_MS 3000
+#define COLD_PER_S 10
+#define COLD_BOUND (COLD_PER_S * 3 / 2 + 5)
+
 void operator_init (struct operator* operator,
                     struct standin_store * store,
                     uint64_t seed);
@@ -87,6 +100,13 @@
 void
 operator_format_key (char *text, size_t size, unsigned customer, unsigned key);
 
+/* Evacuates a data centre until then, unless one is evacuated. */
+void operator_evacuate (struct operator* operator,
+                        const char * data_centre,
+                        int64_t now_ms,
+                        int64_t until_ms);
+void operator_end_evacuation (struct operator* operator);
+
 /* What operator_allows checks of a request. */
 struct operator_request
 {
--- a/soak/schedule.c
+++ b/soak/schedule.c
@@ -36,6 +36,8 @@
   void (*start) (struct schedule *schedule, struct fault *fault);
   /* Called on every tick of the fault; NULL = nothing to do. */
   void (*apply) (struct schedule *schedule, struct fault *fault);
+  /* Only drawn if it is listed: it needs settings that other runs lack. */
+  bool is_on_demand;
 };
 
 /* Faults of the store, seen by all hosts. */
@@ -322,6 +324,33 @@
         = (unsigned)fault->strength;
 }
 
+/* The operator evacuates a data centre for the duration of the fault. */
+static void
+evacuate_data_centre (struct schedule *schedule, struct fault *fault)
+{
+  struct world *world = schedule->world;
+  const char *data_centre = world_data_centres[rng_below (
+      &schedule->rng, world->options.shape->data_centres)];
+
+  if (!world->options.has_evacuations)
+    return;
+  world_log_event (world, "%s is evacuated", data_centre);
+  operator_evacuate (&world->operator, data_centre, world->now_ms,
+                     fault->until_ms);
+}
+
+/* Endpoints become cold again; the strength is their percentage. */
+static void
+cool_endpoints (struct schedule *schedule, struct fault *fault)
+{
+  struct world *world = schedule->world;
+
+  for (unsigned i = 0; i < world->endpoint_count; i++)
+    if (!world->endpoints[i].replaced
+        && rng_below (&schedule->rng, 100) < (uint64_t)fault->strength)
+      standin_make_cold (world->endpoints[i].standin);
+}
+
 /* Faults of the lease holder of a data centre, and of many at once. */
 
 /* The host that the store names as holder; NULL if there is none. */
@@ -485,6 +514,8 @@
   { "all-orders-late", TARGET_CROWD, 6, 1000, 4000, 80, 100, NULL, delay_orders },
   { "store-restored", TARGET_CROWD, 6, 2000, 9000, 0, 0, copy_store, restore_store },
   { "limits-stated", TARGET_CROWD, 6, 5000, 12000, 2, 60, NULL, limit_endpoints },
+  { "evacuation", TARGET_CROWD, 6, 7000, 12000, 0, 0, evacuate_data_centre, NULL, true },
+  { "endpoints-cold", TARGET_CROWD, 6, 0, 0, 10, 60, cool_endpoints, NULL, true },
   { "route-moves", TARGET_NONE, 5, 0, 0, 0, 0, move_route, NULL },
   { "routes-change", TARGET_NONE, 3, 0, 0, 0, 0, change_extra_routes, NULL },
   { "key-taken", TARGET_NONE, 8, 0, 0, 0, 0, revoke_key, NULL },
@@ -539,6 +570,12 @@
   return false;
 }
 
+bool
+schedule_lists_kind (const char *list, const char *name)
+{
+  return is_listed (list, name);
+}
+
 bool
 schedule_are_kinds (const char *list)
 {
@@ -559,8 +596,9 @@
 {
   bool is_drawn = schedule->only_kinds != NULL
                       ? is_listed (schedule->only_kinds, kind->name)
-                      : kind->target != TARGET_CROWD
-                            || schedule->world->options.shape->has_crowds;
+                      : !kind->is_on_demand
+                            && (kind->target != TARGET_CROWD
+                                || schedule->world->options.shape->has_crowds);
 
   return is_drawn ? kind->weight : 0;
 }
@@ -728,4 +766,5 @@
     schedule->faults[i].until_ms = schedule->world->now_ms;
   schedule_tick (schedule);
   operator_restore_keys (&schedule->world->operator);
+  operator_end_evacuation (&schedule->world->operator);
 }
--- a/soak/schedule.h
+++ b/soak/schedule.h
@@ -46,6 +46,9 @@
 /* True if all names of a comma-separated list are kinds of faults. */
 bool schedule_are_kinds (const char *list);
 
+/* True if the comma-separated list names the kind. */
+bool schedule_lists_kind (const char *list, const char *name);
+
 /* Prints the names of all kinds of faults, one per line. */
 void schedule_print_kinds (void);
 
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -294,6 +294,12 @@
               .callers = callers->count > 0 ? (unsigned)callers->ival[0]
                                             : chosen_shape->callers,
               .retry_slack = (unsigned)retry_slack->ival[0],
+              .has_evacuations
+              = only->count > 0
+                && schedule_lists_kind (only->sval[0], "evacuation"),
+              .has_cold_times
+              = only->count > 0
+                && schedule_lists_kind (only->sval[0], "endpoints-cold"),
               .seed = (uint64_t)(seed->ival[0] + i) };
 
       snprintf (directory, sizeof directory, "%s/soak-%llu-%d",
--- a/soak/world.c
+++ b/soak/world.c
@@ -189,9 +189,10 @@
             world->options.directory, host->name);
   format_seeds (world, seeds, sizeof seeds);
   return proxy_open (&host->store_proxy, world->base, world->store.server.port)
-         && host_write_settings (host, world_data_centres,
-                                 world->options.shape->data_centres, seeds,
-                                 world->options.retry_slack);
+         && host_write_settings (
+             host, world_data_centres, world->options.shape->data_centres,
+             seeds, world->options.retry_slack,
+             world->options.has_evacuations ? EVACUATION_LIMIT_MS : 0);
 }
 
 static bool
@@ -226,6 +227,7 @@
     return false;
   operator_scale_models (&shape->scale);
   operator_init (&world->operator, & world->store, rng_next (&world->rng));
+  world->operator.has_cold_times = options->has_cold_times;
   ledger_init (&world->ledger, &world->operator);
   world->ledger.retry_slack = options->retry_slack;
   world->ledger.started_ms = world->started_ms;
@@ -236,6 +238,8 @@
                       rng_next (&world->rng));
   world->fleet.model_service = &operator_models;
   world->fleet.report_lag_ms = REPORT_LAG_MS;
+  world->fleet.cold_ms = COLD_MS;
+  world->fleet.cold_bound = options->has_cold_times ? COLD_BOUND : 0;
   for (unsigned i = 0; i < shape->data_centres; i++)
     add_endpoints (world, world_data_centres[i]);
   for (unsigned i = 0; i < world->host_count; i++)
--- a/soak/world.h
+++ b/soak/world.h
@@ -65,6 +65,8 @@
   unsigned hosts;        /* per data centre */
   unsigned callers;
   unsigned retry_slack;
+  bool has_evacuations; /* hosts follow them */
+  bool has_cold_times;  /* endpoints are cold after a restart */
   uint64_t seed;
 };
 
