edge: call a store that fails less often for evacuations, and test cold times

In an outage every host read the evacuations itself, each 0.8 s: 222 calls of nine hosts in 20 s. Hosts that are not readers now retry every 3.2 s, as they do for other kinds; t0969 counts at most 117.

--- a/packages/edge/src/evacuation-sync.c
+++ b/packages/edge/src/evacuation-sync.c
@@ -13,6 +13,12 @@
 #define MIN_SEND_INTERVAL_MS 50
 /* Interval of lists while some entry has no readable name. */
 #define RELIST_INTERVAL_MS 10000
+/*
+ * Longest retry intervals during an outage of the store.  Other hosts hear from
+ * the readers that it has ended.
+ */
+#define READER_RETRY_MS 800
+#define OTHER_RETRY_MS 3200
 /* A newly started host waits this long for the message of a reader. */
 #define READER_WAIT_AT_START_MS 1000
 /* Data centres that the deployment does not name and that are taken over. */
@@ -291,6 +297,8 @@
   if (reads && !sync->reads)
     resume_from_table (sync);
   sync->reads = reads;
+  sync->follower.retry_delay_limit_ms
+      = mesh_is_reader (sync->mesh) ? READER_RETRY_MS : OTHER_RETRY_MS;
   if (reads && sync->is_list_partial && follower->state == FOLLOWER_WATCHING
       && now_ms - follower->list_sent_ms >= RELIST_INTERVAL_MS)
     follower_relist (&sync->follower);
--- a/packages/edge/tests/t0960-gossip.c
+++ b/packages/edge/tests/t0960-gossip.c
@@ -247,11 +247,45 @@
     }
 }
 
+/*
+ * Reports of warm endpoints are as before, so that hosts of the former version
+ * read them; a cold time that is cut off or 0 is refused.
+ */
+static void
+test_cold_time_of_report (void **state)
+{
+  size_t warm_size;
+  size_t cold_size;
+
+  (void)state;
+  fill_message (GOSSIP_REPORT);
+  warm_size = gossip_encode (&message, buffer, sizeof buffer);
+  assert_int_equal (gossip_decode (&decoded, buffer, warm_size), RESULT_OK);
+  assert_false (decoded.body.report.report.has_cold);
+  message.body.report.report.has_cold = true;
+  assert_int_equal (
+      gossip_encode (&message, encoded_again, sizeof encoded_again), warm_size);
+  assert_memory_equal (encoded_again, buffer, warm_size);
+  message.body.report.report.cold_ms = 700;
+  cold_size = gossip_encode (&message, buffer, sizeof buffer);
+  assert_int_equal (cold_size, warm_size + 4);
+  assert_int_equal (gossip_decode (&decoded, buffer, cold_size), RESULT_OK);
+  assert_true (decoded.body.report.report.has_cold);
+  assert_int_equal (decoded.body.report.report.cold_ms, 700);
+  for (size_t size = warm_size + 1; size < cold_size; size++)
+    assert_int_equal (gossip_decode (&decoded, buffer, size),
+                      RESULT_PEER_BAD_MESSAGE);
+  memset (&buffer[warm_size], 0, 4);
+  assert_int_equal (gossip_decode (&decoded, buffer, cold_size),
+                    RESULT_PEER_BAD_MESSAGE);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_round_trip),
+    cmocka_unit_test (test_cold_time_of_report),
     cmocka_unit_test (test_damaged_datagrams),
     cmocka_unit_test (test_load_ranges),
   };
--- a/packages/edge/tests/t0969-evacuation-sync.c
+++ b/packages/edge/tests/t0969-evacuation-sync.c
@@ -75,6 +75,7 @@
   struct change changes[CHANGE_LIMIT]; /* by revision */
   uint64_t copied_revision;
   bool is_history_gone;
+  bool rejects; /* responds to each call that it is overloaded */
   /* Appended to each list: an entry that cannot be read. */
   bool has_odd_entry;
 } store;
@@ -227,6 +228,12 @@
 
   if (front->is_cut)
     return;
+  if (store.rejects && strcmp (target, "/other") != 0)
+    {
+      front->calls++;
+      respond (connection, 503, NULL);
+      return;
+    }
   if (strcmp (target, "/list") == 0)
     {
       front->calls++;
@@ -715,6 +722,29 @@
   assert_in_range (count_calls () - calls, 1, 2 * HOSTS);
 }
 
+/* Guards against: all hosts press on a store that cannot respond. */
+static void
+test_rejecting_store (void **state)
+{
+  unsigned calls;
+
+  (void)state;
+  order ("dc-1");
+  run_until_all ("dc-1", true, SOON_MS);
+  store.rejects = true;
+  for (unsigned i = 0; i < HOSTS; i++)
+    hosts[i].front.watch_count = 0;
+  run_for (10000);
+  calls = count_calls ();
+  assert_all_remain ("dc-1", 20000);
+  /* Each reader calls every 0.8 s, each other host every 3.2 s. */
+  assert_in_range (count_calls () - calls, 1,
+                   DATA_CENTRES * 25 + (HOSTS - DATA_CENTRES) * 7);
+  store.rejects = false;
+  withdraw ("dc-1");
+  run_until_all ("dc-1", false, 1000);
+}
+
 /* Guards against: a store without the newest writes ends evacuations. */
 static void
 test_restored_store (void **state)
@@ -767,6 +797,7 @@
     cmocka_unit_test (test_failures),
     cmocka_unit_test_setup_teardown (test_started_host, setup, teardown),
     cmocka_unit_test_setup_teardown (test_outage, setup, teardown),
+    cmocka_unit_test_setup_teardown (test_rejecting_store, setup, teardown),
     cmocka_unit_test_setup_teardown (test_restored_store, setup, teardown),
     cmocka_unit_test_setup_teardown (test_unreadable_name, setup, teardown),
   };
