--- a/packages/edge/src/edge.c
+++ b/packages/edge/src/edge.c
@@ -21,6 +21,10 @@
 /* Share of the retry ratio that is used: windows differ between hosts. */
 #define RETRY_RATIO_SHARE 0.8
 #define MAX_COUNTERS 2000
+/* Hosts that are assumed to exist while a host knows no other one. */
+#define INITIAL_HOST_COUNT 400
+/* A new host knows the hosts of the other data centres after this time. */
+#define HOSTS_SETTLED_MS 5000
 /* Interval of status lines. */
 #define STATUS_INTERVAL_MS 10000
 
@@ -39,6 +43,29 @@
          && evacuation_sync_is_ready (&edge->evacuation_sync);
 }
 
+unsigned
+edge_count_possible_hosts (const struct edge *edge)
+{
+  const struct mesh *mesh = &edge->mesh;
+  unsigned known = HASH_COUNT (mesh->hosts) + 1;
+  unsigned count = mesh_known_hosts (mesh);
+  unsigned estimate = mesh_count_local_hosts (mesh)
+                      * (unsigned)edge->settings.data_centres.count;
+
+  /* One that knows no other may be cut off, unless the store has no other. */
+  if (known == 1 && !mesh->follower.has_full_list)
+    return INITIAL_HOST_COUNT;
+  if (known > count)
+    count = known;
+  if (edge->max_hosts_seen > count)
+    count = edge->max_hosts_seen;
+  /* A new host may have heard only of those in its own data centre. */
+  if (known > 1 && estimate > count
+      && edge->now_ms - mesh->started_ms < HOSTS_SETTLED_MS)
+    count = estimate;
+  return count;
+}
+
 /* Sets this host's share of the fleet's retry slack, and logs changes. */
 static void
 update_retry_slack (struct edge *edge)
@@ -100,6 +127,54 @@
   return edge_knows_endpoints (edge) ? "routed" : "none";
 }
 
+unsigned
+edge_count_running (const struct edge *edge, uint64_t data_centre)
+{
+  unsigned running = 0;
+
+  for (const struct endpoint_load *load = edge->relay.loads.table; load != NULL;
+       load = load->hh.next)
+    if (load->endpoint != NULL
+        && hash_string (load->endpoint->report.data_centre, 0) == data_centre)
+      running += load->running;
+  return running;
+}
+
+unsigned
+edge_count_cold (const struct edge *edge)
+{
+  unsigned count = 0;
+
+  for (const struct endpoint *endpoint = edge->endpoints.table;
+       endpoint != NULL; endpoint = endpoint->hh.next)
+    if (endpoint->cold_until_ms > edge->now_ms)
+      count++;
+  return count;
+}
+
+/* One line for each data centre that is evacuated. */
+static void
+log_evacuations (const struct edge *edge)
+{
+  const struct evacuation_sync *sync = &edge->evacuation_sync;
+
+  for (unsigned i = 0; i < sync->table.count; i++)
+    {
+      const struct evacuation *entry = &sync->table.list[i];
+      char name[EVACUATION_NAME_SIZE];
+
+      if (entry->ended_ms != 0)
+        continue;
+      evacuation_sync_format_name (sync, entry->data_centre, name);
+      LOG_EVENT (
+          LOG_LEVEL_INFO, "status-evacuation", LOG_STR ("data_centre", name),
+          LOG_INT ("since_ms", edge->now_ms - entry->since_ms),
+          LOG_STR ("stored", entry->is_stored ? "yes" : "no"),
+          LOG_U64 ("running", edge_count_running (edge, entry->data_centre)),
+          LOG_INT ("age_ms", edge->now_ms - sync->table.current_at_ms));
+    }
+}
+
 /* Logs the state at intervals, so that the log alone shows it over time. */
 static void
 log_status (struct edge *edge)
@@ -107,25 +182,29 @@
   if (edge->now_ms < edge->next_status_ms)
     return;
   edge->next_status_ms = edge->now_ms + STATUS_INTERVAL_MS;
-  LOG_EVENT (LOG_LEVEL_INFO, "status",
-             LOG_STR ("reads_platform", edge->reads_platform ? "yes" : "no"),
-             LOG_STR ("lease", edge->leader.acting ? "held" : "not-held"),
-             LOG_INT ("configuration", relay_catalog_version (&edge->relay)),
-             LOG_U64 ("endpoints", HASH_COUNT (edge->endpoints.table)),
-             LOG_STR ("knows", get_known_endpoints (edge)),
-             LOG_INT ("endpoints_age_ms",
-                      edge->now_ms - edge_endpoints_current_at_ms (edge)),
-             LOG_U64 ("endpoints_revision", edge->entries.revision),
-             LOG_U64 ("live_hosts", edge->mesh.live_hosts),
-             LOG_U64 ("in_flight", relay_in_flight (&edge->relay)),
-             LOG_U64 ("callers", edge->relay.caller_count),
-             LOG_U64 ("configuration_calls",
-                      edge->records.calls[RECORDS_CONFIGURATION]),
-             LOG_U64 ("endpoint_calls", edge->records.calls[RECORDS_ENDPOINTS]),
-             LOG_U64 ("lease_calls", edge->records.calls[RECORDS_LEASES]),
-             LOG_U64 ("host_calls", edge->records.calls[RECORDS_HOSTS]),
-             LOG_U64 ("strike_calls", edge->records.calls[RECORDS_STRIKES]),
-             LOG_U64 ("platform_failures", edge->records.failures));
+  log_evacuations (edge);
+  LOG_EVENT (
+      LOG_LEVEL_INFO, "status",
+      LOG_STR ("reads_platform", edge->reads_platform ? "yes" : "no"),
+      LOG_STR ("lease", edge->leader.acting ? "held" : "not-held"),
+      LOG_INT ("configuration", relay_catalog_version (&edge->relay)),
+      LOG_U64 ("endpoints", HASH_COUNT (edge->endpoints.table)),
+      LOG_STR ("knows", get_known_endpoints (edge)),
+      LOG_INT ("endpoints_age_ms",
+               edge->now_ms - edge_endpoints_current_at_ms (edge)),
+      LOG_U64 ("endpoints_revision", edge->entries.revision),
+      LOG_U64 ("live_hosts", edge->mesh.live_hosts),
+      LOG_U64 ("in_flight", relay_in_flight (&edge->relay)),
+      LOG_U64 ("callers", edge->relay.caller_count),
+      LOG_U64 ("cold_endpoints", edge_count_cold (edge)),
+      LOG_U64 ("configuration_calls",
+               edge->records.calls[RECORDS_CONFIGURATION]),
+      LOG_U64 ("endpoint_calls", edge->records.calls[RECORDS_ENDPOINTS]),
+      LOG_U64 ("lease_calls", edge->records.calls[RECORDS_LEASES]),
+      LOG_U64 ("host_calls", edge->records.calls[RECORDS_HOSTS]),
+      LOG_U64 ("strike_calls", edge->records.calls[RECORDS_STRIKES]),
+      LOG_U64 ("evacuation_calls", edge->records.calls[RECORDS_EVACUATIONS]),
+      LOG_U64 ("platform_failures", edge->records.failures));
 }
 
 static enum leader_role
@@ -149,6 +228,9 @@
   update_retry_slack (edge);
   edge_follow_tick (edge);
   evacuation_sync_tick (&edge->evacuation_sync, edge->now_ms);
+  edge->endpoints.tracks_cold = edge->relay.catalog != NULL
+                                && catalog_has_cold_times (edge->relay.catalog);
+  cold_sync_tick (&edge->cold_sync, edge->reads_platform, edge->now_ms);
   endpoints_tick (&edge->endpoints, edge->now_ms);
   relay_tick (&edge->relay, edge->now_ms);
   leader_tick (&edge->leader, edge->relay.catalog, edge->mesh.has_traffic,
