--- a/packages/edge/src/hub-sync.c
+++ b/packages/edge/src/hub-sync.c
@@ -19,6 +19,11 @@
  */
 #define COMPARE_DELAY_MS 250
 #define COMPARE_INTERVAL_MS 300
+/*
+ * A hub that is asked next may not have the newest version yet; it has it after
+ * the time in which a change has to be in force.
+ */
+#define NEWEST_VALID_MS 2000
 /* Interval after a response that did not confirm this host's data. */
 #define REQUEST_RETRY_MS 100
 
@@ -222,6 +227,20 @@
     sync->synced_revision = response->revision;
 }
 
+/*
+ * A version that no hub reports any more is forgotten: it may have been damaged
+ * on the way, and the host would read the platform for it for ever.
+ */
+static void
+note_newest (struct hub_sync *sync, int64_t version)
+{
+  if (version < sync->newest_configuration
+      && sync->now_ms - sync->newest_at_ms <= NEWEST_VALID_MS)
+    return;
+  sync->newest_configuration = version;
+  sync->newest_at_ms = sync->now_ms;
+}
+
 static void
 handle_sync_response (struct hub_sync *sync,
                       const struct gossip_sync_response *response)
@@ -244,8 +263,7 @@
       return;
     }
   sync->is_hub_stale = false;
-  if (response->configuration_version > sync->newest_configuration)
-    sync->newest_configuration = response->configuration_version;
+  note_newest (sync, response->configuration_version);
   sync->is_patch_sent = response->is_patch_sent;
   if (sync->newest_configuration <= own_version)
     sync->outdated_since_ms = 0;
@@ -255,6 +273,17 @@
         sync->outdated_since_ms = sync->now_ms;
       sync->next_request_ms = sync->now_ms + REQUEST_RETRY_MS;
     }
+  if (response->configuration_version <= own_version)
+    {
+      sync->newer_since_ms = 0;
+      sync->is_confirmed = sync->is_confirmed || own_version != 0;
+    }
+  else
+    {
+      if (sync->newer_since_ms == 0)
+        sync->newer_since_ms = sync->now_ms;
+      sync->newer_at_ms = sync->now_ms;
+    }
   if (response->configuration_version == own_version && own_version != 0
       && current_at_ms > sync->configuration_current_at_ms)
     sync->configuration_current_at_ms = current_at_ms;
