tests: restart the servers of t0853 at an address of their own

Ruled out: a fault of the product, as the assertion is on the test's own listener. The servers listen on a loopback address that is the process's alone; the checks are as they were.

--- a/packages/relay/tests/t0853-crash-requests.c
+++ b/packages/relay/tests/t0853-crash-requests.c
@@ -8,6 +8,9 @@
 #include "http-call.h"
 #include "relay-fixture.h"
 
+#include <arpa/inet.h>
+#include <unistd.h>
+
 /*
  * Runs the relay before endpoints that crash on some requests and are back a
  * moment later.  The bounds are those of the users' rules.
@@ -220,13 +223,23 @@
                           &server_events, connection);
 }
 
+/*
+ * A loopback address of this process alone: at 127.0.0.1 the port of a crashed
+ * server may be taken by a connection of another process before the restart.
+ */
+static in_addr_t
+server_address (void)
+{
+  return INADDR_LOOPBACK + 0x100 + ((in_addr_t)getpid () % 0xfffe) * 0x100;
+}
+
 static void
 start_server (struct server *server)
 {
   struct endpoint_report report = { .slots = 6 };
   struct sockaddr_in own = { .sin_family = AF_INET,
                              .sin_port = htons (server->port),
-                             .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+                             .sin_addr.s_addr = htonl (server_address ()) };
   char id[32];
 
   server->listener
@@ -239,7 +252,7 @@
   report.port = server->port;
   report.started_ms = server->started_ms;
   snprintf (report.service, sizeof report.service, "app");
-  snprintf (report.address, sizeof report.address, "127.0.0.1");
+  inet_ntop (AF_INET, &own.sin_addr, report.address, sizeof report.address);
   snprintf (id, sizeof id, "s%td", server - world.servers);
   endpoints_report (&world.endpoints, id, &report, (uint64_t)server->started_ms,
                     time_boot_ms ());
