--- a/packages/edge/include/evacuation-sync.h
+++ b/packages/edge/include/evacuation-sync.h
@@ -29,8 +29,10 @@
   struct follower follower;
   struct evacuation_set read;   /* by the follower, as of its revision */
   struct evacuation_set listed; /* by the list that is being read */
-  bool reads;                   /* this host reads them itself */
-  uint64_t sent_changes;        /* table.changes when it was last sent */
+  /* The last list had entries without a readable name; it is read again. */
+  bool is_list_partial;
+  bool reads;            /* this host reads them itself */
+  uint64_t sent_changes; /* table.changes when it was last sent */
   int64_t next_send_ms;
 };
 
@@ -49,6 +51,12 @@
 /* Another host has started; it gets the evacuations soon. */
 void evacuation_sync_host_started (struct evacuation_sync *sync);
 
+/* Writes the name of a data centre, or its hash if the name is not known. */
+#define EVACUATION_NAME_SIZE 64
+void evacuation_sync_format_name (const struct evacuation_sync *sync,
+                                  uint64_t data_centre,
+                                  char name[EVACUATION_NAME_SIZE]);
+
 /* True if the evacuations are known, or not followed. */
 bool evacuation_sync_is_ready (const struct evacuation_sync *sync);
 
--- a/packages/edge/src/evacuation-sync.c
+++ b/packages/edge/src/evacuation-sync.c
@@ -11,6 +11,14 @@
 /* Shortest wait of a watch, and interval of messages. */
 #define MIN_WAIT_MS 200
 #define MIN_SEND_INTERVAL_MS 50
+/* Interval of lists while some entry has no readable name. */
+#define RELIST_INTERVAL_MS 10000
+/*
+ * Longest retry intervals during an outage of the store.  Other hosts hear from
+ * the readers that it has ended.
+ */
+#define READER_RETRY_MS 800
+#define OTHER_RETRY_MS 3200
 /* A newly started host waits this long for the message of a reader. */
 #define READER_WAIT_AT_START_MS 1000
 /* Data centres that the deployment does not name and that are taken over. */
@@ -48,6 +56,20 @@
   return NULL;
 }
 
+void
+evacuation_sync_format_name (const struct evacuation_sync *sync,
+                             uint64_t data_centre,
+                             char name[EVACUATION_NAME_SIZE])
+{
+  const char *known = find_name (sync, data_centre);
+
+  if (known != NULL)
+    snprintf (name, EVACUATION_NAME_SIZE, "%.63s", known);
+  else
+    snprintf (name, EVACUATION_NAME_SIZE, "%016llx",
+              (unsigned long long)data_centre);
+}
+
 static unsigned
 count_unknown (const struct evacuation_sync *sync,
                const struct evacuation_set *set)
@@ -110,7 +132,8 @@
   struct evacuation_set known;
 
   /* The entries without a readable name may be those that are not listed. */
-  if (sync->follower.list_skipped > 0)
+  sync->is_list_partial = sync->follower.list_skipped > 0;
+  if (sync->is_list_partial)
     {
       evacuations_get_set (&sync->table, &known);
       for (unsigned i = 0; i < known.count; i++)
@@ -154,21 +177,18 @@
   for (unsigned i = 0; i < table->count; i++)
     {
       const struct evacuation *entry = &table->list[i];
-      const char *name = find_name (sync, entry->data_centre);
+      char name[EVACUATION_NAME_SIZE];
       bool was_active = false;
-      char text[24];
 
       for (unsigned j = 0; j < before->count; j++)
         if (before->list[j].data_centre == entry->data_centre)
           was_active = before->list[j].ended_ms == 0;
       if (was_active == (entry->ended_ms == 0))
         continue;
-      snprintf (text, sizeof text, "%016llx",
-                (unsigned long long)entry->data_centre);
+      evacuation_sync_format_name (sync, entry->data_centre, name);
       LOG_EVENT (LOG_LEVEL_NOTICE,
                  was_active ? "evacuation-ended" : "evacuation-begun",
-                 LOG_STR ("data_centre", name != NULL ? name : text),
-                 LOG_STR ("source", source),
+                 LOG_STR ("data_centre", name), LOG_STR ("source", source),
                  LOG_U64 ("revision", table->revision));
     }
 }
@@ -277,6 +297,11 @@
   if (reads && !sync->reads)
     resume_from_table (sync);
   sync->reads = reads;
+  sync->follower.retry_delay_limit_ms
+      = mesh_is_reader (sync->mesh) ? READER_RETRY_MS : OTHER_RETRY_MS;
+  if (reads && sync->is_list_partial && follower->state == FOLLOWER_WATCHING
+      && now_ms - follower->list_sent_ms >= RELIST_INTERVAL_MS)
+    follower_relist (&sync->follower);
   if (reads)
     follower_tick (&sync->follower, now_ms);
   if (follower->state == FOLLOWER_WATCHING)
