--- a/packages/catalog/src/endpoints.c
+++ b/packages/catalog/src/endpoints.c
@@ -135,6 +135,20 @@
   return endpoint;
 }
 
+/* A head that is warm does not make its group warm: a member may be cold. */
+static void
+note_stated_cold (struct endpoint *endpoint,
+                  const struct endpoint_report *report,
+                  int64_t now_ms)
+{
+  endpoint->cold_stated_ms = now_ms;
+  if (report->cold_ms > 0)
+    endpoint_note_cold (endpoint, report->cold_ms, now_ms);
+  if (report->group[0] == '\0')
+    endpoint->cold_until_ms
+        = report->cold_ms > 0 ? now_ms + report->cold_ms : 0;
+}
+
 enum result
 endpoints_report (struct endpoints *endpoints,
                   const char *id,
@@ -158,13 +172,7 @@
     return RESULT_OK;
   /* A list may repeat an entry that stated a time long ago. */
   if (report->has_cold && revision > endpoint->revision)
-    {
-      if (report->cold_ms > 0)
-        endpoint_note_cold (endpoint, report->cold_ms, now_ms);
-      endpoint->cold_until_ms
-          = report->cold_ms > 0 ? now_ms + report->cold_ms : 0;
-      endpoint->cold_stated_ms = now_ms;
-    }
+    note_stated_cold (endpoint, report, now_ms);
   endpoint->deleted_ms = 0;
   endpoints->digest ^= compute_endpoint_digest (endpoint);
   was_routed = endpoint->revision != 0 && endpoint_is_routed (endpoint);
--- a/packages/catalog/tests/t0460-catalog.c
+++ b/packages/catalog/tests/t0460-catalog.c
@@ -452,6 +452,15 @@
           != (members[i].spread_ms > 0 ? 1000 + members[i].spread_ms : 0))
         fail_msg ("%s: %d", members[i].id, (int)until_ms);
     }
+  /* Guards against: a head that says it is warm makes its group warm. */
+  endpoints_report (&endpoints, "a0",
+                    &(struct endpoint_report){ .service = "app",
+                                               .port = 1,
+                                               .group = "a",
+                                               .epoch = 1,
+                                               .has_cold = true },
+                    2, 1100);
+  assert_int_equal (endpoints_find (&endpoints, "a0")->cold_until_ms, 1700);
   assert_false (endpoints_spread_cold (&endpoints, 1900));
   endpoints_finish (&endpoints);
 }
--- a/packages/edge/src/edge-settings.c
+++ b/packages/edge/src/edge-settings.c
@@ -24,8 +24,8 @@
   { "retry.slack", SETTINGS_INTEGER, "", "0", 0, 1000000, "Extra retries of the fleet per service and window.", AT (retry_slack) },
   { "retry.window_s", SETTINGS_INTEGER, "s", "10", 1, 3600, "Window of the retry limits.", AT (retry_window_s) },
   { "evacuation.complete_ms", SETTINGS_INTEGER, "ms", "0", 0, 3600000, "Nothing reaches an evacuated data centre this long after the order; 0 = evacuations are not followed.", AT (evacuation_complete_ms) },
-  { "cold.over", SETTINGS_REAL, "", "1.5", 0.01, 100, "Times the rate of its service that may reach a cold endpoint in any second.", AT (cold_over) },
-  { "cold.slack", SETTINGS_REAL, "", "5", 0, 1000000, "Requests that may reach a cold endpoint in any second besides.", AT (cold_slack) },
+  { "cold.over", SETTINGS_REAL, "", "1", 0.01, 100, "Times the rate of its service that may reach a cold endpoint in any second.", AT (cold_over) },
+  { "cold.slack", SETTINGS_REAL, "", "0", 0, 1000000, "Requests that may reach a cold endpoint in any second besides.", AT (cold_slack) },
 };
 /* clang-format on */
 
--- a/packages/edge/tests/t0962-edge-settings.c
+++ b/packages/edge/tests/t0962-edge-settings.c
@@ -38,6 +38,10 @@
   { "evacuation: {complete_ms: 5000}\n", RESULT_OK },
   { "evacuation: {complete_ms: -1}\n", RESULT_SETTINGS_OUT_OF_RANGE },
   { "cold: {over: 1.5, slack: 5}\n", RESULT_OK },
+  /* As the template is filled in, with both bounds, one and none. */
+  { "cold: {\n  over: 1.5,\n  slack: 5,\n  }\n", RESULT_OK },
+  { "cold: {\n  slack: 0,\n  }\n", RESULT_OK },
+  { "cold: {\n  }\n", RESULT_OK },
   { "cold: {over: 0}\n", RESULT_SETTINGS_OUT_OF_RANGE },
   { "colour: red\n", RESULT_SETTINGS_UNKNOWN_KEY },
   { "host: again\n", RESULT_SETTINGS_DUPLICATE_KEY },
