relay: shed load by priority and time left

Cause: under overload a caller that came back counted as new. It took a slot from a request that could still be in time, and was lost if it was refused a second time. Waiting requests were tried in the order of arrival.

Change: where routes of different priorities lead to a service, a decision module (balance/admission-order) orders requests by state, priority and time left. The objective counts from when the caller first sent the request, which the deadline that it names tells. Less urgent requests are admitted up to a lower share of occupied slots, but always a third as often as the most urgent. Late ones get the host's part of the slots below 0.9, and wait for them if their caller cannot come back. Return times are places in the slots that become free. Endpoints that serve alone get no more requests than they have slots. Other services are served as before.

--- a/packages/balance/include/balance.h
+++ b/packages/balance/include/balance.h
@@ -1,6 +1,7 @@
 #ifndef BALANCE_BALANCE_H
 #define BALANCE_BALANCE_H
 
+#include "admission-order.h"
 #include "catalog.h"
 #include "endpoints.h"
 #include "request-limit.h"
@@ -114,6 +115,10 @@
    * requests with a low value; 0 is admitted first.
    */
   double admission_draw;
+  bool has_range; /* false = ADMISSION_ALL_BELOW to ADMISSION_NONE_ABOVE */
+  struct admission_range range;
+  /* An endpoint that serves alone gets no more requests than it has slots. */
+  bool waits_for_slot;
   int64_t objective_ms; /* latency objective, to the first event or response */
   int64_t remaining_ms; /* time left of the objective; negative = missed */
   const struct endpoint_load *excluded[BALANCE_EXCLUDE_LIMIT];
@@ -138,6 +143,7 @@
    * endpoint accepts requests again, ms.  0 otherwise.
    */
   int64_t back_off_ms;
+  unsigned slots; /* of the available candidates */
 };
 
 /*
@@ -158,6 +164,15 @@
  */
 double balance_min_first_event_ms (const struct balance_request *request);
 
+/* The same at a group with one free slot and no prompts to process. */
+double balance_busy_first_event_ms (const struct balance_request *request);
+
+/*
+ * Expected time to the last event at a group with one free slot, ms; 0 for
+ * services whose endpoints serve alone.
+ */
+double balance_run_ms (const struct balance_request *request, double events);
+
 /* Number of requests that an endpoint of the service runs at once. */
 unsigned balance_slots (const struct catalog_service *service,
                         const struct endpoint *endpoint);
--- /dev/null
+++ b/packages/balance/src/admission-order.c
@@ -0,0 +1,331 @@
+#include "admission-order.h"
+
+#include <string.h>
+
+/*
+ * By this much lower lies the range of the next less urgent priority: two slots
+ * of 20 are left to the more urgent one.  With one slot, a kind of request with
+ * twice the objective is served better than the more urgent one
+ * (docs/design/load-shedding.md).
+ */
+#define RANK_STEP 0.1
+/* Ranks above this one are treated alike. */
+#define RANK_LIMIT 3
+/*
+ * Each kind and customer is to be served at least a quarter as often as all; a
+ * third leaves room for what else delays a request.
+ */
+#define LEAST_SHARE 0.33
+/*
+ * Late requests are admitted up to the share of occupied slots from which on
+ * requests in time are refused.
+ */
+#define LATE_NONE_ABOVE ADMISSION_ALL_BELOW
+/*
+ * Tries of a late request until its host hears of what the others sent.  All
+ * hosts together fill no more than the free slots in this time.
+ */
+#define LATE_TRIES_UNHEARD 2.5
+/* Share of the objective left that an estimate may use; see choose.c. */
+#define OBJECTIVE_SHARE 0.9
+/*
+ * A request waits to be in time while the first event at a full group takes no
+ * more than this share of the objective left.  With larger shares more requests
+ * are sent that are late then (docs/design/load-shedding.md).
+ */
+#define WAIT_OBJECTIVE_SHARE 0.5
+/* A large prompt may exceed that share; it waits for this part at least. */
+#define LEAST_WAIT_SHARE 0.15
+/* Callers come back after this time at the earliest. */
+#define RETRY_AFTER_MS 500
+/* Range of return times if the time of a response is not known to be longer. */
+#define RETRY_AFTER_SPREAD_MS 700
+/* Callers honour a return time up to this part of the time left to them. */
+#define HONOURED_PART 3
+/*
+ * A caller that spent half of the shortest return time before this host got the
+ * request has come back.  Connecting takes a few milliseconds.
+ */
+#define CAME_BACK_MS (RETRY_AFTER_MS / 2)
+/*
+ * Time between two tries of a late request.  Hosts exchange their loads about
+ * as often, and each try costs the host a look at all endpoints.
+ */
+#define LATE_TRY_INTERVAL_MS 100
+/* A host may serve twice its equal part of the requests. */
+#define HOST_SHARE_LIMIT 2
+/* A priority without a request for this long has no effect on others. */
+#define PRIORITY_VALID_MS 60000
+/* Weight of a new sample in the moving mean. */
+#define SAMPLE_WEIGHT 0.1
+
+static double
+clamp_share (double share)
+{
+  if (share < 0)
+    return 0;
+  return share < 1 ? share : 1;
+}
+
+double
+admission_share (const struct admission_range *range, double occupied_share)
+{
+  double share = (range->none_above - occupied_share)
+                 / (range->none_above - range->all_below);
+  double least_share
+      = range->least_share
+        * clamp_share ((ADMISSION_NONE_ABOVE - occupied_share)
+                       / (ADMISSION_NONE_ABOVE - ADMISSION_ALL_BELOW));
+
+  return share > least_share ? share : least_share;
+}
+
+struct admission_model *
+admission_history_get (struct admission_history *history,
+                       uint64_t key,
+                       int64_t now_ms)
+{
+  struct admission_model *model = &history->models[0];
+
+  if (key == 0)
+    key = 1;
+  for (unsigned i = 0; i < ADMISSION_MODEL_LIMIT; i++)
+    {
+      if (history->models[i].key == key)
+        {
+          history->models[i].used_ms = now_ms;
+          return &history->models[i];
+        }
+      if (model->key != 0
+          && (history->models[i].key == 0
+              || history->models[i].used_ms < model->used_ms))
+        model = &history->models[i];
+    }
+  memset (model, 0, sizeof *model);
+  model->key = key;
+  model->used_ms = now_ms;
+  return model;
+}
+
+unsigned
+admission_model_note_request (struct admission_model *model,
+                              unsigned priority,
+                              int64_t now_ms)
+{
+  unsigned rank = 0;
+
+  if (priority >= ADMISSION_PRIORITY_LIMIT)
+    priority = ADMISSION_PRIORITY_LIMIT - 1;
+  model->seen_ms[priority] = now_ms;
+  for (unsigned i = 0; i < priority; i++)
+    rank += model->seen_ms[i] > 0
+            && now_ms - model->seen_ms[i] < PRIORITY_VALID_MS;
+  return rank;
+}
+
+static void
+add_sample (double *mean, double sample)
+{
+  if (*mean == 0)
+    *mean = sample;
+  else
+    *mean += SAMPLE_WEIGHT * (sample - *mean);
+}
+
+void
+admission_model_note_response (struct admission_model *model,
+                               uint64_t limit_tokens,
+                               uint64_t events,
+                               int64_t run_ms)
+{
+  add_sample (&model->run_ms, (double)run_ms);
+  if (limit_tokens > 0 && events > 0)
+    add_sample (&model->events_per_limit_token,
+                (double)events / (double)limit_tokens);
+}
+
+double
+admission_model_expect_events (const struct admission_model *model,
+                               uint64_t limit_tokens,
+                               unsigned tokens_per_event)
+{
+  double ratio = model->events_per_limit_token;
+
+  if (ratio == 0)
+    ratio = 1.0 / (tokens_per_event > 0 ? tokens_per_event : 1);
+  return ratio * (double)limit_tokens;
+}
+
+/* True if the caller will not come back, or too late for another try. */
+static bool
+is_last_try (const struct admission_request *request)
+{
+  return request->waited_before_ms >= CAME_BACK_MS
+         || (double)request->deadline_left_ms
+                < HONOURED_PART * RETRY_AFTER_MS + request->run_ms;
+}
+
+enum admission_state
+admission_get_state (const struct admission_request *request)
+{
+  if (request->objective_left_ms > 0
+      && request->idle_first_event_ms
+             <= OBJECTIVE_SHARE * (double)request->objective_left_ms)
+    return ADMISSION_IN_TIME;
+  return is_last_try (request) ? ADMISSION_LAST_TRY : ADMISSION_LATE;
+}
+
+/*
+ * The part of the free slots that this host may fill in one try goes to its
+ * first late requests.
+ */
+static struct admission_range
+get_late_range (const struct admission_outlook *outlook)
+{
+  double slots_per_try
+      = outlook->slots > 0
+            ? outlook->slots / LATE_TRIES_UNHEARD / outlook->hosts
+            : 1;
+  double none_above = LATE_NONE_ABOVE - outlook->ahead / slots_per_try;
+
+  return (struct admission_range){ .all_below = none_above - 1 / slots_per_try,
+                                   .none_above = none_above };
+}
+
+struct admission_range
+admission_get_range (const struct admission_request *request,
+                     const struct admission_outlook *outlook)
+{
+  unsigned rank = request->rank < RANK_LIMIT ? request->rank : RANK_LIMIT;
+
+  if (admission_get_state (request) != ADMISSION_IN_TIME)
+    return get_late_range (outlook);
+  return (struct admission_range){
+    .all_below = ADMISSION_ALL_BELOW - RANK_STEP * rank,
+    .none_above = ADMISSION_NONE_ABOVE - RANK_STEP * rank,
+    .least_share = rank > 0 ? LEAST_SHARE : 0,
+  };
+}
+
+/* Time within which the request has to be sent to be served whole. */
+static double
+get_last_start_ms (const struct admission_request *request)
+{
+  return (double)request->deadline_left_ms - request->run_ms;
+}
+
+int
+admission_compare (const struct admission_request *a,
+                   const struct admission_request *b)
+{
+  bool a_is_late = admission_get_state (a) != ADMISSION_IN_TIME;
+  bool b_is_late = admission_get_state (b) != ADMISSION_IN_TIME;
+  double a_left_ms;
+  double b_left_ms;
+
+  if (a_is_late != b_is_late)
+    return a_is_late ? 1 : -1;
+  if (a->priority != b->priority)
+    return a->priority < b->priority ? -1 : 1;
+  a_left_ms = a_is_late ? get_last_start_ms (a) : (double)a->objective_left_ms;
+  b_left_ms = b_is_late ? get_last_start_ms (b) : (double)b->objective_left_ms;
+  if (a_left_ms != b_left_ms)
+    return a_left_ms < b_left_ms ? -1 : 1;
+  return 0;
+}
+
+/* Time in which one of the slots becomes free for this host. */
+static double
+get_slot_interval_ms (const struct admission_request *request,
+                      const struct admission_outlook *outlook)
+{
+  return outlook->slots > 0 ? request->run_ms * outlook->hosts / outlook->slots
+                            : 0;
+}
+
+/*
+ * Takes the next place for a caller that comes back.  Places are as far apart
+ * as slots become free, and never later than all that runs now has ended, nor
+ * than the caller honours.
+ */
+static int64_t
+take_return_place (struct admission_model *model,
+                   const struct admission_request *request,
+                   const struct admission_outlook *outlook,
+                   double draw,
+                   int64_t now_ms)
+{
+  double interval_ms = get_slot_interval_ms (request, outlook);
+  double limit_ms = RETRY_AFTER_MS + RETRY_AFTER_SPREAD_MS;
+  double place_ms;
+
+  if (request->run_ms > limit_ms)
+    limit_ms = request->run_ms;
+  if (limit_ms > (double)request->deadline_left_ms / HONOURED_PART)
+    limit_ms = (double)request->deadline_left_ms / HONOURED_PART;
+  if (limit_ms <= RETRY_AFTER_MS)
+    return RETRY_AFTER_MS;
+  if (model->next_return_ms < now_ms + RETRY_AFTER_MS)
+    model->next_return_ms = now_ms + RETRY_AFTER_MS;
+  place_ms = (double)(model->next_return_ms - now_ms) + draw * interval_ms;
+  if (interval_ms <= 0 || place_ms > limit_ms)
+    place_ms = RETRY_AFTER_MS + draw * (limit_ms - RETRY_AFTER_MS);
+  else
+    model->next_return_ms += (int64_t)interval_ms;
+  return (int64_t)place_ms;
+}
+
+/* Wait of a request whose caller cannot come back, for a slot to spare. */
+static bool
+can_wait_for_spare (const struct admission_request *request,
+                    const struct admission_outlook *outlook)
+{
+  double last_start_ms = get_last_start_ms (request);
+  double ahead_ms = get_slot_interval_ms (request, outlook) * outlook->ahead
+                    / HOST_SHARE_LIMIT;
+
+  return last_start_ms > 0 && ahead_ms < last_start_ms;
+}
+
+/* True if the request can still be in time if it waits for a slot. */
+static bool
+can_wait_in_time (const struct admission_request *request)
+{
+  double left_ms = (double)request->objective_left_ms;
+
+  return request->busy_first_event_ms <= WAIT_OBJECTIVE_SHARE * left_ms
+         || left_ms > (1 - LEAST_WAIT_SHARE) * (double)request->objective_ms;
+}
+
+struct admission_decision
+admission_decide (struct admission_model *model,
+                  const struct admission_request *request,
+                  const struct admission_outlook *outlook,
+                  double draw,
+                  int64_t now_ms)
+{
+  struct admission_decision decision = { .action = ADMISSION_SEND };
+
+  if ((double)request->deadline_left_ms <= request->idle_first_event_ms)
+    {
+      decision.action = ADMISSION_REFUSE;
+      decision.is_unreachable = true;
+      decision.retry_after_ms = RETRY_AFTER_MS;
+      return decision;
+    }
+  if (!outlook->is_full)
+    return decision;
+  decision.action = ADMISSION_WAIT;
+  decision.wait_until_ms = now_ms;
+  if (can_wait_in_time (request))
+    return decision;
+  if (is_last_try (request) && can_wait_for_spare (request, outlook))
+    {
+      decision.wait_until_ms = now_ms + LATE_TRY_INTERVAL_MS;
+      return decision;
+    }
+  decision.action = ADMISSION_REFUSE;
+  decision.retry_after_ms
+      = take_return_place (model, request, outlook, draw, now_ms);
+  return decision;
+}
--- a/packages/balance/src/choose.c
+++ b/packages/balance/src/choose.c
@@ -41,13 +41,11 @@
 /* Assumed run time of a request, to estimate the arrival rate. */
 #define TYPICAL_REQUEST_MS 1000.0
 /*
- * Shares of occupied slots between which the admitted share of requests falls
- * from all to none.  Hosts know the loads as they were 0.2 s ago or more.  If
- * every request were admitted while a slot seems free, groups would oscillate
- * between overload and idle slots (t0471-slots.c compares).
+ * Requests per slot over which the cost of an endpoint that serves alone is
+ * randomised if its slots are a limit.  A request takes 30 ms and loads are
+ * 0.2 s old: without it, all hosts would send all of 0.2 s to one endpoint.
  */
-#define ADMIT_ALL_BELOW 0.9
-#define ADMIT_NONE_ABOVE 1.1
+#define SLOT_JITTER_SLOTS 0.5
 
 unsigned
 balance_slots (const struct catalog_service *service,
@@ -140,10 +138,13 @@
 is_admitted (const struct balance_request *request,
              const struct candidate_summary *summary)
 {
-  double occupied_share = (double)summary->running / summary->slots;
+  static const struct admission_range usual
+      = { ADMISSION_ALL_BELOW, ADMISSION_NONE_ABOVE, 0 };
+  const struct admission_range *range
+      = request->has_range ? &request->range : &usual;
 
-  return request->admission_draw < (ADMIT_NONE_ABOVE - occupied_share)
-                                       / (ADMIT_NONE_ABOVE - ADMIT_ALL_BELOW);
+  return request->admission_draw
+         < admission_share (range, (double)summary->running / summary->slots);
 }
 
 static struct candidate_summary
@@ -250,6 +251,25 @@
   return request->model != NULL ? estimate_first_event_ms (request, 0, 0) : 0;
 }
 
+double
+balance_busy_first_event_ms (const struct balance_request *request)
+{
+  unsigned slots = request->service->slots;
+
+  if (request->model == NULL)
+    return 0;
+  return estimate_first_event_ms (request, slots > 0 ? slots - 1 : 0, 0);
+}
+
+double
+balance_run_ms (const struct balance_request *request, double events)
+{
+  if (request->model == NULL)
+    return 0;
+  return balance_busy_first_event_ms (request)
+         + events * estimate_batch_event_ms (request, request->service->slots);
+}
+
 static bool
 is_local (const struct load_table *loads, const struct endpoint_load *load)
 {
@@ -320,8 +340,10 @@
   *cost = (double)(running + 1) / slots
           + FAILURE_PENALTY_SLOTS * compute_recent_failure_rate (load, now_ms)
           - (is_local (loads, load) ? LOCAL_ADVANTAGE_SLOTS : 0)
-          + JITTER_SLOTS * rng_real (&loads->rng);
-  return running < slots * STANDALONE_REQUESTS_PER_SLOT;
+          + (request->waits_for_slot ? SLOT_JITTER_SLOTS : JITTER_SLOTS)
+                * rng_real (&loads->rng);
+  return running
+         < slots * (request->waits_for_slot ? 1 : STANDALONE_REQUESTS_PER_SLOT);
 }
 
 /* Keeps the shortest back-off of all candidates. */
@@ -368,6 +390,7 @@
       note_shortest_back_off (choice, load, now_ms);
       if (is_avoided (loads, load, now_ms) || is_excluded (request, load))
         continue;
+      choice->slots += balance_slots (request->service, endpoint);
       has_capacity
           = is_grouped ? score_group (loads, request, load, summary, now_ms,
                                       &expected_ms, &cost)
--- a/packages/catalog/include/catalog.h
+++ b/packages/catalog/include/catalog.h
@@ -80,6 +80,8 @@
   double step_per_request_ms;  /* added by each request that generates tokens */
   double prefill_tokens_per_ms; /* prefill rate in prompt tokens per ms */
   unsigned tokens_per_event;
+  /* Routes of different priorities lead to it; see catalog_index_priorities. */
+  bool has_priorities;
 };
 
 struct catalog_customer
@@ -139,6 +141,9 @@
 enum result
 catalog_add_key (struct catalog *catalog, const char *key, unsigned customer);
 
+/* Sets has_priorities of all services; call when all entries are known. */
+void catalog_index_priorities (struct catalog *catalog);
+
 /*
  * Returns the host's route with the longest matching prefix of the path; NULL
  * if none matches.  A port in host and a query in path are ignored.
--- a/packages/catalog/src/catalog.c
+++ b/packages/catalog/src/catalog.c
@@ -109,6 +109,40 @@
   return RESULT_OK;
 }
 
+static bool
+leads_to (const struct catalog_route *route,
+          const struct catalog_service *service)
+{
+  for (unsigned i = 0; i < route->target_count; i++)
+    if (route->targets[i].weight > 0
+        && strcmp (route->targets[i].service, service->name) == 0)
+      return true;
+  return false;
+}
+
+void
+catalog_index_priorities (struct catalog *catalog)
+{
+  for (unsigned i = 0; i < catalog->service_count; i++)
+    {
+      struct catalog_service *service = &catalog->services[i];
+      const struct catalog_route *first = NULL;
+
+      service->has_priorities = false;
+      for (unsigned j = 0; j < catalog->route_count; j++)
+        {
+          const struct catalog_route *route = &catalog->routes[j];
+
+          if (!leads_to (route, service))
+            continue;
+          if (first == NULL)
+            first = route;
+          else if (route->priority != first->priority)
+            service->has_priorities = true;
+        }
+    }
+}
+
 const struct catalog_route *
 catalog_find_route (const struct catalog *catalog,
                     const char *host,
--- a/packages/relay/include/relay.h
+++ b/packages/relay/include/relay.h
@@ -1,6 +1,7 @@
 #ifndef RELAY_RELAY_H
 #define RELAY_RELAY_H
 
+#include "admission-order.h"
 #include "balance.h"
 #include "catalog.h"
 #include "counter.h"
@@ -142,6 +143,13 @@
   int64_t waiting_since_ms;      /* start of the current wait for an endpoint */
   unsigned urgency;
   double admission_draw; /* see balance_request */
+  /* Of the admission order, if the service has priorities. */
+  struct admission_request admission;
+  uint64_t admission_key; /* of its model in relay.admission */
+  int64_t next_try_ms;    /* of a waiting request; 0 = whenever possible */
+  /* Route timeout less the time that the caller says is left; 0 = none. */
+  int64_t waited_before_ms;
+  uint64_t limit_tokens; /* most response tokens; 0 = unknown */
   uint64_t prompt_tokens;
   uint64_t prompt_hash;                      /* of the list of all parts */
   uint64_t shared_parts[STRIKES_PART_LIMIT]; /* ids of parts of the prompt */
@@ -195,6 +203,9 @@
   struct load_table loads;
   struct retry_budgets budgets;
   struct strikes strikes;
+  struct admission_history admission;
+  int64_t shed_logged_ms;  /* when a refusal was last logged */
+  unsigned shed_since_log; /* refusals since then */
   TAILQ_HEAD (, relay_suspect) suspects;
   unsigned suspect_count;
   uint64_t enforced_changes; /* strikes.changes that relay_tick has seen */
--- a/packages/relay/src/attempt.c
+++ b/packages/relay/src/attempt.c
@@ -32,6 +32,10 @@
 
   relay_request_set_queued (request, false);
   request->phase = RELAY_RUNNING;
+  /* It may have missed its objective while it waited. */
+  if (relay_is_ordered (request))
+    relay_request_set_urgency (request);
+  request->next_try_ms = 0;
   request->sends++;
   upstream = relay_upstream_get (request, load);
   if (upstream == NULL)
@@ -197,7 +201,7 @@
 
 /* Chooses an endpoint other than those tried and, if not NULL, current. */
 static enum balance_verdict
-choose_endpoint (const struct relay_request *request,
+choose_endpoint (struct relay_request *request,
                  const struct endpoint_load *current,
                  struct balance_choice *choice)
 {
@@ -215,19 +219,23 @@
     .excluded_count = request->tried_count,
   };
 
+  if (relay_is_ordered (request))
+    relay_admission_set_range (request, &wanted);
   for (unsigned i = 0; i < request->tried_count; i++)
     wanted.excluded[i] = request->tried[i];
   if (current != NULL && wanted.excluded_count < BALANCE_EXCLUDE_LIMIT)
     wanted.excluded[wanted.excluded_count++] = current;
   verdict = balance_choose (&relay->loads, relay->endpoints, &wanted,
                             relay->now_ms, choice);
+  if (relay_is_ordered (request))
+    relay_admission_note_slots (request, choice->slots);
   if (choice->at_limit != NULL)
     log_at_limit (request, choice->at_limit);
   return verdict;
 }
 
 enum balance_verdict
-relay_check_failover (const struct relay_request *request)
+relay_check_failover (struct relay_request *request)
 {
   struct relay *relay = request->relay;
   struct balance_choice choice;
@@ -260,10 +268,37 @@
   end_quarantined_request (request, retry_after_ms);
 }
 
+/*
+ * Carries out a decision of the admission order.  True unless it is to send the
+ * request.
+ */
+static bool
+wait_or_refuse (struct relay_request *request,
+                const struct admission_decision *decision)
+{
+  switch (decision->action)
+    {
+    case ADMISSION_SEND:
+      return false;
+    case ADMISSION_WAIT:
+      request->next_try_ms = decision->wait_until_ms;
+      relay_request_set_queued (request, true);
+      return true;
+    case ADMISSION_REFUSE:
+      relay_refuse (request,
+                    decision->is_unreachable ? RESULT_DEADLINE_UNREACHABLE
+                                             : RESULT_SHED,
+                    decision->retry_after_ms);
+      return true;
+    }
+  return false;
+}
+
 void
 relay_dispatch (struct relay_request *request)
 {
   struct balance_choice choice;
+  struct admission_decision decision;
   int64_t retry_after_ms;
 
   if (relay_check_strikes (request, &retry_after_ms) != RESULT_OK)
@@ -271,6 +306,12 @@
       end_quarantined_request (request, retry_after_ms);
       return;
     }
+  if (relay_is_ordered (request))
+    {
+      decision = relay_admission_decide (request, false);
+      if (wait_or_refuse (request, &decision))
+        return;
+    }
   switch (choose_endpoint (request, NULL, &choice))
     {
     case BALANCE_CHOSEN:
@@ -278,7 +319,12 @@
       start_attempt (request, choice.load);
       break;
     case BALANCE_FULL:
-      if (can_wait (request))
+      if (relay_is_ordered (request))
+        {
+          decision = relay_admission_decide (request, true);
+          wait_or_refuse (request, &decision);
+        }
+      else if (can_wait (request))
         relay_request_set_queued (request, true);
       else
         end_failed_request (request, RESULT_SHED, 0);
--- a/packages/relay/src/relay-internal.h
+++ b/packages/relay/src/relay-internal.h
@@ -33,6 +33,10 @@
 /* Adds the request to relay.waiting, or removes it. */
 void relay_request_set_queued (struct relay_request *request, bool is_queued);
 void relay_request_tick (struct relay_request *request);
+/* The customer's priority, or else the route's. */
+unsigned relay_request_priority (const struct relay_request *request);
+/* Sets the urgency that is sent to the endpoint, as of now. */
+void relay_request_set_urgency (struct relay_request *request);
 
 /* attempt.c */
 /*
@@ -50,10 +54,32 @@
  * Returns whether the request could fail over to another endpoint: now
  * (CHOSEN), once there is capacity (FULL), or not at all (NONE).
  */
-enum balance_verdict relay_check_failover (const struct relay_request *request);
+enum balance_verdict relay_check_failover (struct relay_request *request);
 /* Randomised time after which a refused caller may retry, ms. */
 int64_t relay_draw_retry_after_ms (struct relay *relay);
 
+/* admission.c */
+/*
+ * True if the admission order applies: the service has priorities, and the
+ * request was not sent to an endpoint yet.
+ */
+bool relay_is_ordered (const struct relay_request *request);
+/* Sets the request's place in the order; call once it has been received. */
+void relay_admission_start (struct relay_request *request);
+/* Sets what the order asks of a choice of an endpoint. */
+void relay_admission_set_range (struct relay_request *request,
+                                struct balance_request *wanted);
+/* is_full: no endpoint takes the request now. */
+struct admission_decision relay_admission_decide (struct relay_request *request,
+                                                  bool is_full);
+/* slots: see balance_choice. */
+void relay_admission_note_slots (const struct relay_request *request,
+                                 unsigned slots);
+/* Records a whole response. */
+void relay_admission_note_response (const struct relay_request *request);
+/* Sorts relay.waiting; requests that are not ordered keep their order. */
+void relay_admission_sort_waiting (struct relay *relay);
+
 /* crash.c */
 /* A stream that has been writing for this long does not crash its endpoint. */
 #define RELAY_SOUND_AFTER_MS 500
--- a/packages/relay/src/relay.c
+++ b/packages/relay/src/relay.c
@@ -169,14 +169,17 @@
 void
 relay_dispatch_waiting (struct relay *relay)
 {
-  struct relay_request *request = TAILQ_FIRST (&relay->waiting);
+  struct relay_request *request;
 
+  relay_admission_sort_waiting (relay);
+  request = TAILQ_FIRST (&relay->waiting);
   /* Each dispatch removes at most its own request from the queue. */
   while (request != NULL)
     {
       struct relay_request *next = TAILQ_NEXT (request, queue);
 
-      relay_dispatch (request);
+      if (request->next_try_ms <= relay->now_ms)
+        relay_dispatch (request);
       request = next;
     }
 }
--- a/packages/relay/src/request.c
+++ b/packages/relay/src/request.c
@@ -108,7 +108,10 @@
   if (http_parse_number (http_head_get (head, request->relay->names->deadline),
                          &caller_left_ms)
       && caller_left_ms < left_ms)
-    left_ms = caller_left_ms;
+    {
+      request->waited_before_ms = left_ms - caller_left_ms;
+      left_ms = caller_left_ms;
+    }
   request->deadline_ms = request->arrived_ms + left_ms;
   request->objective_deadline_ms = request->arrived_ms + route->objective_ms;
 }
@@ -227,27 +230,35 @@
   return RESULT_OK;
 }
 
-static void
-set_urgency (struct relay_request *request)
+unsigned
+relay_request_priority (const struct relay_request *request)
 {
-  unsigned urgency
-      = request->customer != NULL && request->customer->has_priority
-            ? request->customer->priority
-            : request->route->priority;
+  return request->customer != NULL && request->customer->has_priority
+             ? request->customer->priority
+             : request->route->priority;
+}
+
+void
+relay_request_set_urgency (struct relay_request *request)
+{
+  unsigned urgency = relay_request_priority (request) + URGENCY_BASE;
 
-  urgency += URGENCY_BASE;
   if (request->relay->now_ms >= request->objective_deadline_ms)
     urgency += LATE_URGENCY_STEP;
   request->urgency = urgency < URGENCY_LIMIT ? urgency : URGENCY_LIMIT;
 }
 
 static void
-read_prompt_tokens (struct relay_request *request, const struct http_head *head)
+read_token_counts (struct relay_request *request, const struct http_head *head)
 {
   const char *text = http_head_get (head, request->relay->names->token_counts);
+  char *end;
 
-  if (text != NULL)
-    request->prompt_tokens = strtoull (text, NULL, 10);
+  if (text == NULL)
+    return;
+  request->prompt_tokens = strtoull (text, &end, 10);
+  if (*end == ',')
+    request->limit_tokens = strtoull (end + 1, NULL, 10);
 }
 
 static void
@@ -329,9 +340,11 @@
           request->last_event = (uint64_t)number;
           request->has_last_event = true;
         }
-      read_prompt_tokens (request, head);
+      read_token_counts (request, head);
       read_shared_parts (request, head);
-      set_urgency (request);
+      if (request->service->has_priorities)
+        relay_admission_start (request);
+      relay_request_set_urgency (request);
       build_fields (request, head);
       if (request->fields.failed || request->body.failed)
         result = RESULT_NO_MEMORY;
--- a/packages/relay/src/upstream.c
+++ b/packages/relay/src/upstream.c
@@ -468,6 +468,7 @@
     }
   balance_note_success (upstream->load);
   note_whole_response (upstream);
+  relay_admission_note_response (request);
   relay_response_end_stream (request);
   release_connection (upstream);
   relay_request_free (request);
@@ -499,6 +500,7 @@
     {
       balance_note_success (upstream->load);
       note_whole_response (upstream);
+      relay_admission_note_response (request);
     }
   relay_response_send_plain (request, upstream);
   release_connection (upstream);
