balance: spread requests that wait for a slot

It refused what exceeded its slots, and an endpoint that had refused a request did not get it again, so that with all endpoints busy the request was lost.

Change, where routes of different priorities lead to the service: the cost is randomised over two requests per slot; an endpoint that is avoided after a failure counts as full, not as absent, so that the request waits; a refusal for lack of a slot does not exclude the endpoint.

--- a/packages/balance/include/balance.h
+++ b/packages/balance/include/balance.h
@@ -117,7 +117,10 @@
   double admission_draw;
   bool has_range; /* false = ADMISSION_ALL_BELOW to ADMISSION_NONE_ABOVE */
   struct admission_range range;
-  /* An endpoint that serves alone gets no more requests than it has slots. */
+  /*
+   * An endpoint that serves alone gets no more requests than it has slots, and
+   * one that is avoided after a failure counts as full.
+   */
   bool waits_for_slot;
   int64_t objective_ms; /* latency objective, to the first event or response */
   int64_t remaining_ms; /* time left of the objective; negative = missed */
--- a/packages/balance/src/choose.c
+++ b/packages/balance/src/choose.c
@@ -36,16 +36,17 @@
 /* Random part of a cost, which spreads choices between similar endpoints. */
 #define JITTER_MS 6.0
 #define JITTER_SLOTS 0.02
+/*
+ * The same for requests that wait for a slot.  Loads are older than a request
+ * runs, so a host knows next to nothing of the slots that others use now; with
+ * the usual spread all hosts send to one endpoint until the next report
+ * (t0474-shared-slots.c compares).
+ */
+#define SLOT_JITTER_SLOTS 2.0
 /* Additional jitter per ms of unreported prefill, ms. */
 #define JITTER_PER_UNREPORTED_MS 4.0
 /* Assumed run time of a request, to estimate the arrival rate. */
 #define TYPICAL_REQUEST_MS 1000.0
-/*
- * Requests per slot over which the cost of an endpoint that serves alone is
- * randomised if its slots are a limit.  A request takes 30 ms and loads are
- * 0.2 s old: without it, all hosts would send all of 0.2 s to one endpoint.
- */
-#define SLOT_JITTER_SLOTS 0.5
 
 unsigned
 balance_slots (const struct catalog_service *service,
@@ -84,14 +85,15 @@
   return false;
 }
 
+/* True if the endpoint leaves, backs off, or is in a partitioned place. */
 static bool
-is_avoided (const struct load_table *loads,
-            const struct endpoint_load *load,
-            int64_t now_ms)
+is_ruled_out (const struct load_table *loads,
+              const struct endpoint_load *load,
+              int64_t now_ms)
 {
   const struct remote_data_centre *remote;
 
-  if (load->avoid_until_ms > now_ms || balance_is_unavailable (load, now_ms))
+  if (balance_is_unavailable (load, now_ms))
     return true;
   if (loads->remotes == NULL)
     return false;
@@ -99,6 +101,14 @@
   return remote != NULL && remote->is_partitioned;
 }
 
+static bool
+is_avoided (const struct load_table *loads,
+            const struct endpoint_load *load,
+            int64_t now_ms)
+{
+  return load->avoid_until_ms > now_ms || is_ruled_out (loads, load, now_ms);
+}
+
 static double
 get_recent_event_gap_ms (const struct endpoint_load *load, int64_t now_ms)
 {
@@ -388,8 +398,16 @@
         continue;
       balance_note_restart (load, now_ms);
       note_shortest_back_off (choice, load, now_ms);
-      if (is_avoided (loads, load, now_ms) || is_excluded (request, load))
+      if (is_excluded (request, load))
         continue;
+      if (is_avoided (loads, load, now_ms))
+        {
+          /* Only a failure shortly before speaks against it. */
+          if (verdict == BALANCE_NONE && request->waits_for_slot
+              && !is_ruled_out (loads, load, now_ms))
+            verdict = BALANCE_FULL;
+          continue;
+        }
       choice->slots += balance_slots (request->service, endpoint);
       has_capacity
           = is_grouped ? score_group (loads, request, load, summary, now_ms,
--- a/packages/relay/src/admission.c
+++ b/packages/relay/src/admission.c
@@ -65,7 +65,7 @@
     .busy_first_event_ms = balance_busy_first_event_ms (&estimate),
     .run_ms = model->run_ms,
   };
-  if (request->model != NULL)
+  if (request->model != NULL && request->limit_tokens > 0)
     request->admission.run_ms = balance_run_ms (
         &estimate, admission_model_expect_events (model, request->limit_tokens,
                                                   service->tokens_per_event));
@@ -113,7 +113,6 @@
   /* The range of late requests follows from the chance of each try. */
   if (admission_get_state (&request->admission) != ADMISSION_IN_TIME)
     wanted->admission_draw = rng_real (&request->relay->loads.rng);
-  wanted->waits_for_slot = true;
 }
 
 static void
--- a/packages/relay/src/attempt.c
+++ b/packages/relay/src/attempt.c
@@ -124,7 +124,9 @@
           LOG_U64 ("status", upstream->status),
           LOG_U64 ("events", request->events_sent), LOG_STR ("parts", parts),
           LOG_INT ("after_ms", relay->now_ms - upstream->started_ms));
-      exclude_endpoint (request, load);
+      /* An endpoint without a free slot has one again soon. */
+      if (result != RESULT_ENDPOINT_BUSY || !request->service->has_priorities)
+        exclude_endpoint (request, load);
       balance_note_failure (load, relay->now_ms);
       if (result == RESULT_ENDPOINT_CONNECT)
         {
@@ -216,6 +218,7 @@
     .remaining_ms = was_sent (request)
                         ? request->route->objective_ms
                         : request->objective_deadline_ms - relay->now_ms,
+    .waits_for_slot = request->service->has_priorities && current == NULL,
     .excluded_count = request->tried_count,
   };
 
--- a/packages/relay/tests/t0857-waiting-order.c
+++ b/packages/relay/tests/t0857-waiting-order.c
@@ -15,9 +15,9 @@
  */
 
 #define CALLERS 3
-#define HOLD_MS 500
+#define HOLD_MS 250
 #define SEND_INTERVAL_MS 30
-#define OBJECTIVE_MS 2000
+#define OBJECTIVE_MS 1000
 #define TIMEOUT_MS 4000
 
 static const struct order_case
@@ -30,6 +30,7 @@
     int deadline_ms;
   } requests[CALLERS];
   const char *order; /* as they reach the endpoint */
+  unsigned refusals; /* the endpoint refuses the first ones as not run */
 } cases[] = {
   { "a less urgent request takes the slot that becomes free",
     true,
@@ -47,6 +48,11 @@
     true,
     { { "/high/", 4000 }, { "/high/", 1900 } },
     "01" },
+  { "a request is lost once the only endpoint had no free slot",
+    true,
+    { { "/high/", 4000 } },
+    "00",
+    1 },
   { "a service without priorities is served in another order than before",
     false,
     { { "/low/", 4000 }, { "/low/", 1900 }, { "/high/", 4000 } },
@@ -62,6 +68,7 @@
 };
 
 static struct caller callers[CALLERS];
+static const struct order_case *current;
 static char order[CALLERS + 1]; /* numbers of the requests at the endpoint */
 static struct fake_connection *held[CALLERS];
 static char held_ids[CALLERS];
@@ -81,6 +88,11 @@
   held_ids[received] = id[6];
   held[received] = fake;
   held_since_ms[received++] = time_boot_ms ();
+  if (received > current->refusals)
+    return;
+  http_connection_write (&fake->connection, NOT_RUN, strlen (NOT_RUN));
+  http_connection_next_message (&fake->connection, false);
+  answered++;
 }
 
 static const struct http_events holding_events = {
@@ -216,8 +228,10 @@
       const struct relay_case fixture
           = { .guards = cases[i].guards, .request = "" };
       const struct http_limits limits = { 65536, 65536 };
-      unsigned expected = (unsigned)strlen (cases[i].order);
+      unsigned sends = (unsigned)strlen (cases[i].order);
+      unsigned expected = sends - cases[i].refusals;
 
+      current = &cases[i];
       setup (&fixture);
       received = 0;
       answered = 0;
@@ -238,7 +252,7 @@
           callers[j].is_open = true;
           run_for (SEND_INTERVAL_MS);
         }
-      run_for ((int64_t)expected * (HOLD_MS + 200));
+      run_for ((int64_t)sends * (HOLD_MS + 200));
       if (strcmp (order, cases[i].order) != 0)
         fail_msg ("%s: order %s", cases[i].guards, order);
       for (unsigned j = 0; j < expected; j++)
