--- a/packages/balance/tests/t0473-admission-order.c
+++ b/packages/balance/tests/t0473-admission-order.c
@@ -158,8 +158,9 @@
   unsigned lost;
   unsigned missed; /* late although they were sent as in time */
   unsigned late_try;
-  unsigned large_offered; /* the largest tenth */
-  unsigned large_served;
+  /* Of the prompts: the largest tenth, and the fifth below it. */
+  unsigned large_offered[2];
+  unsigned large_served[2];
   double told_ms; /* sum over the lost: time of the last refusal */
 };
 
@@ -528,21 +529,22 @@
       const struct request *request = &world.requests[i];
       const struct kind *kind = &kinds[request->kind];
       struct tally *tally = &tallies[request->kind];
-      bool is_large
-          = (double)request->prompt_tokens > 2.3 * kind->prompt_tokens;
+      /* Sizes are exponential: a tenth is over 2.3 means, 0.3 over 1.2. */
+      double size = (double)request->prompt_tokens / kind->prompt_tokens;
+      int class = size > 2.3 ? 0 : 1;
 
       if (request->first_ms < COUNT_FROM_MS
           || request->first_ms >= COUNT_UNTIL_MS)
         continue;
       tally->offered++;
-      tally->large_offered += is_large;
+      tally->large_offered[class] += size > 1.2;
       if (request->end_ms == 0)
         {
           tally->lost++;
           tally->told_ms += (double)(request->told_ms - request->first_ms);
           continue;
         }
-      tally->large_served += is_large;
+      tally->large_served[class] += size > 1.2;
       if (request->first_event_ms - request->first_ms <= kind->objective_ms)
         tally->in_time++;
       else
@@ -615,20 +617,24 @@
           sums[k].in_time += tallies[k].in_time;
           sums[k].late += tallies[k].late;
           sums[k].lost += tallies[k].lost;
-          sums[k].large_offered += tallies[k].large_offered;
-          sums[k].large_served += tallies[k].large_served;
+          for (int i = 0; i < 2; i++)
+            {
+              sums[k].large_offered[i] += tallies[k].large_offered[i];
+              sums[k].large_served[i] += tallies[k].large_served[i];
+            }
           sums[k].told_ms += tallies[k].told_ms;
         }
     }
   for (int k = 0; k < KINDS; k++)
-    print_message ("%-12s %-20s %c: %5u offered, %.3f in time, %.3f late, %.3f "
-                   "lost and told after %4.0f ms, large served %.3f\n",
-                   condition->name, policy->name, 'A' + k, sums[k].offered,
-                   get_share (sums[k].in_time, sums[k].offered),
-                   get_share (sums[k].late, sums[k].offered),
-                   get_share (sums[k].lost, sums[k].offered),
-                   sums[k].lost > 0 ? sums[k].told_ms / sums[k].lost : 0,
-                   get_share (sums[k].large_served, sums[k].large_offered));
+    print_message (
+        "%-12s %-20s %c: %5u offered, %.3f in time, %.3f late, %.3f "
+        "lost and told after %4.0f ms, large served %.3f\n",
+        condition->name, policy->name, 'A' + k, sums[k].offered,
+        get_share (sums[k].in_time, sums[k].offered),
+        get_share (sums[k].late, sums[k].offered),
+        get_share (sums[k].lost, sums[k].offered),
+        sums[k].lost > 0 ? sums[k].told_ms / sums[k].lost : 0,
+        get_share (sums[k].large_served[0], sums[k].large_offered[0]));
 }
 
 /*
@@ -678,10 +684,16 @@
       all_offered += tallies[k].offered;
     }
   for (int k = 0; k < KINDS; k++)
-    if (served[k] < (1 - get_share (all_lost, all_offered)) / 4
-        || get_share (tallies[k].large_served, tallies[k].large_offered)
-               < served[k] / 2)
-      fail_msg ("%s, %c: starved", condition->name, 'A' + k);
+    {
+      const struct tally *tally = &tallies[k];
+
+      if (served[k] < (1 - get_share (all_lost, all_offered)) / 4
+          || get_share (tally->large_served[0], tally->large_offered[0])
+                 < served[k] / 2
+          || get_share (tally->large_served[1], tally->large_offered[1])
+                 < served[k] / 2)
+        fail_msg ("%s, %c: starved", condition->name, 'A' + k);
+    }
   /* A is more urgent than C, at the same groups. */
   if (served[0] < served[2] - 0.05
       || get_share (tallies[0].in_time, tallies[0].offered)
@@ -727,7 +739,7 @@
   } guards[] = {
     { { "does not count waits", true, false, true, true }, 1, 1, false },
     { { "no wait on last try", true, true, true, false }, 1, 1, true },
-    { { "without ranks", true, true, false, true }, 2, 0, false },
+    { { "without ranks", true, true, false, true }, 3, 0, false },
   };
 
   (void)state;
@@ -746,11 +758,175 @@
     }
 }
 
+static const struct decision_case
+{
+  const char *guards; /* failure that the case guards against */
+  struct admission_request request;
+  struct admission_outlook outlook;
+  enum admission_action action;
+  bool is_unreachable;
+} decision_cases[] = {
+  { "a request that can be sent waits",
+    { .objective_ms = 250, .objective_left_ms = 250, .deadline_left_ms = 6000 },
+    { .hosts = 1 },
+    ADMISSION_SEND },
+  { "a request that cannot be served in its time is sent",
+    { .deadline_left_ms = 60, .idle_first_event_ms = 75 },
+    { .hosts = 1 },
+    ADMISSION_REFUSE,
+    true },
+  { "a request is refused although it can still be in time",
+    { .objective_ms = 250,
+      .objective_left_ms = 200,
+      .deadline_left_ms = 5950,
+      .busy_first_event_ms = 95 },
+    { .is_full = true, .hosts = 1 },
+    ADMISSION_WAIT },
+  { "a request waits until its response is late",
+    { .objective_ms = 250,
+      .objective_left_ms = 180,
+      .deadline_left_ms = 5930,
+      .busy_first_event_ms = 95 },
+    { .is_full = true, .hosts = 1 },
+    ADMISSION_REFUSE },
+  { "a large prompt is never waited for",
+    { .objective_ms = 250,
+      .objective_left_ms = 230,
+      .deadline_left_ms = 5980,
+      .busy_first_event_ms = 150 },
+    { .is_full = true, .hosts = 1 },
+    ADMISSION_WAIT },
+  { "a request whose caller came back is lost",
+    { .objective_ms = 250,
+      .objective_left_ms = -700,
+      .deadline_left_ms = 5000,
+      .waited_before_ms = 1000,
+      .run_ms = 1000 },
+    { .is_full = true, .slots = 800, .hosts = 99, .ahead = 10 },
+    ADMISSION_WAIT },
+  { "a request without time for another try is lost",
+    { .objective_ms = 300, .objective_left_ms = -10, .deadline_left_ms = 490 },
+    { .is_full = true, .slots = 18, .hosts = 99 },
+    ADMISSION_WAIT },
+  { "a request waits behind more than can be served before its end",
+    { .objective_ms = 250,
+      .objective_left_ms = -700,
+      .deadline_left_ms = 5000,
+      .waited_before_ms = 1000,
+      .run_ms = 1000 },
+    { .is_full = true, .slots = 800, .hosts = 99, .ahead = 70 },
+    ADMISSION_REFUSE },
+  { "a request waits although its response would be cut off",
+    { .objective_ms = 250,
+      .objective_left_ms = -4700,
+      .deadline_left_ms = 950,
+      .waited_before_ms = 5050,
+      .run_ms = 1000 },
+    { .is_full = true, .slots = 800, .hosts = 99 },
+    ADMISSION_REFUSE },
+};
+
+static void
+test_decisions (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof decision_cases / sizeof decision_cases[0]; i++)
+    {
+      const struct decision_case *c = &decision_cases[i];
+      struct admission_model model = { .key = 1 };
+      struct admission_decision decision
+          = admission_decide (&model, &c->request, &c->outlook, 0.5, 1000);
+
+      if (decision.action != c->action
+          || decision.is_unreachable != c->is_unreachable
+          || (c->action == ADMISSION_REFUSE && decision.retry_after_ms < 500))
+        fail_msg ("%s: action %d, return after %d ms", c->guards,
+                  (int)decision.action, (int)decision.retry_after_ms);
+    }
+}
+
+/*
+ * Guards against callers that come back together, or later than they honour or
+ * than all that runs has ended.
+ */
+static void
+test_return_times (void **state)
+{
+  const struct admission_request request = { .objective_ms = 250,
+                                             .objective_left_ms = -1,
+                                             .deadline_left_ms = 5700,
+                                             .run_ms = 1000 };
+  const struct admission_outlook outlook
+      = { .is_full = true, .slots = 800, .hosts = 99 };
+  struct admission_model model = { .key = 1 };
+  struct rng rng;
+  unsigned counts[12] = { 0 }; /* in 100 ms each */
+
+  (void)state;
+  rng_init (&rng, 1);
+  /* One host refuses the callers that 800 slots leave over in a second. */
+  for (int64_t now_ms = 0; now_ms < 1000; now_ms += 100)
+    {
+      struct admission_decision decision = admission_decide (
+          &model, &request, &outlook, rng_real (&rng), now_ms);
+
+      assert_in_range (decision.retry_after_ms, 500, 1200);
+      counts[decision.retry_after_ms / 100]++;
+    }
+  for (size_t i = 0; i < sizeof counts / sizeof counts[0]; i++)
+    assert_in_range (counts[i], 0, 4);
+}
+
+/* Guards against starvation of less urgent kinds, and against late requests
+ * that take more than the free slots. */
+static void
+test_shares (void **state)
+{
+  const struct admission_outlook outlook = { .slots = 720, .hosts = 99 };
+
+  (void)state;
+  for (unsigned rank = 1; rank < 8; rank++)
+    for (int percent = 0; percent < 110; percent++)
+      {
+        double occupied = percent / 100.0;
+        struct admission_request request
+            = { .objective_left_ms = 250, .deadline_left_ms = 6000 };
+        struct admission_range first = admission_get_range (&request, &outlook);
+        struct admission_range range;
+
+        request.rank = rank;
+        range = admission_get_range (&request, &outlook);
+        assert_true (fmin (1, admission_share (&range, occupied))
+                     >= 0.25 * fmin (1, admission_share (&first, occupied)));
+      }
+  for (int percent = 50; percent < 110; percent++)
+    {
+      double occupied = percent / 100.0;
+      double sent = 0;
+
+      for (unsigned ahead = 0; ahead < 10; ahead++)
+        {
+          const struct admission_request request = { .deadline_left_ms = 5000 };
+          struct admission_outlook behind = outlook;
+          struct admission_range range;
+
+          behind.ahead = ahead;
+          range = admission_get_range (&request, &behind);
+          sent += fmax (0, fmin (1, admission_share (&range, occupied)));
+        }
+      assert_true (sent * outlook.hosts
+                   <= fmax (0, 0.9 - occupied) * outlook.slots + 0.001);
+    }
+}
+
 int
 main (void)
 {
-  const struct CMUnitTest tests[]
-      = { cmocka_unit_test (test_conditions), cmocka_unit_test (test_guards) };
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_decisions), cmocka_unit_test (test_return_times),
+    cmocka_unit_test (test_shares),    cmocka_unit_test (test_conditions),
+    cmocka_unit_test (test_guards),
+  };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/packages/catalog/tests/t0460-catalog.c
+++ b/packages/catalog/tests/t0460-catalog.c
@@ -408,6 +408,50 @@
   endpoints_finish (&endpoints);
 }
 
+/* Guards against services that are served in order of priority unasked. */
+static void
+test_priorities (void **state)
+{
+  static const struct
+  {
+    unsigned priorities[3];
+    unsigned weights[3]; /* of the target "app" */
+    bool has_priorities;
+  } cases[] = {
+    { { 0, 0, 0 }, { 1, 1, 1 }, false }, { { 2, 2, 2 }, { 1, 1, 1 }, false },
+    { { 0, 0, 1 }, { 1, 1, 1 }, true },  { { 1, 0, 0 }, { 1, 5, 0 }, true },
+    { { 0, 0, 1 }, { 1, 1, 0 }, false }, { { 0, 1, 2 }, { 0, 1, 0 }, false },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      struct catalog *catalog = catalog_new (3, 2, 0);
+
+      assert_non_null (catalog);
+      for (unsigned j = 0; j < 3; j++)
+        {
+          struct catalog_route *route = &catalog->routes[j];
+
+          route->priority = cases[i].priorities[j];
+          snprintf (route->targets[0].service, CATALOG_NAME_SIZE, "other");
+          route->targets[0].weight = 1;
+          snprintf (route->targets[1].service, CATALOG_NAME_SIZE, "app");
+          route->targets[1].weight = cases[i].weights[j];
+          route->target_count = 2;
+        }
+      catalog->route_count = 3;
+      snprintf (catalog->services[0].name, CATALOG_NAME_SIZE, "app");
+      snprintf (catalog->services[1].name, CATALOG_NAME_SIZE, "unused");
+      catalog->service_count = 2;
+      catalog_index_priorities (catalog);
+      if (catalog->services[0].has_priorities != cases[i].has_priorities)
+        fail_msg ("case %d", (int)i);
+      assert_false (catalog->services[1].has_priorities);
+      catalog_unref (catalog);
+    }
+}
+
 int
 main (void)
 {
@@ -419,6 +463,7 @@
     cmocka_unit_test (test_leaving_is_kept),
     cmocka_unit_test (test_endpoint_deletions),
     cmocka_unit_test (test_deletions_after_outage),
+    cmocka_unit_test (test_priorities),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
