relay: try only late requests that can be admitted

Cause: each late request that waits was given a look at all endpoints every 100 ms, also those behind more than the host's part of the free slots. Two with the same time left counted each other as ahead.

Change: a request whose range lies below no occupied slots is not tried; of equal requests the first in the list is ahead. t0857-waiting-order holds the first request until the relay has received all: one of five runs on a busy machine failed because a request arrived after the slot had become free. It also covers late requests for a group.

--- a/packages/balance/tests/t0473-admission-order.c
+++ b/packages/balance/tests/t0473-admission-order.c
@@ -327,7 +327,7 @@
             = describe (host->waiting[i], get_model (request), false);
 
         count += admission_get_state (&other) != ADMISSION_IN_TIME
-                 && admission_compare (&other, described) <= 0;
+                 && admission_compare (&other, described) < 0;
       }
   return count;
 }
--- a/packages/relay/src/admission.c
+++ b/packages/relay/src/admission.c
@@ -71,24 +71,33 @@
                                                   service->tokens_per_event));
 }
 
-/* Counts the late requests for the same model that are served before. */
+/*
+ * Counts the late requests for the same model that are served before.  Of equal
+ * ones those are that come first in the list.
+ */
 static unsigned
 count_ahead (const struct relay_request *request)
 {
   const struct relay_request *other;
+  int highest_order = 0;
   unsigned count = 0;
 
   TAILQ_FOREACH (other, &request->relay->waiting, queue)
-    if (other != request && relay_is_ordered (other)
-        && other->admission_key == request->admission_key
-        && admission_get_state (&other->admission) != ADMISSION_IN_TIME
-        && admission_compare (&other->admission, &request->admission) <= 0)
-      count++;
+    {
+      if (other == request)
+        highest_order = -1;
+      else if (relay_is_ordered (other)
+               && other->admission_key == request->admission_key
+               && admission_get_state (&other->admission) != ADMISSION_IN_TIME
+               && admission_compare (&other->admission, &request->admission)
+                      <= highest_order)
+        count++;
+    }
   return count;
 }
 
 static struct admission_outlook
-get_outlook (const struct relay_request *request)
+get_outlook (const struct relay_request *request, bool counts_ahead)
 {
   unsigned hosts = request->relay->loads.fleet.live_hosts;
   bool is_late = admission_get_state (&request->admission) != ADMISSION_IN_TIME;
@@ -96,23 +105,24 @@
   return (struct admission_outlook){
     .slots = get_model (request)->slots,
     .hosts = hosts > 0 ? hosts : 1,
-    .ahead = is_late ? count_ahead (request) : 0,
+    .ahead = counts_ahead && is_late ? count_ahead (request) : 0,
   };
 }
 
-void
+bool
 relay_admission_set_range (struct relay_request *request,
                            struct balance_request *wanted)
 {
   struct admission_outlook outlook;
 
   update_times (request);
-  outlook = get_outlook (request);
+  outlook = get_outlook (request, true);
   wanted->has_range = true;
   wanted->range = admission_get_range (&request->admission, &outlook);
   /* The range of late requests follows from the chance of each try. */
   if (admission_get_state (&request->admission) != ADMISSION_IN_TIME)
     wanted->admission_draw = rng_real (&request->relay->loads.rng);
+  return request->model == NULL || wanted->range.none_above > 0;
 }
 
 static void
@@ -171,7 +181,7 @@
   struct admission_decision decision;
 
   update_times (request);
-  outlook = get_outlook (request);
+  outlook = get_outlook (request, is_full);
   outlook.is_full = is_full;
   decision
       = admission_decide (get_model (request), &request->admission, &outlook,
--- a/packages/relay/src/attempt.c
+++ b/packages/relay/src/attempt.c
@@ -222,8 +222,12 @@
     .excluded_count = request->tried_count,
   };
 
-  if (relay_is_ordered (request))
-    relay_admission_set_range (request, &wanted);
+  if (relay_is_ordered (request)
+      && !relay_admission_set_range (request, &wanted))
+    {
+      *choice = (struct balance_choice){ .load = NULL };
+      return BALANCE_FULL;
+    }
   for (unsigned i = 0; i < request->tried_count; i++)
     wanted.excluded[i] = request->tried[i];
   if (current != NULL && wanted.excluded_count < BALANCE_EXCLUDE_LIMIT)
--- a/packages/relay/src/relay-internal.h
+++ b/packages/relay/src/relay-internal.h
@@ -66,8 +66,11 @@
 bool relay_is_ordered (const struct relay_request *request);
 /* Sets the request's place in the order; call once it has been received. */
 void relay_admission_start (struct relay_request *request);
-/* Sets what the order asks of a choice of an endpoint. */
-void relay_admission_set_range (struct relay_request *request,
+/*
+ * Sets what the order asks of a choice of an endpoint.  False if the request is
+ * admitted to none, however few slots are occupied.
+ */
+bool relay_admission_set_range (struct relay_request *request,
                                 struct balance_request *wanted);
 /* is_full: no endpoint takes the request now. */
 struct admission_decision relay_admission_decide (struct relay_request *request,
--- a/packages/relay/tests/t0857-waiting-order.c
+++ b/packages/relay/tests/t0857-waiting-order.c
@@ -31,6 +31,7 @@
   } requests[CALLERS];
   const char *order; /* as they reach the endpoint */
   unsigned refusals; /* the endpoint refuses the first ones as not run */
+  bool is_grouped;   /* the endpoint heads a group that serves a model */
 } cases[] = {
   { "a less urgent request takes the slot that becomes free",
     true,
@@ -53,6 +54,11 @@
     { { "/high/", 4000 } },
     "00",
     1 },
+  { "a late request gets no free slot of a group",
+    true,
+    { { "/high/", 4000 }, { "/high/", 2950 }, { "/high/", 2990 } },
+    "012",
+    .is_grouped = true },
   { "a service without priorities is served in another order than before",
     false,
     { { "/low/", 4000 }, { "/low/", 1900 }, { "/high/", 4000 } },
@@ -102,11 +108,27 @@
   .closed = fake_closed,
 };
 
+/* True once the relay has received all requests of the case. */
+static bool
+has_all_requests (void)
+{
+  const struct relay_request *request;
+  unsigned count = answered;
+
+  TAILQ_FOREACH (request, &test.relay.requests, link)
+    count += request->phase != RELAY_READING;
+  return count >= strlen (current->order);
+}
+
+/* Answers one request HOLD_MS after it and all others have arrived. */
 static void
 answer_held (void)
 {
   char text[128];
 
+  if (answered < received && !has_all_requests ())
+    held_since_ms[answered] = time_boot_ms ();
+
   if (answered == received
       || time_boot_ms () - held_since_ms[answered] < HOLD_MS)
     return;
@@ -126,7 +148,8 @@
   char text[256];
 
   snprintf (text, sizeof text,
-            "GET %s1 HTTP/1.1\r\nHost: h\r\nX-Id: %d\r\nX-Deadline: %d\r\n\r\n",
+            "GET %s1 HTTP/1.1\r\nHost: h\r\nX-Id: %d\r\nX-Deadline: %d\r\n"
+            "X-Model: m\r\n\r\n",
             caller->c->requests[i].path, i, caller->c->requests[i].deadline_ms);
   http_connection_write (&caller->connection, text, strlen (text));
 }
@@ -171,12 +194,22 @@
   .closed = on_caller_closed,
 };
 
+static bool
+has_open_caller (void)
+{
+  for (unsigned i = 0; i < CALLERS; i++)
+    if (callers[i].is_open)
+      return true;
+  return false;
+}
+
+/* Runs for the time, or until all callers have got their responses. */
 static void
 run_for (int64_t for_ms)
 {
   int64_t until_ms = time_boot_ms () + for_ms;
 
-  while (time_boot_ms () < until_ms)
+  while (time_boot_ms () < until_ms && has_open_caller ())
     {
       const struct timeval step = { 0, 5000 };
 
@@ -188,7 +221,7 @@
 }
 
 static struct catalog *
-make_two_routes (bool has_priorities)
+make_two_routes (const struct order_case *c)
 {
   static const char *const prefixes[] = { "/high/", "/low/" };
   struct catalog *catalog = catalog_new (2, 1, 0);
@@ -208,12 +241,19 @@
       route->attempts = 2;
       route->timeout_ms = TIMEOUT_MS;
       route->objective_ms = OBJECTIVE_MS;
-      route->priority = has_priorities ? i : 1;
+      route->priority = c->has_priorities ? i : 1;
       catalog->route_count++;
       catalog_index_route (catalog, i);
     }
   snprintf (catalog->services[0].name, sizeof catalog->services[0].name, "app");
   catalog->service_count = 1;
+  if (c->is_grouped)
+    {
+      catalog->services[0].slots = 1;
+      catalog->services[0].models[0]
+          = (struct catalog_model){ .name = "m", .size = 1, .time_factor = 1 };
+      catalog->services[0].model_count = 1;
+    }
   catalog_index_priorities (catalog);
   return catalog;
 }
@@ -228,6 +268,7 @@
       const struct relay_case fixture
           = { .guards = cases[i].guards, .request = "" };
       const struct http_limits limits = { 65536, 65536 };
+      struct endpoint_report *report;
       unsigned sends = (unsigned)strlen (cases[i].order);
       unsigned expected = sends - cases[i].refusals;
 
@@ -237,9 +278,12 @@
       answered = 0;
       memset (order, 0, sizeof order);
       memset (callers, 0, sizeof callers);
-      endpoints_find (&test.endpoints, "e0")->report.slots = 1;
-      relay_set_catalog (&test.relay,
-                         make_two_routes (cases[i].has_priorities));
+      report = &endpoints_find (&test.endpoints, "e0")->report;
+      report->slots = 1;
+      report->state
+          = cases[i].is_grouped ? ENDPOINT_GROUP_OPEN : ENDPOINT_GROUP_NONE;
+      snprintf (report->model, sizeof report->model, "m");
+      relay_set_catalog (&test.relay, make_two_routes (&cases[i]));
       for (unsigned j = 0; j < expected; j++)
         {
           callers[j].c = &cases[i];
@@ -252,7 +296,7 @@
           callers[j].is_open = true;
           run_for (SEND_INTERVAL_MS);
         }
-      run_for ((int64_t)sends * (HOLD_MS + 200));
+      run_for (TIMEOUT_MS);
       if (strcmp (order, cases[i].order) != 0)
         fail_msg ("%s: order %s", cases[i].guards, order);
       for (unsigned j = 0; j < expected; j++)
