balance: weigh priorities by the share of more urgent requests

Cause: a fixed step of 0.1 for each more urgent priority of the last minute left two of 20 slots empty in a burst for a customer who is more urgent but rare, and the least urgent kind was in time less often than before in a burst of A.

Change: the range lies lower by 0.2 times the share of more urgent requests. A host that stops waits no longer than its process lasts.

--- a/packages/balance/include/admission-order.h
+++ b/packages/balance/include/admission-order.h
@@ -52,8 +52,8 @@
 {
   uint64_t key; /* of service and model; 0 = unused */
   int64_t used_ms;
-  /* Last request of each priority; 0 = none.  The last one includes lower. */
-  int64_t seen_ms[ADMISSION_PRIORITY_LIMIT];
+  /* Moving shares of the requests; the last priority includes lower ones. */
+  double priority_weights[ADMISSION_PRIORITY_LIMIT];
   double events_per_limit_token; /* moving mean; 0 = no response yet */
   double run_ms;                 /* moving mean of responses' times */
   unsigned slots;                /* of its endpoints at the last choice */
@@ -69,13 +69,9 @@
 struct admission_model *admission_history_get (
     struct admission_history *history, uint64_t key, int64_t now_ms);
 
-/*
- * Records a request.  Returns its rank: the number of more urgent priorities
- * among the model's recent requests.
- */
-unsigned admission_model_note_request (struct admission_model *model,
-                                       unsigned priority,
-                                       int64_t now_ms);
+/* Records a request.  Returns the share of more urgent ones among the last. */
+double admission_model_note_request (struct admission_model *model,
+                                     unsigned priority);
 
 /*
  * Records a whole response: its time, its events and the limit that was asked
@@ -102,8 +98,8 @@
 /* A request as of now. */
 struct admission_request
 {
-  unsigned priority;         /* 0 = most urgent */
-  unsigned rank;             /* see admission_model_note_request */
+  unsigned priority;        /* 0 = most urgent */
+  double more_urgent_share; /* see admission_model_note_request */
   int64_t objective_ms;
   int64_t objective_left_ms; /* negative = missed */
   int64_t deadline_left_ms;
--- a/packages/balance/src/admission-order.c
+++ b/packages/balance/src/admission-order.c
@@ -3,14 +3,12 @@
 #include <string.h>
 
 /*
- * By this much lower lies the range of the next less urgent priority: two slots
- * of 20 are left to the more urgent one.  With one slot, a kind of request with
- * twice the objective is served better than the more urgent one
- * (docs/design/load-shedding.md).
+ * The range of a request lies lower by this much times the share of more urgent
+ * requests.  If that is a half, two slots of 20 are left to them.  With one
+ * slot, a kind of request with twice the objective is served better than the
+ * more urgent one (docs/design/load-shedding.md).
  */
-#define RANK_STEP 0.1
-/* Ranks above this one are treated alike. */
-#define RANK_LIMIT 3
+#define URGENT_SHARE_STEP 0.2
 /*
  * Each kind and customer is to be served at least a quarter as often as all; a
  * third leaves room for what else delays a request.
@@ -54,10 +52,13 @@
 #define LATE_TRY_INTERVAL_MS 100
 /* A host may serve twice its equal part of the requests. */
 #define HOST_SHARE_LIMIT 2
-/* A priority without a request for this long has no effect on others. */
-#define PRIORITY_VALID_MS 60000
-/* Weight of a new sample in the moving mean. */
+/* Weight of a new sample in the moving means. */
 #define SAMPLE_WEIGHT 0.1
+/*
+ * The same for priorities: about the last 50 requests count, 10 s to 2 minutes
+ * of one host.
+ */
+#define PRIORITY_WEIGHT 0.02
 
 static double
 clamp_share (double share)
@@ -107,20 +108,23 @@
   return model;
 }
 
-unsigned
-admission_model_note_request (struct admission_model *model,
-                              unsigned priority,
-                              int64_t now_ms)
+double
+admission_model_note_request (struct admission_model *model, unsigned priority)
 {
-  unsigned rank = 0;
+  double more_urgent = 0;
+  double all = 0;
 
   if (priority >= ADMISSION_PRIORITY_LIMIT)
     priority = ADMISSION_PRIORITY_LIMIT - 1;
-  model->seen_ms[priority] = now_ms;
-  for (unsigned i = 0; i < priority; i++)
-    rank += model->seen_ms[i] > 0
-            && now_ms - model->seen_ms[i] < PRIORITY_VALID_MS;
-  return rank;
+  for (unsigned i = 0; i < ADMISSION_PRIORITY_LIMIT; i++)
+    {
+      model->priority_weights[i]
+          += PRIORITY_WEIGHT * ((i == priority) - model->priority_weights[i]);
+      all += model->priority_weights[i];
+      if (i < priority)
+        more_urgent += model->priority_weights[i];
+    }
+  return more_urgent / all;
 }
 
 static void
@@ -196,14 +200,14 @@
 admission_get_range (const struct admission_request *request,
                      const struct admission_outlook *outlook)
 {
-  unsigned rank = request->rank < RANK_LIMIT ? request->rank : RANK_LIMIT;
+  double step = URGENT_SHARE_STEP * request->more_urgent_share;
 
   if (admission_get_state (request) != ADMISSION_IN_TIME)
     return get_late_range (outlook);
   return (struct admission_range){
-    .all_below = ADMISSION_ALL_BELOW - RANK_STEP * rank,
-    .none_above = ADMISSION_NONE_ABOVE - RANK_STEP * rank,
-    .least_share = rank > 0 ? LEAST_SHARE : 0,
+    .all_below = ADMISSION_ALL_BELOW - step,
+    .none_above = ADMISSION_NONE_ABOVE - step,
+    .least_share = LEAST_SHARE,
   };
 }
 
--- a/packages/balance/tests/t0473-admission-order.c
+++ b/packages/balance/tests/t0473-admission-order.c
@@ -90,7 +90,7 @@
   const char *name;
   bool is_ordered;
   bool counts_waited; /* the time before the caller came back */
-  bool ranks;
+  bool knows_priorities;
   bool waits_on_last_try;
 };
 
@@ -117,6 +117,7 @@
   int64_t arrived_ms; /* at this host */
   int64_t next_ms;    /* next try */
   double draw;
+  double more_urgent_share;
   bool came_back;
   bool is_prefilled;
   int64_t first_event_ms; /* 0 = none */
@@ -286,13 +287,14 @@
   double events = admission_model_expect_events (
       model, (uint64_t)(kind->events * 2 * service.tokens_per_event),
       service.tokens_per_event);
-  unsigned rank = is_new ? admission_model_note_request (model, kind->priority,
-                                                         world.now_ms + 1)
-                         : kind->priority - (kind->model == 1);
 
+  if (is_new)
+    request->more_urgent_share
+        = admission_model_note_request (model, kind->priority);
   return (struct admission_request){
-    .priority = world.policy->ranks ? kind->priority : 0,
-    .rank = world.policy->ranks ? rank : 0,
+    .priority = world.policy->knows_priorities ? kind->priority : 0,
+    .more_urgent_share
+    = world.policy->knows_priorities ? request->more_urgent_share : 0,
     .objective_ms = kind->objective_ms,
     .objective_left_ms = wanted.remaining_ms,
     .deadline_left_ms = request->first_ms + kind->timeout_ms - world.now_ms,
@@ -739,7 +741,7 @@
   } guards[] = {
     { { "does not count waits", true, false, true, true }, 1, 1, false },
     { { "no wait on last try", true, true, true, false }, 1, 1, true },
-    { { "without ranks", true, true, false, true }, 3, 0, false },
+    { { "without priorities", true, true, false, true }, 3, 0, false },
   };
 
   (void)state;
@@ -885,7 +887,7 @@
   const struct admission_outlook outlook = { .slots = 720, .hosts = 99 };
 
   (void)state;
-  for (unsigned rank = 1; rank < 8; rank++)
+  for (int tenths = 1; tenths <= 10; tenths++)
     for (int percent = 0; percent < 110; percent++)
       {
         double occupied = percent / 100.0;
@@ -894,7 +896,7 @@
         struct admission_range first = admission_get_range (&request, &outlook);
         struct admission_range range;
 
-        request.rank = rank;
+        request.more_urgent_share = tenths / 10.0;
         range = admission_get_range (&request, &outlook);
         assert_true (fmin (1, admission_share (&range, occupied))
                      >= 0.25 * fmin (1, admission_share (&first, occupied)));
--- a/packages/relay/src/admission.c
+++ b/packages/relay/src/admission.c
@@ -23,11 +23,16 @@
 static void
 update_times (struct relay_request *request)
 {
-  int64_t now_ms = request->relay->now_ms;
+  const struct relay *relay = request->relay;
+  int64_t now_ms = relay->now_ms;
+  int64_t ends_at_ms = request->deadline_ms;
 
+  /* The process ends all requests. */
+  if (relay->leaving && relay->ends_at_ms < ends_at_ms)
+    ends_at_ms = relay->ends_at_ms;
   request->admission.objective_left_ms
       = request->objective_deadline_ms - now_ms;
-  request->admission.deadline_left_ms = request->deadline_ms - now_ms;
+  request->admission.deadline_left_ms = ends_at_ms - now_ms;
 }
 
 static struct admission_model *
@@ -40,7 +45,6 @@
 void
 relay_admission_start (struct relay_request *request)
 {
-  const struct relay *relay = request->relay;
   const struct catalog_service *service = request->service;
   const struct balance_request estimate
       = { .service = service,
@@ -57,8 +61,8 @@
   request->objective_deadline_ms -= request->waited_before_ms;
   request->admission = (struct admission_request){
     .priority = relay_request_priority (request),
-    .rank = admission_model_note_request (
-        model, relay_request_priority (request), relay->now_ms),
+    .more_urgent_share
+    = admission_model_note_request (model, relay_request_priority (request)),
     .objective_ms = request->route->objective_ms,
     .waited_before_ms = request->waited_before_ms,
     .idle_first_event_ms = balance_min_first_event_ms (&estimate),
