balance: divide free slots by the hosts with late requests

Cause: each host gave its late requests a 99th of the free slots, also when few hosts had any.

Change: a host divides by the share of the last 3 s in which it had a late request itself, which stands for the share of hosts that have one.

--- a/packages/balance/include/admission-order.h
+++ b/packages/balance/include/admission-order.h
@@ -57,6 +57,8 @@
   double events_per_limit_token; /* moving mean; 0 = no response yet */
   double run_ms;                 /* moving mean of responses' times */
   unsigned slots;                /* of its endpoints at the last choice */
+  double late_tries;             /* recent tries of late requests, decaying */
+  int64_t late_tries_ms;         /* time of the last one */
   int64_t next_return_ms;        /* next place for a refused caller */
 };
 
@@ -82,6 +84,14 @@
                                     uint64_t events,
                                     int64_t run_ms);
 
+/*
+ * Records a try of the first late request of this host.  Returns the share of
+ * recent time in which the host had one, which stands for the share of hosts
+ * that have one now.
+ */
+double admission_model_note_late_try (struct admission_model *model,
+                                      int64_t now_ms);
+
 /* Events that a request is expected to get. */
 double admission_model_expect_events (const struct admission_model *model,
                                       uint64_t limit_tokens,
@@ -121,10 +131,11 @@
 /* The capacity that a request finds. */
 struct admission_outlook
 {
-  bool is_full;   /* no endpoint takes the request now */
-  unsigned slots; /* of all endpoints that could take it; 0 = unknown */
-  unsigned hosts; /* that share them */
-  unsigned ahead; /* late requests of this host that are served first */
+  bool is_full;      /* no endpoint takes the request now */
+  unsigned slots;    /* of all endpoints that could take it; 0 = unknown */
+  unsigned hosts;    /* that share them */
+  unsigned ahead;    /* late requests of this host that are served first */
+  double late_share; /* of the hosts that have late requests */
 };
 
 /* Shares of occupied slots over which fewer and fewer of them are admitted. */
--- a/packages/balance/src/admission-order.c
+++ b/packages/balance/src/admission-order.c
@@ -1,5 +1,6 @@
 #include "admission-order.h"
 
+#include <math.h>
 #include <string.h>
 
 /*
@@ -50,6 +51,12 @@
  * as often, and each try costs the host a look at all endpoints.
  */
 #define LATE_TRY_INTERVAL_MS 100
+/*
+ * Tries of late requests count for this time, on average.  With less, late
+ * requests of few hosts are lost while slots are free; with more, hosts send
+ * too many when a burst begins.
+ */
+#define LATE_TRIES_VALID_MS 3000.0
 /* A host may serve twice its equal part of the requests. */
 #define HOST_SHARE_LIMIT 2
 /* Weight of a new sample in the moving means. */
@@ -148,6 +155,18 @@
                 (double)events / (double)limit_tokens);
 }
 
+double
+admission_model_note_late_try (struct admission_model *model, int64_t now_ms)
+{
+  double age = (double)(now_ms - model->late_tries_ms) / LATE_TRIES_VALID_MS;
+  double share;
+
+  model->late_tries = model->late_tries * exp (-age) + 1;
+  model->late_tries_ms = now_ms;
+  share = model->late_tries * LATE_TRY_INTERVAL_MS / LATE_TRIES_VALID_MS;
+  return share < 1 ? share : 1;
+}
+
 double
 admission_model_expect_events (const struct admission_model *model,
                                uint64_t limit_tokens,
@@ -186,9 +205,10 @@
 static struct admission_range
 get_late_range (const struct admission_outlook *outlook)
 {
+  double hosts = outlook->hosts * outlook->late_share;
   double slots_per_try
       = outlook->slots > 0
-            ? outlook->slots / LATE_TRIES_UNHEARD / outlook->hosts
+            ? outlook->slots / LATE_TRIES_UNHEARD / (hosts > 1 ? hosts : 1)
             : 1;
   double none_above = LATE_NONE_ABOVE - outlook->ahead / slots_per_try;
 
--- a/packages/balance/tests/t0473-admission-order.c
+++ b/packages/balance/tests/t0473-admission-order.c
@@ -352,6 +352,10 @@
       if (admission_get_state (&described) != ADMISSION_IN_TIME)
         {
           outlook.ahead = count_ahead (request, &described);
+          outlook.late_share = 1;
+          if (outlook.ahead == 0)
+            outlook.late_share
+                = admission_model_note_late_try (model, world.now_ms);
           wanted.admission_draw = rng_real (&world.rng);
         }
       wanted.has_range = true;
@@ -884,7 +888,8 @@
 static void
 test_shares (void **state)
 {
-  const struct admission_outlook outlook = { .slots = 720, .hosts = 99 };
+  const struct admission_outlook outlook
+      = { .slots = 720, .hosts = 99, .late_share = 1 };
 
   (void)state;
   for (int tenths = 1; tenths <= 10; tenths++)
--- a/packages/relay/src/admission.c
+++ b/packages/relay/src/admission.c
@@ -121,6 +121,11 @@
 
   update_times (request);
   outlook = get_outlook (request, true);
+  outlook.late_share = 1;
+  if (outlook.ahead == 0
+      && admission_get_state (&request->admission) != ADMISSION_IN_TIME)
+    outlook.late_share = admission_model_note_late_try (get_model (request),
+                                                        request->relay->now_ms);
   wanted->has_range = true;
   wanted->range = admission_get_range (&request->admission, &outlook);
   /* The range of late requests follows from the chance of each try. */
