--- a/packages/balance/src/choose.c
+++ b/packages/balance/src/choose.c
@@ -33,6 +33,12 @@
 #define SLOWDOWN_MIN 2.0
 /* Upper bound of the slowdown that is counted. */
 #define SLOWDOWN_MAX 8.0
+/*
+ * Cost of an endpoint that is cold, in ms or in requests per slot: it is
+ * slower, so a request goes to a warm one while that has room.
+ */
+#define COLD_PENALTY_MS 40.0
+#define COLD_PENALTY_SLOTS 0.5
 /* Random part of a cost, which spreads choices between similar endpoints. */
 #define JITTER_MS 6.0
 #define JITTER_SLOTS 0.02
@@ -59,14 +65,33 @@
   return slots > 0 ? slots : 1;
 }
 
+bool
+balance_is_evacuated (const struct load_table *loads,
+                      const struct endpoint *endpoint)
+{
+  return evacuations_includes (loads->evacuations,
+                               endpoint->report.data_centre);
+}
+
 static bool
-is_candidate (const struct balance_request *request,
+is_cold (const struct load_table *loads,
+         const struct balance_request *request,
+         const struct endpoint *endpoint,
+         int64_t now_ms)
+{
+  return balance_cold_left_ms (loads, request->service, endpoint, now_ms) > 0;
+}
+
+static bool
+is_candidate (const struct load_table *loads,
+              const struct balance_request *request,
               const struct endpoint *endpoint)
 {
   const struct endpoint_report *report = &endpoint->report;
 
   if (!endpoint_is_usable (endpoint)
-      || strcmp (report->service, request->service->name) != 0)
+      || strcmp (report->service, request->service->name) != 0
+      || balance_is_evacuated (loads, endpoint))
     return false;
   if (request->service->model_count == 0)
     return true;
@@ -133,7 +158,8 @@
 
 /*
  * Totals of all available candidates for a request.  Slots of endpoints with a
- * request limit are not counted: most of them cannot be used.
+ * request limit, and of cold ones, are not counted: most of them cannot be
+ * used.
  */
 struct candidate_summary
 {
@@ -171,14 +197,15 @@
       struct endpoint_load *load;
       double event_gap_ms;
 
-      if (!is_candidate (request, endpoint))
+      if (!is_candidate (loads, request, endpoint))
         continue;
       load = load_table_get (loads, endpoint);
       if (load == NULL)
         continue;
       reset_reformed_group (load);
       balance_note_restart (load, now_ms);
-      if (is_avoided (loads, load, now_ms) || load->request_limit.per_s > 0)
+      if (is_avoided (loads, load, now_ms) || load->request_limit.per_s > 0
+          || is_cold (loads, request, endpoint, now_ms))
         continue;
       summary.count++;
       summary.running += load->running + load->peer_running;
@@ -312,12 +339,14 @@
              const struct balance_request *request,
              const struct endpoint_load *load,
              const struct candidate_summary *summary,
+             bool is_cold_endpoint,
              int64_t now_ms,
              double *expected_ms,
              double *cost)
 {
   unsigned running = load->running + load->peer_running;
   double limit_ms = OBJECTIVE_SHARE * (double)request->remaining_ms;
+  bool is_limited = is_cold_endpoint || load->request_limit.per_s > 0;
 
   *expected_ms
       = estimate_first_event_ms (
@@ -328,11 +357,12 @@
   *cost = *expected_ms
           + FAILURE_PENALTY_MS * compute_recent_failure_rate (load, now_ms)
           - (is_local (loads, load) ? LOCAL_ADVANTAGE_MS : 0)
+          + (is_cold_endpoint ? COLD_PENALTY_MS : 0)
           + (JITTER_MS
              + JITTER_PER_UNREPORTED_MS
                    * estimate_unreported_prefill_ms (loads, request, summary))
                 * rng_real (&loads->rng);
-  return (summary->is_admitted || load->request_limit.per_s > 0)
+  return (summary->is_admitted || is_limited)
          && running < balance_slots (request->service, load->endpoint)
          && *expected_ms <= limit_ms;
 }
@@ -341,6 +371,7 @@
 score_standalone (struct load_table *loads,
                   const struct balance_request *request,
                   const struct endpoint_load *load,
+                  bool is_cold_endpoint,
                   int64_t now_ms,
                   double *cost)
 {
@@ -350,6 +381,7 @@
   *cost = (double)(running + 1) / slots
           + FAILURE_PENALTY_SLOTS * compute_recent_failure_rate (load, now_ms)
           - (is_local (loads, load) ? LOCAL_ADVANTAGE_SLOTS : 0)
+          + (is_cold_endpoint ? COLD_PENALTY_SLOTS : 0)
           + (request->waits_for_slot ? SLOT_JITTER_SLOTS : JITTER_SLOTS)
                 * rng_real (&loads->rng);
   return running
@@ -389,9 +421,10 @@
       struct endpoint_load *load;
       double expected_ms = 0;
       double cost;
+      bool is_cold_endpoint;
       bool has_capacity;
 
-      if (!is_candidate (request, endpoint))
+      if (!is_candidate (loads, request, endpoint))
         continue;
       load = load_table_get (loads, endpoint);
       if (load == NULL)
@@ -409,11 +442,20 @@
           continue;
         }
       choice->slots += balance_slots (request->service, endpoint);
+      is_cold_endpoint = is_cold (loads, request, endpoint, now_ms);
       has_capacity
-          = is_grouped ? score_group (loads, request, load, summary, now_ms,
-                                      &expected_ms, &cost)
-                       : score_standalone (loads, request, load, now_ms, &cost);
+          = is_grouped
+                ? score_group (loads, request, load, summary, is_cold_endpoint,
+                               now_ms, &expected_ms, &cost)
+                : score_standalone (loads, request, load, is_cold_endpoint,
+                                    now_ms, &cost);
       has_capacity = has_capacity && load->passed_over != loads->choices;
+      if (has_capacity && is_cold_endpoint
+          && !balance_is_cold_due (loads, request->service, load, now_ms))
+        {
+          has_capacity = false;
+          choice->cold = load;
+        }
       if (!has_capacity)
         {
           if (verdict == BALANCE_NONE)
@@ -433,6 +475,26 @@
   return verdict;
 }
 
+/*
+ * True if the limits of the endpoint leave room for the request.  The smaller
+ * of the one that it names and that of a cold endpoint holds; choose_by_cost
+ * has found a request due at a cold one.
+ */
+static bool
+is_within_limits (struct load_table *loads,
+                  const struct balance_request *request,
+                  struct endpoint_load *load,
+                  int64_t now_ms)
+{
+  if (load->request_limit.per_s > 0
+      && !request_limit_admit (&load->request_limit, &loads->fleet,
+                               rng_real (&loads->rng), now_ms))
+    return false;
+  if (is_cold (loads, request, load->endpoint, now_ms))
+    cold_limit_take (&load->cold_limit);
+  return true;
+}
+
 enum balance_verdict
 balance_choose (struct load_table *loads,
                 const struct endpoints *endpoints,
@@ -453,9 +515,8 @@
       verdict = choose_by_cost (loads, endpoints, request, &summary, now_ms,
                                 choice);
       choice->at_limit = at_limit;
-      if (choice->load == NULL || choice->load->request_limit.per_s == 0
-          || request_limit_admit (&choice->load->request_limit, &loads->fleet,
-                                  rng_real (&loads->rng), now_ms))
+      if (choice->load == NULL
+          || is_within_limits (loads, request, choice->load, now_ms))
         return verdict;
       at_limit = choice->load;
       at_limit->passed_over = loads->choices;
--- a/packages/catalog/include/catalog.h
+++ b/packages/catalog/include/catalog.h
@@ -82,6 +82,9 @@
   unsigned tokens_per_event;
   /* Routes of different priorities lead to it; see catalog_index_priorities. */
   bool has_priorities;
+  /* How long an endpoint is cold after a start; 0 = never. */
+  int64_t cold_ms;
+  double cold_requests_per_s; /* that a cold endpoint can take */
 };
 
 struct catalog_customer
@@ -159,6 +162,9 @@
 const struct catalog_service *
 catalog_find_service (const struct catalog *catalog, const char *name);
 
+/* True if endpoints of some service are cold after a start. */
+bool catalog_has_cold_times (const struct catalog *catalog);
+
 /* Picks a target by weight; draw is a uniform random number of 64 bits. */
 const char *catalog_pick_target (const struct catalog_route *route,
                                  uint64_t draw);
--- a/packages/edge/include/gossip.h
+++ b/packages/edge/include/gossip.h
@@ -3,6 +3,7 @@
 
 #include "catalog.h"
 #include "endpoints.h"
+#include "evacuations.h"
 #include "lease.h"
 #include "result.h"
 #include "strikes.h"
@@ -25,6 +26,7 @@
 #define GOSSIP_PATCH_BYTES 1024
 #define GOSSIP_ROUTED_LIMIT 120
 #define GOSSIP_STRIKE_LIMIT 18
+#define GOSSIP_COLD_LIMIT 90
 /* An age that has no value, or does not fit. */
 #define GOSSIP_NEVER_MS UINT32_MAX
 
@@ -46,7 +48,14 @@
   GOSSIP_ROUTED_REQUEST,
   GOSSIP_ROUTED_RESPONSE, /* chunk of the response, see routed-snapshot.h */
   GOSSIP_STRIKES,         /* crashes and answers, see strike-sync.h */
-  GOSSIP_KINDS,           /* no message */
+  /*
+   * Evacuated data centres, see evacuation-sync.h.  Sent only where they are
+   * followed; hosts of earlier versions drop it.
+   */
+  GOSSIP_EVACUATIONS,
+  /* Routed endpoints that are cold, see cold-sync.h; dropped likewise. */
+  GOSSIP_COLD,
+  GOSSIP_KINDS, /* no message */
 };
 
 struct gossip_load
@@ -152,6 +161,25 @@
   struct gossip_strike list[GOSSIP_STRIKE_LIMIT];
 };
 
+/* The evacuations in the store. */
+struct gossip_evacuations
+{
+  uint64_t revision; /* of the store */
+  uint32_t age_ms;   /* since they were known to be current */
+  uint32_t count;
+  uint64_t list[EVACUATIONS_LIMIT]; /* hash_string of the names */
+};
+
+struct gossip_cold
+{
+  uint32_t count;
+  struct
+  {
+    uint64_t endpoint; /* hash_string of its id */
+    uint32_t left_ms;  /* when the message was sent */
+  } list[GOSSIP_COLD_LIMIT];
+};
+
 struct gossip_report
 {
   char endpoint[CATALOG_NAME_SIZE];
@@ -164,7 +192,7 @@
   enum gossip_kind kind;
   struct gossip_host sender; /* without address */
   uint64_t boot;             /* identifies the sender's process */
-  uint32_t sequence;         /* grows with each message of a process */
+  uint32_t sequence;         /* grows with each message of a process, wraps */
   bool has_traffic;          /* some host has seen requests */
   union
   {
@@ -176,6 +204,8 @@
     struct gossip_patch patch;
     struct gossip_routed routed;
     struct gossip_strikes strikes;
+    struct gossip_evacuations evacuations;
+    struct gossip_cold cold;
   } body;
 };
 
@@ -191,4 +221,11 @@
 enum result
 gossip_decode (struct gossip_message *message, const void *buffer, size_t size);
 
+/*
+ * True if a message repeats another of the same process, or comes late, after
+ * the newest one.  Sequence numbers wrap (RFC 1982): at 1,000 messages a
+ * second, after 50 days.
+ */
+bool gossip_is_late (uint32_t newest, uint32_t sequence);
+
 #endif
--- a/packages/edge/src/gossip.c
+++ b/packages/edge/src/gossip.c
@@ -3,6 +3,20 @@
 #include <rpc/rpc.h>
 #include <string.h>
 
+/*
+ * A datagram is late by so many others at most, about a minute at 1,000 a
+ * second.  One that seems to be later follows a newer number that was damaged
+ * on the way, and its process must not be ignored until it comes to that
+ * number.
+ */
+#define LATE_LIMIT 65536
+
+bool
+gossip_is_late (uint32_t newest, uint32_t sequence)
+{
+  return newest - sequence < LATE_LIMIT;
+}
+
 /*
  * The code_ functions encode or decode, according to the direction of the XDR
  * stream.  They return false if the data does not fit or is invalid.
@@ -193,12 +207,32 @@
   return true;
 }
 
+/*
+ * The cold time stands at the end of a report, only if there is one, so that
+ * all others are as before.
+ */
+static bool
+code_cold_time (XDR *xdr, struct endpoint_report *report)
+{
+  uint32_t cold_ms = (uint32_t)report->cold_ms;
+
+  if (xdr->x_op == XDR_ENCODE ? report->cold_ms == 0 : xdr->x_handy == 0)
+    return true;
+  if (!xdr_uint32_t (xdr, &cold_ms) || cold_ms == 0)
+    return false;
+  report->has_cold = true;
+  report->cold_ms = cold_ms;
+  return true;
+}
+
 static bool
 code_report (XDR *xdr, struct gossip_report *report, bool has_report)
 {
   return code_text (xdr, report->endpoint, sizeof report->endpoint)
          && xdr_uint64_t (xdr, &report->revision)
-         && (!has_report || code_endpoint (xdr, &report->report));
+         && (!has_report
+             || (code_endpoint (xdr, &report->report)
+                 && code_cold_time (xdr, &report->report)));
 }
 
 static bool
@@ -257,6 +291,31 @@
   return true;
 }
 
+static bool
+code_evacuations (XDR *xdr, struct gossip_evacuations *evacuations)
+{
+  if (!xdr_uint64_t (xdr, &evacuations->revision)
+      || !xdr_uint32_t (xdr, &evacuations->age_ms)
+      || !code_count (xdr, &evacuations->count, EVACUATIONS_LIMIT))
+    return false;
+  for (unsigned i = 0; i < evacuations->count; i++)
+    if (!xdr_uint64_t (xdr, &evacuations->list[i]))
+      return false;
+  return true;
+}
+
+static bool
+code_cold (XDR *xdr, struct gossip_cold *cold)
+{
+  if (!code_count (xdr, &cold->count, GOSSIP_COLD_LIMIT))
+    return false;
+  for (unsigned i = 0; i < cold->count; i++)
+    if (!xdr_uint64_t (xdr, &cold->list[i].endpoint)
+        || !xdr_uint32_t (xdr, &cold->list[i].left_ms))
+      return false;
+  return true;
+}
+
 static bool
 code_body (XDR *xdr, struct gossip_message *message)
 {
@@ -284,6 +343,10 @@
       return code_routed (xdr, &message->body.routed);
     case GOSSIP_STRIKES:
       return code_strikes (xdr, &message->body.strikes);
+    case GOSSIP_EVACUATIONS:
+      return code_evacuations (xdr, &message->body.evacuations);
+    case GOSSIP_COLD:
+      return code_cold (xdr, &message->body.cold);
     case GOSSIP_KINDS:
       break;
     }
--- a/packages/edge/src/leader.c
+++ b/packages/edge/src/leader.c
@@ -95,7 +95,7 @@
 {
   const struct leader *leader = context;
 
-  return lease_may_act (&leader->lease, time_boot_ms ())
+  return !leader->is_paused && lease_may_act (&leader->lease, time_boot_ms ())
          && lease_fence (&leader->lease) == fence;
 }
 
@@ -166,6 +166,17 @@
   formation_finish (&leader->formation);
 }
 
+/*
+ * A host that starts on a store that was restored cannot tell how old the copy
+ * is: it may be older than the lease of a holder that still acts, or than the
+ * first lease.  What it reads first counts as the copy.
+ */
+static bool
+starts_on_copy (const struct leader *leader, uint64_t era)
+{
+  return leader->era == 0 && era > RECORDS_FIRST_ERA && !leader->lease.was_read;
+}
+
 /* Tells the lease that the store was restored, before it sees the copy. */
 static void
 note_era (struct leader *leader)
@@ -174,8 +185,9 @@
 
   if (era == leader->era)
     return;
-  if (leader->era != 0 && leader->lease.was_read
-      && records_get_era (leader->lease.version) < era)
+  if (starts_on_copy (leader, era)
+      || (leader->era != 0 && leader->lease.was_read
+          && records_get_era (leader->lease.version) < era))
     {
       lease_on_restore (&leader->lease);
       LOG_EVENT (LOG_LEVEL_NOTICE, "lease-restored",
@@ -278,13 +290,18 @@
   if (acting && !leader->acting)
     leader->acquired_ms = leader->now_ms;
   leader->acting = acting;
-  formation_set_fence (&leader->formation, fence, leader->now_ms);
+  /*
+   * After an evacuation the groups are adopted anew, as by a new holder: what
+   * is remembered of them is out of date.
+   */
+  formation_set_fence (&leader->formation, leader->is_paused ? 0 : fence,
+                       leader->now_ms);
 }
 
 bool
 leader_may_form (const struct leader *leader, int64_t endpoints_current_at_ms)
 {
-  return leader->acting && !leader->is_releasing
+  return leader->acting && !leader->is_releasing && !leader->is_paused
          && endpoints_current_at_ms >= leader->acquired_ms;
 }
 
@@ -328,6 +345,9 @@
       = { leader, send_order, log_group_change, is_endpoint_silent };
 
   leader->now_ms = now_ms;
+  leader->is_paused
+      = evacuations_includes (leader->evacuations, leader->lease_name);
+  checker_set_paused (&leader->checker, leader->is_paused);
   orders_tick (&leader->orders, now_ms);
   checker_tick (&leader->checker, now_ms);
   release_when_answered (leader);
--- a/packages/edge/src/peers.c
+++ b/packages/edge/src/peers.c
@@ -75,6 +75,12 @@
 
   if (message->kind == GOSSIP_PATCH)
     edge_handle_patch (edge, &message->body.patch);
+  else if (message->kind == GOSSIP_EVACUATIONS)
+    evacuation_sync_handle_message (
+        &edge->evacuation_sync, &message->body.evacuations, edge->mesh.now_ms);
+  else if (message->kind == GOSSIP_COLD)
+    cold_sync_handle_message (&edge->cold_sync, &message->body.cold,
+                              edge->mesh.now_ms);
   else if (message->kind == GOSSIP_STRIKES)
     strike_sync_handle_message (&edge->strike_sync, from,
                                 &message->body.strikes, edge->mesh.now_ms);
@@ -88,6 +94,7 @@
   struct edge *edge = context;
 
   strike_sync_host_started (&edge->strike_sync);
+  evacuation_sync_host_started (&edge->evacuation_sync);
 }
 
 static void
@@ -124,6 +131,7 @@
   freshness->revision = edge->entries.revision;
   /* Entries kept current by this host's hub are as good as its own list. */
   return edge->reads_platform && edge_knows_endpoints (edge)
+         && !edge->relay.is_catalog_outdated
          && edge->entries.state == FOLLOWER_WATCHING
          && edge->entries.failing_since_ms == 0
          && edge->configuration.failing_since_ms == 0;
@@ -176,6 +184,14 @@
   hub_sync_init (&edge->hub_sync, &edge->mesh, &edge->endpoints,
                  &hub_sync_hooks, edge_freshness_limit_ms (settings));
   strike_sync_init (&edge->strike_sync, &edge->mesh, &edge->relay.strikes);
+  evacuation_sync_init (&edge->evacuation_sync, &edge->mesh, &edge->records,
+                        &edge->settings.data_centres,
+                        settings->evacuation_complete_ms);
+  cold_sync_init (&edge->cold_sync, &edge->mesh, &edge->endpoints);
+  edge->relay.loads.cold_bound
+      = (struct cold_bound){ settings->cold_over, settings->cold_slack, 0 };
+  edge->relay.loads.evacuations = &edge->evacuation_sync.table;
+  edge->leader.evacuations = &edge->evacuation_sync.table;
   return RESULT_OK;
 }
 
@@ -247,6 +263,7 @@
                     edge->leader.lease.version);
   edge->relay.loads.fleet.report_age_ms = mesh_load_age_ms (&edge->mesh);
   edge->relay.loads.fleet.known_hosts = mesh_known_hosts (&edge->mesh);
+  edge->relay.loads.cold_bound.hosts = edge_count_possible_hosts (edge);
   mesh_tick (&edge->mesh, edge->relay.has_received_request, collect_loads, edge,
              edge->now_ms);
   strike_sync_tick (&edge->strike_sync, edge->now_ms);
--- a/packages/edge/tests/t0960-gossip.c
+++ b/packages/edge/tests/t0960-gossip.c
@@ -88,6 +88,21 @@
           strike->crash = i;
         }
       break;
+    case GOSSIP_EVACUATIONS:
+      message.body.evacuations.revision = 5;
+      message.body.evacuations.age_ms = 70;
+      message.body.evacuations.count = EVACUATIONS_LIMIT;
+      for (unsigned i = 0; i < EVACUATIONS_LIMIT; i++)
+        message.body.evacuations.list[i] = i;
+      break;
+    case GOSSIP_COLD:
+      message.body.cold.count = GOSSIP_COLD_LIMIT;
+      for (unsigned i = 0; i < GOSSIP_COLD_LIMIT; i++)
+        {
+          message.body.cold.list[i].endpoint = i;
+          message.body.cold.list[i].left_ms = 3000;
+        }
+      break;
     case GOSSIP_KINDS:
       fail ();
       break;
@@ -232,11 +247,78 @@
     }
 }
 
+/*
+ * Reports of warm endpoints are as before, so that hosts of the former version
+ * read them; a cold time that is cut off or 0 is refused.
+ */
+static void
+test_cold_time_of_report (void **state)
+{
+  size_t warm_size;
+  size_t cold_size;
+
+  (void)state;
+  fill_message (GOSSIP_REPORT);
+  warm_size = gossip_encode (&message, buffer, sizeof buffer);
+  assert_int_equal (gossip_decode (&decoded, buffer, warm_size), RESULT_OK);
+  assert_false (decoded.body.report.report.has_cold);
+  message.body.report.report.has_cold = true;
+  assert_int_equal (
+      gossip_encode (&message, encoded_again, sizeof encoded_again), warm_size);
+  assert_memory_equal (encoded_again, buffer, warm_size);
+  message.body.report.report.cold_ms = 700;
+  cold_size = gossip_encode (&message, buffer, sizeof buffer);
+  assert_int_equal (cold_size, warm_size + 4);
+  assert_int_equal (gossip_decode (&decoded, buffer, cold_size), RESULT_OK);
+  assert_true (decoded.body.report.report.has_cold);
+  assert_int_equal (decoded.body.report.report.cold_ms, 700);
+  for (size_t size = warm_size + 1; size < cold_size; size++)
+    assert_int_equal (gossip_decode (&decoded, buffer, size),
+                      RESULT_PEER_BAD_MESSAGE);
+  memset (&buffer[warm_size], 0, 4);
+  assert_int_equal (gossip_decode (&decoded, buffer, cold_size),
+                    RESULT_PEER_BAD_MESSAGE);
+}
+
+static const struct
+{
+  const char *guards; /* failure that the case guards against */
+  uint32_t newest;
+  uint32_t sequence;
+  bool is_late;
+} sequence_cases[] = {
+  { "a repeated message is handled", 7, 7, true },
+  { "a late message is handled", 7, 6, true },
+  { "a late message is handled after many", 70000, 5000, true },
+  { "the next message is ignored", 7, 8, false },
+  { "a message after lost ones is ignored", 7, 100000, false },
+  { "the first message after the wrap is ignored", UINT32_MAX, 0, false },
+  { "a message soon after the wrap is ignored", UINT32_MAX - 5, 3, false },
+  { "a repeated message is handled at the wrap", 0, 0, true },
+  { "a late message is handled after the wrap", 3, UINT32_MAX - 5, true },
+  { "a process is ignored after a damaged number", UINT32_MAX, 9, false },
+  { "a process is ignored after a damaged number of half the range",
+    UINT32_C (0x7fffffff), 9, false },
+  { "a process is ignored after a damaged number ahead", 90000, 9, false },
+};
+
+static void
+test_sequence (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof sequence_cases / sizeof sequence_cases[0]; i++)
+    if (gossip_is_late (sequence_cases[i].newest, sequence_cases[i].sequence)
+        != sequence_cases[i].is_late)
+      fail_msg ("%s", sequence_cases[i].guards);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_round_trip),
+    cmocka_unit_test (test_cold_time_of_report),
+    cmocka_unit_test (test_sequence),
     cmocka_unit_test (test_damaged_datagrams),
     cmocka_unit_test (test_load_ranges),
   };
--- a/packages/http/src/http-connection.c
+++ b/packages/http/src/http-connection.c
@@ -5,10 +5,12 @@
 
 #include <errno.h>
 #include <event2/buffer.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -26,8 +28,11 @@
  */
 #define INTERIM_LIMIT 8
 
-/* ": " and CRLF of a field, which are not stored in the head. */
-#define FIELD_EXTRA_BYTES 4
+/*
+ * Bytes of a field that are not stored in the head: its colon and CRLF, less
+ * the two NULs of its strings.
+ */
+#define FIELD_EXTRA_BYTES 1
 
 static void
 free_memory (evutil_socket_t fd, short what, void *memory)
@@ -104,19 +109,31 @@
     return 0;
   if (connection->in_value || head->field_count == 0)
     {
-      if (head->field_count == HTTP_FIELD_LIMIT)
-        {
-          connection->over_limit = true;
-          return -1;
-        }
-      head->fields[head->field_count].name = start_next_string (head);
-      head->fields[head->field_count].value = 0;
-      head->field_count++;
+      if (!http_head_add_field (head, start_next_string (head)))
+        return -1;
       connection->in_value = false;
     }
   return append_head_text (connection, data, size);
 }
 
+/*
+ * Checks the name of the last field.  The parser takes blanks in names, and
+ * readers differ in what "Name : value" means: it is refused in a request, and
+ * the blanks are removed from a response (RFC 9112, section 5.1).
+ */
+static bool
+check_field_name (struct http_connection *connection)
+{
+  struct http_head *head = &connection->head;
+  uint32_t name = head->fields[head->field_count - 1].name;
+
+  while (connection->is_client && head->text.size > name
+         && (head->text.data[head->text.size - 1] == ' '
+             || head->text.data[head->text.size - 1] == '\t'))
+    head->text.data[--head->text.size] = '\0';
+  return head->text.size > name && http_is_field_name (head->text.data + name);
+}
+
 static int
 on_field_value (struct http_parser *parser, const char *data, size_t size)
 {
@@ -127,6 +144,8 @@
     return 0;
   if (!connection->in_value)
     {
+      if (!check_field_name (connection))
+        return -1;
       head->fields[head->field_count - 1].value = start_next_string (head);
       connection->in_value = true;
     }
@@ -140,6 +159,8 @@
   struct http_head *head = &connection->head;
 
   connection->head_done = true;
+  if (!http_head_complete (head))
+    return -1;
   head->status = parser->status_code;
   if (!connection->is_client)
     head->method = http_method_str ((enum http_method)parser->method);
@@ -534,6 +555,17 @@
                                     : 0;
 }
 
+size_t
+http_connection_unsent_bytes (const struct http_connection *connection)
+{
+  int queued = 0;
+
+  if (connection->fd < 0 || ioctl (connection->fd, SIOCOUTQ, &queued) != 0
+      || queued < 0)
+    queued = 0;
+  return http_connection_unwritten_bytes (connection) + (size_t)queued;
+}
+
 size_t
 http_connection_pending_bytes (const struct http_connection *connection)
 {
--- a/packages/relay/src/attempt.c
+++ b/packages/relay/src/attempt.c
@@ -238,6 +238,8 @@
     relay_admission_note_slots (request, choice->slots);
   if (choice->at_limit != NULL)
     log_at_limit (request, choice->at_limit);
+  if (choice->cold != NULL)
+    relay_log_cold (request, choice->cold);
   return verdict;
 }
 
