balance: keep last tries from being lost, and shift ranges about their mean

Change: deadlines up to 16 in 100 short count as new; ranges are shifted by the precedence relative to the mean; a last try waits no longer than its caller does and is admitted like a request in time in its last 200 ms; return times reach up to what callers honour; a request in time waits 0.15 of its objective again.

--- a/packages/balance/include/admission-order.h
+++ b/packages/balance/include/admission-order.h
@@ -28,8 +28,9 @@
 {
   double all_below;  /* all requests are admitted */
   double none_above; /* no request is admitted, but see least_share */
-  double
-      least_share; /* at least this part of the most urgent requests' share */
+  /* At least this part of the most urgent requests' share is admitted. */
+  double least_share;
+  double top_shift; /* by which their range lies above that of all */
 };
 
 /*
@@ -54,6 +55,7 @@
   int64_t used_ms;
   /* Moving shares of the requests; the last priority includes lower ones. */
   double priority_weights[ADMISSION_PRIORITY_LIMIT];
+  double top_precedence;         /* of the most urgent requests */
   double events_per_limit_token; /* moving mean; 0 = no response yet */
   double run_ms;                 /* moving mean of responses' times */
   unsigned slots;                /* of its endpoints at the last choice */
@@ -71,7 +73,10 @@
 struct admission_model *admission_history_get (
     struct admission_history *history, uint64_t key, int64_t now_ms);
 
-/* Records a request.  Returns the share of more urgent ones among the last. */
+/*
+ * Records a request.  Returns by how much fewer of the last requests are more
+ * urgent than it than on average, -1 to 1: positive if it is urgent.
+ */
 double admission_model_note_request (struct admission_model *model,
                                      unsigned priority);
 
@@ -108,11 +113,14 @@
 /* A request as of now. */
 struct admission_request
 {
-  unsigned priority;        /* 0 = most urgent */
-  double more_urgent_share; /* see admission_model_note_request */
+  unsigned priority; /* 0 = most urgent */
+  double precedence; /* see admission_model_note_request */
+  double top_precedence;
   int64_t objective_ms;
   int64_t objective_left_ms; /* negative = missed */
   int64_t deadline_left_ms;
+  /* Until the caller gives up on the first event; the deadline for others. */
+  int64_t first_event_left_ms;
   /* Time that the caller spent before this host received the request. */
   int64_t waited_before_ms;
   /* Expected times at an idle endpoint, and in a full one. */
@@ -124,6 +132,9 @@
 enum admission_state
 admission_get_state (const struct admission_request *request);
 
+/* True if the request gets only slots that no request in time would take. */
+bool admission_takes_spare_slots (const struct admission_request *request);
+
 /* Below 0 if a is to be tried before b, above 0 if after it. */
 int admission_compare (const struct admission_request *a,
                        const struct admission_request *b);
--- a/packages/balance/src/admission-order.c
+++ b/packages/balance/src/admission-order.c
@@ -4,10 +4,11 @@
 #include <string.h>
 
 /*
- * The range of a request lies lower by this much times the share of more urgent
- * requests.  If that is a half, two slots of 20 are left to them.  With one
+ * The range of a request is shifted by this much times its precedence.  If half
+ * of the requests are more urgent, two slots of 20 are left to them.  With one
  * slot, a kind of request with twice the objective is served better than the
- * more urgent one (docs/design/load-shedding.md).
+ * more urgent one (docs/design/load-shedding.md).  Shifts are relative to the
+ * mean: if they only lowered ranges, slots would stay free in an overload.
  */
 #define URGENT_SHARE_STEP 0.2
 /*
@@ -15,6 +16,12 @@
  * third leaves room for what else delays a request.
  */
 #define LEAST_SHARE 0.33
+/*
+ * A late request that has found no slot to spare until this long before its
+ * last start is admitted like one in time from then on: it would be lost, while
+ * a new request that is refused in its place can come back.
+ */
+#define LAST_CHANCE_MS 200
 /*
  * Late requests are admitted up to the share of occupied slots from which on
  * requests in time are refused.
@@ -28,17 +35,13 @@
 /* Share of the objective left that an estimate may use; see choose.c. */
 #define OBJECTIVE_SHARE 0.9
 /*
- * A request waits to be in time while the first event at a full group takes no
- * more than this share of the objective left.  With larger shares more requests
- * are sent that are late then (docs/design/load-shedding.md).
+ * A request waits for this part of its objective to be in time.  First events
+ * take longer than estimated while prompts queue, so after a longer wait it
+ * would be sent and be late.
  */
-#define WAIT_OBJECTIVE_SHARE 0.5
-/* A large prompt may exceed that share; it waits for this part at least. */
-#define LEAST_WAIT_SHARE 0.15
+#define WAIT_OBJECTIVE_SHARE 0.15
 /* Callers come back after this time at the earliest. */
 #define RETRY_AFTER_MS 500
-/* Range of return times if the time of a response is not known to be longer. */
-#define RETRY_AFTER_SPREAD_MS 700
 /* Callers honour a return time up to this part of the time left to them. */
 #define HONOURED_PART 3
 /*
@@ -82,8 +85,9 @@
                  / (range->none_above - range->all_below);
   double least_share
       = range->least_share
-        * clamp_share ((ADMISSION_NONE_ABOVE - occupied_share)
-                       / (ADMISSION_NONE_ABOVE - ADMISSION_ALL_BELOW));
+        * clamp_share (
+            (ADMISSION_NONE_ABOVE + range->top_shift - occupied_share)
+            / (ADMISSION_NONE_ABOVE - ADMISSION_ALL_BELOW));
 
   return share > least_share ? share : least_share;
 }
@@ -119,6 +123,7 @@
 admission_model_note_request (struct admission_model *model, unsigned priority)
 {
   double more_urgent = 0;
+  double mean_more_urgent = 0;
   double all = 0;
 
   if (priority >= ADMISSION_PRIORITY_LIMIT)
@@ -127,11 +132,13 @@
     {
       model->priority_weights[i]
           += PRIORITY_WEIGHT * ((i == priority) - model->priority_weights[i]);
-      all += model->priority_weights[i];
+      mean_more_urgent += model->priority_weights[i] * all;
       if (i < priority)
         more_urgent += model->priority_weights[i];
+      all += model->priority_weights[i];
     }
-  return more_urgent / all;
+  model->top_precedence = mean_more_urgent / all / all;
+  return model->top_precedence - more_urgent / all;
 }
 
 static void
@@ -216,28 +223,40 @@
                                    .none_above = none_above };
 }
 
+/* Time within which the request has to be sent to be served whole. */
+static double
+get_last_start_ms (const struct admission_request *request)
+{
+  double whole_ms = (double)request->deadline_left_ms - request->run_ms;
+  double first_event_ms
+      = (double)request->first_event_left_ms - request->busy_first_event_ms;
+
+  return whole_ms < first_event_ms ? whole_ms : first_event_ms;
+}
+
+bool
+admission_takes_spare_slots (const struct admission_request *request)
+{
+  return admission_get_state (request) != ADMISSION_IN_TIME
+         && get_last_start_ms (request) > LAST_CHANCE_MS;
+}
+
 struct admission_range
 admission_get_range (const struct admission_request *request,
                      const struct admission_outlook *outlook)
 {
-  double step = URGENT_SHARE_STEP * request->more_urgent_share;
+  double shift = URGENT_SHARE_STEP * request->precedence;
 
-  if (admission_get_state (request) != ADMISSION_IN_TIME)
+  if (admission_takes_spare_slots (request))
     return get_late_range (outlook);
   return (struct admission_range){
-    .all_below = ADMISSION_ALL_BELOW - step,
-    .none_above = ADMISSION_NONE_ABOVE - step,
+    .all_below = ADMISSION_ALL_BELOW + shift,
+    .none_above = ADMISSION_NONE_ABOVE + shift,
     .least_share = LEAST_SHARE,
+    .top_shift = URGENT_SHARE_STEP * request->top_precedence,
   };
 }
 
-/* Time within which the request has to be sent to be served whole. */
-static double
-get_last_start_ms (const struct admission_request *request)
-{
-  return (double)request->deadline_left_ms - request->run_ms;
-}
-
 int
 admission_compare (const struct admission_request *a,
                    const struct admission_request *b)
@@ -269,8 +288,8 @@
 
 /*
  * Takes the next place for a caller that comes back.  Places are as far apart
- * as slots become free, and never later than all that runs now has ended, nor
- * than the caller honours.
+ * as slots become free.  Those beyond what the caller honours are spread over
+ * that time, as its answer is late in any case and a burst may end meanwhile.
  */
 static int64_t
 take_return_place (struct admission_model *model,
@@ -280,13 +299,9 @@
                    int64_t now_ms)
 {
   double interval_ms = get_slot_interval_ms (request, outlook);
-  double limit_ms = RETRY_AFTER_MS + RETRY_AFTER_SPREAD_MS;
+  double limit_ms = (double)request->deadline_left_ms / HONOURED_PART;
   double place_ms;
 
-  if (request->run_ms > limit_ms)
-    limit_ms = request->run_ms;
-  if (limit_ms > (double)request->deadline_left_ms / HONOURED_PART)
-    limit_ms = (double)request->deadline_left_ms / HONOURED_PART;
   if (limit_ms <= RETRY_AFTER_MS)
     return RETRY_AFTER_MS;
   if (model->next_return_ms < now_ms + RETRY_AFTER_MS)
@@ -317,8 +332,10 @@
 {
   double left_ms = (double)request->objective_left_ms;
 
-  return request->busy_first_event_ms <= WAIT_OBJECTIVE_SHARE * left_ms
-         || left_ms > (1 - LEAST_WAIT_SHARE) * (double)request->objective_ms;
+  /* An endpoint that serves alone responds as soon as it has a slot. */
+  if (request->busy_first_event_ms == 0)
+    return left_ms > 0;
+  return left_ms > (1 - WAIT_OBJECTIVE_SHARE) * (double)request->objective_ms;
 }
 
 struct admission_decision
--- a/packages/relay/src/admission.c
+++ b/packages/relay/src/admission.c
@@ -19,6 +19,27 @@
   return request->service->has_priorities && request->sends == 0;
 }
 
+/*
+ * Callers give up on a stream whose first event takes longer than the longest
+ * of this time, this many latency objectives and this many event gap
+ * objectives.
+ */
+#define GIVE_UP_MS 2000
+#define GIVE_UP_OBJECTIVES 4
+#define GIVE_UP_EVENT_GAPS 8
+
+static int64_t
+get_give_up_ms (const struct catalog_route *route)
+{
+  int64_t give_up_ms = GIVE_UP_MS;
+
+  if (GIVE_UP_OBJECTIVES * route->objective_ms > give_up_ms)
+    give_up_ms = GIVE_UP_OBJECTIVES * route->objective_ms;
+  if (GIVE_UP_EVENT_GAPS * route->event_gap_objective_ms > give_up_ms)
+    give_up_ms = GIVE_UP_EVENT_GAPS * route->event_gap_objective_ms;
+  return give_up_ms;
+}
+
 /* Times left, as of now. */
 static void
 update_times (struct relay_request *request)
@@ -33,6 +54,10 @@
   request->admission.objective_left_ms
       = request->objective_deadline_ms - now_ms;
   request->admission.deadline_left_ms = ends_at_ms - now_ms;
+  request->admission.first_event_left_ms = request->admission.deadline_left_ms;
+  if (request->route->kind == CATALOG_STREAM)
+    request->admission.first_event_left_ms
+        = request->arrived_ms + get_give_up_ms (request->route) - now_ms;
 }
 
 static struct admission_model *
@@ -61,8 +86,9 @@
   request->objective_deadline_ms -= request->waited_before_ms;
   request->admission = (struct admission_request){
     .priority = relay_request_priority (request),
-    .more_urgent_share
+    .precedence
     = admission_model_note_request (model, relay_request_priority (request)),
+    .top_precedence = model->top_precedence,
     .objective_ms = request->route->objective_ms,
     .waited_before_ms = request->waited_before_ms,
     .idle_first_event_ms = balance_min_first_event_ms (&estimate),
@@ -128,8 +154,8 @@
                                                         request->relay->now_ms);
   wanted->has_range = true;
   wanted->range = admission_get_range (&request->admission, &outlook);
-  /* The range of late requests follows from the chance of each try. */
-  if (admission_get_state (&request->admission) != ADMISSION_IN_TIME)
+  /* The range for slots to spare follows from the chance of each try. */
+  if (admission_takes_spare_slots (&request->admission))
     wanted->admission_draw = rng_real (&request->relay->loads.rng);
   return request->model == NULL || wanted->range.none_above > 0;
 }
--- a/packages/relay/src/request.c
+++ b/packages/relay/src/request.c
@@ -9,6 +9,11 @@
 
 /* Deadline of a request without one, or before its route is known. */
 #define DEFAULT_DEADLINE_MS 30000
+/*
+ * Callers' own deadlines lie up to this share below the timeout of the route.
+ * A shorter one tells that the caller has come back.
+ */
+#define OWN_DEADLINE_SHARE 0.16
 /* Limit of request bodies in memory: a third of the smallest host's memory. */
 #define BODY_BYTES_LIMIT (48U << 20)
 /*
@@ -109,7 +114,8 @@
                          &caller_left_ms)
       && caller_left_ms < left_ms)
     {
-      request->waited_before_ms = left_ms - caller_left_ms;
+      if ((double)caller_left_ms < (1 - OWN_DEADLINE_SHARE) * (double)left_ms)
+        request->waited_before_ms = left_ms - caller_left_ms;
       left_ms = caller_left_ms;
     }
   request->deadline_ms = request->arrived_ms + left_ms;
