--- a/packages/balance/src/choose.c
+++ b/packages/balance/src/choose.c
@@ -42,18 +42,17 @@
 /* Random part of a cost, which spreads choices between similar endpoints. */
 #define JITTER_MS 6.0
 #define JITTER_SLOTS 0.02
+/*
+ * The same for requests that wait for a slot.  Loads are older than a request
+ * runs, so a host knows next to nothing of the slots that others use now; with
+ * the usual spread all hosts send to one endpoint until the next report
+ * (t0474-shared-slots.c compares).
+ */
+#define SLOT_JITTER_SLOTS 2.0
 /* Additional jitter per ms of unreported prefill, ms. */
 #define JITTER_PER_UNREPORTED_MS 4.0
 /* Assumed run time of a request, to estimate the arrival rate. */
 #define TYPICAL_REQUEST_MS 1000.0
-/*
- * Shares of occupied slots between which the admitted share of requests falls
- * from all to none.  Hosts know the loads as they were 0.2 s ago or more.  If
- * every request were admitted while a slot seems free, groups would oscillate
- * between overload and idle slots (t0471-slots.c compares).
- */
-#define ADMIT_ALL_BELOW 0.9
-#define ADMIT_NONE_ABOVE 1.1
 
 unsigned
 balance_slots (const struct catalog_service *service,
@@ -111,14 +110,15 @@
   return false;
 }
 
+/* True if the endpoint leaves, backs off, or is in a partitioned place. */
 static bool
-is_avoided (const struct load_table *loads,
-            const struct endpoint_load *load,
-            int64_t now_ms)
+is_ruled_out (const struct load_table *loads,
+              const struct endpoint_load *load,
+              int64_t now_ms)
 {
   const struct remote_data_centre *remote;
 
-  if (load->avoid_until_ms > now_ms || balance_is_unavailable (load, now_ms))
+  if (balance_is_unavailable (load, now_ms))
     return true;
   if (loads->remotes == NULL)
     return false;
@@ -126,6 +126,14 @@
   return remote != NULL && remote->is_partitioned;
 }
 
+static bool
+is_avoided (const struct load_table *loads,
+            const struct endpoint_load *load,
+            int64_t now_ms)
+{
+  return load->avoid_until_ms > now_ms || is_ruled_out (loads, load, now_ms);
+}
+
 static double
 get_recent_event_gap_ms (const struct endpoint_load *load, int64_t now_ms)
 {
@@ -166,10 +174,13 @@
 is_admitted (const struct balance_request *request,
              const struct candidate_summary *summary)
 {
-  double occupied_share = (double)summary->running / summary->slots;
+  static const struct admission_range usual
+      = { ADMISSION_ALL_BELOW, ADMISSION_NONE_ABOVE, 0 };
+  const struct admission_range *range
+      = request->has_range ? &request->range : &usual;
 
-  return request->admission_draw < (ADMIT_NONE_ABOVE - occupied_share)
-                                       / (ADMIT_NONE_ABOVE - ADMIT_ALL_BELOW);
+  return request->admission_draw
+         < admission_share (range, (double)summary->running / summary->slots);
 }
 
 static struct candidate_summary
@@ -277,6 +288,25 @@
   return request->model != NULL ? estimate_first_event_ms (request, 0, 0) : 0;
 }
 
+double
+balance_busy_first_event_ms (const struct balance_request *request)
+{
+  unsigned slots = request->service->slots;
+
+  if (request->model == NULL)
+    return 0;
+  return estimate_first_event_ms (request, slots > 0 ? slots - 1 : 0, 0);
+}
+
+double
+balance_run_ms (const struct balance_request *request, double events)
+{
+  if (request->model == NULL)
+    return 0;
+  return balance_busy_first_event_ms (request)
+         + events * estimate_batch_event_ms (request, request->service->slots);
+}
+
 static bool
 is_local (const struct load_table *loads, const struct endpoint_load *load)
 {
@@ -352,8 +382,10 @@
           + FAILURE_PENALTY_SLOTS * compute_recent_failure_rate (load, now_ms)
           - (is_local (loads, load) ? LOCAL_ADVANTAGE_SLOTS : 0)
           + (is_cold_endpoint ? COLD_PENALTY_SLOTS : 0)
-          + JITTER_SLOTS * rng_real (&loads->rng);
-  return running < slots * STANDALONE_REQUESTS_PER_SLOT;
+          + (request->waits_for_slot ? SLOT_JITTER_SLOTS : JITTER_SLOTS)
+                * rng_real (&loads->rng);
+  return running
+         < slots * (request->waits_for_slot ? 1 : STANDALONE_REQUESTS_PER_SLOT);
 }
 
 /* Keeps the shortest back-off of all candidates. */
@@ -399,8 +431,17 @@
         continue;
       balance_note_restart (load, now_ms);
       note_shortest_back_off (choice, load, now_ms);
-      if (is_avoided (loads, load, now_ms) || is_excluded (request, load))
+      if (is_excluded (request, load))
         continue;
+      if (is_avoided (loads, load, now_ms))
+        {
+          /* Only a failure shortly before speaks against it. */
+          if (verdict == BALANCE_NONE && request->waits_for_slot
+              && !is_ruled_out (loads, load, now_ms))
+            verdict = BALANCE_FULL;
+          continue;
+        }
+      choice->slots += balance_slots (request->service, endpoint);
       is_cold_endpoint = is_cold (loads, request, endpoint, now_ms);
       has_capacity
           = is_grouped
