--- a/tests/standin/abusive-clients.c
+++ b/tests/standin/abusive-clients.c
@@ -49,6 +49,7 @@
   PART_TRAILERS,
   PART_FIELD,    /* value of a header field */
   PART_REQUESTS, /* whole requests without a body */
+  PART_TINY_REQUESTS,
 };
 
 enum length
@@ -100,6 +101,8 @@
     "a header field, a few bytes at a time" },
   { "pipelined-heads", "", PART_REQUESTS, LENGTH_REQUESTS, false, false, true,
     "many whole requests behind one" },
+  { "pipelined-tiny", "", PART_TINY_REQUESTS, LENGTH_REQUESTS, false, false,
+    true, "many requests of 18 bytes, which are invalid, behind one" },
   { "pipelined-bodies", "LENGTH", PART_BODY, LENGTH_BODY, false, false, true,
     "a body behind a whole request" },
   { "unread", "", PART_REQUESTS, LENGTH_REQUESTS, false, true, true,
@@ -235,7 +238,7 @@
     }
   if (load->is_pipelined)
     used += add_whole_request (crowd, text, TEXT_SIZE, number);
-  if (load->part != PART_REQUESTS)
+  if (load->part != PART_REQUESTS && load->part != PART_TINY_REQUESTS)
     {
       used += add_head (crowd, text + used, TEXT_SIZE - used, number + 1);
       used += add_framing (crowd, text + used, TEXT_SIZE - used);
@@ -277,12 +280,16 @@
       size = (size_t)snprintf (unit, PATTERN_SIZE, "10000\r\n");
       memset (unit + size, 'b', 0x10000);
       size += 0x10000;
-      memcpy (unit + size, "\r\n", 2);
+      unit[size] = '\r';
+      unit[size + 1] = '\n';
       size += 2;
       break;
     case PART_TRAILERS:
       size = (size_t)snprintf (unit, PATTERN_SIZE, "X-Trailer: %0100d\r\n", 0);
       break;
+    case PART_TINY_REQUESTS:
+      size = (size_t)snprintf (unit, PATTERN_SIZE, "GET / HTTP/1.1\r\n\r\n");
+      break;
     case PART_REQUESTS:
       size = add_whole_request (crowd, unit, PATTERN_SIZE, 0x70000000);
       break;
