http: parse pipelined messages in a loop, and write without copies

http_connection_write_borrowed and http_connection_write_text queue bytes where they are stored, so a body or response does not exist twice while a slow peer reads it. A connection can charge a memory account.

--- a/packages/http/include/http-connection.h
+++ b/packages/http/include/http-connection.h
@@ -2,6 +2,7 @@
 #define HTTP_CONNECTION_H
 
 #include "http-head.h"
+#include "memory-account.h"
 
 #include <event2/event.h>
 #include <event2/event_struct.h>
@@ -17,9 +18,9 @@
  * Messages are parsed by http_parser.
  *
  * Parsing pauses after each whole message until http_connection_next_message is
- * called; received bytes are buffered meanwhile, up to a limit.  The owner's
- * memory has to outlive the callback that finishes the connection: free it with
- * http_free_later.
+ * called; received bytes are buffered meanwhile, up to a limit.  A server then
+ * stops reading; a client's connection ends.  The owner's memory has to outlive
+ * the callback that finishes the connection: free it with http_free_later.
  */
 
 enum http_end
@@ -73,15 +74,23 @@
   bool ended;                /* the other side closed, or closed was reported */
   bool head_done;            /* further fields are trailers */
   bool in_value;             /* the parser is in a header value */
-  bool over_limit; /* too many header bytes, fields or interim responses */
-  bool discarding; /* received bytes are discarded */
+  bool over_limit;     /* too many header bytes, fields or interim responses */
+  bool discarding;     /* received bytes are discarded */
+  bool is_input_full;  /* reading is suspended until pending bytes are parsed */
+  bool parses_pending; /* pending messages are being parsed */
   unsigned interim_count; /* interim responses before the final one */
   struct http_head head;
   struct http_parser parser;
   struct event readable;
   struct event writable;
+  struct event resumed;     /* goes on with pending messages */
   struct evbuffer *output;  /* not yet written */
   struct evbuffer *pending; /* received after the current message */
+  size_t borrowed_bytes;    /* at the end of output; memory of the owner */
+  struct memory_account *account; /* NULL = the connection is not charged */
+  enum memory_kind output_kind;
+  struct memory_charge state_charge; /* the head, and pending bytes */
+  struct memory_charge output_charge;
 };
 
 /* Takes ownership of an accepted socket.  RESULT_NO_MEMORY closes it. */
@@ -115,6 +124,28 @@
                             const void *data,
                             size_t size);
 
+/*
+ * Like http_connection_write, but queues the bytes without a copy.  They must
+ * stay until they are written or the connection is finished.
+ */
+void http_connection_write_borrowed (struct http_connection *connection,
+                                     const void *data,
+                                     size_t size);
+
+/* Like http_connection_write; takes over the text's memory and empties it. */
+void http_connection_write_text (struct http_connection *connection,
+                                 struct http_text *text);
+
+/*
+ * Charges the account for the bytes that the connection holds from now on:
+ * output as output_kind, everything else as MEMORY_CONNECTIONS.  While the
+ * account is above its first watermark, a server reads nothing behind a message
+ * that is being served.
+ */
+void http_connection_set_account (struct http_connection *connection,
+                                  struct memory_account *account,
+                                  enum memory_kind output_kind);
+
 /* Number of queued bytes that are not yet written to the socket. */
 size_t
 http_connection_unwritten_bytes (const struct http_connection *connection);
--- a/packages/http/src/http-connection.c
+++ b/packages/http/src/http-connection.c
@@ -26,6 +26,12 @@
  */
 #define INTERIM_LIMIT 8
 
+/* Pending messages that are parsed before the event loop goes on. */
+#define MESSAGE_BATCH 16
+
+/* Memory of an open connection besides its buffers: state and libevent's. */
+#define CONNECTION_BYTES 3072
+
 /* ": " and CRLF of a field, which are not stored in the head. */
 #define FIELD_EXTRA_BYTES 4
 
@@ -47,6 +53,39 @@
                LOG_STR ("reason", "out of memory"));
 }
 
+static void
+update_charges (struct http_connection *connection)
+{
+  size_t output;
+
+  if (connection->account == NULL || connection->fd < 0)
+    return;
+  output = evbuffer_get_length (connection->output);
+  if (output == 0)
+    connection->borrowed_bytes = 0;
+  memory_account_set (connection->account, MEMORY_CONNECTIONS,
+                      &connection->state_charge,
+                      CONNECTION_BYTES + connection->head.text.capacity
+                          + evbuffer_get_length (connection->pending));
+  memory_account_set (
+      connection->account, connection->output_kind, &connection->output_charge,
+      output > connection->borrowed_bytes ? output - connection->borrowed_bytes
+                                          : 0);
+}
+
+/* Reads only while neither the owner nor the connection has suspended it. */
+static void
+update_reading (struct http_connection *connection)
+{
+  if (connection->fd < 0 || connection->connecting
+      || (connection->ended && !connection->discarding))
+    return;
+  if (connection->is_reading_suspended || connection->is_input_full)
+    event_del (&connection->readable);
+  else
+    event_add (&connection->readable, NULL);
+}
+
 /* Parser callbacks.  The parser may pass one text in several fragments. */
 
 static int
@@ -199,6 +238,7 @@
 {
   event_del (&connection->readable);
   event_del (&connection->writable);
+  event_del (&connection->resumed);
 }
 
 static void
@@ -209,42 +249,68 @@
   connection->events->closed (connection->context, end);
 }
 
+/* True if a server should read no more behind the current message. */
+static bool
+has_enough_pending (const struct http_connection *connection)
+{
+  size_t size = evbuffer_get_length (connection->pending);
+
+  return size >= connection->limits.pending_bytes
+         || (size > 0 && connection->account != NULL
+             && memory_account_level (connection->account) != MEMORY_CALM);
+}
+
 static void
 store_pending (struct http_connection *connection,
                const char *data,
                size_t size)
 {
-  if (evbuffer_get_length (connection->pending) + size
-          > connection->limits.pending_bytes
+  if ((connection->is_client
+       && evbuffer_get_length (connection->pending) + size
+              > connection->limits.pending_bytes)
       || evbuffer_add (connection->pending, data, size) != 0)
-    report_end (connection, HTTP_END_LIMIT);
+    {
+      report_end (connection, HTTP_END_LIMIT);
+      return;
+    }
+  update_charges (connection);
+  /* The current message may be running at an endpoint and must not be lost. */
+  if (!connection->is_client && has_enough_pending (connection))
+    {
+      connection->is_input_full = true;
+      update_reading (connection);
+    }
 }
 
+/* Reports a message that has become whole, or the end of the connection. */
 static void
-parse_input (struct http_connection *connection, const char *data, size_t size)
+report_parsed (struct http_connection *connection)
 {
-  size_t used;
-  enum http_errno error;
+  enum http_errno error = HTTP_PARSER_ERRNO (&connection->parser);
 
-  used = http_parser_execute (&connection->parser, &callbacks, data, size);
-  if (connection->fd < 0 || connection->discarding)
-    return;
-  error = HTTP_PARSER_ERRNO (&connection->parser);
   if (connection->has_whole_message)
-    {
-      if (used < size)
-        store_pending (connection, data + used, size - used);
-      if (connection->fd < 0 || connection->ended)
-        return;
-      connection->events->complete (connection->context);
-      return;
-    }
-  if (error == HPE_HEADER_OVERFLOW || connection->over_limit)
+    connection->events->complete (connection->context);
+  else if (error == HPE_HEADER_OVERFLOW || connection->over_limit)
     report_end (connection, HTTP_END_LIMIT);
   else if (error != HPE_OK || connection->parser.upgrade)
     report_end (connection, HTTP_END_PROTOCOL);
 }
 
+static void
+parse_input (struct http_connection *connection, const char *data, size_t size)
+{
+  size_t used
+      = http_parser_execute (&connection->parser, &callbacks, data, size);
+
+  if (connection->fd < 0 || connection->discarding)
+    return;
+  if (connection->has_whole_message && used < size)
+    store_pending (connection, data + used, size - used);
+  update_charges (connection);
+  if (connection->fd >= 0 && !connection->ended)
+    report_parsed (connection);
+}
+
 /* Handles the end of input; orderly: the other side closed without an error. */
 static void
 handle_end_of_stream (struct http_connection *connection, bool orderly)
@@ -281,6 +347,60 @@
     parse_input (connection, data, size);
 }
 
+/*
+ * Parses pending messages until one has to be served.  Their number does not
+ * add to the depth of calls: the owner may ask for the next message while one
+ * is reported, and the loop goes on with it.  After a batch the rest waits for
+ * the event loop, which also frees what http_free_later was given.
+ */
+static void
+parse_pending (struct http_connection *connection)
+{
+  char part[READ_BYTES];
+  unsigned count = 0;
+
+  connection->parses_pending = true;
+  while (connection->fd >= 0 && !connection->ended && !connection->discarding
+         && !connection->has_whole_message)
+    {
+      ssize_t size = evbuffer_copyout (connection->pending, part, sizeof part);
+      size_t used;
+
+      if (size <= 0)
+        break;
+      if (count++ == MESSAGE_BATCH)
+        {
+          event_active (&connection->resumed, EV_TIMEOUT, 0);
+          break;
+        }
+      used = http_parser_execute (&connection->parser, &callbacks, part,
+                                  (size_t)size);
+      if (connection->fd < 0 || connection->discarding)
+        break;
+      evbuffer_drain (connection->pending, used);
+      update_charges (connection);
+      report_parsed (connection);
+    }
+  connection->parses_pending = false;
+  if (connection->is_input_full && connection->fd >= 0
+      && !has_enough_pending (connection))
+    {
+      connection->is_input_full = false;
+      update_reading (connection);
+    }
+}
+
+static void
+on_resumed (evutil_socket_t fd, short what, void *context)
+{
+  struct http_connection *connection = context;
+
+  (void)fd;
+  (void)what;
+  if (!connection->has_whole_message && !connection->discarding)
+    parse_pending (connection);
+}
+
 static void
 on_readable (evutil_socket_t fd, short what, void *context)
 {
@@ -289,6 +409,10 @@
   ssize_t size;
 
   (void)what;
+  /* on_resumed parses what came before the unread bytes of the socket. */
+  if (!connection->has_whole_message && !connection->discarding
+      && evbuffer_get_length (connection->pending) > 0)
+    return;
   size = recv (fd, buffer, sizeof buffer, 0);
   if (size > 0)
     handle_input (connection, buffer, (size_t)size);
@@ -316,8 +440,7 @@
                   error == ECONNREFUSED ? HTTP_END_REFUSED : HTTP_END_RESET);
       return;
     }
-  if (!connection->is_reading_suspended)
-    event_add (&connection->readable, NULL);
+  update_reading (connection);
   connection->events->connected (connection->context);
 }
 
@@ -343,6 +466,7 @@
         }
       evbuffer_drain (connection->output, (size_t)size);
     }
+  update_charges (connection);
   connection->has_unwritten = evbuffer_get_length (connection->output) > 0;
   if (connection->has_unwritten)
     event_add (&connection->writable, NULL);
@@ -387,6 +511,7 @@
                 on_readable, connection);
   event_assign (&connection->writable, base, fd, EV_WRITE, on_writable,
                 connection);
+  event_assign (&connection->resumed, base, -1, 0, on_resumed, connection);
   if (connection->output == NULL || connection->pending == NULL)
     {
       http_connection_finish (connection);
@@ -488,6 +613,13 @@
   if (connection->fd < 0)
     return;
   stop_events (connection);
+  if (connection->account != NULL)
+    {
+      memory_account_set (connection->account, MEMORY_CONNECTIONS,
+                          &connection->state_charge, 0);
+      memory_account_set (connection->account, connection->output_kind,
+                          &connection->output_charge, 0);
+    }
   close (connection->fd);
   connection->fd = -1;
   if (connection->output != NULL)
@@ -499,32 +631,114 @@
   http_head_finish (&connection->head);
 }
 
+/*
+ * Writes to the socket if nothing is queued.  Returns the number of bytes that
+ * need not be queued.
+ */
+static size_t
+write_now (struct http_connection *connection, const void *data, size_t size)
+{
+  ssize_t sent;
+
+  if (connection->connecting || connection->has_unwritten)
+    return 0;
+  sent = send (connection->fd, data, size, MSG_NOSIGNAL);
+  if (sent >= 0)
+    return (size_t)sent;
+  /* After another error, the next read fails and reports it. */
+  return errno == EAGAIN || errno == EINTR ? 0 : size;
+}
+
+static void
+note_queued (struct http_connection *connection, bool is_queued, size_t size)
+{
+  if (!is_queued)
+    LOG_EVENT (LOG_LEVEL_ERROR, "output-lost",
+               LOG_U64 ("bytes", (uint64_t)size));
+  connection->has_unwritten = true;
+  update_charges (connection);
+  event_add (&connection->writable, NULL);
+}
+
 void
 http_connection_write (struct http_connection *connection,
                        const void *data,
                        size_t size)
 {
+  size_t sent;
+
   if (connection->fd < 0)
     return;
-  if (!connection->connecting && !connection->has_unwritten)
-    {
-      ssize_t sent = send (connection->fd, data, size, MSG_NOSIGNAL);
+  sent = write_now (connection, data, size);
+  if (sent == size)
+    return;
+  size -= sent;
+  note_queued (
+      connection,
+      evbuffer_add (connection->output, (const char *)data + sent, size) == 0,
+      size);
+}
 
-      if (sent == (ssize_t)size)
-        return;
-      if (sent < 0 && errno != EAGAIN && errno != EINTR)
-        return; /* the next read reports the error */
-      if (sent > 0)
-        {
-          data = (const char *)data + sent;
-          size -= (size_t)sent;
-        }
+void
+http_connection_write_borrowed (struct http_connection *connection,
+                                const void *data,
+                                size_t size)
+{
+  size_t sent;
+
+  if (connection->fd < 0)
+    return;
+  sent = write_now (connection, data, size);
+  if (sent == size)
+    return;
+  size -= sent;
+  connection->borrowed_bytes = size;
+  note_queued (connection,
+               evbuffer_add_reference (connection->output,
+                                       (const char *)data + sent, size, NULL,
+                                       NULL)
+                   == 0,
+               size);
+}
+
+static void
+free_written (const void *data, size_t size, void *memory)
+{
+  (void)data;
+  (void)size;
+  free (memory);
+}
+
+void
+http_connection_write_text (struct http_connection *connection,
+                            struct http_text *text)
+{
+  size_t sent = connection->fd >= 0
+                    ? write_now (connection, text->data, text->size)
+                    : text->size;
+
+  if (sent < text->size)
+    {
+      bool is_queued
+          = evbuffer_add_reference (connection->output, text->data + sent,
+                                    text->size - sent, free_written, text->data)
+            == 0;
+
+      note_queued (connection, is_queued, text->size - sent);
+      if (is_queued)
+        text->data = NULL; /* freed once it is written */
     }
-  if (evbuffer_add (connection->output, data, size) != 0)
-    LOG_EVENT (LOG_LEVEL_ERROR, "output-lost",
-               LOG_U64 ("bytes", (uint64_t)size));
-  connection->has_unwritten = true;
-  event_add (&connection->writable, NULL);
+  http_text_finish (text);
+}
+
+void
+http_connection_set_account (struct http_connection *connection,
+                             struct memory_account *account,
+                             enum memory_kind output_kind)
+{
+  connection->account = account;
+  connection->output_kind = output_kind;
+  update_charges (connection);
 }
 
 size_t
@@ -572,28 +786,6 @@
          && recv (connection->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
-static void
-parse_pending (evutil_socket_t fd, short what, void *context)
-{
-  struct http_connection *connection = context;
-  size_t size = http_connection_pending_bytes (connection);
-  unsigned char *bytes;
-
-  (void)fd;
-  (void)what;
-  if (size == 0 || connection->has_whole_message)
-    return;
-  bytes = malloc (size);
-  if (bytes == NULL)
-    {
-      report_end (connection, HTTP_END_LIMIT);
-      return;
-    }
-  evbuffer_remove (connection->pending, bytes, size);
-  parse_input (connection, (const char *)bytes, size);
-  free (bytes);
-}
-
 void
 http_connection_next_message (struct http_connection *connection, bool no_body)
 {
@@ -606,8 +798,9 @@
     return;
   connection->has_whole_message = false;
   http_parser_pause (&connection->parser, 0);
-  if (http_connection_pending_bytes (connection) > 0)
-    parse_pending (-1, 0, connection);
+  if (!connection->parses_pending
+      && http_connection_pending_bytes (connection) > 0)
+    parse_pending (connection);
 }
 
 void
@@ -618,6 +811,10 @@
   connection->discarding = true;
   connection->ended = false;
   connection->is_reading_suspended = false;
+  connection->is_input_full = false;
+  evbuffer_drain (connection->pending,
+                  evbuffer_get_length (connection->pending));
+  update_charges (connection);
   if (shutdown (connection->fd, SHUT_WR) != 0)
     LOG_EVENT (LOG_LEVEL_DEBUG, "half-close", LOG_INT ("errno", errno));
   event_add (&connection->readable, NULL);
@@ -630,10 +827,5 @@
   if (connection->fd < 0 || connection->is_reading_suspended == suspended)
     return;
   connection->is_reading_suspended = suspended;
-  if (connection->ended || connection->connecting)
-    return;
-  if (suspended)
-    event_del (&connection->readable);
-  else
-    event_add (&connection->readable, NULL);
+  update_reading (connection);
 }
