relay: keep what clients make a host hold within its memory

The sum of request bodies was compared with 48 MB when a head arrived. Bodies that had begun by then grew without limit, so a crowd ended the process, and afterwards every ordinary request got 503 while the crowd held its connections.

The relay now charges the account for every byte when it is held: heads, pending input, bodies, output to endpoints and to clients, responses. Above the first watermark, bodies over 64 KB wait unread, are admitted while their rest fits, or are refused as not run: after 1 s without a byte, or 3 s of waiting. Above the second, unfinished requests are ended, then whole ones that no endpoint has got; running ones stay. A response over 64 KB waits at its endpoint then, instead of failing at 22 MB in total. A body over the limit is refused when its length is announced. Bodies over 64 KB get pages of their own: the allocator otherwise keeps freed ones.

The limit of callers follows the descriptors of the process, and at the limit the connection that was silent longest makes room.

No new result code: 3029 is the refusal.

A wait for memory by closing the connection was ruled out, since nothing would tell the client that its request did not run.

Tests changed: relay-fixture.h and t0851 read the held bytes from the account, as relay.response_bytes is gone. test_shared_limit holds the second watermark elsewhere in place of 22 MB, with the same bound.

--- a/packages/edge/include/edge-settings.h
+++ b/packages/edge/include/edge-settings.h
@@ -30,6 +30,9 @@
   double retry_ratio;
   int64_t retry_slack;
   int64_t retry_window_s;
+  int64_t memory_limit_mb;
+  double memory_tight_share;
+  double memory_full_share;
 };
 
 /*
--- a/packages/edge/src/edge-settings.c
+++ b/packages/edge/src/edge-settings.c
@@ -23,6 +23,9 @@
   { "retry.ratio", SETTINGS_REAL, "", "0.1", 0, 10, "Retries per request for a service, over the whole fleet.", AT (retry_ratio) },
   { "retry.slack", SETTINGS_INTEGER, "", "0", 0, 1000000, "Extra retries of the fleet per service and window.", AT (retry_slack) },
   { "retry.window_s", SETTINGS_INTEGER, "s", "10", 1, 3600, "Window of the retry limits.", AT (retry_window_s) },
+  { "memory.limit_mb", SETTINGS_INTEGER, "MB", "112", 32, 1048576, "Memory of this host; the platform ends a process that exceeds it.", AT (memory_limit_mb) },
+  { "memory.tight_share", SETTINGS_REAL, "", "0.5", 0.05, 0.95, "Share of memory.limit_mb held for clients above which large bodies wait unread.", AT (memory_tight_share) },
+  { "memory.full_share", SETTINGS_REAL, "", "0.7", 0.05, 0.95, "Share of memory.limit_mb held for clients above which requests that did not run are ended.", AT (memory_full_share) },
 };
 /* clang-format on */
 
--- a/packages/edge/src/edge.c
+++ b/packages/edge/src/edge.c
@@ -118,6 +118,8 @@
              LOG_U64 ("live_hosts", edge->mesh.live_hosts),
              LOG_U64 ("in_flight", relay_in_flight (&edge->relay)),
              LOG_U64 ("callers", edge->relay.caller_count),
+             LOG_U64 ("memory_held", edge->relay.memory.total),
+             LOG_U64 ("memory_peak", edge->relay.memory.peak),
              LOG_U64 ("configuration_calls",
                       edge->records.calls[RECORDS_CONFIGURATION]),
              LOG_U64 ("endpoint_calls", edge->records.calls[RECORDS_ENDPOINTS]),
@@ -211,13 +213,17 @@
     .retry_slack = 0,
     .retry_window_ms = settings->retry_window_s * 1000,
     .back_off_limit_ms = settings->endpoints_back_off_limit_s * 1000,
+    .memory_bytes = (size_t)settings->memory_limit_mb << 20,
+    .memory_tight_share = settings->memory_tight_share,
+    .memory_full_share = settings->memory_full_share,
   };
   char address[SETTINGS_TEXT_SIZE];
   uint16_t port;
   enum result result;
 
   if (!net_parse_address (settings->callers_listen, address, sizeof address,
-                          &port))
+                          &port)
+      || settings->memory_tight_share > settings->memory_full_share)
     return RESULT_SETTINGS_BAD_VALUE;
   result = relay_init (&edge->relay, edge->base, edge->adapter->header_names,
                        &limits, &edge->endpoints, &edge->counters,
--- a/packages/edge/src/readiness.c
+++ b/packages/edge/src/readiness.c
@@ -43,6 +43,33 @@
   counter_put (&edge->counters, count, NULL, (double)histogram->count);
 }
 
+static void
+put_memory (struct edge *edge)
+{
+  struct counter_set *counters = &edge->counters;
+  const struct memory_account *account = &edge->relay.memory;
+
+  for (int kind = 0; kind < MEMORY_KINDS; kind++)
+    {
+      char label[64];
+
+      snprintf (label, sizeof label, "kind=\"%s\"",
+                memory_kind_name ((enum memory_kind)kind));
+      counter_put (counters, "waxwing_memory_held_bytes", label,
+                   (double)account->held[kind]);
+    }
+  counter_put (counters, "waxwing_memory_held_peak_bytes", NULL,
+               (double)account->peak);
+  counter_put (counters, "waxwing_memory_watermark_bytes", "level=\"tight\"",
+               (double)account->tight_bytes);
+  counter_put (counters, "waxwing_memory_watermark_bytes", "level=\"full\"",
+               (double)account->full_bytes);
+  counter_put (counters, "waxwing_memory_watermark_passed_total",
+               "level=\"tight\"", (double)account->tight_count);
+  counter_put (counters, "waxwing_memory_watermark_passed_total",
+               "level=\"full\"", (double)account->full_count);
+}
+
 static void
 on_metrics_request (struct evhttp_request *request, void *context)
 {
@@ -70,6 +97,7 @@
   counter_put (counters, "waxwing_configuration_proof_age_ms", NULL,
                (double)(edge->now_ms - edge->configuration.current_at_ms));
   counter_put (counters, "waxwing_lease_held", NULL, edge->leader.acting);
+  put_memory (edge);
   put_histogram (edge, "waxwing_first_event_ms", &edge->relay.first_event_ms);
   put_histogram (edge, "waxwing_answer_ms", &edge->relay.response_ms);
   counter_write (counters, add_line,
--- a/packages/relay/include/relay.h
+++ b/packages/relay/include/relay.h
@@ -8,6 +8,7 @@
 #include "histogram.h"
 #include "http-connection.h"
 #include "http-text.h"
+#include "memory-account.h"
 #include "result.h"
 #include "retry-budget.h"
 #include "strikes.h"
@@ -72,6 +73,10 @@
   double retry_slack; /* additional retries of this entry host per window */
   int64_t retry_window_ms;
   int64_t back_off_limit_ms; /* upper bound of an endpoint's back-off */
+  /* Memory of the process, and watermarks as shares of it; 0 = default. */
+  size_t memory_bytes;
+  double memory_tight_share;
+  double memory_full_share;
 };
 
 struct relay;
@@ -85,6 +90,8 @@
   int64_t since_ms;  /* time of connect, last response or start of a request */
   bool is_receiving; /* a request has begun to arrive */
   bool close_after;  /* the connection ends with the current response */
+  size_t unwritten_bytes;     /* output at unwritten_since_ms */
+  int64_t unwritten_since_ms; /* the client has read nothing since then */
   TAILQ_ENTRY (relay_caller) link;
 };
 
@@ -121,6 +128,8 @@
   struct http_text body;   /* plain response, or incomplete event of a stream */
   size_t line_start;       /* offset of the incomplete line in the body */
   size_t scanned_to; /* offset up to which that line was searched for its end */
+  int64_t unread_since_ms; /* its response waits for memory; 0 = it is read */
+  struct memory_charge memory_charge;
   TAILQ_ENTRY (relay_upstream) link;
 };
 
@@ -150,6 +159,11 @@
   double expected_ms;       /* estimated time from dispatch to first event */
   struct http_text fields;  /* request line and field lines to forward */
   struct http_text body;
+  size_t body_limit;        /* most bytes that the body may still come to */
+  int64_t body_progress_ms; /* time of the last part of the body */
+  int64_t unread_since_ms;  /* the body waits for memory; 0 = it is read */
+  bool is_admitted;         /* memory is kept free for the rest of the body */
+  struct memory_charge memory_charge;
   uint64_t last_event;
   bool has_last_event;
   struct relay_upstream *upstream;
@@ -207,9 +221,15 @@
   TAILQ_HEAD (, relay_upstream) busy;
   struct relay_request_list requests;
   struct relay_request_list waiting;
-  size_t body_bytes;     /* request bodies held in memory */
-  size_t response_bytes; /* responses and incomplete events held in memory */
+  struct memory_account memory;
+  enum memory_level memory_level; /* as last logged */
+  bool has_unread_bodies;         /* bodies wait for memory */
+  int64_t memory_level_logged_ms;
+  int64_t memory_end_logged_ms;
+  int64_t memory_trimmed_ms;
+  size_t memory_untrimmed_bytes; /* most bytes held since then */
   unsigned caller_count;
+  unsigned caller_limit;
   /* Called when requests at an endpoint are stalled. */
   void (*on_stall) (void *context, struct endpoint_load *load);
   void *stall_context;
--- a/packages/relay/src/caller.c
+++ b/packages/relay/src/caller.c
@@ -4,13 +4,17 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 /*
  * Limit of connected callers.  An entry host has about 2,900 descriptors, of
- * which 200 are for files and the rest for callers and endpoints.
+ * which 200 are for files and the rest for callers and endpoints.  A process
+ * with fewer descriptors shares them in the same way.
  */
 #define CALLER_LIMIT 1400
+#define OTHER_DESCRIPTORS 200
+#define CALLER_LIMIT_MIN 16
 /* Limits that apply until a configuration is received. */
 #define DEFAULT_HEADER_BYTES 16384
 #define DEFAULT_HEADER_TIMEOUT_MS 3000
@@ -49,14 +53,16 @@
   if (request == NULL)
     return;
   http_text_add (&request->body, data, size);
-  caller->relay->body_bytes += size;
+  caller->relay->now_ms = time_boot_ms ();
   if (request->body.failed
       || (catalog != NULL
           && (int64_t)request->body.size > catalog->limits.body_bytes))
     {
       caller->close_after = true;
       relay_refuse (request, RESULT_BODY_TOO_LARGE, 0);
+      return;
     }
+  relay_memory_note_body (request);
 }
 
 static void
@@ -108,6 +114,18 @@
   relay_caller_close (caller);
 }
 
+/* Reads on after a response, unless the caller does not read responses. */
+static void
+read_next_request (struct relay_caller *caller)
+{
+  struct http_connection *connection = &caller->connection;
+
+  if (http_connection_unwritten_bytes (connection) > UNWRITTEN_LIMIT_BYTES)
+    return;
+  connection->limits = get_caller_limits (caller->relay);
+  http_connection_next_message (connection, false);
+}
+
 static void
 on_drained (void *context)
 {
@@ -117,6 +135,9 @@
     end_connection (caller);
   else if (caller->request != NULL && caller->request->upstream != NULL)
     relay_upstream_resume (caller->request->upstream);
+  else if (caller->request == NULL && !caller->close_after
+           && caller->connection.has_whole_message)
+    read_next_request (caller);
 }
 
 static const struct http_events events = {
@@ -127,6 +148,62 @@
   .drained = on_drained,
 };
 
+unsigned
+relay_caller_limit (void)
+{
+  struct rlimit limit;
+  rlim_t callers;
+
+  if (getrlimit (RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY)
+    return CALLER_LIMIT;
+  if (limit.rlim_cur < OTHER_DESCRIPTORS + 2 * CALLER_LIMIT_MIN)
+    return CALLER_LIMIT_MIN;
+  callers = (limit.rlim_cur - OTHER_DESCRIPTORS) / 2;
+  return callers < CALLER_LIMIT ? (unsigned)callers : CALLER_LIMIT;
+}
+
+/*
+ * True if the connection can be closed for another: it sends nothing, or has
+ * not sent a whole head or the next part of a body for MEMORY_STALL_MS.
+ */
+static bool
+can_make_room (const struct relay_caller *caller, int64_t now_ms)
+{
+  const struct http_connection *connection = &caller->connection;
+  const struct relay_request *request = caller->request;
+
+  if (http_connection_unwritten_bytes (connection) > 0)
+    return false;
+  if (request != NULL)
+    return request->phase == RELAY_READING && request->unread_since_ms == 0
+           && now_ms - request->body_progress_ms >= MEMORY_STALL_MS;
+  if (http_connection_is_idle (connection))
+    return !http_connection_has_input (connection);
+  return !connection->has_whole_message
+         && now_ms - caller->since_ms >= MEMORY_STALL_MS;
+}
+
+/*
+ * Closes the connection that has been silent longest, so that clients which
+ * only hold connections do not keep others out.
+ */
+static void
+make_room (struct relay *relay)
+{
+  struct relay_caller *victim = NULL;
+  struct relay_caller *caller;
+  int64_t now_ms = time_boot_ms ();
+
+  TAILQ_FOREACH (caller, &relay->callers, link)
+    if ((victim == NULL || caller->since_ms < victim->since_ms)
+        && can_make_room (caller, now_ms))
+      victim = caller;
+  if (victim == NULL)
+    return;
+  counter_add (relay->counters, "waxwing_callers_evicted_total", NULL, 1);
+  relay_caller_close (victim);
+}
+
 void
 relay_caller_accept (struct evconnlistener *listener,
                      evutil_socket_t fd,
@@ -141,7 +218,9 @@
   (void)listener;
   (void)address;
   (void)size;
-  if (relay->caller_count < CALLER_LIMIT)
+  if (relay->caller_count >= relay->caller_limit)
+    make_room (relay);
+  if (relay->caller_count < relay->caller_limit)
     caller = calloc (1, sizeof *caller);
   if (caller == NULL)
     {
@@ -159,6 +238,8 @@
       free (caller);
       return;
     }
+  http_connection_set_account (&caller->connection, &relay->memory,
+                               MEMORY_TO_CLIENTS);
   relay->caller_count++;
   TAILQ_INSERT_TAIL (&relay->callers, caller, link);
 }
@@ -193,8 +274,7 @@
         end_connection (caller);
       return;
     }
-  connection->limits = get_caller_limits (caller->relay);
-  http_connection_next_message (connection, false);
+  read_next_request (caller);
 }
 
 bool
--- a/packages/relay/src/relay-internal.h
+++ b/packages/relay/src/relay-internal.h
@@ -17,6 +17,8 @@
 void relay_caller_finish_response (struct relay_caller *caller);
 /* True if a request has begun to arrive, or is pending on the connection. */
 bool relay_caller_is_receiving (const struct relay_caller *caller);
+/* Most callers that the descriptors of the process allow. */
+unsigned relay_caller_limit (void);
 void relay_caller_tick (struct relay_caller *caller, int64_t now_ms);
 
 /* request.c */
@@ -83,6 +85,25 @@
  */
 void relay_enforce_quarantine (struct relay *relay);
 
+/* memory.c */
+void relay_memory_init (struct relay *relay);
+/* To be called when the request's fields or body have changed. */
+void relay_memory_charge_request (struct relay_request *request);
+/* A part of the body has arrived.  May end this request and others. */
+void relay_memory_note_body (struct relay_request *request);
+/* True if there is no memory even for the first part of such a body. */
+bool relay_memory_refuses (const struct relay *relay, uint64_t announced_bytes);
+/* To be called when the response's head or body have changed. */
+void relay_memory_charge_response (struct relay_upstream *upstream);
+/*
+ * A part of a response has arrived; may suspend reading it.  False if it should
+ * rather come from another endpoint.
+ */
+bool relay_memory_note_response (struct relay_upstream *upstream);
+/* Events of a stream were forwarded; may suspend reading it. */
+void relay_memory_note_events (struct relay_upstream *upstream);
+void relay_memory_tick (struct relay *relay);
+
 /* upstream.c */
 /*
  * Attaches the request to an idle connection of the endpoint, or to a new one;
--- a/packages/relay/src/relay.c
+++ b/packages/relay/src/relay.c
@@ -33,6 +33,8 @@
   relay->endpoints = endpoints;
   relay->counters = counters;
   relay->catalog_current_at_ms = INT64_MIN / 2;
+  relay->caller_limit = relay_caller_limit ();
+  relay_memory_init (relay);
   load_table_init (&relay->loads, data_centre, seed);
   retry_budgets_init (&relay->budgets, limits->retry_ratio, limits->retry_slack,
                       limits->retry_window_ms);
@@ -184,9 +186,9 @@
 void
 relay_tick (struct relay *relay, int64_t now_ms)
 {
-  struct relay_caller *caller = TAILQ_FIRST (&relay->callers);
+  struct relay_caller *caller;
   struct relay_request *request = TAILQ_FIRST (&relay->requests);
-  struct relay_upstream *upstream = TAILQ_FIRST (&relay->idle);
+  struct relay_upstream *upstream;
   struct endpoint_load *load;
 
   relay->now_ms = now_ms;
@@ -197,6 +199,8 @@
       relay_request_tick (request);
       request = next;
     }
+  relay_memory_tick (relay);
+  upstream = TAILQ_FIRST (&relay->idle);
   while (upstream != NULL)
     {
       struct relay_upstream *next = TAILQ_NEXT (upstream, link);
@@ -204,6 +208,7 @@
       relay_upstream_tick (upstream);
       upstream = next;
     }
+  caller = TAILQ_FIRST (&relay->callers);
   while (caller != NULL)
     {
       struct relay_caller *next = TAILQ_NEXT (caller, link);
--- a/packages/relay/src/request.c
+++ b/packages/relay/src/request.c
@@ -9,8 +9,8 @@
 
 /* Deadline of a request without one, or before its route is known. */
 #define DEFAULT_DEADLINE_MS 30000
-/* Limit of request bodies in memory: a third of the smallest host's memory. */
-#define BODY_BYTES_LIMIT (48U << 20)
+/* Most bytes of a body before a configuration is received. */
+#define DEFAULT_BODY_BYTES 4194304
 /*
  * Urgency that is sent with a request; 0 is served first.  A request that can
  * no longer meet its objective is less urgent by LATE_URGENCY_STEP.
@@ -42,6 +42,30 @@
 /* Own events more recent than this prove that the endpoint is not stalled. */
 #define STALL_OWN_ACTIVITY_MS 150
 
+/* The announced size of the body, or the largest that it may have. */
+static uint64_t
+get_body_limit (const struct relay_caller *caller, const struct http_head *head)
+{
+  const struct catalog *catalog = caller->relay->catalog;
+
+  if (head->has_length)
+    return caller->connection.parser.content_length;
+  if (!(caller->connection.parser.flags & F_CHUNKED))
+    return 0;
+  return catalog != NULL ? (uint64_t)catalog->limits.body_bytes
+                         : DEFAULT_BODY_BYTES;
+}
+
+/* Refuses a body that cannot be taken before any of it is read. */
+static enum result
+check_body (const struct relay *relay, uint64_t bytes)
+{
+  if (relay->catalog != NULL
+      && bytes > (uint64_t)relay->catalog->limits.body_bytes)
+    return RESULT_BODY_TOO_LARGE;
+  return relay_memory_refuses (relay, bytes) ? RESULT_SHED : RESULT_OK;
+}
+
 struct relay_request *
 relay_request_new (struct relay_caller *caller, const struct http_head *head)
 {
@@ -49,6 +73,8 @@
   struct relay_request *request = calloc (1, sizeof *request);
   const char *id = http_head_get (head, relay->names->request_id);
 
+  enum result result;
+
   if (request == NULL)
     {
       relay_caller_close (caller);
@@ -64,15 +90,20 @@
   http_text_init (&request->body);
   TAILQ_INSERT_TAIL (&relay->requests, request, link);
   caller->request = request;
-  if (http_head_get (head, "Expect") != NULL)
-    http_connection_write (&caller->connection, "HTTP/1.1 100 Continue\r\n\r\n",
-                           25);
-  if (relay->body_bytes > BODY_BYTES_LIMIT)
+  request->body_limit = get_body_limit (caller, head);
+  request->body_progress_ms = relay->now_ms;
+  result = check_body (relay, request->body_limit);
+  if (result != RESULT_OK)
     {
       caller->close_after = true;
-      relay_refuse (request, RESULT_SHED, RELAY_RETRY_AFTER_MS);
+      relay_refuse (request, result,
+                    result == RESULT_SHED ? RELAY_RETRY_AFTER_MS : 0);
       return NULL;
     }
+  if (http_head_get (head, "Expect") != NULL)
+    http_connection_write (&caller->connection, "HTTP/1.1 100 Continue\r\n\r\n",
+                           25);
+  relay_memory_charge_request (request);
   return request;
 }
 
@@ -90,7 +121,8 @@
   TAILQ_REMOVE (&relay->requests, request, link);
   if (request->caller != NULL)
     request->caller->request = NULL;
-  relay->body_bytes -= request->body.size;
+  memory_account_set (&relay->memory, MEMORY_BODIES, &request->memory_charge,
+                      0);
   http_text_finish (&request->fields);
   http_text_finish (&request->body);
   catalog_unref (request->catalog);
@@ -333,6 +365,7 @@
       read_shared_parts (request, head);
       set_urgency (request);
       build_fields (request, head);
+      relay_memory_charge_request (request);
       if (request->fields.failed || request->body.failed)
         result = RESULT_NO_MEMORY;
     }
--- a/packages/relay/src/response.c
+++ b/packages/relay/src/response.c
@@ -117,11 +117,13 @@
       && !request->is_head_method)
     http_text_format (&text, "Content-Length: %zu\r\n", upstream->body.size);
   http_text_add (&text, "\r\n", 2);
-  http_text_add (&text, upstream->body.data, upstream->body.size);
   if (text.failed)
     caller->close_after = true;
   else
-    http_connection_write (&caller->connection, text.data, text.size);
+    {
+      http_connection_write (&caller->connection, text.data, text.size);
+      http_connection_write_text (&caller->connection, &upstream->body);
+    }
   http_text_finish (&text);
   histogram_add (&relay->response_ms,
                  (uint64_t)(relay->now_ms - request->arrived_ms));
--- a/packages/relay/src/upstream.c
+++ b/packages/relay/src/upstream.c
@@ -24,13 +24,6 @@
 #define HEADER_BYTES_LIMIT 65536
 /* Limit of a plain response. */
 #define BODY_BYTES_LIMIT (8U << 20)
-/*
- * Limit of buffered responses in total: a fifth of the memory of the smallest
- * host (112 MB).  Above it, only responses up to SMALL_RESPONSE_BYTES may
- * grow.
- */
-#define BUFFERED_BYTES_LIMIT (22U << 20)
-#define SMALL_RESPONSE_BYTES (64U << 10)
 /*
  * Limit of bytes without a complete event, and of a response to another
  * request.  Events are about 100 bytes, responses of tools below 1 KB.
@@ -62,10 +55,11 @@
 
 /* Releases the buffered response. */
 static void
-release_body (struct relay_upstream *upstream)
+release_response (struct relay_upstream *upstream)
 {
-  upstream->relay->response_bytes -= upstream->body.size;
+  http_text_finish (&upstream->head);
   http_text_finish (&upstream->body);
+  relay_memory_charge_response (upstream);
 }
 
 void
@@ -81,8 +75,7 @@
     TAILQ_REMOVE (&relay->idle, upstream, link);
   detach_request (upstream);
   http_connection_finish (&upstream->connection);
-  http_text_finish (&upstream->head);
-  release_body (upstream);
+  release_response (upstream);
   load_table_unref (&relay->loads, upstream->load);
   http_free_later (relay->base, upstream);
 }
@@ -106,6 +99,7 @@
   upstream->progress_ms = relay->now_ms;
   upstream->first_event_ms = 0;
   upstream->is_sound = false;
+  upstream->unread_since_ms = 0;
   http_text_reset (&upstream->head);
   upstream->load->running++;
   request_limit_note_sent (&upstream->load->request_limit, relay->now_ms);
@@ -134,7 +128,6 @@
     http_text_format (&text, "%s: %llu\r\n", names->last_event_id,
                       (unsigned long long)request->last_event);
   http_text_add (&text, "\r\n", 2);
-  http_text_add (&text, request->body.data, request->body.size);
   if (text.failed)
     {
       http_text_finish (&text);
@@ -145,6 +138,13 @@
   upstream->progress_ms = relay->now_ms;
   http_connection_write (&upstream->connection, text.data, text.size);
   http_text_finish (&text);
+  /*
+   * The request outlives the output: it closes this connection before it frees
+   * the body, and a connection with output is not used again.
+   */
+  if (request->body.size > 0)
+    http_connection_write_borrowed (&upstream->connection, request->body.data,
+                                    request->body.size);
 }
 
 static void
@@ -329,19 +329,11 @@
 static bool
 buffer_body (struct relay_upstream *upstream, const char *data, size_t size)
 {
-  struct relay *relay = upstream->relay;
   struct http_text *body = &upstream->body;
-  size_t size_before = body->size;
 
   http_text_add (body, data, size);
-  relay->response_bytes += body->size - size_before;
-  if (body->failed)
-    return false;
-  if (upstream->is_stream)
-    return true;
-  return body->size <= BODY_BYTES_LIMIT
-         && (relay->response_bytes <= BUFFERED_BYTES_LIMIT
-             || body->size <= SMALL_RESPONSE_BYTES);
+  return relay_memory_note_response (upstream) && !body->failed
+         && (upstream->is_stream || body->size <= BODY_BYTES_LIMIT);
 }
 
 static void
@@ -360,11 +352,10 @@
 {
   struct relay *relay = upstream->relay;
   struct relay_request *request = upstream->request;
-  size_t size_before = upstream->body.size;
   uint64_t events = request->events_sent;
   bool is_valid = relay_response_send_events (request, upstream);
 
-  relay->response_bytes -= size_before - upstream->body.size;
+  relay_memory_note_events (upstream);
   if (request->events_sent > events)
     {
       end_prefill (upstream);
@@ -420,7 +411,7 @@
     }
   TAILQ_REMOVE (&relay->busy, upstream, link);
   detach_request (upstream);
-  release_body (upstream);
+  release_response (upstream);
   upstream->was_reused = true;
   upstream->started_ms = relay->now_ms;
   TAILQ_INSERT_HEAD (&relay->idle, upstream, link);
@@ -607,6 +598,8 @@
       free (upstream);
       return NULL;
     }
+  http_connection_set_account (&upstream->connection, &relay->memory,
+                               MEMORY_TO_ENDPOINTS);
   counter_add (relay->counters, "waxwing_endpoint_connections_total", NULL, 1);
   endpoint_load_ref (load);
   return upstream;
@@ -655,7 +648,8 @@
 void
 relay_upstream_resume (struct relay_upstream *upstream)
 {
-  if (!upstream->connection.is_reading_suspended)
+  if (!upstream->connection.is_reading_suspended
+      || upstream->unread_since_ms != 0)
     return;
   /* The gap was caused by the caller, not by the endpoint. */
   upstream->progress_ms = upstream->relay->now_ms;
--- a/packages/relay/tests/relay-fixture.h
+++ b/packages/relay/tests/relay-fixture.h
@@ -465,8 +465,8 @@
       event_base_loop (test.base, EVLOOP_ONCE);
       relay_tick (&test.relay, time_boot_ms ());
       fake_write_more ();
-      if (test.relay.response_bytes > test.max_held_bytes)
-        test.max_held_bytes = test.relay.response_bytes;
+      if (test.relay.memory.held[MEMORY_RESPONSES] > test.max_held_bytes)
+        test.max_held_bytes = test.relay.memory.held[MEMORY_RESPONSES];
       if (time_boot_ms () > until_ms)
         fail_msg ("%s: no response", test.c->guards);
     }
--- a/packages/relay/tests/t0851-endpoint-trouble.c
+++ b/packages/relay/tests/t0851-endpoint-trouble.c
@@ -137,7 +137,7 @@
         fail_msg ("%s: %zu bytes held", endless_responses[i].guards,
                   test.max_held_bytes);
       teardown ();
-      assert_int_equal (test.relay.response_bytes, 0);
+      assert_int_equal (test.relay.memory.held[MEMORY_RESPONSES], 0);
     }
 }
 
@@ -154,16 +154,19 @@
           .status = 200,
           .body = "ok",
           .sends = 2 };
-  const size_t held_elsewhere = 22U << 20;
+  struct memory_charge elsewhere = { 0 };
+  size_t held_elsewhere;
 
   (void)state;
   setup (&c);
-  test.relay.response_bytes = held_elsewhere;
+  held_elsewhere = test.relay.memory.full_bytes;
+  memory_account_set (&test.relay.memory, MEMORY_RESPONSES, &elsewhere,
+                      held_elsewhere);
   run_until_response ();
   assert_case_result (&c);
   if (test.max_held_bytes > held_elsewhere + (1U << 20))
     fail_msg ("%zu bytes held", test.max_held_bytes);
-  test.relay.response_bytes -= held_elsewhere;
+  memory_account_set (&test.relay.memory, MEMORY_RESPONSES, &elsewhere, 0);
   teardown ();
 }
 
@@ -186,7 +189,7 @@
   run_until_response ();
   assert_case_result (&c);
   assert_false (TAILQ_EMPTY (&test.relay.idle));
-  assert_int_equal (test.relay.response_bytes, 0);
+  assert_int_equal (test.relay.memory.held[MEMORY_RESPONSES], 0);
   teardown ();
 }
 
--- a/tests/standin/abusive-clients.c
+++ b/tests/standin/abusive-clients.c
@@ -107,6 +107,8 @@
     "a body behind a whole request" },
   { "unread", "", PART_REQUESTS, LENGTH_REQUESTS, false, true, true,
     "responses that are never read" },
+  { "unread-tiny", "", PART_TINY_REQUESTS, LENGTH_REQUESTS, false, true, true,
+    "responses to invalid requests, which are never read" },
   { "silent", NULL, PART_NONE, LENGTH_NONE, false, false, false,
     "connections that send nothing" },
 };
