relay: keep large blocks out of the heap, and space for small requests

The memory map of the process showed 16 MB of heap, although the account held 2 MB besides bodies. The allocator takes a block above its threshold from what the heap has left over, and extends the heap by 128 KB at a time, so blocks of 64 KB landed there between small ones and stayed when they were freed.

The account itself passed the second watermark by 5 MB, as clients that connect later bring bodies that no admitted one had left space for. Large bodies now leave a quarter of the space between the watermarks free, and connections read less at once above a watermark.

--- a/packages/base/include/memory-account.h
+++ b/packages/base/include/memory-account.h
@@ -77,6 +77,8 @@
 
 /* Largest body that is read in spite of the first watermark. */
 #define MEMORY_SMALL_BYTES 65536
+/* Large bodies leave this part of the space between the watermarks free. */
+#define MEMORY_SMALL_SHARE_DIVISOR 4
 /*
  * A body that gave no byte for this long is stalled.  A link that loses the
  * same segment twice resumes within 600 ms (RFC 6298 with a minimum of 200 ms).
--- a/packages/base/src/memory-account.c
+++ b/packages/base/src/memory-account.c
@@ -79,13 +79,20 @@
   return holder->rest_bytes < small_rest ? holder->rest_bytes : small_rest;
 }
 
+/*
+ * True if the rest of a large body fits.  A part of the space between the
+ * watermarks is left to small requests, also to those that come later.
+ */
 static bool
 has_space (const struct memory_account *account,
            const struct memory_holder *holder,
            size_t reserved_bytes)
 {
+  size_t small_share = (account->full_bytes - account->tight_bytes)
+                       / MEMORY_SMALL_SHARE_DIVISOR;
+
   return account->total + reserved_bytes + holder->rest_bytes
-         < account->full_bytes;
+         < account->full_bytes - small_share;
 }
 
 enum memory_action
--- a/packages/http/src/http-connection.c
+++ b/packages/http/src/http-connection.c
@@ -401,6 +401,27 @@
     parse_pending (connection);
 }
 
+/*
+ * Bytes to read at once.  Many connections may be readable when a watermark is
+ * passed, and each reads once before its owner can suspend it.
+ */
+static size_t
+get_read_size (const struct http_connection *connection)
+{
+  if (connection->is_client || connection->account == NULL
+      || connection->discarding)
+    return READ_BYTES;
+  switch (memory_account_level (connection->account))
+    {
+    case MEMORY_FULL:
+      return READ_BYTES / 16;
+    case MEMORY_TIGHT:
+      return READ_BYTES / 4;
+    default:
+      return READ_BYTES;
+    }
+}
+
 static void
 on_readable (evutil_socket_t fd, short what, void *context)
 {
@@ -413,7 +434,7 @@
   if (!connection->has_whole_message && !connection->discarding
       && evbuffer_get_length (connection->pending) > 0)
     return;
-  size = recv (fd, buffer, sizeof buffer, 0);
+  size = recv (fd, buffer, get_read_size (connection), 0);
   if (size > 0)
     handle_input (connection, buffer, (size_t)size);
   else if (size == 0)
--- a/packages/relay/src/memory.c
+++ b/packages/relay/src/memory.c
@@ -20,7 +20,9 @@
 /*
  * Blocks of this size get pages of their own, which return to the system when
  * they are freed.  Without this the allocator raises the threshold up to 32 MB
- * and keeps them.  Ordinary bodies (714 tokens, 3,600 bytes) are smaller.
+ * and keeps them.  The heap grows by less than that at a time, because a large
+ * block would be taken from what it has left over.  Ordinary bodies (714
+ * tokens, 3,600 bytes) are smaller.
  */
 #define OWN_PAGES_BYTES 32768
 
@@ -39,7 +41,8 @@
                                     : DEFAULT_FULL_SHARE);
   /* Rejected by an allocator other than that of glibc, as with sanitizers. */
   if (mallopt (M_MMAP_THRESHOLD, OWN_PAGES_BYTES) == 0
-      || mallopt (M_TRIM_THRESHOLD, 2 * OWN_PAGES_BYTES) == 0)
+      || mallopt (M_TRIM_THRESHOLD, 2 * OWN_PAGES_BYTES) == 0
+      || mallopt (M_TOP_PAD, OWN_PAGES_BYTES / 2) == 0)
     LOG_EVENT (LOG_LEVEL_INFO, "allocator-options-rejected",
                LOG_INT ("threshold", OWN_PAGES_BYTES));
 }
