docs: correct the footprint of the process

The host takes 5 to 6 MB under loads that hold nothing (silent, slow-head, over-announced; release build).

--- a/packages/relay/src/memory.c
+++ b/packages/relay/src/memory.c
@@ -8,7 +8,7 @@
 #define DEFAULT_LIMIT_MB 112
 #define DEFAULT_TIGHT_SHARE 0.5
 /*
- * The rest is for the process itself (about 12 MB with a usual configuration),
+ * The rest is for the process itself (6 MB with a small configuration),
  * for what is read before the account is asked again, and for freed memory that
  * the allocator has not returned.
  */
--- a/tests/system/abusive-platform.c
+++ b/tests/system/abusive-platform.c
@@ -66,9 +66,9 @@
 
 static const struct shape shapes[] = {
   /*
-   * 64 MB is about half of the smallest host, whose process has a footprint of
-   * about 12 MB; bodies of a quarter of the usual limit let 100 clients exceed
-   * it.
+   * 64 MB is about half of the smallest host; bodies of a quarter of the usual
+   * limit let 100 clients exceed it.  Under loads that hold nothing the host
+   * takes 5 to 6 MB.
    */
   { "lowered", 64, 0, 1048576, 100 },
   /* So many that bodies which count as small fill half of the memory. */
