--- a/packages/edge/include/edge-settings.h
+++ b/packages/edge/include/edge-settings.h
@@ -33,6 +33,9 @@
   int64_t evacuation_complete_ms; /* 0 = evacuations are not followed */
   double cold_over;
   double cold_slack;
+  int64_t memory_limit_mb;
+  double memory_tight_share;
+  double memory_full_share;
 };
 
 /*
--- a/packages/edge/src/edge-settings.c
+++ b/packages/edge/src/edge-settings.c
@@ -26,6 +26,9 @@
   { "evacuation.complete_ms", SETTINGS_INTEGER, "ms", "0", 0, 3600000, "Nothing reaches an evacuated data centre this long after the order; 0 = evacuations are not followed.", AT (evacuation_complete_ms) },
   { "cold.over", SETTINGS_REAL, "", "1", 0.01, 100, "Times the rate of its service that may reach a cold endpoint in any second.", AT (cold_over) },
   { "cold.slack", SETTINGS_REAL, "", "0", 0, 1000000, "Requests that may reach a cold endpoint in any second besides.", AT (cold_slack) },
+  { "memory.limit_mb", SETTINGS_INTEGER, "MB", "112", 32, 1048576, "Memory of this host; the platform ends a process that exceeds it.", AT (memory_limit_mb) },
+  { "memory.tight_share", SETTINGS_REAL, "", "0.5", 0.05, 0.95, "Share of memory.limit_mb held for clients above which large bodies wait unread.", AT (memory_tight_share) },
+  { "memory.full_share", SETTINGS_REAL, "", "0.7", 0.05, 0.95, "Share of memory.limit_mb held for clients above which requests that did not run are ended.", AT (memory_full_share) },
 };
 /* clang-format on */
 
--- a/packages/edge/src/readiness.c
+++ b/packages/edge/src/readiness.c
@@ -73,6 +73,33 @@
     }
 }
 
+static void
+put_memory (struct edge *edge)
+{
+  struct counter_set *counters = &edge->counters;
+  const struct memory_account *account = &edge->relay.memory;
+
+  for (int kind = 0; kind < MEMORY_KINDS; kind++)
+    {
+      char label[64];
+
+      snprintf (label, sizeof label, "kind=\"%s\"",
+                memory_kind_name ((enum memory_kind)kind));
+      counter_put (counters, "waxwing_memory_held_bytes", label,
+                   (double)account->held[kind]);
+    }
+  counter_put (counters, "waxwing_memory_held_peak_bytes", NULL,
+               (double)account->peak);
+  counter_put (counters, "waxwing_memory_watermark_bytes", "level=\"tight\"",
+               (double)account->tight_bytes);
+  counter_put (counters, "waxwing_memory_watermark_bytes", "level=\"full\"",
+               (double)account->full_bytes);
+  counter_put (counters, "waxwing_memory_watermark_passed_total",
+               "level=\"tight\"", (double)account->tight_count);
+  counter_put (counters, "waxwing_memory_watermark_passed_total",
+               "level=\"full\"", (double)account->full_count);
+}
+
 static void
 on_metrics_request (struct evhttp_request *request, void *context)
 {
@@ -103,6 +130,7 @@
                edge_count_cold (edge));
   put_evacuations (edge);
   counter_put (counters, "waxwing_lease_held", NULL, edge->leader.acting);
+  put_memory (edge);
   put_histogram (edge, "waxwing_first_event_ms", &edge->relay.first_event_ms);
   put_histogram (edge, "waxwing_answer_ms", &edge->relay.response_ms);
   counter_write (counters, add_line,
--- a/packages/relay/src/relay-internal.h
+++ b/packages/relay/src/relay-internal.h
@@ -17,6 +17,8 @@
 void relay_caller_finish_response (struct relay_caller *caller);
 /* True if a request has begun to arrive, or is pending on the connection. */
 bool relay_caller_is_receiving (const struct relay_caller *caller);
+/* Most callers that the descriptors of the process allow. */
+unsigned relay_caller_limit (void);
 void relay_caller_tick (struct relay_caller *caller, int64_t now_ms);
 
 /* request.c */
@@ -127,6 +129,28 @@
 void relay_log_cold (const struct relay_request *request,
                      struct endpoint_load *load);
 
+/* memory.c */
+void relay_memory_init (struct relay *relay);
+/* To be called when the request's fields or body have changed. */
+void relay_memory_charge_request (struct relay_request *request);
+/*
+ * Makes room for an announced body, or for its first part if it is large, so
+ * that it need not be moved again and again.  Pages without bytes cost nothing.
+ */
+void relay_memory_reserve_body (struct relay_request *request, size_t size);
+/* A part of the body has arrived.  May end this request and others. */
+void relay_memory_note_body (struct relay_request *request);
+/* To be called when the response's head or body have changed. */
+void relay_memory_charge_response (struct relay_upstream *upstream);
+/*
+ * A part of a response has arrived; may suspend reading it.  False if it should
+ * rather come from another endpoint.
+ */
+bool relay_memory_note_response (struct relay_upstream *upstream);
+/* Events of a stream were forwarded; may suspend reading it. */
+void relay_memory_note_events (struct relay_upstream *upstream);
+void relay_memory_tick (struct relay *relay);
+
 /* upstream.c */
 /*
  * Attaches the request to an idle connection of the endpoint, or to a new one;
