gateway: refuse a blank before the colon of a field

evhttp takes the blank as part of the name, so "X-Tenant : other" was a field of its own, and "Transfer-Encoding\t: chunked" framed nothing here although another reader may take it as the framing. Such a request is answered 400 and its connection is closed, as with other ambiguous framing (RFC 9112 section 5.1). The two cases of t0800 pass; without the check they fail.

--- a/packages/gateway/src/identify.c
+++ b/packages/gateway/src/identify.c
@@ -76,12 +76,20 @@
       = count_headers_named (headers, "Transfer-Encoding");
   const char *encoding = evhttp_find_header (headers, "Transfer-Encoding");
   unsigned count = 0;
+  bool names_valid = true;
   const struct evkeyval *header;
 
   TAILQ_FOREACH (header, headers, next)
-    count++;
+    {
+      count++;
+      /*
+       * evhttp takes the blank as part of the name.  Another reader of the
+       * request may take the field without it (RFC 9112 section 5.1).
+       */
+      names_valid = names_valid && strpbrk (header->key, " \t") == NULL;
+    }
   /* evhttp parses a body of any other encoding as the next request. */
-  if ((encoding == NULL || strcasecmp (encoding, "chunked") == 0)
+  if (names_valid && (encoding == NULL || strcasecmp (encoding, "chunked") == 0)
       && content_lengths <= 1 && transfer_encodings <= 1
       && content_lengths + transfer_encodings <= 1
       && count_headers_named (headers, "Authorization") <= 1
