gateway: drop heads of far too many fields unread

evhttp allocates three blocks for each header field, about 110 bytes for a field of 4.

A head of more than four times callers.max_headers fields is now drained before evhttp reads it, and answered 400 MALFORMED_REQUEST (not run), as it was before. Ruled out: a smaller limit of the head's bytes, which ordinary heads need.

--- a/packages/gateway/src/caller.c
+++ b/packages/gateway/src/caller.c
@@ -26,6 +26,8 @@
 #define CONNECTION_BYTES 8192
 /* evhttp allocates a key, a value and an entry for each header field. */
 #define HEADER_FIELD_BYTES 160
+/* A head of this many times the largest number of fields is not read. */
+#define HEADER_COUNT_FACTOR 4
 /* Limit of connections if that of open files is unknown. */
 #define DEFAULT_CONNECTION_LIMIT 65536
 /* A line of a chunk and the end of a body may follow the largest body. */
@@ -169,6 +171,25 @@
          + INPUT_SLACK_BYTES;
 }
 
+/*
+ * Drops a head of far too many fields before evhttp reads it: of 16 KB of short
+ * fields it makes 400 KB.  Heads of fewer fields are refused by the gateway.
+ */
+static void
+drop_overlong_head (struct caller *caller, struct evbuffer *input)
+{
+  size_t limit
+      = (size_t)caller->gateway->limits.header_count * HEADER_COUNT_FACTOR;
+
+  if (!is_unfinished (caller)
+      || (caller->fields <= limit && !caller->has_overlong_head))
+    return;
+  caller->has_overlong_head = true;
+  caller->fields = limit;
+  evbuffer_drain (input, evbuffer_get_length (input));
+  check_later (caller->gateway);
+}
+
 static void
 on_input_change (struct evbuffer *buffer,
                  const struct evbuffer_cb_info *info,
@@ -191,6 +212,8 @@
     }
   if (is_unfinished (caller))
     caller->consumed += info->n_deleted;
+  if (info->n_added > 0)
+    drop_overlong_head (caller, buffer);
   update_charges (caller);
   if (memory_account_level (&gateway->account) != MEMORY_CALM
       || evbuffer_get_length (buffer) > get_input_limit (gateway))
@@ -436,22 +459,28 @@
 static void
 send_not_run (const struct caller *caller)
 {
-  const struct result_info *info = result_info (RESULT_NO_MEMORY);
+  const struct result_info *info = result_info (
+      caller->has_overlong_head ? RESULT_MALFORMED_REQUEST : RESULT_NO_MEMORY);
+  int retry_after_ms = caller->has_overlong_head ? 0 : 1000;
   char body[256];
   char reply[512];
   int size;
 
-  if (caller->phase != CALLER_READING_BODY || get_output_size (caller) > 0)
+  if ((caller->phase != CALLER_READING_BODY && !caller->has_overlong_head)
+      || get_output_size (caller) > 0)
     return;
   snprintf (body, sizeof body,
             "{\"error\":{\"code\":%d,\"name\":\"%s\",\"message\":\"%s\","
-            "\"outcome\":\"%s\",\"retry_after_ms\":1000}}",
-            info->number, info->name, info->text, outcome_name (info->outcome));
+            "\"outcome\":\"%s\",\"retry_after_ms\":%d}}",
+            info->number, info->name, info->text, outcome_name (info->outcome),
+            retry_after_ms);
   size = snprintf (reply, sizeof reply,
-                   "HTTP/1.1 %d Service Unavailable\r\n"
-                   "Content-Type: application/json\r\nRetry-After: 1\r\n"
+                   "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n%s"
                    "Connection: close\r\nContent-Length: %zu\r\n\r\n%s",
-                   info->http_status, strlen (body), body);
+                   info->http_status,
+                   retry_after_ms > 0 ? "Service Unavailable" : "Bad Request",
+                   retry_after_ms > 0 ? "Retry-After: 1\r\n" : "",
+                   strlen (body), body);
   /* One that cannot be sent at once is left out: a close promises nothing. */
   (void)send (bufferevent_getfd (caller->bev), reply, (size_t)size,
               MSG_DONTWAIT | MSG_NOSIGNAL);
@@ -593,7 +622,10 @@
     }
 }
 
-/* Ends connections whose input evhttp would collect without end. */
+/*
+ * Ends connections whose input evhttp would collect without end, and those
+ * whose head was dropped.
+ */
 static void
 end_oversized (struct gateway *gateway)
 {
@@ -604,7 +636,8 @@
     {
       next = TAILQ_NEXT (caller, link);
       if (caller->http != NULL && is_unfinished (caller)
-          && get_input_size (caller) > get_input_limit (gateway))
+          && (caller->has_overlong_head
+              || get_input_size (caller) > get_input_limit (gateway)))
         end_caller (caller, "reason=\"input\"");
     }
 }
--- a/packages/gateway/src/internal.h
+++ b/packages/gateway/src/internal.h
@@ -160,10 +160,11 @@
   bool is_silent; /* it has sent nothing yet */
 
   /* The request that is being read. */
-  char line[64];    /* beginning of the unfinished line of the head */
-  size_t line_size; /* may be more than the beginning */
-  size_t fields;    /* lines of the head */
-  size_t head_size; /* bytes of the head */
+  char line[64];          /* beginning of the unfinished line of the head */
+  size_t line_size;       /* may be more than the beginning */
+  size_t fields;          /* lines of the head */
+  bool has_overlong_head; /* it was dropped; the connection is to be ended */
+  size_t head_size;       /* bytes of the head */
   bool has_length;
   unsigned long long length; /* of Content-Length */
   size_t body_received;      /* with the framing of chunks */
--- a/packages/gateway/tests/t0850-memory.c
+++ b/packages/gateway/tests/t0850-memory.c
@@ -335,6 +335,33 @@
   testbed_free (testbed);
 }
 
+/*
+ * evhttp makes 400 KB of a head of legal size with short fields, in one pass of
+ * the event loop; a crowd of such heads would pass every watermark at once.
+ */
+static void
+test_short_fields_are_not_read (void **state)
+{
+  struct testbed *testbed = start ();
+  struct client client;
+
+  (void)state;
+  testbed_start (testbed);
+  client_open (testbed, &client, 0);
+  send_text (&client, HEAD);
+  for (int i = 0; i < 3900; i++)
+    send_text (&client, "a:\r\n");
+  client_wait (testbed, &client);
+  assert_int_equal (client_status (&client), 400);
+  assert_non_null (
+      strstr (client_text (&client), "\"name\":\"MALFORMED_REQUEST\""));
+  assert_non_null (strstr (client_text (&client), "\"outcome\":\"not-run\""));
+  assert_true (testbed->gateway.account.peak < 65536);
+  assert_int_equal (testbed->gateway.caller_count, 0);
+  client_close (&client);
+  testbed_free (testbed);
+}
+
 /*
  * evhttp keeps a whole chain of its input for a byte of a chunk that arrives
  * alone, so that 1 MiB of such chunks would hold 1 GiB.
@@ -488,6 +515,7 @@
     cmocka_unit_test (test_small_request_is_served_when_tight),
     cmocka_unit_test (test_order_of_ending),
     cmocka_unit_test (test_endless_chunk_extension_is_cut),
+    cmocka_unit_test (test_short_fields_are_not_read),
     cmocka_unit_test (test_chunks_that_arrive_in_pieces_are_charged),
     cmocka_unit_test (test_unread_answer_is_ended),
     cmocka_unit_test (test_silent_connections_are_closed),
