--- a/packages/relay/include/relay.h
+++ b/packages/relay/include/relay.h
@@ -90,8 +90,8 @@
   struct http_connection connection;
   struct relay_request *request; /* being served; NULL between requests */
   struct caller_timer timer;
-  bool close_after; /* the connection ends with the current response */
-  size_t unwritten_bytes;     /* output at unwritten_since_ms */
+  bool close_after;       /* the connection ends with the current response */
+  size_t unwritten_bytes; /* output at unwritten_since_ms */
   int64_t unwritten_since_ms; /* the client has read nothing since then */
   TAILQ_ENTRY (relay_caller) link;
 };
