cli: check a platform configuration before it goes to the store

Hosts skip entries of a configuration that they cannot read, and replace values by defaults. An operator learned that from the logs of the hosts, after the file was in force, and of replaced values not at all.

`waxwinglink config check FILE` reports each such value with line, field, what was found, what is allowed and what hosts use instead, all at once; then entries that can never match and limits that contradict each other, as far as the file alone decides. It exits with 0, 1 (findings) or 2 (not checked: unreadable, not JSON, 4 MiB or more).

platform_decode_catalog takes an optional observer, as platform_observe_catalog, so that hosts and the check share one decoder. Without an observer it logs as before. A second parser for the check was ruled out, since it would drift from what hosts do. The decoder now reads on after the first fault of an entry, and clears an entry's place before it reads it, since a skipped entry may have filled it. Unknown members are reported only if their name is close to a known one: other programs on the platform may use the rest.

jansson keeps no positions and its parser has no hooks. The paths of the findings are found in one pass over the text, so that 1.4 million faults in a file of 4 MiB take one pass and not one each.

--- /dev/null
+++ b/packages/catalog/include/catalog-check.h
@@ -0,0 +1,46 @@
+#ifndef CATALOG_CATALOG_CHECK_H
+#define CATALOG_CATALOG_CHECK_H
+
+#include "catalog.h"
+
+/*
+ * Checks of a configuration before it is put in force: entries that can never
+ * match, and limits that contradict each other.  Only what the configuration
+ * alone decides is checked.  Neither I/O nor a clock.
+ */
+
+enum catalog_part
+{
+  CATALOG_ROUTE,
+  CATALOG_SERVICE,
+  CATALOG_CUSTOMER,
+};
+
+enum catalog_fault
+{
+  CATALOG_NEVER_MATCHES,
+  CATALOG_CONTRADICTION,
+};
+
+#define CATALOG_FINDING_SIZE 512
+
+struct catalog_finding
+{
+  enum catalog_fault fault;
+  enum catalog_part part;
+  unsigned index; /* of the route, service or customer in the catalog */
+  char found[CATALOG_FINDING_SIZE];
+  char allowed[CATALOG_FINDING_SIZE];
+};
+
+/*
+ * Passes every finding to report, in the order of the entries.  Returns
+ * RESULT_NO_MEMORY, after some findings or none, if the temporary index of
+ * names cannot be allocated.
+ */
+enum result catalog_check (
+    const struct catalog *catalog,
+    void (*report) (void *context, const struct catalog_finding *finding),
+    void *context);
+
+#endif
--- a/packages/cli/src/cli.c
+++ b/packages/cli/src/cli.c
@@ -71,6 +71,14 @@
     cmd_sheet_history,
     "sheet history",
     "the last accepted changes" },
+  { { "config", "check" },
+    1,
+    1,
+    0,
+    cmd_config_check,
+    "config check FILE [--format table|json]",
+    "check a platform configuration before it goes to the store; exit status "
+    "0 clean, 1 findings, 2 could not check" },
   { { "status", NULL },
     0,
     0,
@@ -301,6 +309,8 @@
                   "admin address of an entry host; repeatable, name one or "
                   "more per data centre");
   struct arg_lit *json = arg_lit0 (NULL, "json", "write JSON");
+  struct arg_str *format = arg_str0 (NULL, "format", "table|json",
+                                     "of the output; json is --json");
   struct arg_str *operator_name = arg_str0 (
       NULL, "operator", "NAME", "operator to record; default $USER");
   struct arg_int *timeout = arg_int0 (NULL, "timeout-ms", "N",
@@ -321,9 +331,10 @@
   struct arg_lit *version = arg_lit0 (NULL, "version", "print the version");
   struct arg_str *words = arg_strn (NULL, NULL, "COMMAND", 0, WORD_LIMIT, NULL);
   struct arg_end *end = arg_end (8);
-  void *options[] = { platform, entry, json,      operator_name, timeout,
-                      wait,     force, objective, gnuplot,       interval,
-                      rounds,   help,  version,   words,         end };
+  void *options[]
+      = { platform, entry,   json,      format,  operator_name, timeout,
+          wait,     force,   objective, gnuplot, interval,      rounds,
+          help,     version, words,     end };
   int status;
 
   signal (SIGPIPE, SIG_IGN);
@@ -358,6 +369,17 @@
       goto finish;
     }
   cli.json = json->count > 0;
+  if (format->count > 0)
+    {
+      if (strcmp (format->sval[0], "table") != 0
+          && strcmp (format->sval[0], "json") != 0)
+        {
+          status = print_usage_error ("--format must be table or json",
+                                      format->sval[0]);
+          goto finish;
+        }
+      cli.json = strcmp (format->sval[0], "json") == 0;
+    }
   cli.force = force->count > 0;
   set_number (&cli.timeout_ms, timeout);
   set_number (&cli.wait_ms, wait);
--- a/packages/cli/src/cli.h
+++ b/packages/cli/src/cli.h
@@ -66,6 +66,7 @@
 enum cli_exit cmd_sheet_apply (struct cli *cli);
 enum cli_exit cmd_sheet_status (struct cli *cli);
 enum cli_exit cmd_sheet_history (struct cli *cli);
+enum cli_exit cmd_config_check (struct cli *cli);
 enum cli_exit cmd_status (struct cli *cli);
 enum cli_exit cmd_explain (struct cli *cli);
 enum cli_exit cmd_drain (struct cli *cli);
