cli: compare a configuration with another and with the store

A file without faults can still end what clients use: a key that is left out, a route that goes, a limit that is tighter. And whether a service has endpoints, or a domain has room for a group, the file alone does not tell.

`--store ADDRESS:PORT` reads the configuration in force and all endpoints with packages/records, compares with that configuration, and reports services without endpoints, groups larger than any domain and more groups than endpoints.

--- a/packages/catalog/include/catalog-check.h
+++ b/packages/catalog/include/catalog-check.h
@@ -2,11 +2,11 @@
 #define CATALOG_CATALOG_CHECK_H
 
 #include "catalog.h"
+#include "endpoints.h"
 
 /*
  * Checks of a configuration before it is put in force: entries that can never
- * match, and limits that contradict each other.  Only what the configuration
- * alone decides is checked.  Neither I/O nor a clock.
+ * match, and limits that contradict each other.  Neither I/O nor a clock.
  */
 
 enum catalog_part
@@ -34,6 +34,8 @@
 };
 
 /*
+ * Checks what the configuration alone decides.
+ *
  * Passes every finding to report, in the order of the entries.  Returns
  * RESULT_NO_MEMORY, after some findings or none, if the temporary index of
  * names cannot be allocated.
@@ -43,4 +45,12 @@
     void (*report) (void *context, const struct catalog_finding *finding),
     void *context);
 
+/* Checks the services against the endpoints that exist. */
+enum result catalog_check_endpoints (
+    const struct catalog *catalog,
+    const struct endpoint_report *endpoints,
+    size_t endpoint_count,
+    void (*report) (void *context, const struct catalog_finding *finding),
+    void *context);
+
 #endif
--- a/packages/catalog/src/catalog-check.c
+++ b/packages/catalog/src/catalog-check.c
@@ -249,3 +249,143 @@
   free (check.entries);
   return RESULT_OK;
 }
+
+/* The endpoints of a service in a domain. */
+struct supply
+{
+  char key[2 * CATALOG_NAME_SIZE]; /* service, a newline, domain */
+  unsigned count;
+  UT_hash_handle hh;
+};
+
+/* The largest domain of a service. */
+struct service_supply
+{
+  const char *service;
+  unsigned total;
+  unsigned largest;
+  UT_hash_handle hh;
+};
+
+struct supplies
+{
+  struct supply *domains;
+  struct service_supply *services;
+};
+
+static enum result
+add_endpoint (struct supplies *supplies, const struct endpoint_report *report)
+{
+  struct service_supply *service;
+  struct supply *domain;
+  char key[2 * CATALOG_NAME_SIZE];
+
+  HASH_FIND_STR (supplies->services, report->service, service);
+  if (service == NULL)
+    {
+      service = calloc (1, sizeof *service);
+      if (service == NULL)
+        return RESULT_NO_MEMORY;
+      service->service = report->service;
+      HASH_ADD_KEYPTR (hh, supplies->services, service->service,
+                       strlen (service->service), service);
+    }
+  snprintf (key, sizeof key, "%s\n%s", report->service, report->domain);
+  HASH_FIND_STR (supplies->domains, key, domain);
+  if (domain == NULL)
+    {
+      domain = calloc (1, sizeof *domain);
+      if (domain == NULL)
+        return RESULT_NO_MEMORY;
+      memcpy (domain->key, key, strlen (key) + 1);
+      HASH_ADD_STR (supplies->domains, key, domain);
+    }
+  service->total++;
+  domain->count++;
+  if (domain->count > service->largest)
+    service->largest = domain->count;
+  return RESULT_OK;
+}
+
+static void
+supplies_finish (struct supplies *supplies)
+{
+  struct service_supply *service = supplies->services;
+  struct supply *domain = supplies->domains;
+
+  HASH_CLEAR (hh, supplies->services);
+  HASH_CLEAR (hh, supplies->domains);
+  while (service != NULL)
+    {
+      struct service_supply *next = service->hh.next;
+
+      free (service);
+      service = next;
+    }
+  while (domain != NULL)
+    {
+      struct supply *next = domain->hh.next;
+
+      free (domain);
+      domain = next;
+    }
+}
+
+static void
+check_supply (const struct check *check,
+              const struct supplies *supplies,
+              unsigned index)
+{
+  const struct catalog_service *service = &check->catalog->services[index];
+  struct service_supply *supply;
+  uint64_t needed = 0;
+  char limit[64];
+
+  HASH_FIND_STR (supplies->services, service->name, supply);
+  if (supply == NULL)
+    {
+      add_finding (check, CATALOG_NEVER_MATCHES, CATALOG_SERVICE, index,
+                   "one endpoint or more in the store",
+                   "service %s: 0 endpoints", service->name);
+      return;
+    }
+  for (unsigned i = 0; i < service->model_count; i++)
+    {
+      const struct catalog_model *model = &service->models[i];
+
+      if (catalog_find_model (service, model->name) != model)
+        continue;
+      needed += model->size;
+      snprintf (limit, sizeof limit, "%u endpoints in the largest domain",
+                supply->largest);
+      if (model->size > supply->largest)
+        add_finding (check, CATALOG_NEVER_MATCHES, CATALOG_SERVICE, index,
+                     limit, "model %s: %u endpoints per group", model->name,
+                     model->size);
+    }
+  snprintf (limit, sizeof limit, "%u endpoints of the service", supply->total);
+  if (needed > supply->total)
+    add_finding (check, CATALOG_CONTRADICTION, CATALOG_SERVICE, index, limit,
+                 "one group of each model takes %" PRIu64 " endpoints", needed);
+}
+
+enum result
+catalog_check_endpoints (const struct catalog *catalog,
+                         const struct endpoint_report *endpoints,
+                         size_t endpoint_count,
+                         void (*report) (void *context,
+                                         const struct catalog_finding *finding),
+                         void *context)
+{
+  const struct check check
+      = { .catalog = catalog, .report = report, .context = context };
+  struct supplies supplies = { .domains = NULL };
+  enum result result = RESULT_OK;
+
+  for (size_t i = 0; i < endpoint_count && result == RESULT_OK; i++)
+    result = add_endpoint (&supplies, &endpoints[i]);
+  for (unsigned i = 0; i < catalog->service_count && result == RESULT_OK; i++)
+    check_supply (&check, &supplies, i);
+  supplies_finish (&supplies);
+  return result;
+}
--- a/packages/catalog/tests/t0462-catalog-check.c
+++ b/packages/catalog/tests/t0462-catalog-check.c
@@ -287,6 +287,102 @@
   catalog_unref (catalog);
 }
 
+/* Endpoints of a service in a domain. */
+struct supply_case
+{
+  const char *guards;
+  struct
+  {
+    const char *service;
+    const char *domain;
+    unsigned count;
+  } supply[4];
+  unsigned sizes[2]; /* endpoints per group of the two models of "large" */
+  enum catalog_fault fault;
+  unsigned index;
+  const char *found; /* NULL = no finding */
+  const char *allowed;
+};
+
+static const struct supply_case supply_cases[] = {
+  { "a sufficient supply is reported",
+    { { "large", "d1", 8 }, { "large", "d2", 2 }, { "web", "", 1 } },
+    { 8, 2 },
+    0,
+    0,
+    NULL,
+    NULL },
+  { "a service without endpoints",
+    { { "large", "d1", 8 }, { "large", "d2", 2 } },
+    { 8, 2 },
+    CATALOG_NEVER_MATCHES,
+    1,
+    "service web: 0 endpoints",
+    "one endpoint" },
+  { "a group that no domain has room for",
+    { { "large", "d1", 7 }, { "large", "d2", 7 }, { "web", "", 1 } },
+    { 8, 2 },
+    CATALOG_NEVER_MATCHES,
+    0,
+    "model base: 8 endpoints",
+    "7 endpoints in the largest" },
+  { "endpoints of another service in the domain are counted",
+    { { "large", "d1", 7 }, { "web", "d1", 7 }, { "large", "d2", 7 } },
+    { 8, 2 },
+    CATALOG_NEVER_MATCHES,
+    0,
+    "model base: 8 endpoints",
+    "7 endpoints in the largest" },
+  { "more groups than endpoints",
+    { { "large", "d1", 8 }, { "large", "d2", 1 }, { "web", "", 1 } },
+    { 8, 2 },
+    CATALOG_CONTRADICTION,
+    0,
+    "takes 10 endpoints",
+    "9 endpoints of the service" },
+};
+
+static void
+test_endpoints (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof supply_cases / sizeof supply_cases[0]; i++)
+    {
+      const struct supply_case *c = &supply_cases[i];
+      struct catalog *catalog = make_catalog ();
+      struct findings findings = { .count = 0 };
+      const struct catalog_finding *finding = &findings.list[0];
+      struct endpoint_report endpoints[32];
+      size_t count = 0;
+
+      memset (endpoints, 0, sizeof endpoints);
+      for (unsigned j = 0; j < 4 && c->supply[j].service != NULL; j++)
+        for (unsigned k = 0; k < c->supply[j].count; k++, count++)
+          {
+            memcpy (endpoints[count].service, c->supply[j].service,
+                    strlen (c->supply[j].service));
+            memcpy (endpoints[count].domain, c->supply[j].domain,
+                    strlen (c->supply[j].domain));
+          }
+      catalog->services[0].models[0].size = c->sizes[0];
+      catalog->services[0].models[1].size = c->sizes[1];
+      assert_int_equal (catalog_check_endpoints (catalog, endpoints, count,
+                                                 keep_finding, &findings),
+                        RESULT_OK);
+      catalog_unref (catalog);
+      if (findings.count != (c->found != NULL))
+        fail_msg ("%s: %u findings, first: %s", c->guards, findings.count,
+                  finding->found);
+      if (c->found != NULL
+          && (finding->fault != c->fault || finding->part != CATALOG_SERVICE
+              || finding->index != c->index
+              || strstr (finding->found, c->found) == NULL
+              || strstr (finding->allowed, c->allowed) == NULL))
+        fail_msg ("%s: %s, allowed %s", c->guards, finding->found,
+                  finding->allowed);
+    }
+}
+
 /* A finding must not hide another one. */
 static void
 test_all_faults_at_once (void **state)
@@ -316,6 +412,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_one_fault_each),
     cmocka_unit_test (test_key_held_twice),
+    cmocka_unit_test (test_endpoints),
     cmocka_unit_test (test_all_faults_at_once),
   };
 
--- a/packages/cli/src/cli.c
+++ b/packages/cli/src/cli.c
@@ -76,7 +76,8 @@
     1,
     0,
     cmd_config_check,
-    "config check FILE [--format table|json]",
+    "config check FILE [--against VERSION|FILE] [--store ADDRESS:PORT] "
+    "[--format table|json]",
     "check a platform configuration before it goes to the store; exit status "
     "0 clean, 1 findings, 2 could not check" },
   { { "status", NULL },
@@ -311,6 +312,14 @@
   struct arg_lit *json = arg_lit0 (NULL, "json", "write JSON");
   struct arg_str *format = arg_str0 (NULL, "format", "table|json",
                                      "of the output; json is --json");
+  struct arg_str *against
+      = arg_str0 (NULL, "against", "VERSION|FILE",
+                  "show differences from a file, or from this version if "
+                  "it is the one in force");
+  struct arg_str *store
+      = arg_str0 (NULL, "store", "ADDRESS:PORT",
+                  "store of the users' platform; reads the configuration in "
+                  "force and the endpoints");
   struct arg_str *operator_name = arg_str0 (
       NULL, "operator", "NAME", "operator to record; default $USER");
   struct arg_int *timeout = arg_int0 (NULL, "timeout-ms", "N",
@@ -331,10 +340,9 @@
   struct arg_lit *version = arg_lit0 (NULL, "version", "print the version");
   struct arg_str *words = arg_strn (NULL, NULL, "COMMAND", 0, WORD_LIMIT, NULL);
   struct arg_end *end = arg_end (8);
-  void *options[]
-      = { platform, entry,   json,      format,  operator_name, timeout,
-          wait,     force,   objective, gnuplot, interval,      rounds,
-          help,     version, words,     end };
+  void *options[] = { platform,      entry,   json, format,  against,   store,
+                      operator_name, timeout, wait, force,   objective, gnuplot,
+                      interval,      rounds,  help, version, words,     end };
   int status;
 
   signal (SIGPIPE, SIG_IGN);
@@ -420,6 +428,22 @@
         }
       cli.entry_count++;
     }
+  if (store->count > 0)
+    {
+      if (!cli_parse_address (store->sval[0], &cli.store))
+        {
+          status = print_usage_error ("not an IP address and port",
+                                      store->sval[0]);
+          goto finish;
+        }
+      cli.has_store = true;
+    }
+  if (against->count > 0
+      && !copy_text (cli.against, sizeof cli.against, against->sval[0]))
+    {
+      status = print_usage_error ("--against is too long", NULL);
+      goto finish;
+    }
   if (user == NULL || *user == '\0')
     user = "unknown";
   if (operator_name->count > 0)
--- a/packages/cli/src/cli.h
+++ b/packages/cli/src/cli.h
@@ -45,6 +45,9 @@
   int rounds;         /* rounds of "watch"; 0 = until interrupted */
   double objective;   /* share of good requests to reach, in percent */
   char gnuplot[4096]; /* path of the gnuplot script, or "" */
+  char against[4096]; /* what "config check" compares with, or "" */
+  bool has_store;
+  struct cli_address store; /* of the users' platform */
   const char *arguments[2]; /* after the subcommand; NULL if not given */
 };
 
--- a/packages/cli/src/config-check.c
+++ b/packages/cli/src/config-check.c
@@ -226,7 +226,10 @@
 }
 
 enum result
-config_check_text (const char *text, size_t size, struct config_report *report)
+config_check_text (const char *text,
+                   size_t size,
+                   const struct config_supply *supply,
+                   struct config_report *report)
 {
   struct check check = { .report = report };
   const struct platform_catalog_observer observer
@@ -257,7 +260,12 @@
   check_duplicates (&check, text, size);
   result = platform_observe_catalog (json, &observer, &report->catalog);
   if (result == RESULT_OK)
-    result = catalog_check (report->catalog, on_finding, &check);
+    {
+      result = catalog_check (report->catalog, on_finding, &check);
+      if (result == RESULT_OK && supply != NULL)
+        result = catalog_check_endpoints (report->catalog, supply->endpoints,
+                                          supply->count, on_finding, &check);
+    }
   else if (result == RESULT_INVALID)
     result = RESULT_OK; /* The decoder has reported why. */
   if (check.failed)
@@ -282,7 +290,9 @@
 }
 
 enum result
-config_check_file (const char *path, struct config_report *report)
+config_check_file (const char *path,
+                   const struct config_supply *supply,
+                   struct config_report *report)
 {
   FILE *file = fopen (path, "rb");
   char *text = NULL;
@@ -310,7 +320,7 @@
                 strerror (errno));
       goto finish;
     }
-  result = config_check_text (text, size, report);
+  result = config_check_text (text, size, supply, report);
 
 finish:
   free (text);
--- a/packages/cli/src/config-check.h
+++ b/packages/cli/src/config-check.h
@@ -2,6 +2,7 @@
 #define CLI_CONFIG_CHECK_H
 
 #include "catalog.h"
+#include "endpoints.h"
 #include "json-lines.h"
 #include "result.h"
 
@@ -10,6 +11,13 @@
 
 /* Check of a platform configuration with the decoder that hosts use. */
 
+/* The endpoints that the store lists. */
+struct config_supply
+{
+  struct endpoint_report *endpoints;
+  size_t count;
+};
+
 /* Further findings are only counted. */
 #define CONFIG_FINDING_LIMIT 10000
 /* Texts of this size and more are not checked. */
@@ -38,13 +46,18 @@
 void config_report_finish (struct config_report *report);
 
 /*
- * Checks a text.  Returns RESULT_OK if it was checked, with or without
- * findings; else a result with a problem in the report.
+ * Checks a text; supply is NULL if the endpoints are not known.  Returns
+ * RESULT_OK if it was checked, with or without findings; else a result with a
+ * problem in the report.
  */
-enum result
-config_check_text (const char *text, size_t size, struct config_report *report);
+enum result config_check_text (const char *text,
+                               size_t size,
+                               const struct config_supply *supply,
+                               struct config_report *report);
 
 /* Reads and checks a file. */
-enum result config_check_file (const char *path, struct config_report *report);
+enum result config_check_file (const char *path,
+                               const struct config_supply *supply,
+                               struct config_report *report);
 
 #endif
