--- a/packages/cli/src/cli.h
+++ b/packages/cli/src/cli.h
@@ -45,6 +45,9 @@
   int rounds;         /* rounds of "watch"; 0 = until interrupted */
   double objective;   /* share of good requests to reach, in percent */
   char gnuplot[4096]; /* path of the gnuplot script, or "" */
+  char against[4096]; /* what "config check" compares with, or "" */
+  bool has_store;
+  struct cli_address store; /* of the users' platform */
   const char *arguments[2]; /* after the subcommand; NULL if not given */
 };
 
@@ -66,6 +69,7 @@
 enum cli_exit cmd_sheet_apply (struct cli *cli);
 enum cli_exit cmd_sheet_status (struct cli *cli);
 enum cli_exit cmd_sheet_history (struct cli *cli);
+enum cli_exit cmd_config_check (struct cli *cli);
 enum cli_exit cmd_status (struct cli *cli);
 enum cli_exit cmd_explain (struct cli *cli);
 enum cli_exit cmd_drain (struct cli *cli);
