review: add case 10, responses that are never read

Order of events: 1,300 clients send 3,500 requests each, one behind the other, and read no response. Up to 256 KB of responses wait on each connection whatever the level of the account, and the last resort ends one connection a tick, only if its output has not changed for 1 s.

--- a/review/rig-2/crowd.c
+++ b/review/rig-2/crowd.c
@@ -22,6 +22,10 @@
 #define STEP_MS 20
 #define RECONNECT_MS 100
 #define HEAD_SIZE 17000
+/* Size of a request of those that come one behind the other. */
+#define REQUEST_SIZE 128
+/* Receive buffer of a client that does not read. */
+#define UNREAD_BYTES 4096
 /* Bytes of a body that are prepared, so that one call sends many. */
 #define PATTERN_SIZE 65536
 
@@ -113,6 +117,31 @@
   client->started_ms = read_clock_ms ();
 }
 
+static size_t
+get_head_size (const struct crowd_kind *kind)
+{
+  return kind->request_count > 0 ? (size_t)kind->request_count * REQUEST_SIZE
+                                 : HEAD_SIZE;
+}
+
+/* Whole requests take the place of a head. */
+static void
+write_requests (struct crowd *crowd, struct client *client)
+{
+  size_t limit = get_head_size (client->kind);
+  size_t size = 0;
+
+  for (unsigned i = 0; i < client->kind->request_count; i++)
+    size += (size_t)snprintf (client->head + size, limit - size,
+                              "GET %s HTTP/1.1\r\nHost: shop.example\r\n"
+                              "X-Attempt-Id: ffffffff%08x\r\n"
+                              "X-Deadline-Ms: 4000\r\n\r\n",
+                              crowd->plan->target, crowd->requests++);
+  client->head_size = size;
+  client->sent = 0;
+  client->started_ms = read_clock_ms ();
+}
+
 static void
 end_connection (struct client *client, int64_t now_ms)
 {
@@ -128,10 +157,19 @@
   struct sockaddr_in to
       = { .sin_family = AF_INET, .sin_port = htons (crowd->plan->port) };
 
+  const int unread_bytes = UNREAD_BYTES;
+
   if (inet_pton (AF_INET, crowd->plan->address, &to.sin_addr) != 1)
     return;
   client->fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  write_head (crowd, client);
+  if (client->kind->request_count > 0)
+    {
+      setsockopt (client->fd, SOL_SOCKET, SO_RCVBUF, &unread_bytes,
+                  sizeof unread_bytes);
+      write_requests (crowd, client);
+    }
+  else
+    write_head (crowd, client);
   if (client->fd < 0
       || (connect (client->fd, (struct sockaddr *)&to, sizeof to) != 0
           && errno != EINPROGRESS))
@@ -149,6 +187,8 @@
 
   if (for_ms < 0)
     return 0;
+  if (kind->request_count > 0)
+    return client->head_size;
   rest = (uint64_t)for_ms * kind->bytes_per_s / 1000 / kind->piece_bytes
          * kind->piece_bytes;
   due = kind->at_once_bytes + rest;
@@ -215,7 +255,8 @@
       return;
     }
   if ((events & (POLLERR | POLLHUP)) != 0
-      || ((events & POLLIN) != 0 && !read_answer (client))
+      || ((events & POLLIN) != 0 && client->kind->request_count == 0
+          && !read_answer (client))
       || !send_due (client, now_ms))
     end_connection (client, now_ms);
 }
@@ -227,7 +268,8 @@
 
   if (kind->count == 0)
     return;
-  make_pattern (&crowd->patterns[index], kind);
+  if (kind->request_count == 0)
+    make_pattern (&crowd->patterns[index], kind);
   for (unsigned i = 0; i < kind->count && crowd->count < CLIENT_LIMIT; i++)
     {
       struct client *client = &crowd->clients[crowd->count++];
@@ -237,7 +279,7 @@
       client->fd = -1;
       client->due_ms
           = now_ms + kind->delay_ms + kind->spread_ms * i / kind->count;
-      client->head = malloc (HEAD_SIZE);
+      client->head = malloc (get_head_size (kind));
       if (client->head == NULL)
         exit (2);
     }
@@ -261,7 +303,9 @@
           const struct client *client = &crowd->clients[i];
           struct pollfd *polled = &crowd->polls[i];
 
-          *polled = (struct pollfd){ .fd = client->fd, .events = POLLIN };
+          *polled = (struct pollfd){ .fd = client->fd };
+          if (client->kind->request_count == 0)
+            polled->events |= POLLIN;
           if (client->fd >= 0 && client->sent < count_due (client, now_ms))
             polled->events |= POLLOUT;
         }
--- a/review/rig-2/crowd.h
+++ b/review/rig-2/crowd.h
@@ -20,6 +20,11 @@
   unsigned bytes_per_s;   /* of the rest */
   unsigned piece_bytes;   /* of the rest at a time */
   bool stays_away;        /* does not connect again */
+  /*
+   * So many whole requests without a body instead, one behind the other, whose
+   * responses are not read; the fields on bodies do not apply.
+   */
+  unsigned request_count;
 };
 
 struct crowd_plan
