--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -18,9 +18,9 @@
 mapfile -t libraries < <(pkg-config --libs "${packages[@]}" | xargs -n 1)
 [ $# -gt 0 ] || set -- 6 7 8 9 10
 for number; do
-  [ -f "review/$number/case.c" ] || continue
+  [ -f "review/$number/play.c" ] || continue
   gcc -std=gnu11 -O2 -g -Wall -Wextra -Werror -Wno-missing-field-initializers \
-    -D_GNU_SOURCE "${flags[@]}" "${includes[@]}" "review/$number/case.c" \
+    -D_GNU_SOURCE "${flags[@]}" "${includes[@]}" "review/$number/play.c" \
     review/rig-2/*.c -o "$dir/case-$number" \
     -Wl,--start-group "${archives[@]}" -Wl,--end-group "${libraries[@]}" \
     -lhttp_parser -lm
