--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,8 +5,9 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 dir=build/review-2
+mkdir -p "$dir"
 [ -f "$dir/build.ninja" ] \
-  || cmake -S . -B "$dir" -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo > "$dir.log"
+  || cmake -S . -B "$dir" -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo > "$dir/configure.log"
 cmake --build "$dir" --target platform_standin -- --quiet
 includes=(-Ireview/rig-2 -Iplatform -Iplatform/include -Iplatform/standin)
 for folder in packages/*/include; do
