http: do not take a reset for the end of a response

What callers saw: an endpoint answered a long upload at once with a 200 that had no length, sent a part of the body and reset the connection while the upload was still being written. The part was forwarded as a complete response.

Cause: a socket reports a pending error once. The write that follows the reset gets ECONNRESET; the connection dropped its output and left the rest to "the next read", which then returns the received bytes and 0. That was handled as an orderly close, which completes a body without a length.

Change: the connection remembers that a write failed, and an end of input is then reported as a reset. What was received before can still be read, so a response that is whole by its own framing is kept. Such a connection is not reusable either; before, its dropped output made it look drained.

All users of http_connection have it: the relay, the store client (records), and health checks and orders (http_call). A FIN that is followed by a reset before it was read counts as a reset, too: the endpoint went away with the upload in flight, and what it sent proves no end.

--- a/packages/http/include/http-connection.h
+++ b/packages/http/include/http-connection.h
@@ -26,7 +26,7 @@
 enum http_end
 {
   HTTP_END_CLOSED,    /* orderly, by the other side */
-  HTTP_END_RESET,     /* connection error, or the attempt to connect failed */
+  HTTP_END_RESET,     /* read or write error, or the connect attempt failed */
   HTTP_END_REFUSED,   /* nothing listens at the address */
   HTTP_END_TRUNCATED, /* orderly, by the other side, within a message */
   HTTP_END_PROTOCOL,  /* malformed message */
@@ -71,6 +71,7 @@
   bool has_whole_message; /* a whole message was reported; parsing is paused */
   bool is_reading_suspended; /* reading is suspended by the owner */
   bool has_unwritten;        /* output is queued until the socket is writable */
+  bool write_failed;         /* the connection has failed, and output is lost */
   bool ended;                /* the other side closed, or closed was reported */
   bool head_done;            /* further fields are trailers */
   bool in_value;             /* the parser is in a header value */
--- a/packages/http/src/http-connection.c
+++ b/packages/http/src/http-connection.c
@@ -332,10 +332,16 @@
     report_parsed (connection);
 }
 
-/* Handles the end of input; orderly: the other side closed without an error. */
+/*
+ * Handles the end of input; orderly: the other side closed without an error.
+ * The socket reports an error once: after a failed write, a read finds an end
+ * that looks orderly.
+ */
 static void
 handle_end_of_stream (struct http_connection *connection, bool orderly)
 {
+  if (connection->write_failed)
+    orderly = false;
   if (connection->has_whole_message || connection->discarding
       || !connection->message_begun || !orderly)
     {
@@ -500,10 +506,13 @@
         {
           if (errno == EINTR)
             continue;
-          /* After a write error, the next read fails and reports it. */
+          /* What was received before the error can still be read. */
           if (errno != EAGAIN)
-            evbuffer_drain (connection->output,
-                            evbuffer_get_length (connection->output));
+            {
+              connection->write_failed = true;
+              evbuffer_drain (connection->output,
+                              evbuffer_get_length (connection->output));
+            }
           break;
         }
       evbuffer_drain (connection->output, (size_t)size);
@@ -687,8 +696,10 @@
   sent = send (connection->fd, data, size, MSG_NOSIGNAL);
   if (sent >= 0)
     return (size_t)sent;
-  /* After another error, the next read fails and reports it. */
-  return errno == EAGAIN || errno == EINTR ? 0 : size;
+  if (errno == EAGAIN || errno == EINTR)
+    return 0;
+  connection->write_failed = true;
+  return size;
 }
 
 static void
@@ -812,7 +823,7 @@
 static bool
 is_open_and_drained (const struct http_connection *connection)
 {
-  return connection->fd >= 0 && !connection->ended
+  return connection->fd >= 0 && !connection->ended && !connection->write_failed
          && http_connection_pending_bytes (connection) == 0
          && http_connection_unwritten_bytes (connection) == 0;
 }
