http: end a line at CR LF or LF only

What callers saw: an answer in whose head the name of a field held a control byte came through with a body that was not the endpoint's.

Cause: the byte was a CR at the beginning of a line. http_parser, which Debian builds without its strict checks, takes a CR there for the end of the head whatever follows, and the rest of the head became the start of the body. Behind the status line it drops the byte after a CR, so that a field lost the first letter of its name.

Evidence: with a CR among the bytes of names and the statuses, t0847-response-heads failed on the code before: "a head was reported", with the CR at the start of a line at each place, and behind the status line.

Change: the parser pauses at the end of the head, and the head is reported only if its last byte is LF; a name has to follow a line break. Both hold for requests, too, where such a line would be read by the next host.

--- a/packages/http/include/http-connection.h
+++ b/packages/http/include/http-connection.h
@@ -74,6 +74,7 @@
   bool write_failed;         /* the connection has failed, and output is lost */
   bool ended;                /* the other side closed, or closed was reported */
   bool head_done;            /* further fields are trailers */
+  bool is_paused_at_head;    /* parsing is paused; the head is not reported */
   bool in_value;             /* the parser is in a header value */
   bool over_limit;     /* too many header bytes, fields or interim responses */
   bool discarding;     /* received bytes are discarded */
--- a/packages/http/src/http-connection.c
+++ b/packages/http/src/http-connection.c
@@ -137,6 +137,16 @@
   return append_head_text (parser->data, data, size);
 }
 
+/* True if only blanks are between the text and the line break before it. */
+static bool
+begins_line (const struct http_connection *connection, const char *text)
+{
+  while (text > connection->input && (text[-1] == ' ' || text[-1] == '\t'))
+    text--;
+  return (text > connection->input ? text[-1] : connection->previous_byte)
+         == '\n';
+}
+
 static int
 on_field_name (struct http_parser *parser, const char *data, size_t size)
 {
@@ -148,6 +158,8 @@
     return 0;
   if (connection->in_value || head->field_count == 0)
     {
+      if (!begins_line (connection, data))
+        return -1;
       if (!http_head_add_field (head, start_next_string (head)))
         return -1;
       connection->in_value = false;
@@ -168,16 +180,6 @@
   return head->text.size > name && http_is_field_name (head->text.data + name);
 }
 
-/* True if only blanks are between the text and the line break before it. */
-static bool
-begins_line (const struct http_connection *connection, const char *text)
-{
-  while (text > connection->input && (text[-1] == ' ' || text[-1] == '\t'))
-    text--;
-  return (text > connection->input ? text[-1] : connection->previous_byte)
-         == '\n';
-}
-
 static int
 on_field_value (struct http_parser *parser, const char *data, size_t size)
 {
@@ -216,16 +218,15 @@
     head->method = http_method_str ((enum http_method)parser->method);
   head->keep_alive = http_should_keep_alive (parser) != 0;
   head->has_length = (parser->flags & F_CONTENTLENGTH) != 0;
+  if (connection->is_client && head->status < 100)
+    return -1;
+  connection->is_paused_at_head = true;
+  http_parser_pause (parser, 1);
   /*
    * Interim responses have no content (RFC 9110, section 15.2).  The parser
    * would read content, and it would be taken for that of the final response.
    */
-  if (connection->is_client && head->status < 200)
-    return head->status >= 100 ? 1 : -1;
-  connection->events->head (connection->context, head);
-  if (connection->fd < 0)
-    return -1;
-  return connection->is_client && connection->no_body ? 1 : 0;
+  return connection->is_client && (connection->no_body || head->status < 200);
 }
 
 static int
@@ -328,15 +329,42 @@
     report_end (connection, HTTP_END_PROTOCOL);
 }
 
+/*
+ * Reports the head at which the parser has paused, unless it is that of an
+ * interim response.  last: the last byte of the head.
+ */
+static void
+report_head (struct http_connection *connection, char last)
+{
+  struct http_head *head = &connection->head;
+
+  connection->is_paused_at_head = false;
+  http_parser_pause (&connection->parser, 0);
+  /* The parser takes any byte behind a CR for the end of the line. */
+  if (last != '\n')
+    connection->parser.http_errno = HPE_LF_EXPECTED;
+  else if (!connection->is_client || head->status >= 200)
+    connection->events->head (connection->context, head);
+}
+
 /* Returns the number of bytes that were parsed. */
 static size_t
 parse (struct http_connection *connection, const char *data, size_t size)
 {
+  struct http_parser *parser = &connection->parser;
   size_t used;
   size_t end;
 
   connection->input = data;
-  used = http_parser_execute (&connection->parser, &callbacks, data, size);
+  used = http_parser_execute (parser, &callbacks, data, size);
+  while (connection->is_paused_at_head)
+    {
+      report_head (connection, data[used]);
+      if (connection->fd < 0 || HTTP_PARSER_ERRNO (parser) != HPE_OK)
+        break;
+      used
+          += http_parser_execute (parser, &callbacks, data + used, size - used);
+    }
   connection->input = NULL;
   end = used;
   while (end > 0 && (data[end - 1] == ' ' || data[end - 1] == '\t'))
--- a/packages/http/tests/t0847-response-heads.c
+++ b/packages/http/tests/t0847-response-heads.c
@@ -128,9 +128,25 @@
 test_statuses (void **state)
 {
   static const char *const statuses[] = {
-    "000 OK", "000",   "000 ", "00 OK", "0 OK",   "0000 OK",
-    "001 OK", "099 X", "20 X", "2 X",   "1000 X", "99999999999999999999 X",
-    "-200 X", "2x0 X", "x",    "",      "+200 X", "200x",
+    "000 OK",
+    "000",
+    "000 ",
+    "00 OK",
+    "0 OK",
+    "0000 OK",
+    "001 OK",
+    "099 X",
+    "20 X",
+    "2 X",
+    "1000 X",
+    "99999999999999999999 X",
+    "-200 X",
+    "2x0 X",
+    "x",
+    "",
+    "+200 X",
+    "200x",
+    "200 OK\rX-Other: 1",
   };
 
   (void)state;
@@ -213,6 +229,12 @@
     "X-Other: 1 \r\n  X-Other: 1\r\n",
     "X-Other:\r\n\tTransfer-Encoding: chunked\r\n",
     "X-Other: 1\n Content-Length: 3\n",
+    /* A CR that does not end a line. */
+    "\rX-Other: 1\r\n",
+    "X-Other: 1\rX-Other: 2\r\n",
+    "X-Other: 1\r\n\r\rX-Other: 1\r\n",
+    "X-Other: 1\r\rX-Other: 1\r\n",
+    "X-Other\r: 1\r\n",
   };
 
   (void)state;
@@ -244,7 +266,7 @@
 
         if (byte > ' ' && byte < 0x7f && strchr (separators, byte) == NULL)
           continue; /* valid in a name, or the colon behind it */
-        if (byte == '\r' || byte == '\n')
+        if (byte == '\n')
           continue; /* ends the line */
         size = snprintf (line, sizeof line, "%s%c%s: 1\r\n",
                          position == 0 ? "" : "X-", byte,
