gateway: read the answers of endpoints as the relay does

What callers saw: the gateway passed on what was no answer. A status of 099, 2, -200 or 1000 and an interim 103 reached callers of services as the status of the answer; a head with a blank or a control byte in the name of a field was taken, and with "Transfer-Encoding : chunked" the framing of the chunks became a part of the body. An endpoint that sent bytes without end made the process hold them: interim responses, chunk extensions, a chunk of 2 GB, or anything while it left the request unread.

Cause: this client read answers with evhttp, which checks neither names nor the range of statuses, takes all interim responses but 100 for final ones, and collects a line or a chunk until it is complete.

Change: the client uses http_connection, the reader of the relay, the store client and orders. What is held is bounded by the limit of the head and of the response, and charged to the account. A response over its limit counts against the endpoint now, as other faults do; its caller is told the same as before (413, outcome unknown). Requests to endpoints carry a Host field.

--- a/packages/gateway/src/endpoint.c
+++ b/packages/gateway/src/endpoint.c
@@ -2,39 +2,36 @@
 
 #include "timeutil.h"
 
-#include <event2/buffer.h>
-#include <event2/bufferevent.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
 
-/* The gateway has its own deadlines, so evhttp's must never expire first. */
-#define EVHTTP_TIMEOUT_S 86400
+/* The head of a response, and bytes behind a whole response. */
 #define RESPONSE_HEADER_LIMIT_BYTES 32768
+/* Unacknowledged bytes or keep-alive probes for this long end a connection. */
+#define ACK_TIMEOUT_MS 20000
 
 static void
 connection_free (struct endpoint_connection *connection)
 {
-  if (connection->http != NULL)
-    evhttp_connection_free (connection->http);
-  memory_account_set (connection->account, MEMORY_TO_ENDPOINTS,
-                      &connection->output_charge, 0);
-  memory_account_set (connection->account, MEMORY_RESPONSES,
-                      &connection->input_charge, 0);
+  http_connection_finish (&connection->http);
   free (connection);
 }
 
-/* True if bytes have arrived after the response; they belong to no call. */
-static bool
-has_input (const struct endpoint_connection *connection)
+/*
+ * Closes an idle connection from one of its own events, after which its memory
+ * is still in use.
+ */
+static void
+close_idle_connection (struct endpoint_connection *connection)
 {
-  struct bufferevent *bev
-      = evhttp_connection_get_bufferevent (connection->http);
+  struct endpoint_client *client = connection->client;
 
-  return evbuffer_get_length (bufferevent_get_input (bev)) > 0;
+  LIST_REMOVE (connection, link);
+  client->idle_count--;
+  http_connection_finish (&connection->http);
+  LIST_INSERT_HEAD (&client->ended, connection, link);
+  event_active (client->free_closed_event, 0, 0);
 }
 
 static void
@@ -45,13 +42,15 @@
 
   LIST_REMOVE (call, link);
   if (connection != NULL && call->connection_reusable && !call->own_connection
-      && !has_input (connection)
+      && http_connection_is_reusable (&connection->http)
       && client->idle_count < ENDPOINT_IDLE_CONNECTION_LIMIT)
     {
       connection->call = NULL;
       connection->idle_since_ms = time_boot_ms ();
       LIST_INSERT_HEAD (&client->idle, connection, link);
       client->idle_count++;
+      http_connection_set_reading_suspended (&connection->http, false);
+      http_connection_next_message (&connection->http, false);
     }
   else if (connection != NULL)
     connection_free (connection);
@@ -65,9 +64,15 @@
 {
   struct endpoint_client *client = context;
   struct endpoint_call *call = LIST_FIRST (&client->closed);
+  struct endpoint_connection *connection;
 
   (void)fd;
   (void)what;
+  while ((connection = LIST_FIRST (&client->ended)) != NULL)
+    {
+      LIST_REMOVE (connection, link);
+      connection_free (connection);
+    }
   while (call != NULL)
     {
       struct endpoint_call *next = LIST_NEXT (call, link);
@@ -90,6 +95,7 @@
   LIST_INIT (&client->awaiting_end);
   LIST_INIT (&client->closed);
   LIST_INIT (&client->idle);
+  LIST_INIT (&client->ended);
   client->free_closed_event = event_new (base, -1, 0, on_free_closed, client);
   if (client->free_closed_event == NULL)
     {
@@ -121,8 +127,8 @@
 }
 
 /*
- * Schedules the call to be freed from the event loop, because evhttp may be
- * reading from the connection.
+ * Schedules the call to be freed from the event loop, because an event of its
+ * connection may be running.
  */
 static void
 schedule_call_free (struct endpoint_call *call)
@@ -181,7 +187,7 @@
 endpoint_close_and_reuse (struct endpoint_call *call,
                           void (*release) (void *context))
 {
-  if (call->request == NULL || call->own_connection)
+  if (call->has_ended || call->own_connection)
     {
       endpoint_close_call (call, release);
       return;
@@ -195,134 +201,62 @@
   LIST_INSERT_HEAD (&call->client->awaiting_end, call, link);
 }
 
+/* Only the first end of a call is reported. */
 static void
 report_call_end (struct endpoint_call *call, enum result result)
 {
+  if (call->has_ended)
+    return;
+  call->has_ended = true;
   if (call->awaiting_end_since_ms != 0)
     schedule_call_free (call);
   else if (!call->closed && call->events->ended != NULL)
     call->events->ended (call->context, result);
 }
 
-/* Without TCP_NODELAY the end of a long request waits for an ACK. */
 static void
-set_no_delay (struct endpoint_call *call)
+on_connected (void *context)
 {
-  evutil_socket_t fd = bufferevent_getfd (
-      evhttp_connection_get_bufferevent (call->connection->http));
-  int on = 1;
+  struct endpoint_connection *connection = context;
 
-  if (fd >= 0)
-    setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  /* The queued request is written right after this. */
+  connection->call->written = true;
 }
 
-/*
- * evhttp fills the output buffer once it is connected.  Bytes leave the buffer
- * only to the socket, so a removal means that the request was partly written.
- */
 static void
-on_output_change (struct evbuffer *buffer,
-                  const struct evbuffer_cb_info *info,
-                  void *context)
+on_head (void *context, const struct http_head *head)
 {
   struct endpoint_connection *connection = context;
   struct endpoint_call *call = connection->call;
+  const char *type = http_head_get (head, "Content-Type");
+  const char *id = http_head_get (head, "X-Request-Id");
 
-  if (info->n_added > 0)
-    connection->unsent_bytes = 0;
-  memory_account_set (connection->account, MEMORY_TO_ENDPOINTS,
-                      &connection->output_charge,
-                      connection->unsent_bytes + evbuffer_get_length (buffer));
   if (call == NULL)
-    return;
-  if (info->n_added > 0 && info->orig_size == 0)
-    set_no_delay (call);
-  if (info->n_deleted > 0 && !call->failed)
-    call->written = true;
-}
-
-/* evhttp collects a chunk of the response until it is complete. */
-static void
-on_input_change (struct evbuffer *buffer,
-                 const struct evbuffer_cb_info *info,
-                 void *context)
-{
-  struct endpoint_connection *connection = context;
-
-  (void)info;
-  memory_account_set (connection->account, MEMORY_RESPONSES,
-                      &connection->input_charge, evbuffer_get_length (buffer));
-}
-
-static void
-read_response_header (struct endpoint_call *call,
-                      struct evhttp_request *request)
-{
-  const struct evkeyvalq *headers;
-  const char *type;
-  const char *id;
-
-  if (call->status != 0)
-    return;
-  call->status = evhttp_request_get_response_code (request);
-  headers = evhttp_request_get_input_headers (request);
-  type = evhttp_find_header (headers, "Content-Type");
-  id = evhttp_find_header (headers, "X-Request-Id");
+    {
+      /* No call waits for a response. */
+      close_idle_connection (connection);
+      return;
+    }
+  call->status = (int)head->status;
   call->ends_with_connection
-      = evhttp_find_header (headers, "Content-Length") == NULL
-        && evhttp_find_header (headers, "Transfer-Encoding") == NULL;
+      = !head->has_length && http_head_get (head, "Transfer-Encoding") == NULL;
   call->id_mismatch
       = id != NULL && call->id[0] != '\0' && strcmp (id, call->id) != 0;
   snprintf (call->content_type, sizeof call->content_type, "%s",
             type != NULL ? type : "");
-}
-
-static void
-deliver_response_body (struct endpoint_call *call,
-                       struct evhttp_request *request)
-{
-  struct evbuffer *input = evhttp_request_get_input_buffer (request);
-  size_t size = evbuffer_get_length (input);
-
-  if (size == 0 || call->closed || call->events->data == NULL)
-    return;
-  call->events->data (call->context, (const char *)evbuffer_pullup (input, -1),
-                      size);
-}
-
-static void
-on_response_chunk (struct evhttp_request *request, void *context)
-{
-  struct endpoint_call *call = context;
-
-  read_response_header (call, request);
   /* A late response to an earlier request; our own may never arrive. */
   if (call->id_mismatch)
     report_call_end (call, RESULT_UPSTREAM_UNKNOWN);
-  else
-    deliver_response_body (call, request);
 }
 
 static void
-on_request_error (enum evhttp_request_error error, void *context)
-{
-  struct endpoint_call *call = context;
-
-  (void)error;
-  call->failed = true;
-}
-
-/*
- * After "Connection: close" evhttp closes the connection itself, and a reuse
- * would connect again.
- */
-static bool
-has_connection_close (struct evhttp_request *request)
+on_body (void *context, const char *data, size_t size)
 {
-  const char *value = evhttp_find_header (
-      evhttp_request_get_input_headers (request), "Connection");
+  const struct endpoint_connection *connection = context;
+  struct endpoint_call *call = connection->call;
 
-  return value != NULL && evutil_ascii_strcasecmp (value, "close") == 0;
+  if (!call->closed && !call->id_mismatch && call->events->data != NULL)
+    call->events->data (call->context, data, size);
 }
 
 /*
@@ -336,108 +270,93 @@
 }
 
 static void
-on_response_done (struct evhttp_request *request, void *context)
+on_complete (void *context)
 {
-  struct endpoint_call *call = context;
+  const struct endpoint_connection *connection = context;
+  struct endpoint_call *call = connection->call;
 
-  call->request = NULL;
-  if (request != NULL && evhttp_request_get_response_code (request) != 0)
-    {
-      read_response_header (call, request);
-      if (call->id_mismatch)
-        {
-          report_call_end (call, RESULT_UPSTREAM_UNKNOWN);
-          return;
-        }
-      deliver_response_body (call, request);
-      call->connection_reusable
-          = !has_connection_close (request) && !is_refusal (call->status);
-      report_call_end (call, RESULT_OK);
-      return;
-    }
-  report_call_end (call, call->written ? RESULT_UPSTREAM_UNKNOWN
-                                       : RESULT_ENDPOINT_CONNECT);
+  if (call->id_mismatch)
+    return;
+  call->connection_reusable = !is_refusal (call->status);
+  report_call_end (call, RESULT_OK);
+}
+
+static void
+on_closed (void *context, enum http_end end)
+{
+  struct endpoint_connection *connection = context;
+  struct endpoint_call *call = connection->call;
+
+  (void)end;
+  if (call == NULL)
+    close_idle_connection (connection);
+  else
+    report_call_end (call, call->written ? RESULT_UPSTREAM_UNKNOWN
+                                         : RESULT_ENDPOINT_CONNECT);
 }
 
+static const struct http_events connection_events = {
+  .connected = on_connected,
+  .head = on_head,
+  .body = on_body,
+  .complete = on_complete,
+  .closed = on_closed,
+};
+
 void
 endpoint_set_paused (struct endpoint_call *call, bool paused)
 {
-  struct bufferevent *bev
-      = evhttp_connection_get_bufferevent (call->connection->http);
-
-  if (call->paused == paused || call->request == NULL)
+  if (call->paused == paused || call->has_ended)
     return;
   call->paused = paused;
-  if (paused)
-    bufferevent_disable (bev, EV_READ);
-  else
-    bufferevent_enable (bev, EV_READ);
+  http_connection_set_reading_suspended (&call->connection->http, paused);
 }
 
-static struct evhttp_request *
-build_http_request (struct endpoint_call *call,
-                    const struct endpoint_request *request)
+static void
+build_head (struct http_text *head, const struct endpoint_request *request)
 {
-  struct evhttp_request *http_request
-      = evhttp_request_new (on_response_done, call);
-  struct evkeyvalq *headers;
+  bool is_ipv6 = strchr (request->address, ':') != NULL;
 
-  if (http_request == NULL)
-    return NULL;
-  headers = evhttp_request_get_output_headers (http_request);
-  evhttp_request_set_chunked_cb (http_request, on_response_chunk);
-  evhttp_request_set_error_cb (http_request, on_request_error);
+  http_text_init (head);
+  http_text_add_string (head, request->method);
+  http_text_add_string (head, " ");
+  http_text_add_string (head, request->path);
+  http_text_format (head, " HTTP/1.1\r\nHost: %s%s%s:%u\r\n",
+                    is_ipv6 ? "[" : "", request->address, is_ipv6 ? "]" : "",
+                    (unsigned)request->port);
   for (const struct endpoint_header *header = request->headers;
        header != NULL && header->name != NULL; header++)
     if (header->value != NULL)
-      evhttp_add_header (headers, header->name, header->value);
+      http_text_add_field (head, header->name, header->value);
   if (request->own_connection)
-    evhttp_add_header (headers, "Connection", "close");
-  if (request->size > 0
-      && evbuffer_add (evhttp_request_get_output_buffer (http_request),
-                       request->body, request->size)
-             != 0)
-    {
-      evhttp_request_free (http_request);
-      return NULL;
-    }
-  return http_request;
+    http_text_add_field (head, "Connection", "close");
+  http_text_format (head, "Content-Length: %zu\r\n\r\n", request->size);
 }
 
 static struct endpoint_connection *
 connection_new (struct endpoint_client *client,
                 const struct endpoint_request *request)
 {
+  const struct http_limits limits
+      = { RESPONSE_HEADER_LIMIT_BYTES, RESPONSE_HEADER_LIMIT_BYTES };
   struct endpoint_connection *connection = calloc (1, sizeof *connection);
-  struct bufferevent *bev;
 
   if (connection == NULL)
     return NULL;
-  connection->account = client->account;
+  connection->client = client;
   snprintf (connection->address, sizeof connection->address, "%s",
             request->address);
   connection->port = request->port;
-  connection->http = evhttp_connection_base_new (
-      client->base, NULL, request->address, request->port);
-  if (connection->http == NULL)
+  if (http_connection_connect (&connection->http, client->base,
+                               request->address, request->port, ACK_TIMEOUT_MS,
+                               &limits, &connection_events, connection)
+      != RESULT_OK)
     {
       free (connection);
       return NULL;
     }
-  bev = evhttp_connection_get_bufferevent (connection->http);
-  evhttp_connection_set_timeout (connection->http, EVHTTP_TIMEOUT_S);
-  evhttp_connection_set_max_headers_size (connection->http,
-                                          RESPONSE_HEADER_LIMIT_BYTES);
-  if (evbuffer_add_cb (bufferevent_get_output (bev), on_output_change,
-                       connection)
-          == NULL
-      || evbuffer_add_cb (bufferevent_get_input (bev), on_input_change,
-                          connection)
-             == NULL)
-    {
-      connection_free (connection);
-      return NULL;
-    }
+  http_connection_set_account (&connection->http, client->account,
+                               MEMORY_TO_ENDPOINTS);
   return connection;
 }
 
@@ -450,7 +369,8 @@
   if (!request->own_connection)
     LIST_FOREACH (connection, &client->idle, link)
       if (connection->port == request->port
-          && strcmp (connection->address, request->address) == 0)
+          && strcmp (connection->address, request->address) == 0
+          && http_connection_is_idle (&connection->http))
         {
           LIST_REMOVE (connection, link);
           client->idle_count--;
@@ -467,6 +387,7 @@
                      int64_t now_ms)
 {
   struct endpoint_call *call = calloc (1, sizeof *call);
+  struct http_text head;
 
   if (call == NULL)
     return NULL;
@@ -478,27 +399,24 @@
   if (request->id != NULL)
     snprintf (call->id, sizeof call->id, "%s", request->id);
   LIST_INSERT_HEAD (&client->calls, call, link);
-  call->connection = acquire_connection (client, request);
+  build_head (&head, request);
+  if (!head.failed)
+    call->connection = acquire_connection (client, request);
   if (call->connection == NULL)
-    goto fail;
+    {
+      http_text_finish (&head);
+      call_free (call);
+      return NULL;
+    }
   call->connection->call = call;
-  call->connection->unsent_bytes = request->size;
-  memory_account_set (client->account, MEMORY_TO_ENDPOINTS,
-                      &call->connection->output_charge, request->size);
-  call->request = build_http_request (call, request);
-  if (call->request == NULL)
-    goto fail;
-  /* On failure evhttp frees the request. */
-  if (evhttp_make_request (call->connection->http, call->request,
-                           request->method, request->path)
-      != 0)
-    goto fail;
+  call->written = !call->connection->http.connecting;
+  call->connection->http.no_body = strcmp (request->method, "HEAD") == 0;
+  /* Queued until the connection is established. */
+  http_connection_write_text (&call->connection->http, &head);
+  if (request->size > 0)
+    http_connection_write (&call->connection->http, request->body,
+                           request->size);
   return call;
-
-fail:
-  call->request = NULL;
-  call_free (call);
-  return NULL;
 }
 
 /* Requests whose response is ignored. */
--- a/packages/gateway/src/endpoint.h
+++ b/packages/gateway/src/endpoint.h
@@ -1,11 +1,11 @@
 #ifndef GATEWAY_ENDPOINT_H
 #define GATEWAY_ENDPOINT_H
 
+#include "http-connection.h"
 #include "memory-account.h"
 #include "result.h"
 
 #include <event2/event.h>
-#include <event2/http.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -36,7 +36,7 @@
 {
   const char *address;
   uint16_t port;
-  enum evhttp_cmd_type method;
+  const char *method;
   const char *path;
   const struct endpoint_header *headers; /* ends with a NULL name */
   const void *body;
@@ -64,15 +64,12 @@
 
 struct endpoint_connection
 {
-  struct evhttp_connection *http;
+  struct endpoint_client *client;
+  struct http_connection http;
   struct endpoint_call *call; /* NULL while it is idle */
   char address[48];
   uint16_t port;
   int64_t idle_since_ms;
-  struct memory_account *account;
-  size_t unsent_bytes; /* body that evhttp has not put into its output yet */
-  struct memory_charge output_charge;
-  struct memory_charge input_charge;
   LIST_ENTRY (endpoint_connection) link;
 };
 
@@ -82,7 +79,6 @@
 {
   struct endpoint_client *client;
   struct endpoint_connection *connection;
-  struct evhttp_request *request; /* NULL once evhttp has released it */
   const struct endpoint_events *events;
   void *context;
   int status;            /* 0 until the header arrived */
@@ -90,9 +86,9 @@
   int64_t started_ms;
   /* When the call was closed before the end of its response; 0 = never. */
   int64_t awaiting_end_since_ms;
-  bool written; /* a byte of the request was handed to the socket */
-  bool failed;
-  bool closed; /* no event is reported any more */
+  bool written;   /* a byte of the request was handed to the socket */
+  bool has_ended; /* the response is whole, or none will come */
+  bool closed;    /* no event is reported any more */
   /* The response was read completely and the endpoint keeps the connection. */
   bool connection_reusable;
   bool own_connection;
@@ -117,6 +113,7 @@
   struct endpoint_calls awaiting_end; /* closed, but still reading the end */
   struct endpoint_calls closed;       /* freed by free_closed_event */
   struct endpoint_connections idle;   /* most recently used first */
+  struct endpoint_connections ended;  /* freed by free_closed_event */
   size_t idle_count;
 };
 
--- a/packages/gateway/src/generate.c
+++ b/packages/gateway/src/generate.c
@@ -468,7 +468,7 @@
   struct endpoint_request call_request = {
     .address = attempt->address,
     .port = attempt->port,
-    .method = EVHTTP_REQ_POST,
+    .method = "POST",
     .path = "/v1/completions",
     .headers = headers,
     .id = attempt->id,
@@ -502,7 +502,7 @@
   struct endpoint_request call_request = {
     .address = attempt->address,
     .port = attempt->port,
-    .method = EVHTTP_REQ_POST,
+    .method = "POST",
     .path = "/v1/cancel",
     .headers = headers,
     .body = body,
--- a/packages/gateway/src/internal.h
+++ b/packages/gateway/src/internal.h
@@ -259,6 +259,8 @@
 void parts_read_text (struct strikes_traits *traits, const char *prompt);
 
 /* parse.c */
+/* "GET", "POST", ... */
+const char *request_method_name (enum evhttp_cmd_type method);
 enum result parse_request (struct gateway_request *request);
 /* Checks the target's data centre and permission; run at each dispatch. */
 enum result parse_check_target (const struct gateway_request *request);
--- a/packages/gateway/src/parse.c
+++ b/packages/gateway/src/parse.c
@@ -14,8 +14,8 @@
 #define DEFAULT_MAX_TOKENS 16
 #define MAX_CHAT_MESSAGES 1024
 
-static const char *
-get_method_name (enum evhttp_cmd_type method)
+const char *
+request_method_name (enum evhttp_cmd_type method)
 {
   switch (method)
     {
@@ -78,7 +78,7 @@
                  const void *body,
                  size_t size)
 {
-  const char *method = get_method_name (request->method);
+  const char *method = request_method_name (request->method);
   const struct hash_part parts[]
       = { { request->customer, strlen (request->customer) },
           { method, strlen (method) },
@@ -129,7 +129,7 @@
   /* evhttp would hold the body a second time until the reply. */
   evbuffer_drain (input, request->body_size);
   request->repeatable = !sheet_call_is_non_idempotent (
-      service, get_method_name (request->method), path_without_query);
+      service, request_method_name (request->method), path_without_query);
   if (key != NULL && strlen (key) >= sizeof request->idempotency_key)
     return RESULT_IDEMPOTENCY_KEY_REQUIRED;
   if (key != NULL)
--- a/packages/gateway/src/service.c
+++ b/packages/gateway/src/service.c
@@ -163,7 +163,11 @@
   /* An endless body is refused at the limit, not only at the deadline. */
   if (!attempt_append_response (attempt, bytes, size,
                                 request->gateway->limits.response_bytes))
-    request_refuse (request, RESULT_TOO_LARGE, 0);
+    {
+      request->may_have_run = true;
+      attempt_end (request, CHOOSE_END_FAILURE, true);
+      request_refuse (request, RESULT_TOO_LARGE, 0);
+    }
 }
 
 static bool
@@ -231,7 +235,7 @@
   const struct endpoint_request call_request = {
     .address = attempt->address,
     .port = attempt->port,
-    .method = request->method,
+    .method = request_method_name (request->method),
     .path = request->path,
     .headers = headers,
     .body = request->body,
--- a/packages/gateway/tests/harness.h
+++ b/packages/gateway/tests/harness.h
@@ -70,7 +70,8 @@
  * chunks; half sends the beginning of an event; again sends a refusal if the
  * connection has carried another call; extra sends one after the response; html
  * sends a response 200 that is no stream; event sends an error event; text
- * sends a line that is no event; zip sends the header of an encoded stream.
+ * sends a line that is no event; zip sends the header of an encoded stream; raw
+ * sends the testbed's raw bytes, and then its raw_flood without end.
  */
 struct testbed
 {
@@ -94,6 +95,9 @@
   bool absent[4]; /* the host sends no attestations */
   const char *scripts[SCRIPT_LIMIT];
   size_t script_count;
+  const char *raw;       /* of the script raw */
+  const char *raw_flood; /* NULL = none */
+  bool is_early; /* scripts run once the head has come; no body is read */
   struct call calls[CALL_LIMIT];
   size_t call_count;
   size_t script_calls;        /* calls that ran a script */
@@ -235,6 +239,17 @@
   evbuffer_add (bufferevent_get_output (call->bev), "\r\n", 2);
 }
 
+static void
+send_raw_flood (struct bufferevent *bev, void *context)
+{
+  struct call *call = context;
+
+  (void)bev;
+  for (int i = 0; i < 1024; i++)
+    evbuffer_add_printf (bufferevent_get_output (call->bev), "%s",
+                         call->testbed->raw_flood);
+}
+
 static void
 on_output_written_reset (struct bufferevent *bev, void *context)
 {
@@ -290,7 +305,7 @@
           && strcmp (word, "stale") != 0 && strcmp (word, "U") != 0
           && strcmp (word, "open") != 0 && strcmp (word, "again") != 0
           && strcmp (word, "html") != 0 && strcmp (word, "zip") != 0
-          && strncmp (word, "cut-", 4) != 0)
+          && strncmp (word, "cut-", 4) != 0 && strcmp (word, "raw") != 0)
         {
           header_sent = true;
           call_send_stream_header (call);
@@ -318,6 +333,18 @@
       else if (strcmp (word, "half") == 0)
         evbuffer_add_printf (bufferevent_get_output (call->bev),
                              "data: {\"index\":");
+      else if (strcmp (word, "raw") == 0)
+        {
+          header_sent = true;
+          evbuffer_add_printf (bufferevent_get_output (call->bev), "%s",
+                               call->testbed->raw);
+          if (call->testbed->raw_flood != NULL)
+            {
+              bufferevent_setcb (call->bev, NULL, send_raw_flood, on_call_event,
+                                 call);
+              send_raw_flood (call->bev, call);
+            }
+        }
       else if (strcmp (word, "leaving") == 0)
         call_send_response (call, 503, "{\"error\":\"leaving\"}");
       else if (strcmp (word, "ok") == 0)
@@ -440,7 +467,9 @@
   length = strstr (call->text, "Content-Length: ");
   if (length != NULL)
     body = strtoul (length + 16, NULL, 10);
-  if (strlen (end + 4) < body)
+  if (testbed->is_early)
+    bufferevent_disable (bev, EV_READ);
+  else if (strlen (end + 4) < body)
     return;
   call->answered = true;
   evbuffer_drain (input, size);
--- a/packages/gateway/tests/t0830-stream.c
+++ b/packages/gateway/tests/t0830-stream.c
@@ -131,14 +131,12 @@
 }
 
 static int
-get_tcp_nodelay (struct evhttp_connection *connection)
+get_tcp_nodelay (int fd)
 {
   int value = 0;
   socklen_t size = sizeof value;
 
-  getsockopt (
-      bufferevent_getfd (evhttp_connection_get_bufferevent (connection)),
-      IPPROTO_TCP, TCP_NODELAY, &value, &size);
+  getsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &value, &size);
   return value;
 }
 
@@ -156,9 +154,11 @@
   WAIT_FOR (testbed, strstr (client_text (&client), "w1 ") != NULL);
   request = TAILQ_FIRST (&testbed->gateway.requests);
   assert_int_equal (
-      get_tcp_nodelay (evhttp_request_get_connection (request->http)), 1);
-  assert_int_equal (get_tcp_nodelay (request->attempt->call->connection->http),
-                    1);
+      get_tcp_nodelay (bufferevent_getfd (evhttp_connection_get_bufferevent (
+          evhttp_request_get_connection (request->http)))),
+      1);
+  assert_int_equal (
+      get_tcp_nodelay (request->attempt->call->connection->http.fd), 1);
   client_close (&client);
   testbed_free (testbed);
 }
