platform: read the answers of the store as the relay does

What callers saw: the client of the object service took what was no answer. A head with a blank or a control byte in the name of a field counted as an answer, and so did a status of 099 or an interim 103; the value in it was read as the store's. A store that sent interim responses without end was read until the call timed out.

Cause: as in the gateway, the client read answers with evhttp, which checks neither names nor the range of statuses and takes all interim responses but 100 for final ones.

Change: the client uses http_connection. Such answers now end a read as unreachable and a write as a lost answer, and count as failures. What was evhttp's own handling of closed connections is kept: a connection that has ended is freed when the next one is looked for, and one that the store has closed is not used for another call.

--- a/packages/platform/include/platform.h
+++ b/packages/platform/include/platform.h
@@ -12,7 +12,7 @@
 #include <sys/queue.h>
 
 /*
- * Non-blocking client of the platform's object service over evhttp.
+ * Non-blocking client of the platform's object service over HTTP/1.1.
  *
  * Each call ends with exactly one callback, also when the client is finished
  * before the response arrives (RESULT_CANCELLED).  A write that may have taken
--- a/packages/platform/src/call.c
+++ b/packages/platform/src/call.c
@@ -223,7 +223,7 @@
                              (suseconds_t) template->timeout_ms % 1000 * 1000 };
 
   if (call == NULL || template->uri == NULL
-      || (template->command == EVHTTP_REQ_PUT && template->body == NULL)
+      || (strcmp (template->method, "PUT") == 0 && template->body == NULL)
       || platform->base == NULL)
     {
       enum result result
@@ -275,7 +275,7 @@
 {
   start_call (platform, &(struct platform_call){
                             .kind = PLATFORM_CALL_READ,
-                            .command = EVHTTP_REQ_GET,
+                            .method = "GET",
                             .uri = make_uri ("/v1/objects/", key, ""),
                             .timeout_ms = platform->timeout_ms,
                             .done = done,
@@ -295,7 +295,7 @@
   start_call (platform,
               &(struct platform_call){
                   .kind = PLATFORM_CALL_WRITE,
-                  .command = EVHTTP_REQ_PUT,
+                  .method = "PUT",
                   .is_write = true,
                   .uri = make_uri ("/v1/objects/", key, ""),
                   .body = json_dumps (value, JSON_COMPACT | JSON_ENCODE_ANY),
@@ -316,7 +316,7 @@
 {
   start_call (platform, &(struct platform_call){
                             .kind = PLATFORM_CALL_WRITE,
-                            .command = EVHTTP_REQ_DELETE,
+                            .method = "DELETE",
                             .is_write = true,
                             .uri = make_uri ("/v1/objects/", key, ""),
                             .version = version,
@@ -335,7 +335,7 @@
 {
   start_call (platform, &(struct platform_call){
                             .kind = PLATFORM_CALL_LIST,
-                            .command = EVHTTP_REQ_GET,
+                            .method = "GET",
                             .uri = make_uri ("/v1/list?prefix=", prefix, ""),
                             .timeout_ms = platform->timeout_ms,
                             .done = done,
@@ -351,7 +351,7 @@
 {
   start_call (platform, &(struct platform_call){
                             .kind = PLATFORM_CALL_HOSTS,
-                            .command = EVHTTP_REQ_GET,
+                            .method = "GET",
                             .uri = make_uri ("/v1/hosts", "", ""),
                             .timeout_ms = platform->timeout_ms,
                             .done = done,
@@ -375,7 +375,7 @@
   start_call (platform,
               &(struct platform_call){
                   .kind = PLATFORM_CALL_WATCH,
-                  .command = EVHTTP_REQ_GET,
+                  .method = "GET",
                   .uri = make_uri ("/v1/watch?keys=", keys, query_end),
                   .timeout_ms = platform->timeout_ms + wait_ms,
                   .done = done,
--- a/packages/platform/src/connection.c
+++ b/packages/platform/src/connection.c
@@ -1,38 +1,28 @@
 #include "platform-internal.h"
 
 #include <errno.h>
-#include <event2/buffer.h>
-#include <event2/bufferevent.h>
 #include <inttypes.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 
+/* The head of a response, and bytes behind a whole response. */
 #define HEADERS_LIMIT_BYTES 16384
 
-static evutil_socket_t
-get_connection_fd (const struct platform_connection *connection)
-{
-  return bufferevent_getfd (
-      evhttp_connection_get_bufferevent (connection->http));
-}
-
 /*
- * evhttp detects that the server closed a connection only in the event loop.
- * A call sent on such a connection would fail, and for a write it would be
- * unknown whether it took effect.
+ * A close by the server is detected only in the event loop.  A call sent on
+ * such a connection would fail, and for a write it would be unknown whether it
+ * took effect.
  */
 static bool
 is_closed_by_peer (const struct platform_connection *connection)
 {
-  evutil_socket_t fd = get_connection_fd (connection);
   char byte;
   ssize_t size;
 
-  if (fd < 0)
-    return true; /* evhttp has already detected the close */
-  size = recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (!http_connection_is_idle (&connection->http))
+    return true;
+  size = recv (connection->http.fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
   return size >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
@@ -43,19 +33,10 @@
 
   if (connection == NULL)
     return NULL;
-  connection->http = evhttp_connection_base_new (
-      platform->base, NULL, platform->address, platform->port);
-  if (connection->http == NULL)
-    {
-      free (connection);
-      return NULL;
-    }
+  connection->http.fd = -1;
+  http_text_init (&connection->body);
   connection->platform = platform;
   connection->for_watch = for_watch;
-  evhttp_connection_set_max_body_size (connection->http,
-                                       PLATFORM_RESPONSE_LIMIT_BYTES);
-  evhttp_connection_set_max_headers_size (connection->http,
-                                          HEADERS_LIMIT_BYTES);
   LIST_INSERT_HEAD (&platform->connections, connection, link);
   return connection;
 }
@@ -76,7 +57,7 @@
         ;
       else if (connection->call != NULL)
         count++;
-      else if (connection->broken || is_closed_by_peer (connection))
+      else if (is_closed_by_peer (connection))
         platform_connection_free (connection);
       else
         return connection;
@@ -89,74 +70,138 @@
 platform_connection_free (struct platform_connection *connection)
 {
   LIST_REMOVE (connection, link);
-  evhttp_connection_free (connection->http);
+  http_connection_finish (&connection->http);
+  http_text_finish (&connection->body);
   free (connection);
 }
 
 bool
 platform_connection_may_have_sent (const struct platform_connection *connection)
 {
-  struct sockaddr_storage peer;
-  socklen_t size = sizeof peer;
-  evutil_socket_t fd = get_connection_fd (connection);
+  return connection->established;
+}
+
+/* Closes the connection; it is freed when the next one is looked for. */
+static void
+fail_connection (struct platform_connection *connection)
+{
+  struct platform_call *call = connection->call;
 
-  return fd >= 0 && getpeername (fd, (struct sockaddr *)&peer, &size) == 0;
+  http_connection_finish (&connection->http);
+  if (call != NULL)
+    platform_call_end (call, call->is_write && connection->established
+                                 ? RESULT_PLATFORM_LOST_ANSWER
+                                 : RESULT_PLATFORM_UNREACHABLE);
+}
+
+static void
+on_connected (void *context)
+{
+  struct platform_connection *connection = context;
+
+  /* The queued request is written right after this. */
+  connection->established = true;
+}
+
+static void
+on_head (void *context, const struct http_head *head)
+{
+  struct platform_connection *connection = context;
+
+  (void)head;
+  /* A response without a call: the connection is in an unknown state. */
+  if (connection->call == NULL)
+    fail_connection (connection);
 }
 
-/*
- * evhttp passes the request once it has a response, the request with status 0
- * if the connection could not be opened, and NULL if the connection broke
- * later.
- */
 static void
-on_request_end (struct evhttp_request *request, void *context)
+on_body (void *context, const char *data, size_t size)
+{
+  struct platform_connection *connection = context;
+
+  http_text_add (&connection->body, data, size);
+  if (connection->body.failed
+      || connection->body.size > PLATFORM_RESPONSE_LIMIT_BYTES)
+    fail_connection (connection);
+}
+
+static void
+on_complete (void *context)
 {
   struct platform_connection *connection = context;
   struct platform_call *call = connection->call;
-  int status = request != NULL ? evhttp_request_get_response_code (request) : 0;
 
-  if (call == NULL)
-    return;
-  if (status != 0 && !call->platform->is_partitioned)
+  if (connection->platform->is_partitioned)
     {
-      platform_response_read (call, request);
-      platform_call_end (call, call->response.result);
+      fail_connection (connection);
       return;
     }
-  connection->broken = true;
-  platform_call_end (call, call->is_write && (request == NULL || status != 0)
-                               ? RESULT_PLATFORM_LOST_ANSWER
-                               : RESULT_PLATFORM_UNREACHABLE);
+  platform_response_read (call, &connection->http.head, &connection->body);
+  http_text_finish (&connection->body);
+  platform_call_end (call, call->response.result);
+  if (http_connection_is_reusable (&connection->http))
+    http_connection_next_message (&connection->http, false);
+  else
+    fail_connection (connection);
 }
 
-static bool
-add_headers_and_body (struct evhttp_request *request,
-                      const struct platform_call *call)
+static void
+on_closed (void *context, enum http_end end)
+{
+  (void)end;
+  fail_connection (context);
+}
+
+static const struct http_events connection_events = {
+  .connected = on_connected,
+  .head = on_head,
+  .body = on_body,
+  .complete = on_complete,
+  .closed = on_closed,
+};
+
+static void
+build_request (struct http_text *text, const struct platform_call *call)
 {
   const struct platform *platform = call->platform;
-  struct evkeyvalq *headers = evhttp_request_get_output_headers (request);
-  char text[80];
-  int failed = 0;
 
-  snprintf (text, sizeof text, "%s:%u", platform->address,
-            (unsigned)platform->port);
-  failed |= evhttp_add_header (headers, "Host", text);
+  http_text_init (text);
+  http_text_add_string (text, call->method);
+  http_text_add_string (text, " ");
+  http_text_add_string (text, call->uri);
+  http_text_format (text, " HTTP/1.1\r\nHost: %s:%u\r\n", platform->address,
+                    (unsigned)platform->port);
   if (platform->host[0] != '\0')
-    failed |= evhttp_add_header (headers, "X-Entry-Host", platform->host);
+    http_text_add_field (text, "X-Entry-Host", platform->host);
   if (call->is_write && call->version != 0)
-    {
-      snprintf (text, sizeof text, "\"%" PRIu64 "\"", call->version);
-      failed |= evhttp_add_header (headers, "If-Match", text);
-    }
+    http_text_format (text, "If-Match: \"%" PRIu64 "\"\r\n", call->version);
   else if (call->is_write)
-    failed |= evhttp_add_header (headers, "If-None-Match", "*");
+    http_text_add_field (text, "If-None-Match", "*");
   if (call->body != NULL)
-    {
-      failed |= evhttp_add_header (headers, "Content-Type", "application/json");
-      failed |= evbuffer_add (evhttp_request_get_output_buffer (request),
-                              call->body, strlen (call->body));
-    }
-  return failed == 0;
+    http_text_format (text,
+                      "Content-Type: application/json\r\n"
+                      "Content-Length: %zu\r\n",
+                      strlen (call->body));
+  http_text_add_string (text, "\r\n");
+  if (call->body != NULL)
+    http_text_add_string (text, call->body);
+}
+
+/* True if the connection is established or being established. */
+static bool
+connect_to_platform (struct platform_connection *connection)
+{
+  const struct http_limits limits
+      = { HEADERS_LIMIT_BYTES, HEADERS_LIMIT_BYTES };
+  const struct platform *platform = connection->platform;
+
+  /* The timeout of the call expires before that of unacknowledged bytes. */
+  return connection->http.fd >= 0
+         || http_connection_connect (&connection->http, platform->base,
+                                     platform->address, platform->port,
+                                     platform->timeout_ms, &limits,
+                                     &connection_events, connection)
+                == RESULT_OK;
 }
 
 void
@@ -164,14 +209,14 @@
                           struct platform_call *call)
 {
   struct platform *platform = call->platform;
-  struct evhttp_request *request
-      = evhttp_request_new (on_request_end, connection);
+  struct http_text text;
 
-  if (request == NULL || !add_headers_and_body (request, call))
+  build_request (&text, call);
+  if (text.failed || !connect_to_platform (connection))
     {
-      if (request != NULL)
-        evhttp_request_free (request);
-      platform_call_end (call, RESULT_NO_MEMORY);
+      platform_call_end (call, text.failed ? RESULT_NO_MEMORY
+                                           : RESULT_PLATFORM_UNREACHABLE);
+      http_text_finish (&text);
       return;
     }
   TAILQ_REMOVE (&platform->waiting, call, link);
@@ -179,15 +224,6 @@
   call->connection = connection;
   connection->call = call;
   platform->calls[call->kind]++;
-  /* The call's own timer fires first; this timeout closes idle connections. */
-  evhttp_connection_set_timeout (connection->http,
-                                 call->timeout_ms / 1000 + 60);
-  /* May run on_request_end at once, which ends the call. */
-  if (evhttp_make_request (connection->http, request, call->command, call->uri)
-          != 0
-      && connection->call == call)
-    {
-      connection->broken = true;
-      platform_call_end (call, RESULT_PLATFORM_UNREACHABLE);
-    }
+  /* Queued until the connection is established. */
+  http_connection_write_text (&connection->http, &text);
 }
--- a/packages/platform/src/platform-internal.h
+++ b/packages/platform/src/platform-internal.h
@@ -1,18 +1,18 @@
 #ifndef PLATFORM_INTERNAL_H
 #define PLATFORM_INTERNAL_H
 
+#include "http-connection.h"
 #include "platform.h"
 
-#include <event2/http.h>
-
 /* One connection carries one call at a time. */
 struct platform_connection
 {
   struct platform *platform;
-  struct evhttp_connection *http;
-  struct platform_call *call; /* NULL = idle */
+  struct http_connection http; /* closed until a call is sent, or it failed */
+  struct http_text body;       /* of the response */
+  struct platform_call *call;  /* NULL = idle */
   bool for_watch;
-  bool broken; /* freed later, as evhttp may still use it */
+  bool established;
   LIST_ENTRY (platform_connection) link;
 };
 
@@ -20,7 +20,7 @@
 {
   struct platform *platform;
   enum platform_call_kind kind;
-  enum evhttp_cmd_type command;
+  const char *method;
   char *uri;
   char *body; /* JSON; NULL unless an object is written */
   bool is_write;
@@ -47,7 +47,7 @@
 struct platform_connection *
 platform_connection_acquire (struct platform *platform, bool for_watch);
 
-/* Must not be called from a callback of evhttp. */
+/* Must not be called from an event of the connection. */
 void platform_connection_free (struct platform_connection *connection);
 
 /* False if the connection was never established, so nothing was sent on it. */
@@ -56,6 +56,7 @@
 
 /* Decodes status, headers and body into call->response. */
 void platform_response_read (struct platform_call *call,
-                             struct evhttp_request *request);
+                             const struct http_head *head,
+                             const struct http_text *body);
 
 #endif
--- a/packages/platform/src/response.c
+++ b/packages/platform/src/response.c
@@ -4,16 +4,14 @@
 #include "jsonutil.h"
 #include "timeutil.h"
 
-#include <event2/buffer.h>
 #include <string.h>
 #include <time.h>
 
 /* Local wall clock minus the Date header; false without a valid header. */
 static bool
-read_clock_skew (struct evhttp_request *request, int64_t *skew_ms)
+read_clock_skew (const struct http_head *head, int64_t *skew_ms)
 {
-  const char *date
-      = evhttp_find_header (evhttp_request_get_input_headers (request), "Date");
+  const char *date = http_head_get (head, "Date");
   struct tm tm = { 0 };
   const char *end;
 
@@ -35,14 +33,11 @@
 #define HOSTS_SPLIT_DEPTH 2
 
 static json_t *
-read_body (struct evhttp_request *request, enum platform_call_kind kind)
+read_body (const struct http_text *body, enum platform_call_kind kind)
 {
-  struct evbuffer *input = evhttp_request_get_input_buffer (request);
-  size_t size = evbuffer_get_length (input);
-
-  if (size == 0)
+  if (body->size == 0)
     return NULL;
-  return json_load_parts ((const char *)evbuffer_pullup (input, -1), size, "",
+  return json_load_parts (body->data, body->size, "",
                           kind == PLATFORM_CALL_HOSTS ? HOSTS_SPLIT_DEPTH : 0);
 }
 
@@ -116,16 +111,16 @@
 
 void
 platform_response_read (struct platform_call *call,
-                        struct evhttp_request *request)
+                        const struct http_head *head,
+                        const struct http_text *body)
 {
   struct platform *platform = call->platform;
   int64_t skew_ms;
-  json_t *body = read_body (request, call->kind);
+  json_t *json = read_body (body, call->kind);
 
-  if (read_clock_skew (request, &skew_ms))
+  if (read_clock_skew (head, &skew_ms))
     platform->clock_skew_ms = skew_ms;
   call->response.clock_skew_ms = skew_ms;
-  call->response.result
-      = decode_status (call, evhttp_request_get_response_code (request), body);
-  json_decref (body);
+  call->response.result = decode_status (call, (int)head->status, json);
+  json_decref (json);
 }
--- a/packages/platform/tests/t0200-platform.c
+++ b/packages/platform/tests/t0200-platform.c
@@ -28,6 +28,9 @@
   ACTION_CLOSE, /* closes the connection after the whole request */
   ACTION_HOLD,  /* never responds */
   ACTION_REPLY_AND_CLOSE,
+  ACTION_REPLY_AND_RESET,
+  ACTION_EARLY_RESET, /* the same, with the body of the request unread */
+  ACTION_FLOOD,       /* repeats flood behind the reply */
 };
 
 struct server
@@ -36,7 +39,9 @@
   struct evconnlistener *listener;
   uint16_t port;
   enum server_action action;
-  const char *reply;     /* status line, headers, body */
+  const char *reply; /* status line, headers, body */
+  const char *flood;
+  size_t flood_bytes;    /* written so far */
   const char *hold_path; /* never responds to requests with it; or NULL */
   int connection_count;
   int request_count;
@@ -68,12 +73,31 @@
   bufferevent_free (client);
 }
 
+static void
+write_flood (struct server *server, struct bufferevent *client)
+{
+  for (int i = 0; i < 4096; i++)
+    {
+      bufferevent_write (client, server->flood, strlen (server->flood));
+      server->flood_bytes += strlen (server->flood);
+    }
+}
+
 static void
 on_flushed (struct bufferevent *client, void *context)
 {
   struct server *server = context;
 
-  if (server->action == ACTION_REPLY_AND_CLOSE)
+  if (server->action == ACTION_FLOOD)
+    {
+      write_flood (server, client);
+      return;
+    }
+  if (server->action == ACTION_REPLY_AND_RESET
+      || server->action == ACTION_EARLY_RESET)
+    setsockopt (bufferevent_getfd (client), SOL_SOCKET, SO_LINGER,
+                &(struct linger){ .l_onoff = 1 }, sizeof (struct linger));
+  if (server->action != ACTION_REPLY)
     close_client (server, client);
 }
 
@@ -100,8 +124,10 @@
   if (body == NULL)
     return;
   length = strstr (text, "Content-Length: ");
-  if (length != NULL && length < body
-      && strlen (body + 4) < strtoul (length + 16, NULL, 10))
+  if (server->action == ACTION_EARLY_RESET)
+    bufferevent_disable (client, EV_READ);
+  else if (length != NULL && length < body
+           && strlen (body + 4) < strtoul (length + 16, NULL, 10))
     return;
   evbuffer_drain (input, size);
   memcpy (server->last_request, text, sizeof text);
@@ -116,6 +142,8 @@
       bufferevent_setcb (client, on_readable, on_flushed, on_client_event,
                          server);
       bufferevent_write (client, server->reply, strlen (server->reply));
+      if (server->action == ACTION_FLOOD)
+        write_flood (server, client);
     }
 }
 
@@ -351,6 +379,112 @@
     }
 }
 
+#define OK "HTTP/1.1 200 OK\r\n"
+#define VALUE "{\"version\":4,\"value\":[1]}"
+#define REST "Content-Length: 25\r\n\r\n" VALUE
+
+/* Bytes that are no response of HTTP/1.1, or not the whole one. */
+static const struct
+{
+  const char *reply;
+  enum server_action action;
+} broken_replies[] = {
+  { "HTTP/1.1 000 OK\r\n" REST, ACTION_REPLY_AND_CLOSE },
+  { "HTTP/1.1 099 OK\r\n" REST, ACTION_REPLY_AND_CLOSE },
+  { "HTTP/1.1 -1 OK\r\n" REST, ACTION_REPLY_AND_CLOSE },
+  { "HTTP/1.1 103 OK\r\n" REST, ACTION_REPLY_AND_CLOSE },
+  { OK "X Other: 1\r\n" REST, ACTION_REPLY_AND_CLOSE },
+  { OK "X-Other : 1\r\n" REST, ACTION_REPLY_AND_CLOSE },
+  { OK "X\x01Other: 1\r\n" REST, ACTION_REPLY_AND_CLOSE },
+  { OK "\rX-Other: 1\r\n" REST, ACTION_REPLY_AND_CLOSE },
+  { OK "Content-Length : 25\r\n\r\n" VALUE, ACTION_REPLY_AND_CLOSE },
+  { OK "Content-Length\t: 9\r\n\r\n" VALUE, ACTION_REPLY_AND_CLOSE },
+  { OK "\r\n" VALUE, ACTION_REPLY_AND_RESET },
+  { OK "\r\n" VALUE, ACTION_EARLY_RESET },
+};
+
+static void
+test_broken_replies (void **state)
+{
+  char *text = calloc (1, PLATFORM_VALUE_LIMIT_BYTES - 1);
+  json_t *value;
+  unsigned failed = 0;
+
+  (void)state;
+  assert_non_null (text);
+  memset (text, 'x', PLATFORM_VALUE_LIMIT_BYTES - 2);
+  value = json_string (text);
+  for (size_t i = 0; i < sizeof broken_replies / sizeof broken_replies[0]; i++)
+    for (int is_write = 0; is_write < 2; is_write++)
+      {
+        enum result expected = is_write != 0 ? RESULT_PLATFORM_LOST_ANSWER
+                                             : RESULT_PLATFORM_UNREACHABLE;
+        struct fixture fixture;
+
+        setup (&fixture, 5000);
+        fixture.server.reply = broken_replies[i].reply;
+        fixture.server.action = broken_replies[i].action;
+        if (is_write != 0 && fixture.server.action == ACTION_EARLY_RESET)
+          platform_put (&fixture.platform, "k", 3, value, on_done, &fixture);
+        else
+          start_call (&fixture, is_write != 0 ? PUT : GET);
+        run_until_done (&fixture, 1);
+        if (fixture.result != expected || fixture.platform.failures != 1)
+          {
+            print_error ("%s\n-> %s\n", broken_replies[i].reply,
+                         result_info (fixture.result)->name);
+            failed++;
+          }
+        teardown (&fixture);
+      }
+  json_decref (value);
+  free (text);
+  assert_int_equal (failed, 0);
+}
+
+/* What the sockets take beyond what the client holds. */
+#define SOCKET_BYTES (8U << 20)
+
+/* Guards against a store that makes the process hold bytes without end. */
+static void
+test_endless_replies (void **state)
+{
+  static const struct
+  {
+    const char *reply;
+    const char *flood;
+  } cases[] = {
+    { OK, "X-Field: xxxxxxxxxxxxxxxx\r\n" },
+    { OK "X-Field: ", "xxxxxxxxxxxxxxxx" },
+    { "", "\r\n" },
+    { "", "HTTP/1.1 100 Go\r\n\r\n" },
+    { OK "Transfer-Encoding: chunked\r\n\r\n2;", "xxxxxxxxxxxxxxxx" },
+    { OK "Transfer-Encoding: chunked\r\n\r\n0\r\n",
+      "X-Field: xxxxxxxxxxxxxxxx\r\n" },
+    { OK "\r\n", "xxxxxxxxxxxxxxxx" },
+    { "", "xxxxxxxxxxxxxxxx" },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      struct fixture fixture;
+      struct server *server = &fixture.server;
+
+      setup (&fixture, 5000);
+      server->reply = cases[i].reply;
+      server->flood = cases[i].flood;
+      server->action = ACTION_FLOOD;
+      start_call (&fixture, GET);
+      run_until_done (&fixture, 1);
+      if (fixture.result != RESULT_PLATFORM_UNREACHABLE
+          || server->flood_bytes > PLATFORM_RESPONSE_LIMIT_BYTES + SOCKET_BYTES)
+        fail_msg ("%s%s...: %s, %zu bytes", cases[i].reply, cases[i].flood,
+                  result_info (fixture.result)->name, server->flood_bytes);
+      teardown (&fixture);
+    }
+}
+
 struct request_case
 {
   enum call_type call;
@@ -742,6 +876,8 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_responses),
+    cmocka_unit_test (test_broken_replies),
+    cmocka_unit_test (test_endless_replies),
     cmocka_unit_test (test_requests),
     cmocka_unit_test (test_key_encoding),
     cmocka_unit_test (test_connection_failures),
