control: read the answers to probes as the relay does

What operators would have seen: an endpoint in trouble kept its groups. The prober took a state from a head with a blank or a control byte in the name of a field, and it read heads without any limit: fields, interim responses and chunk extensions without end were held until the probe timed out, for each endpoint and once again each second.

Change: the prober uses http_connection; a head may have 16 KB. The time limit of a probe, which evhttp kept, is now checked with each tick.

--- a/packages/control/include/prober.h
+++ b/packages/control/include/prober.h
@@ -2,11 +2,11 @@
 #define CONTROL_PROBER_H
 
 #include "fleet.h"
+#include "http-connection.h"
 #include "member.h"
 #include "peer.h"
 
 #include <event2/event.h>
-#include <event2/http.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -38,7 +38,8 @@
 {
   char id[FLEET_NAME_SIZE];
   struct prober *prober;
-  struct evhttp_connection *connection;
+  struct http_connection connection; /* closed until it is probed */
+  struct http_text body;             /* of the response */
   char address[FLEET_ADDRESS_SIZE];
   uint16_t port;
   bool request_in_flight;        /* a request has no response yet */
--- a/packages/control/src/prober.c
+++ b/packages/control/src/prober.c
@@ -2,15 +2,15 @@
 
 #include "timeutil.h"
 
-#include <event2/buffer.h>
-#include <event2/keyvalq_struct.h>
 #include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #define BATCH_ENTRIES_LIMIT 256
-#define STATE_SIZE_LIMIT 65536 /* bytes of one response */
+#define STATE_SIZE_LIMIT 65536 /* bytes of the body of one response */
+/* The head of a response, and bytes behind a whole response. */
+#define HEADER_LIMIT_BYTES 16384
 
 void
 prober_init (struct prober *prober,
@@ -29,9 +29,8 @@
 static void
 close_connection (struct prober_target *target)
 {
-  if (target->connection != NULL)
-    evhttp_connection_free (target->connection);
-  target->connection = NULL;
+  http_connection_finish (&target->connection);
+  http_text_finish (&target->body);
   target->request_in_flight = false;
 }
 
@@ -99,74 +98,134 @@
   record_peer_report (prober, host, peer_attestation_digest (attested));
 }
 
-static json_t *
-parse_body (struct evhttp_request *request)
+/* Ends the probe, and the connection, without a valid response. */
+static void
+fail_probe (struct prober_target *target)
 {
-  struct evbuffer *body = evhttp_request_get_input_buffer (request);
-  size_t size = evbuffer_get_length (body);
-
-  if (size == 0 || size > STATE_SIZE_LIMIT)
-    return NULL;
-  return json_loadb ((const char *)evbuffer_pullup (body, -1), size, 0, NULL);
+  if (target->request_in_flight)
+    target->prober->failures++;
+  close_connection (target);
 }
 
-static void
-on_state_response (struct evhttp_request *request, void *context)
+/* Applies the state in a whole response; false if it has none. */
+static bool
+read_state (struct prober_target *target)
 {
-  struct prober_target *target = context;
   struct prober *prober = target->prober;
   struct fleet_host *host = fleet_find_host (prober->fleet, target->id);
+  const struct http_text *body = &target->body;
   struct fleet_attestation attested;
   json_t *json = NULL;
+  bool is_valid;
+
+  if (target->connection.head.status == 200 && body->size > 0)
+    json = json_loadb (body->data, body->size, 0, NULL);
+  is_valid
+      = json != NULL && host != NULL
+        && fleet_attestation_from_json (&attested, json, target->requested_ms)
+               == RESULT_OK;
+  json_decref (json);
+  if (!is_valid)
+    return false;
+  if (has_state_change (&host->attested, &attested))
+    target->pending_full_reports = PROBER_CHANGE_REPORTS;
+  apply_attestation (host, &attested);
+  target->probed_ms = attested.seen_ms;
+  return true;
+}
+
+static void
+on_connected (void *context)
+{
+  /* The request is queued and written next. */
+  (void)context;
+}
+
+static void
+on_head (void *context, const struct http_head *head)
+{
+  struct prober_target *target = context;
+
+  (void)head;
+  /* A response without a probe: the connection is in an unknown state. */
+  if (!target->request_in_flight)
+    close_connection (target);
+}
+
+static void
+on_body (void *context, const char *data, size_t size)
+{
+  struct prober_target *target = context;
 
+  http_text_add (&target->body, data, size);
+  if (target->body.failed || target->body.size > STATE_SIZE_LIMIT)
+    fail_probe (target);
+}
+
+static void
+on_complete (void *context)
+{
+  struct prober_target *target = context;
+
+  if (!read_state (target))
+    target->prober->failures++;
   target->request_in_flight = false;
-  if (request != NULL && evhttp_request_get_response_code (request) == 200)
-    json = parse_body (request);
-  if (json != NULL && host != NULL
-      && fleet_attestation_from_json (&attested, json, target->requested_ms)
-             == RESULT_OK)
-    {
-      if (has_state_change (&host->attested, &attested))
-        target->pending_full_reports = PROBER_CHANGE_REPORTS;
-      apply_attestation (host, &attested);
-      target->probed_ms = attested.seen_ms;
-    }
+  http_text_reset (&target->body);
+  if (http_connection_is_reusable (&target->connection))
+    http_connection_next_message (&target->connection, false);
   else
-    prober->failures++;
-  json_decref (json);
+    close_connection (target);
+}
+
+static void
+on_closed (void *context, enum http_end end)
+{
+  (void)end;
+  fail_probe (context);
+}
+
+static const struct http_events connection_events = {
+  .connected = on_connected,
+  .head = on_head,
+  .body = on_body,
+  .complete = on_complete,
+  .closed = on_closed,
+};
+
+/* True if the connection is idle or being established. */
+static bool
+connect_to_target (struct prober_target *target)
+{
+  const struct http_limits limits = { HEADER_LIMIT_BYTES, HEADER_LIMIT_BYTES };
+
+  if (http_connection_is_idle (&target->connection))
+    return true;
+  close_connection (target);
+  return http_connection_connect (&target->connection, target->prober->base,
+                                  target->address, target->port,
+                                  PROBER_TIMEOUT_MS, &limits,
+                                  &connection_events, target)
+         == RESULT_OK;
 }
 
 static void
 start_probe (struct prober_target *target)
 {
-  struct evhttp_request *request;
-  char host[FLEET_ADDRESS_SIZE + 8];
-  struct timeval timeout = { .tv_sec = PROBER_TIMEOUT_MS / 1000 };
+  struct http_text request;
 
-  if (target->connection == NULL)
+  http_text_init (&request);
+  http_text_format (&request, "GET /v1/state HTTP/1.1\r\nHost: %s:%u\r\n\r\n",
+                    target->address, target->port);
+  if (!request.failed && connect_to_target (target))
     {
-      target->connection = evhttp_connection_base_new (
-          target->prober->base, NULL, target->address, target->port);
-      if (target->connection == NULL)
-        return;
-      evhttp_connection_set_timeout_tv (target->connection, &timeout);
-      evhttp_connection_set_max_body_size (target->connection,
-                                           STATE_SIZE_LIMIT);
+      target->request_in_flight = true;
+      /* The response may wait in the socket while this process is paused, so
+       * the attestation counts from the time of the request. */
+      target->requested_ms = time_boot_ms ();
+      target->prober->probes++;
+      http_connection_write_text (&target->connection, &request);
     }
-  request = evhttp_request_new (on_state_response, target);
-  if (request == NULL)
-    return;
-  snprintf (host, sizeof host, "%s:%u", target->address, target->port);
-  evhttp_add_header (evhttp_request_get_output_headers (request), "Host", host);
-  target->request_in_flight = true;
-  /* The response may wait in the socket while this process is paused, so the
-   * attestation counts from the time of the request. */
-  target->requested_ms = time_boot_ms ();
-  target->prober->probes++;
-  if (evhttp_make_request (target->connection, request, EVHTTP_REQ_GET,
-                           "/v1/state")
-      != 0)
-    target->request_in_flight = false;
+  http_text_finish (&request);
 }
 
 static struct prober_target *
@@ -182,6 +241,8 @@
         return NULL;
       memcpy (target->id, host->id, sizeof target->id);
       target->prober = prober;
+      target->connection.fd = -1;
+      http_text_init (&target->body);
       target->rank_computed_ms = INT64_MIN / 2;
       target->probed_ms = INT64_MIN / 2;
       target->peer_reported_ms = INT64_MIN / 2;
@@ -227,6 +288,9 @@
   if (target == NULL)
     return;
   update_rank (target, now_ms);
+  if (target->request_in_flight
+      && now_ms - target->requested_ms >= PROBER_TIMEOUT_MS)
+    fail_probe (target);
   if (target->rank >= PROBER_RANKS || target->request_in_flight
       || now_ms < target->next_probe_ms)
     return;
