cli: read answers as the hosts do

What operators saw: the command took for an answer of the object service or of a host what was none: a head with a blank or a control byte in the name of a field, a malformed status, an interim 103.

Cause: as in the gateway, evhttp, here without a limit for heads.

Statuses of 000 and bodies cut off by a reset were refused; the command ends after its time limit, so that bytes without end were read for that long only.

Change: the command uses http_connection. Such an answer is reported as a lost one (the request may have been handled), as before a broken connection.

--- a/packages/cli/src/entry.c
+++ b/packages/cli/src/entry.c
@@ -14,7 +14,7 @@
   for (size_t i = 0; i < cli->entry_count; i++)
     {
       calls[i].to = &cli->entries[i];
-      calls[i].method = EVHTTP_REQ_GET;
+      calls[i].method = "GET";
       calls[i].path = path;
     }
   http_fetch (cli->base, calls, cli->entry_count, cli->timeout_ms, responses);
--- a/packages/cli/src/http.c
+++ b/packages/cli/src/http.c
@@ -1,12 +1,14 @@
 #include "http.h"
 
-#include <event2/buffer.h>
-#include <event2/bufferevent.h>
+#include "http-connection.h"
+
 #include <stdlib.h>
 #include <string.h>
 
 /* A sheet has at most 1 MB, and a status of 800 hosts far less than this. */
 #define BODY_LIMIT_BYTES 33554432
+/* The head of a response, and bytes behind a whole response. */
+#define HEADER_LIMIT_BYTES 65536
 
 static struct timeval
 to_timeval (int ms)
@@ -23,10 +25,11 @@
 {
   const struct http_request *call;
   struct http_response *response;
-  struct evhttp_connection *connection;
+  struct http_connection connection;
+  struct http_text body;
   struct event_base *base;
-  size_t *pending; /* number of unfinished transfers */
-  bool sent;       /* at least one byte was written to the socket */
+  size_t *pending;  /* number of unfinished transfers */
+  bool established; /* so that the request may have been written */
   bool done;
 };
 
@@ -34,125 +37,131 @@
 finish_transfer (struct transfer *transfer)
 {
   transfer->done = true;
+  http_connection_finish (&transfer->connection);
   if (--*transfer->pending == 0)
     event_base_loopbreak (transfer->base);
 }
 
+static enum result
+get_failure_result (const struct transfer *transfer)
+{
+  return transfer->established ? RESULT_PLATFORM_LOST_ANSWER
+                               : RESULT_PLATFORM_UNREACHABLE;
+}
+
 static void
-record_output (struct evbuffer *buffer,
-               const struct evbuffer_cb_info *info,
-               void *context)
+fail_transfer (struct transfer *transfer)
+{
+  if (transfer->done)
+    return;
+  transfer->response->result = get_failure_result (transfer);
+  transfer->response->status = 0;
+  finish_transfer (transfer);
+}
+
+static void
+on_connected (void *context)
 {
   struct transfer *transfer = context;
 
-  (void)buffer;
-  if (info->n_deleted > 0)
-    transfer->sent = true;
+  /* The queued request is written right after this. */
+  transfer->established = true;
 }
 
-static enum result
-get_failure_result (const struct transfer *transfer)
+static void
+on_head (void *context, const struct http_head *head)
+{
+  struct transfer *transfer = context;
+
+  transfer->response->status = (int)head->status;
+}
+
+static void
+on_body (void *context, const char *data, size_t size)
 {
-  return transfer->sent ? RESULT_PLATFORM_LOST_ANSWER
-                        : RESULT_PLATFORM_UNREACHABLE;
+  struct transfer *transfer = context;
+
+  http_text_add (&transfer->body, data, size);
+  if (transfer->body.failed || transfer->body.size > BODY_LIMIT_BYTES)
+    fail_transfer (transfer);
 }
 
 static void
-handle_response (struct evhttp_request *request, void *context)
+on_complete (void *context)
 {
   struct transfer *transfer = context;
   struct http_response *response = transfer->response;
-  struct evbuffer *body;
-  size_t size;
+  size_t size = transfer->body.size;
 
-  if (transfer->done)
-    return;
-  /* After a failure evhttp passes NULL or a request without a status. */
-  if (request == NULL || evhttp_request_get_response_code (request) == 0)
-    {
-      response->result = get_failure_result (transfer);
-      finish_transfer (transfer);
-      return;
-    }
-  body = evhttp_request_get_input_buffer (request);
-  size = evbuffer_get_length (body);
-  response->status = evhttp_request_get_response_code (request);
   response->body = calloc (1, size + 1);
   if (response->body == NULL)
     {
-      response->result = get_failure_result (transfer);
-      finish_transfer (transfer);
+      fail_transfer (transfer);
       return;
     }
-  evbuffer_remove (body, response->body, size);
+  if (size > 0)
+    memcpy (response->body, transfer->body.data, size);
   response->json
       = json_loadb (response->body, size, JSON_REJECT_DUPLICATES, NULL);
   response->result = RESULT_OK;
   finish_transfer (transfer);
 }
 
-static bool
-add_headers (struct evhttp_request *request, const struct http_request *call)
+static void
+on_closed (void *context, enum http_end end)
 {
-  struct evkeyvalq *headers = evhttp_request_get_output_headers (request);
-  bool added = evhttp_add_header (headers, "Host", call->to->text) == 0
-               && evhttp_add_header (headers, "Connection", "close") == 0;
+  (void)end;
+  fail_transfer (context);
+}
 
-  if (added && call->header_name != NULL)
-    added = evhttp_add_header (headers, call->header_name, call->header_value)
-            == 0;
-  if (added && call->body != NULL)
-    added = evhttp_add_header (headers, "Content-Type", "application/json") == 0
-            && evbuffer_add (evhttp_request_get_output_buffer (request),
-                             call->body, strlen (call->body))
-                   == 0;
-  return added;
+static const struct http_events connection_events = {
+  .connected = on_connected,
+  .head = on_head,
+  .body = on_body,
+  .complete = on_complete,
+  .closed = on_closed,
+};
+
+static void
+build_request (struct http_text *text, const struct http_request *call)
+{
+  http_text_init (text);
+  http_text_add_string (text, call->method);
+  http_text_add_string (text, " ");
+  http_text_add_string (text, call->path);
+  http_text_add_string (text, " HTTP/1.1\r\n");
+  http_text_add_field (text, "Host", call->to->text);
+  http_text_add_field (text, "Connection", "close");
+  if (call->header_name != NULL)
+    http_text_add_field (text, call->header_name, call->header_value);
+  if (call->body != NULL)
+    http_text_format (text,
+                      "Content-Type: application/json\r\n"
+                      "Content-Length: %zu\r\n",
+                      strlen (call->body));
+  http_text_add_string (text, "\r\n");
+  if (call->body != NULL)
+    http_text_add_string (text, call->body);
 }
 
 static void
 start_transfer (struct transfer *transfer, int timeout_ms)
 {
+  const struct http_limits limits = { HEADER_LIMIT_BYTES, HEADER_LIMIT_BYTES };
   const struct http_request *call = transfer->call;
-  struct timeval limit = to_timeval (timeout_ms);
-  struct bufferevent *stream = bufferevent_socket_new (transfer->base, -1, 0);
-  struct evhttp_request *request = NULL;
-
-  transfer->response->result = RESULT_PLATFORM_UNREACHABLE;
-  if (stream == NULL)
-    goto fail;
-  if (evbuffer_add_cb (bufferevent_get_output (stream), record_output, transfer)
-      == NULL)
-    {
-      bufferevent_free (stream);
-      goto fail;
-    }
-  transfer->connection = evhttp_connection_base_bufferevent_new (
-      transfer->base, NULL, stream, call->to->host, call->to->port);
-  if (transfer->connection == NULL)
-    {
-      bufferevent_free (stream);
-      goto fail;
-    }
-  evhttp_connection_set_timeout_tv (transfer->connection, &limit);
-  evhttp_connection_set_max_body_size (transfer->connection, BODY_LIMIT_BYTES);
-  request = evhttp_request_new (handle_response, transfer);
-  if (request == NULL)
-    goto fail;
-  if (!add_headers (request, call))
-    {
-      evhttp_request_free (request);
-      goto fail;
-    }
-  /* This takes ownership of the request, also if it fails. */
-  if (evhttp_make_request (transfer->connection, request, call->method,
-                           call->path)
-      != 0)
-    goto fail;
-  return;
-
-fail:
-  if (!transfer->done)
-    finish_transfer (transfer);
+  struct http_text request;
+
+  build_request (&request, call);
+  if (request.failed
+      || http_connection_connect (&transfer->connection, transfer->base,
+                                  call->to->host, call->to->port, timeout_ms,
+                                  &limits, &connection_events, transfer)
+             != RESULT_OK)
+    fail_transfer (transfer);
+  else
+    /* Queued until the connection is established. */
+    http_connection_write_text (&transfer->connection, &request);
+  http_text_finish (&request);
 }
 
 static void
@@ -197,6 +206,8 @@
       transfers[i].response = &responses[i];
       transfers[i].base = base;
       transfers[i].pending = &pending;
+      transfers[i].connection.fd = -1;
+      http_text_init (&transfers[i].body);
       start_transfer (&transfers[i], timeout_ms);
     }
   if (pending > 0)
@@ -205,9 +216,8 @@
     {
       if (!transfers[i].done)
         responses[i].result = get_failure_result (&transfers[i]);
-      transfers[i].done = true;
-      if (transfers[i].connection != NULL)
-        evhttp_connection_free (transfers[i].connection);
+      http_connection_finish (&transfers[i].connection);
+      http_text_finish (&transfers[i].body);
     }
   free (transfers);
 }
--- a/packages/cli/src/http.h
+++ b/packages/cli/src/http.h
@@ -3,7 +3,7 @@
 
 #include "cli.h"
 
-#include <event2/http.h>
+#include <event2/event.h>
 #include <jansson.h>
 
 /* HTTP client with synchronous calls, which run the event loop. */
@@ -11,7 +11,7 @@
 struct http_request
 {
   const struct cli_address *to;
-  enum evhttp_cmd_type method;
+  const char *method;
   const char *path;
   const char *header_name; /* name of an additional header; NULL = none */
   const char *header_value;
--- a/packages/cli/src/platform-object.c
+++ b/packages/cli/src/platform-object.c
@@ -61,7 +61,7 @@
 read_path (struct cli *cli, const char *path, struct http_response *response)
 {
   const struct http_request call
-      = { .to = &cli->platform, .method = EVHTTP_REQ_GET, .path = path };
+      = { .to = &cli->platform, .method = "GET", .path = path };
   int64_t end_ms = time_boot_ms () + cli->timeout_ms;
   int wait_ms = RETRY_WAIT_MS;
   enum result result;
@@ -129,7 +129,7 @@
   char path[PATH_SIZE];
   char quoted_version[32];
   struct http_request call = { .to = &cli->platform,
-                               .method = EVHTTP_REQ_PUT,
+                               .method = "PUT",
                                .path = path,
                                .header_name = "If-Match",
                                .header_value = quoted_version,
