relay: bound heads and unfinished events of all responses together

What happened elsewhere: a faulty endpoint sent bytes that were no answer without end, in a head or a body, until its caller closed. The machine kept them all and ran out of memory; other clients' requests ended with it.

Here each connection was bounded (64 KB of head, 8 MB of body, 256 KB without an event), and bodies wait unread above the second watermark. The sum of unfinished events and of heads had no bound but that times the number of connections: 1,335 callers could have made 340 MB of events, and the tables of fields, 128 KB for a head of short fields, were not counted.

Change: the tables of fields are charged to the account, as they grow. While the account is above its second watermark, a head of more than 8 KB and an unfinished event of more than 8 KB end their attempt, as those over the fixed limits do. Usual heads are below 1 KB and events 100 bytes. Health checks and orders, which are not charged, read heads of 16 KB instead of 64.

--- a/packages/http/src/http-call.c
+++ b/packages/http/src/http-call.c
@@ -1,7 +1,7 @@
 #include "http-call.h"
 
 /* Limit for the head of the response, and for bytes after the response. */
-#define HEADER_LIMIT_BYTES 65536
+#define HEADER_LIMIT_BYTES 16384
 /* Limit for the body of the response; usual bodies are below 1 KB. */
 #define BODY_LIMIT_BYTES 65536
 
--- a/packages/http/src/http-connection.c
+++ b/packages/http/src/http-connection.c
@@ -31,6 +31,12 @@
 /* Pending messages that are parsed before the event loop goes on. */
 #define MESSAGE_BATCH 4
 
+/*
+ * Largest head of a response, with its table of fields, while memory is short.
+ * Usual heads are below 1 KB.
+ */
+#define FULL_HEAD_BYTES 8192
+
 /* Memory of an open connection besides its buffers: state and libevent's. */
 #define CONNECTION_BYTES 3072
 
@@ -68,10 +74,11 @@
   output = evbuffer_get_length (connection->output);
   if (output == 0)
     connection->borrowed_bytes = 0;
-  memory_account_set (connection->account, MEMORY_CONNECTIONS,
-                      &connection->state_charge,
-                      CONNECTION_BYTES + connection->head.text.capacity
-                          + evbuffer_get_length (connection->pending));
+  memory_account_set (
+      connection->account, MEMORY_CONNECTIONS, &connection->state_charge,
+      CONNECTION_BYTES + connection->head.text.capacity
+          + connection->head.field_capacity * sizeof *connection->head.fields
+          + evbuffer_get_length (connection->pending));
   memory_account_set (
       connection->account, connection->output_kind, &connection->output_charge,
       output > connection->borrowed_bytes ? output - connection->borrowed_bytes
@@ -93,23 +100,52 @@
 
 /* Parser callbacks.  The parser may pass one text in several fragments. */
 
+/* True if other holders need the memory that the response's head would take. */
+static bool
+is_head_shed (const struct http_connection *connection)
+{
+  const struct http_head *head = &connection->head;
+
+  return connection->is_client && connection->account != NULL
+         && head->text.size + head->field_count * sizeof *head->fields
+                > FULL_HEAD_BYTES
+         && memory_account_level (connection->account) == MEMORY_FULL;
+}
+
 static int
 append_head_text (struct http_connection *connection,
                   const char *data,
                   size_t size)
 {
   struct http_head *head = &connection->head;
+  size_t capacity = head->text.capacity;
 
   if (head->text.size + size + (size_t)head->field_count * FIELD_EXTRA_BYTES
-      > connection->limits.header_bytes)
+          > connection->limits.header_bytes
+      || is_head_shed (connection))
     {
       connection->over_limit = true;
       return -1;
     }
   http_text_add (&head->text, data, size);
+  if (head->text.capacity != capacity)
+    update_charges (connection);
   return head->text.failed ? -1 : 0;
 }
 
+static bool
+add_field (struct http_connection *connection, uint32_t name)
+{
+  struct http_head *head = &connection->head;
+  unsigned capacity = head->field_capacity;
+
+  if (!http_head_add_field (head, name))
+    return false;
+  if (head->field_capacity != capacity)
+    update_charges (connection);
+  return true;
+}
+
 /* Terminates the last string; returns the offset of the next one. */
 static uint32_t
 start_next_string (struct http_head *head)
@@ -160,7 +196,7 @@
     {
       if (!begins_line (connection, data))
         return -1;
-      if (!http_head_add_field (head, start_next_string (head)))
+      if (!add_field (connection, start_next_string (head)))
         return -1;
       connection->in_value = false;
     }
--- a/packages/relay/src/memory.c
+++ b/packages/relay/src/memory.c
@@ -15,6 +15,8 @@
 #define DEFAULT_FULL_SHARE 0.7
 /* Above the first watermark, a stream waits for a caller that is this late. */
 #define TIGHT_UNWRITTEN_BYTES 16384
+/* Largest unfinished event above the second watermark; usual are 100 bytes. */
+#define FULL_EVENT_BYTES 8192
 /* Interval between log lines on the same watermark, and on ended requests. */
 #define LOG_INTERVAL_MS 1000
 /*
@@ -266,6 +268,13 @@
     http_connection_set_reading_suspended (&upstream->connection, true);
 }
 
+bool
+relay_memory_can_hold_event (const struct relay_upstream *upstream)
+{
+  return upstream->body.size <= FULL_EVENT_BYTES
+         || memory_account_level (&upstream->relay->memory) != MEMORY_FULL;
+}
+
 /* Lets responses that wait unread go on, or fails those that waited too long.
  */
 static void
--- a/packages/relay/src/relay-internal.h
+++ b/packages/relay/src/relay-internal.h
@@ -147,6 +147,11 @@
  * rather come from another endpoint.
  */
 bool relay_memory_note_response (struct relay_upstream *upstream);
+/*
+ * False if memory is short and the bytes behind the last whole event are too
+ * many for an event.
+ */
+bool relay_memory_can_hold_event (const struct relay_upstream *upstream);
 /* Events of a stream were forwarded; may suspend reading it. */
 void relay_memory_note_events (struct relay_upstream *upstream);
 void relay_memory_tick (struct relay *relay);
--- a/packages/relay/src/upstream.c
+++ b/packages/relay/src/upstream.c
@@ -365,7 +365,8 @@
         upstream->first_event_ms = relay->now_ms;
       note_long_stream (upstream);
     }
-  else if (upstream->stray_bytes > STRAY_BYTES_LIMIT)
+  else if (upstream->stray_bytes > STRAY_BYTES_LIMIT
+           || !relay_memory_can_hold_event (upstream))
     is_valid = false;
   if (!is_valid)
     relay_fail_attempt (request, true, RESULT_STREAM_BROKEN);
