gateway: let large responses wait while memory is short

Here the gateway bounded each response of a service (4 MB), but not their sum: as many as there are slots were held, whatever the memory of the process.

Change: above the second watermark a response of more than 64 KB is not read on, as in the relay. It is resumed when memory is free, and refused after 3 s of waiting (413, outcome unknown), which counts against the endpoint. Generations hold one event of at most 64 KB each and need no change.

--- a/packages/gateway/src/dispatch.c
+++ b/packages/gateway/src/dispatch.c
@@ -447,6 +447,11 @@
   int64_t stalled_ms;
 
   report_strike_to_chooser (request, now_ms);
+  if (request->kind == REQUEST_SERVICE && attempt->call->written)
+    {
+      service_tick (request, now_ms);
+      return;
+    }
   if (attempt->call->paused)
     attempt->progress_ms = now_ms;
   stalled_ms = now_ms - attempt->progress_ms;
@@ -455,10 +460,9 @@
       if (now_ms - attempt->started_ms >= limits->connect_timeout_ms)
         attempt_fail (request, RESULT_ENDPOINT_CONNECT, false);
     }
-  else if (request->kind != REQUEST_SERVICE
-           && (stalled_ms >= limits->stall_timeout_ms
-               || (stalled_ms >= ABSENT_STALL_MS
-                   && is_group_absent (request, now_ms))))
+  else if (stalled_ms >= limits->stall_timeout_ms
+           || (stalled_ms >= ABSENT_STALL_MS
+               && is_group_absent (request, now_ms)))
     attempt_fail (request, RESULT_UPSTREAM_UNKNOWN, false);
 }
 
--- a/packages/gateway/src/internal.h
+++ b/packages/gateway/src/internal.h
@@ -61,6 +61,8 @@
   int64_t started_ms;
   /* Last new token or service data; kept current while reading is paused. */
   int64_t progress_ms;
+  /* A service's response waits for memory since; 0 = it does not. */
+  int64_t unread_since_ms;
   unsigned tokens;        /* received by this attempt */
   int64_t first_token_ms; /* of this attempt; 0 = none yet */
   bool
@@ -315,6 +317,8 @@
 
 /* service.c */
 bool service_start (struct gateway_request *request, struct attempt *attempt);
+/* Resumes a response that waits for memory, or refuses it in the end. */
+void service_tick (struct gateway_request *request, int64_t now_ms);
 void service_begin_claim (struct gateway_request *request);
 void service_settle_failure (struct gateway_request *request);
 void service_send_reply (struct gateway_request *request);
--- a/packages/gateway/src/service.c
+++ b/packages/gateway/src/service.c
@@ -153,6 +153,21 @@
   request->claim = claim;
 }
 
+static void
+refuse_large_response (struct gateway_request *request)
+{
+  request->may_have_run = true;
+  attempt_end (request, CHOOSE_END_FAILURE, true);
+  request_refuse (request, RESULT_TOO_LARGE, 0);
+}
+
+static enum memory_level
+get_memory_level (const struct gateway_request *request)
+{
+  return memory_account_level (&request->gateway->account);
+}
+
+/* A large response waits unread at its endpoint while memory is short. */
 static void
 on_response_data (void *context, const char *bytes, size_t size)
 {
@@ -163,13 +178,32 @@
   /* An endless body is refused at the limit, not only at the deadline. */
   if (!attempt_append_response (attempt, bytes, size,
                                 request->gateway->limits.response_bytes))
+    refuse_large_response (request);
+  else if (evbuffer_get_length (attempt->response) > MEMORY_SMALL_BYTES
+           && get_memory_level (request) == MEMORY_FULL)
     {
-      request->may_have_run = true;
-      attempt_end (request, CHOOSE_END_FAILURE, true);
-      request_refuse (request, RESULT_TOO_LARGE, 0);
+      if (attempt->unread_since_ms == 0)
+        attempt->unread_since_ms = attempt->progress_ms;
+      endpoint_set_paused (attempt->call, true);
     }
 }
 
+void
+service_tick (struct gateway_request *request, int64_t now_ms)
+{
+  struct attempt *attempt = request->attempt;
+  enum memory_level level = get_memory_level (request);
+
+  if (attempt->unread_since_ms == 0)
+    return;
+  if (level == MEMORY_CALM)
+    attempt->unread_since_ms = 0;
+  if (level != MEMORY_FULL)
+    endpoint_set_paused (attempt->call, false);
+  else if (now_ms - attempt->unread_since_ms >= MEMORY_WAIT_MS)
+    refuse_large_response (request);
+}
+
 static bool
 copy_response (struct gateway_request *request, struct attempt *attempt)
 {
--- a/packages/gateway/tests/t0835-broken-answers.c
+++ b/packages/gateway/tests/t0835-broken-answers.c
@@ -250,14 +250,68 @@
     }
 }
 
+/* As many as the endpoints have slots for. */
+#define CROWD 16
+#define CROWD_MEMORY_BYTES (8U << 20)
+
+/* Guards the sum of what endpoints make the process hold. */
+static void
+test_endless_crowd (void **state)
+{
+  static const struct
+  {
+    const char *path;
+    const char *body;
+    const char *bytes;
+    const char *flood;
+  } crowds[] = {
+    { "/v1/services/app/notes", "x", OK "\r\n", "xxxxxxxxxxxxxxxx" },
+    { "/v1/services/app/notes", "x", OK "Content-Length: 4000000000\r\n\r\n",
+      "xxxxxxxxxxxxxxxx" },
+    { "/v1/services/app/notes", "x", OK, "a:\r\n" },
+    { "/v1/completions", "{\"model\":\"m\",\"prompt\":\"p\",\"max_tokens\":4}",
+      OK "\r\n", "data: xxxxxxxxxxxxxxxx\n" },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < sizeof crowds / sizeof crowds[0]; i++)
+    {
+      struct testbed *testbed = testbed_new ();
+      struct client clients[CROWD];
+
+      testbed->raw = crowds[i].bytes;
+      testbed->raw_flood = crowds[i].flood;
+      testbed->scripts[testbed->script_count++] = "raw";
+      testbed->limits.attempts = 1;
+      testbed->limits.memory_bytes = CROWD_MEMORY_BYTES;
+      testbed_start (testbed);
+      for (size_t n = 0; n < CROWD; n++)
+        {
+          client_open (testbed, &clients[n], 0);
+          client_send (&clients[n], "POST", crowds[i].path, "acme", "",
+                       crowds[i].body);
+        }
+      for (size_t n = 0; n < CROWD; n++)
+        {
+          client_wait (testbed, &clients[n]);
+          if (client_status (&clients[n]) < 400)
+            fail_msg ("crowd %zu: %s", i, client_text (&clients[n]));
+          client_close (&clients[n]);
+        }
+      if (testbed->gateway.account.peak > CROWD_MEMORY_BYTES)
+        fail_msg ("crowd %zu: %zu bytes held", i,
+                  testbed->gateway.account.peak);
+      testbed_free (testbed);
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_service_calls),
-    cmocka_unit_test (test_generations),
-    cmocka_unit_test (test_cut_uploads),
-    cmocka_unit_test (test_endless),
+    cmocka_unit_test (test_service_calls), cmocka_unit_test (test_generations),
+    cmocka_unit_test (test_cut_uploads),   cmocka_unit_test (test_endless),
+    cmocka_unit_test (test_endless_crowd),
   };
 
   return cmocka_run_group_tests_name ("broken-answers", tests, NULL, NULL);
