records, platform: bound the answers of all calls together

Both store clients bound each answer (8 MB), but several calls wait at the same time, 20 in the own interface: a store that sends bytes without end could make a host of 112 MB hold more than it has.

Change: beyond 16 MB (records) or 32 MB (platform) for all calls together, the call whose bytes pass the limit ends like one whose connection broke: a read as unreachable, a write as a lost answer. Usual answers are below 1 MB.

--- a/packages/platform/include/platform.h
+++ b/packages/platform/include/platform.h
@@ -27,7 +27,9 @@
 
 #define PLATFORM_VALUE_LIMIT_BYTES 1048576    /* of an object that is written */
 #define PLATFORM_RESPONSE_LIMIT_BYTES 8388608 /* of a response body */
-#define PLATFORM_CONNECTION_LIMIT 16          /* for all calls except watches */
+/* Of all response bodies together. */
+#define PLATFORM_RESPONSES_LIMIT_BYTES 33554432
+#define PLATFORM_CONNECTION_LIMIT 16 /* for all calls except watches */
 #define PLATFORM_WATCH_CONNECTION_LIMIT 4
 /* Calls in flight; further calls end with RESULT_PLATFORM_OVERLOADED. */
 #define PLATFORM_CALL_LIMIT 4096
--- a/packages/platform/src/connection.c
+++ b/packages/platform/src/connection.c
@@ -88,6 +88,7 @@
   struct platform_call *call = connection->call;
 
   http_connection_finish (&connection->http);
+  http_text_finish (&connection->body);
   if (call != NULL)
     platform_call_end (call, call->is_write && connection->established
                                  ? RESULT_PLATFORM_LOST_ANSWER
@@ -114,6 +115,17 @@
     fail_connection (connection);
 }
 
+size_t
+platform_held_bytes (const struct platform *platform)
+{
+  const struct platform_connection *connection;
+  size_t size = 0;
+
+  LIST_FOREACH (connection, &platform->connections, link)
+    size += connection->body.size;
+  return size;
+}
+
 static void
 on_body (void *context, const char *data, size_t size)
 {
@@ -121,7 +133,9 @@
 
   http_text_add (&connection->body, data, size);
   if (connection->body.failed
-      || connection->body.size > PLATFORM_RESPONSE_LIMIT_BYTES)
+      || connection->body.size > PLATFORM_RESPONSE_LIMIT_BYTES
+      || platform_held_bytes (connection->platform)
+             > PLATFORM_RESPONSES_LIMIT_BYTES)
     fail_connection (connection);
 }
 
--- a/packages/platform/src/platform-internal.h
+++ b/packages/platform/src/platform-internal.h
@@ -50,6 +50,9 @@
 /* Must not be called from an event of the connection. */
 void platform_connection_free (struct platform_connection *connection);
 
+/* Bytes of responses that are not whole yet, of all calls together. */
+size_t platform_held_bytes (const struct platform *platform);
+
 /* False if the connection was never established, so nothing was sent on it. */
 bool platform_connection_may_have_sent (
     const struct platform_connection *connection);
--- a/packages/platform/tests/t0200-platform.c
+++ b/packages/platform/tests/t0200-platform.c
@@ -14,7 +14,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "platform.h"
+#include "../src/platform-internal.h"
 #include "timeutil.h"
 
 /* A test fails if its calls have not ended after this time. */
@@ -485,6 +485,37 @@
     }
 }
 
+/* Guards the sum of what all answers make the process hold. */
+static void
+test_endless_replies_at_once (void **state)
+{
+  struct fixture fixture;
+  struct server *server = &fixture.server;
+  int64_t until_ms = time_boot_ms () + INT64_C (1000) * TEST_TIMEOUT_S;
+  size_t most = 0;
+
+  (void)state;
+  setup (&fixture, 5000);
+  server->reply = OK "\r\n";
+  server->flood = "xxxxxxxxxxxxxxxx";
+  server->action = ACTION_FLOOD;
+  for (int i = 0; i < PLATFORM_CONNECTION_LIMIT; i++)
+    start_call (&fixture, GET);
+  while (fixture.done_count < PLATFORM_CONNECTION_LIMIT
+         && time_boot_ms () < until_ms)
+    {
+      size_t held;
+
+      event_base_loop (fixture.base, EVLOOP_ONCE);
+      held = platform_held_bytes (&fixture.platform);
+      if (held > most)
+        most = held;
+    }
+  assert_int_equal (fixture.unreachable_count, PLATFORM_CONNECTION_LIMIT);
+  assert_in_range (most, 1, PLATFORM_RESPONSES_LIMIT_BYTES);
+  teardown (&fixture);
+}
+
 struct request_case
 {
   enum call_type call;
@@ -878,6 +909,7 @@
     cmocka_unit_test (test_responses),
     cmocka_unit_test (test_broken_replies),
     cmocka_unit_test (test_endless_replies),
+    cmocka_unit_test (test_endless_replies_at_once),
     cmocka_unit_test (test_requests),
     cmocka_unit_test (test_key_encoding),
     cmocka_unit_test (test_connection_failures),
--- a/packages/records/include/records.h
+++ b/packages/records/include/records.h
@@ -153,6 +153,9 @@
 /* Ends calls that timed out and closes idle connections; call every tick. */
 void records_tick (struct records *records, int64_t now_ms);
 
+/* Bytes of responses that have not been decoded yet, of all calls together. */
+size_t records_held_bytes (const struct records *records);
+
 /* The era of a revision; 0 = the store names none. */
 uint64_t records_get_era (uint64_t revision);
 /* The revision as the store gave it out. */
--- a/packages/records/src/records.c
+++ b/packages/records/src/records.c
@@ -13,6 +13,8 @@
  * response to a watch holds all changes since a revision and can be longer.
  */
 #define BODY_LIMIT_BYTES (8U << 20)
+/* Of all responses together; usual ones are below 1 MB. */
+#define BODIES_LIMIT_BYTES (16U << 20)
 /*
  * A connection fails when sent bytes are not acknowledged for this time.  Each
  * call also has its own timeout.
@@ -197,13 +199,25 @@
     call->status = head->status;
 }
 
+size_t
+records_held_bytes (const struct records *records)
+{
+  const struct records_call *call;
+  size_t size = 0;
+
+  TAILQ_FOREACH (call, &records->sent, link)
+    size += call->body.size;
+  return size;
+}
+
 static void
 on_body (void *context, const char *data, size_t size)
 {
   struct records_call *call = context;
 
   http_text_add (&call->body, data, size);
-  if (call->body.failed || !call->busy)
+  if (call->body.failed || !call->busy
+      || records_held_bytes (call->records) > BODIES_LIMIT_BYTES)
     abort_connection (call);
   else if (call->body.size > call->records->body_limit_bytes)
     fail_call (call, call->is_write ? RESULT_PLATFORM_LOST_ANSWER
