tests: share the repeated text and the reset of stand-ins

Four stand-ins wrote bytes without end with a copy of the same loop, two closed by a reset with the same option; http-server.h has both now.

--- a/packages/http/tests/http-server.h
+++ b/packages/http/tests/http-server.h
@@ -8,6 +8,7 @@
 #include <netinet/in.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 /*
  * A server for tests, on the loopback interface, with an event loop of its own.
@@ -43,6 +44,34 @@
   http_connection_finish (context);
 }
 
+/* Least bytes of one http_server_write_repeated. */
+#define HTTP_SERVER_REPEATED_BYTES 65536
+
+/* Writes the text again and again; returns the number of bytes. */
+static inline size_t
+http_server_write_repeated (struct http_connection *connection,
+                            const char *text)
+{
+  struct http_text bytes;
+  size_t size;
+
+  http_text_init (&bytes);
+  while (bytes.size < HTTP_SERVER_REPEATED_BYTES)
+    http_text_add_string (&bytes, text);
+  size = bytes.size;
+  http_connection_write_text (connection, &bytes);
+  return size;
+}
+
+/* Closes the connection by a reset. */
+static inline void
+http_server_reset (struct http_connection *connection)
+{
+  setsockopt (connection->fd, SOL_SOCKET, SO_LINGER,
+              &(struct linger){ .l_onoff = 1 }, sizeof (struct linger));
+  http_connection_finish (connection);
+}
+
 static inline void
 http_server_accept (struct evconnlistener *listener,
                     evutil_socket_t fd,
