gateway: do not blame a request for a malformed answer

What callers would have seen: an endpoint that sends what is no answer made the gateway record a strike against each request that it was given, as if the request had crashed it; sound requests could have been quarantined for the endpoint's fault.

Cause: any end of a call with an unknown outcome counted as a crash.

Change: an answer that is malformed or over the limit of its head says that the endpoint lives: it counts as the endpoint's failure only, as in the relay. A reset or an early end still counts as a possible crash.

--- a/packages/gateway/src/endpoint.c
+++ b/packages/gateway/src/endpoint.c
@@ -287,12 +287,14 @@
   struct endpoint_connection *connection = context;
   struct endpoint_call *call = connection->call;
 
-  (void)end;
   if (call == NULL)
-    close_idle_connection (connection);
-  else
-    report_call_end (call, call->written ? RESULT_UPSTREAM_UNKNOWN
-                                         : RESULT_ENDPOINT_CONNECT);
+    {
+      close_idle_connection (connection);
+      return;
+    }
+  call->is_malformed = end == HTTP_END_PROTOCOL || end == HTTP_END_LIMIT;
+  report_call_end (call, call->written ? RESULT_UPSTREAM_UNKNOWN
+                                       : RESULT_ENDPOINT_CONNECT);
 }
 
 static const struct http_events connection_events = {
--- a/packages/gateway/src/endpoint.h
+++ b/packages/gateway/src/endpoint.h
@@ -89,6 +89,8 @@
   bool written;   /* a byte of the request was handed to the socket */
   bool has_ended; /* the response is whole, or none will come */
   bool closed;    /* no event is reported any more */
+  /* What came is no response: the endpoint has failed, but not crashed. */
+  bool is_malformed;
   /* The response was read completely and the endpoint keeps the connection. */
   bool connection_reusable;
   bool own_connection;
--- a/packages/gateway/src/generate.c
+++ b/packages/gateway/src/generate.c
@@ -419,7 +419,9 @@
 #endif
   if (result != RESULT_OK)
     {
-      attempt_fail (request, result, result == RESULT_UPSTREAM_UNKNOWN);
+      attempt_fail (request, result,
+                    result == RESULT_UPSTREAM_UNKNOWN
+                        && !attempt->call->is_malformed);
       return;
     }
   switch (attempt->call->status)
--- a/packages/gateway/src/service.c
+++ b/packages/gateway/src/service.c
@@ -230,7 +230,9 @@
   int status = attempt->call->status;
 
   if (result != RESULT_OK)
-    attempt_fail (request, result, result == RESULT_UPSTREAM_UNKNOWN);
+    attempt_fail (request, result,
+                  result == RESULT_UPSTREAM_UNKNOWN
+                      && !attempt->call->is_malformed);
   else if (attempt_has_leaving_response (attempt))
     attempt_fail (request, RESULT_ENDPOINT_LEAVING, false);
   else if (!copy_response (request, attempt))
--- a/packages/gateway/tests/t0835-broken-answers.c
+++ b/packages/gateway/tests/t0835-broken-answers.c
@@ -47,6 +47,22 @@
 
 #define SERVICE_ONLY 2
 
+static void
+count_broadcast (void *context,
+                 const char *trait,
+                 const char *host,
+                 const char *boot_id)
+{
+  struct testbed *testbed = context;
+
+  (void)trait;
+  (void)host;
+  (void)boot_id;
+  testbed->broadcast_count++;
+}
+
+static struct gateway_strike_hooks hooks = { .broadcast = count_broadcast };
+
 /* Runs one request against the scripts; returns the status at the caller. */
 static int
 run_request (const struct answer_case *c,
@@ -64,10 +80,15 @@
   (*testbed)->scripts[(*testbed)->script_count++] = script;
   (*testbed)->scripts[(*testbed)->script_count++] = next_script;
   (*testbed)->limits.stall_timeout_ms = 300;
+  hooks.context = *testbed;
+  (*testbed)->tables.strike_hooks = &hooks;
   testbed_start (*testbed);
   client_open (*testbed, client, 0);
   client_send (client, "POST", path, "acme", "", body);
   client_wait (*testbed, client);
+  /* An endpoint that answers has not crashed; one that resets may have. */
+  if ((*testbed)->broadcast_count != (c->end[0] == 'R' ? 1 : 0))
+    fail_msg ("%s: %zu strikes", c->bytes, (*testbed)->broadcast_count);
   return client_status (client);
 }
 
