control: release the body of a probe's response

The prober kept the buffer of the last response, up to 64 KB for each endpoint, while the connection was idle; the store clients, which it was written after, release theirs. Found by reading the change; behaviour is the same, t0702-prober passes.

--- a/packages/control/src/prober.c
+++ b/packages/control/src/prober.c
@@ -170,7 +170,7 @@
   if (!read_state (target))
     target->prober->failures++;
   target->request_in_flight = false;
-  http_text_reset (&target->body);
+  http_text_finish (&target->body);
   if (http_connection_is_reusable (&target->connection))
     http_connection_next_message (&target->connection, false);
   else
