http: share the JSON body of the store clients' requests

The clients of the object service and of the operators' command, which were moved to http_connection, wrote again what the users' store client had: the two fields that describe a JSON body, the end of the head, and the body. All three call http_text_add_json_body now.

--- a/packages/cli/src/http.c
+++ b/packages/cli/src/http.c
@@ -134,14 +134,8 @@
   http_text_add_field (text, "Connection", "close");
   if (call->header_name != NULL)
     http_text_add_field (text, call->header_name, call->header_value);
-  if (call->body != NULL)
-    http_text_format (text,
-                      "Content-Type: application/json\r\n"
-                      "Content-Length: %zu\r\n",
-                      strlen (call->body));
-  http_text_add_string (text, "\r\n");
-  if (call->body != NULL)
-    http_text_add_string (text, call->body);
+  http_text_add_json_body (text, call->body,
+                           call->body != NULL ? strlen (call->body) : 0);
 }
 
 static void
--- a/packages/http/include/http-text.h
+++ b/packages/http/include/http-text.h
@@ -37,4 +37,11 @@
                           const char *name,
                           const char *value);
 
+/*
+ * Ends the head of a request and adds its JSON body with the fields that
+ * describe it; size 0 = it has none.
+ */
+void
+http_text_add_json_body (struct http_text *text, const char *body, size_t size);
+
 #endif
--- a/packages/http/src/http-text.c
+++ b/packages/http/src/http-text.c
@@ -127,3 +127,15 @@
   http_text_add_string (text, value);
   http_text_add (text, "\r\n", 2);
 }
+
+void
+http_text_add_json_body (struct http_text *text, const char *body, size_t size)
+{
+  if (size > 0)
+    http_text_format (text,
+                      "Content-Type: application/json\r\n"
+                      "Content-Length: %zu\r\n",
+                      size);
+  http_text_add (text, "\r\n", 2);
+  http_text_add (text, body, size);
+}
--- a/packages/platform/src/connection.c
+++ b/packages/platform/src/connection.c
@@ -191,14 +191,8 @@
     http_text_format (text, "If-Match: \"%" PRIu64 "\"\r\n", call->version);
   else if (call->is_write)
     http_text_add_field (text, "If-None-Match", "*");
-  if (call->body != NULL)
-    http_text_format (text,
-                      "Content-Type: application/json\r\n"
-                      "Content-Length: %zu\r\n",
-                      strlen (call->body));
-  http_text_add_string (text, "\r\n");
-  if (call->body != NULL)
-    http_text_add_string (text, call->body);
+  http_text_add_json_body (text, call->body,
+                           call->body != NULL ? strlen (call->body) : 0);
 }
 
 /* True if the connection is established or being established. */
--- a/packages/records/src/records.c
+++ b/packages/records/src/records.c
@@ -358,13 +358,7 @@
   http_text_add (&call->request, target.data, target.size);
   http_text_format (&call->request, " HTTP/1.1\r\nHost: %s:%u\r\n",
                     records->address, records->port);
-  if (body.size > 0)
-    http_text_format (&call->request,
-                      "Content-Type: application/json\r\n"
-                      "Content-Length: %zu\r\n",
-                      body.size);
-  http_text_add (&call->request, "\r\n", 2);
-  http_text_add (&call->request, body.data, body.size);
+  http_text_add_json_body (&call->request, body.data, body.size);
   if (target.failed || body.failed)
     call->request.failed = true;
   http_text_finish (&target);
