tests: make the endless answers of two stand-ins endless

t0481 failed once, in a clone with six tests at a time: 7 of 8 calls had ended. Traced: the stand-in wrote more when its queued output had drained, so that it stood still once the socket took a write whole. The last call then ended at its own limit of 3 s, the moment at which the test gave up; alone it passed, after 9.4 s. It is a fault of the test, not of the client.

The stand-ins of t0481 and t1305 now write until the socket takes no more, and t0481 waits three times the limit of a call. No assertion has changed.

--- a/packages/cli/tests/t1305-cli-http.c
+++ b/packages/cli/tests/t1305-cli-http.c
@@ -63,7 +63,7 @@
 write_flood (void *context)
 {
   if (current->flood != NULL && flood_bytes <= FLOOD_LIMIT_BYTES)
-    flood_bytes += http_server_write_repeated (context, current->flood);
+    flood_bytes += http_server_flood (context, current->flood);
 }
 
 static void
@@ -74,9 +74,7 @@
     http_server_reset (connection);
   else if (current->flood == NULL)
     http_connection_finish (connection);
-  /* More than the socket takes, so that the rest is written as it drains. */
-  for (int i = 0; i < 100 && connection->fd >= 0; i++)
-    write_flood (connection);
+  write_flood (connection);
 }
 
 static void
--- a/packages/http/tests/http-server.h
+++ b/packages/http/tests/http-server.h
@@ -63,6 +63,21 @@
   return size;
 }
 
+/*
+ * Writes the text until the socket takes no more, so that .drained is called
+ * and can go on; returns the number of bytes.
+ */
+static inline size_t
+http_server_flood (struct http_connection *connection, const char *text)
+{
+  size_t size = 0;
+
+  while (connection->fd >= 0 && !connection->write_failed
+         && http_connection_unwritten_bytes (connection) == 0)
+    size += http_server_write_repeated (connection, text);
+  return size;
+}
+
 /* Closes the connection by a reset. */
 static inline void
 http_server_reset (struct http_connection *connection)
--- a/packages/records/tests/t0481-broken-responses.c
+++ b/packages/records/tests/t0481-broken-responses.c
@@ -107,7 +107,7 @@
 write_flood (void *context)
 {
   if (test.c->flood != NULL)
-    http_server_write_repeated (context, test.c->flood);
+    http_server_flood (context, test.c->flood);
 }
 
 static void
@@ -119,9 +119,7 @@
     http_server_reset (connection);
   else if (test.c->flood == NULL)
     http_connection_finish (connection);
-  /* More than the socket takes, so that the rest is written as it drains. */
-  for (int i = 0; i < 100 && connection->fd >= 0; i++)
-    write_flood (connection);
+  write_flood (connection);
 }
 
 static void
@@ -160,7 +158,8 @@
 run_calls (enum records_verb verb, unsigned count)
 {
   const struct records_request request = { .verb = verb, .name = "n" };
-  int64_t until_ms = time_boot_ms () + TIMEOUT_MS;
+  /* Calls end by themselves, at the latest after TIMEOUT_MS. */
+  int64_t until_ms = time_boot_ms () + INT64_C (3) * TIMEOUT_MS;
   size_t most = 0;
 
   http_server_start (&test.server, &server_events, CALLS);
