--- /dev/null
+++ b/review/rig-3/rig.h
@@ -0,0 +1,100 @@
+#ifndef REVIEW_RIG_H
+#define REVIEW_RIG_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <sys/types.h>
+
+/*
+ * What the scripts of this review share: stand-ins for the platform's store and
+ * for plain servers, hosts of the deploy file's build as separate processes,
+ * and a client.  Everything is on 127.0.0.1 and free ports, in a temporary
+ * folder.  Servers and store answer as a sound server and a sound store do.
+ */
+
+#define RIG_NAME_SIZE 512
+
+/* Exit statuses of a case. */
+enum rig_verdict
+{
+  RIG_HELD = 0,
+  RIG_BROKEN = 1,
+  RIG_CANNOT_RUN = 2,
+};
+
+/* A plain server: answers each request after a delay with a whole body. */
+struct rig_server
+{
+  const char *id;
+  const char *service;
+  size_t response_bytes;
+  int delay_ms;
+};
+
+/* An entry host. */
+struct rig_host
+{
+  const char *name;
+  int memory_mb; /* of its machine */
+  pid_t pid;     /* 0 = not started */
+  int callers_port;
+  int ready_port;
+  int peers_port;
+  int descriptors; /* of its machine; 0 = as they are */
+};
+
+struct rig_request
+{
+  const char *method;
+  const char *path;
+  const char *host; /* value of the Host field */
+  size_t body_bytes;
+  int deadline_ms; /* X-Deadline-Ms */
+  int limit_ms;    /* gives up after this */
+  /* How fast the client reads the response; 0 = as fast as it can. */
+  size_t read_bytes_per_s;
+};
+
+struct rig_answer
+{
+  int status; /* 0 = none */
+  char id[RIG_NAME_SIZE];
+  char seal[RIG_NAME_SIZE];
+  size_t body_bytes; /* received */
+  size_t length;     /* announced */
+  int64_t sent_ms;   /* when the request was written */
+  int64_t done_ms;   /* when the response was whole, or the client gave up */
+};
+
+/* Opens FOLDER/record.txt.  TROUBLE=0 in the environment: no disruption. */
+void rig_begin (const char *folder);
+bool rig_has_trouble (void);
+int64_t rig_now_ms (void);
+void rig_sleep_ms (int64_t ms);
+void rig_record (const char *format, ...)
+    __attribute__ ((format (printf, 1, 2)));
+
+/* Writes an object; spec is the text of a JSON value. */
+void rig_put (const char *kind, const char *name, const char *spec);
+void rig_start_server (const struct rig_server *server);
+
+/* Number of requests that the servers of a service have run. */
+unsigned rig_count_runs (const char *service);
+
+/* Starts a host; true once it reports that it is ready. */
+bool rig_start_host (struct rig_host *host);
+/* Resident memory in bytes; 0 if the process has ended. */
+size_t rig_host_memory (const struct rig_host *host);
+/* Ends the process with SIGKILL, as the platform does over the memory. */
+void rig_kill_host (struct rig_host *host);
+
+/* Sends one request on a connection of its own. */
+void rig_call (const struct rig_host *host,
+               const struct rig_request *request,
+               struct rig_answer *answer);
+
+/* Ends all processes, removes the temporary folder, and exits. */
+_Noreturn void rig_end (enum rig_verdict verdict);
+
+#endif
