--- a/review/rig-3/rig.c
+++ b/review/rig-3/rig.c
@@ -750,8 +750,8 @@
   return got < 0 ? 0 : got;
 }
 
-static bool
-is_ready (const struct rig_host *host)
+bool
+rig_is_ready (const struct rig_host *host)
 {
   static const char request[]
       = "GET /v1/readyz HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
@@ -797,7 +797,7 @@
     cannot_run ("no process");
   while (rig_now_ms () < until_ms)
     {
-      if (is_ready (host))
+      if (rig_is_ready (host))
         {
           rig_record ("host %s (process %d) is ready", host->name,
                       (int)host->pid);
--- a/review/rig-3/rig.h
+++ b/review/rig-3/rig.h
@@ -84,6 +84,8 @@
 
 /* Starts a host; true once it reports that it is ready. */
 bool rig_start_host (struct rig_host *host);
+/* Asks the host whether it is ready, as the platform does. */
+bool rig_is_ready (const struct rig_host *host);
 /* Resident memory in bytes; 0 if the process has ended. */
 size_t rig_host_memory (const struct rig_host *host);
 /* Ends the process with SIGKILL, as the platform does over the memory. */
