--- a/review/rig-3/rig.c
+++ b/review/rig-3/rig.c
@@ -28,6 +28,9 @@
 #define HOST_LIMIT 8
 #define READY_LIMIT_MS 10000
 #define STACK_BYTES 262144
+#define PORT_FIRST 12000
+#define PORT_COUNT 20000
+#define PORT_TRIES 100
 
 struct object
 {
@@ -652,19 +655,30 @@
 
 /* Hosts. */
 
+/*
+ * Returns a free port below those that the kernel gives to outgoing
+ * connections, so that it stays free while a process is started again.
+ */
 static int
 choose_port (int type)
 {
-  struct sockaddr_in address = { .sin_family = AF_INET };
-  socklen_t size = sizeof address;
-  int fd = socket (AF_INET, type | SOCK_CLOEXEC, 0);
+  for (int i = 0; i < PORT_TRIES; i++)
+    {
+      struct sockaddr_in address = { .sin_family = AF_INET };
+      int port = PORT_FIRST + (int)(random () % PORT_COUNT);
+      int fd = socket (AF_INET, type | SOCK_CLOEXEC, 0);
+      bool is_free;
 
-  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  if (fd < 0 || bind (fd, (struct sockaddr *)&address, sizeof address) != 0
-      || getsockname (fd, (struct sockaddr *)&address, &size) != 0)
-    cannot_run ("no free port");
-  close (fd);
-  return ntohs (address.sin_port);
+      address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+      address.sin_port = htons ((uint16_t)port);
+      if (fd < 0)
+        break;
+      is_free = bind (fd, (struct sockaddr *)&address, sizeof address) == 0;
+      close (fd);
+      if (is_free)
+        return port;
+    }
+  cannot_run ("no free port");
 }
 
 /* Writes the settings as deploy/settings.yaml.in gives them. */
@@ -958,6 +972,7 @@
   struct rlimit limit;
 
   signal (SIGPIPE, SIG_IGN);
+  srandom ((unsigned)getpid ());
   rig.started_ms = rig_now_ms ();
   rig.has_trouble = trouble == NULL || strcmp (trouble, "0") != 0;
   rig.revision = 1000;
