review: add a case of a request that crashes its servers late

A request crashes each server that runs it 0.7 s after its first event, and comes again once a second. A stream that has been writing for half a second counts as an answer, so the request gets no strikes.

--- a/review/13/case.c
+++ b/review/13/case.c
@@ -69,9 +69,14 @@
 int
 main (int argument_count, char **arguments)
 {
-  static const struct rig_server status = { "i-status", "status-app", 800, 20 };
-  static const struct rig_server booking
-      = { "i-booking", "booking-app", 800, 60 };
+  static const struct rig_server status = { .id = "i-status",
+                                            .service = "status-app",
+                                            .response_bytes = 800,
+                                            .delay_ms = 20 };
+  static const struct rig_server booking = { .id = "i-booking",
+                                             .service = "booking-app",
+                                             .response_bytes = 800,
+                                             .delay_ms = 60 };
   char prefix[LONG_PREFIX_BYTES + 1];
   char path[LONG_PREFIX_BYTES + 16];
   struct rig_request request = {
--- a/review/rig-3/rig.c
+++ b/review/rig-3/rig.c
@@ -25,6 +25,8 @@
 #define OBJECT_LIMIT 256
 #define HISTORY_LIMIT 4096
 #define SERVER_LIMIT 16
+#define CONNECTION_LIMIT 256
+#define BORN_MS INT64_C (1765000000000)
 #define HOST_LIMIT 8
 #define READY_LIMIT_MS 10000
 #define STACK_BYTES 262144
@@ -51,8 +53,11 @@
 struct running_server
 {
   struct rig_server server;
-  int listener;
+  int listener; /* -1 = it has crashed */
+  int port;
+  int64_t born_ms;
   unsigned runs;
+  int connections[CONNECTION_LIMIT]; /* 0 = free */
 };
 
 static struct
@@ -72,6 +77,8 @@
   int store_port;
   struct running_server servers[SERVER_LIMIT];
   unsigned server_count;
+  struct rig_times deadly_runs;
+  struct rig_times crashes;
   struct rig_host *hosts[HOST_LIMIT];
   unsigned host_count;
   unsigned call_number;
@@ -127,14 +134,18 @@
   pthread_mutex_unlock (&rig.lock);
 }
 
+/* Listens at the port, or at any if it is 0; sets it. */
 static int
-listen_anywhere (int *port)
+listen_at (int *port)
 {
-  struct sockaddr_in address = { .sin_family = AF_INET };
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_port = htons ((uint16_t)*port) };
   socklen_t size = sizeof address;
   int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  int on = 1;
 
   address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
   if (fd < 0 || bind (fd, (struct sockaddr *)&address, sizeof address) != 0
       || listen (fd, 1024) != 0
       || getsockname (fd, (struct sockaddr *)&address, &size) != 0)
@@ -521,7 +532,7 @@
   return NULL;
 }
 
-/* Plain servers. */
+/* Servers. */
 
 struct server_connection
 {
@@ -529,6 +540,166 @@
   int fd;
 };
 
+static void
+note_time (struct rig_times *times)
+{
+  pthread_mutex_lock (&rig.lock);
+  if (times->count < RIG_TIMES_LIMIT)
+    times->list_ms[times->count++] = rig_now_ms ();
+  pthread_mutex_unlock (&rig.lock);
+}
+
+struct rig_times
+rig_get_deadly_runs (void)
+{
+  struct rig_times times;
+
+  pthread_mutex_lock (&rig.lock);
+  times = rig.deadly_runs;
+  pthread_mutex_unlock (&rig.lock);
+  return times;
+}
+
+struct rig_times
+rig_get_crashes (void)
+{
+  struct rig_times times;
+
+  pthread_mutex_lock (&rig.lock);
+  times = rig.crashes;
+  pthread_mutex_unlock (&rig.lock);
+  return times;
+}
+
+static void
+register_server (const struct running_server *running)
+{
+  char spec[2 * RIG_NAME_SIZE];
+
+  snprintf (spec, sizeof spec,
+            "{\"service\":\"%s\",\"addr\":\"127.0.0.1:%d\",\"zone\":\"a\","
+            "\"version\":\"1\",\"slots\":64,\"state\":\"ready\","
+            "\"coldLeftMs\":0,\"seq\":1,\"born\":%" PRId64 "}",
+            running->server.service, running->port, running->born_ms);
+  rig_put ("servers", running->server.id, spec);
+}
+
+static void *accept_requests (void *context);
+static int choose_port (int type);
+
+static void *
+restart_server (void *context)
+{
+  struct running_server *running = context;
+
+  rig_sleep_ms (running->server.restart_ms);
+  running->listener = listen_at (&running->port);
+  running->born_ms = BORN_MS + rig_now_ms ();
+  register_server (running);
+  rig_record ("server %s is back", running->server.id);
+  start_thread (accept_requests, running);
+  return NULL;
+}
+
+/* Ends all connections and the listener, as the end of the process would. */
+static void
+crash_server (struct running_server *running)
+{
+  pthread_mutex_lock (&rig.lock);
+  if (running->listener < 0)
+    {
+      pthread_mutex_unlock (&rig.lock);
+      return;
+    }
+  shutdown (running->listener, SHUT_RDWR);
+  close (running->listener);
+  running->listener = -1;
+  for (unsigned i = 0; i < CONNECTION_LIMIT; i++)
+    if (running->connections[i] != 0)
+      shutdown (running->connections[i], SHUT_RDWR);
+  pthread_mutex_unlock (&rig.lock);
+  note_time (&rig.crashes);
+  rig_record ("server %s crashes", running->server.id);
+  start_thread (restart_server, running);
+}
+
+/* Takes the first line of a head, without its end. */
+static int
+first_line_size (const char *head)
+{
+  return (int)strcspn (head, "\r");
+}
+
+static bool
+is_deadly (const struct rig_server *server, const char *head)
+{
+  const char *word
+      = server->deadly_word != NULL ? strstr (head, server->deadly_word) : NULL;
+
+  return word != NULL && word < head + first_line_size (head);
+}
+
+static bool
+send_stream (struct running_server *running,
+             int fd,
+             const char *head,
+             const char *id)
+{
+  const struct rig_server *server = &running->server;
+  bool deadly = is_deadly (server, head);
+  char text[2 * RIG_NAME_SIZE + 256];
+  char last[32];
+  unsigned first;
+
+  get_field (head, "Last-Event-Id", last, sizeof last);
+  first = (unsigned)strtoul (last, NULL, 10) + 1;
+  snprintf (text, sizeof text,
+            "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Seal: %s.%s\r\n"
+            "Content-Type: text/event-stream\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n",
+            id, server->id, id);
+  if (!send_all (fd, text, strlen (text)))
+    return false;
+  for (unsigned event = first; event <= server->event_count; event++)
+    {
+      char data[64];
+
+      rig_sleep_ms (server->delay_ms);
+      snprintf (data, sizeof data, "id: %u\ndata: piece %u\n\n", event, event);
+      snprintf (text, sizeof text, "%zx\r\n%s\r\n", strlen (data), data);
+      if (!send_all (fd, text, strlen (text)))
+        return false;
+      if (deadly && event - first + 1 >= server->deadly_events)
+        {
+          crash_server (running);
+          return false;
+        }
+    }
+  return send_all (fd, "0\r\n\r\n", 5);
+}
+
+static bool
+send_plain (const struct rig_server *server, int fd, const char *id)
+{
+  char start[2 * RIG_NAME_SIZE + 256];
+  char *body;
+  bool is_sent;
+
+  rig_sleep_ms (server->delay_ms);
+  body = malloc (server->response_bytes);
+  if (body == NULL)
+    return false;
+  memset (body, 'r', server->response_bytes);
+  snprintf (start, sizeof start,
+            "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Seal: %s.%s\r\n"
+            "Content-Type: text/plain\r\nContent-Length: %zu\r\n\r\n",
+            id, server->id, id, server->response_bytes);
+  is_sent = send_all (fd, start, strlen (start))
+            && send_all (fd, body, server->response_bytes);
+  free (body);
+  return is_sent;
+}
+
 static bool
 answer_request (struct running_server *running, int fd, const char *head)
 {
@@ -536,8 +707,6 @@
   char id[RIG_NAME_SIZE];
   char expected[RIG_NAME_SIZE];
   char start[2 * RIG_NAME_SIZE + 256];
-  char *body;
-  bool is_sent;
 
   get_field (head, "X-Attempt-Id", id, sizeof id);
   get_field (head, "X-Expect-Instance", expected, sizeof expected);
@@ -559,23 +728,28 @@
     }
   rig_record ("server %s (service %.40s%s) runs request %s: %.*s", server->id,
               server->service, strlen (server->service) > 40 ? "..." : "", id,
-              (int)strcspn (head, "\r"), head);
+              first_line_size (head), head);
+  if (is_deadly (server, head))
+    note_time (&rig.deadly_runs);
   pthread_mutex_lock (&rig.lock);
   running->runs++;
   pthread_mutex_unlock (&rig.lock);
-  rig_sleep_ms (server->delay_ms);
-  body = malloc (server->response_bytes);
-  if (body == NULL)
-    return false;
-  memset (body, 'r', server->response_bytes);
-  snprintf (start, sizeof start,
-            "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Seal: %s.%s\r\n"
-            "Content-Type: text/plain\r\nContent-Length: %zu\r\n\r\n",
-            id, server->id, id, server->response_bytes);
-  is_sent = send_all (fd, start, strlen (start))
-            && send_all (fd, body, server->response_bytes);
-  free (body);
-  return is_sent;
+  return server->event_count > 0 ? send_stream (running, fd, head, id)
+                                 : send_plain (server, fd, id);
+}
+
+/* Remembers the connection, or forgets it, for a crash. */
+static void
+replace_connection (struct running_server *running, int old, int new)
+{
+  pthread_mutex_lock (&rig.lock);
+  for (unsigned i = 0; i < CONNECTION_LIMIT; i++)
+    if (running->connections[i] == old)
+      {
+        running->connections[i] = new;
+        break;
+      }
+  pthread_mutex_unlock (&rig.lock);
 }
 
 static void *
@@ -585,6 +759,7 @@
   char *head = malloc (HEAD_SIZE);
   bool is_open = true;
 
+  replace_connection (connection->server, 0, connection->fd);
   while (head != NULL && is_open && read_head (connection->fd, head, HEAD_SIZE))
     {
       size_t size;
@@ -595,6 +770,7 @@
       free (body);
     }
   free (head);
+  replace_connection (connection->server, connection->fd, 0);
   close (connection->fd);
   free (connection);
   return NULL;
@@ -610,6 +786,8 @@
       struct server_connection *connection;
       int fd = accept4 (running->listener, NULL, NULL, SOCK_CLOEXEC);
 
+      if (fd < 0 && errno != EINTR && errno != ECONNABORTED)
+        return NULL;
       if (fd < 0)
         continue;
       connection = calloc (1, sizeof *connection);
@@ -626,18 +804,13 @@
 rig_start_server (const struct rig_server *server)
 {
   struct running_server *running = &rig.servers[rig.server_count++];
-  char spec[2 * RIG_NAME_SIZE];
-  int port;
 
   running->server = *server;
-  running->listener = listen_anywhere (&port);
+  running->port = choose_port (SOCK_STREAM);
+  running->listener = listen_at (&running->port);
+  running->born_ms = BORN_MS;
   start_thread (accept_requests, running);
-  snprintf (spec, sizeof spec,
-            "{\"service\":\"%s\",\"addr\":\"127.0.0.1:%d\",\"zone\":\"a\","
-            "\"version\":\"1\",\"slots\":64,\"state\":\"ready\","
-            "\"coldLeftMs\":0,\"seq\":1,\"born\":1765000000000}",
-            server->service, port);
-  rig_put ("servers", server->id, spec);
+  register_server (running);
 }
 
 unsigned
@@ -889,41 +1062,51 @@
   return is_sent;
 }
 
-/* Reads the response; its head has to come in one piece of 4 KB at most. */
+/* Reads a response in chunks up to the last one, whose text is the end. */
 static void
-read_response (int fd,
-               const struct rig_request *request,
-               struct rig_answer *answer,
-               int64_t until_ms)
+read_chunks (int fd,
+             struct rig_answer *answer,
+             const char *first,
+             int64_t until_ms)
 {
-  char data[16385];
-  int64_t started_ms = 0;
-  size_t used = 0;
-  char *end = NULL;
-  char length[32];
+  static const char last_chunk[] = "\r\n0\r\n\r\n";
+  size_t size = sizeof last_chunk - 1;
+  char data[4096 + 16];
+  size_t kept = strlen (first);
 
-  while (end == NULL && used < 4096)
+  if (kept > size)
+    {
+      first += kept - size;
+      kept = size;
+    }
+  memcpy (data, first, kept);
+  while (kept < size || memcmp (data + kept - size, last_chunk, size) != 0)
     {
-      ssize_t got = receive (fd, data + used, 4096 - used, until_ms);
+      ssize_t got = receive (fd, data + kept, 4096, until_ms);
+      size_t all = kept + (got > 0 ? (size_t)got : 0);
 
       if (got <= 0)
         return;
-      used += (size_t)got;
-      data[used] = '\0';
-      end = strstr (data, "\r\n\r\n");
+      answer->body_bytes += (size_t)got;
+      kept = all < size ? all : size;
+      memmove (data, data + all - kept, kept);
     }
-  if (end == NULL)
-    return;
-  answer->body_bytes = used - (size_t)(end + 4 - data);
-  end[2] = '\0';
-  answer->status = atoi (data + 9);
-  get_field (data, "X-Server-Seal", answer->seal, sizeof answer->seal);
-  get_field (data, "Content-Length", length, sizeof length);
-  answer->length = strtoul (length, NULL, 10);
-  started_ms = rig_now_ms ();
+  answer->is_whole = true;
+}
+
+/* Reads a body of the announced length. */
+static void
+read_length (int fd,
+             const struct rig_request *request,
+             struct rig_answer *answer,
+             int64_t until_ms)
+{
+  char data[16384];
+  int64_t started_ms = rig_now_ms ();
+
   while (answer->body_bytes < answer->length)
     {
-      ssize_t got = receive (fd, data, sizeof data - 1, until_ms);
+      ssize_t got = receive (fd, data, sizeof data, until_ms);
 
       if (got <= 0)
         return;
@@ -938,6 +1121,44 @@
             rig_sleep_ms (due_ms - rig_now_ms ());
         }
     }
+  answer->is_whole = true;
+}
+
+/* Reads the response; its head has 4 KB at most. */
+static void
+read_response (int fd,
+               const struct rig_request *request,
+               struct rig_answer *answer,
+               int64_t until_ms)
+{
+  char data[4097];
+  size_t used = 0;
+  char *end = NULL;
+  char value[32];
+
+  while (end == NULL && used < sizeof data - 1)
+    {
+      ssize_t got = receive (fd, data + used, sizeof data - 1 - used, until_ms);
+
+      if (got <= 0)
+        return;
+      used += (size_t)got;
+      data[used] = '\0';
+      end = strstr (data, "\r\n\r\n");
+    }
+  if (end == NULL)
+    return;
+  answer->body_bytes = used - (size_t)(end + 4 - data);
+  end[2] = '\0';
+  answer->status = atoi (data + 9);
+  get_field (data, "X-Server-Seal", answer->seal, sizeof answer->seal);
+  get_field (data, "Content-Length", value, sizeof value);
+  answer->length = strtoul (value, NULL, 10);
+  get_field (data, "Transfer-Encoding", value, sizeof value);
+  if (strcmp (value, "chunked") == 0)
+    read_chunks (fd, answer, end + 4, until_ms);
+  else
+    read_length (fd, request, answer, until_ms);
 }
 
 void
@@ -990,7 +1211,7 @@
       limit.rlim_cur = limit.rlim_max;
       setrlimit (RLIMIT_NOFILE, &limit);
     }
-  rig.store_listener = listen_anywhere (&rig.store_port);
+  rig.store_listener = listen_at (&rig.store_port);
   start_thread (accept_store_calls, NULL);
   rig_record ("begins, %s the disruption",
               rig.has_trouble ? "with" : "without");
--- a/review/rig-3/rig.h
+++ b/review/rig-3/rig.h
@@ -23,13 +23,24 @@
   RIG_CANNOT_RUN = 2,
 };
 
-/* A plain server: answers each request after a delay with a whole body. */
+/*
+ * A server.  Answers each request after a delay with a whole body, or, if
+ * event_count is not 0, with a stream of events, one after each delay.
+ */
 struct rig_server
 {
   const char *id;
   const char *service;
-  size_t response_bytes;
+  size_t response_bytes; /* of a plain response */
   int delay_ms;
+  unsigned event_count;
+  /*
+   * A request whose path contains this word crashes the server when it has
+   * written so many events.  NULL = none does.
+   */
+  const char *deadly_word;
+  unsigned deadly_events;
+  int restart_ms; /* it is back so long after a crash */
 };
 
 /* An entry host. */
@@ -63,6 +74,7 @@
   char seal[RIG_NAME_SIZE];
   size_t body_bytes; /* received */
   size_t length;     /* announced */
+  bool is_whole;     /* the body, or the stream to its last chunk */
   int64_t sent_ms;   /* when the request was written */
   int64_t done_ms;   /* when the response was whole, or the client gave up */
 };
@@ -82,6 +94,16 @@
 /* Number of requests that the servers of a service have run. */
 unsigned rig_count_runs (const char *service);
 
+/* Times of the runs of requests that crash servers, and of the crashes. */
+#define RIG_TIMES_LIMIT 512
+struct rig_times
+{
+  unsigned count;
+  int64_t list_ms[RIG_TIMES_LIMIT];
+};
+struct rig_times rig_get_deadly_runs (void);
+struct rig_times rig_get_crashes (void);
+
 /* Starts a host; true once it reports that it is ready. */
 bool rig_start_host (struct rig_host *host);
 /* Asks the host whether it is ready, as the platform does. */
