--- a/fuzz/formation.c
+++ b/fuzz/formation.c
@@ -23,6 +23,9 @@
 #define DELAYED_ORDER_LIMIT 32
 #define READY_RECORD_LIMIT 4096
 
+/* Names here are shorter. */
+#define NAME_SIZE 64
+
 /* Actual state of an endpoint, which its reports may not show yet. */
 struct actual_endpoint
 {
@@ -30,9 +33,9 @@
   bool silent; /* does not receive orders */
   bool leaving;
   int64_t started_ms;
-  uint64_t highest_epoch;        /* of all joins executed */
-  uint64_t orders;               /* accepted since the start */
-  char group[CATALOG_NAME_SIZE]; /* "" = none */
+  uint64_t highest_epoch; /* of all joins executed */
+  uint64_t orders;        /* accepted since the start */
+  char group[NAME_SIZE];  /* "" = none */
   uint64_t epoch;
   unsigned rank;
   enum endpoint_group_state state;
@@ -43,9 +46,9 @@
 {
   enum formation_op op;
   unsigned endpoint;
-  char group[CATALOG_NAME_SIZE];
+  char group[NAME_SIZE];
   uint64_t epoch;
-  char members[GROUP_SIZE][CATALOG_NAME_SIZE];
+  char members[GROUP_SIZE][NAME_SIZE];
   bool has_condition;
   uint64_t expected_orders; /* accepted by the endpoint when it was asked */
 };
@@ -210,7 +213,7 @@
   report.state = actual->state;
   report.epoch = actual->epoch;
   report.rank = actual->rank;
-  memcpy (report.group, actual->group, sizeof report.group);
+  snprintf (report.group, sizeof report.group, "%s", actual->group);
   conditional.has_condition = true;
   conditional.expected_orders = actual->orders;
   switch (formation_check_join (basis, order->group, order->epoch, &report))
@@ -223,7 +226,7 @@
       leave.epoch = basis->epoch;
       leave.has_condition = true;
       leave.expected_orders = actual->orders;
-      memcpy (leave.group, basis->group, sizeof leave.group);
+      snprintf (leave.group, sizeof leave.group, "%s", basis->group);
       send_order (&leave);
       /* Without a response to the order to leave the join is not sent. */
       conditional.expected_orders++;
@@ -246,8 +249,8 @@
   memcpy (delayed.group, order->group, strlen (order->group) + 1);
   for (unsigned rank = 0; rank < GROUP_SIZE && rank < order->member_count;
        rank++)
-    memcpy (delayed.members[rank], order->members[rank],
-            sizeof delayed.members[0]);
+    snprintf (delayed.members[rank], sizeof delayed.members[0], "%s",
+              order->members[rank]);
   if (order->basis != NULL)
     send_join (&delayed, order->basis);
   else
@@ -279,23 +282,25 @@
 {
   const struct actual_endpoint *actual = &world.actual[index];
   struct endpoint_report report = { .port = 1 };
+  char domain[8];
   char id[8];
 
   if (!actual->is_running)
     return;
   snprintf (id, sizeof id, "e%u", index);
-  memcpy (report.service, "llm", 4);
-  memcpy (report.data_centre, "a", 2);
-  snprintf (report.domain, sizeof report.domain, "d%u", index / 7);
-  memcpy (report.cached_models[0], "m", 2);
+  snprintf (domain, sizeof domain, "d%u", index / 7);
+  snprintf (report.service, sizeof report.service, "%s", "llm");
+  snprintf (report.data_centre, sizeof report.data_centre, "%s", "a");
+  snprintf (report.domain, sizeof report.domain, "%s", domain);
+  snprintf (report.cached_models[0], sizeof report.cached_models[0], "%s", "m");
   report.cached_model_count = 1;
   report.started_ms = actual->started_ms;
   report.leaving = actual->leaving;
   report.state = actual->state;
   if (actual->state != ENDPOINT_GROUP_NONE)
     {
-      memcpy (report.group, actual->group, sizeof report.group);
-      memcpy (report.model, "m", 2);
+      snprintf (report.group, sizeof report.group, "%s", actual->group);
+      snprintf (report.model, sizeof report.model, "%s", "m");
       report.epoch = actual->epoch;
       report.rank = actual->rank;
     }
@@ -437,8 +442,7 @@
 static void
 init_world (void)
 {
-  static const struct catalog_model model
-      = { "m", GROUP_SIZE, 1, 1, 16000, 1600 };
+  static struct catalog_model model = { "m", GROUP_SIZE, 1, 1, 16000, 1600 };
   const struct formation_settings settings
       = { .data_centre = "a", .data_centres = 1 };
 
@@ -448,10 +452,11 @@
   world.catalog = catalog_new (0, 1, 0);
   if (world.catalog == NULL)
     abort ();
-  memcpy (world.catalog->services[0].name, "llm", 4);
-  world.catalog->services[0].models[0] = model;
+  world.catalog->services[0].name = "llm";
+  world.catalog->services[0].models = &model;
   world.catalog->services[0].model_count = 1;
   world.catalog->service_count = 1;
+  catalog_index_services (world.catalog);
   endpoints_init (&world.endpoints, NULL, NULL);
   formation_init (&world.formation, &settings);
   formation_set_fence (&world.formation, 1, world.now_ms);
--- a/fuzz/handover.c
+++ b/fuzz/handover.c
@@ -50,11 +50,11 @@
   uint64_t epoch;                /* highest epoch of a group that it joined */
   uint64_t orders;               /* accepted since the start */
   struct endpoint_report report; /* the group, and the models */
-  char members[FORMATION_SIZE_LIMIT][CATALOG_NAME_SIZE];
+  const char *members[FORMATION_SIZE_LIMIT];
   unsigned member_count;
-  char last_model[CATALOG_NAME_SIZE];
-  int64_t ready_ms;   /* joining until then */
-  int64_t open_ms;    /* opens then; 0 = no order to open */
+  const char *last_model; /* "" = none */
+  int64_t ready_ms;       /* joining until then */
+  int64_t open_ms;        /* opens then; 0 = no order to open */
   int64_t stalled_ms; /* open without all members since then; 0 = it has them */
   /* What the endpoint tells of itself: its state of a moment ago. */
   struct endpoint_report told;
@@ -87,10 +87,10 @@
   unsigned endpoint;
   enum formation_op op;
   uint64_t fence;
-  char group[CATALOG_NAME_SIZE];
+  const char *group;
   uint64_t epoch;
-  char model[CATALOG_NAME_SIZE];
-  char members[FORMATION_SIZE_LIMIT][CATALOG_NAME_SIZE];
+  const char *model;
+  const char *members[FORMATION_SIZE_LIMIT];
   unsigned member_count;
   struct formation_basis basis;
   bool has_condition;
@@ -105,6 +105,7 @@
 {
   struct rng rng;
   struct catalog *catalog;
+  struct text_pool texts; /* of orders, and so of what the endpoints report */
   struct actual_endpoint endpoints[ENDPOINTS];
   struct host hosts[HOSTS];
   unsigned holder;
@@ -177,7 +178,7 @@
   report.orders = actual->orders;
   /* The weights are not loaded yet. */
   if (report.state == ENDPOINT_GROUP_JOINING)
-    report.model[0] = '\0';
+    snprintf (report.model, sizeof report.model, "%s", "");
   return report;
 }
 
@@ -204,12 +205,17 @@
   actual->is_running = true;
   actual->started_ms = world.now_ms;
   actual->report.port = 1;
-  memcpy (actual->report.service, SERVICE, sizeof SERVICE);
-  memcpy (actual->report.data_centre, "a", 2);
-  snprintf (actual->report.domain, sizeof actual->report.domain, "d%u",
-            index % 2);
-  memcpy (actual->report.cached_models[0], "m", 2);
-  memcpy (actual->report.cached_models[1], "n", 2);
+  actual->last_model = "";
+  snprintf (actual->report.service, sizeof actual->report.service, "%s",
+            SERVICE);
+  snprintf (actual->report.data_centre, sizeof actual->report.data_centre, "%s",
+            "a");
+  snprintf (actual->report.domain, sizeof actual->report.domain, "%s",
+            index % 2 == 0 ? "d0" : "d1");
+  snprintf (actual->report.cached_models[0],
+            sizeof actual->report.cached_models[0], "%s", "m");
+  snprintf (actual->report.cached_models[1],
+            sizeof actual->report.cached_models[1], "%s", "n");
   actual->report.cached_model_count = 2;
   actual->told = make_report (actual);
   change_endpoint (actual);
@@ -349,8 +355,8 @@
   actual->orders++;
   actual->open_ms = 0;
   actual->stalled_ms = 0;
-  memcpy (report->group, flight->group, sizeof report->group);
-  memcpy (report->model, flight->model, sizeof report->model);
+  snprintf (report->group, sizeof report->group, "%s", flight->group);
+  snprintf (report->model, sizeof report->model, "%s", flight->model);
   report->epoch = flight->epoch;
   report->state = ENDPOINT_GROUP_JOINING;
   memcpy (actual->members, flight->members, sizeof actual->members);
@@ -361,7 +367,7 @@
   actual->ready_ms
       = world.now_ms
         + (strcmp (actual->last_model, flight->model) == 0 ? 200 : 1100);
-  memcpy (actual->last_model, flight->model, sizeof actual->last_model);
+  actual->last_model = flight->model;
 }
 
 /* True if the endpoint accepts the order. */
@@ -389,7 +395,7 @@
       actual->orders++;
       actual->open_ms = 0;
       report->state = ENDPOINT_GROUP_NONE;
-      report->group[0] = '\0';
+      snprintf (report->group, sizeof report->group, "%s", "");
     }
   else if (report->rank != 0)
     return false;
@@ -442,7 +448,7 @@
 
   flight.op = FORMATION_LEAVE;
   flight.epoch = join->basis.epoch;
-  memcpy (flight.group, join->basis.group, sizeof flight.group);
+  flight.group = join->basis.group;
   if (!send_order (&flight))
     return;
   flight = *join;
@@ -489,7 +495,7 @@
     {
       const struct flight flight = world.flights[i];
       const struct host *host = &world.hosts[flight.host];
-      char id[CATALOG_NAME_SIZE];
+      char id[16];
 
       format_id (id, sizeof id, flight.endpoint);
       if (world.now_ms < flight.due_ms)
@@ -517,11 +523,11 @@
   flight.endpoint = endpoint_index (order->endpoint);
   flight.fence = host->fence;
   flight.sent_ms = world.now_ms;
-  snprintf (flight.group, sizeof flight.group, "%s", order->group);
-  snprintf (flight.model, sizeof flight.model, "%s", order->model);
+  flight.group = text_pool_add (&world.texts, order->group);
+  flight.model = text_pool_add (&world.texts, order->model);
   flight.member_count = order->member_count;
   for (unsigned i = 0; order->members != NULL && i < order->member_count; i++)
-    memcpy (flight.members[i], order->members[i], sizeof flight.members[0]);
+    flight.members[i] = text_pool_add (&world.texts, order->members[i]);
   if (order->basis == NULL)
     {
       send_order (&flight);
@@ -529,6 +535,7 @@
     }
   flight.kind = FLIGHT_READS_STATE;
   flight.basis = *order->basis;
+  flight.basis.group = text_pool_add (&world.texts, order->basis->group);
   flight.due_ms = world.now_ms + draw_ms (20);
   add_flight (&flight);
 }
@@ -719,7 +726,7 @@
 static void
 init_world (uint64_t seed)
 {
-  static const struct catalog_model models[]
+  static struct catalog_model models[]
       = { { "m", 6, 0.6, 1, 16000, 1100 }, { "n", 3, 0.4, 1, 12000, 1100 } };
 
   memset (&world, 0, sizeof world);
@@ -730,12 +737,13 @@
   world.catalog = catalog_new (0, 1, 0);
   if (world.catalog == NULL)
     abort ();
-  memcpy (world.catalog->services[0].name, SERVICE, sizeof SERVICE);
-  memcpy (world.catalog->services[0].models, models, sizeof models);
+  world.catalog->services[0].name = SERVICE;
+  world.catalog->services[0].models = models;
   world.catalog->services[0].model_count = 2;
   world.catalog->services[0].concurrent_loads = 8;
   world.catalog->services[0].loads_per_s = 10;
   world.catalog->service_count = 1;
+  catalog_index_services (world.catalog);
   for (unsigned i = 0; i < HOSTS; i++)
     start_host (&world.hosts[i]);
   for (unsigned i = 0; i < ENDPOINTS; i++)
@@ -798,5 +806,6 @@
   for (unsigned i = 0; i < HOSTS; i++)
     finish_host (&world.hosts[i]);
   catalog_unref (world.catalog);
+  text_pool_finish (&world.texts);
   return 0;
 }
--- a/fuzz/users-platform.c
+++ b/fuzz/users-platform.c
@@ -47,10 +47,21 @@
   if (users_platform.decode_catalog (json, &catalog) != RESULT_OK)
     return;
   for (unsigned i = 0; i < catalog->route_count; i++)
-    require (catalog->routes[i].target_count > 0
-             && catalog->routes[i].target_count <= CATALOG_TARGET_LIMIT);
+    {
+      const struct catalog_route *route = &catalog->routes[i];
+
+      require (route->target_count > 0);
+      for (unsigned j = 0; j < route->target_count; j++)
+        require (catalog_find_service (catalog, route->targets[j].service)
+                     == NULL
+                 || catalog->service_count > 0);
+      require (catalog_find_same_route (catalog, route) != NULL);
+    }
   for (unsigned i = 0; i < catalog->service_count; i++)
-    require (catalog->services[i].model_count <= CATALOG_MODEL_LIMIT);
+    for (unsigned j = 0; j < catalog->services[i].model_count; j++)
+      require (catalog_find_model (&catalog->services[i],
+                                   catalog->services[i].models[j].name)
+               != NULL);
   catalog_unref (catalog);
 }
 
--- a/packages/balance/tests/t0470-balance.c
+++ b/packages/balance/tests/t0470-balance.c
@@ -11,10 +11,11 @@
 #include "balance.h"
 
 /* Step and prefill times of the users' engines (site files, [engine]). */
+static struct catalog_model models[] = { { "m0", 4, 0.57, 1.0, 16000, 1600 } };
 static const struct catalog_service service = {
   .name = "draft-llm",
   .slots = 26,
-  .models = { { "m0", 4, 0.57, 1.0, 16000, 1600 } },
+  .models = models,
   .model_count = 1,
   .step_ms = 5.95,
   .step_per_request_ms = 0.0445,
@@ -35,7 +36,7 @@
 
   snprintf (report.service, sizeof report.service, "%s", service_name);
   snprintf (report.data_centre, sizeof report.data_centre, "%s", data_centre);
-  snprintf (report.model, sizeof report.model, "m0");
+  snprintf (report.model, sizeof report.model, "%s", "m0");
   endpoints_report (&endpoints, id, &report, 1, 0);
   return load_table_get (&loads, endpoints_find (&endpoints, id));
 }
--- a/packages/balance/tests/t0471-slots.c
+++ b/packages/balance/tests/t0471-slots.c
@@ -73,10 +73,11 @@
   double admission_draw;
 };
 
+static struct catalog_model models[] = { { "m", 4, 0.5, 0.6, 12000, 1100 } };
 static const struct catalog_service service = {
   .name = "llm",
   .slots = SLOTS,
-  .models = { { "m", 4, 0.5, 0.6, 12000, 1100 } },
+  .models = models,
   .model_count = 1,
   .step_ms = 5.95,
   .step_per_request_ms = 0.0445,
--- a/packages/balance/tests/t0475-admission-order.c
+++ b/packages/balance/tests/t0475-admission-order.c
@@ -54,11 +54,13 @@
   { 1, 20.0 / 3, 2000, 4, 1000, 6000, 2 },
 };
 
+static struct catalog_model models[]
+    = { { "small", 2, 0.5, 0.6, 8000, 800 },
+        { "large", 8, 0.5, 1.0, 16000, 1600 } };
 static const struct catalog_service service = {
   .name = "llm",
   .slots = SLOTS,
-  .models = { { "small", 2, 0.5, 0.6, 8000, 800 },
-              { "large", 8, 0.5, 1.0, 16000, 1600 } },
+  .models = models,
   .model_count = 2,
   .step_ms = 7.8,
   .step_per_request_ms = 0.0947,
--- a/packages/catalog/include/catalog-check.h
+++ b/packages/catalog/include/catalog-check.h
@@ -22,23 +22,21 @@
   CATALOG_CONTRADICTION,
 };
 
-#define CATALOG_FINDING_SIZE 512
-
 struct catalog_finding
 {
   enum catalog_fault fault;
   enum catalog_part part;
   unsigned index; /* of the route, service or customer in the catalog */
-  char found[CATALOG_FINDING_SIZE];
-  char allowed[CATALOG_FINDING_SIZE];
+  /* Valid during the call of report. */
+  const char *found;
+  const char *allowed;
 };
 
 /*
  * Checks what the configuration alone decides.
  *
  * Passes every finding to report, in the order of the entries.  Returns
- * RESULT_NO_MEMORY, after some findings or none, if the temporary index of
- * names cannot be allocated.
+ * RESULT_NO_MEMORY, after some findings or none, if memory is short.
  */
 enum result catalog_check (
     const struct catalog *catalog,
--- a/packages/catalog/include/catalog-diff.h
+++ b/packages/catalog/include/catalog-diff.h
@@ -27,24 +27,23 @@
 };
 const char *catalog_effect_name (enum catalog_effect effect);
 
-#define CATALOG_DIFFERENCE_SIZE 768
-
 struct catalog_difference
 {
   enum catalog_effect effect;
   enum catalog_change change;
   const char *kind;  /* "route", "customer", "API key", ... */
   const char *field; /* "" if the whole entry is added or dropped */
-  char name[CATALOG_DIFFERENCE_SIZE];
-  char before[CATALOG_DIFFERENCE_SIZE]; /* "" for an added entry */
-  char after[CATALOG_DIFFERENCE_SIZE];  /* "" for a dropped entry */
+  /* Valid during the call of report. */
+  const char *name;
+  const char *before; /* "" for an added entry */
+  const char *after;  /* "" for a dropped entry */
 };
 
 /*
  * Passes every difference to report.  Of entries that can never match, because
  * another one has the same name or the same host and prefix, only the one in
- * use is compared.  Returns RESULT_NO_MEMORY, before any report, if the
- * temporary index of names cannot be allocated.
+ * use is compared.  Returns RESULT_NO_MEMORY, after some differences or
+ * none, if memory is short.
  */
 enum result catalog_diff (
     const struct catalog *before,
--- a/packages/catalog/include/catalog.h
+++ b/packages/catalog/include/catalog.h
@@ -2,6 +2,7 @@
 #define CATALOG_CATALOG_H
 
 #include "result.h"
+#include "text-pool.h"
 
 #include <stdbool.h>
 #include <stddef.h>
@@ -12,12 +13,12 @@
  * The operator's configuration as one immutable, reference-counted table of
  * routes, services, customers and limits.  A request keeps a reference to the
  * version that was in force when it began.
+ *
+ * Texts have any length, "" if absent, and live as long as the catalog.
  */
 
+/* Of the names in entries of endpoints. */
 #define CATALOG_NAME_SIZE 64
-#define CATALOG_PATH_SIZE 192
-#define CATALOG_TARGET_LIMIT 8
-#define CATALOG_MODEL_LIMIT 8
 
 /* Whether a request of a route may be sent to an endpoint again. */
 enum catalog_kind
@@ -29,15 +30,15 @@
 
 struct catalog_target
 {
-  char service[CATALOG_NAME_SIZE];
+  const char *service;
   unsigned weight; /* relative to the weights of the route's other targets */
 };
 
 struct catalog_route
 {
-  char name[CATALOG_NAME_SIZE];
-  char host[CATALOG_PATH_SIZE];
-  char prefix[CATALOG_PATH_SIZE]; /* begins and ends with a slash */
+  const char *name;
+  const char *host;
+  const char *prefix; /* begins and ends with a slash */
   enum catalog_kind kind;
   int64_t timeout_ms;   /* longest time that a caller waits */
   int64_t objective_ms; /* for the response, or the first event of a stream */
@@ -46,18 +47,19 @@
   unsigned attempts; /* most endpoints that one request is sent to */
   bool open;         /* callers need no key */
   bool resumable;    /* another endpoint can continue a stream */
-  struct catalog_target targets[CATALOG_TARGET_LIMIT];
+  struct catalog_target *targets;
   unsigned target_count;
 
   /* Private to catalog. */
-  char key[2 * CATALOG_PATH_SIZE]; /* host in lower case, then prefix */
+  uint64_t key; /* hash of host and prefix */
+  struct catalog_route *next_same_key;
   UT_hash_handle hh;
 };
 
 /* A model whose replicas are groups of endpoints. */
 struct catalog_model
 {
-  char name[CATALOG_NAME_SIZE];
+  const char *name;
   unsigned size;          /* endpoints per group */
   double share;           /* share of the service's work */
   double time_factor;     /* multiplies all times of a group */
@@ -67,10 +69,10 @@
 
 struct catalog_service
 {
-  char name[CATALOG_NAME_SIZE];
+  const char *name;
   unsigned connection_limit; /* per endpoint, over all callers; 0 = no limit */
   unsigned slots; /* concurrent requests of a group; 0 = see endpoint */
-  struct catalog_model models[CATALOG_MODEL_LIMIT];
+  struct catalog_model *models;
   unsigned model_count;        /* 0 = endpoints form no groups */
   double loads_per_s;          /* model loads that the weight store can serve */
   unsigned concurrent_loads;   /* more concurrent loads slow each other down */
@@ -85,18 +87,23 @@
   /* How long an endpoint is cold after a start; 0 = never. */
   int64_t cold_ms;
   double cold_requests_per_s; /* that a cold endpoint can take */
+
+  /* Private to catalog. */
+  unsigned first_priority; /* of the routes that lead to it */
+  bool has_route;
+  UT_hash_handle hh;
 };
 
 struct catalog_customer
 {
-  char name[CATALOG_NAME_SIZE];
+  const char *name;
   bool has_priority;
   unsigned priority; /* overrides the route's priority */
 };
 
 struct catalog_key
 {
-  char *text;
+  const char *text;
   unsigned customer; /* index into catalog.customers */
   UT_hash_handle hh;
 };
@@ -121,8 +128,12 @@
   struct catalog_limits limits;
   bool needs_keys; /* requests need a key unless their route is open */
 
+  struct text_pool texts; /* of all entries, and their arrays */
+
   /* Private to catalog. */
   struct catalog_route *route_index;
+  size_t longest_prefix; /* of an indexed route, in bytes */
+  struct catalog_service *service_index;
   struct catalog_key *keys;
   unsigned references;
 };
@@ -144,8 +155,18 @@
 enum result
 catalog_add_key (struct catalog *catalog, const char *key, unsigned customer);
 
-/* Sets has_priorities of all services; call when all entries are known. */
-void catalog_index_priorities (struct catalog *catalog);
+/*
+ * Indexes the services and sets their has_priorities; call when all entries are
+ * known.  If two services have the same name, the first one is used.
+ */
+void catalog_index_services (struct catalog *catalog);
+
+/*
+ * The route of the same host and prefix that is in use; NULL if there is none.
+ */
+const struct catalog_route *
+catalog_find_same_route (const struct catalog *catalog,
+                         const struct catalog_route *route);
 
 /*
  * Returns the host's route with the longest matching prefix of the path; NULL
--- a/packages/catalog/src/catalog-check.c
+++ b/packages/catalog/src/catalog-check.c
@@ -22,10 +22,11 @@
   struct name_entry *names;   /* hash table of the first of each name */
   void (*report) (void *context, const struct catalog_finding *finding);
   void *context;
+  bool failed; /* memory is short */
 };
 
 static void __attribute__ ((format (printf, 6, 7)))
-add_finding (const struct check *check,
+add_finding (struct check *check,
              enum catalog_fault fault,
              enum catalog_part part,
              unsigned index,
@@ -35,17 +36,26 @@
 {
   struct catalog_finding finding
       = { .fault = fault, .part = part, .index = index };
+  char *found;
   va_list arguments;
+  int size;
 
   va_start (arguments, format);
-  vsnprintf (finding.found, sizeof finding.found, format, arguments);
+  size = vasprintf (&found, format, arguments);
   va_end (arguments);
-  snprintf (finding.allowed, sizeof finding.allowed, "%s", allowed);
+  if (size < 0)
+    {
+      check->failed = true;
+      return;
+    }
+  finding.found = found;
+  finding.allowed = allowed;
   check->report (check->context, &finding);
+  free (found);
 }
 
 static struct name_entry *
-find_service (const struct check *check, const char *name)
+find_service (struct check *check, const char *name)
 {
   struct name_entry *entry;
 
@@ -75,7 +85,7 @@
 }
 
 static void
-check_route_match (const struct check *check, unsigned index)
+check_route_match (struct check *check, unsigned index)
 {
   const struct catalog_route *route = &check->catalog->routes[index];
   const struct catalog_route *used;
@@ -99,7 +109,7 @@
 }
 
 static void
-check_targets (const struct check *check, unsigned index)
+check_targets (struct check *check, unsigned index)
 {
   const struct catalog_route *route = &check->catalog->routes[index];
 
@@ -122,7 +132,7 @@
 }
 
 static void
-check_route_limits (const struct check *check, unsigned index)
+check_route_limits (struct check *check, unsigned index)
 {
   const struct catalog_route *route = &check->catalog->routes[index];
   char limit[64];
@@ -164,7 +174,7 @@
 }
 
 static void
-check_service (const struct check *check, unsigned index)
+check_service (struct check *check, unsigned index)
 {
   const struct catalog_service *service = &check->catalog->services[index];
   const struct name_entry *first = find_service (check, service->name);
@@ -205,7 +215,7 @@
 
 /* The key itself is a secret and is not reported. */
 static void
-check_keys (const struct check *check)
+check_keys (struct check *check)
 {
   const struct catalog *catalog = check->catalog;
 
@@ -247,59 +257,72 @@
   check_keys (&check);
   HASH_CLEAR (hh, check.names);
   free (check.entries);
-  return RESULT_OK;
+  return check.failed ? RESULT_NO_MEMORY : RESULT_OK;
 }
 
 /* The endpoints of a service in a domain. */
-struct supply
+struct domain_supply
 {
-  char key[2 * CATALOG_NAME_SIZE]; /* service, a newline, domain */
+  const char *domain;
   unsigned count;
   UT_hash_handle hh;
 };
 
-/* The largest domain of a service. */
 struct service_supply
 {
   const char *service;
+  struct domain_supply *domains;
   unsigned total;
-  unsigned largest;
+  unsigned largest; /* endpoints of the largest domain */
   UT_hash_handle hh;
 };
 
 struct supplies
 {
-  struct supply *domains;
   struct service_supply *services;
 };
 
-static enum result
-add_endpoint (struct supplies *supplies, const struct endpoint_report *report)
+static struct service_supply *
+get_service (struct supplies *supplies, const char *name)
 {
   struct service_supply *service;
-  struct supply *domain;
-  char key[2 * CATALOG_NAME_SIZE];
 
-  HASH_FIND_STR (supplies->services, report->service, service);
+  HASH_FIND_STR (supplies->services, name, service);
+  if (service != NULL)
+    return service;
+  service = calloc (1, sizeof *service);
   if (service == NULL)
-    {
-      service = calloc (1, sizeof *service);
-      if (service == NULL)
-        return RESULT_NO_MEMORY;
-      service->service = report->service;
-      HASH_ADD_KEYPTR (hh, supplies->services, service->service,
-                       strlen (service->service), service);
-    }
-  snprintf (key, sizeof key, "%s\n%s", report->service, report->domain);
-  HASH_FIND_STR (supplies->domains, key, domain);
+    return NULL;
+  service->service = name;
+  HASH_ADD_KEYPTR (hh, supplies->services, name, strlen (name), service);
+  return service;
+}
+
+static struct domain_supply *
+get_domain (struct service_supply *service, const char *name)
+{
+  struct domain_supply *domain;
+
+  HASH_FIND_STR (service->domains, name, domain);
+  if (domain != NULL)
+    return domain;
+  domain = calloc (1, sizeof *domain);
   if (domain == NULL)
-    {
-      domain = calloc (1, sizeof *domain);
-      if (domain == NULL)
-        return RESULT_NO_MEMORY;
-      memcpy (domain->key, key, strlen (key) + 1);
-      HASH_ADD_STR (supplies->domains, key, domain);
-    }
+    return NULL;
+  domain->domain = name;
+  HASH_ADD_KEYPTR (hh, service->domains, name, strlen (name), domain);
+  return domain;
+}
+
+static enum result
+add_endpoint (struct supplies *supplies, const struct endpoint_report *report)
+{
+  struct service_supply *service = get_service (supplies, report->service);
+  struct domain_supply *domain
+      = service != NULL ? get_domain (service, report->domain) : NULL;
+
+  if (domain == NULL)
+    return RESULT_NO_MEMORY;
   service->total++;
   domain->count++;
   if (domain->count > service->largest)
@@ -311,28 +334,28 @@
 supplies_finish (struct supplies *supplies)
 {
   struct service_supply *service = supplies->services;
-  struct supply *domain = supplies->domains;
 
   HASH_CLEAR (hh, supplies->services);
-  HASH_CLEAR (hh, supplies->domains);
   while (service != NULL)
     {
       struct service_supply *next = service->hh.next;
+      struct domain_supply *domain = service->domains;
+
+      HASH_CLEAR (hh, service->domains);
+      while (domain != NULL)
+        {
+          struct domain_supply *next_domain = domain->hh.next;
 
+          free (domain);
+          domain = next_domain;
+        }
       free (service);
       service = next;
     }
-  while (domain != NULL)
-    {
-      struct supply *next = domain->hh.next;
-
-      free (domain);
-      domain = next;
-    }
 }
 
 static void
-check_supply (const struct check *check,
+check_supply (struct check *check,
               const struct supplies *supplies,
               unsigned index)
 {
@@ -377,9 +400,9 @@
                                          const struct catalog_finding *finding),
                          void *context)
 {
-  const struct check check
+  struct check check
       = { .catalog = catalog, .report = report, .context = context };
-  struct supplies supplies = { .domains = NULL };
+  struct supplies supplies = { .services = NULL };
   enum result result = RESULT_OK;
 
   for (size_t i = 0; i < endpoint_count && result == RESULT_OK; i++)
@@ -387,5 +410,5 @@
   for (unsigned i = 0; i < catalog->service_count && result == RESULT_OK; i++)
     check_supply (&check, &supplies, i);
   supplies_finish (&supplies);
-  return result;
+  return check.failed ? RESULT_NO_MEMORY : result;
 }
--- a/packages/catalog/src/catalog-diff.c
+++ b/packages/catalog/src/catalog-diff.c
@@ -1,6 +1,7 @@
 #include "catalog-diff.h"
 
 #include <inttypes.h>
+#include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -37,12 +38,13 @@
   enum catalog_effect effect; /* that this pass reports */
   void (*report) (void *context, const struct catalog_difference *difference);
   void *context;
+  bool failed; /* memory is short */
 };
 
 /* An entry that both sides have. */
 struct subject
 {
-  const struct diff *diff;
+  struct diff *diff;
   const char *kind;
   const char *name;
 };
@@ -72,7 +74,7 @@
 }
 
 static void
-emit (const struct diff *diff,
+emit (struct diff *diff,
       enum catalog_effect effect,
       enum catalog_change change,
       const char *kind,
@@ -81,19 +83,37 @@
       const char *before,
       const char *after)
 {
-  struct catalog_difference difference
-      = { .effect = effect, .change = change, .kind = kind, .field = field };
+  struct catalog_difference difference = { .effect = effect,
+                                           .change = change,
+                                           .kind = kind,
+                                           .field = field,
+                                           .name = name,
+                                           .before = before,
+                                           .after = after };
+
+  if (effect == diff->effect)
+    diff->report (diff->context, &difference);
+}
 
-  if (effect != diff->effect)
-    return;
-  snprintf (difference.name, sizeof difference.name, "%s", name);
-  snprintf (difference.before, sizeof difference.before, "%s", before);
-  snprintf (difference.after, sizeof difference.after, "%s", after);
-  diff->report (diff->context, &difference);
+/* Returns a text that the caller frees; NULL, noted in diff, without memory. */
+static char *__attribute__ ((format (printf, 2, 3)))
+format_text (struct diff *diff, const char *format, ...)
+{
+  va_list arguments;
+  char *text;
+
+  va_start (arguments, format);
+  if (vasprintf (&text, format, arguments) < 0)
+    {
+      text = NULL;
+      diff->failed = true;
+    }
+  va_end (arguments);
+  return text;
 }
 
 static void
-emit_entry (const struct diff *diff,
+emit_entry (struct diff *diff,
             enum catalog_change change,
             const char *kind,
             const char *name)
@@ -163,13 +183,14 @@
              size_t entry_size,
              size_t name_offset)
 {
-  const char *name = (const char *)list + name_offset;
+  const char *field = (const char *)list + name_offset;
 
   index->entries = calloc (count + 1, sizeof *index->entries);
   if (index->entries == NULL)
     return RESULT_NO_MEMORY;
-  for (unsigned i = 0; i < count; i++, name += entry_size)
+  for (unsigned i = 0; i < count; i++, field += entry_size)
     {
+      const char *name = *(const char *const *)field;
       struct name_entry *entry = &index->entries[i];
       struct name_entry *existing;
 
@@ -217,46 +238,51 @@
 }
 
 /* A key is a secret; the last characters tell the owner which one it is. */
-static void
-format_key (const struct catalog *catalog,
-            const struct catalog_key *key,
-            char *out,
-            size_t size)
+static char *
+format_key (struct diff *diff,
+            const struct catalog *catalog,
+            const struct catalog_key *key)
 {
   size_t length = strlen (key->text);
+  bool is_named = length >= NAMED_KEY_SIZE;
 
-  snprintf (out, size, "%s%s%s", catalog->customers[key->customer].name,
-            length >= NAMED_KEY_SIZE ? " ..." : "",
-            length >= NAMED_KEY_SIZE ? key->text + length - NAMED_KEY_PART
-                                     : "");
+  return format_text (diff, "%s%s%s", catalog->customers[key->customer].name,
+                      is_named ? " ..." : "",
+                      is_named ? key->text + length - NAMED_KEY_PART : "");
 }
 
 static void
-diff_keys (const struct diff *diff)
+diff_keys (struct diff *diff)
 {
   const struct catalog *before = diff->before.catalog;
   const struct catalog *after = diff->after.catalog;
   struct catalog_key *other;
-  char name[CATALOG_NAME_SIZE + 16];
 
   for (struct catalog_key *key = before->keys; key != NULL; key = key->hh.next)
     {
       const char *old_owner = before->customers[key->customer].name;
+      char *name = format_key (diff, before, key);
 
+      if (name == NULL)
+        return;
       HASH_FIND_STR (after->keys, key->text, other);
-      format_key (before, key, name, sizeof name);
       if (other == NULL)
         emit_entry (diff, CATALOG_DROPPED, "API key", name);
       else if (strcmp (old_owner, after->customers[other->customer].name) != 0)
         emit (diff, CATALOG_TIGHTENS, CATALOG_CHANGED, "API key", name,
               "customer", old_owner, after->customers[other->customer].name);
+      free (name);
     }
   for (struct catalog_key *key = after->keys; key != NULL; key = key->hh.next)
     {
+      char *name = format_key (diff, after, key);
+
+      if (name == NULL)
+        return;
       HASH_FIND_STR (before->keys, key->text, other);
-      format_key (after, key, name, sizeof name);
       if (other == NULL)
         emit_entry (diff, CATALOG_ADDED, "API key", name);
+      free (name);
     }
 }
 
@@ -272,16 +298,41 @@
   return names[kind];
 }
 
-static void
-format_targets (const struct catalog_route *route, char *out, size_t size)
+/* Returns a text that the caller frees; NULL, noted in diff, without memory. */
+static char *
+format_targets (struct diff *diff, const struct catalog_route *route)
 {
-  size_t used = 0;
+  char *text = NULL;
+  size_t size;
+  FILE *stream = open_memstream (&text, &size);
+  bool is_written = stream != NULL;
+
+  for (unsigned i = 0; i < route->target_count && is_written; i++)
+    is_written = fprintf (stream, "%s%s (%u)", i > 0 ? ", " : "",
+                          route->targets[i].service, route->targets[i].weight)
+                 >= 0;
+  if (stream != NULL && fclose (stream) != 0)
+    is_written = false;
+  if (is_written)
+    return text;
+  free (text);
+  diff->failed = true;
+  return NULL;
+}
 
-  out[0] = '\0';
-  for (unsigned i = 0; i < route->target_count && used < size; i++)
-    used += (size_t)snprintf (out + used, size - used, "%s%s (%u)",
-                              i > 0 ? ", " : "", route->targets[i].service,
-                              route->targets[i].weight);
+static void
+compare_targets (const struct subject *subject,
+                 const struct catalog_route *before,
+                 const struct catalog_route *after)
+{
+  char *old_targets = format_targets (subject->diff, before);
+  char *new_targets = format_targets (subject->diff, after);
+
+  if (old_targets != NULL && new_targets != NULL)
+    compare_text (subject, "services (weight)", old_targets, new_targets,
+                  false);
+  free (old_targets);
+  free (new_targets);
 }
 
 static void
@@ -289,9 +340,6 @@
             const struct catalog_route *before,
             const struct catalog_route *after)
 {
-  char old_targets[CATALOG_DIFFERENCE_SIZE];
-  char new_targets[CATALOG_DIFFERENCE_SIZE];
-
   if (before->open != after->open)
     emit (subject->diff, before->open ? CATALOG_REFUSES : CATALOG_OTHER,
           CATALOG_CHANGED, subject->kind, subject->name, "needs a key",
@@ -315,47 +363,60 @@
                   LOWER_TIGHTENS);
   compare_text (subject, "resumable", before->resumable ? "yes" : "no",
                 after->resumable ? "yes" : "no", before->resumable);
-  format_targets (before, old_targets, sizeof old_targets);
-  format_targets (after, new_targets, sizeof new_targets);
-  compare_text (subject, "services (weight)", old_targets, new_targets, false);
+  compare_targets (subject, before, after);
 }
 
-/* The route of the same host and prefix; only indexed routes are in use. */
-static const struct catalog_route *
-find_route (const struct catalog *catalog, const struct catalog_route *route)
+static char *
+format_route (struct diff *diff, const struct catalog_route *route)
 {
-  struct catalog_route *found;
+  return format_text (diff, "%s%s", route->host, route->prefix);
+}
 
-  HASH_FIND (hh, catalog->route_index, route->key, route->hh.keylen, found);
-  return found;
+/* True unless another route of the same host and prefix is used instead. */
+static bool
+is_used (const struct catalog *catalog, const struct catalog_route *route)
+{
+  return catalog_find_same_route (catalog, route) == route;
 }
 
 static void
-diff_routes (const struct diff *diff)
+diff_routes (struct diff *diff)
 {
   const struct catalog *before = diff->before.catalog;
   const struct catalog *after = diff->after.catalog;
-  char name[2 * CATALOG_PATH_SIZE];
 
-  for (const struct catalog_route *route = before->route_index; route != NULL;
-       route = route->hh.next)
+  for (unsigned i = 0; i < before->route_count; i++)
     {
-      const struct catalog_route *other = find_route (after, route);
-      const struct subject subject = { diff, "route", name };
+      const struct catalog_route *route = &before->routes[i];
+      const struct catalog_route *other
+          = catalog_find_same_route (after, route);
+      char *name;
 
-      snprintf (name, sizeof name, "%s%s", route->host, route->prefix);
+      if (!is_used (before, route))
+        continue;
+      name = format_route (diff, route);
+      if (name == NULL)
+        return;
       if (other == NULL)
         emit_entry (diff, CATALOG_DROPPED, "route", name);
       else
-        diff_route (&subject, route, other);
+        diff_route (&(struct subject){ diff, "route", name }, route, other);
+      free (name);
+    }
+  for (unsigned i = 0; i < after->route_count; i++)
+    {
+      const struct catalog_route *route = &after->routes[i];
+      char *name;
+
+      if (!is_used (after, route)
+          || catalog_find_same_route (before, route) != NULL)
+        continue;
+      name = format_route (diff, route);
+      if (name == NULL)
+        return;
+      emit_entry (diff, CATALOG_ADDED, "route", name);
+      free (name);
     }
-  for (const struct catalog_route *route = after->route_index; route != NULL;
-       route = route->hh.next)
-    if (find_route (before, route) == NULL)
-      {
-        snprintf (name, sizeof name, "%s%s", route->host, route->prefix);
-        emit_entry (diff, CATALOG_ADDED, "route", name);
-      }
 }
 
 static void
@@ -375,37 +436,50 @@
                   (double)after->cached_load_ms, NEITHER);
 }
 
+static char *
+format_model (struct diff *diff,
+              const struct catalog_model *model,
+              const struct catalog_service *service)
+{
+  return format_text (diff, "%s of %s", model->name, service->name);
+}
+
 static void
-diff_models (const struct diff *diff,
+diff_models (struct diff *diff,
              const struct catalog_service *before,
              const struct catalog_service *after)
 {
-  char name[2 * CATALOG_NAME_SIZE + 4];
-
   for (unsigned i = 0; i < before->model_count; i++)
     {
       const struct catalog_model *model = &before->models[i];
       const struct catalog_model *other
           = catalog_find_model (after, model->name);
-      const struct subject subject = { diff, "model", name };
+      char *name;
 
       if (catalog_find_model (before, model->name) != model)
         continue;
-      snprintf (name, sizeof name, "%s of %s", model->name, before->name);
+      name = format_model (diff, model, before);
+      if (name == NULL)
+        return;
       if (other == NULL)
         emit_entry (diff, CATALOG_DROPPED, "model", name);
       else
-        diff_model (&subject, model, other);
+        diff_model (&(struct subject){ diff, "model", name }, model, other);
+      free (name);
     }
   for (unsigned i = 0; i < after->model_count; i++)
     {
       const struct catalog_model *model = &after->models[i];
+      char *name;
 
       if (catalog_find_model (after, model->name) != model
           || catalog_find_model (before, model->name) != NULL)
         continue;
-      snprintf (name, sizeof name, "%s of %s", model->name, after->name);
+      name = format_model (diff, model, after);
+      if (name == NULL)
+        return;
       emit_entry (diff, CATALOG_ADDED, "model", name);
+      free (name);
     }
 }
 
@@ -442,7 +516,7 @@
 }
 
 static void
-diff_services (const struct diff *diff)
+diff_services (struct diff *diff)
 {
   const struct name_entry *other;
 
@@ -476,7 +550,7 @@
 }
 
 static void
-diff_customers (const struct diff *diff)
+diff_customers (struct diff *diff)
 {
   const struct name_entry *other;
 
@@ -510,7 +584,7 @@
 }
 
 static void
-diff_limits (const struct diff *diff)
+diff_limits (struct diff *diff)
 {
   const struct catalog *before = diff->before.catalog;
   const struct catalog *after = diff->after.catalog;
@@ -562,5 +636,5 @@
     }
   side_finish (&diff.before);
   side_finish (&diff.after);
-  return result;
+  return diff.failed ? RESULT_NO_MEMORY : result;
 }
--- a/packages/catalog/src/catalog.c
+++ b/packages/catalog/src/catalog.c
@@ -3,8 +3,13 @@
 #include <ctype.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
+/* Exposes the state type, so that it can live on the stack. */
+#define XXH_STATIC_LINKING_ONLY
+#include <xxhash.h>
 
-#define ROUTE_KEY_SIZE (2UL * CATALOG_PATH_SIZE)
+/* Bytes of a host that are put in lower case at a time. */
+#define HOST_CHUNK_BYTES 64
 
 struct catalog *
 catalog_new (unsigned routes, unsigned services, unsigned customers)
@@ -14,6 +19,7 @@
   if (catalog == NULL)
     return NULL;
   catalog->references = 1;
+  text_pool_init (&catalog->texts);
   catalog->routes = calloc (routes + 1, sizeof *catalog->routes);
   catalog->services = calloc (services + 1, sizeof *catalog->services);
   catalog->customers = calloc (customers + 1, sizeof *catalog->customers);
@@ -41,54 +47,108 @@
   if (catalog == NULL || --catalog->references > 0)
     return;
   HASH_CLEAR (hh, catalog->route_index);
+  HASH_CLEAR (hh, catalog->service_index);
   key = catalog->keys;
   HASH_CLEAR (hh, catalog->keys);
   while (key != NULL)
     {
       struct catalog_key *next = key->hh.next;
 
-      free (key->text);
       free (key);
       key = next;
     }
   free (catalog->routes);
   free (catalog->services);
   free (catalog->customers);
+  text_pool_finish (&catalog->texts);
   free (catalog);
 }
 
+/* Length of a host without its port. */
+static size_t
+host_size (const char *host)
+{
+  return strcspn (host, ":");
+}
+
 /*
- * Writes the host, without port and in lower case since host names are compared
- * without case (RFC 9110, section 4.2.3), and the path to key.  Returns the
- * size; 0 if they do not fit.
+ * Begins the key of a route with its host, in lower case since host names are
+ * compared without case (RFC 9110, section 4.2.3).
  */
-static size_t
-write_route_key (char *key,
-                 const char *host,
-                 const char *path,
-                 size_t path_size)
+static void
+begin_key (XXH3_state_t *state, const char *host)
+{
+  size_t size = host_size (host);
+  char chunk[HOST_CHUNK_BYTES];
+
+  XXH3_INITSTATE (state);
+  XXH3_64bits_reset (state);
+  while (size > 0)
+    {
+      size_t count = size < sizeof chunk ? size : sizeof chunk;
+
+      for (size_t i = 0; i < count; i++)
+        chunk[i] = (char)tolower ((unsigned char)host[i]);
+      XXH3_64bits_update (state, chunk, count);
+      host += count;
+      size -= count;
+    }
+}
+
+/* The route in use for this host and exactly this prefix. */
+static struct catalog_route *
+find_exact (const struct catalog *catalog,
+            uint64_t key,
+            const char *host,
+            const char *prefix,
+            size_t prefix_size)
 {
-  size_t size = strcspn (host, ":");
+  struct catalog_route *route;
+  size_t size = host_size (host);
 
-  if (size + path_size > ROUTE_KEY_SIZE)
-    return 0;
-  for (size_t i = 0; i < size; i++)
-    key[i] = (char)tolower ((unsigned char)host[i]);
-  memcpy (key + size, path, path_size);
-  return size + path_size;
+  HASH_FIND (hh, catalog->route_index, &key, sizeof key, route);
+  for (; route != NULL; route = route->next_same_key)
+    if (host_size (route->host) == size
+        && strncasecmp (route->host, host, size) == 0
+        && strncmp (route->prefix, prefix, prefix_size) == 0
+        && route->prefix[prefix_size] == '\0')
+      return route;
+  return NULL;
 }
 
 void
 catalog_index_route (struct catalog *catalog, unsigned index)
 {
   struct catalog_route *route = &catalog->routes[index];
-  struct catalog_route *existing;
-  size_t size = write_route_key (route->key, route->host, route->prefix,
-                                 strlen (route->prefix));
+  struct catalog_route *first;
+  size_t size = strlen (route->prefix);
+  XXH3_state_t state;
+
+  begin_key (&state, route->host);
+  XXH3_64bits_update (&state, route->prefix, size);
+  route->key = XXH3_64bits_digest (&state);
+  route->next_same_key = NULL;
+  if (find_exact (catalog, route->key, route->host, route->prefix, size)
+      != NULL)
+    return;
+  HASH_FIND (hh, catalog->route_index, &route->key, sizeof route->key, first);
+  if (first == NULL)
+    HASH_ADD (hh, catalog->route_index, key, sizeof route->key, route);
+  else
+    {
+      route->next_same_key = first->next_same_key;
+      first->next_same_key = route;
+    }
+  if (size > catalog->longest_prefix)
+    catalog->longest_prefix = size;
+}
 
-  HASH_FIND (hh, catalog->route_index, route->key, size, existing);
-  if (existing == NULL && size > 0)
-    HASH_ADD_KEYPTR (hh, catalog->route_index, route->key, size, route);
+const struct catalog_route *
+catalog_find_same_route (const struct catalog *catalog,
+                         const struct catalog_route *route)
+{
+  return find_exact (catalog, route->key, route->host, route->prefix,
+                     strlen (route->prefix));
 }
 
 enum result
@@ -98,8 +158,8 @@
 
   if (entry == NULL)
     return RESULT_NO_MEMORY;
-  entry->text = strdup (key);
-  if (entry->text == NULL)
+  entry->text = text_pool_add (&catalog->texts, key);
+  if (catalog->texts.failed)
     {
       free (entry);
       return RESULT_NO_MEMORY;
@@ -109,38 +169,46 @@
   return RESULT_OK;
 }
 
-static bool
-leads_to (const struct catalog_route *route,
-          const struct catalog_service *service)
+/* Notes the priority of a route at the services that it leads to. */
+static void
+note_priority (const struct catalog *catalog, const struct catalog_route *route)
 {
   for (unsigned i = 0; i < route->target_count; i++)
-    if (route->targets[i].weight > 0
-        && strcmp (route->targets[i].service, service->name) == 0)
-      return true;
-  return false;
+    {
+      struct catalog_service *service;
+
+      if (route->targets[i].weight == 0)
+        continue;
+      HASH_FIND_STR (catalog->service_index, route->targets[i].service,
+                     service);
+      if (service == NULL)
+        continue;
+      if (!service->has_route)
+        service->first_priority = route->priority;
+      else if (service->first_priority != route->priority)
+        service->has_priorities = true;
+      service->has_route = true;
+    }
 }
 
 void
-catalog_index_priorities (struct catalog *catalog)
+catalog_index_services (struct catalog *catalog)
 {
+  HASH_CLEAR (hh, catalog->service_index);
   for (unsigned i = 0; i < catalog->service_count; i++)
     {
       struct catalog_service *service = &catalog->services[i];
-      const struct catalog_route *first = NULL;
+      struct catalog_service *first;
 
       service->has_priorities = false;
-      for (unsigned j = 0; j < catalog->route_count; j++)
-        {
-          const struct catalog_route *route = &catalog->routes[j];
-
-          if (!leads_to (route, service))
-            continue;
-          if (first == NULL)
-            first = route;
-          else if (route->priority != first->priority)
-            service->has_priorities = true;
-        }
+      service->has_route = false;
+      HASH_FIND_STR (catalog->service_index, service->name, first);
+      if (first == NULL)
+        HASH_ADD_KEYPTR (hh, catalog->service_index, service->name,
+                         strlen (service->name), service);
     }
+  for (unsigned i = 0; i < catalog->route_count; i++)
+    note_priority (catalog, &catalog->routes[i]);
 }
 
 const struct catalog_route *
@@ -148,27 +216,32 @@
                     const char *host,
                     const char *path)
 {
+  const struct catalog_route *longest = NULL;
   size_t size = strcspn (path, "?#");
-  char key[ROUTE_KEY_SIZE];
+  XXH3_state_t state;
+  size_t start = 0;
 
   /* The key joins host and path; the slash marks where the path begins. */
   if (path[0] != '/')
     return NULL;
-  for (; size > 0; size--)
+  if (size > catalog->longest_prefix)
+    size = catalog->longest_prefix;
+  begin_key (&state, host);
+  /* One pass, since a path may consist of thousands of slashes. */
+  for (size_t end = 1; end <= size; end++)
     {
-      struct catalog_route *route;
-      size_t key_size;
+      const struct catalog_route *route;
 
-      if (path[size - 1] != '/')
-        continue;
-      key_size = write_route_key (key, host, path, size);
-      if (key_size == 0)
+      if (path[end - 1] != '/')
         continue;
-      HASH_FIND (hh, catalog->route_index, key, key_size, route);
+      XXH3_64bits_update (&state, path + start, end - start);
+      start = end;
+      route
+          = find_exact (catalog, XXH3_64bits_digest (&state), host, path, end);
       if (route != NULL)
-        return route;
+        longest = route;
     }
-  return NULL;
+  return longest;
 }
 
 const struct catalog_customer *
@@ -183,10 +256,10 @@
 const struct catalog_service *
 catalog_find_service (const struct catalog *catalog, const char *name)
 {
-  for (unsigned i = 0; i < catalog->service_count; i++)
-    if (strcmp (catalog->services[i].name, name) == 0)
-      return &catalog->services[i];
-  return NULL;
+  const struct catalog_service *service;
+
+  HASH_FIND_STR (catalog->service_index, name, service);
+  return service;
 }
 
 bool
--- a/packages/catalog/tests/t0460-catalog.c
+++ b/packages/catalog/tests/t0460-catalog.c
@@ -28,15 +28,14 @@
     {
       struct catalog_route *route = &catalog->routes[i];
 
-      snprintf (route->name, sizeof route->name, "%s%s", routes[i].host,
-                routes[i].prefix);
-      snprintf (route->host, sizeof route->host, "%s", routes[i].host);
-      snprintf (route->prefix, sizeof route->prefix, "%s", routes[i].prefix);
+      route->name = text_pool_format (&catalog->texts, "%s%s", routes[i].host,
+                                      routes[i].prefix);
+      route->host = routes[i].host;
+      route->prefix = routes[i].prefix;
       catalog_index_route (catalog, i);
     }
   catalog->route_count = 4;
-  snprintf (catalog->customers[0].name, sizeof catalog->customers[0].name,
-            "atlas");
+  catalog->customers[0].name = "atlas";
   catalog->customer_count = 1;
   assert_int_equal (catalog_add_key (catalog, "secret", 0), RESULT_OK);
   return catalog;
@@ -121,8 +120,8 @@
 static void
 test_targets_by_weight (void **state)
 {
-  struct catalog_route route
-      = { .targets = { { "old", 90 }, { "new", 10 } }, .target_count = 2 };
+  struct catalog_target targets[] = { { "old", 90 }, { "new", 10 } };
+  struct catalog_route route = { .targets = targets, .target_count = 2 };
   unsigned old = 0;
 
   (void)state;
@@ -427,6 +426,7 @@
   for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
     {
       struct catalog *catalog = catalog_new (3, 2, 0);
+      struct catalog_target targets[3][2];
 
       assert_non_null (catalog);
       for (unsigned j = 0; j < 3; j++)
@@ -434,17 +434,16 @@
           struct catalog_route *route = &catalog->routes[j];
 
           route->priority = cases[i].priorities[j];
-          snprintf (route->targets[0].service, CATALOG_NAME_SIZE, "other");
-          route->targets[0].weight = 1;
-          snprintf (route->targets[1].service, CATALOG_NAME_SIZE, "app");
-          route->targets[1].weight = cases[i].weights[j];
+          targets[j][0] = (struct catalog_target){ "other", 1 };
+          targets[j][1] = (struct catalog_target){ "app", cases[i].weights[j] };
+          route->targets = targets[j];
           route->target_count = 2;
         }
       catalog->route_count = 3;
-      snprintf (catalog->services[0].name, CATALOG_NAME_SIZE, "app");
-      snprintf (catalog->services[1].name, CATALOG_NAME_SIZE, "unused");
+      catalog->services[0].name = "app";
+      catalog->services[1].name = "unused";
       catalog->service_count = 2;
-      catalog_index_priorities (catalog);
+      catalog_index_services (catalog);
       if (catalog->services[0].has_priorities != cases[i].has_priorities)
         fail_msg ("case %d", (int)i);
       assert_false (catalog->services[1].has_priorities);
--- a/packages/catalog/tests/t0462-catalog-check.c
+++ b/packages/catalog/tests/t0462-catalog-check.c
@@ -10,10 +10,13 @@
 #include "catalog-check.h"
 
 #define FINDING_LIMIT 32
+#define FINDING_SIZE 512
 
 struct findings
 {
   struct catalog_finding list[FINDING_LIMIT];
+  char found[FINDING_LIMIT][FINDING_SIZE];
+  char allowed[FINDING_LIMIT][FINDING_SIZE];
   unsigned count;
 };
 
@@ -21,11 +24,25 @@
 keep_finding (void *context, const struct catalog_finding *finding)
 {
   struct findings *findings = context;
+  struct catalog_finding *kept = &findings->list[findings->count];
+  char *found = findings->found[findings->count];
+  char *allowed = findings->allowed[findings->count];
 
   assert_true (findings->count < FINDING_LIMIT);
-  findings->list[findings->count++] = *finding;
+  findings->count++;
+  *kept = *finding;
+  snprintf (found, FINDING_SIZE, "%s", finding->found);
+  snprintf (allowed, FINDING_SIZE, "%s", finding->allowed);
+  kept->found = found;
+  kept->allowed = allowed;
 }
 
+static const struct catalog_target sample_targets[2][2]
+    = { { { "large", 1 } }, { { "web", 9 }, { "large", 1 } } };
+static const struct catalog_model sample_models[2]
+    = { { .name = "base", .load_ms = 16000, .cached_load_ms = 4 },
+        { .name = "draft", .load_ms = 6000 } };
+
 /* Two routes, two services of which one has models, two customers. */
 static struct catalog *
 make_catalog (void)
@@ -38,7 +55,6 @@
             .objective_ms = 500,
             .event_gap_objective_ms = 300,
             .attempts = 3,
-            .targets = { { "large", 1 } },
             .target_count = 1 },
           { .name = "pages",
             .host = "b.example",
@@ -47,25 +63,31 @@
             .objective_ms = 800,
             .event_gap_objective_ms = 800,
             .attempts = 2,
-            .targets = { { "web", 9 }, { "large", 1 } },
             .target_count = 2 } };
   static const struct catalog_service services[]
       = { { .name = "large",
             .step_ms = 7.8,
             .cold_ms = 3000,
             .cold_requests_per_s = 26,
-            .models
-            = { { .name = "base", .load_ms = 16000, .cached_load_ms = 4 },
-                { .name = "draft", .load_ms = 6000 } },
             .model_count = 2 },
           { .name = "web" } };
   struct catalog *catalog = catalog_new (2, 2, 2);
 
   memcpy (catalog->routes, routes, sizeof routes);
   memcpy (catalog->services, services, sizeof services);
+  for (unsigned i = 0; i < 2; i++)
+    {
+      catalog->routes[i].targets
+          = text_pool_allocate (&catalog->texts, 1, sizeof sample_targets[i]);
+      memcpy (catalog->routes[i].targets, sample_targets[i],
+              sizeof sample_targets[i]);
+    }
+  catalog->services[0].models
+      = text_pool_allocate (&catalog->texts, 1, sizeof sample_models);
+  memcpy (catalog->services[0].models, sample_models, sizeof sample_models);
   catalog->route_count = catalog->service_count = catalog->customer_count = 2;
-  memcpy (catalog->customers[0].name, "acme", 5);
-  memcpy (catalog->customers[1].name, "beta", 5);
+  catalog->customers[0].name = "acme";
+  catalog->customers[1].name = "beta";
   assert_int_equal (catalog_add_key (catalog, "k1", 0), RESULT_OK);
   assert_int_equal (catalog_add_key (catalog, "k2", 1), RESULT_OK);
   return catalog;
@@ -80,26 +102,26 @@
 static void
 repeat_route (struct catalog *catalog)
 {
-  memcpy (catalog->routes[1].host, "A.Example:80", 13);
-  memcpy (catalog->routes[1].prefix, "/v1/", 5);
+  catalog->routes[1].host = "A.Example:80";
+  catalog->routes[1].prefix = "/v1/";
 }
 
 static void
 end_prefix_without_slash (struct catalog *catalog)
 {
-  memcpy (catalog->routes[0].prefix, "/v1", 4);
+  catalog->routes[0].prefix = "/v1";
 }
 
 static void
 begin_prefix_without_slash (struct catalog *catalog)
 {
-  memcpy (catalog->routes[0].prefix, "v1/", 4);
+  catalog->routes[0].prefix = "v1/";
 }
 
 static void
 add_query_to_prefix (struct catalog *catalog)
 {
-  memcpy (catalog->routes[0].prefix, "/?v/", 5);
+  catalog->routes[0].prefix = "/?v/";
 }
 
 static void
@@ -111,26 +133,26 @@
 static void
 name_unknown_service (struct catalog *catalog)
 {
-  memcpy (catalog->routes[1].targets[1].service, "none", 5);
+  catalog->routes[1].targets[1].service = "none";
 }
 
 static void
 repeat_service (struct catalog *catalog)
 {
-  memcpy (catalog->services[1].name, "large", 6);
-  memcpy (catalog->routes[1].targets[0].service, "large", 6);
+  catalog->services[1].name = "large";
+  catalog->routes[1].targets[0].service = "large";
 }
 
 static void
 leave_service_unused (struct catalog *catalog)
 {
-  memcpy (catalog->routes[1].targets[0].service, "large", 6);
+  catalog->routes[1].targets[0].service = "large";
 }
 
 static void
 repeat_model (struct catalog *catalog)
 {
-  memcpy (catalog->services[0].models[1].name, "base", 5);
+  catalog->services[0].models[1].name = "base";
 }
 
 static void
@@ -359,10 +381,10 @@
       for (unsigned j = 0; j < 4 && c->supply[j].service != NULL; j++)
         for (unsigned k = 0; k < c->supply[j].count; k++, count++)
           {
-            memcpy (endpoints[count].service, c->supply[j].service,
-                    strlen (c->supply[j].service));
-            memcpy (endpoints[count].domain, c->supply[j].domain,
-                    strlen (c->supply[j].domain));
+            snprintf (endpoints[count].service, sizeof endpoints[count].service,
+                      "%s", c->supply[j].service);
+            snprintf (endpoints[count].domain, sizeof endpoints[count].domain,
+                      "%s", c->supply[j].domain);
           }
       catalog->services[0].models[0].size = c->sizes[0];
       catalog->services[0].models[1].size = c->sizes[1];
--- a/packages/catalog/tests/t0991-catalog-diff.c
+++ b/packages/catalog/tests/t0991-catalog-diff.c
@@ -10,10 +10,13 @@
 #include "catalog-diff.h"
 
 #define DIFFERENCE_LIMIT 32
+#define DIFFERENCE_SIZE 256
 
 struct differences
 {
   struct catalog_difference list[DIFFERENCE_LIMIT];
+  /* The name, and the values before and after. */
+  char texts[DIFFERENCE_LIMIT][3][DIFFERENCE_SIZE];
   unsigned count;
 };
 
@@ -21,9 +24,18 @@
 keep_difference (void *context, const struct catalog_difference *difference)
 {
   struct differences *differences = context;
+  struct catalog_difference *kept = &differences->list[differences->count];
+  char (*texts)[DIFFERENCE_SIZE] = differences->texts[differences->count];
 
   assert_true (differences->count < DIFFERENCE_LIMIT);
-  differences->list[differences->count++] = *difference;
+  differences->count++;
+  *kept = *difference;
+  snprintf (texts[0], DIFFERENCE_SIZE, "%s", difference->name);
+  snprintf (texts[1], DIFFERENCE_SIZE, "%s", difference->before);
+  snprintf (texts[2], DIFFERENCE_SIZE, "%s", difference->after);
+  kept->name = texts[0];
+  kept->before = texts[1];
+  kept->after = texts[2];
 }
 
 /* What a row changes in the newer catalog. */
@@ -86,13 +98,17 @@
     .kind = edit == EDIT_ROUTE_UNSAFE ? CATALOG_UNSAFE : CATALOG_SAFE,
     .priority = edit == EDIT_ROUTE_LESS_URGENT ? 2 : 1,
     .open = edit != EDIT_ROUTE_CLOSED,
-    .targets = { { "llm", edit == EDIT_ROUTE_WEIGHT ? 2 : 1 }, { "web", 1 } },
+    .targets = text_pool_allocate (&catalog->texts, 2, sizeof *route->targets),
     .target_count = 2,
   };
+  route->targets[0]
+      = (struct catalog_target){ "llm", edit == EDIT_ROUTE_WEIGHT ? 2 : 1 };
+  route->targets[1] = (struct catalog_target){ "web", 1 };
   if (edit == EDIT_ROUTE_HOST_CASE)
-    memcpy (route->host, "A.example:80", 13);
-  catalog->routes[1]
-      = (struct catalog_route){ .host = "b.example", .prefix = "/" };
+    route->host = "A.example:80";
+  catalog->routes[1] = (struct catalog_route){ .name = "",
+                                               .host = "b.example",
+                                               .prefix = "/" };
   catalog->route_count = edit == EDIT_NO_ROUTE ? 1 : 2;
   for (unsigned i = 0; i < catalog->route_count; i++)
     catalog_index_route (catalog, i);
@@ -102,17 +118,19 @@
                         : edit == EDIT_SERVICE_NO_LIMIT ? 0
                                                         : 10,
     .slots = edit == EDIT_SERVICE_SLOTS ? 30 : 20,
-    .models
-    = { { .name = "base", .share = edit == EDIT_MODEL_SHARE ? 0.4 : 0.5 },
-        { .name = "draft", .share = 0.5 } },
+    .models = text_pool_allocate (&catalog->texts, 2, sizeof *service->models),
     .model_count = edit == EDIT_NO_MODEL ? 1 : 2,
   };
-  memcpy (catalog->services[1].name, "web", 4);
+  service->models[0]
+      = (struct catalog_model){ .name = "base",
+                                .share = edit == EDIT_MODEL_SHARE ? 0.4 : 0.5 };
+  service->models[1] = (struct catalog_model){ .name = "draft", .share = 0.5 };
+  catalog->services[1].name = "web";
   catalog->service_count = edit == EDIT_NO_SERVICE ? 1 : 2;
-  memcpy (customer->name, "acme", 5);
+  customer->name = "acme";
   customer->has_priority = true;
   customer->priority = edit == EDIT_CUSTOMER_PRIORITY ? 3 : 0;
-  memcpy (catalog->customers[1].name, "beta", 5);
+  catalog->customers[1].name = "beta";
   catalog->customer_count = edit == EDIT_NO_CUSTOMER ? 1 : 2;
   assert_int_equal (catalog_add_key (catalog, "k1", 0), RESULT_OK);
   if (edit != EDIT_NO_KEY && edit != EDIT_NO_CUSTOMER)
--- a/packages/edge/include/leader.h
+++ b/packages/edge/include/leader.h
@@ -37,13 +37,13 @@
   struct checker checker;
   /* Set by the owner after leader_init; NULL = there are none. */
   const struct evacuations *evacuations;
-  char lease_name[CATALOG_NAME_SIZE];
-  unsigned rank;       /* delays this host's attempts to acquire the lease */
-  bool acting;         /* the lease is held */
-  bool is_releasing;   /* sends no more orders; see leader_release_lease */
-  bool is_paused;      /* the data centre is evacuated: groups stay as is */
-  int64_t acquired_ms; /* when acting last became true */
-  uint64_t era;        /* of the store, as far as the lease knows it */
+  const char *lease_name; /* the data centre; see formation_settings */
+  unsigned rank;          /* delays this host's attempts to acquire the lease */
+  bool acting;            /* the lease is held */
+  bool is_releasing;      /* sends no more orders; see leader_release_lease */
+  bool is_paused;         /* the data centre is evacuated: groups stay as is */
+  int64_t acquired_ms;    /* when acting last became true */
+  uint64_t era;           /* of the store, as far as the lease knows it */
   int64_t next_fence_scan_ms;
   uint64_t unreadable_revision; /* of the lease, when last read as such */
   unsigned unreadable_reads;    /* of that revision */
--- a/packages/edge/src/edge.c
+++ b/packages/edge/src/edge.c
@@ -322,6 +322,7 @@
 {
   const struct edge_settings *settings = &edge->settings;
   struct formation_settings formation = {
+    .data_centre = settings->data_centre,
     .data_centres = (unsigned)settings->data_centres.count,
   };
   char address[SETTINGS_TEXT_SIZE];
@@ -331,8 +332,6 @@
   if (!net_parse_address (settings->platform_store, address, sizeof address,
                           &port))
     return RESULT_SETTINGS_BAD_VALUE;
-  snprintf (formation.data_centre, sizeof formation.data_centre, "%.63s",
-            settings->data_centre);
   snprintf (self, sizeof self, "%.40s/%.20s", settings->host, edge->boot_id);
   records_init (&edge->records, edge->base, edge->adapter->records, address,
                 port);
--- a/packages/edge/src/leader.c
+++ b/packages/edge/src/leader.c
@@ -152,7 +152,7 @@
   leader->adapter = adapter;
   leader->records = records;
   leader->endpoints = endpoints;
-  memcpy (leader->lease_name, settings->data_centre, sizeof leader->lease_name);
+  leader->lease_name = settings->data_centre;
   leader->rank = (unsigned)(hash_string (self, 0) % LEASE_RANKS);
   lease_init (&leader->lease, &lease, self, leader->rank);
   formation_init (&leader->formation, settings);
--- a/packages/edge/src/orders.c
+++ b/packages/edge/src/orders.c
@@ -4,6 +4,8 @@
 #include "log.h"
 #include "timeutil.h"
 
+#include <arpa/inet.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -32,11 +34,8 @@
   uint64_t accepted_orders; /* by the endpoint, as far as is known */
   struct formation_order order;
   struct formation_basis basis;
-  char endpoint[CATALOG_NAME_SIZE];
-  char group[CATALOG_NAME_SIZE];
-  char model[CATALOG_NAME_SIZE];
-  char members[FORMATION_SIZE_LIMIT][CATALOG_NAME_SIZE];
-  char address[CATALOG_NAME_SIZE];
+  struct text_pool texts; /* of the order and its basis */
+  char address[INET_ADDRSTRLEN];
   uint16_t port;
   uint64_t fence;
   bool was_sent;    /* the order itself, at least in part */
@@ -62,6 +61,7 @@
   TAILQ_REMOVE (&call->orders->calls, call, link);
   end_message (call);
   http_text_finish (&call->state);
+  text_pool_finish (&call->texts);
   http_free_later (call->orders->base, call);
 }
 
@@ -71,18 +71,18 @@
 {
   struct orders *orders = call->orders;
 
-  LOG_EVENT (result == RESULT_OK ? LOG_LEVEL_INFO : LOG_LEVEL_NOTICE,
-             "order-answered",
-             LOG_STR ("op", formation_op_name (call->order.op)),
-             LOG_STR ("endpoint", call->endpoint),
-             LOG_STR ("group", call->group), LOG_U64 ("fence", call->fence),
-             LOG_STR ("sent", call->was_sent ? "yes" : "no"),
-             LOG_U64 ("status", status), LOG_INT ("code", result),
-             LOG_INT ("after_ms", time_boot_ms () - call->sent_ms));
+  LOG_EVENT (
+      result == RESULT_OK ? LOG_LEVEL_INFO : LOG_LEVEL_NOTICE, "order-answered",
+      LOG_STR ("op", formation_op_name (call->order.op)),
+      LOG_STR ("endpoint", call->order.endpoint),
+      LOG_STR ("group", call->order.group), LOG_U64 ("fence", call->fence),
+      LOG_STR ("sent", call->was_sent ? "yes" : "no"),
+      LOG_U64 ("status", status), LOG_INT ("code", result),
+      LOG_INT ("after_ms", time_boot_ms () - call->sent_ms));
   if (result == RESULT_ORDER_FENCED)
-    orders->hooks.fenced (orders->hooks.context, call->endpoint);
+    orders->hooks.fenced (orders->hooks.context, call->order.endpoint);
   if (result == RESULT_ORDER_LOST)
-    orders->hooks.lost (orders->hooks.context, call->endpoint);
+    orders->hooks.lost (orders->hooks.context, call->order.endpoint);
   close_call (call);
 }
 
@@ -99,9 +99,9 @@
 
   if (!hooks->is_lease_held (hooks->context, call->fence))
     return false;
-  call->is_outdated
-      = !hooks->is_current (hooks->context, call->order.op, call->endpoint,
-                            call->group, call->order.epoch);
+  call->is_outdated = !hooks->is_current (hooks->context, call->order.op,
+                                          call->order.endpoint,
+                                          call->order.group, call->order.epoch);
   if (call->step == ORDER_SENDS && !call->is_outdated)
     call->was_sent = true;
   return !call->is_outdated;
@@ -148,7 +148,7 @@
 
   if (names != NULL)
     http_text_format (request, "%s: %s\r\n", names->expected_endpoint,
-                      call->endpoint);
+                      call->order.endpoint);
 }
 
 /* Sends the order, for a join on condition of the number of orders so far. */
@@ -191,7 +191,7 @@
 {
   const struct formation_order leave = {
     .op = FORMATION_LEAVE,
-    .endpoint = call->endpoint,
+    .endpoint = call->order.endpoint,
     .group = call->basis.group,
     .epoch = call->basis.epoch,
     .model = "",
@@ -232,17 +232,14 @@
   json_t *json = json_loadb (call->state.data != NULL ? call->state.data : "",
                              call->state.size, 0, NULL);
   struct endpoint_report report;
-  enum result result
-      = call->orders->adapter->decode_endpoint_state (json, &report);
+  enum formation_join_step step = FORMATION_JOIN_RETRY;
 
+  /* The report refers to texts of the JSON. */
+  if (call->orders->adapter->decode_endpoint_state (json, &report) == RESULT_OK)
+    step = formation_check_join (&call->basis, call->order.group,
+                                 call->order.epoch, &report);
   json_decref (json);
-  if (result != RESULT_OK)
-    {
-      read_state_later (call);
-      return;
-    }
-  switch (formation_check_join (&call->basis, call->group, call->order.epoch,
-                                &report))
+  switch (step)
     {
     case FORMATION_JOIN_SEND:
       call->accepted_orders = report.orders;
@@ -321,26 +318,32 @@
     close_call (call);
 }
 
-static void
+/* False if memory is short. */
+static bool
 copy_order (struct order_call *call, const struct formation_order *order)
 {
-  memcpy (call->endpoint, order->endpoint, strlen (order->endpoint) + 1);
-  memcpy (call->group, order->group, strlen (order->group) + 1);
-  if (order->model != NULL)
-    memcpy (call->model, order->model, strlen (order->model) + 1);
+  struct text_pool *texts = &call->texts;
+  const char **members = NULL;
+
+  text_pool_init (texts);
   call->order = *order;
-  call->order.endpoint = call->endpoint;
-  call->order.group = call->group;
-  call->order.model = call->model;
-  call->order.members = call->members;
+  call->order.endpoint = text_pool_add (texts, order->endpoint);
+  call->order.group = text_pool_add (texts, order->group);
+  call->order.model
+      = text_pool_add (texts, order->model != NULL ? order->model : "");
   call->order.reason = NULL;
   if (order->members != NULL)
-    memcpy (call->members, order->members,
-            order->member_count * sizeof call->members[0]);
-  if (order->basis == NULL)
-    return;
-  call->basis = *order->basis;
-  call->order.basis = &call->basis;
+    members = text_pool_allocate (texts, order->member_count, sizeof *members);
+  for (unsigned i = 0; members != NULL && i < order->member_count; i++)
+    members[i] = text_pool_add (texts, order->members[i]);
+  call->order.members = members;
+  if (order->basis != NULL)
+    {
+      call->basis = *order->basis;
+      call->basis.group = text_pool_add (texts, order->basis->group);
+      call->order.basis = &call->basis;
+    }
+  return !texts->failed;
 }
 
 void
@@ -353,19 +356,21 @@
 {
   struct order_call *call = calloc (1, sizeof *call);
 
-  if (call == NULL)
+  if (call == NULL || !copy_order (call, order))
     {
       LOG_EVENT (LOG_LEVEL_WARNING, "order-not-sent",
                  LOG_STR ("op", formation_op_name (order->op)),
                  LOG_STR ("endpoint", order->endpoint));
+      if (call != NULL)
+        text_pool_finish (&call->texts);
+      free (call);
       return;
     }
   call->orders = orders;
   call->fence = fence;
   call->sent_ms = now_ms;
   call->port = port;
-  memcpy (call->address, address, strlen (address) + 1);
-  copy_order (call, order);
+  snprintf (call->address, sizeof call->address, "%s", address);
   http_text_init (&call->state);
   TAILQ_INSERT_TAIL (&orders->calls, call, link);
   if (order->basis != NULL)
--- a/packages/edge/tests/t0963-orders.c
+++ b/packages/edge/tests/t0963-orders.c
@@ -367,7 +367,7 @@
       received[0] = '\0';
       lost_orders = 0;
       lease_held = true;
-      snprintf (basis.group, sizeof basis.group, "%s", join_case->basis);
+      basis.group = join_case->basis;
       basis.epoch = join_case->basis[0] != '\0' ? 3 : 0;
       http_server_start (&server, &join_events, 64);
       orders_init (&orders, server.base, &join_adapter, &hooks);
--- a/packages/formation/include/formation.h
+++ b/packages/formation/include/formation.h
@@ -4,6 +4,7 @@
 #include "catalog.h"
 #include "endpoints.h"
 #include "result.h"
+#include "text-pool.h"
 
 #include <stdbool.h>
 #include <stdint.h>
@@ -28,7 +29,6 @@
  */
 
 #define FORMATION_SIZE_LIMIT 32 /* endpoints per group */
-#define FORMATION_NAME_SIZE CATALOG_NAME_SIZE
 
 enum formation_op
 {
@@ -49,8 +49,8 @@
  */
 struct formation_basis
 {
-  int64_t started_ms;            /* 0 = not known */
-  char group[CATALOG_NAME_SIZE]; /* "" = none */
+  int64_t started_ms; /* 0 = not known */
+  const char *group;  /* "" = none */
   uint64_t epoch;
 };
 
@@ -61,7 +61,7 @@
   const char *group;
   uint64_t epoch;
   const char *model;
-  char (*members)[CATALOG_NAME_SIZE]; /* for a join; the head first */
+  const char *const *members; /* for a join; the head first */
   unsigned member_count;
   const char *reason;
   const struct formation_basis *basis; /* NULL unless a join */
@@ -116,13 +116,14 @@
 
 struct formation_group
 {
-  char name[FORMATION_NAME_SIZE];
+  struct text_pool texts; /* of the group */
+  const char *name;
   uint64_t epoch;
-  char service[CATALOG_NAME_SIZE];
-  char model[CATALOG_NAME_SIZE];
-  char domain[CATALOG_NAME_SIZE];
+  const char *service;
+  const char *model; /* "" = unknown */
+  const char *domain;
   unsigned size; /* 0 = unknown: no member has reported its model yet */
-  char members[FORMATION_SIZE_LIMIT][CATALOG_NAME_SIZE]; /* "" = unknown */
+  const char *members[FORMATION_SIZE_LIMIT]; /* "" = unknown */
   enum formation_phase phase;
   int64_t phase_since_ms; /* start of the present phase */
   int64_t last_order_ms;  /* last order in this phase; 0 = none */
@@ -136,7 +137,7 @@
 /* State of an endpoint that is kept between ticks. */
 struct formation_member
 {
-  char id[CATALOG_NAME_SIZE];
+  const char *id;
   struct formation_group *group;
   uint64_t abandoned_epoch;    /* epoch of its last abandoned group */
   uint64_t joined_epoch;       /* epoch of the last join order; 0 = none */
@@ -145,7 +146,7 @@
   int64_t excluded_until_ms;   /* not used for a new group before this time */
   int64_t leave_ordered_ms;    /* last order to leave or close its group */
   int64_t prefetch_ordered_ms; /* last prefetch order; 0 = none */
-  char loading_model[CATALOG_NAME_SIZE]; /* of its last load; "" = none */
+  char *loading_model;         /* of its last load; NULL = none */
   int64_t activate_ordered_ms; /* last join order to a spare group; 0 = none */
   int64_t load_counted_until_ms; /* its load counts as running until then */
   int64_t started_ms;            /* incarnation of the endpoint (start time) */
@@ -154,8 +155,8 @@
 
 struct formation_settings
 {
-  char data_centre[CATALOG_NAME_SIZE];
-  unsigned data_centres; /* data centres that share the weight store */
+  const char *data_centre; /* lives as long as the formation */
+  unsigned data_centres;   /* data centres that share the weight store */
 };
 
 struct formation
--- a/packages/formation/src/advance-groups.c
+++ b/packages/formation/src/advance-groups.c
@@ -39,7 +39,7 @@
     .group = group->name,
     .epoch = group->epoch,
     .model = group->model,
-    .members = (char (*)[CATALOG_NAME_SIZE])group->members,
+    .members = group->members,
     .member_count = group->size,
     .reason = reason,
   };
@@ -117,8 +117,10 @@
           catalog_find_service (run->catalog, report->service), report->model);
       if (model == NULL || model->size > FORMATION_SIZE_LIMIT)
         return false;
+      group->model = text_pool_add (&group->texts, model->name);
+      if (group->model[0] == '\0')
+        return false;
       group->size = model->size;
-      memcpy (group->model, model->name, sizeof group->model);
     }
   return strcmp (group->model, report->model) == 0;
 }
@@ -127,22 +129,22 @@
 adopt_group (const struct formation_run *run, const struct endpoint *endpoint)
 {
   const struct endpoint_report *report = &endpoint->report;
-  struct formation_group *group = calloc (1, sizeof *group);
+  struct formation_group *group = formation_new_group ();
 
   if (group == NULL)
     return NULL;
-  if (!learn_model (run, group, report))
+  group->name = text_pool_add (&group->texts, report->group);
+  group->service = text_pool_add (&group->texts, report->service);
+  group->domain = text_pool_add (&group->texts, report->domain);
+  if (!learn_model (run, group, report) || group->texts.failed)
     {
-      free (group);
+      formation_free_group (group);
       return NULL;
     }
   group->epoch = report->epoch;
   group->adopted = true;
   group->adopted_ms = run->now_ms;
   group->phase_since_ms = run->now_ms;
-  memcpy (group->name, report->group, sizeof group->name);
-  memcpy (group->service, report->service, sizeof group->service);
-  memcpy (group->domain, report->domain, sizeof group->domain);
   TAILQ_INSERT_TAIL (&run->formation->groups, group, link);
   run->hooks->phase_changed (run->hooks->context, group, "adopted");
   return group;
@@ -204,8 +206,8 @@
       if (member == NULL || member->group != NULL)
         continue;
       member->group = group;
-      memcpy (group->members[report->rank], endpoint->id,
-              sizeof group->members[0]);
+      group->members[report->rank]
+          = text_pool_add (&group->texts, endpoint->id);
       if (report->rank == 0 && report->state == ENDPOINT_GROUP_OPEN)
         group->phase = FORMATION_SERVING;
     }
--- a/packages/formation/src/form-groups.c
+++ b/packages/formation/src/form-groups.c
@@ -164,7 +164,9 @@
             = endpoints_find (run->endpoints, member->id);
 
         if (endpoint != NULL
-            && !endpoint_has_cached_model (endpoint, member->loading_model))
+            && (member->loading_model == NULL
+                || !endpoint_has_cached_model (endpoint,
+                                               member->loading_model)))
           count++;
       }
   return count;
@@ -200,7 +202,8 @@
 {
   member->load_counted_until_ms
       = run->now_ms + LOAD_TIME_FACTOR * model->load_ms;
-  memcpy (member->loading_model, model->name, sizeof member->loading_model);
+  free (member->loading_model);
+  member->loading_model = strdup (model->name);
   if (run->formation->has_traffic)
     run->formation->load_tokens -= 1;
 }
@@ -208,13 +211,14 @@
 uint64_t
 formation_name_next_group (struct formation *formation,
                            const char *suffix,
-                           char *name,
-                           size_t size)
+                           struct text_pool *texts,
+                           const char **name)
 {
   formation->formed_count++;
-  snprintf (name, size, "%.40s-%llu-%llu%s", formation->settings.data_centre,
-            (unsigned long long)formation->fence,
-            (unsigned long long)formation->formed_count, suffix);
+  *name = text_pool_format (
+      texts, "%s-%llu-%llu%s", formation->settings.data_centre,
+      (unsigned long long)formation->fence,
+      (unsigned long long)formation->formed_count, suffix);
   return (formation->fence << FORMATION_EPOCH_SHIFT) | formation->formed_count;
 }
 
@@ -226,21 +230,26 @@
             const struct member_choice *choice)
 {
   struct formation *formation = run->formation;
-  struct formation_group *group = calloc (1, sizeof *group);
+  struct formation_group *group = formation_new_group ();
 
   if (group == NULL)
     return;
-  group->epoch = formation_name_next_group (formation, "", group->name,
-                                            sizeof group->name);
+  group->epoch
+      = formation_name_next_group (formation, "", &group->texts, &group->name);
   group->size = model->size;
-  memcpy (group->service, service->name, sizeof group->service);
-  memcpy (group->model, model->name, sizeof group->model);
-  memcpy (group->domain, pool->endpoints[choice->picked[0]]->report.domain,
-          sizeof group->domain);
-  TAILQ_INSERT_TAIL (&formation->groups, group, link);
+  group->service = text_pool_add (&group->texts, service->name);
+  group->model = text_pool_add (&group->texts, model->name);
+  group->domain = text_pool_add (
+      &group->texts, pool->endpoints[choice->picked[0]]->report.domain);
   for (unsigned rank = 0; rank < model->size; rank++)
-    memcpy (group->members[rank], pool->endpoints[choice->picked[rank]]->id,
-            sizeof group->members[0]);
+    group->members[rank] = text_pool_add (
+        &group->texts, pool->endpoints[choice->picked[rank]]->id);
+  if (group->texts.failed)
+    {
+      formation_free_group (group);
+      return;
+    }
+  TAILQ_INSERT_TAIL (&formation->groups, group, link);
   formation_set_phase (run, group, FORMATION_JOINING, "formed");
   for (unsigned rank = 0; rank < model->size; rank++)
     {
@@ -248,7 +257,7 @@
       struct formation_member *member = pool->members[index];
 
       if (formation_join_cost (pool->endpoints[index], model->name) == JOIN_COLD
-          && strcmp (member->loading_model, model->name) != 0)
+          && !formation_is_loading (member, model->name))
         record_load (run, member, model);
       pool->used[index] = true;
       member->group = group;
@@ -383,10 +392,14 @@
              const struct catalog_service *service,
              struct formation_pool *pool)
 {
-  bool tried[CATALOG_MODEL_LIMIT] = { false };
+  size_t tried_size = service->model_count * sizeof (bool);
+  bool *tried = calloc (service->model_count, sizeof *tried);
   double share_filled = 0;
+  bool is_complete = false;
   int index;
 
+  if (tried == NULL)
+    return false;
   while ((index = find_most_underserved_model (run, service, pool, tried,
                                                &share_filled))
          >= 0)
@@ -395,13 +408,17 @@
 
       tried[index] = true;
       if (form_group_of_model (run, service, model, pool))
-        memset (tried, 0, sizeof tried);
+        memset (tried, 0, tried_size);
       else if (!run->formation->has_traffic && share_filled < 1
                && count_running_loads (run) > 0)
         /* Loads are fast during startup, so the due model waits for them. */
-        return false;
+        goto out;
     }
-  return true;
+  is_complete = true;
+
+out:
+  free (tried);
+  return is_complete;
 }
 
 /* Counts free endpoints of the domain that have or load the model's weights. */
@@ -415,7 +432,7 @@
   for (unsigned i = 0; i < pool->count; i++)
     if (is_free_in_domain (pool, i, domain)
         && (formation_join_cost (pool->endpoints[i], model) != JOIN_COLD
-            || strcmp (pool->members[i]->loading_model, model) == 0))
+            || formation_is_loading (pool->members[i], model)))
       count++;
   return count;
 }
@@ -481,11 +498,12 @@
         }
     }
   if (best == NULL
-      || (member->loading_model[0] == '\0'
-          && !can_start_loads (run, service, 1)))
+      || (member->loading_model == NULL && !can_start_loads (run, service, 1)))
     return;
-  if (member->loading_model[0] == '\0')
+  if (member->loading_model == NULL)
     record_load (run, member, best);
+  if (member->loading_model == NULL)
+    return;
   member->prefetch_ordered_ms = run->now_ms;
   run->hooks->order (run->hooks->context, &(struct formation_order){
                                               .op = FORMATION_PREFETCH,
--- a/packages/formation/src/formation-internal.h
+++ b/packages/formation/src/formation-internal.h
@@ -25,6 +25,12 @@
 struct formation_member *formation_get_member (struct formation *formation,
                                                const struct endpoint *endpoint);
 
+void formation_free_member (struct formation_member *member);
+
+/* True if its last load was of this model. */
+bool formation_is_loading (const struct formation_member *member,
+                           const char *model);
+
 /* Removes members that were deleted and resets those that have restarted. */
 void formation_remove_stale_members (const struct formation_run *run);
 
@@ -44,6 +50,10 @@
                             struct formation_member *member,
                             const struct endpoint *endpoint);
 
+/* Creates a group without members; NULL if memory is short. */
+struct formation_group *formation_new_group (void);
+void formation_free_group (struct formation_group *group);
+
 /* advance-groups.c: adopts groups and advances them through their phases. */
 void formation_adopt_groups (const struct formation_run *run);
 void formation_advance_groups (const struct formation_run *run);
@@ -71,11 +81,14 @@
 enum formation_join_cost formation_join_cost (const struct endpoint *endpoint,
                                               const char *model);
 
-/* Writes the name of a new group, ending in suffix; returns its epoch. */
+/*
+ * Adds the name of a new group, ending in suffix, to the texts; returns its
+ * epoch.
+ */
 uint64_t formation_name_next_group (struct formation *formation,
                                     const char *suffix,
-                                    char *name,
-                                    size_t size);
+                                    struct text_pool *texts,
+                                    const char **name);
 
 #define FORMATION_POOL_LIMIT 512 /* free endpoints per service and tick */
 
--- a/packages/formation/src/formation.c
+++ b/packages/formation/src/formation.c
@@ -38,6 +38,27 @@
   TAILQ_INIT (&formation->groups);
 }
 
+struct formation_group *
+formation_new_group (void)
+{
+  struct formation_group *group = calloc (1, sizeof *group);
+
+  if (group == NULL)
+    return NULL;
+  text_pool_init (&group->texts);
+  group->name = group->service = group->model = group->domain = "";
+  for (unsigned rank = 0; rank < FORMATION_SIZE_LIMIT; rank++)
+    group->members[rank] = "";
+  return group;
+}
+
+void
+formation_free_group (struct formation_group *group)
+{
+  text_pool_finish (&group->texts);
+  free (group);
+}
+
 static void
 clear_state (struct formation *formation)
 {
@@ -49,13 +70,13 @@
     {
       struct formation_member *next = member->hh.next;
 
-      free (member);
+      formation_free_member (member);
       member = next;
     }
   while ((group = TAILQ_FIRST (&formation->groups)) != NULL)
     {
       TAILQ_REMOVE (&formation->groups, group, link);
-      free (group);
+      formation_free_group (group);
     }
 }
 
@@ -168,7 +189,7 @@
                 member->abandoned_epoch = group->epoch;
               }
           TAILQ_REMOVE (&formation->groups, group, link);
-          free (group);
+          formation_free_group (group);
         }
       group = next;
     }
--- a/packages/formation/src/member.c
+++ b/packages/formation/src/member.c
@@ -15,16 +15,36 @@
   HASH_FIND_STR (formation->members, endpoint->id, member);
   if (member == NULL)
     {
-      member = calloc (1, sizeof *member);
+      size_t size = strlen (endpoint->id);
+      char *id;
+
+      /* The id follows the structure. */
+      member = calloc (1, sizeof *member + size + 1);
       if (member == NULL)
         return NULL;
-      memcpy (member->id, endpoint->id, sizeof member->id);
+      id = (char *)(member + 1);
+      memcpy (id, endpoint->id, size + 1);
+      member->id = id;
       member->started_ms = endpoint->report.started_ms;
-      HASH_ADD_STR (formation->members, id, member);
+      HASH_ADD_KEYPTR (hh, formation->members, member->id, size, member);
     }
   return member;
 }
 
+void
+formation_free_member (struct formation_member *member)
+{
+  free (member->loading_model);
+  free (member);
+}
+
+bool
+formation_is_loading (const struct formation_member *member, const char *model)
+{
+  return member->loading_model != NULL
+         && strcmp (member->loading_model, model) == 0;
+}
+
 void
 formation_exclude_endpoint (struct formation *formation,
                             const char *endpoint,
@@ -76,7 +96,7 @@
 
   for (unsigned rank = 0; group != NULL && rank < FORMATION_SIZE_LIMIT; rank++)
     if (strcmp (group->members[rank], member->id) == 0)
-      group->members[rank][0] = '\0';
+      group->members[rank] = "";
 }
 
 /*
@@ -89,7 +109,7 @@
                         struct formation_member *member)
 {
   const struct endpoint *endpoint = endpoints_find (run->endpoints, member->id);
-  struct formation_member reset = { .group = member->group };
+  struct formation_member reset = { .id = member->id, .group = member->group };
 
   if (endpoint == NULL || endpoint->report.started_ms == member->started_ms)
     return;
@@ -100,10 +120,11 @@
       member->started_ms = endpoint->report.started_ms;
       return;
     }
-  memcpy (reset.id, member->id, sizeof reset.id);
   reset.started_ms = endpoint->report.started_ms;
   reset.hh = member->hh;
+  free (member->loading_model);
   *member = reset;
+  member->loading_model = NULL;
 }
 
 void
@@ -130,11 +151,11 @@
       struct formation_member *next = member->hh.next;
 
       if (endpoints_find (run->endpoints, member->id) != NULL)
-        HASH_ADD_STR (kept, id, member);
+        HASH_ADD_KEYPTR (hh, kept, member->id, strlen (member->id), member);
       else
         {
           remove_from_group (member);
-          free (member);
+          formation_free_member (member);
         }
       member = next;
     }
@@ -217,12 +238,13 @@
                      const struct endpoint *endpoint)
 {
   const struct endpoint_report *report = &endpoint->report;
-  struct formation_basis basis = { .started_ms = report->started_ms };
+  struct formation_basis basis
+      = { .started_ms = report->started_ms, .group = "" };
   struct formation_order join = *order;
 
   if (report->state != ENDPOINT_GROUP_NONE)
     {
-      memcpy (basis.group, report->group, sizeof basis.group);
+      basis.group = report->group;
       basis.epoch = report->epoch;
     }
   join.basis = &basis;
--- a/packages/formation/src/spare.c
+++ b/packages/formation/src/spare.c
@@ -33,23 +33,23 @@
                 struct formation_member *member,
                 const struct endpoint *endpoint)
 {
-  char members[1][CATALOG_NAME_SIZE];
-  char name[FORMATION_NAME_SIZE];
   struct formation_order order = {
     .op = FORMATION_JOIN,
     .endpoint = member->id,
-    .group = name,
     .model = model->name,
-    .members = members,
+    .members = &member->id,
     .member_count = 1,
     .reason = "spare without an active model",
   };
+  struct text_pool texts;
 
-  memcpy (members[0], member->id, sizeof members[0]);
-  order.epoch = formation_name_next_group (run->formation, SPARE_SUFFIX, name,
-                                           sizeof name);
+  text_pool_init (&texts);
+  order.epoch = formation_name_next_group (run->formation, SPARE_SUFFIX, &texts,
+                                           &order.group);
   member->activate_ordered_ms = run->now_ms;
-  formation_send_join (run, &order, member, endpoint);
+  if (!texts.failed)
+    formation_send_join (run, &order, member, endpoint);
+  text_pool_finish (&texts);
 }
 
 void
--- a/packages/formation/tests/fixture.h
+++ b/packages/formation/tests/fixture.h
@@ -14,12 +14,14 @@
 
 #define FIXTURE_ORDER_LIMIT 4096
 #define SERVICE "draft-llm"
+/* Names in the tests are shorter. */
+#define FIXTURE_NAME_SIZE 64
 
 struct fixture_order
 {
   enum formation_op op;
-  char endpoint[CATALOG_NAME_SIZE];
-  char group[CATALOG_NAME_SIZE];
+  char endpoint[FIXTURE_NAME_SIZE];
+  char group[FIXTURE_NAME_SIZE];
   uint64_t epoch;
 };
 
@@ -34,7 +36,7 @@
                                  head */
   bool ignores_orders;        /* endpoints record orders and do nothing */
   bool restarted_before_join; /* joins reach an unreported incarnation */
-  char silent[CATALOG_NAME_SIZE]; /* endpoint that does not respond */
+  char silent[FIXTURE_NAME_SIZE]; /* endpoint that does not respond */
   uint64_t revision;
   int64_t now_ms;
 };
@@ -128,7 +130,7 @@
   else if (order->op == FORMATION_LEAVE)
     {
       report.state = ENDPOINT_GROUP_NONE;
-      report.group[0] = '\0';
+      snprintf (report.group, sizeof report.group, "%s", "");
     }
   else
     report.state = ENDPOINT_GROUP_READY;
@@ -178,8 +180,8 @@
 {
   struct endpoint_report report = { .port = 1, .slots = 26 };
 
-  snprintf (report.service, sizeof report.service, SERVICE);
-  snprintf (report.data_centre, sizeof report.data_centre, "casa-a");
+  snprintf (report.service, sizeof report.service, "%s", SERVICE);
+  snprintf (report.data_centre, sizeof report.data_centre, "%s", "casa-a");
   snprintf (report.domain, sizeof report.domain, "%s", domain);
   if (cached_model != NULL)
     {
@@ -199,7 +201,7 @@
 {
   for (unsigned i = 0; i < count; i++)
     {
-      char id[CATALOG_NAME_SIZE];
+      char id[FIXTURE_NAME_SIZE];
 
       snprintf (id, sizeof id, "%s-%u", domain, i);
       fixture_add_endpoint (fixture, domain, id, cached_model);
@@ -235,7 +237,7 @@
 static void
 fixture_init (struct fixture *fixture)
 {
-  static const struct catalog_model models[]
+  static struct catalog_model models[]
       = { { "m0", 4, 0.57, 1.0, 16000, 1600 },
           { "m1", 3, 0.43, 0.6, 12000, 1100 } };
   struct formation_settings settings
@@ -246,13 +248,14 @@
   fixture->now_ms = 1000;
   fixture->catalog = catalog_new (0, 1, 0);
   service = &fixture->catalog->services[0];
-  snprintf (service->name, sizeof service->name, SERVICE);
-  memcpy (service->models, models, sizeof models);
+  service->name = SERVICE;
+  service->models = models;
   service->model_count = 2;
   service->slots = 26;
   service->loads_per_s = 4.5;
   service->concurrent_loads = 6;
   fixture->catalog->service_count = 1;
+  catalog_index_services (fixture->catalog);
   endpoints_init (&fixture->endpoints, NULL, NULL);
   formation_init (&fixture->formation, &settings);
   formation_set_fence (&fixture->formation, 1, fixture->now_ms);
--- a/packages/formation/tests/t0450-formation.c
+++ b/packages/formation/tests/t0450-formation.c
@@ -40,7 +40,7 @@
 static void
 delete_endpoint (const char *id)
 {
-  char copy[CATALOG_NAME_SIZE];
+  char copy[FIXTURE_NAME_SIZE];
 
   snprintf (copy, sizeof copy, "%s", id);
   endpoints_delete (&fixture.endpoints, copy, ++fixture.revision,
@@ -126,7 +126,7 @@
 static void
 apply_event (enum event event)
 {
-  char head[CATALOG_NAME_SIZE] = "";
+  char head[FIXTURE_NAME_SIZE] = "";
   struct endpoint *endpoint;
   struct endpoint_report report;
 
@@ -254,7 +254,7 @@
     {
       struct endpoint *endpoint;
       struct endpoint_report report;
-      char id[CATALOG_NAME_SIZE];
+      char id[FIXTURE_NAME_SIZE];
 
       snprintf (id, sizeof id, "d0-%u", i);
       endpoint = endpoints_find (&fixture.endpoints, id);
@@ -262,8 +262,8 @@
       report.state = ENDPOINT_GROUP_READY;
       report.rank = i;
       report.epoch = 7;
-      snprintf (report.group, sizeof report.group, "old");
-      snprintf (report.model, sizeof report.model, "m0");
+      snprintf (report.group, sizeof report.group, "%s", "old");
+      snprintf (report.model, sizeof report.model, "%s", "m0");
       fixture_report (&fixture, id, &report);
     }
   fixture_tick (&fixture, 20000);
--- a/packages/formation/tests/t0451-handover.c
+++ b/packages/formation/tests/t0451-handover.c
@@ -106,7 +106,7 @@
       struct endpoint_report report
           = { .started_ms = c->started_ms, .state = c->state };
 
-      snprintf (basis.group, sizeof basis.group, "%s", c->basis);
+      basis.group = c->basis;
       basis.epoch = find_epoch (c->basis);
       snprintf (report.group, sizeof report.group, "%s", c->group);
       report.epoch = find_epoch (c->group);
@@ -122,7 +122,7 @@
 {
   struct endpoint *endpoint;
   struct endpoint_report report;
-  char id[CATALOG_NAME_SIZE];
+  char id[FIXTURE_NAME_SIZE];
 
   snprintf (id, sizeof id, "d0-%u", rank);
   endpoint = endpoints_find (&fixture.endpoints, id);
@@ -130,11 +130,11 @@
   report.state = state;
   report.rank = rank;
   report.epoch = OLD_EPOCH;
-  snprintf (report.group, sizeof report.group, OLD_GROUP);
-  report.model[0] = '\0';
+  snprintf (report.group, sizeof report.group, "%s", OLD_GROUP);
+  snprintf (report.model, sizeof report.model, "%s", "");
   /* Members that are joining report no model. */
   if (state != ENDPOINT_GROUP_JOINING)
-    snprintf (report.model, sizeof report.model, "m0");
+    snprintf (report.model, sizeof report.model, "%s", "m0");
   fixture_report (&fixture, id, &report);
 }
 
@@ -200,12 +200,12 @@
 restart_member (unsigned rank)
 {
   struct endpoint_report report;
-  char id[CATALOG_NAME_SIZE];
+  char id[FIXTURE_NAME_SIZE];
 
   snprintf (id, sizeof id, "d0-%u", rank);
   report = endpoints_find (&fixture.endpoints, id)->report;
   report.state = ENDPOINT_GROUP_NONE;
-  report.group[0] = '\0';
+  snprintf (report.group, sizeof report.group, "%s", "");
   report.epoch = 0;
   report.rank = 0;
   report.started_ms = fixture.now_ms;
@@ -262,12 +262,12 @@
         else if (c->event == MODEL_IS_UNKNOWN)
           {
             struct endpoint_report report;
-            char id[CATALOG_NAME_SIZE];
+            char id[FIXTURE_NAME_SIZE];
 
             report_member (rank, ENDPOINT_GROUP_READY);
             snprintf (id, sizeof id, "d0-%u", rank);
             report = endpoints_find (&fixture.endpoints, id)->report;
-            snprintf (report.model, sizeof report.model, "withdrawn");
+            snprintf (report.model, sizeof report.model, "%s", "withdrawn");
             fixture_report (&fixture, id, &report);
           }
       fixture_tick (&fixture, 12000);
@@ -372,8 +372,8 @@
   fixture_add_endpoint (&fixture, "d1", "head", "m0");
   report.state = ENDPOINT_GROUP_OPEN;
   report.epoch = OLD_EPOCH;
-  snprintf (report.group, sizeof report.group, OLD_GROUP);
-  snprintf (report.model, sizeof report.model, "m0");
+  snprintf (report.group, sizeof report.group, "%s", OLD_GROUP);
+  snprintf (report.model, sizeof report.model, "%s", "m0");
   fixture_report (&fixture, "head", &report);
   report_member (2, ENDPOINT_GROUP_READY);
   fixture_tick (&fixture, 1500);
--- a/packages/relay/include/retry-budget.h
+++ b/packages/relay/include/retry-budget.h
@@ -25,7 +25,7 @@
 
 struct retry_budget
 {
-  char service[CATALOG_NAME_SIZE];
+  const char *service;
   int64_t current_bucket; /* number since the epoch of the clock */
   unsigned requests[RETRY_BUDGET_BUCKETS + 1];
   unsigned retries[RETRY_BUDGET_BUCKETS + 1];
--- a/packages/relay/src/retry-budget.c
+++ b/packages/relay/src/retry-budget.c
@@ -58,13 +58,17 @@
   HASH_FIND_STR (budgets->table, service, budget);
   if (budget == NULL)
     {
-      size_t size = strnlen (service, sizeof budget->service - 1);
+      size_t size = strlen (service);
+      char *name;
 
-      budget = calloc (1, sizeof *budget);
+      /* The name follows the structure. */
+      budget = calloc (1, sizeof *budget + size + 1);
       if (budget == NULL)
         return NULL;
-      memcpy (budget->service, service, size);
-      HASH_ADD_STR (budgets->table, service, budget);
+      name = (char *)(budget + 1);
+      memcpy (name, service, size + 1);
+      budget->service = name;
+      HASH_ADD_KEYPTR (hh, budgets->table, budget->service, size, budget);
     }
   clear_passed_buckets (budget,
                         now_ms * RETRY_BUDGET_BUCKETS / budgets->window_ms);
--- a/packages/relay/tests/relay-fixture.h
+++ b/packages/relay/tests/relay-fixture.h
@@ -340,17 +340,17 @@
 static inline struct catalog *
 make_catalog (const struct relay_case *c)
 {
+  static struct catalog_target target = { "app", 1 };
   struct catalog *catalog = catalog_new (1, 1, 1);
   struct catalog_route *route = &catalog->routes[0];
 
   catalog->version = 1;
   catalog->needs_keys = true;
   catalog->limits = (struct catalog_limits){ 16384, 1 << 20, 3000, 15000 };
-  snprintf (route->name, sizeof route->name, "r");
-  snprintf (route->host, sizeof route->host, "h");
-  snprintf (route->prefix, sizeof route->prefix, "/r/");
-  snprintf (route->targets[0].service, sizeof route->targets[0].service, "app");
-  route->targets[0].weight = 1;
+  route->name = "r";
+  route->host = "h";
+  route->prefix = "/r/";
+  route->targets = &target;
   route->target_count = 1;
   route->kind = c->kind;
   route->resumable = c->resumable;
@@ -360,10 +360,10 @@
   route->event_gap_objective_ms = c->event_gap_ms > 0 ? c->event_gap_ms : 2000;
   catalog->route_count = 1;
   catalog_index_route (catalog, 0);
-  snprintf (catalog->services[0].name, sizeof catalog->services[0].name, "app");
+  catalog->services[0].name = "app";
   catalog->service_count = 1;
-  snprintf (catalog->customers[0].name, sizeof catalog->customers[0].name,
-            "atlas");
+  catalog_index_services (catalog);
+  catalog->customers[0].name = "atlas";
   catalog->customer_count = 1;
   catalog_add_key (catalog, "secret", 0);
   return catalog;
@@ -384,7 +384,7 @@
   assert_non_null (endpoint->listener);
   endpoint->port = net_bound_port (evconnlistener_get_fd (endpoint->listener));
   report.port = endpoint->port;
-  snprintf (report.service, sizeof report.service, "app");
+  snprintf (report.service, sizeof report.service, "%s", "app");
   snprintf (report.address, sizeof report.address, "127.0.0.1");
   snprintf (id, sizeof id, "e%u", index);
   endpoints_report (&test.endpoints, id, &report, 1, time_boot_ms ());
--- a/packages/relay/tests/t0862-waiting-order.c
+++ b/packages/relay/tests/t0862-waiting-order.c
@@ -228,6 +228,9 @@
 make_two_routes (const struct order_case *c)
 {
   static const char *const prefixes[] = { "/high/", "/low/" };
+  static struct catalog_target target = { "app", 1 };
+  static struct catalog_model model
+      = { .name = "m", .size = 1, .time_factor = 1 };
   struct catalog *catalog = catalog_new (2, 1, 0);
 
   catalog->version = 2;
@@ -236,11 +239,9 @@
     {
       struct catalog_route *route = &catalog->routes[i];
 
-      snprintf (route->host, sizeof route->host, "h");
-      snprintf (route->prefix, sizeof route->prefix, "%s", prefixes[i]);
-      snprintf (route->targets[0].service, sizeof route->targets[0].service,
-                "app");
-      route->targets[0].weight = 1;
+      route->host = "h";
+      route->prefix = prefixes[i];
+      route->targets = &target;
       route->target_count = 1;
       route->attempts = 2;
       route->timeout_ms = TIMEOUT_MS;
@@ -249,16 +250,15 @@
       catalog->route_count++;
       catalog_index_route (catalog, i);
     }
-  snprintf (catalog->services[0].name, sizeof catalog->services[0].name, "app");
+  catalog->services[0].name = "app";
   catalog->service_count = 1;
   if (c->is_grouped)
     {
       catalog->services[0].slots = 1;
-      catalog->services[0].models[0]
-          = (struct catalog_model){ .name = "m", .size = 1, .time_factor = 1 };
+      catalog->services[0].models = &model;
       catalog->services[0].model_count = 1;
     }
-  catalog_index_priorities (catalog);
+  catalog_index_services (catalog);
   return catalog;
 }
 
@@ -286,7 +286,7 @@
       report->slots = 1;
       report->state
           = cases[i].is_grouped ? ENDPOINT_GROUP_OPEN : ENDPOINT_GROUP_NONE;
-      snprintf (report->model, sizeof report->model, "m");
+      snprintf (report->model, sizeof report->model, "%s", "m");
       relay_set_catalog (&test.relay, make_two_routes (&cases[i]));
       for (unsigned j = 0; j < expected; j++)
         {
--- a/soak/operator.c
+++ b/soak/operator.c
@@ -10,6 +10,10 @@
 #define EXTRA_ROUTE_LIMIT 3
 #define EVACUATION_KIND "evacuations"
 
+static struct catalog_model models[]
+    = { { .name = "large", .share = 0.5, .time_factor = 1 },
+        { .name = "small", .share = 0.5, .time_factor = 1 } };
+
 struct catalog_service operator_models = {
   .name = MODEL_SERVICE,
   .slots = 16,
@@ -18,8 +22,7 @@
   .step_per_request_ms = 0.05,
   .prefill_tokens_per_ms = 50,
   .tokens_per_event = 1,
-  .models = { { .name = "large", .share = 0.5, .time_factor = 1 },
-              { .name = "small", .share = 0.5, .time_factor = 1 } },
+  .models = models,
   .model_count = 2,
 };
 
@@ -53,11 +56,14 @@
 {
   struct catalog_route *route = &catalog->routes[catalog->route_count];
 
-  snprintf (route->name, sizeof route->name, "r%u", catalog->route_count);
-  snprintf (route->host, sizeof route->host, "%s", ROUTE_HOST);
-  snprintf (route->prefix, sizeof route->prefix, "%s", prefix);
-  snprintf (route->targets[0].service, sizeof route->targets[0].service, "%s",
-            service);
+  route->targets
+      = text_pool_allocate (&catalog->texts, 1, sizeof *route->targets);
+  if (route->targets == NULL)
+    abort ();
+  route->name = text_pool_format (&catalog->texts, "r%u", catalog->route_count);
+  route->host = ROUTE_HOST;
+  route->prefix = text_pool_add (&catalog->texts, prefix);
+  route->targets[0].service = service;
   route->targets[0].weight = 1;
   route->target_count = 1;
   route->kind = kind;
@@ -75,8 +81,8 @@
   catalog->needs_keys = true;
   for (unsigned i = 0; i < OPERATOR_CUSTOMERS; i++)
     {
-      snprintf (catalog->customers[i].name, sizeof catalog->customers[i].name,
-                "customer-%u", i);
+      catalog->customers[i].name
+          = text_pool_format (&catalog->texts, "customer-%u", i);
       for (unsigned j = 0; j < OPERATOR_KEYS; j++)
         {
           char key[32];
--- a/tests/system/abusive-platform.c
+++ b/tests/system/abusive-platform.c
@@ -303,25 +303,25 @@
 static struct catalog *
 make_catalog (void)
 {
+  static struct catalog_target target = { .service = "app", .weight = 1 };
   struct catalog *catalog = catalog_new (1, 1, 1);
   struct catalog_route *route = &catalog->routes[0];
 
   catalog->version = 3;
   catalog->limits
       = (struct catalog_limits){ 16384, test.shape->body_bytes, 3000, 15000 };
-  snprintf (route->name, sizeof route->name, "r-any");
-  snprintf (route->host, sizeof route->host, "h.example");
-  snprintf (route->prefix, sizeof route->prefix, "/any/");
+  route->name = "r-any";
+  route->host = "h.example";
+  route->prefix = "/any/";
   route->kind = CATALOG_UNSAFE;
   route->timeout_ms = 8000;
   route->objective_ms = 1000;
   route->attempts = 1;
   route->open = true;
-  snprintf (route->targets[0].service, sizeof route->targets[0].service, "app");
-  route->targets[0].weight = 1;
+  route->targets = &target;
   route->target_count = 1;
   catalog->route_count = 1;
-  snprintf (catalog->services[0].name, sizeof catalog->services[0].name, "app");
+  catalog->services[0].name = "app";
   catalog->services[0].connection_limit = SLOTS;
   catalog->service_count = 1;
   return catalog;
