--- a/fuzz/datagrams.c
+++ b/fuzz/datagrams.c
@@ -81,7 +81,7 @@
   endpoints_init (&endpoints, ignore_removal, NULL);
   hub_sync_init (&sync, &mesh, &endpoints, &hooks, 1000);
   sync.request_sent_ms = NOW_MS;
-  snprintf (report.service, sizeof report.service, "app");
+  report.service = "app";
   CHECK (endpoints_report (&endpoints, SOUND, &report, 5, NOW_MS) == RESULT_OK);
   config_distribution_init (&hub);
   config_distribution_init (&host);
@@ -96,8 +96,8 @@
 {
   config_distribution_finish (&hub);
   config_distribution_finish (&host);
-  hub_sync_finish (&sync);
   endpoints_finish (&endpoints);
+  hub_sync_finish (&sync);
 }
 
 /* Fills in a sound message; the rest of its body is 0. */
@@ -119,8 +119,7 @@
       break;
     case GOSSIP_REPORT:
     case GOSSIP_DELETED:
-      snprintf (message->body.report.endpoint,
-                sizeof message->body.report.endpoint, "other");
+      message->body.report.endpoint = "other";
       message->body.report.revision = 6;
       break;
     case GOSSIP_PATCH:
--- a/fuzz/formation.c
+++ b/fuzz/formation.c
@@ -213,7 +213,7 @@
   report.state = actual->state;
   report.epoch = actual->epoch;
   report.rank = actual->rank;
-  snprintf (report.group, sizeof report.group, "%s", actual->group);
+  report.group = actual->group;
   conditional.has_condition = true;
   conditional.expected_orders = actual->orders;
   switch (formation_check_join (basis, order->group, order->epoch, &report))
@@ -289,18 +289,18 @@
     return;
   snprintf (id, sizeof id, "e%u", index);
   snprintf (domain, sizeof domain, "d%u", index / 7);
-  snprintf (report.service, sizeof report.service, "%s", "llm");
-  snprintf (report.data_centre, sizeof report.data_centre, "%s", "a");
-  snprintf (report.domain, sizeof report.domain, "%s", domain);
-  snprintf (report.cached_models[0], sizeof report.cached_models[0], "%s", "m");
+  report.service = "llm";
+  report.data_centre = "a";
+  report.domain = domain;
+  report.cached_models[0] = "m";
   report.cached_model_count = 1;
   report.started_ms = actual->started_ms;
   report.leaving = actual->leaving;
   report.state = actual->state;
   if (actual->state != ENDPOINT_GROUP_NONE)
     {
-      snprintf (report.group, sizeof report.group, "%s", actual->group);
-      snprintf (report.model, sizeof report.model, "%s", "m");
+      report.group = actual->group;
+      report.model = "m";
       report.epoch = actual->epoch;
       report.rank = actual->rank;
     }
--- a/fuzz/handover.c
+++ b/fuzz/handover.c
@@ -178,7 +178,7 @@
   report.orders = actual->orders;
   /* The weights are not loaded yet. */
   if (report.state == ENDPOINT_GROUP_JOINING)
-    snprintf (report.model, sizeof report.model, "%s", "");
+    report.model = "";
   return report;
 }
 
@@ -206,16 +206,11 @@
   actual->started_ms = world.now_ms;
   actual->report.port = 1;
   actual->last_model = "";
-  snprintf (actual->report.service, sizeof actual->report.service, "%s",
-            SERVICE);
-  snprintf (actual->report.data_centre, sizeof actual->report.data_centre, "%s",
-            "a");
-  snprintf (actual->report.domain, sizeof actual->report.domain, "%s",
-            index % 2 == 0 ? "d0" : "d1");
-  snprintf (actual->report.cached_models[0],
-            sizeof actual->report.cached_models[0], "%s", "m");
-  snprintf (actual->report.cached_models[1],
-            sizeof actual->report.cached_models[1], "%s", "n");
+  actual->report.service = SERVICE;
+  actual->report.data_centre = "a";
+  actual->report.domain = index % 2 == 0 ? "d0" : "d1";
+  actual->report.cached_models[0] = "m";
+  actual->report.cached_models[1] = "n";
   actual->report.cached_model_count = 2;
   actual->told = make_report (actual);
   change_endpoint (actual);
@@ -355,8 +350,8 @@
   actual->orders++;
   actual->open_ms = 0;
   actual->stalled_ms = 0;
-  snprintf (report->group, sizeof report->group, "%s", flight->group);
-  snprintf (report->model, sizeof report->model, "%s", flight->model);
+  report->group = flight->group;
+  report->model = flight->model;
   report->epoch = flight->epoch;
   report->state = ENDPOINT_GROUP_JOINING;
   memcpy (actual->members, flight->members, sizeof actual->members);
@@ -395,7 +390,7 @@
       actual->orders++;
       actual->open_ms = 0;
       report->state = ENDPOINT_GROUP_NONE;
-      snprintf (report->group, sizeof report->group, "%s", "");
+      report->group = "";
     }
   else if (report->rank != 0)
     return false;
--- a/packages/balance/include/balance.h
+++ b/packages/balance/include/balance.h
@@ -29,7 +29,7 @@
  */
 struct endpoint_load
 {
-  char id[CATALOG_NAME_SIZE];
+  const char *id;
   uint64_t hash;             /* hash_string of the id */
   struct endpoint *endpoint; /* NULL once its entry is deleted */
   unsigned running;          /* requests of this entry host */
@@ -63,7 +63,7 @@
 /* Reachability of another data centre; created by the first failure. */
 struct remote_data_centre
 {
-  char data_centre[CATALOG_NAME_SIZE];
+  const char *data_centre;
   unsigned unreached_in_a_row; /* endpoints that did not respond */
   const struct endpoint_load *last_unreached; /* endpoint that failed last */
   int64_t last_unreached_ms;
@@ -87,15 +87,16 @@
   struct endpoint_load *table;        /* uthash by id */
   struct remote_data_centre *remotes; /* uthash by data centre */
   struct rng rng;
-  struct request_limit_fleet fleet;    /* as of the reported loads */
-  struct cold_bound cold_bound;        /* set by the owner */
-  struct cold_interval cold_interval;  /* private to cold.c */
-  uint64_t choices;                    /* number of calls of balance_choose */
-  char data_centre[CATALOG_NAME_SIZE]; /* data centre of this entry host */
+  struct request_limit_fleet fleet;   /* as of the reported loads */
+  struct cold_bound cold_bound;       /* set by the owner */
+  struct cold_interval cold_interval; /* private to cold.c */
+  uint64_t choices;                   /* number of calls of balance_choose */
+  const char *data_centre;            /* data centre of this entry host */
   /* Set by the owner; NULL = there are none. */
   const struct evacuations *evacuations;
 };
 
+/* data_centre has to live as long as the table. */
 void load_table_init (struct load_table *loads,
                       const char *data_centre,
                       uint64_t seed);
--- a/packages/balance/src/load-table.c
+++ b/packages/balance/src/load-table.c
@@ -11,11 +11,9 @@
                  const char *data_centre,
                  uint64_t seed)
 {
-  size_t size = strnlen (data_centre, sizeof loads->data_centre - 1);
-
   memset (loads, 0, sizeof *loads);
-  memcpy (loads->data_centre, data_centre, size);
   rng_init (&loads->rng, seed);
+  loads->data_centre = data_centre;
 }
 
 void
@@ -85,12 +83,18 @@
   load = find_load (loads, endpoint->id);
   if (load == NULL)
     {
-      load = calloc (1, sizeof *load);
+      size_t size = strlen (endpoint->id);
+      char *id;
+
+      /* The id follows the structure. */
+      load = calloc (1, sizeof *load + size + 1);
       if (load == NULL)
         return NULL;
-      memcpy (load->id, endpoint->id, sizeof load->id);
+      id = (char *)(load + 1);
+      memcpy (id, endpoint->id, size + 1);
+      load->id = id;
       load->hash = hash_string (load->id, 0);
-      HASH_ADD_STR (loads->table, id, load);
+      HASH_ADD_KEYPTR (hh, loads->table, load->id, size, load);
     }
   load->endpoint = endpoint;
   endpoint->owner_data = load;
--- a/packages/balance/tests/t0470-balance.c
+++ b/packages/balance/tests/t0470-balance.c
@@ -34,9 +34,9 @@
   struct endpoint_report report
       = { .port = 1, .slots = 6, .state = ENDPOINT_GROUP_OPEN };
 
-  snprintf (report.service, sizeof report.service, "%s", service_name);
-  snprintf (report.data_centre, sizeof report.data_centre, "%s", data_centre);
-  snprintf (report.model, sizeof report.model, "%s", "m0");
+  report.service = service_name;
+  report.data_centre = data_centre;
+  report.model = "m0";
   endpoints_report (&endpoints, id, &report, 1, 0);
   return load_table_get (&loads, endpoints_find (&endpoints, id));
 }
--- a/packages/balance/tests/t0473-cold-limit.c
+++ b/packages/balance/tests/t0473-cold-limit.c
@@ -117,8 +117,8 @@
     .port = 1, .slots = 1000, .has_cold = cold_ms > 0, .cold_ms = cold_ms
   };
 
-  snprintf (report.service, sizeof report.service, "app");
-  snprintf (report.data_centre, sizeof report.data_centre, "dc-0");
+  report.service = "app";
+  report.data_centre = "dc-0";
   endpoints_report (&host->endpoints, "e0", &report, revision, host->hears_ms);
 }
 
@@ -381,8 +381,8 @@
   (void)state;
   start_hosts (&c, 1);
   hear (&c, host, START_MS + 1);
-  snprintf (report.service, sizeof report.service, "app");
-  snprintf (report.data_centre, sizeof report.data_centre, "dc-0");
+  report.service = "app";
+  report.data_centre = "dc-0";
   endpoints_report (&host->endpoints, "e1", &report, 1, START_MS);
   warm = load_table_get (&host->loads, endpoints_find (&host->endpoints, "e1"));
   assert_int_equal (balance_choose (&host->loads, &host->endpoints, &request,
--- a/packages/balance/tests/t0475-admission-order.c
+++ b/packages/balance/tests/t0475-admission-order.c
@@ -197,8 +197,7 @@
                                             .data_centre = "casa-a" };
           char id[16];
 
-          snprintf (report.model, sizeof report.model, "%s",
-                    g < SMALL_GROUPS ? "small" : "large");
+          report.model = g < SMALL_GROUPS ? "small" : "large";
           snprintf (id, sizeof id, "g%d", g);
           endpoints_report (&host->endpoints, id, &report, 1, 0);
           host->groups[g] = load_table_get (
--- a/packages/catalog/include/catalog.h
+++ b/packages/catalog/include/catalog.h
@@ -17,9 +17,6 @@
  * Texts have any length, "" if absent, and live as long as the catalog.
  */
 
-/* Of the names in entries of endpoints. */
-#define CATALOG_NAME_SIZE 64
-
 /* Whether a request of a route may be sent to an endpoint again. */
 enum catalog_kind
 {
--- a/packages/catalog/include/endpoints.h
+++ b/packages/catalog/include/endpoints.h
@@ -4,6 +4,7 @@
 #include "catalog.h"
 #include "result.h"
 
+#include <arpa/inet.h>
 #include <stdbool.h>
 #include <stdint.h>
 #include <uthash.h>
@@ -18,6 +19,8 @@
  */
 
 #define ENDPOINTS_CACHED_MODEL_LIMIT 4
+/* Requests name the endpoint that is meant in their head, which has a limit. */
+#define ENDPOINTS_ID_LIMIT_BYTES 16384
 
 enum endpoint_group_state
 {
@@ -30,23 +33,28 @@
 };
 const char *endpoint_group_state_name (enum endpoint_group_state state);
 
+/*
+ * What an endpoint says of itself.  The texts have any length and belong to
+ * whoever made the report; a table keeps copies.  NULL means "" in what a table
+ * is given; it hands out "".
+ */
 struct endpoint_report
 {
-  char service[CATALOG_NAME_SIZE];
-  char address[CATALOG_NAME_SIZE];
+  const char *service;
+  char address[INET_ADDRSTRLEN];
   uint16_t port;
-  char data_centre[CATALOG_NAME_SIZE];
-  char domain[CATALOG_NAME_SIZE]; /* "" = none */
+  const char *data_centre;
+  const char *domain; /* "" = none */
   unsigned slots;
   bool leaving;
   int64_t started_ms; /* wall clock at start; identifies the incarnation */
   /* Orders accepted since the start; not known from the platform's list. */
   uint64_t orders;
   /* Models in the endpoint's weight cache. */
-  char cached_models[ENDPOINTS_CACHED_MODEL_LIMIT][CATALOG_NAME_SIZE];
+  const char *cached_models[ENDPOINTS_CACHED_MODEL_LIMIT];
   unsigned cached_model_count;
-  char model[CATALOG_NAME_SIZE]; /* loaded model; "" = none */
-  char group[CATALOG_NAME_SIZE]; /* "" = none */
+  const char *model; /* loaded model; "" = none */
+  const char *group; /* "" = none */
   uint64_t epoch;
   unsigned rank; /* 0 = head */
   enum endpoint_group_state state;
@@ -56,8 +64,9 @@
 
 struct endpoint
 {
-  char id[CATALOG_NAME_SIZE];
+  const char *id;
   struct endpoint_report report;
+  char *texts;              /* of the report */
   uint64_t revision;        /* of the entry that holds the report */
   int64_t leaving_since_ms; /* when it was first seen leaving; 0 = never */
   int64_t deleted_ms; /* when the entry was found deleted; 0 = it exists */
@@ -101,10 +110,18 @@
 struct endpoint *endpoints_find (const struct endpoints *endpoints,
                                  const char *id);
 
+/* Sets all texts of the report that are NULL to "". */
+void endpoint_report_init (struct endpoint_report *report);
+
+/* Moves the texts of the report to the pool, which notes if memory is short. */
+void endpoint_report_keep (struct endpoint_report *report,
+                           struct text_pool *texts);
+
 /*
  * Stores a report; one with an older revision than the stored is ignored.  An
  * endpoint that leaves does so until it restarts, whatever later reports say.
- * RESULT_INVALID if the id is too long or has other than visible ASCII bytes.
+ * RESULT_TOO_LARGE if the id has more than ENDPOINTS_ID_LIMIT_BYTES,
+ * RESULT_INVALID if it has other than visible ASCII bytes.
  */
 enum result endpoints_report (struct endpoints *endpoints,
                               const char *id,
--- a/packages/catalog/src/endpoints.c
+++ b/packages/catalog/src/endpoints.c
@@ -68,6 +68,72 @@
   return hash_string (endpoint->id, endpoint->revision);
 }
 
+/* Texts of a report: the fields, then the cached models. */
+#define REPORT_FIELDS 5
+#define REPORT_TEXTS (REPORT_FIELDS + ENDPOINTS_CACHED_MODEL_LIMIT)
+
+static void
+list_texts (struct endpoint_report *report, const char **out[REPORT_TEXTS])
+{
+  out[0] = &report->service;
+  out[1] = &report->data_centre;
+  out[2] = &report->domain;
+  out[3] = &report->model;
+  out[4] = &report->group;
+  for (unsigned i = 0; i < ENDPOINTS_CACHED_MODEL_LIMIT; i++)
+    out[REPORT_FIELDS + i] = &report->cached_models[i];
+}
+
+void
+endpoint_report_init (struct endpoint_report *report)
+{
+  const char **texts[REPORT_TEXTS];
+
+  list_texts (report, texts);
+  for (unsigned i = 0; i < REPORT_TEXTS; i++)
+    if (*texts[i] == NULL)
+      *texts[i] = "";
+}
+
+void
+endpoint_report_keep (struct endpoint_report *report, struct text_pool *texts)
+{
+  const char **fields[REPORT_TEXTS];
+
+  endpoint_report_init (report);
+  list_texts (report, fields);
+  for (unsigned i = 0; i < REPORT_TEXTS; i++)
+    *fields[i] = text_pool_add (texts, *fields[i]);
+}
+
+/*
+ * Moves the texts of the report into one block, which it returns; NULL if
+ * memory is short.
+ */
+static char *
+copy_texts (struct endpoint_report *report)
+{
+  const char **texts[REPORT_TEXTS];
+  size_t size = 0;
+  char *block;
+  char *next;
+
+  list_texts (report, texts);
+  for (unsigned i = 0; i < REPORT_TEXTS; i++)
+    size += strlen (*texts[i]) + 1;
+  block = malloc (size);
+  next = block;
+  for (unsigned i = 0; i < REPORT_TEXTS && block != NULL; i++)
+    {
+      size_t length = strlen (*texts[i]) + 1;
+
+      memcpy (next, *texts[i], length);
+      *texts[i] = next;
+      next += length;
+    }
+  return block;
+}
+
 /* Frees a list of endpoints that were removed from the table before. */
 static void
 free_removed_endpoints (struct endpoints *endpoints, struct endpoint *endpoint)
@@ -79,6 +145,7 @@
       endpoints->digest ^= compute_endpoint_digest (endpoint);
       if (endpoints->removed != NULL)
         endpoints->removed (endpoints->context, endpoint);
+      free (endpoint->texts);
       free (endpoint);
       endpoint = next;
     }
@@ -109,15 +176,17 @@
 }
 
 /* Ids stand in header fields; other programs may write any name as an id. */
-static bool
-is_valid_id (const char *id)
+static enum result
+check_id (const char *id)
 {
   size_t size = strlen (id);
 
   for (size_t i = 0; i < size; i++)
     if (id[i] <= ' ' || id[i] > '~')
-      return false;
-  return size > 0 && size < CATALOG_NAME_SIZE;
+      return RESULT_INVALID;
+  if (size > ENDPOINTS_ID_LIMIT_BYTES)
+    return RESULT_TOO_LARGE;
+  return size > 0 ? RESULT_OK : RESULT_INVALID;
 }
 
 static struct endpoint *
@@ -125,12 +194,17 @@
 {
   struct endpoint *endpoint;
   size_t size = strlen (id);
+  char *copy;
 
-  endpoint = calloc (1, sizeof *endpoint);
+  /* The id follows the structure. */
+  endpoint = calloc (1, sizeof *endpoint + size + 1);
   if (endpoint == NULL)
     return NULL;
-  memcpy (endpoint->id, id, size + 1);
-  HASH_ADD_STR (endpoints->table, id, endpoint);
+  copy = (char *)(endpoint + 1);
+  memcpy (copy, id, size + 1);
+  endpoint->id = copy;
+  endpoint_report_init (&endpoint->report);
+  HASH_ADD_KEYPTR (hh, endpoints->table, endpoint->id, size, endpoint);
   endpoints->digest ^= compute_endpoint_digest (endpoint);
   return endpoint;
 }
@@ -157,22 +231,32 @@
                   int64_t now_ms)
 {
   struct endpoint *endpoint = endpoints_find (endpoints, id);
+  struct endpoint_report copy = *report;
+  char *texts;
   bool was_routed;
   bool keeps_leaving;
 
-  if (endpoint == NULL && !is_valid_id (id))
-    return RESULT_INVALID;
   if (endpoint == NULL)
-    endpoint = add_endpoint (endpoints, id);
+    {
+      enum result result = check_id (id);
+
+      if (result != RESULT_OK)
+        return result;
+      endpoint = add_endpoint (endpoints, id);
+    }
   if (endpoint == NULL)
     return RESULT_NO_MEMORY;
   endpoint->not_relisted = false;
   if (revision < endpoint->revision
       || (endpoint->deleted_ms != 0 && revision <= endpoint->deleted_revision))
     return RESULT_OK;
+  endpoint_report_init (&copy);
+  texts = copy_texts (&copy);
+  if (texts == NULL)
+    return RESULT_NO_MEMORY;
   /* A list may repeat an entry that stated a time long ago. */
-  if (report->has_cold && revision > endpoint->revision)
-    note_stated_cold (endpoint, report, now_ms);
+  if (copy.has_cold && revision > endpoint->revision)
+    note_stated_cold (endpoint, &copy, now_ms);
   endpoint->deleted_ms = 0;
   endpoints->digest ^= compute_endpoint_digest (endpoint);
   was_routed = endpoint->revision != 0 && endpoint_is_routed (endpoint);
@@ -181,7 +265,9 @@
   /* An entry of a restored store may be older than the one that said so. */
   keeps_leaving = endpoint->report.leaving && report->started_ms != 0
                   && endpoint->report.started_ms == report->started_ms;
-  endpoint->report = *report;
+  endpoint->report = copy;
+  free (endpoint->texts);
+  endpoint->texts = texts;
   endpoint->report.leaving = report->leaving || keeps_leaving;
   endpoint->revision = revision;
   if (was_routed || endpoint_is_routed (endpoint))
--- a/packages/catalog/tests/t0460-catalog.c
+++ b/packages/catalog/tests/t0460-catalog.c
@@ -383,7 +383,7 @@
                    { "a\r\nx-tenant: b", RESULT_INVALID },
                    { "a\x7f", RESULT_INVALID },
                    { "caf\xc3\xa9", RESULT_INVALID } };
-  char long_id[CATALOG_NAME_SIZE + 1];
+  char *long_id = malloc (ENDPOINTS_ID_LIMIT_BYTES + 2);
   struct endpoint_report report = { .port = 80 };
   struct endpoints endpoints;
 
@@ -398,13 +398,20 @@
           || (endpoints_find (&endpoints, id) != NULL) != (result == RESULT_OK))
         fail_msg ("\"%s\": result %d", id, (int)result);
     }
-  snprintf (long_id, sizeof long_id, "%0*d", CATALOG_NAME_SIZE, 0);
+  assert_non_null (long_id);
+  memset (long_id, '0', ENDPOINTS_ID_LIMIT_BYTES + 1);
+  long_id[ENDPOINTS_ID_LIMIT_BYTES + 1] = '\0';
   assert_int_equal (endpoints_report (&endpoints, long_id, &report, 1, 1),
-                    RESULT_INVALID);
-  long_id[CATALOG_NAME_SIZE - 1] = '\0';
+                    RESULT_TOO_LARGE);
+  long_id[ENDPOINTS_ID_LIMIT_BYTES] = '\0';
   assert_int_equal (endpoints_report (&endpoints, long_id, &report, 1, 1),
                     RESULT_OK);
+  assert_non_null (endpoints_find (&endpoints, long_id));
+  /* One that begins like it is another one. */
+  long_id[ENDPOINTS_ID_LIMIT_BYTES - 1] = '1';
+  assert_null (endpoints_find (&endpoints, long_id));
   endpoints_finish (&endpoints);
+  free (long_id);
 }
 
 /* Guards against services that are served in order of priority unasked. */
@@ -477,12 +484,12 @@
     {
       struct endpoint_report report = { .service = "app",
                                         .port = 1,
+                                        .group = members[i].group,
                                         .epoch = members[i].epoch,
                                         .rank = members[i].rank,
                                         .has_cold = true,
                                         .cold_ms = members[i].cold_ms };
 
-      snprintf (report.group, sizeof report.group, "%s", members[i].group);
       endpoints_report (&endpoints, members[i].id, &report, 1, 1000);
     }
   assert_true (endpoints_spread_cold (&endpoints, 1000));
--- a/packages/catalog/tests/t0462-catalog-check.c
+++ b/packages/catalog/tests/t0462-catalog-check.c
@@ -381,10 +381,8 @@
       for (unsigned j = 0; j < 4 && c->supply[j].service != NULL; j++)
         for (unsigned k = 0; k < c->supply[j].count; k++, count++)
           {
-            snprintf (endpoints[count].service, sizeof endpoints[count].service,
-                      "%s", c->supply[j].service);
-            snprintf (endpoints[count].domain, sizeof endpoints[count].domain,
-                      "%s", c->supply[j].domain);
+            endpoints[count].service = c->supply[j].service;
+            endpoints[count].domain = c->supply[j].domain;
           }
       catalog->services[0].models[0].size = c->sizes[0];
       catalog->services[0].models[1].size = c->sizes[1];
--- a/packages/cli/src/config-store.c
+++ b/packages/cli/src/config-store.c
@@ -19,13 +19,14 @@
   struct records records;
   enum result result;
   bool more;
-  char last_name[CATALOG_NAME_SIZE * 4];
+  char *last_name; /* of the page, if there are more */
 };
 
 void
 config_store_init (struct config_store *store)
 {
   memset (store, 0, sizeof *store);
+  text_pool_init (&store->texts);
 }
 
 void
@@ -33,6 +34,7 @@
 {
   catalog_unref (store->catalog);
   free (store->supply.endpoints);
+  text_pool_finish (&store->texts);
   memset (store, 0, sizeof *store);
 }
 
@@ -89,22 +91,23 @@
   struct endpoint_report *grown;
 
   read->more = response->more;
-  read->last_name[0] = '\0';
   if (response->result != RESULT_OK)
     {
       end_call (read, response->result);
       return;
     }
-  if (response->more
-      && (response->last_name == NULL
-          || strlen (response->last_name) >= sizeof read->last_name))
+  if (response->more && response->last_name == NULL)
     {
       end_call (read, RESULT_PLATFORM_BAD_ANSWER);
       return;
     }
-  if (response->more)
-    memcpy (read->last_name, response->last_name,
-            strlen (response->last_name) + 1);
+  free (read->last_name);
+  read->last_name = response->more ? strdup (response->last_name) : NULL;
+  if (response->more && read->last_name == NULL)
+    {
+      end_call (read, RESULT_NO_MEMORY);
+      return;
+    }
   grown = reallocarray (supply->endpoints, supply->count + response->count + 1,
                         sizeof *grown);
   if (grown == NULL)
@@ -118,10 +121,10 @@
     if (users_platform.decode_endpoint (response->list[i].value,
                                         &grown[supply->count])
         == RESULT_OK)
-      supply->count++;
+      endpoint_report_keep (&grown[supply->count++], &read->store->texts);
     else
       read->store->skipped++;
-  end_call (read, RESULT_OK);
+  end_call (read, read->store->texts.failed ? RESULT_NO_MEMORY : RESULT_OK);
 }
 
 static enum result
@@ -163,6 +166,7 @@
   if (read.result == RESULT_OK)
     read.result = read_endpoints (&read);
   records_finish (&read.records);
+  free (read.last_name);
   event_free (tick);
   /* Connections free their memory from the event loop. */
   event_base_loop (cli->base, EVLOOP_NONBLOCK);
--- a/packages/cli/src/config-store.h
+++ b/packages/cli/src/config-store.h
@@ -9,7 +9,8 @@
 {
   struct catalog *catalog; /* in force; NULL = none */
   struct config_supply supply;
-  unsigned skipped; /* endpoint entries that hosts cannot read either */
+  struct text_pool texts; /* of the supply */
+  unsigned skipped;       /* endpoint entries that hosts cannot read either */
 };
 
 void config_store_init (struct config_store *store);
--- a/packages/edge/include/gossip.h
+++ b/packages/edge/include/gossip.h
@@ -27,6 +27,8 @@
 #define GOSSIP_ROUTED_LIMIT 120
 #define GOSSIP_STRIKE_LIMIT 18
 #define GOSSIP_COLD_LIMIT 90
+/* Names of hosts and data centres; the settings allow no longer ones. */
+#define GOSSIP_NAME_SIZE 64
 /* An age that has no value, or does not fit. */
 #define GOSSIP_NEVER_MS UINT32_MAX
 
@@ -89,8 +91,8 @@
 
 struct gossip_host
 {
-  char name[CATALOG_NAME_SIZE];
-  char data_centre[CATALOG_NAME_SIZE];
+  char name[GOSSIP_NAME_SIZE];
+  char data_centre[GOSSIP_NAME_SIZE];
   char address[16]; /* IPv4 */
   uint16_t port;
   uint32_t capacity; /* thousandths of a processor core */
@@ -182,9 +184,12 @@
 
 struct gossip_report
 {
-  char endpoint[CATALOG_NAME_SIZE];
+  const char *endpoint;
   uint64_t revision;
   struct endpoint_report report; /* not for GOSSIP_DELETED */
+  /* The texts of a message that was received. */
+  size_t texts_size;
+  char texts[GOSSIP_DATAGRAM_LIMIT_BYTES];
 };
 
 struct gossip_message
--- a/packages/edge/include/hub-sync.h
+++ b/packages/edge/include/hub-sync.h
@@ -50,7 +50,7 @@
 /* A removed endpoint, kept to report the removal to hosts that missed it. */
 struct hub_sync_tombstone
 {
-  char endpoint[CATALOG_NAME_SIZE];
+  char *endpoint; /* NULL = memory was short */
   uint64_t revision;
 };
 
--- a/packages/edge/include/mesh.h
+++ b/packages/edge/include/mesh.h
@@ -54,7 +54,7 @@
 /* Sum of the loads of another data centre; the total under the own name. */
 struct mesh_sum
 {
-  char data_centre[CATALOG_NAME_SIZE];
+  char data_centre[GOSSIP_NAME_SIZE];
   struct mesh_loads loads;
   UT_hash_handle hh;
 };
@@ -91,7 +91,9 @@
   struct event *readable;
   struct sockaddr_in seeds[8];
   unsigned seed_count;
-  bool has_traffic;            /* some host has seen requests */
+  bool has_traffic;   /* some host has seen requests */
+  uint64_t too_large; /* messages that did not fit a datagram */
+  int64_t next_too_large_log_ms;
   unsigned live_hosts;         /* in all data centres, as far as known */
   unsigned peak_hosts;         /* highest live_hosts recently */
   int64_t peak_hosts_ms;       /* when live_hosts was last that high */
--- a/packages/edge/include/platform-adapter.h
+++ b/packages/edge/include/platform-adapter.h
@@ -27,7 +27,10 @@
   /* RESULT_INVALID if the configuration cannot be decoded. */
   enum result (*decode_catalog) (const json_t *value, struct catalog **catalog);
 
-  /* RESULT_INVALID if the entry does not describe a usable endpoint. */
+  /*
+   * RESULT_INVALID if the entry does not describe a usable endpoint.  The texts
+   * of the report are those of value.
+   */
   enum result (*decode_endpoint) (const json_t *value,
                                   struct endpoint_report *report);
 
@@ -53,8 +56,8 @@
 
   /*
    * Reads the start, the group and the number of accepted orders from that
-   * report; other members of *report are zero.  RESULT_INVALID without a number
-   * of orders.
+   * report; other members of *report are zero or "".  Its texts are those of
+   * value.  RESULT_INVALID without a number of orders.
    */
   enum result (*decode_endpoint_state) (const json_t *value,
                                         struct endpoint_report *report);
--- a/packages/edge/src/checker.c
+++ b/packages/edge/src/checker.c
@@ -21,7 +21,7 @@
 
 struct endpoint_check
 {
-  char endpoint[CATALOG_NAME_SIZE];
+  const char *endpoint;
   struct checker *checker;
   struct http_call *call; /* NULL = no request in flight */
   unsigned consecutive_failures;
@@ -141,6 +141,8 @@
 checker_suspect (struct checker *checker, const char *endpoint, int64_t now_ms)
 {
   struct endpoint_check *check;
+  size_t size;
+  char *id;
 
   if (checker->is_paused)
     return;
@@ -150,14 +152,17 @@
       check->is_cleared = false;
       return;
     }
-  check = calloc (1, sizeof *check);
+  /* The id follows the structure. */
+  size = strlen (endpoint);
+  check = calloc (1, sizeof *check + size + 1);
   if (check == NULL)
     return;
-  memcpy (check->endpoint, endpoint,
-          strnlen (endpoint, sizeof check->endpoint - 1));
+  id = (char *)(check + 1);
+  memcpy (id, endpoint, size + 1);
+  check->endpoint = id;
   check->checker = checker;
   check->next_ms = now_ms;
-  HASH_ADD_STR (checker->checks, endpoint, check);
+  HASH_ADD_KEYPTR (hh, checker->checks, check->endpoint, size, check);
 }
 
 void
--- a/packages/edge/src/edge.c
+++ b/packages/edge/src/edge.c
@@ -390,11 +390,12 @@
              LOG_U64 ("in_flight", relay_in_flight (&edge->relay)));
   leader_finish (&edge->leader);
   mesh_finish (&edge->mesh);
-  hub_sync_finish (&edge->hub_sync);
   records_finish (&edge->records);
   relay_finish (&edge->relay);
   config_distribution_finish (&edge->distribution);
   endpoints_finish (&edge->endpoints);
+  /* Last, since it notes each endpoint that is removed. */
+  hub_sync_finish (&edge->hub_sync);
   if (edge->readiness != NULL)
     evhttp_free (edge->readiness);
   event_free (edge->tick_event);
--- a/packages/edge/src/follow.c
+++ b/packages/edge/src/follow.c
@@ -210,6 +210,7 @@
     {
       LOG_EVENT (LOG_LEVEL_NOTICE, "endpoint-entry-skipped",
                  LOG_STR ("endpoint", record->name), LOG_INT ("code", result),
+                 LOG_STR ("reason", result_info (result)->text),
                  LOG_U64 ("revision", record->revision));
       /* It names no endpoint to use, whatever it said before. */
       endpoints_delete (&edge->endpoints, record->name, record->revision,
--- a/packages/edge/src/gossip.c
+++ b/packages/edge/src/gossip.c
@@ -28,6 +28,30 @@
   return xdr_string (xdr, &text, size - 1) != 0;
 }
 
+/*
+ * The texts of a report have any length; those that are received are kept in
+ * the message.  Each takes more bytes encoded than in texts.
+ */
+static bool
+code_report_text (XDR *xdr, struct gossip_report *report, const char **text)
+{
+  char *bytes;
+  size_t left;
+
+  if (xdr->x_op == XDR_ENCODE)
+    {
+      bytes = (char *)(*text != NULL ? *text : "");
+      return xdr_string (xdr, &bytes, GOSSIP_DATAGRAM_LIMIT_BYTES) != 0;
+    }
+  left = sizeof report->texts - report->texts_size;
+  bytes = report->texts + report->texts_size;
+  if (left == 0 || !xdr_string (xdr, &bytes, (u_int)left - 1))
+    return false;
+  report->texts_size += strlen (bytes) + 1;
+  *text = bytes;
+  return true;
+}
+
 static bool
 code_flag (XDR *xdr, bool *flag)
 {
@@ -170,36 +194,38 @@
 }
 
 static bool
-code_cached_models (XDR *xdr, struct endpoint_report *report)
+code_cached_models (XDR *xdr, struct gossip_report *message)
 {
+  struct endpoint_report *report = &message->report;
+
   if (!code_count (xdr, &report->cached_model_count,
                    ENDPOINTS_CACHED_MODEL_LIMIT))
     return false;
   for (unsigned i = 0; i < report->cached_model_count; i++)
-    if (!code_text (xdr, report->cached_models[i],
-                    sizeof report->cached_models[i]))
+    if (!code_report_text (xdr, message, &report->cached_models[i]))
       return false;
   return true;
 }
 
 static bool
-code_endpoint (XDR *xdr, struct endpoint_report *report)
+code_endpoint (XDR *xdr, struct gossip_report *message)
 {
+  struct endpoint_report *report = &message->report;
   int state = (int)report->state;
-  bool is_valid
-      = code_text (xdr, report->service, sizeof report->service)
-        && code_text (xdr, report->address, sizeof report->address)
-        && xdr_u_short (xdr, &report->port)
-        && code_text (xdr, report->data_centre, sizeof report->data_centre)
-        && code_text (xdr, report->domain, sizeof report->domain)
-        && xdr_u_int (xdr, &report->slots) && code_flag (xdr, &report->leaving)
-        && xdr_int64_t (xdr, &report->started_ms)
-        && xdr_uint64_t (xdr, &report->orders)
-        && code_cached_models (xdr, report)
-        && code_text (xdr, report->model, sizeof report->model)
-        && code_text (xdr, report->group, sizeof report->group)
-        && xdr_uint64_t (xdr, &report->epoch) && xdr_u_int (xdr, &report->rank)
-        && xdr_int (xdr, &state);
+  bool is_valid = code_report_text (xdr, message, &report->service)
+                  && code_text (xdr, report->address, sizeof report->address)
+                  && xdr_u_short (xdr, &report->port)
+                  && code_report_text (xdr, message, &report->data_centre)
+                  && code_report_text (xdr, message, &report->domain)
+                  && xdr_u_int (xdr, &report->slots)
+                  && code_flag (xdr, &report->leaving)
+                  && xdr_int64_t (xdr, &report->started_ms)
+                  && xdr_uint64_t (xdr, &report->orders)
+                  && code_cached_models (xdr, message)
+                  && code_report_text (xdr, message, &report->model)
+                  && code_report_text (xdr, message, &report->group)
+                  && xdr_uint64_t (xdr, &report->epoch)
+                  && xdr_u_int (xdr, &report->rank) && xdr_int (xdr, &state);
 
   if (!is_valid || state < ENDPOINT_GROUP_NONE || state > ENDPOINT_GROUP_BROKEN)
     return false;
@@ -228,10 +254,10 @@
 static bool
 code_report (XDR *xdr, struct gossip_report *report, bool has_report)
 {
-  return code_text (xdr, report->endpoint, sizeof report->endpoint)
+  return code_report_text (xdr, report, &report->endpoint)
          && xdr_uint64_t (xdr, &report->revision)
          && (!has_report
-             || (code_endpoint (xdr, &report->report)
+             || (code_endpoint (xdr, report)
                  && code_cold_time (xdr, &report->report)));
 }
 
--- a/packages/edge/src/hub-sync.c
+++ b/packages/edge/src/hub-sync.c
@@ -2,7 +2,7 @@
 
 #include "log.h"
 
-#include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 /* A host polls its hub this often. */
@@ -49,6 +49,8 @@
 hub_sync_finish (struct hub_sync *sync)
 {
   routed_snapshot_finish (&sync->routed_snapshot);
+  for (unsigned i = 0; i < HUB_SYNC_TOMBSTONES; i++)
+    free (sync->tombstones[i].endpoint);
 }
 
 void
@@ -59,7 +61,8 @@
   struct hub_sync_tombstone *tombstone
       = &sync->tombstones[sync->tombstones_added++ % HUB_SYNC_TOMBSTONES];
 
-  snprintf (tombstone->endpoint, sizeof tombstone->endpoint, "%s", endpoint);
+  free (tombstone->endpoint);
+  tombstone->endpoint = strdup (endpoint);
   tombstone->revision = revision;
 }
 
@@ -75,6 +78,7 @@
 
   for (uint64_t i = 0; i < count; i++)
     if (sync->tombstones[i].revision >= revision
+        && sync->tombstones[i].endpoint != NULL
         && strcmp (sync->tombstones[i].endpoint, endpoint) == 0)
       return true;
   return false;
@@ -89,7 +93,7 @@
   struct gossip_report *report = &message->body.report;
 
   message->kind = GOSSIP_REPORT;
-  memcpy (report->endpoint, endpoint->id, sizeof report->endpoint);
+  report->endpoint = endpoint->id;
   report->revision = endpoint->revision;
   report->report = endpoint->report;
   report->report.cold_ms
@@ -152,11 +156,11 @@
           = &sync->tombstones[i % HUB_SYNC_TOMBSTONES];
 
       /* Equal revisions are sent too: see hub_sync_add_tombstone. */
-      if (tombstone->revision < request->revision || request->revision == 0)
+      if (tombstone->revision < request->revision || request->revision == 0
+          || tombstone->endpoint == NULL)
         continue;
       message->kind = GOSSIP_DELETED;
-      memcpy (message->body.report.endpoint, tombstone->endpoint,
-              sizeof tombstone->endpoint);
+      message->body.report.endpoint = tombstone->endpoint;
       message->body.report.revision = tombstone->revision;
       mesh_send (sync->mesh, to, message);
     }
--- a/packages/edge/src/mesh.c
+++ b/packages/edge/src/mesh.c
@@ -28,6 +28,7 @@
 /* Timing of the watch of the hubs' records, which change rarely. */
 #define HOSTS_WAIT_MS 25000
 #define HOSTS_INTERVAL_MS 2000
+#define TOO_LARGE_LOG_INTERVAL_MS 1000
 /* Datagrams read per event, so that other events are not delayed. */
 #define READ_BURST 64
 
@@ -68,6 +69,26 @@
     LOG_EVENT (LOG_LEVEL_DEBUG, "datagram-not-sent", LOG_INT ("errno", errno));
 }
 
+/*
+ * Hosts that miss what a message was to tell read it from the platform, see
+ * has_to_relist in follow.c.  They ask again until then.
+ */
+static void
+log_too_large (struct mesh *mesh, const struct gossip_message *message)
+{
+  bool is_report
+      = message->kind == GOSSIP_REPORT || message->kind == GOSSIP_DELETED;
+
+  mesh->too_large++;
+  if (mesh->now_ms < mesh->next_too_large_log_ms)
+    return;
+  mesh->next_too_large_log_ms = mesh->now_ms + TOO_LARGE_LOG_INTERVAL_MS;
+  LOG_EVENT (
+      LOG_LEVEL_WARNING, "datagram-too-large", LOG_INT ("kind", message->kind),
+      LOG_STR ("endpoint", is_report ? message->body.report.endpoint : ""),
+      LOG_U64 ("count", mesh->too_large));
+}
+
 static size_t
 encode_message (struct mesh *mesh, struct gossip_message *message, char *buffer)
 {
@@ -79,8 +100,7 @@
   message->has_traffic = mesh->has_traffic;
   size = gossip_encode (message, buffer, GOSSIP_DATAGRAM_LIMIT_BYTES);
   if (size == 0)
-    LOG_EVENT (LOG_LEVEL_ERROR, "datagram-too-large",
-               LOG_INT ("kind", message->kind));
+    log_too_large (mesh, message);
   return size;
 }
 
@@ -296,14 +316,21 @@
       mesh->own_revision = record->revision;
       return;
     }
-  if (record->deleted || strlen (record->name) >= sizeof known.name
+  if (record->deleted)
+    return;
+  if (strlen (record->name) >= sizeof known.name
       || !json_read_string (record->value, "address", known.address,
                             sizeof known.address)
       || !json_read_string (record->value, "data_centre", known.data_centre,
                             sizeof known.data_centre)
       || !json_read_u64 (record->value, "port", &port) || port > UINT16_MAX
       || !json_read_u64 (record->value, "capacity", &capacity))
-    return;
+    {
+      LOG_EVENT (LOG_LEVEL_NOTICE, "host-record-skipped",
+                 LOG_STR ("host", record->name),
+                 LOG_U64 ("revision", record->revision));
+      return;
+    }
   memcpy (known.name, record->name, strlen (record->name) + 1);
   known.port = (uint16_t)port;
   known.capacity = (uint32_t)capacity;
--- a/packages/edge/src/peers.c
+++ b/packages/edge/src/peers.c
@@ -168,9 +168,12 @@
   };
   enum result result;
 
-  snprintf (self.name, sizeof self.name, "%.63s", settings->host);
-  snprintf (self.data_centre, sizeof self.data_centre, "%.63s",
-            settings->data_centre);
+  if (strlen (settings->host) >= sizeof self.name
+      || strlen (settings->data_centre) >= sizeof self.data_centre)
+    return RESULT_SETTINGS_BAD_VALUE;
+  memcpy (self.name, settings->host, strlen (settings->host) + 1);
+  memcpy (self.data_centre, settings->data_centre,
+          strlen (settings->data_centre) + 1);
   snprintf (self.address, sizeof self.address, "%.15s",
             settings->peers_address);
   edge->relay.on_stall = on_endpoint_stalled;
--- a/packages/edge/tests/t0960-gossip.c
+++ b/packages/edge/tests/t0960-gossip.c
@@ -18,20 +18,32 @@
 
 static bool all_have_limits; /* the loads have request limits */
 
+/* Of 64 bytes, as the SHA-256 of something in hexadecimal. */
+static const char long_name[]
+    = "4f1c9a7be2d05836a1c4e7f90b2d6385c7a9e1f30d5b7284960cfe1a3b5d7e92";
+
 static void
-fill_message (enum gossip_kind kind)
+fill_sender (enum gossip_kind kind)
 {
-  struct gossip_loads *loads = &message.body.loads;
-  struct gossip_report *report = &message.body.report;
-
-  memset (&message, 0, sizeof message);
   message.kind = kind;
+  memset (&message.sender, 0, sizeof message.sender);
   memset (message.sender.name, 'h', sizeof message.sender.name - 1);
   memset (message.sender.data_centre, 'd',
           sizeof message.sender.data_centre - 1);
   message.sender.port = 7340;
   message.boot = 1;
   message.sequence = 2;
+  message.has_traffic = false;
+}
+
+static void
+fill_message (enum gossip_kind kind)
+{
+  struct gossip_loads *loads = &message.body.loads;
+  struct gossip_report *report = &message.body.report;
+
+  memset (&message, 0, sizeof message);
+  fill_sender (kind);
   switch (kind)
     {
     case GOSSIP_LOAD:
@@ -68,12 +80,11 @@
       break;
     case GOSSIP_REPORT:
     case GOSSIP_DELETED:
-      memset (report->endpoint, 'e', sizeof report->endpoint - 1);
+      report->endpoint = long_name;
       report->revision = 12;
       if (kind == GOSSIP_REPORT)
         {
-          memset (report->report.service, 's',
-                  sizeof report->report.service - 1);
+          report->report.service = long_name;
           report->report.state = ENDPOINT_GROUP_OPEN;
         }
       break;
@@ -144,6 +155,60 @@
   all_have_limits = false;
 }
 
+/*
+ * Guards against reports whose texts are cut on the way, or are taken for those
+ * of another endpoint, and against ones that say that they were sent although
+ * they do not fit a datagram.
+ */
+static void
+test_long_reports (void **state)
+{
+  static const struct
+  {
+    size_t size;
+    bool fits;
+  } cases[] = {
+    { 1, true }, { 63, true }, { 64, true }, { 150, true }, { 300, false }
+  };
+
+  (void)state;
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      struct gossip_report *report = &message.body.report;
+      char name[512];
+      size_t size;
+
+      /* What an earlier message of another kind has left. */
+      memset (&message, 0xff, sizeof message);
+      fill_sender (GOSSIP_REPORT);
+      memset (name, 'n', cases[i].size);
+      name[cases[i].size] = '\0';
+      report->endpoint = name;
+      report->revision = 12;
+      report->report = (struct endpoint_report){ .service = name,
+                                                 .data_centre = name,
+                                                 .domain = name,
+                                                 .model = name,
+                                                 .group = name,
+                                                 .cached_models = { name },
+                                                 .cached_model_count = 1 };
+      size = gossip_encode (&message, buffer, sizeof buffer);
+      if ((size > 0) != cases[i].fits)
+        fail_msg ("%zu bytes", cases[i].size);
+      if (size == 0)
+        continue;
+      assert_int_equal (gossip_decode (&decoded, buffer, size), RESULT_OK);
+      report = &decoded.body.report;
+      assert_string_equal (report->endpoint, name);
+      assert_string_equal (report->report.service, name);
+      assert_string_equal (report->report.data_centre, name);
+      assert_string_equal (report->report.domain, name);
+      assert_string_equal (report->report.model, name);
+      assert_string_equal (report->report.group, name);
+      assert_string_equal (report->report.cached_models[0], name);
+    }
+}
+
 /* A damaged datagram is rejected, or decoded as another valid message. */
 static void
 test_damaged_datagrams (void **state)
@@ -317,6 +382,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_round_trip),
+    cmocka_unit_test (test_long_reports),
     cmocka_unit_test (test_cold_time_of_report),
     cmocka_unit_test (test_sequence),
     cmocka_unit_test (test_damaged_datagrams),
--- a/packages/edge/tests/t0961-hub-sync.c
+++ b/packages/edge/tests/t0961-hub-sync.c
@@ -162,6 +162,7 @@
                   (long long)sync.entries_current_at_ms,
                   (long long)sync.newest_configuration, sync.hub_rank);
       endpoints_finish (&endpoints);
+      hub_sync_finish (&sync);
     }
 }
 
@@ -213,6 +214,7 @@
                       (long long)step->at_ms);
         }
       endpoints_finish (&endpoints);
+      hub_sync_finish (&sync);
     }
 }
 
@@ -225,7 +227,7 @@
 
   (void)state;
   setup ();
-  snprintf (report->endpoint, sizeof report->endpoint, "e");
+  report->endpoint = "e";
   report->revision = 5;
   hub_sync_handle_message (&sync, NULL, &message, 1000);
   assert_non_null (endpoints_find (&endpoints, "e"));
@@ -243,6 +245,7 @@
   hub_sync_handle_message (&sync, NULL, &message, 1300);
   assert_non_null (endpoints_find (&endpoints, "e"));
   endpoints_finish (&endpoints);
+  hub_sync_finish (&sync);
 }
 
 /*
@@ -268,6 +271,7 @@
   assert_int_equal (mesh.sequence, 3);
   is_hub_current = false;
   endpoints_finish (&endpoints);
+  hub_sync_finish (&sync);
 }
 
 /* A host that has an older configuration than its hub polls it again soon. */
@@ -312,6 +316,7 @@
                   (long long)sync.outdated_since_ms,
                   (long long)sync.next_request_ms);
       endpoints_finish (&endpoints);
+      hub_sync_finish (&sync);
     }
 }
 
@@ -333,6 +338,7 @@
   assert_int_equal (patch_from, 5);
   is_hub_current = false;
   endpoints_finish (&endpoints);
+  hub_sync_finish (&sync);
 }
 
 /*
@@ -347,7 +353,7 @@
 {
   struct endpoint_report report = { .state = ENDPOINT_GROUP_OPEN };
 
-  snprintf (report.domain, sizeof report.domain, "d");
+  report.domain = "d";
   return report;
 }
 
@@ -407,8 +413,8 @@
         fail_msg ("%s: %u heads left", snapshot_cases[i].guards,
                   HASH_COUNT (endpoints.table));
       endpoints_finish (&hub);
-      hub_sync_finish (&sync);
       endpoints_finish (&endpoints);
+      hub_sync_finish (&sync);
     }
 }
 
@@ -462,7 +468,7 @@
       sync.relies_on_hub = hosts[i].relies_on_hub;
       if (hosts[i].known)
         add_heads (&endpoints, 1, 5);
-      snprintf (report->endpoint, sizeof report->endpoint, "h0");
+      report->endpoint = "h0";
       report->revision = 6;
       report->report = make_head_report ();
       report->report.rank = 1;
@@ -475,6 +481,7 @@
       hub_sync_handle_message (&sync, NULL, &message, 1020);
       assert_int_equal (HASH_COUNT (endpoints.table), 1);
       endpoints_finish (&endpoints);
+      hub_sync_finish (&sync);
     }
 }
 
@@ -511,6 +518,7 @@
       HASH_CLEAR (hh, mesh.hosts);
       free (host);
       endpoints_finish (&endpoints);
+      hub_sync_finish (&sync);
     }
 }
 
@@ -550,6 +558,7 @@
       assert_int_equal (mesh.message.body.sync_response.entries_age_ms,
                         ages[i].age_ms);
       endpoints_finish (&endpoints);
+      hub_sync_finish (&sync);
     }
   is_hub_current = false;
   hub_current_at_ms = 0;
--- a/packages/edge/tests/t0963-orders.c
+++ b/packages/edge/tests/t0963-orders.c
@@ -136,7 +136,7 @@
   if (group == NULL)
     return RESULT_INVALID;
   report->orders = (uint64_t)orders;
-  snprintf (report->group, sizeof report->group, "%s", group);
+  report->group = group;
   if (group[0] != '\0')
     {
       report->state = ENDPOINT_GROUP_READY;
--- a/packages/edge/tests/t0966-candidate.c
+++ b/packages/edge/tests/t0966-candidate.c
@@ -147,9 +147,8 @@
       report = &message->body.report.report;
       message->kind = deletion_cases[i].kind;
       message->body.report.revision = 9;
-      snprintf (message->body.report.endpoint,
-                sizeof message->body.report.endpoint, "e");
-      snprintf (report->domain, sizeof report->domain, "d");
+      message->body.report.endpoint = "e";
+      report->domain = "d";
       report->state = deletion_cases[i].reported;
       endpoints_init (&edge->endpoints, NULL, NULL);
       endpoints_report (&edge->endpoints, "e", report, 5, 1000);
--- a/packages/formation/tests/fixture.h
+++ b/packages/formation/tests/fixture.h
@@ -77,10 +77,9 @@
     fixture->joined_while_open++;
   if (fixture->ignores_orders)
     return;
-  snprintf (report.group, sizeof report.group, "%s", order->group);
-  snprintf (report.model, sizeof report.model, "%s", order->model);
-  snprintf (report.cached_models[0], sizeof report.cached_models[0], "%s",
-            order->model);
+  report.group = order->group;
+  report.model = order->model;
+  report.cached_models[0] = order->model;
   report.cached_model_count = 1;
   report.epoch = order->epoch;
   report.state = ENDPOINT_GROUP_READY;
@@ -119,8 +118,7 @@
   report = endpoint->report;
   if (order->op == FORMATION_PREFETCH)
     {
-      snprintf (report.cached_models[0], sizeof report.cached_models[0], "%s",
-                order->model);
+      report.cached_models[0] = order->model;
       report.cached_model_count = 1;
     }
   else if (report.epoch != order->epoch)
@@ -130,7 +128,7 @@
   else if (order->op == FORMATION_LEAVE)
     {
       report.state = ENDPOINT_GROUP_NONE;
-      snprintf (report.group, sizeof report.group, "%s", "");
+      report.group = "";
     }
   else
     report.state = ENDPOINT_GROUP_READY;
@@ -180,13 +178,12 @@
 {
   struct endpoint_report report = { .port = 1, .slots = 26 };
 
-  snprintf (report.service, sizeof report.service, "%s", SERVICE);
-  snprintf (report.data_centre, sizeof report.data_centre, "%s", "casa-a");
-  snprintf (report.domain, sizeof report.domain, "%s", domain);
+  report.service = SERVICE;
+  report.data_centre = "casa-a";
+  report.domain = domain;
   if (cached_model != NULL)
     {
-      snprintf (report.cached_models[0], sizeof report.cached_models[0], "%s",
-                cached_model);
+      report.cached_models[0] = cached_model;
       report.cached_model_count = 1;
     }
   fixture_report (fixture, id, &report);
--- a/packages/formation/tests/t0450-formation.c
+++ b/packages/formation/tests/t0450-formation.c
@@ -262,8 +262,8 @@
       report.state = ENDPOINT_GROUP_READY;
       report.rank = i;
       report.epoch = 7;
-      snprintf (report.group, sizeof report.group, "%s", "old");
-      snprintf (report.model, sizeof report.model, "%s", "m0");
+      report.group = "old";
+      report.model = "m0";
       fixture_report (&fixture, id, &report);
     }
   fixture_tick (&fixture, 20000);
--- a/packages/formation/tests/t0451-handover.c
+++ b/packages/formation/tests/t0451-handover.c
@@ -54,7 +54,7 @@
       struct endpoint_report report = { .state = c->state, .rank = c->rank };
 
       report.epoch = c->state != ENDPOINT_GROUP_NONE ? OLD_EPOCH : 0;
-      snprintf (report.group, sizeof report.group, "%s", c->group);
+      report.group = c->group;
       if (formation_may_take (&report, c->is_abandoned ? OLD_EPOCH : 0,
                               c->head != ENDPOINT_GROUP_NONE ? &head : NULL)
           != c->claim)
@@ -108,7 +108,7 @@
 
       basis.group = c->basis;
       basis.epoch = find_epoch (c->basis);
-      snprintf (report.group, sizeof report.group, "%s", c->group);
+      report.group = c->group;
       report.epoch = find_epoch (c->group);
       if (formation_check_join (&basis, "new", OLD_EPOCH + 5, &report)
           != c->step)
@@ -130,11 +130,11 @@
   report.state = state;
   report.rank = rank;
   report.epoch = OLD_EPOCH;
-  snprintf (report.group, sizeof report.group, "%s", OLD_GROUP);
-  snprintf (report.model, sizeof report.model, "%s", "");
+  report.group = OLD_GROUP;
+  report.model = "";
   /* Members that are joining report no model. */
   if (state != ENDPOINT_GROUP_JOINING)
-    snprintf (report.model, sizeof report.model, "%s", "m0");
+    report.model = "m0";
   fixture_report (&fixture, id, &report);
 }
 
@@ -205,7 +205,7 @@
   snprintf (id, sizeof id, "d0-%u", rank);
   report = endpoints_find (&fixture.endpoints, id)->report;
   report.state = ENDPOINT_GROUP_NONE;
-  snprintf (report.group, sizeof report.group, "%s", "");
+  report.group = "";
   report.epoch = 0;
   report.rank = 0;
   report.started_ms = fixture.now_ms;
@@ -267,7 +267,7 @@
             report_member (rank, ENDPOINT_GROUP_READY);
             snprintf (id, sizeof id, "d0-%u", rank);
             report = endpoints_find (&fixture.endpoints, id)->report;
-            snprintf (report.model, sizeof report.model, "%s", "withdrawn");
+            report.model = "withdrawn";
             fixture_report (&fixture, id, &report);
           }
       fixture_tick (&fixture, 12000);
@@ -372,8 +372,8 @@
   fixture_add_endpoint (&fixture, "d1", "head", "m0");
   report.state = ENDPOINT_GROUP_OPEN;
   report.epoch = OLD_EPOCH;
-  snprintf (report.group, sizeof report.group, "%s", OLD_GROUP);
-  snprintf (report.model, sizeof report.model, "%s", "m0");
+  report.group = OLD_GROUP;
+  report.model = "m0";
   fixture_report (&fixture, "head", &report);
   report_member (2, ENDPOINT_GROUP_READY);
   fixture_tick (&fixture, 1500);
--- a/packages/http/src/http-text.c
+++ b/packages/http/src/http-text.c
@@ -97,17 +97,20 @@
 void
 http_text_format (struct http_text *text, const char *format, ...)
 {
-  char formatted[512];
   va_list args;
   int size;
 
   va_start (args, format);
-  size = vsnprintf (formatted, sizeof formatted, format, args);
+  size = vsnprintf (NULL, 0, format, args);
   va_end (args);
-  if (size < 0 || (size_t)size >= sizeof formatted)
+  if (size < 0)
     text->failed = true;
-  else
-    http_text_add (text, formatted, (size_t)size);
+  if (size <= 0 || !reserve_space (text, (size_t)size))
+    return;
+  va_start (args, format);
+  vsnprintf (text->data + text->size, (size_t)size + 1, format, args);
+  va_end (args);
+  text->size += (size_t)size;
 }
 
 void
--- a/packages/relay/tests/relay-fixture.h
+++ b/packages/relay/tests/relay-fixture.h
@@ -384,7 +384,7 @@
   assert_non_null (endpoint->listener);
   endpoint->port = net_bound_port (evconnlistener_get_fd (endpoint->listener));
   report.port = endpoint->port;
-  snprintf (report.service, sizeof report.service, "%s", "app");
+  report.service = "app";
   snprintf (report.address, sizeof report.address, "127.0.0.1");
   snprintf (id, sizeof id, "e%u", index);
   endpoints_report (&test.endpoints, id, &report, 1, time_boot_ms ());
--- a/packages/relay/tests/t0851-endpoint-trouble.c
+++ b/packages/relay/tests/t0851-endpoint-trouble.c
@@ -686,9 +686,12 @@
   const struct endpoint *endpoint = endpoints_find (&test.endpoints, id);
   struct endpoint_report report = endpoint->report;
   int64_t now_ms = time_boot_ms ();
+  struct text_pool texts;
 
   if (entry_change == CHANGE_NONE)
     return;
+  text_pool_init (&texts);
+  endpoint_report_keep (&report, &texts);
   if (entry_change == CHANGE_DELETED_AND_BACK)
     {
       endpoints_delete (&test.endpoints, id, 2, now_ms);
@@ -698,6 +701,7 @@
   if (entry_change == CHANGE_RESTARTED)
     report.started_ms++;
   endpoints_report (&test.endpoints, id, &report, 3, now_ms);
+  text_pool_finish (&texts);
 }
 
 static void
--- a/packages/relay/tests/t0853-crash-requests.c
+++ b/packages/relay/tests/t0853-crash-requests.c
@@ -251,7 +251,7 @@
   server->started_ms++;
   report.port = server->port;
   report.started_ms = server->started_ms;
-  snprintf (report.service, sizeof report.service, "app");
+  report.service = "app";
   inet_ntop (AF_INET, &own.sin_addr, report.address, sizeof report.address);
   snprintf (id, sizeof id, "s%td", server - world.servers);
   endpoints_report (&world.endpoints, id, &report, (uint64_t)server->started_ms,
--- a/packages/relay/tests/t0857-evacuation.c
+++ b/packages/relay/tests/t0857-evacuation.c
@@ -34,8 +34,7 @@
 
   snprintf (id, sizeof id, "e%u", index);
   endpoint = endpoints_find (&test.endpoints, id);
-  snprintf (endpoint->report.data_centre, sizeof endpoint->report.data_centre,
-            "%s", data_centre);
+  endpoint->report.data_centre = data_centre;
   endpoint->report.leaving = !is_usable;
 }
 
--- a/packages/relay/tests/t0862-waiting-order.c
+++ b/packages/relay/tests/t0862-waiting-order.c
@@ -286,7 +286,7 @@
       report->slots = 1;
       report->state
           = cases[i].is_grouped ? ENDPOINT_GROUP_OPEN : ENDPOINT_GROUP_NONE;
-      snprintf (report->model, sizeof report->model, "%s", "m");
+      report->model = "m";
       relay_set_catalog (&test.relay, make_two_routes (&cases[i]));
       for (unsigned j = 0; j < expected; j++)
         {
--- a/soak/ledger.h
+++ b/soak/ledger.h
@@ -79,7 +79,7 @@
    leaves. */
 struct ledger_drain_signal
 {
-  char endpoint[LEDGER_TEXT_SIZE];
+  char endpoint[STANDIN_NAME_SIZE];
   int64_t incarnation_start_ms; /* start of the endpoint's incarnation */
   const struct host *host;
   int64_t signalled_ms;
@@ -91,7 +91,7 @@
 #define LEDGER_LIMITED_REQUEST_LIMIT 256
 struct ledger_limit
 {
-  char endpoint[LEDGER_TEXT_SIZE];
+  char endpoint[STANDIN_NAME_SIZE];
   int64_t incarnation_start_ms;
   unsigned per_10_s;
   int64_t since_ms;  /* first stated as it is now */
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -230,6 +230,8 @@
   struct arg_int *callers = arg_int0 (NULL, "callers", "N", "callers");
   struct arg_int *retry_slack = arg_int0 (
       NULL, "retry-slack", "N", "retries of the fleet beyond its ratio (260)");
+  struct arg_int *id_bytes
+      = arg_int0 (NULL, "id-bytes", "N", "least size of endpoints' ids (2)");
   struct arg_str *shape
       = arg_str0 (NULL, "shape", "NAME", "small, middle or large (small)");
   struct arg_str *only
@@ -243,8 +245,9 @@
   struct arg_file *binary
       = arg_file0 (NULL, NULL, "WAXWINGLINKD", "program to be tested");
   struct arg_end *end = arg_end (10);
-  void *table[] = { seed,  seeds, faults,    hosts, callers, retry_slack, only,
-                    shape, work,  log_level, kinds, help,    binary,      end };
+  void *table[]
+      = { seed,  seeds, faults,    hosts, callers, retry_slack, id_bytes, only,
+          shape, work,  log_level, kinds, help,    binary,      end };
   const struct world_shape *chosen_shape;
   int status = EXIT_USAGE;
   uint64_t violations = 0;
@@ -255,12 +258,14 @@
   seed->ival[0] = 1;
   seeds->ival[0] = 1;
   retry_slack->ival[0] = 260;
+  id_bytes->ival[0] = 2;
   work->filename[0] = "/tmp";
   shape->sval[0] = "small";
   log_level->sval[0] = "info";
   error_count = arg_parse (argc, argv, table);
   if (help->count > 0 || error_count > 0
-      || world_find_shape (shape->sval[0]) == NULL
+      || world_find_shape (shape->sval[0]) == NULL || id_bytes->ival[0] < 2
+      || id_bytes->ival[0] >= STANDIN_NAME_SIZE
       || (only->count > 0 && !schedule_are_kinds (only->sval[0]))
       || (binary->count == 0 && kinds->count == 0))
     {
@@ -294,6 +299,7 @@
               .callers = callers->count > 0 ? (unsigned)callers->ival[0]
                                             : chosen_shape->callers,
               .retry_slack = (unsigned)retry_slack->ival[0],
+              .id_bytes = (unsigned)id_bytes->ival[0],
               .has_evacuations
               = only->count > 0
                 && schedule_lists_kind (only->sval[0], "evacuation"),
--- a/soak/world.c
+++ b/soak/world.c
@@ -72,12 +72,14 @@
               unsigned slots)
 {
   struct proxied_endpoint *endpoint = &world->endpoints[world->endpoint_count];
-  char id[32];
+  char id[STANDIN_NAME_SIZE];
   char address[64];
 
   if (world->endpoint_count == WORLD_ENDPOINT_LIMIT)
     return;
-  snprintf (id, sizeof id, "e%u", world->endpoint_count);
+  /* Long ids differ in their last bytes only. */
+  snprintf (id, sizeof id, "e%0*u", (int)world->options.id_bytes - 1,
+            world->endpoint_count);
   endpoint->standin = standin_add_endpoint (&world->fleet, id, service,
                                             data_centre, domain, slots);
   if (endpoint->standin == NULL
--- a/soak/world.h
+++ b/soak/world.h
@@ -65,6 +65,7 @@
   unsigned hosts;        /* per data centre */
   unsigned callers;
   unsigned retry_slack;
+  unsigned id_bytes;    /* ids of endpoints have as many at least */
   bool has_evacuations; /* hosts follow them */
   bool has_cold_times;  /* endpoints are cold after a restart */
   uint64_t seed;
