relay: keep ids of requests whole

What callers saw: a request with an id of 64 bytes or more got 504. Its id was cut to 63 bytes, so that the answer, which repeats it whole, counted as a late one to another request. And an answer to another request whose id begins like this one's cut id, and ends there, would have passed. The endpoint had run the request.

Change: the id follows the request's structure and is charged to the account of memory; a suspect of a crash keeps a copy.

--- a/packages/relay/include/relay.h
+++ b/packages/relay/include/relay.h
@@ -28,8 +28,6 @@
  * Times are milliseconds on CLOCK_BOOTTIME.
  */
 
-#define RELAY_ID_SIZE 64
-
 /*
  * Names of header fields on the wire, for one platform.  The system sets the
  * fields marked "set" itself and drops them from callers' requests.
@@ -144,7 +142,7 @@
   const struct catalog_model *model;
   const struct catalog_customer *customer;
   enum relay_phase phase;
-  char id[RELAY_ID_SIZE];
+  const char *id; /* "" = none */
   bool is_head_method;
   int64_t arrived_ms;
   int64_t deadline_ms; /* the caller's, or the route's if that is earlier */
@@ -197,7 +195,7 @@
  */
 struct relay_suspect
 {
-  char id[RELAY_ID_SIZE];     /* of the request */
+  const char *id;             /* of the request */
   struct endpoint_load *load; /* referenced */
   int64_t started_ms;         /* incarnation of the endpoint */
   int64_t at_ms;              /* when the connection ended */
--- a/packages/relay/src/crash.c
+++ b/packages/relay/src/crash.c
@@ -22,7 +22,7 @@
 #define PROBE_INTERVAL_MS 200
 /* An endpoint that refused a connection is tried again after this time. */
 #define RETRY_AFTER_REFUSAL_MS 1000
-/* Limit of suspects, about 1 KB each. */
+/* Limit of suspects, about 1 KB each, and the id of the request. */
 #define SUSPECT_LIMIT 64
 
 /*
@@ -93,16 +93,21 @@
   struct relay *relay = request->relay;
   struct relay_upstream *upstream = request->upstream;
   struct endpoint_load *load = upstream->load;
+  size_t id_size = strlen (request->id);
   struct relay_suspect *suspect;
+  char *id;
 
   /* It did not crash the endpoint when it began to write. */
   if (upstream->is_sound || load->endpoint == NULL
       || relay->suspect_count == SUSPECT_LIMIT)
     return;
-  suspect = calloc (1, sizeof *suspect);
+  /* The id follows the structure. */
+  suspect = calloc (1, sizeof *suspect + id_size + 1);
   if (suspect == NULL)
     return;
-  snprintf (suspect->id, sizeof suspect->id, "%s", request->id);
+  id = (char *)(suspect + 1);
+  memcpy (id, request->id, id_size + 1);
+  suspect->id = id;
   endpoint_load_ref (load);
   suspect->load = load;
   suspect->started_ms = get_incarnation (load);
--- a/packages/relay/src/memory.c
+++ b/packages/relay/src/memory.c
@@ -3,6 +3,7 @@
 #include "timeutil.h"
 
 #include <malloc.h>
+#include <string.h>
 
 /* The smallest host of a deployment has 112 MB. */
 #define DEFAULT_LIMIT_MB 112
@@ -52,9 +53,10 @@
 void
 relay_memory_charge_request (struct relay_request *request)
 {
-  memory_account_set (
-      &request->relay->memory, MEMORY_BODIES, &request->memory_charge,
-      sizeof *request + request->fields.size + request->body.size);
+  memory_account_set (&request->relay->memory, MEMORY_BODIES,
+                      &request->memory_charge,
+                      sizeof *request + strlen (request->id)
+                          + request->fields.size + request->body.size);
 }
 
 static struct memory_holder
--- a/packages/relay/src/request.c
+++ b/packages/relay/src/request.c
@@ -65,8 +65,11 @@
 relay_request_new (struct relay_caller *caller, const struct http_head *head)
 {
   struct relay *relay = caller->relay;
-  struct relay_request *request = calloc (1, sizeof *request);
   const char *id = http_head_get (head, relay->names->request_id);
+  size_t id_size = id != NULL ? strlen (id) : 0;
+  /* The id follows the structure. */
+  struct relay_request *request = calloc (1, sizeof *request + id_size + 1);
+  char *id_copy = (char *)(request + 1);
 
   if (request == NULL)
     {
@@ -78,7 +81,8 @@
   request->arrived_ms = relay->now_ms;
   request->deadline_ms = relay->now_ms + DEFAULT_DEADLINE_MS;
   request->is_head_method = strcmp (head->method, "HEAD") == 0;
-  snprintf (request->id, sizeof request->id, "%s", id != NULL ? id : "");
+  memcpy (id_copy, id != NULL ? id : "", id_size + 1);
+  request->id = id_copy;
   http_text_init (&request->fields);
   http_text_init (&request->body);
   TAILQ_INSERT_TAIL (&relay->requests, request, link);
--- a/packages/relay/tests/t0853-crash-requests.c
+++ b/packages/relay/tests/t0853-crash-requests.c
@@ -103,7 +103,7 @@
 {
   struct http_connection connection;
   struct server *server;
-  char id[RELAY_ID_SIZE];
+  char id[64];
   bool is_bad;
   int64_t crash_ms; /* 0 = it does not crash the server */
   struct server_connection *next;
