records: continue a list after a name of any length

A page of a list that ended with a name of 1,024 bytes or more counted as a damaged response, and the list began anew: with such an entry in the store at the end of a page, a host would never have had a whole list of the endpoints, and no lease holder would have formed groups.

--- a/packages/edge/src/edge.c
+++ b/packages/edge/src/edge.c
@@ -396,6 +396,10 @@
   endpoints_finish (&edge->endpoints);
   /* Last, since it notes each endpoint that is removed. */
   hub_sync_finish (&edge->hub_sync);
+  follower_finish (&edge->configuration);
+  follower_finish (&edge->entries);
+  follower_finish (&edge->strike_record.follower);
+  follower_finish (&edge->evacuation_sync.follower);
   if (edge->readiness != NULL)
     evhttp_free (edge->readiness);
   event_free (edge->tick_event);
--- a/packages/edge/src/mesh.c
+++ b/packages/edge/src/mesh.c
@@ -457,6 +457,7 @@
       free (sum);
       sum = next;
     }
+  follower_finish (&mesh->follower);
   if (mesh->readable != NULL)
     event_free (mesh->readable);
   if (mesh->socket >= 0)
--- a/packages/records/include/follower.h
+++ b/packages/records/include/follower.h
@@ -14,9 +14,6 @@
  * would come again.
  */
 
-/* A name after which a list goes on; it is part of a URL. */
-#define FOLLOWER_NAME_SIZE 1024
-
 struct follower_hooks
 {
   void *context;
@@ -52,9 +49,8 @@
   /* A response with a record whose value cannot be read is a failure. */
   bool needs_values;
   enum follower_state state;
-  /* Last name of the previous page; "" = first page. */
-  char list_after[FOLLOWER_NAME_SIZE];
-  uint64_t revision;      /* all changes up to it are known */
+  char *list_after;  /* last name of the previous page; NULL = first page */
+  uint64_t revision; /* all changes up to it are known */
   uint64_t list_revision; /* becomes revision when the list is complete */
   bool has_full_list;     /* a complete list was read */
   unsigned list_skipped;  /* records skipped in the list being read */
@@ -89,6 +85,8 @@
                     int wait_ms,
                     int call_interval_ms);
 
+void follower_finish (struct follower *follower);
+
 /*
  * Skips the list and watches for changes after the revision: the owner already
  * knows all records up to it, current as of current_at_ms.
--- a/packages/records/src/follower.c
+++ b/packages/records/src/follower.c
@@ -3,7 +3,7 @@
 #include "log.h"
 #include "timeutil.h"
 
-#include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 /* A watch fails when no response arrives this long after its wait. */
@@ -40,6 +40,22 @@
   follower->retry_delay_limit_ms = DEFAULT_RETRY_LIMIT_MS;
 }
 
+void
+follower_finish (struct follower *follower)
+{
+  free (follower->list_after);
+  follower->list_after = NULL;
+}
+
+/* False if memory is short; the list then starts over. */
+static bool
+set_list_after (struct follower *follower, const char *name)
+{
+  free (follower->list_after);
+  follower->list_after = name != NULL ? strdup (name) : NULL;
+  return name == NULL || follower->list_after != NULL;
+}
+
 static void
 record_failure (struct follower *follower, enum result result, int64_t now_ms)
 {
@@ -124,8 +140,8 @@
 {
   return !response->more
          || (response->last_name != NULL
-             && strlen (response->last_name) < sizeof follower->list_after
-             && strcmp (response->last_name, follower->list_after) != 0);
+             && (follower->list_after == NULL
+                 || strcmp (response->last_name, follower->list_after) != 0));
 }
 
 /* True if the record has a value that cannot be read, and no later one. */
@@ -160,7 +176,7 @@
              const struct records_response *response,
              int64_t now_ms)
 {
-  if (follower->list_after[0] == '\0')
+  if (follower->list_after == NULL)
     {
       follower->list_sent_ms = follower->sent_ms;
       follower->list_revision = response->revision;
@@ -172,16 +188,15 @@
   follower->list_skipped += response->skipped;
   if (response->more)
     {
-      snprintf (follower->list_after, sizeof follower->list_after, "%s",
-                response->last_name);
       /*
        * The next page is requested at once: waiting batches no changes, and the
        * list is of no use before its last page.
        */
-      follower->next_call_ms = now_ms;
+      if (set_list_after (follower, response->last_name))
+        follower->next_call_ms = now_ms;
       return;
     }
-  follower->list_after[0] = '\0';
+  set_list_after (follower, NULL);
   follower->revision = follower->list_revision;
   follower->has_full_list = true;
   follower->missed_since_ms = 0;
@@ -219,7 +234,7 @@
   if (follower->call_generation != follower->generation)
     return;
   /* The pages of a list must be of one era. */
-  if (result == RESULT_OK && follower->list_after[0] != '\0'
+  if (result == RESULT_OK && follower->list_after != NULL
       && records_get_era (response->revision)
              != records_get_era (follower->list_revision))
     result = RESULT_PLATFORM_HISTORY_GONE;
@@ -232,7 +247,7 @@
         handle_list (follower, response, now_ms);
       else
         handle_changes (follower, response, now_ms);
-      if (follower->list_after[0] != '\0')
+      if (follower->list_after != NULL)
         follower_tick (follower, now_ms);
       return;
     }
@@ -255,7 +270,7 @@
       return;
     }
   /* An incomplete list starts over, since the store may have changed. */
-  follower->list_after[0] = '\0';
+  set_list_after (follower, NULL);
   record_failure (follower, result, now_ms);
 }
 
@@ -268,7 +283,7 @@
     follower->generation++;
   follower->revision = revision;
   follower->state = FOLLOWER_WATCHING;
-  follower->list_after[0] = '\0';
+  set_list_after (follower, NULL);
   if (current_at_ms > follower->current_at_ms)
     follower->current_at_ms = current_at_ms;
   follower->missed_since_ms = 0;
@@ -293,7 +308,7 @@
 {
   follower->generation++;
   follower->state = FOLLOWER_LISTING;
-  follower->list_after[0] = '\0';
+  set_list_after (follower, NULL);
 }
 
 void
@@ -314,7 +329,7 @@
       request.verb = RECORDS_WATCH;
       timeout_ms = follower->wait_ms + WATCH_RESPONSE_TIMEOUT_MS;
     }
-  else if (follower->list_after[0] != '\0')
+  else if (follower->list_after != NULL)
     request.after = follower->list_after;
   follower->call_in_flight = true;
   follower->call_generation = follower->generation;
