log: mark values and lines that are cut

A line holds 2,047 bytes, and what did not fit was dropped without a word: with names of any length, one value could hide the outcome behind it, and two could look the same. A value of more than 192 bytes is now cut to 96, followed by its size and a hash of the whole; a line that is still too long ends with " cut=yes"; a list of parts that is cut ends with ",...". The name of an evacuated data centre is shown whole in log and metrics.

test_long_log_values and test_long_log_line of t0001-base fail without the change.

--- a/packages/base/include/log.h
+++ b/packages/base/include/log.h
@@ -10,6 +10,8 @@
  *
  * Values that are empty or hold spaces, quotes, '=' or control characters are
  * quoted and escaped, so that text of a caller cannot forge a field or line.
+ * A value of more than 192 bytes is cut, and followed by "...", its size and
+ * its hash (hash_string).  A line that is too long ends with " cut=yes".
  */
 
 /* The numbers are those of syslog severities (RFC 5424, section 6.2.1). */
--- a/packages/base/src/log.c
+++ b/packages/base/src/log.c
@@ -1,5 +1,7 @@
 #include "log.h"
 
+#include "hash.h"
+
 #include <fcntl.h>
 #include <inttypes.h>
 #include <stdarg.h>
@@ -11,7 +13,15 @@
 #include <unistd.h>
 
 #define LINE_SIZE 2048
+/*
+ * A longer value is cut, and followed by its size and hash, so that it hides
+ * no other field and is not taken for another value that begins like it.
+ */
+#define VALUE_LIMIT_BYTES 192
+#define CUT_VALUE_BYTES 96
 #define FACILITY_DAEMON (3 << 3)
+/* The end of a line whose fields do not fit. */
+#define CUT_LINE_MARK " cut=yes"
 
 /*
  * Token bucket for lines to standard output.  It permits several lines for each
@@ -38,6 +48,7 @@
 {
   char text[LINE_SIZE];
   size_t used;
+  bool is_cut; /* text is missing at its end */
 };
 
 static void __attribute__ ((format (printf, 2, 3)))
@@ -50,34 +61,36 @@
   va_start (args, format);
   n = vsnprintf (line->text + line->used, remaining, format, args);
   va_end (args);
+  if (n > 0 && (size_t)n >= remaining)
+    line->is_cut = true;
   if (n > 0)
     line->used += (size_t)n < remaining ? (size_t)n : remaining - 1;
 }
 
 static bool
-needs_quotes (const char *text)
+needs_quotes (const char *text, size_t size)
 {
-  if (*text == '\0')
+  if (size == 0)
     return true;
-  for (; *text != '\0'; text++)
-    if ((unsigned char)*text <= ' ' || *text == '"' || *text == '='
-        || *text == '\\' || *text == 0x7f)
+  for (size_t i = 0; i < size; i++)
+    if ((unsigned char)text[i] <= ' ' || text[i] == '"' || text[i] == '='
+        || text[i] == '\\' || text[i] == 0x7f)
       return true;
   return false;
 }
 
 static void
-append_string (struct line *line, const char *text)
+append_bytes (struct line *line, const char *text, size_t size)
 {
-  if (!needs_quotes (text))
+  if (!needs_quotes (text, size))
     {
-      append_format (line, "%s", text);
+      append_format (line, "%.*s", (int)size, text);
       return;
     }
   append_format (line, "\"");
-  for (; *text != '\0'; text++)
+  for (size_t i = 0; i < size; i++)
     {
-      unsigned char c = (unsigned char)*text;
+      unsigned char c = (unsigned char)text[i];
 
       if (c == '"' || c == '\\')
         append_format (line, "\\%c", c);
@@ -89,6 +102,20 @@
   append_format (line, "\"");
 }
 
+static void
+append_string (struct line *line, const char *text)
+{
+  size_t size = strlen (text);
+
+  if (size <= VALUE_LIMIT_BYTES)
+    {
+      append_bytes (line, text, size);
+      return;
+    }
+  append_bytes (line, text, CUT_VALUE_BYTES);
+  append_format (line, "...%zu-bytes-%016" PRIx64, size, hash_string (text, 0));
+}
+
 static void
 append_field (struct line *line, const struct log_field *field)
 {
@@ -263,6 +290,9 @@
   append_format (&line, " event=%s", event);
   for (; fields->kind != LOG_FIELD_END; fields++)
     append_field (&line, fields);
+  if (line.is_cut)
+    memcpy (line.text + sizeof line.text - sizeof CUT_LINE_MARK, CUT_LINE_MARK,
+            sizeof CUT_LINE_MARK);
   if (state.observe != NULL)
     state.observe (state.observe_context, level, line.text);
   if (state.sink != NULL)
--- a/packages/base/tests/t0001-base.c
+++ b/packages/base/tests/t0001-base.c
@@ -40,6 +40,13 @@
   snprintf (context, 512, "%s", line);
 }
 
+static void
+copy_long_line (void *context, enum log_level level, const char *line)
+{
+  (void)level;
+  snprintf (context, 2049, "%s", line);
+}
+
 static void
 test_log_quoting (void **state)
 {
@@ -56,6 +63,64 @@
   log_set_sink (NULL, NULL);
 }
 
+/*
+ * Guards against long values that hide the fields behind them, and against two
+ * of which the log shows the same.
+ */
+static void
+test_long_log_values (void **state)
+{
+  static const size_t sizes[] = { 64, 192, 193, 16384 };
+  char *values[2];
+  char lines[2][512];
+
+  (void)state;
+  log_set_sink (copy_line, lines[0]);
+  for (size_t i = 0; i < sizeof sizes / sizeof sizes[0]; i++)
+    {
+      for (unsigned j = 0; j < 2; j++)
+        {
+          values[j] = malloc (sizes[i] + 1);
+          assert_non_null (values[j]);
+          memset (values[j], 'v', sizes[i]);
+          values[j][sizes[i] - 1] = (char)('a' + j);
+          values[j][sizes[i]] = '\0';
+          log_set_sink (copy_line, lines[j]);
+          LOG_EVENT (LOG_LEVEL_INFO, "test", LOG_STR ("value", values[j]),
+                     LOG_INT ("after", 7));
+          assert_non_null (strstr (lines[j], " after=7"));
+          if ((strstr (lines[j], values[j]) != NULL) != (sizes[i] <= 192))
+            fail_msg ("%zu bytes: %s", sizes[i], lines[j]);
+          if (sizes[i] > 192)
+            assert_non_null (strstr (lines[j], "v..."));
+        }
+      assert_string_not_equal (strstr (lines[0], "value="),
+                               strstr (lines[1], "value="));
+      free (values[0]);
+      free (values[1]);
+    }
+  log_set_sink (NULL, NULL);
+}
+
+/* Guards against a line that ends early and does not say so. */
+static void
+test_long_log_line (void **state)
+{
+  char value[193];
+  char line[2049];
+
+  (void)state;
+  memset (value, 'v', sizeof value - 1);
+  value[sizeof value - 1] = '\0';
+  log_set_sink (copy_long_line, line);
+  LOG_EVENT (LOG_LEVEL_INFO, "test", LOG_STR ("a", value), LOG_STR ("b", value),
+             LOG_STR ("c", value), LOG_STR ("d", value), LOG_STR ("e", value),
+             LOG_STR ("f", value), LOG_STR ("g", value), LOG_STR ("h", value),
+             LOG_STR ("i", value), LOG_STR ("j", value), LOG_STR ("k", value));
+  log_set_sink (NULL, NULL);
+  assert_string_equal (line + strlen (line) - strlen (" cut=yes"), " cut=yes");
+}
+
 struct uuid_case
 {
   const char *text;
@@ -237,6 +302,8 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_parse_address),
     cmocka_unit_test (test_log_quoting),
+    cmocka_unit_test (test_long_log_values),
+    cmocka_unit_test (test_long_log_line),
     cmocka_unit_test (test_uuid_v7),
     cmocka_unit_test (test_histogram_quantiles),
     cmocka_unit_test (test_counter_limit),
--- a/packages/edge/include/evacuation-sync.h
+++ b/packages/edge/include/evacuation-sync.h
@@ -52,7 +52,7 @@
 void evacuation_sync_host_started (struct evacuation_sync *sync);
 
 /* Writes the name of a data centre, or its hash if the name is not known. */
-#define EVACUATION_NAME_SIZE 64
+#define EVACUATION_NAME_SIZE SETTINGS_TEXT_SIZE
 void evacuation_sync_format_name (const struct evacuation_sync *sync,
                                   uint64_t data_centre,
                                   char name[EVACUATION_NAME_SIZE]);
--- a/packages/edge/src/evacuation-sync.c
+++ b/packages/edge/src/evacuation-sync.c
@@ -64,7 +64,7 @@
   const char *known = find_name (sync, data_centre);
 
   if (known != NULL)
-    snprintf (name, EVACUATION_NAME_SIZE, "%.63s", known);
+    snprintf (name, EVACUATION_NAME_SIZE, "%s", known);
   else
     snprintf (name, EVACUATION_NAME_SIZE, "%016llx",
               (unsigned long long)data_centre);
--- a/packages/edge/src/readiness.c
+++ b/packages/edge/src/readiness.c
@@ -61,7 +61,7 @@
       const struct evacuation *entry = &sync->table.list[i];
       bool is_active = entry->ended_ms == 0;
       char name[EVACUATION_NAME_SIZE];
-      char label[128];
+      char label[EVACUATION_NAME_SIZE + 32];
 
       evacuation_sync_format_name (sync, entry->data_centre, name);
       snprintf (label, sizeof label, "data_centre=\"%s\"", name);
--- a/packages/relay/src/request-log.c
+++ b/packages/relay/src/request-log.c
@@ -13,13 +13,13 @@
   text[0] = '\0';
   for (unsigned i = 0; i < request->shared_part_count; i++)
     {
-      int size
-          = snprintf (text + used, RELAY_PARTS_TEXT_SIZE - used, "%s%" PRIx64,
-                      i > 0 ? "," : "", request->shared_parts[i]);
+      size_t left = RELAY_PARTS_TEXT_SIZE - used - sizeof ",...";
+      int size = snprintf (text + used, left, "%s%" PRIx64, i > 0 ? "," : "",
+                           request->shared_parts[i]);
 
-      if (size < 0 || (size_t)size >= RELAY_PARTS_TEXT_SIZE - used)
+      if (size < 0 || (size_t)size >= left)
         {
-          text[used] = '\0';
+          snprintf (text + used, RELAY_PARTS_TEXT_SIZE - used, ",...");
           return;
         }
       used += (size_t)size;
