base: share the allocation of structures with their text

Eight places allocated a structure with its id or name behind it by the same six lines; text_allocate_with has them now.

--- a/packages/balance/src/load-table.c
+++ b/packages/balance/src/load-table.c
@@ -83,18 +83,14 @@
   load = find_load (loads, endpoint->id);
   if (load == NULL)
     {
-      size_t size = strlen (endpoint->id);
-      char *id;
+      const char *id;
 
-      /* The id follows the structure. */
-      load = calloc (1, sizeof *load + size + 1);
+      load = text_allocate_with (sizeof *load, endpoint->id, &id);
       if (load == NULL)
         return NULL;
-      id = (char *)(load + 1);
-      memcpy (id, endpoint->id, size + 1);
       load->id = id;
-      load->hash = hash_string (load->id, 0);
-      HASH_ADD_KEYPTR (hh, loads->table, load->id, size, load);
+      load->hash = hash_string (id, 0);
+      HASH_ADD_KEYPTR (hh, loads->table, load->id, strlen (id), load);
     }
   load->endpoint = endpoint;
   endpoint->owner_data = load;
--- a/packages/balance/src/remote.c
+++ b/packages/balance/src/remote.c
@@ -27,19 +27,16 @@
 find_or_add_remote (struct load_table *loads, const char *data_centre)
 {
   struct remote_data_centre *remote = balance_find_remote (loads, data_centre);
-  size_t size = strlen (data_centre);
-  char *name;
+  const char *name;
 
   if (remote != NULL)
     return remote;
-  /* The name follows the structure. */
-  remote = calloc (1, sizeof *remote + size + 1);
+  remote = text_allocate_with (sizeof *remote, data_centre, &name);
   if (remote == NULL)
     return NULL;
-  name = (char *)(remote + 1);
-  memcpy (name, data_centre, size + 1);
   remote->data_centre = name;
-  HASH_ADD_KEYPTR (hh, loads->remotes, remote->data_centre, size, remote);
+  HASH_ADD_KEYPTR (hh, loads->remotes, remote->data_centre, strlen (name),
+                   remote);
   return remote;
 }
 
--- a/packages/base/include/text-pool.h
+++ b/packages/base/include/text-pool.h
@@ -31,4 +31,10 @@
 const char *text_pool_format (struct text_pool *pool, const char *format, ...)
     __attribute__ ((format (printf, 2, 3)));
 
+/*
+ * Allocates a zeroed structure of this size and a copy of the text behind it;
+ * one free releases both.  NULL if memory is short.
+ */
+void *text_allocate_with (size_t size, const char *text, const char **copy);
+
 #endif
--- a/packages/base/src/text-pool.c
+++ b/packages/base/src/text-pool.c
@@ -133,3 +133,16 @@
   va_end (arguments);
   return text;
 }
+
+void *
+text_allocate_with (size_t size, const char *text, const char **copy)
+{
+  size_t text_size = strlen (text) + 1;
+  char *bytes = calloc (1, size + text_size);
+
+  if (bytes == NULL)
+    return NULL;
+  memcpy (bytes + size, text, text_size);
+  *copy = bytes + size;
+  return bytes;
+}
--- a/packages/catalog/src/endpoints.c
+++ b/packages/catalog/src/endpoints.c
@@ -192,19 +192,14 @@
 static struct endpoint *
 add_endpoint (struct endpoints *endpoints, const char *id)
 {
-  struct endpoint *endpoint;
-  size_t size = strlen (id);
-  char *copy;
+  const char *copy;
+  struct endpoint *endpoint = text_allocate_with (sizeof *endpoint, id, &copy);
 
-  /* The id follows the structure. */
-  endpoint = calloc (1, sizeof *endpoint + size + 1);
   if (endpoint == NULL)
     return NULL;
-  copy = (char *)(endpoint + 1);
-  memcpy (copy, id, size + 1);
   endpoint->id = copy;
   endpoint_report_init (&endpoint->report);
-  HASH_ADD_KEYPTR (hh, endpoints->table, endpoint->id, size, endpoint);
+  HASH_ADD_KEYPTR (hh, endpoints->table, endpoint->id, strlen (copy), endpoint);
   endpoints->digest ^= compute_endpoint_digest (endpoint);
   return endpoint;
 }
--- a/packages/edge/src/checker.c
+++ b/packages/edge/src/checker.c
@@ -141,8 +141,7 @@
 checker_suspect (struct checker *checker, const char *endpoint, int64_t now_ms)
 {
   struct endpoint_check *check;
-  size_t size;
-  char *id;
+  const char *id;
 
   if (checker->is_paused)
     return;
@@ -152,17 +151,13 @@
       check->is_cleared = false;
       return;
     }
-  /* The id follows the structure. */
-  size = strlen (endpoint);
-  check = calloc (1, sizeof *check + size + 1);
+  check = text_allocate_with (sizeof *check, endpoint, &id);
   if (check == NULL)
     return;
-  id = (char *)(check + 1);
-  memcpy (id, endpoint, size + 1);
   check->endpoint = id;
   check->checker = checker;
   check->next_ms = now_ms;
-  HASH_ADD_KEYPTR (hh, checker->checks, check->endpoint, size, check);
+  HASH_ADD_KEYPTR (hh, checker->checks, check->endpoint, strlen (id), check);
 }
 
 void
--- a/packages/formation/src/member.c
+++ b/packages/formation/src/member.c
@@ -15,18 +15,14 @@
   HASH_FIND_STR (formation->members, endpoint->id, member);
   if (member == NULL)
     {
-      size_t size = strlen (endpoint->id);
-      char *id;
+      const char *id;
 
-      /* The id follows the structure. */
-      member = calloc (1, sizeof *member + size + 1);
+      member = text_allocate_with (sizeof *member, endpoint->id, &id);
       if (member == NULL)
         return NULL;
-      id = (char *)(member + 1);
-      memcpy (id, endpoint->id, size + 1);
       member->id = id;
       member->started_ms = endpoint->report.started_ms;
-      HASH_ADD_KEYPTR (hh, formation->members, member->id, size, member);
+      HASH_ADD_KEYPTR (hh, formation->members, member->id, strlen (id), member);
     }
   return member;
 }
--- a/packages/relay/src/crash.c
+++ b/packages/relay/src/crash.c
@@ -93,20 +93,16 @@
   struct relay *relay = request->relay;
   struct relay_upstream *upstream = request->upstream;
   struct endpoint_load *load = upstream->load;
-  size_t id_size = strlen (request->id);
   struct relay_suspect *suspect;
-  char *id;
+  const char *id;
 
   /* It did not crash the endpoint when it began to write. */
   if (upstream->is_sound || load->endpoint == NULL
       || relay->suspect_count == SUSPECT_LIMIT)
     return;
-  /* The id follows the structure. */
-  suspect = calloc (1, sizeof *suspect + id_size + 1);
+  suspect = text_allocate_with (sizeof *suspect, request->id, &id);
   if (suspect == NULL)
     return;
-  id = (char *)(suspect + 1);
-  memcpy (id, request->id, id_size + 1);
   suspect->id = id;
   endpoint_load_ref (load);
   suspect->load = load;
--- a/packages/relay/src/request.c
+++ b/packages/relay/src/request.c
@@ -66,10 +66,9 @@
 {
   struct relay *relay = caller->relay;
   const char *id = http_head_get (head, relay->names->request_id);
-  size_t id_size = id != NULL ? strlen (id) : 0;
-  /* The id follows the structure. */
-  struct relay_request *request = calloc (1, sizeof *request + id_size + 1);
-  char *id_copy = (char *)(request + 1);
+  const char *copy;
+  struct relay_request *request
+      = text_allocate_with (sizeof *request, id != NULL ? id : "", &copy);
 
   if (request == NULL)
     {
@@ -81,8 +80,7 @@
   request->arrived_ms = relay->now_ms;
   request->deadline_ms = relay->now_ms + DEFAULT_DEADLINE_MS;
   request->is_head_method = strcmp (head->method, "HEAD") == 0;
-  memcpy (id_copy, id != NULL ? id : "", id_size + 1);
-  request->id = id_copy;
+  request->id = copy;
   http_text_init (&request->fields);
   http_text_init (&request->body);
   TAILQ_INSERT_TAIL (&relay->requests, request, link);
--- a/packages/relay/src/retry-budget.c
+++ b/packages/relay/src/retry-budget.c
@@ -58,17 +58,14 @@
   HASH_FIND_STR (budgets->table, service, budget);
   if (budget == NULL)
     {
-      size_t size = strlen (service);
-      char *name;
+      const char *name;
 
-      /* The name follows the structure. */
-      budget = calloc (1, sizeof *budget + size + 1);
+      budget = text_allocate_with (sizeof *budget, service, &name);
       if (budget == NULL)
         return NULL;
-      name = (char *)(budget + 1);
-      memcpy (name, service, size + 1);
       budget->service = name;
-      HASH_ADD_KEYPTR (hh, budgets->table, budget->service, size, budget);
+      HASH_ADD_KEYPTR (hh, budgets->table, budget->service, strlen (name),
+                       budget);
     }
   clear_passed_buckets (budget,
                         now_ms * RETRY_BUDGET_BUCKETS / budgets->window_ms);
