cli: mark a list of lagging hosts that is cut

The list of hosts that have not taken over a sheet yet dropped the names that did not fit 256 bytes without a word; it now ends with "...". t1300-cli-in-force (six names of 60 bytes) failed before the change.

--- a/packages/cli/src/in-force.c
+++ b/packages/cli/src/in-force.c
@@ -217,13 +217,22 @@
   return RESULT_OK;
 }
 
+/* Ends the list with a mark if it has no room for the name. */
 static void
 append_name (char *out, size_t size, const char *name)
 {
+  static const char mark[] = " ...";
   size_t used = strlen (out);
+  bool is_marked
+      = used >= strlen (mark) && strcmp (out + used - strlen (mark), mark) == 0;
 
-  if (used + strlen (name) + 2 >= size)
+  if (is_marked)
     return;
+  if (used + strlen (name) + 1 + sizeof mark > size)
+    {
+      memcpy (out + used, mark, sizeof mark);
+      return;
+    }
   if (used > 0)
     out[used++] = ' ';
   memcpy (out + used, name, strlen (name) + 1);
--- a/packages/cli/src/in-force.h
+++ b/packages/cli/src/in-force.h
@@ -33,7 +33,7 @@
   unsigned current_count; /* live daemons with the number or a higher one */
   bool reported_by_peers; /* known only through daemons of other data centres */
   uint64_t lowest_number; /* lowest number that a live daemon reports */
-  /* Names of live daemons with a lower number, as many as fit. */
+  /* Names of live daemons with a lower number; "..." for those left out. */
   char lagging_hosts[IN_FORCE_LAGGING_SIZE];
 };
 
--- a/packages/cli/tests/t1300-cli-in-force.c
+++ b/packages/cli/tests/t1300-cli-in-force.c
@@ -38,6 +38,11 @@
   "{\"host\":\"" host "\",\"data_centre\":\"" dc "\",\"state\":\"" state       \
   "\",\"sheet_number\":" sheet "}"
 
+/* Names of 60 bytes; four of them fit the list of lagging daemons. */
+#define LONG_NAME(n)                                                           \
+  "daemon-of-a-host-with-a-name-that-is-nearly-as-long-as-can-" n
+#define LONG_PEER(n) PEER (LONG_NAME (n), "casa-1", "alive", "4")
+
 /* Each case queries where number 5 is in force. */
 static const struct in_force_case in_force_cases[] = {
   { "the only daemon has the number",
@@ -49,6 +54,16 @@
   { "a live peer lags",
     { STATUS ("a", "casa-1", "5", PEER ("b", "casa-1", "alive", "4")) },
     .data_centres = { { "casa-1", IN_FORCE_PENDING, 2, 1, false, "b" } } },
+  { "daemons that lag are left out without a mark",
+    { STATUS (
+        "a",
+        "casa-1",
+        "5",
+        LONG_PEER ("1") "," LONG_PEER ("2") "," LONG_PEER ("3") "," LONG_PEER (
+            "4") "," LONG_PEER ("5") "," LONG_PEER ("6")) },
+    .data_centres = { { "casa-1", IN_FORCE_PENDING, 7, 1, false,
+                        LONG_NAME ("1") " " LONG_NAME ("2") " " LONG_NAME (
+                            "3") " " LONG_NAME ("4") " ..." } } },
   { "a suspect peer of the same data centre is still live",
     { STATUS ("a", "casa-1", "5", PEER ("b", "casa-1", "suspect", "4")) },
     .data_centres = { { "casa-1", IN_FORCE_PENDING, 2, 1, false, "b" } } },
