--- a/fuzz/users-platform.c
+++ b/fuzz/users-platform.c
@@ -52,9 +52,7 @@
 
       require (route->target_count > 0);
       for (unsigned j = 0; j < route->target_count; j++)
-        require (catalog_find_service (catalog, route->targets[j].service)
-                     == NULL
-                 || catalog->service_count > 0);
+        require (route->targets[j].service != NULL);
       require (catalog_find_same_route (catalog, route) != NULL);
     }
   for (unsigned i = 0; i < catalog->service_count; i++)
